--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+PYTHON ?= python3
+BIN := .venv/bin
+
+.PHONY: install format lint types tests test demo matrix clean
+.PHONY: bench-convergence bench-request bench-slopes
+
+install: .venv/installed
+
+.venv/installed: requirements.lock pyproject.toml
+	$(PYTHON) -m venv .venv
+	$(BIN)/pip install --quiet --requirement requirements.lock
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation --editable . || \
+		$(BIN)/pip install --quiet --no-deps --editable .
+	touch $@
+
+format: install
+	$(BIN)/black trefoilpick tests benchmarks examples
+	$(BIN)/ruff check --fix trefoilpick tests benchmarks examples
+
+lint: install
+	$(BIN)/black --check --quiet trefoilpick tests benchmarks examples
+	$(BIN)/ruff check --quiet trefoilpick tests benchmarks examples
+
+types: install
+	$(BIN)/mypy
+
+tests: install
+	$(BIN)/python -m pytest
+
+test: lint types tests
+
+demo: install
+	$(BIN)/trefoilpick demo
+
+clean:
+	rm -rf .venv .mypy_cache .ruff_cache .pytest_cache build out
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of trefoilpick. Timings live only here."""
--- /dev/null
+++ b/trefoilpick/_console.py
@@ -0,0 +1,41 @@
+"""Output of the command line: one console for people, one line for an error."""
+
+from __future__ import annotations
+
+from contextlib import contextmanager
+from enum import IntEnum
+from typing import TYPE_CHECKING
+
+import typer
+from rich.console import Console
+
+from trefoilpick.errors import TrefoilpickError
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+console = Console()
+error_console = Console(stderr=True)
+
+
+class ExitCode(IntEnum):
+    """Exit codes of the command line."""
+
+    OK = 0
+    FAULTY = 1
+    """The input was read and has faults, or a stated outcome does not hold."""
+    USAGE = 2
+    """The command cannot run as it was called."""
+    UNAVAILABLE = 3
+    """A node or the platform did not answer."""
+
+
+@contextmanager
+def report_errors(code: ExitCode = ExitCode.USAGE) -> Iterator[None]:
+    """Turn an error of the package into one line and an exit code."""
+    try:
+        yield
+    except TrefoilpickError as error:
+        error_console.print(f"[bold red]error[/] ({error.kind.value}): ", end="")
+        error_console.print(error.text, markup=False, highlight=False, soft_wrap=True)
+        raise typer.Exit(code) from error
--- /dev/null
+++ b/trefoilpick/errors.py
@@ -0,0 +1,156 @@
+"""The closed list of error kinds, and the table from kind to answer.
+
+Every error that leaves a module of the package is a `TrefoilpickError` with one kind of this
+list. `ANSWERS` says what a caller is told for each kind that can end a request.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Outcome(Enum):
+    """What a caller may conclude about the execution of its request."""
+
+    NOT_RUN = "not_run"
+    """The request did not run and will not run."""
+    RUN = "run"
+    """The request ran."""
+    UNKNOWN = "unknown"
+    """The request may have run."""
+
+
+class ErrorKind(Enum):
+    """Every kind of error that the package raises."""
+
+    DOCUMENT_FAULTY = "document_faulty"
+    SETTINGS_FAULTY = "settings_faulty"
+    MANIFEST_FAULTY = "manifest_faulty"
+    DIGEST_MISMATCH = "digest_mismatch"
+    MESSAGE_MALFORMED = "message_malformed"
+    MESSAGE_TOO_LARGE = "message_too_large"
+    SOURCE_UNAVAILABLE = "source_unavailable"
+    SOURCE_RATE_LIMITED = "source_rate_limited"
+    PEER_UNREACHABLE = "peer_unreachable"
+    FILE_UNREADABLE = "file_unreadable"
+    TRACE_FAULTY = "trace_faulty"
+
+    NOT_READY = "not_ready"
+    NOT_LEVEL = "not_level"
+    DRAINING = "draining"
+    HEAD_MALFORMED = "head_malformed"
+    HEAD_TOO_LARGE = "head_too_large"
+    HEAD_TIMEOUT = "head_timeout"
+    TOO_MANY_CONNECTIONS = "too_many_connections"
+    NO_ROUTE = "no_route"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
+    BODY_TOO_LARGE = "body_too_large"
+    BODY_MALFORMED = "body_malformed"
+    NO_UPSTREAM = "no_upstream"
+    QUEUE_FULL = "queue_full"
+    SHED = "shed"
+    DEADLINE_BEFORE_RUN = "deadline_before_run"
+    DEADLINE_AFTER_SEND = "deadline_after_send"
+    UPSTREAM_REFUSED = "upstream_refused"
+    UPSTREAM_SHED = "upstream_shed"
+    UPSTREAM_LOST = "upstream_lost"
+    ANSWER_MALFORMED = "answer_malformed"
+    ANSWER_CUT = "answer_cut"
+    ANSWER_NOT_KEPT = "answer_not_kept"
+    TOKEN_MALFORMED = "token_malformed"
+    TOKEN_EXPIRED = "token_expired"
+    TOKEN_FOREIGN = "token_foreign"
+    TOKEN_BUSY = "token_busy"
+    CALLER_GONE = "caller_gone"
+    INTERNAL = "internal"
+
+
+class TrefoilpickError(Exception):
+    """An error of one of the closed list of kinds.
+
+    Args:
+        kind: The kind of error.
+        text: A sentence that names the thing at fault.
+        outcome: What is known of the request's execution, where the kind's own is too weak.
+        retry_after_s: When to come back, in seconds, where the kind's own is too weak.
+    """
+
+    def __init__(
+        self,
+        kind: ErrorKind,
+        text: str,
+        *,
+        outcome: Outcome | None = None,
+        retry_after_s: float | None = None,
+    ) -> None:
+        super().__init__(text)
+        self.kind = kind
+        self.text = text
+        self.outcome = outcome
+        self.retry_after_s = retry_after_s
+
+
+@dataclass(frozen=True)
+class Answer:
+    """What a caller is told for one kind of error.
+
+    Attributes:
+        status: HTTP status code.
+        outcome: What the caller may conclude.
+        retry_after_s: When to come back, in seconds; None where a retry cannot help.
+    """
+
+    status: int
+    outcome: Outcome
+    retry_after_s: float | None = None
+
+
+ANSWERS: dict[ErrorKind, Answer] = {
+    ErrorKind.NOT_READY: Answer(503, Outcome.NOT_RUN, 1.0),
+    ErrorKind.NOT_LEVEL: Answer(503, Outcome.NOT_RUN, 1.0),
+    ErrorKind.DRAINING: Answer(503, Outcome.NOT_RUN, 1.0),
+    ErrorKind.HEAD_MALFORMED: Answer(400, Outcome.NOT_RUN),
+    ErrorKind.HEAD_TOO_LARGE: Answer(431, Outcome.NOT_RUN),
+    ErrorKind.HEAD_TIMEOUT: Answer(408, Outcome.NOT_RUN),
+    ErrorKind.TOO_MANY_CONNECTIONS: Answer(503, Outcome.NOT_RUN, 1.0),
+    ErrorKind.NO_ROUTE: Answer(404, Outcome.NOT_RUN),
+    ErrorKind.METHOD_NOT_ALLOWED: Answer(405, Outcome.NOT_RUN),
+    ErrorKind.BODY_TOO_LARGE: Answer(413, Outcome.NOT_RUN),
+    ErrorKind.BODY_MALFORMED: Answer(400, Outcome.UNKNOWN),
+    ErrorKind.NO_UPSTREAM: Answer(503, Outcome.NOT_RUN, 1.0),
+    ErrorKind.QUEUE_FULL: Answer(503, Outcome.NOT_RUN, 1.0),
+    ErrorKind.SHED: Answer(503, Outcome.NOT_RUN, 2.0),
+    ErrorKind.DEADLINE_BEFORE_RUN: Answer(504, Outcome.NOT_RUN, 1.0),
+    ErrorKind.DEADLINE_AFTER_SEND: Answer(504, Outcome.UNKNOWN),
+    ErrorKind.UPSTREAM_REFUSED: Answer(502, Outcome.NOT_RUN, 1.0),
+    ErrorKind.UPSTREAM_SHED: Answer(503, Outcome.NOT_RUN, 1.0),
+    ErrorKind.UPSTREAM_LOST: Answer(502, Outcome.UNKNOWN),
+    ErrorKind.ANSWER_MALFORMED: Answer(502, Outcome.UNKNOWN),
+    ErrorKind.ANSWER_CUT: Answer(502, Outcome.RUN),
+    ErrorKind.ANSWER_NOT_KEPT: Answer(409, Outcome.RUN),
+    ErrorKind.TOKEN_MALFORMED: Answer(400, Outcome.NOT_RUN),
+    ErrorKind.TOKEN_EXPIRED: Answer(410, Outcome.UNKNOWN),
+    ErrorKind.TOKEN_FOREIGN: Answer(409, Outcome.UNKNOWN),
+    ErrorKind.TOKEN_BUSY: Answer(409, Outcome.UNKNOWN, 1.0),
+    ErrorKind.CALLER_GONE: Answer(499, Outcome.UNKNOWN),
+    ErrorKind.INTERNAL: Answer(500, Outcome.UNKNOWN),
+}
+"""The answer for every kind that can end a request."""
+
+
+def find_answer(error: TrefoilpickError) -> Answer:
+    """Return the answer that a caller is given for an error.
+
+    Args:
+        error: The error that ended the request.
+
+    Returns:
+        The kind's answer, with the error's own outcome and retry time where it has them.
+    """
+    answer = ANSWERS.get(error.kind, ANSWERS[ErrorKind.INTERNAL])
+    return Answer(
+        answer.status,
+        error.outcome or answer.outcome,
+        answer.retry_after_s if error.retry_after_s is None else error.retry_after_s,
+    )
--- /dev/null
+++ b/trefoilpick/hops.py
@@ -0,0 +1,241 @@
+"""The hop: how a caller's node hands a request to the node beside the worker.
+
+A hop is a TCP connection that carries one request at a time, as frames: a length, a kind and a
+payload. Heads are msgpack; bodies are raw bytes, so that TCP's own flow control is the
+backpressure of both bodies. A body is whole only when its END frame arrived.
+"""
+
+from __future__ import annotations
+
+import struct
+from enum import IntEnum
+from typing import TYPE_CHECKING, TypeVar
+
+import msgspec
+
+from trefoilpick.errors import ErrorKind, TrefoilpickError
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from curio.io import Socket
+
+FRAME_HEADER = struct.Struct(">IB")
+"""Length of the payload in bytes, then kind of the frame."""
+
+MAX_FRAME_BYTES = 1_048_576
+"""Largest payload of one frame, in bytes."""
+
+READ_BYTES = 65_536
+"""Bytes asked of the socket at a time."""
+
+HeadT = TypeVar("HeadT", bound=msgspec.Struct)
+
+Headers = list[tuple[bytes, bytes]]
+"""HTTP headers, names in lower case, without those of one connection."""
+
+
+class FrameKind(IntEnum):
+    """Kinds of frames on a hop."""
+
+    REQUEST = 1
+    """Payload: `HopRequest`. From the caller's node."""
+    DATA = 2
+    """Payload: bytes of a body. Both ways."""
+    END = 3
+    """The body is whole. Both ways; empty payload."""
+    ANSWER = 4
+    """Payload: `HopAnswer`. From the worker's node."""
+    FAILURE = 5
+    """Payload: `HopFailure`. From the worker's node; ends the request."""
+    NOTICE = 6
+    """Payload: `Load`. From the worker's node between requests, when its state changes."""
+
+
+class Load(msgspec.Struct, frozen=True, array_like=True):
+    """First-hand load of one worker, as its own node sees it.
+
+    Attributes:
+        vm: Name of the VM.
+        incarnation: Start of the node's process, in nanoseconds since the Unix epoch.
+        number: Version number that the node enforces.
+        digest: Digest of that version.
+        in_flight: Requests that the worker runs.
+        queued: Requests that wait for a slot.
+        slots: Slots of the worker.
+        leaving: Whether the node takes no new work.
+    """
+
+    vm: str
+    incarnation: int
+    number: int
+    digest: str
+    in_flight: int
+    queued: int
+    slots: int
+    leaving: bool
+
+
+class HopRequest(msgspec.Struct, frozen=True, array_like=True):
+    """Head of a request on a hop.
+
+    Attributes:
+        number: Version number that admitted the request.
+        digest: Digest of that version.
+        team: Team of the route.
+        route: Name of the route.
+        upstream: Name of the service.
+        method: HTTP method.
+        target: Path and query.
+        headers: End-to-end headers.
+        remaining_ms: Time left until the answer's head, in milliseconds.
+        priority: Value of `Priority`.
+        idempotent: Whether the request may run more than once.
+        caller: Identity of the caller, for fairness.
+        token: Token for running at most once; None without one.
+        wants_token: Whether this asks for a token and runs nothing.
+        has_body: Whether DATA frames may follow.
+        is_retry: Whether an earlier attempt was made anywhere above.
+    """
+
+    number: int
+    digest: str
+    team: str
+    route: str
+    upstream: str
+    method: str
+    target: str
+    headers: Headers
+    remaining_ms: int
+    priority: str
+    idempotent: bool
+    caller: str
+    token: str | None
+    wants_token: bool
+    has_body: bool
+    is_retry: bool
+
+
+class HopAnswer(msgspec.Struct, frozen=True, array_like=True):
+    """Head of an answer on a hop.
+
+    Attributes:
+        status: HTTP status code.
+        headers: End-to-end headers.
+        load: Load of the worker.
+        outcome: Value of `Outcome`.
+        token: A new token, where one was asked for.
+    """
+
+    status: int
+    headers: Headers
+    load: Load
+    outcome: str
+    token: str | None
+
+
+class HopFailure(msgspec.Struct, frozen=True, array_like=True):
+    """A request that ended without an answer of the worker.
+
+    Attributes:
+        kind: Value of `ErrorKind`.
+        text: What went wrong.
+        outcome: Value of `Outcome`.
+        retry_after_ms: When to come back, in milliseconds; None where it cannot help.
+        load: Load of the worker.
+    """
+
+    kind: str
+    text: str
+    outcome: str
+    retry_after_ms: int | None
+    load: Load
+
+
+class Frame(msgspec.Struct, frozen=True):
+    """One received frame."""
+
+    kind: FrameKind
+    payload: bytes
+
+
+class Hop:
+    """One end of a hop.
+
+    Args:
+        sock: A connected curio socket.
+    """
+
+    def __init__(self, sock: Socket) -> None:
+        self.sock = sock
+        self._buffer = bytearray()
+
+    async def send(self, *frames: bytes) -> None:
+        """Send encoded frames in one call."""
+        await self.sock.sendall(frames[0] if len(frames) == 1 else b"".join(frames))
+
+    async def receive(self) -> Frame | None:
+        """Return the next frame; None where the peer closed between two frames.
+
+        Raises:
+            TrefoilpickError: `MESSAGE_MALFORMED` or `MESSAGE_TOO_LARGE`.
+            OSError: The connection broke.
+        """
+        header = await self._receive_exactly(FRAME_HEADER.size, may_end=True)
+        if header is None:
+            return None
+        length, kind = FRAME_HEADER.unpack(header)
+        if length > MAX_FRAME_BYTES:
+            text = f"hop frame has {length} bytes, over {MAX_FRAME_BYTES}"
+            raise TrefoilpickError(ErrorKind.MESSAGE_TOO_LARGE, text)
+        payload = await self._receive_exactly(length, may_end=False)
+        try:
+            return Frame(FrameKind(kind), payload or b"")
+        except ValueError as error:
+            text = f"hop frame has unknown kind {kind}"
+            raise TrefoilpickError(ErrorKind.MESSAGE_MALFORMED, text) from error
+
+    async def close(self) -> None:
+        """Close the connection."""
+        await self.sock.close()
+
+    async def _receive_exactly(self, length: int, *, may_end: bool) -> bytes | None:
+        while len(self._buffer) < length:
+            data = await self.sock.recv(READ_BYTES)
+            if data:
+                self._buffer += data
+                continue
+            if may_end and not self._buffer:
+                return None
+            raise TrefoilpickError(ErrorKind.MESSAGE_MALFORMED, "hop ended within a frame")
+        taken = bytes(self._buffer[:length])
+        del self._buffer[:length]
+        return taken
+
+
+def encode_frame(kind: FrameKind, payload: bytes = b"") -> bytes:
+    """Return the bytes of one frame."""
+    return FRAME_HEADER.pack(len(payload), kind) + payload
+
+
+def encode_head(kind: FrameKind, head: HopRequest | HopAnswer | HopFailure | Load) -> bytes:
+    """Return the bytes of a frame with a msgpack head."""
+    return encode_frame(kind, msgspec.msgpack.encode(head))
+
+
+def encode_data(chunks: Iterable[bytes]) -> bytes:
+    """Return the bytes of DATA frames for the parts of a body."""
+    return b"".join(encode_frame(FrameKind.DATA, chunk) for chunk in chunks if chunk)
+
+
+def decode_head(payload: bytes, kind: type[HeadT]) -> HeadT:
+    """Read a msgpack head.
+
+    Raises:
+        TrefoilpickError: `MESSAGE_MALFORMED`.
+    """
+    try:
+        return msgspec.msgpack.decode(payload, type=kind)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        text = f"hop head {kind.__name__}: {error}"
+        raise TrefoilpickError(ErrorKind.MESSAGE_MALFORMED, text) from error
--- /dev/null
+++ b/trefoilpick/settings.py
@@ -0,0 +1,185 @@
+"""Settings of a node: JSON with comments, checked whole at the start."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Annotated, Any
+
+import json5
+import msgspec
+from msgspec import Meta
+
+from trefoilpick.document import Name
+from trefoilpick.errors import ErrorKind, TrefoilpickError
+from trefoilpick.vms import Host, Port
+
+
+def _describe(text: str, unit: str = "") -> Meta:
+    return Meta(description=text, extra={"unit": unit})
+
+
+@dataclass(frozen=True)
+class VmSettings:
+    """Which VM this is."""
+
+    name: Annotated[Name, _describe("Name of this VM, as the platform lists it")]
+    region: Annotated[Name, _describe("Region of the data centre")]
+    data_centre: Annotated[Name, _describe("Data centre of this VM")]
+    service: Annotated[Name, _describe("Upstream whose worker runs on this VM")]
+
+
+@dataclass(frozen=True)
+class ListenSettings:
+    """Where the node listens. Every VM of a fleet may use the same ports."""
+
+    host: Annotated[Host, _describe("IP address that the node listens on")]
+    caller_port: Annotated[Port, _describe("Port for callers' HTTP requests")] = 8080
+    hop_port: Annotated[Port, _describe("Port for requests from other nodes")] = 8081
+    control_port: Annotated[Port, _describe("Port of the control link")] = 8082
+    operator_port: Annotated[Port, _describe("Port for metrics, health and status")] = 8083
+
+
+@dataclass(frozen=True)
+class WorkerSettings:
+    """The worker beside the node."""
+
+    host: Annotated[Host, _describe("IP address of the worker")]
+    port: Annotated[Port, _describe("Port of the worker")]
+
+
+@dataclass(frozen=True)
+class SourceSettings:
+    """The platform's configuration service."""
+
+    addresses: Annotated[
+        tuple[str, ...],
+        Meta(min_length=1, description="Addresses of the service", extra={"unit": "ip:port"}),
+    ]
+    read_timeout_ms: Annotated[
+        int, Meta(ge=10, le=60_000), _describe("Time for one read", "ms")
+    ] = 2_000
+    watch_ms: Annotated[
+        int, Meta(ge=100, le=600_000), _describe("Time that a watch waits", "ms")
+    ] = 30_000
+
+
+@dataclass(frozen=True)
+class ControlSettings:
+    """Distribution of versions between nodes."""
+
+    readers: Annotated[
+        int, Meta(ge=1, le=16), _describe("Nodes of a data centre that read the source")
+    ] = 2
+    exchange_ms: Annotated[
+        int, Meta(ge=50, le=60_000), _describe("Mean time between exchanges with a peer", "ms")
+    ] = 2_000
+
+
+@dataclass(frozen=True)
+class RequestSettings:
+    """Requests of callers."""
+
+    max_connections: Annotated[
+        int, Meta(ge=1, le=100_000), _describe("Callers' connections at a time")
+    ] = 2_000
+    head_timeout_ms: Annotated[
+        int, Meta(ge=10, le=600_000), _describe("Time to receive a request's head", "ms")
+    ] = 10_000
+    max_head_bytes: Annotated[
+        int, Meta(ge=1_024, le=1_048_576), _describe("Largest request head", "bytes")
+    ] = 32_768
+
+
+@dataclass(frozen=True)
+class DrainSettings:
+    """A planned stop."""
+
+    notice_ms: Annotated[
+        int,
+        Meta(ge=0, le=60_000),
+        _describe("Time from the notice to peers until new requests are refused", "ms"),
+    ] = 2_000
+    limit_ms: Annotated[
+        int, Meta(ge=0, le=86_400_000), _describe("Time for requests in flight to end", "ms")
+    ] = 600_000
+
+
+@dataclass(frozen=True)
+class KeySettings:
+    """CURVE keys of the fleet's control links, in Z85."""
+
+    public: Annotated[str, Meta(min_length=40, max_length=40), _describe("Public key")]
+    secret: Annotated[str, Meta(min_length=40, max_length=40), _describe("Secret key")]
+
+
+@dataclass(frozen=True)
+class Settings:
+    """All settings of a node."""
+
+    vm: VmSettings
+    listen: ListenSettings
+    worker: WorkerSettings
+    source: SourceSettings
+    control: ControlSettings = field(default_factory=ControlSettings)
+    requests: RequestSettings = field(default_factory=RequestSettings)
+    drain: DrainSettings = field(default_factory=DrainSettings)
+    keys: KeySettings | None = None
+
+
+def parse_settings(text: str, *, origin: str = "settings") -> Settings:
+    """Read and check settings.
+
+    Args:
+        text: JSON with comments.
+        origin: Name of the file, for errors.
+
+    Raises:
+        TrefoilpickError: `SETTINGS_FAULTY`, naming the field.
+    """
+    try:
+        raw: Any = json5.loads(text)
+    except (ValueError, RecursionError) as error:
+        raise TrefoilpickError(ErrorKind.SETTINGS_FAULTY, f"{origin}: {error}") from error
+    unknown = sorted(_find_unknown(raw, Settings, "$"))
+    if unknown:
+        text = f'{origin}: unknown field "{unknown[0]}"'
+        raise TrefoilpickError(ErrorKind.SETTINGS_FAULTY, text)
+    try:
+        return msgspec.convert(raw, Settings)
+    except msgspec.ValidationError as error:
+        raise TrefoilpickError(ErrorKind.SETTINGS_FAULTY, f"{origin}: {error}") from error
+
+
+def read_settings(path: Path) -> Settings:
+    """Read and check a file of settings.
+
+    Raises:
+        TrefoilpickError: `FILE_UNREADABLE` or `SETTINGS_FAULTY`.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise TrefoilpickError(ErrorKind.FILE_UNREADABLE, f'"{path}": {error}') from error
+    return parse_settings(text, origin=str(path))
+
+
+def _find_unknown(raw: Any, kind: Any, path: str) -> list[str]:
+    info = msgspec.inspect.type_info(kind)
+    return _list_unknown(raw, info, path)
+
+
+def _list_unknown(raw: Any, info: msgspec.inspect.Type, path: str) -> list[str]:
+    if isinstance(info, msgspec.inspect.UnionType):
+        candidates = [
+            kind for kind in info.types if isinstance(kind, msgspec.inspect.DataclassType)
+        ]
+        return _list_unknown(raw, candidates[0], path) if candidates else []
+    if not isinstance(info, msgspec.inspect.DataclassType) or not isinstance(raw, dict):
+        return []
+    known = {entry.name: entry for entry in info.fields}
+    unknown = [f"{path}.{name}" for name in raw if name not in known]
+    for name, value in raw.items():
+        if name in known:
+            unknown += _list_unknown(value, known[name].type, f"{path}.{name}")
+    return unknown
