Let a cancelled receive on a hop lose nothing

A receive that timed out between a frame's header and its payload lost the header, so the connection was out of step. Frames are now taken whole from the buffer, and take() hands out a frame that has already arrived without waiting.

--- a/trefoilpick/hops.py
+++ b/trefoilpick/hops.py
@@ -177,20 +177,44 @@
     async def receive(self) -> Frame | None:
         """Return the next frame; None where the peer closed between two frames.
 
+        A cancelled call loses nothing: the next one goes on where it stopped.
+
         Raises:
             TrefoilpickError: `MESSAGE_MALFORMED` or `MESSAGE_TOO_LARGE`.
             OSError: The connection broke.
         """
-        header = await self._receive_exactly(FRAME_HEADER.size, may_end=True)
-        if header is None:
+        while True:
+            frame = self.take()
+            if frame is not None:
+                return frame
+            data = await self.sock.recv(READ_BYTES)
+            if data:
+                self._buffer += data
+            elif self._buffer:
+                raise TrefoilpickError(ErrorKind.MESSAGE_MALFORMED, "hop ended within a frame")
+            else:
+                return None
+
+    def take(self) -> Frame | None:
+        """Return the next frame if all of it was already received; None otherwise.
+
+        Raises:
+            TrefoilpickError: `MESSAGE_MALFORMED` or `MESSAGE_TOO_LARGE`.
+        """
+        buffer = self._buffer
+        if len(buffer) < FRAME_HEADER.size:
             return None
-        length, kind = FRAME_HEADER.unpack(header)
+        length, kind = FRAME_HEADER.unpack_from(buffer)
         if length > MAX_FRAME_BYTES:
             text = f"hop frame has {length} bytes, over {MAX_FRAME_BYTES}"
             raise TrefoilpickError(ErrorKind.MESSAGE_TOO_LARGE, text)
-        payload = await self._receive_exactly(length, may_end=False)
+        end = FRAME_HEADER.size + length
+        if len(buffer) < end:
+            return None
+        payload = bytes(buffer[FRAME_HEADER.size : end])
+        del buffer[:end]
         try:
-            return Frame(FrameKind(kind), payload or b"")
+            return Frame(FrameKind(kind), payload)
         except ValueError as error:
             text = f"hop frame has unknown kind {kind}"
             raise TrefoilpickError(ErrorKind.MESSAGE_MALFORMED, text) from error
@@ -199,19 +223,6 @@
         """Close the connection."""
         await self.sock.close()
 
-    async def _receive_exactly(self, length: int, *, may_end: bool) -> bytes | None:
-        while len(self._buffer) < length:
-            data = await self.sock.recv(READ_BYTES)
-            if data:
-                self._buffer += data
-                continue
-            if may_end and not self._buffer:
-                return None
-            raise TrefoilpickError(ErrorKind.MESSAGE_MALFORMED, "hop ended within a frame")
-        taken = bytes(self._buffer[:length])
-        del self._buffer[:length]
-        return taken
-
 
 def encode_frame(kind: FrameKind, payload: bytes = b"") -> bytes:
     """Return the bytes of one frame."""
