--- /dev/null
+++ b/trefoilpick/_http.py
@@ -0,0 +1,155 @@
+"""Small HTTP/1.1 exchanges by h11 on curio: one request a connection, bounded on both sides."""
+
+from __future__ import annotations
+
+from contextlib import suppress
+from dataclasses import dataclass
+from socket import IPPROTO_TCP, SHUT_WR, TCP_NODELAY
+from typing import TYPE_CHECKING
+
+import curio
+import h11
+
+from trefoilpick.errors import ErrorKind, TrefoilpickError
+
+if TYPE_CHECKING:
+    from curio.io import Socket
+
+READ_BYTES = 16_384
+"""Bytes asked of the socket at a time."""
+
+MAX_HEAD_BYTES = 8_192
+"""Largest request head that the server side reads, in bytes."""
+
+MAX_DISCARDED_BYTES = 65_536
+"""Bytes that a client may still send while the connection closes."""
+
+LINGER_S = 1.0
+"""Time for a client to close after its answer, in seconds."""
+
+
+@dataclass(frozen=True)
+class HttpAnswer:
+    """An answer, whole.
+
+    Attributes:
+        status: HTTP status code.
+        body: The body's bytes.
+        content_type: Type of the body.
+        headers: Further headers.
+    """
+
+    status: int
+    body: bytes
+    content_type: str = "application/json"
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+async def receive_request(sock: Socket, protocol: h11.Connection) -> h11.Request | None:
+    """Return the head of the next request; None where the client closed before one.
+
+    Raises:
+        h11.RemoteProtocolError: It is malformed or too large.
+        OSError: The connection broke.
+    """
+    while True:
+        event = protocol.next_event()
+        if isinstance(event, h11.Request):
+            return event
+        if event is not h11.NEED_DATA:
+            return None
+        protocol.receive_data(await sock.recv(READ_BYTES))
+
+
+async def send_answer(sock: Socket, protocol: h11.Connection, answer: HttpAnswer) -> None:
+    """Send an answer and end the sending side of the connection.
+
+    Raises:
+        OSError: The connection broke.
+    """
+    headers = [
+        ("content-type", answer.content_type),
+        ("content-length", str(len(answer.body))),
+        ("connection", "close"),
+        *answer.headers,
+    ]
+    parts = (
+        protocol.send(h11.Response(status_code=answer.status, headers=headers)),
+        protocol.send(h11.Data(data=answer.body)),
+        protocol.send(h11.EndOfMessage()),
+    )
+    await sock.sendall(b"".join(part or b"" for part in parts))
+    await _linger(sock)
+
+
+async def fetch(
+    host: str, port: int, target: str, *, timeout_s: float, max_bytes: int
+) -> HttpAnswer:
+    """Send a GET on a connection of its own and return the whole answer.
+
+    Args:
+        host: IP address of the server.
+        port: Its port.
+        target: Path and query.
+        timeout_s: Time for all of it, in seconds.
+        max_bytes: Largest body that is read.
+
+    Raises:
+        TrefoilpickError: `PEER_UNREACHABLE`, `MESSAGE_MALFORMED` or `MESSAGE_TOO_LARGE`.
+    """
+    address = f"{host}:{port}"
+    try:
+        async with curio.timeout_after(timeout_s):
+            sock = await curio.open_connection(host, port)
+            sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+            async with sock:
+                return await _exchange(sock, address, target, max_bytes)
+    except curio.TaskTimeout as error:
+        text = f'"{address}" did not answer {target} within {timeout_s:g} s'
+        raise TrefoilpickError(ErrorKind.PEER_UNREACHABLE, text) from error
+    except OSError as error:
+        text = f'"{address}" cannot be reached: {error.strerror or error}'
+        raise TrefoilpickError(ErrorKind.PEER_UNREACHABLE, text) from error
+    except h11.RemoteProtocolError as error:
+        text = f'"{address}" sent no HTTP answer for {target}: {error}'
+        raise TrefoilpickError(ErrorKind.MESSAGE_MALFORMED, text) from error
+
+
+async def _exchange(sock: Socket, address: str, target: str, max_bytes: int) -> HttpAnswer:
+    protocol = h11.Connection(h11.CLIENT)
+    headers = [("host", address), ("connection", "close")]
+    request = h11.Request(method="GET", target=target, headers=headers)
+    head, end = protocol.send(request), protocol.send(h11.EndOfMessage())
+    await sock.sendall((head or b"") + (end or b""))
+    status, content_type = 0, ""
+    body = bytearray()
+    while True:
+        event = protocol.next_event()
+        if event is h11.NEED_DATA:
+            protocol.receive_data(await sock.recv(READ_BYTES))
+        elif isinstance(event, h11.Response):
+            status = event.status_code
+            content_type = dict(event.headers).get(b"content-type", b"").decode("latin-1")
+        elif isinstance(event, h11.Data):
+            body += event.data
+            if len(body) > max_bytes:
+                text = f'"{address}" answered {target} with more than {max_bytes} bytes'
+                raise TrefoilpickError(ErrorKind.MESSAGE_TOO_LARGE, text)
+        elif isinstance(event, h11.EndOfMessage):
+            return HttpAnswer(status, bytes(body), content_type)
+        elif isinstance(event, h11.ConnectionClosed):
+            text = f'"{address}" closed the connection before an answer to {target}'
+            raise TrefoilpickError(ErrorKind.PEER_UNREACHABLE, text)
+
+
+async def _linger(sock: Socket) -> None:
+    # Closing with unread bytes resets the connection, and the client may lose its answer.
+    with suppress(OSError):
+        await sock.shutdown(SHUT_WR)
+        async with curio.ignore_after(LINGER_S):
+            discarded = 0
+            while discarded < MAX_DISCARDED_BYTES:
+                data = await sock.recv(READ_BYTES)
+                if not data:
+                    return
+                discarded += len(data)
--- /dev/null
+++ b/trefoilpick/logs.py
@@ -0,0 +1,253 @@
+"""The node's log: JSON lines, one for each change of a state.
+
+Counters tell how often something happens. A log line tells that a state changed, so a quiet log
+means a steady node. `Event` is the closed list of states.
+"""
+
+from __future__ import annotations
+
+import logging
+import sys
+from dataclasses import dataclass
+from datetime import UTC, datetime
+from enum import Enum
+from typing import TYPE_CHECKING, Any, TextIO
+
+from pythonjsonlogger.json import JsonFormatter
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from trefoilpick.metrics import Metrics
+    from trefoilpick.settings import Settings, VmSettings
+
+LOGGER_NAME = "trefoilpick"
+"""Name of the package's logger."""
+
+MAX_SUBJECTS = 10_000
+"""Largest number of states that one `StateLog` remembers."""
+
+
+class Event(Enum):
+    """Every state whose change is logged."""
+
+    NODE = "node"
+    READINESS = "readiness"
+    VERSION = "version"
+    VERSION_REFUSED = "version_refused"
+    SOURCE = "source"
+    VM_LIST = "vm_list"
+    READER = "reader"
+    PEER = "peer"
+    WORKER = "worker"
+    UPSTREAM = "upstream"
+    OVERLOAD = "overload"
+    OPERATORS = "operators"
+
+
+@dataclass(frozen=True)
+class EventInfo:
+    """What a log line of an event means.
+
+    Attributes:
+        meaning: What changed.
+        values: The values that the state takes; empty where they are open.
+        advice: What an operator does about it.
+    """
+
+    meaning: str
+    values: tuple[str, ...]
+    advice: str
+
+
+EVENTS: dict[Event, EventInfo] = {
+    Event.NODE: EventInfo(
+        "The node's process moved to another stage of its life.",
+        ("starting", "serving", "draining", "stopped"),
+        "None, where a start or a planned stop is under way.",
+    ),
+    Event.READINESS: EventInfo(
+        "The node began or ceased to take callers' requests.",
+        ("ready", "not_ready"),
+        "Read the reasons in the line; /ready gives the same.",
+    ),
+    Event.VERSION: EventInfo(
+        "The node enforces another version, whole.",
+        (),
+        "None. `trefoilpick status` shows which nodes follow.",
+    ),
+    Event.VERSION_REFUSED: EventInfo(
+        "The node read a version that has faults and keeps the one it enforces.",
+        (),
+        "Mend the section that the text names and accept a new version.",
+    ),
+    Event.SOURCE: EventInfo(
+        "The configuration service began or ceased to answer this node.",
+        ("up", "down"),
+        "While it is down the node keeps its version; see to the service.",
+    ),
+    Event.VM_LIST: EventInfo(
+        "The node took over another revision of the list of VMs.",
+        (),
+        "None.",
+    ),
+    Event.READER: EventInfo(
+        "The node began or ceased to read the source for its data centre.",
+        ("reading", "following"),
+        "None. Frequent changes mean that nodes lose sight of each other.",
+    ),
+    Event.PEER: EventInfo(
+        "Another node began or ceased to answer on the control link.",
+        ("up", "down", "leaving"),
+        "Look at that VM, where the platform's list still has it as live.",
+    ),
+    Event.WORKER: EventInfo(
+        "The worker beside the node began or ceased to take connections.",
+        ("up", "down"),
+        "Restart the worker; the node sends callers elsewhere meanwhile.",
+    ),
+    Event.UPSTREAM: EventInfo(
+        "A service gained its first or lost its last VM with a free slot.",
+        ("available", "unavailable"),
+        "Look at the VMs of that service.",
+    ),
+    Event.OVERLOAD: EventInfo(
+        "The node began or ceased to shed requests.",
+        ("shedding", "normal"),
+        "Add VMs to the service, or lower the priority of some routes.",
+    ),
+    Event.OPERATORS: EventInfo(
+        "The operators' port opened or closed.",
+        ("open", "closed"),
+        "None.",
+    ),
+}
+"""Meaning of each event."""
+
+
+class StateLog:
+    """Logs changes of state and counts them.
+
+    Args:
+        vm: The node's VM.
+        incarnation: Start of the node's process, in nanoseconds since the Unix epoch.
+        metrics: Where changes are counted.
+    """
+
+    def __init__(self, vm: VmSettings, *, incarnation: int, metrics: Metrics) -> None:
+        self._fields = {
+            "vm": vm.name,
+            "data_centre": vm.data_centre,
+            "incarnation": incarnation,
+        }
+        self._metrics = metrics
+        self._values: dict[tuple[Event, str], object] = {}
+        self._logger = logging.getLogger(LOGGER_NAME)
+
+    def report(
+        self,
+        event: Event,
+        value: object,
+        *,
+        subject: str = "",
+        level: int = logging.INFO,
+        **fields: object,
+    ) -> bool:
+        """Log a state, where it differs from the last report.
+
+        Args:
+            event: The state.
+            value: Its value now.
+            subject: Which one of several, for example a peer's name.
+            level: Level of the line.
+            fields: Further fields of the line.
+
+        Returns:
+            Whether the state changed.
+        """
+        key = (event, subject)
+        if key in self._values and self._values[key] == value:
+            return False
+        if key not in self._values and len(self._values) >= MAX_SUBJECTS:
+            self._values.pop(next(iter(self._values)))
+        self._values[key] = value
+        self._metrics.count("trefoilpick_state_changes_total", event=event.value)
+        named = {"subject": subject} if subject else {}
+        extra = {**fields, **named, **self._fields, "event": event.value, "value": value}
+        text = f"{event.value} {subject}: {value}" if subject else f"{event.value}: {value}"
+        self._logger.log(level, text, extra=extra)
+        return True
+
+    def forget(self, event: Event, subject: str) -> None:
+        """Drop the remembered value of a state whose subject is gone."""
+        self._values.pop((event, subject), None)
+
+
+class _LineFormatter(JsonFormatter):
+    def __init__(self, defaults: Mapping[str, object]) -> None:
+        super().__init__(
+            "%(asctime)s %(levelname)s %(message)s",
+            rename_fields={"asctime": "time", "levelname": "level"},
+        )
+        self._line_defaults = dict(defaults)
+
+    def formatTime(  # noqa: N802
+        self, record: logging.LogRecord, datefmt: str | None = None
+    ) -> str:
+        """Return the time of a line in UTC, to the millisecond."""
+        moment = datetime.fromtimestamp(record.created, UTC)
+        return moment.isoformat(timespec="milliseconds")
+
+    def add_fields(
+        self,
+        log_data: dict[str, Any],
+        record: logging.LogRecord,
+        message_dict: dict[str, Any],
+    ) -> None:
+        """Fill the fields of one line."""
+        super().add_fields(log_data, record, message_dict)
+        for name, value in self._line_defaults.items():
+            log_data.setdefault(name, value)
+
+
+class _LineHandler(logging.StreamHandler[TextIO]):
+    """The package's own handler, so that a second `open_log` replaces the first."""
+
+
+def open_log(
+    settings: Settings | None = None,
+    *,
+    stream: TextIO | None = None,
+    level: int = logging.INFO,
+    incarnation: int | None = None,
+) -> logging.Logger:
+    """Send the package's log to a stream, as JSON lines.
+
+    Args:
+        settings: Settings of the node named in lines that name none themselves.
+        stream: Where lines go; the process's standard error where not given.
+        level: Lowest level that is written.
+        incarnation: The incarnation named in lines that name none themselves.
+
+    Returns:
+        The package's logger.
+    """
+    defaults: dict[str, object] = {"event": "message"}
+    if settings is not None:
+        defaults |= {"vm": settings.vm.name, "data_centre": settings.vm.data_centre}
+    if incarnation is not None:
+        defaults["incarnation"] = incarnation
+    handler = _LineHandler(stream or sys.stderr)
+    handler.setFormatter(_LineFormatter(defaults))
+    logger = logging.getLogger(LOGGER_NAME)
+    for old in [entry for entry in logger.handlers if isinstance(entry, _LineHandler)]:
+        logger.removeHandler(old)
+    logger.addHandler(handler)
+    logger.setLevel(level)
+    logger.propagate = False
+    return logger
+
+
+def open_state_log(vm: VmSettings, *, incarnation: int, metrics: Metrics) -> StateLog:
+    """Open the log of one node's changes of state."""
+    return StateLog(vm, incarnation=incarnation, metrics=metrics)
--- a/trefoilpick/metrics.py
+++ b/trefoilpick/metrics.py
@@ -3,12 +3,17 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from itertools import groupby
+from typing import TYPE_CHECKING, TypeVar
 
 from hdrh.histogram import HdrHistogram
 
+from trefoilpick._metric_table import METRICS, MetricInfo, MetricKind
+
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Iterable, Iterator
+
+__all__ = ["METRICS", "MetricInfo", "MetricKind", "Metrics", "Series", "open_histogram"]
 
 MAX_MICROSECONDS = 3_600_000_000
 """Largest value of a histogram: one hour, in microseconds."""
@@ -16,9 +21,22 @@
 SIGNIFICANT_FIGURES = 2
 """Precision of a histogram, in decimal digits."""
 
+COUNTER_BYTES = 4
+"""Size of one bucket's counter in a histogram, in bytes."""
+
 QUANTILES = (50.0, 90.0, 99.0, 99.9)
 """Quantiles in the text format, in percent."""
 
+MAX_SERIES = 10_000
+"""Largest number of series of a node; records of further ones are dropped and counted."""
+
+CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+"""Content type of the text format that scrapers read."""
+
+ValueT = TypeVar("ValueT")
+
+_ESCAPES = str.maketrans({"\\": r"\\", "\n": r"\n", '"': r"\""})
+
 
 @dataclass(frozen=True)
 class Series:
@@ -34,7 +52,9 @@
     def __init__(self) -> None:
         self.counters: dict[Series, int] = {}
         self.gauges: dict[Series, float] = {}
-        self.histograms: dict[Series, HdrHistogram] = {}
+        self._open: dict[Series, HdrHistogram] = {}
+        self._closed: dict[Series, HdrHistogram] = {}
+        self._sums: dict[Series, int] = {}
 
     def count(self, name: str, amount: int = 1, **labels: str) -> None:
         """Add to a counter.
@@ -45,11 +65,18 @@
             labels: Labels of the series.
         """
         series = Series(name, tuple(labels.items()))
-        self.counters[series] = self.counters.get(series, 0) + amount
+        value = self.counters.get(series)
+        if value is None:
+            if self._is_full():
+                return
+            value = 0
+        self.counters[series] = value + amount
 
     def set_gauge(self, name: str, value: float, **labels: str) -> None:
         """Set a gauge to a value."""
-        self.gauges[Series(name, tuple(labels.items()))] = value
+        series = Series(name, tuple(labels.items()))
+        if series in self.gauges or not self._is_full():
+            self.gauges[series] = value
 
     def observe(self, name: str, microseconds: float, **labels: str) -> None:
         """Record a duration in a histogram.
@@ -60,11 +87,15 @@
             labels: Labels of the series.
         """
         series = Series(name, tuple(labels.items()))
-        histogram = self.histograms.get(series)
+        histogram = self._open.get(series)
         if histogram is None:
-            histogram = HdrHistogram(1, MAX_MICROSECONDS, SIGNIFICANT_FIGURES)
-            self.histograms[series] = histogram
-        histogram.record_value(max(1, min(int(microseconds), MAX_MICROSECONDS)))
+            if series not in self._closed and self._is_full():
+                return
+            histogram = open_histogram()
+            self._open[series] = histogram
+        value = max(1, min(int(microseconds), MAX_MICROSECONDS))
+        histogram.record_value(value)
+        self._sums[series] = self._sums.get(series, 0) + value
 
     def get_count(self, name: str, **labels: str) -> int:
         """Return the sum of a counter's series that carry all the given labels."""
@@ -75,27 +106,93 @@
             if series.name == name and wanted <= set(series.labels)
         )
 
+    def get_histogram(self, name: str, **labels: str) -> HdrHistogram:
+        """Return the merged histogram of all series that carry all the given labels."""
+        wanted = set(labels.items())
+        merged = open_histogram()
+        for part in (self._closed, self._open):
+            for series, histogram in part.items():
+                if series.name == name and wanted <= set(series.labels):
+                    merged.add(histogram)
+        return merged
+
+    def list_open_histograms(self) -> Iterator[tuple[Series, HdrHistogram]]:
+        """Yield the histograms of what was recorded since they were last closed."""
+        yield from self._open.items()
+
+    def close_histograms(self) -> None:
+        """Move what was recorded to the totals and begin afresh."""
+        for series, histogram in self._open.items():
+            total = self._closed.get(series)
+            if total is None:
+                self._closed[series] = histogram
+            else:
+                total.add(histogram)
+        self._open = {}
+
     def render(self) -> Iterator[str]:
         """Yield the lines of the text format that scrapers read."""
-        for series, count in sorted(self.counters.items(), key=_sort_key):
-            yield f"{_render_series(series)} {count}"
-        for series, value in sorted(self.gauges.items(), key=_sort_key):
-            yield f"{_render_series(series)} {value:g}"
-        for series, histogram in sorted(self.histograms.items(), key=_sort_key):
-            yield from _render_histogram(series, histogram)
-
-
-def _sort_key(item: tuple[Series, object]) -> tuple[str, tuple[tuple[str, str], ...]]:
-    return item[0].name, item[0].labels
+        for name, counters in _group_by_name(self.counters.items()):
+            yield from _render_header(name, "counter")
+            for series, count in counters:
+                yield f"{_render_series(series)} {count}"
+        for name, gauges in _group_by_name(self.gauges.items()):
+            yield from _render_header(name, "gauge")
+            for series, value in gauges:
+                yield f"{_render_series(series)} {value:.10g}"
+        totals = {series: self._sum_histogram(series) for series in self._sums}
+        for name, histograms in _group_by_name(totals.items()):
+            yield from _render_header(name, "summary")
+            for series, histogram in histograms:
+                yield from _render_histogram(series, histogram, self._sums[series])
+
+    def _sum_histogram(self, series: Series) -> HdrHistogram:
+        closed, current = self._closed.get(series), self._open.get(series)
+        if closed is None or current is None:
+            return closed or current
+        merged = open_histogram()
+        merged.add(closed)
+        merged.add(current)
+        return merged
+
+    def _is_full(self) -> bool:
+        if len(self.counters) + len(self.gauges) + len(self._sums) < MAX_SERIES:
+            return False
+        series = Series("trefoilpick_series_dropped_total")
+        self.counters[series] = self.counters.get(series, 0) + 1
+        return True
+
+
+def open_histogram() -> HdrHistogram:
+    """Open an empty histogram of the package's one shape, so that any two merge exactly."""
+    return HdrHistogram(1, MAX_MICROSECONDS, SIGNIFICANT_FIGURES, word_size=COUNTER_BYTES)
+
+
+def _group_by_name(
+    items: Iterable[tuple[Series, ValueT]],
+) -> Iterator[tuple[str, Iterator[tuple[Series, ValueT]]]]:
+    ordered = sorted(items, key=lambda item: (item[0].name, item[0].labels))
+    yield from groupby(ordered, key=lambda item: item[0].name)
+
+
+def _render_header(name: str, kind: str) -> Iterator[str]:
+    info = METRICS.get(name)
+    if info is not None:
+        text = info.help.replace("\\", r"\\").replace("\n", r"\n")
+        yield f"# HELP {name} {text}"
+    yield f"# TYPE {name} {kind}"
 
 
 def _render_series(series: Series, suffix: str = "", *more: tuple[str, str]) -> str:
-    labels = ",".join(f'{name}="{value}"' for name, value in (*series.labels, *more))
+    labels = ",".join(
+        f'{name}="{value.translate(_ESCAPES)}"' for name, value in (*series.labels, *more)
+    )
     return f"{series.name}{suffix}{{{labels}}}" if labels else f"{series.name}{suffix}"
 
 
-def _render_histogram(series: Series, histogram: HdrHistogram) -> Iterator[str]:
+def _render_histogram(series: Series, histogram: HdrHistogram, total: int) -> Iterator[str]:
     for quantile in QUANTILES:
         value = histogram.get_value_at_percentile(quantile)
         yield f"{_render_series(series, '', ('quantile', f'{quantile / 100:g}'))} {value}"
+    yield f"{_render_series(series, '_sum')} {total}"
     yield f"{_render_series(series, '_count')} {histogram.get_total_count()}"
--- /dev/null
+++ b/trefoilpick/operators.py
@@ -0,0 +1,234 @@
+"""The operators' port of a node: metrics, health, readiness, status and figures for reports."""
+
+from __future__ import annotations
+
+from contextlib import suppress
+from socket import IPPROTO_TCP, TCP_NODELAY
+from typing import TYPE_CHECKING
+
+import curio
+import h11
+from curio.network import tcp_server_socket
+
+from trefoilpick._http import MAX_HEAD_BYTES, HttpAnswer, receive_request, send_answer
+from trefoilpick.errors import ErrorKind, TrefoilpickError
+from trefoilpick.metrics import CONTENT_TYPE
+from trefoilpick.reports import build_report
+from trefoilpick.status import Fault, Readiness, encode_status
+from trefoilpick.windows import open_windows
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from curio.io import Socket
+
+    from trefoilpick.metrics import Metrics
+    from trefoilpick.settings import Settings
+    from trefoilpick.snapshots import SnapshotCell
+    from trefoilpick.status import FleetStatus, NodeStatus
+    from trefoilpick.windows import Windows
+
+MAX_CONNECTIONS = 16
+"""Largest number of connections at a time."""
+
+HEAD_TIMEOUT_S = 5.0
+"""Time to receive a request's head, in seconds."""
+
+ANSWER_TIMEOUT_S = 30.0
+"""Time to build and send an answer, in seconds."""
+
+ROLL_S = 5.0
+"""Time between looks whether a window of metrics is full, in seconds."""
+
+ACCEPT_PAUSE_S = 0.1
+"""Time until connections are accepted again after an error, in seconds."""
+
+BACKLOG = 32
+"""Connections that may wait to be accepted."""
+
+
+class OperatorServer:
+    """The operators' port of one node.
+
+    Args:
+        settings: The node's settings.
+        sock: A listening curio socket.
+        metrics: What the node counts.
+        describe: Returns the node's state.
+        cell: The enforced snapshot.
+        sweep: Asks all other nodes for their state; None where the node cannot.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        *,
+        sock: Socket,
+        metrics: Metrics,
+        describe: Callable[[], NodeStatus],
+        cell: SnapshotCell,
+        sweep: Callable[[], Awaitable[FleetStatus]] | None,
+    ) -> None:
+        self._settings = settings
+        self._sock = sock
+        self._metrics = metrics
+        self._describe = describe
+        self._cell = cell
+        self._sweep = sweep
+        self._connections = 0
+        self._windows: Windows | None = None
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """IP address and port that it listens on."""
+        host, port = self._sock.getsockname()[:2]
+        return host, port
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        self._windows = open_windows(self._metrics, now_s=await curio.clock())
+        async with self._sock, curio.TaskGroup(wait=any) as tasks:
+            await tasks.spawn(self._roll_windows, self._windows)
+            await tasks.spawn(self._accept)
+
+    async def _roll_windows(self, windows: Windows) -> None:
+        while True:
+            await curio.sleep(ROLL_S)
+            windows.advance(await curio.clock())
+
+    async def _accept(self) -> None:
+        async with curio.TaskGroup(wait=None) as tasks:
+            await tasks.spawn(self._accept_into, tasks)
+            async for task in tasks:
+                # Marks the end of a connection's task as seen.
+                task.joined = True
+
+    async def _accept_into(self, tasks: curio.TaskGroup) -> None:
+        while True:
+            try:
+                client, _ = await self._sock.accept()
+            except OSError:
+                await curio.sleep(ACCEPT_PAUSE_S)
+                continue
+            client.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+            if self._connections >= MAX_CONNECTIONS:
+                self._count(503)
+                await client.close()
+                continue
+            self._connections += 1
+            await tasks.spawn(self._serve, client)
+
+    async def _serve(self, client: Socket) -> None:
+        try:
+            async with client:
+                with suppress(OSError, curio.TaskTimeout):
+                    await self._serve_request(client)
+        finally:
+            self._connections -= 1
+
+    async def _serve_request(self, client: Socket) -> None:
+        protocol = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
+        async with curio.timeout_after(HEAD_TIMEOUT_S + ANSWER_TIMEOUT_S):
+            answer = await self._receive_and_answer(client, protocol)
+            if answer is None:
+                return
+            self._count(answer.status)
+            await send_answer(client, protocol, answer)
+
+    async def _receive_and_answer(
+        self, client: Socket, protocol: h11.Connection
+    ) -> HttpAnswer | None:
+        try:
+            async with curio.timeout_after(HEAD_TIMEOUT_S):
+                request = await receive_request(client, protocol)
+        except h11.RemoteProtocolError as error:
+            return _answer_error(error.error_status_hint, ErrorKind.HEAD_MALFORMED, str(error))
+        except curio.TaskTimeout:
+            text = f"no request head within {HEAD_TIMEOUT_S:g} s"
+            return _answer_error(408, ErrorKind.HEAD_TIMEOUT, text)
+        if request is None:
+            return None
+        path = request.target.split(b"?", 1)[0].decode("ascii", "replace")
+        if request.method != b"GET":
+            text = f'method "{request.method.decode("ascii")}" is not allowed for "{path}"'
+            return _answer_error(405, ErrorKind.METHOD_NOT_ALLOWED, text, ("allow", "GET"))
+        try:
+            return await self._answer(path)
+        except TrefoilpickError as error:
+            return _answer_error(503, error.kind, error.text)
+
+    async def _answer(self, path: str) -> HttpAnswer:
+        if path == "/metrics":
+            return self._answer_metrics()
+        if path == "/health":
+            return HttpAnswer(200, b'{"healthy":true}')
+        if path == "/ready":
+            return self._answer_ready()
+        if path == "/status":
+            return HttpAnswer(200, encode_status(self._describe()))
+        if path == "/report":
+            return await self._answer_report()
+        if path == "/fleet" and self._sweep is not None:
+            return HttpAnswer(200, encode_status(await self._sweep()))
+        return _answer_error(404, ErrorKind.NO_ROUTE, f'"{path}" is not a page of this port')
+
+    def _answer_metrics(self) -> HttpAnswer:
+        lines = "".join(f"{line}\n" for line in self._metrics.render())
+        return HttpAnswer(200, lines.encode(), CONTENT_TYPE)
+
+    def _answer_ready(self) -> HttpAnswer:
+        status = self._describe()
+        readiness = Readiness(status.ready, status.reasons)
+        return HttpAnswer(200 if status.ready else 503, encode_status(readiness))
+
+    async def _answer_report(self) -> HttpAnswer:
+        assert self._windows is not None
+        report = build_report(
+            self._settings.vm,
+            incarnation=self._describe().incarnation,
+            snapshot=self._cell.current,
+            windows=self._windows,
+            now_s=await curio.clock(),
+        )
+        return HttpAnswer(200, encode_status(report))
+
+    def _count(self, status: int) -> None:
+        self._metrics.count("trefoilpick_operator_requests_total", status=str(status))
+
+
+def open_operator_server(
+    settings: Settings,
+    *,
+    metrics: Metrics,
+    describe: Callable[[], NodeStatus],
+    cell: SnapshotCell,
+    sweep: Callable[[], Awaitable[FleetStatus]] | None = None,
+    port: int | None = None,
+) -> OperatorServer:
+    """Bind the operators' port; it serves once it is run.
+
+    Args:
+        settings: The node's settings.
+        metrics: What the node counts.
+        describe: Returns the node's state.
+        cell: The enforced snapshot.
+        sweep: Asks all other nodes for their state; without it `/fleet` answers 404.
+        port: Port in place of the settings' one; 0 takes a free one.
+
+    Raises:
+        TrefoilpickError: `SETTINGS_FAULTY`, where the address cannot be listened on.
+    """
+    host = settings.listen.host
+    port = settings.listen.operator_port if port is None else port
+    try:
+        sock = tcp_server_socket(host, port, backlog=BACKLOG)
+    except OSError as error:
+        text = f'operators\' port "{host}:{port}" cannot be listened on: {error.strerror}'
+        raise TrefoilpickError(ErrorKind.SETTINGS_FAULTY, text) from error
+    return OperatorServer(
+        settings, sock=sock, metrics=metrics, describe=describe, cell=cell, sweep=sweep
+    )
+
+
+def _answer_error(status: int, kind: ErrorKind, text: str, *headers: tuple[str, str]) -> HttpAnswer:
+    return HttpAnswer(status, encode_status(Fault(kind.value, text)), headers=headers)
--- /dev/null
+++ b/trefoilpick/reports.py
@@ -0,0 +1,89 @@
+"""One node's figures for the fleet's reports: contracts in force, and windows of metrics."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from trefoilpick.windows import Window
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from trefoilpick.settings import VmSettings
+    from trefoilpick.snapshots import Snapshot
+    from trefoilpick.windows import Windows
+
+
+@dataclass(frozen=True)
+class ContractStatus:
+    """A route's objective, as a node enforces it.
+
+    Attributes:
+        team: Owner of the route.
+        route: Name of the route.
+        availability: Share of requests that must be good.
+        latency_ms: Time in which a good answer's head arrives, in milliseconds.
+    """
+
+    team: str
+    route: str
+    availability: float
+    latency_ms: int
+
+
+@dataclass(frozen=True)
+class NodeReport:
+    """What one node adds to a report.
+
+    Attributes:
+        vm: Its VM.
+        data_centre: Where it stands.
+        incarnation: Start of its process, in nanoseconds since the Unix epoch.
+        number: Version number that it enforces; None without one.
+        contracts: Contracts of that version.
+        windows: Its history, the oldest first.
+    """
+
+    vm: str
+    data_centre: str
+    incarnation: int
+    number: int | None
+    contracts: tuple[ContractStatus, ...]
+    windows: tuple[Window, ...]
+
+
+def build_report(
+    vm: VmSettings,
+    *,
+    incarnation: int,
+    snapshot: Snapshot | None,
+    windows: Windows,
+    now_s: float,
+) -> NodeReport:
+    """Build the report of one node.
+
+    Args:
+        vm: Its VM.
+        incarnation: Start of its process, in nanoseconds since the Unix epoch.
+        snapshot: What it enforces.
+        windows: Its history.
+        now_s: Reading of the monotonic clock, in seconds.
+    """
+    return NodeReport(
+        vm=vm.name,
+        data_centre=vm.data_centre,
+        incarnation=incarnation,
+        number=snapshot.version.number if snapshot else None,
+        contracts=tuple(_list_contracts(snapshot)) if snapshot else (),
+        windows=tuple(windows.read(now_s)),
+    )
+
+
+def _list_contracts(snapshot: Snapshot) -> Iterator[ContractStatus]:
+    for section in snapshot.document.sections:
+        for route in section.routes:
+            objective = route.contract.objective
+            yield ContractStatus(
+                section.team, route.name, objective.availability, objective.latency_ms
+            )
--- /dev/null
+++ b/trefoilpick/windows.py
@@ -0,0 +1,217 @@
+"""History of the windowed metrics: a bounded ring of time windows, kept in memory only.
+
+Windows are disjoint, so the sum of several is exact. The last minutes are kept in narrow windows,
+the hours before in wide ones. Times are ages, so that nodes with different clocks merge.
+"""
+
+from __future__ import annotations
+
+import binascii
+import zlib
+from collections import deque
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from hdrh.codec import HdrCookieException, HdrHistogramSettingsException, HdrLengthException
+from hdrh.histogram import HdrHistogram
+
+from trefoilpick.errors import ErrorKind, TrefoilpickError
+from trefoilpick.metrics import MAX_MICROSECONDS, METRICS, SIGNIFICANT_FIGURES, Series
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+    from trefoilpick.metrics import Metrics
+
+NARROW_S = 60.0
+"""Width of a narrow window, in seconds."""
+
+MERGED_WINDOWS = 10
+"""Narrow windows that make one wide window."""
+
+MAX_NARROW = 2 * MERGED_WINDOWS
+"""Largest number of narrow windows; the older half is then merged."""
+
+MAX_WIDE = 36
+"""Largest number of wide windows: six hours."""
+
+_DECODE_ERRORS = (
+    TypeError,
+    ValueError,
+    binascii.Error,
+    zlib.error,
+    HdrCookieException,
+    HdrLengthException,
+    HdrHistogramSettingsException,
+)
+
+
+@dataclass(frozen=True)
+class CounterPart:
+    """What one counter grew by within a window."""
+
+    name: str
+    labels: dict[str, str]
+    amount: int
+
+
+@dataclass(frozen=True)
+class HistogramPart:
+    """What one histogram recorded within a window.
+
+    Attributes:
+        name: Name of the metric.
+        labels: Labels of the series.
+        encoded: The histogram in HdrHistogram's V2 encoding, in base64.
+    """
+
+    name: str
+    labels: dict[str, str]
+    encoded: str
+
+
+@dataclass(frozen=True)
+class Window:
+    """What was recorded within a span of time.
+
+    Attributes:
+        begun_s: Age of its begin, in seconds before the report.
+        ended_s: Age of its end, in seconds before the report.
+        counters: Counters that grew.
+        histograms: Histograms that recorded something.
+    """
+
+    begun_s: float
+    ended_s: float
+    counters: tuple[CounterPart, ...]
+    histograms: tuple[HistogramPart, ...]
+
+
+@dataclass(frozen=True)
+class _Sealed:
+    begun_s: float
+    ended_s: float
+    counters: dict[Series, int]
+    histograms: dict[Series, str]
+
+
+class Windows:
+    """The history of one node.
+
+    Args:
+        metrics: The node's metrics; this history alone closes their histograms.
+        now_s: Reading of the monotonic clock, in seconds.
+    """
+
+    def __init__(self, metrics: Metrics, *, now_s: float) -> None:
+        self._metrics = metrics
+        self._begun_s = now_s
+        self._counted = _copy_counters(metrics)
+        self._narrow: deque[_Sealed] = deque()
+        self._wide: deque[_Sealed] = deque(maxlen=MAX_WIDE)
+
+    def advance(self, now_s: float) -> bool:
+        """Close the current window, where it is full.
+
+        Args:
+            now_s: Reading of the monotonic clock, in seconds.
+
+        Returns:
+            Whether a window was closed.
+        """
+        if now_s - self._begun_s < NARROW_S:
+            return False
+        self._narrow.append(self._read_current(now_s))
+        self._metrics.close_histograms()
+        self._counted = _copy_counters(self._metrics)
+        self._begun_s = now_s
+        if len(self._narrow) >= MAX_NARROW:
+            oldest = [self._narrow.popleft() for _ in range(MERGED_WINDOWS)]
+            self._wide.append(_merge_sealed(oldest))
+        return True
+
+    def read(self, now_s: float) -> Iterator[Window]:
+        """Yield all windows, the oldest first, the last one still open.
+
+        Args:
+            now_s: Reading of the monotonic clock, in seconds.
+        """
+        for sealed in (*self._wide, *self._narrow, self._read_current(now_s)):
+            yield _describe_window(sealed, now_s)
+
+    def _read_current(self, now_s: float) -> _Sealed:
+        counters = {
+            series: value - self._counted.get(series, 0)
+            for series, value in _copy_counters(self._metrics).items()
+            if value > self._counted.get(series, 0)
+        }
+        histograms = {
+            series: encode_histogram(histogram)
+            for series, histogram in self._metrics.list_open_histograms()
+            if _is_windowed(series)
+        }
+        return _Sealed(self._begun_s, now_s, counters, histograms)
+
+
+def open_windows(metrics: Metrics, *, now_s: float) -> Windows:
+    """Begin the history of a node's metrics."""
+    return Windows(metrics, now_s=now_s)
+
+
+def encode_histogram(histogram: HdrHistogram) -> str:
+    """Return a histogram in HdrHistogram's V2 encoding, in base64."""
+    return histogram.encode().decode("ascii")
+
+
+def merge_histograms(encoded: Iterable[str]) -> HdrHistogram:
+    """Return the exact sum of encoded histograms.
+
+    Raises:
+        TrefoilpickError: `MESSAGE_MALFORMED`, where one is no histogram of the package's shape.
+    """
+    merged = HdrHistogram(1, MAX_MICROSECONDS, SIGNIFICANT_FIGURES)
+    for text in encoded:
+        try:
+            merged.decode_and_add(text)
+        except (*_DECODE_ERRORS, IndexError) as error:
+            problem = f"histogram cannot be decoded: {error or type(error).__name__}"
+            raise TrefoilpickError(ErrorKind.MESSAGE_MALFORMED, problem) from error
+    return merged
+
+
+def _is_windowed(series: Series) -> bool:
+    info = METRICS.get(series.name)
+    return info is not None and info.windowed
+
+
+def _copy_counters(metrics: Metrics) -> dict[Series, int]:
+    return {series: value for series, value in metrics.counters.items() if _is_windowed(series)}
+
+
+def _merge_sealed(parts: list[_Sealed]) -> _Sealed:
+    counters: dict[Series, int] = {}
+    encoded: dict[Series, list[str]] = {}
+    for part in parts:
+        for series, amount in part.counters.items():
+            counters[series] = counters.get(series, 0) + amount
+        for series, text in part.histograms.items():
+            encoded.setdefault(series, []).append(text)
+    histograms = {
+        series: encode_histogram(merge_histograms(texts)) for series, texts in encoded.items()
+    }
+    return _Sealed(parts[0].begun_s, parts[-1].ended_s, counters, histograms)
+
+
+def _describe_window(sealed: _Sealed, now_s: float) -> Window:
+    return Window(
+        begun_s=max(now_s - sealed.begun_s, 0.0),
+        ended_s=max(now_s - sealed.ended_s, 0.0),
+        counters=tuple(
+            CounterPart(series.name, dict(series.labels), amount)
+            for series, amount in sealed.counters.items()
+        ),
+        histograms=tuple(
+            HistogramPart(series.name, dict(series.labels), text)
+            for series, text in sealed.histograms.items()
+        ),
+    )
