--- /dev/null
+++ b/tests/fakes_worker.py
@@ -0,0 +1,324 @@
+"""A small scriptable worker, and a caller's node that notes what it was told."""
+
+from __future__ import annotations
+
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+from contextlib import asynccontextmanager, suppress
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+import curio
+import h11
+from curio.io import Socket
+
+from trefoilpick.document import Contract, Document, Match, Route, Section, Upstream
+from trefoilpick.hops import (
+    FrameKind,
+    Hop,
+    HopAnswer,
+    HopFailure,
+    HopRequest,
+    Load,
+    decode_head,
+    encode_data,
+    encode_frame,
+    encode_head,
+)
+from trefoilpick.hopserver import HopServer, open_hop_server
+from trefoilpick.manifest import Manifest, VersionId
+from trefoilpick.metrics import Metrics
+from trefoilpick.settings import (
+    DrainSettings,
+    HopSettings,
+    ListenSettings,
+    Settings,
+    SourceSettings,
+    VmSettings,
+    WorkerSettings,
+)
+from trefoilpick.snapshots import SnapshotCell, build_snapshot
+
+OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+
+HOST = "127.0.0.1"
+
+
+@dataclass
+class Call:
+    """One request as the worker received it."""
+
+    sock: Socket
+    method: str
+    target: str
+    headers: dict[bytes, bytes]
+    body: bytes = b""
+
+
+Behaviour = Callable[[Call], Awaitable[None]]
+
+
+def say(raw: bytes = OK, *, then_reset: bool = False, then_close: bool = False) -> Behaviour:
+    """Answer with the given bytes."""
+
+    async def answer(call: Call) -> None:
+        await call.sock.sendall(raw)
+        if then_reset:
+            reset(call.sock)
+        if then_reset or then_close:
+            raise ConnectionResetError
+
+    return answer
+
+
+def reset(sock: Socket) -> None:
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+
+class FakeWorker:
+    """Runs every whole request that it receives, and counts it."""
+
+    def __init__(self) -> None:
+        self.ran: list[Call] = []
+        self.connections = 0
+        self.running = 0
+        self.peak_running = 0
+        self.script: list[Behaviour] = []
+        self.default: Behaviour = say()
+        self.reset_after: int | None = None
+        """Bytes of a request after which the connection is reset, once."""
+        self.listener = listen()
+        self.port = self.listener.getsockname()[1]
+
+    async def run(self) -> None:
+        async with curio.TaskGroup() as group:
+            await group.spawn(self._accept, group)
+            async for _ in group:
+                pass
+
+    async def _accept(self, group: curio.TaskGroup) -> None:
+        while True:
+            sock, _ = await self.listener.accept()
+            self.connections += 1
+            await group.spawn(self._serve, sock)
+
+    async def _serve(self, sock: Socket) -> None:
+        with suppress(OSError):
+            while call := await self._receive(sock):
+                self.ran.append(call)
+                self.running += 1
+                self.peak_running = max(self.peak_running, self.running)
+                try:
+                    await (self.script.pop(0) if self.script else self.default)(call)
+                finally:
+                    self.running -= 1
+        await sock.close()
+
+    async def _receive(self, sock: Socket) -> Call | None:
+        http = h11.Connection(h11.SERVER)
+        call: Call | None = None
+        received = 0
+        while True:
+            event = http.next_event()
+            if event is h11.NEED_DATA:
+                data = await sock.recv(65536)
+                received += len(data)
+                if self.reset_after is not None and received >= self.reset_after:
+                    self.reset_after = None
+                    reset(sock)
+                    return None
+                if not data:
+                    return None
+                http.receive_data(data)
+            elif isinstance(event, h11.Request):
+                method, target = event.method.decode(), event.target.decode()
+                call = Call(sock, method, target, dict(event.headers))
+            elif isinstance(event, h11.Data):
+                assert call is not None
+                call.body += bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return call
+            else:
+                return None
+
+
+@dataclass
+class Told:
+    """What the caller's node was told of one request."""
+
+    kind: str = "cut"
+    status: int | None = None
+    outcome: str | None = None
+    body: bytes = b""
+    whole: bool = False
+    token: str | None = None
+    headers: dict[bytes, bytes] = field(default_factory=dict)
+    retry_after_ms: int | None = None
+    load: Load | None = None
+    notices: int = 0
+
+
+REQUEST = HopRequest(
+    number=1,
+    digest="d",
+    team="encargos",
+    route="advance",
+    upstream="encargos",
+    method="POST",
+    target="/advances/7",
+    headers=[(b"host", b"encargos.example")],
+    remaining_ms=10_000,
+    priority="normal",
+    idempotent=False,
+    caller="editor",
+    token=None,
+    wants_token=False,
+    has_body=False,
+    is_retry=False,
+)
+
+
+def make_request(**fields: Any) -> HopRequest:
+    values = {name: getattr(REQUEST, name) for name in REQUEST.__struct_fields__}
+    return HopRequest(**{**values, **fields})
+
+
+def make_read(**fields: Any) -> HopRequest:
+    return make_request(**{"method": "GET", "idempotent": True, "target": "/series", **fields})
+
+
+async def connect(port: int) -> Hop:
+    sock = await curio.open_connection(HOST, port)
+    sock._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return Hop(Socket(sock._socket))
+
+
+async def send_call(hop: Hop, request: HopRequest, *chunks: bytes) -> None:
+    frames = [encode_head(FrameKind.REQUEST, request)]
+    if request.has_body:
+        frames += [encode_data(chunks), encode_frame(FrameKind.END)]
+    await hop.send(*frames)
+
+
+async def hear(hop: Hop) -> Told:
+    """Receive what is told of the request that was sent."""
+    told = Told()
+    while True:
+        try:
+            frame = await hop.receive()
+        except OSError:
+            return told
+        if frame is None:
+            return told
+        if frame.kind is FrameKind.NOTICE:
+            told.notices += 1
+        elif frame.kind is FrameKind.FAILURE:
+            failure = decode_head(frame.payload, HopFailure)
+            told.kind, told.outcome = failure.kind, failure.outcome
+            told.retry_after_ms, told.load = failure.retry_after_ms, failure.load
+            return told
+        elif frame.kind is FrameKind.ANSWER:
+            answer = decode_head(frame.payload, HopAnswer)
+            told.status, told.outcome = answer.status, answer.outcome
+            told.token, told.load = answer.token, answer.load
+            told.headers = dict(answer.headers)
+        elif frame.kind is FrameKind.DATA:
+            told.body += frame.payload
+        else:
+            told.kind, told.whole = "answered", True
+            return told
+
+
+async def call(hop: Hop, request: HopRequest, *chunks: bytes) -> Told:
+    await send_call(hop, request, *chunks)
+    return await hear(hop)
+
+
+def listen() -> Socket:
+    sock = socket.create_server((HOST, 0), backlog=200)
+    return Socket(sock)
+
+
+def find_free_port() -> int:
+    with socket.create_server((HOST, 0)) as sock:
+        return int(sock.getsockname()[1])
+
+
+def build_cell(**fields: Any) -> SnapshotCell:
+    upstream = Upstream("encargos", **fields)
+    route = Route("advance", Match("/", ("GET", "POST")), "encargos", Contract(idempotent=False))
+    cell = SnapshotCell()
+    cell.replace(
+        build_snapshot(
+            VersionId(1, "d"),
+            Manifest(1, 0, ()),
+            Document((Section("encargos", (upstream,), (route,)),)),
+        )
+    )
+    return cell
+
+
+def build_settings(worker_port: int, **hops: Any) -> Settings:
+    return Settings(
+        vm=VmSettings("vm-1", "lima", "lima-a", "encargos"),
+        listen=ListenSettings(HOST, hop_port=find_free_port()),
+        worker=WorkerSettings(HOST, worker_port),
+        source=SourceSettings(("127.0.0.1:1",)),
+        hops=HopSettings(**{"warm_up_ms": 0, **hops}),
+        drain=DrainSettings(notice_ms=0, limit_ms=5_000),
+    )
+
+
+@dataclass
+class Bench:
+    """A worker, the hop server beside it, and hops to it."""
+
+    worker: FakeWorker
+    server: HopServer
+    metrics: Metrics
+    cell: SnapshotCell
+    port: int
+    hops: list[Hop] = field(default_factory=list)
+
+    async def connect(self) -> Hop:
+        while True:
+            with suppress(ConnectionRefusedError):
+                self.hops.append(await connect(self.port))
+                return self.hops[-1]
+            await curio.sleep(0.001)
+
+    async def call(self, request: HopRequest, *chunks: bytes) -> Told:
+        hop = await self.connect()
+        return await call(hop, request, *chunks)
+
+
+@asynccontextmanager
+async def open_bench(
+    *, drain: DrainSettings | None = None, upstream: dict[str, Any] | None = None, **hops: Any
+):
+    worker = FakeWorker()
+    settings = build_settings(worker.port, **hops)
+    if drain is not None:
+        settings = replace(settings, drain=drain)
+    metrics = Metrics()
+    cell = build_cell(**(upstream or {}))
+    server = open_hop_server(
+        settings, cell=cell, metrics=metrics, is_level=lambda: True, incarnation=7
+    )
+    tasks = [await curio.spawn(worker.run), await curio.spawn(server.run)]
+    bench = Bench(worker, server, metrics, cell, settings.listen.hop_port)
+    try:
+        yield bench
+    finally:
+        for hop in bench.hops:
+            await hop.close()
+        for task in tasks:
+            await task.cancel()
+        await worker.listener.close()
+
+
+async def wait_for(condition: Callable[[], bool], *, limit_s: float = 20.0) -> None:
+    async with curio.timeout_after(limit_s):
+        while not condition():
+            await curio.sleep(0.002)
--- /dev/null
+++ b/trefoilpick/gate.py
@@ -0,0 +1,294 @@
+"""The gate beside a worker: exact slots, and a bounded queue that is fair and sheds by priority.
+
+A request enters the gate before it is sent to the worker and leaves it when the worker's
+connection is idle or closed. Those that find no free slot wait: a higher priority goes first, and
+callers of one priority take turns.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict, deque
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import curio
+
+from trefoilpick.document import Priority
+from trefoilpick.errors import ErrorKind, TrefoilpickError
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+PRIORITIES = (Priority.INTERACTIVE.value, Priority.NORMAL.value, Priority.DEFERRABLE.value)
+"""Values of `Priority`, the one that is served first at the start."""
+
+SERVICE_WEIGHT = 0.1
+"""Weight of the newest service time in the mean."""
+
+MIN_RETRY_AFTER_S = 0.05
+"""Shortest advice on when to come back, in seconds."""
+
+
+@dataclass(frozen=True)
+class GateLimits:
+    """What the worker takes.
+
+    Attributes:
+        slots: Requests that the worker runs at a time.
+        connections: Connections that the worker takes.
+        queue: Requests that may wait.
+    """
+
+    slots: int
+    connections: int
+    queue: int
+
+
+@dataclass(eq=False)
+class Waiter:
+    """One request in the queue.
+
+    Attributes:
+        caller: Identity of the caller, for fairness.
+        priority: Value of `Priority`.
+        deadline_s: Reading of the clock at which the request is given up, in seconds.
+        decided: Set when the request was let in or refused.
+        refusal: Why it was refused; None where it was let in.
+    """
+
+    caller: str
+    priority: str
+    deadline_s: float
+    decided: curio.Event = field(default_factory=curio.Event)
+    refusal: TrefoilpickError | None = None
+
+
+class Line:
+    """Waiting requests of one priority: callers take turns, each in order of arrival."""
+
+    def __init__(self) -> None:
+        self._callers: OrderedDict[str, deque[Waiter]] = OrderedDict()
+        self._length = 0
+
+    def __len__(self) -> int:
+        return self._length
+
+    def __iter__(self) -> Iterator[Waiter]:
+        for waiters in self._callers.values():
+            yield from waiters
+
+    def append(self, waiter: Waiter) -> None:
+        """Add a request behind those of its caller."""
+        self._callers.setdefault(waiter.caller, deque()).append(waiter)
+        self._length += 1
+
+    def take_next(self) -> Waiter:
+        """Remove and return the request whose turn it is."""
+        caller, waiters = next(iter(self._callers.items()))
+        waiter = waiters.popleft()
+        self._length -= 1
+        if waiters:
+            self._callers.move_to_end(caller)
+        else:
+            del self._callers[caller]
+        return waiter
+
+    def remove(self, waiter: Waiter) -> None:
+        """Remove a request wherever it stands."""
+        waiters = self._callers[waiter.caller]
+        waiters.remove(waiter)
+        self._length -= 1
+        if not waiters:
+            del self._callers[waiter.caller]
+
+    def count_caller(self, caller: str) -> int:
+        """Return how many requests of a caller wait."""
+        return len(self._callers.get(caller, ()))
+
+    def count_ahead(self, caller: str) -> int:
+        """Return how many requests go before a new one of a caller."""
+        own = self.count_caller(caller)
+        return sum(min(len(waiters), own + 1) for waiters in self._callers.values())
+
+    def find_newest_of_longest(self) -> Waiter:
+        """Return the newest request of the caller that has the most in the line."""
+        return max(self._callers.values(), key=len)[-1]
+
+
+class Gate:
+    """Admission to one worker.
+
+    Args:
+        limits: What the worker takes.
+        warm_up_s: Time in which the slots grow to all, in seconds.
+        warm_up_share: Share of the slots that is open at the start.
+    """
+
+    def __init__(
+        self,
+        limits: GateLimits,
+        *,
+        warm_up_s: float = 0.0,
+        warm_up_share: float = 1.0,
+    ) -> None:
+        self.limits = limits
+        self.in_flight = 0
+        self.service_s = 0.0
+        self._started_s = 0.0
+        self._warm_up_s = warm_up_s
+        self._warm_up_share = warm_up_share
+        self._lines = {priority: Line() for priority in PRIORITIES}
+
+    @property
+    def queued(self) -> int:
+        """How many requests wait."""
+        return sum(len(line) for line in self._lines.values())
+
+    def start_warm_up(self, now_s: float) -> None:
+        """Begin with a part of the slots.
+
+        Args:
+            now_s: Reading of the clock, in seconds.
+        """
+        self._started_s = now_s
+
+    def count_slots(self, now_s: float) -> int:
+        """Return how many requests the worker may run now.
+
+        Args:
+            now_s: Reading of the clock, in seconds.
+        """
+        slots = min(self.limits.slots, self.limits.connections)
+        age_s = now_s - self._started_s
+        if age_s >= self._warm_up_s:
+            return slots
+        share = self._warm_up_share + (1 - self._warm_up_share) * age_s / self._warm_up_s
+        return max(1, int(slots * share))
+
+    def estimate_wait(self, ahead: int, slots: int) -> float:
+        """Return the time until a request leaves the queue, in seconds.
+
+        Args:
+            ahead: Requests that go before it.
+            slots: Requests that the worker runs at a time.
+        """
+        return self.service_s * (ahead + 1) / slots
+
+    async def enter(self, *, caller: str, priority: str, deadline_s: float) -> None:
+        """Take a slot, or wait for one.
+
+        Args:
+            caller: Identity of the caller.
+            priority: Value of `Priority`.
+            deadline_s: Reading of the clock at which the request is given up, in seconds.
+
+        Raises:
+            TrefoilpickError: `QUEUE_FULL`, `SHED` or `DEADLINE_BEFORE_RUN`; the request did not
+                take a slot.
+        """
+        now_s = await curio.clock()
+        if now_s >= deadline_s:
+            raise _refuse_late()
+        slots = self.count_slots(now_s)
+        if self.in_flight < slots and not self.queued:
+            self.in_flight += 1
+            return
+        waiter = Waiter(caller, priority if priority in self._lines else PRIORITIES[1], deadline_s)
+        await self._join_queue(waiter, now_s, slots)
+        await self._let_in(now_s)
+        await self._wait_turn(waiter)
+
+    async def leave(self, *, served_s: float | None = None) -> None:
+        """Give a slot back, and let in whoever is next.
+
+        Args:
+            served_s: Time that the worker took, in seconds; None where it did not answer.
+        """
+        self.in_flight -= 1
+        if served_s is not None:
+            weight = SERVICE_WEIGHT if self.service_s else 1.0
+            self.service_s += weight * (served_s - self.service_s)
+        if self.queued:
+            await self._let_in(await curio.clock())
+
+    async def _wait_turn(self, waiter: Waiter) -> None:
+        try:
+            async with curio.timeout_after(waiter.deadline_s - await curio.clock()):
+                await waiter.decided.wait()
+        except BaseException as error:
+            if not waiter.decided.is_set():
+                self._lines[waiter.priority].remove(waiter)
+            elif waiter.refusal is None:
+                await self.leave()
+            if isinstance(error, curio.TaskTimeout):
+                raise _refuse_late() from error
+            raise
+        if waiter.refusal is not None:
+            raise waiter.refusal
+
+    async def _join_queue(self, waiter: Waiter, now_s: float, slots: int) -> None:
+        ahead = self._count_ahead(waiter)
+        wait_s = self.estimate_wait(ahead, slots)
+        if now_s + wait_s > waiter.deadline_s:
+            text = f"estimated wait of {wait_s:.3f} s is over the remaining time"
+            raise TrefoilpickError(ErrorKind.SHED, text, retry_after_s=self._advise(slots))
+        if self.queued >= self.limits.queue:
+            await self._displace_for(waiter, slots)
+        self._lines[waiter.priority].append(waiter)
+
+    async def _displace_for(self, waiter: Waiter, slots: int) -> None:
+        victim = self._find_victim(waiter)
+        if victim is None:
+            text = f"{self.queued} requests wait already"
+            raise TrefoilpickError(ErrorKind.QUEUE_FULL, text, retry_after_s=self._advise(slots))
+        self._lines[victim.priority].remove(victim)
+        text = f'displaced by a request of priority "{waiter.priority}"'
+        await _refuse(
+            victim, TrefoilpickError(ErrorKind.SHED, text, retry_after_s=self._advise(slots))
+        )
+
+    def _find_victim(self, waiter: Waiter) -> Waiter | None:
+        own = self._lines[waiter.priority]
+        for priority in reversed(PRIORITIES):
+            line = self._lines[priority]
+            if line is own:
+                break
+            if line:
+                return line.find_newest_of_longest()
+        if not own:
+            return None
+        victim = own.find_newest_of_longest()
+        if own.count_caller(victim.caller) > own.count_caller(waiter.caller) + 1:
+            return victim
+        return None
+
+    def _count_ahead(self, waiter: Waiter) -> int:
+        ahead = 0
+        for priority in PRIORITIES:
+            if priority == waiter.priority:
+                break
+            ahead += len(self._lines[priority])
+        return ahead + self._lines[waiter.priority].count_ahead(waiter.caller)
+
+    def _advise(self, slots: int) -> float:
+        return max(MIN_RETRY_AFTER_S, self.estimate_wait(self.queued, slots))
+
+    async def _let_in(self, now_s: float) -> None:
+        slots = self.count_slots(now_s)
+        for line in self._lines.values():
+            while line and self.in_flight < slots:
+                waiter = line.take_next()
+                if now_s >= waiter.deadline_s:
+                    await _refuse(waiter, _refuse_late())
+                    continue
+                self.in_flight += 1
+                await waiter.decided.set()
+
+
+def _refuse_late() -> TrefoilpickError:
+    return TrefoilpickError(ErrorKind.DEADLINE_BEFORE_RUN, "time is over before the request ran")
+
+
+async def _refuse(waiter: Waiter, refusal: TrefoilpickError) -> None:
+    waiter.refusal = refusal
+    await waiter.decided.set()
--- /dev/null
+++ b/trefoilpick/hopserver.py
@@ -0,0 +1,298 @@
+"""The hop server: takes requests from other nodes and passes them to the worker beside this one."""
+
+from __future__ import annotations
+
+import logging
+import select
+import socket
+from contextlib import suppress
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import curio
+from curio.io import Socket
+from curio.traps import _read_wait
+
+from trefoilpick._exchange import Exchange, HopLink, Service, drop_rest
+from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError
+from trefoilpick.gate import Gate, GateLimits
+from trefoilpick.hops import FrameKind, Hop, HopRequest, Load, decode_head, encode_head
+from trefoilpick.upstreams import open_pool
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from trefoilpick.document import Upstream
+    from trefoilpick.metrics import Metrics
+    from trefoilpick.settings import Settings
+    from trefoilpick.snapshots import SnapshotCell
+
+LINGER_S = 1.0
+"""Time for which the rest of a body is read after a failure, in seconds."""
+
+BACKLOG = 1_024
+"""Connections that wait to be accepted."""
+
+_DEPARTED = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR | select.EPOLLONESHOT
+
+logger = logging.getLogger("trefoilpick")
+
+
+@dataclass(frozen=True)
+class DrainReport:
+    """How a planned stop ended.
+
+    Attributes:
+        cut: Requests that were still running at the bound.
+        waited_s: Time from the notice to the end, in seconds.
+    """
+
+    cut: int
+    waited_s: float
+
+
+class HopServer:
+    """Serves the hops of other nodes, one task a connection.
+
+    Args:
+        settings: Settings of the node.
+        cell: The enforced version.
+        metrics: Where requests are counted.
+        is_level: Tells whether the enforced version is as new as the fleet's.
+        incarnation: Start of the process, in nanoseconds since the Unix epoch.
+        gate: Admission to the worker.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        *,
+        cell: SnapshotCell,
+        metrics: Metrics,
+        is_level: Callable[[], bool],
+        incarnation: int,
+        gate: Gate,
+    ) -> None:
+        self.gate = gate
+        self.leaving = False
+        self.refusing = False
+        self._settings = settings
+        self._cell = cell
+        self._metrics = metrics
+        self._is_level = is_level
+        self._incarnation = incarnation
+        self._upstream: Upstream | None = None
+        self._links: dict[int, HopLink] = {}
+        self._departures = select.epoll()
+        self._running = 0
+        self._service = Service(
+            gate=gate,
+            pool=open_pool(
+                settings.worker.host,
+                settings.worker.port,
+                max_idle_s=settings.hops.worker_idle_ms / 1000,
+            ),
+            metrics=metrics,
+            measure_load=self.measure_load,
+            body_idle_s=settings.hops.body_idle_ms / 1000,
+        )
+
+    @property
+    def hops(self) -> int:
+        """How many hops are open."""
+        return len(self._links)
+
+    @property
+    def running(self) -> int:
+        """How many requests are being served, waiting ones among them."""
+        return self._running
+
+    def measure_load(self) -> Load:
+        """Return the load of the worker as it is now."""
+        snapshot = self._cell.current
+        return Load(
+            vm=self._settings.vm.name,
+            incarnation=self._incarnation,
+            number=snapshot.version.number if snapshot else 0,
+            digest=snapshot.version.digest if snapshot else "",
+            in_flight=self.gate.in_flight,
+            queued=self.gate.queued,
+            slots=self.gate.limits.slots,
+            leaving=self.leaving,
+        )
+
+    async def run(self) -> None:
+        """Accept hops until cancelled."""
+        self.gate.start_warm_up(await curio.clock())
+        async with curio.TaskGroup() as group:
+            watcher = await group.spawn(self._watch_departures)
+            listener = _listen(self._settings.listen.host, self._settings.listen.hop_port)
+            async with listener:
+                await group.spawn(self._accept_hops, listener, group)
+                async for task in group:
+                    if task is watcher:
+                        break
+
+    async def drain(self) -> DrainReport:
+        """Take no new work, and let requests in flight end.
+
+        Returns:
+            How it ended.
+        """
+        drain = self._settings.drain
+        began_s = await curio.clock()
+        self.leaving = True
+        for link in list(self._links.values()):
+            await self._tell_leaving(link)
+        await curio.sleep(drain.notice_ms / 1000)
+        self.refusing = True
+        async with curio.ignore_after(drain.limit_ms / 1000):
+            while self._running:
+                await curio.sleep(0.02)
+        return DrainReport(cut=self._running, waited_s=await curio.clock() - began_s)
+
+    async def _accept_hops(self, listener: Socket, group: curio.TaskGroup) -> None:
+        while True:
+            sock, _ = await listener.accept()
+            if len(self._links) >= self._settings.hops.max_connections:
+                self._metrics.count("hop_connections_refused_total")
+                await sock.close()
+                continue
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            await group.spawn(self._serve_hop, sock)
+
+    async def _serve_hop(self, sock: Socket) -> None:
+        link = HopLink(Hop(sock), await curio.current_task())
+        descriptor = sock.fileno()
+        self._links[descriptor] = link
+        self._departures.register(descriptor, _DEPARTED)
+        try:
+            with suppress(OSError):
+                await self._serve_requests(link)
+        except TrefoilpickError as error:
+            self._metrics.count("hop_connections_broken_total", kind=error.kind.value)
+        finally:
+            del self._links[descriptor]
+            self._departures.unregister(descriptor)
+            await link.hop.close()
+
+    async def _serve_requests(self, link: HopLink) -> None:
+        while not link.departed:
+            if self.leaving and not link.told_leaving:
+                await self._tell_leaving(link)
+            link.cancellable = True
+            link.idle = True
+            frame = await link.hop.receive()
+            link.idle = False
+            if frame is None or link.departed:
+                return
+            if frame.kind is not FrameKind.REQUEST:
+                text = f"hop frame {frame.kind.name} is out of place"
+                raise TrefoilpickError(ErrorKind.MESSAGE_MALFORMED, text)
+            request = decode_head(frame.payload, HopRequest)
+            self._running += 1
+            try:
+                reusable = await self._serve_request(link, request)
+            finally:
+                self._running -= 1
+            if not reusable:
+                return
+
+    async def _serve_request(self, link: HopLink, request: HopRequest) -> bool:
+        deadline_s = await curio.clock() + request.remaining_ms / 1000
+        kind = "answered"
+        exchange = Exchange(self._service, link, request, deadline_s=deadline_s)
+        try:
+            await exchange.run(self._admit(request))
+        except TrefoilpickError as error:
+            kind = error.kind.value
+            if not await exchange.fail(error):
+                return False
+        finally:
+            self._metrics.count(
+                "hop_requests_total", team=request.team, route=request.route, kind=kind
+            )
+        if exchange.hop_reusable:
+            return True
+        await link.hop.sock.shutdown(socket.SHUT_WR)
+        await drop_rest(link.hop, limit_s=LINGER_S)
+        return False
+
+    def _admit(self, request: HopRequest) -> Upstream:
+        """Return the upstream as the enforced version describes it."""
+        service = self._settings.vm.service
+        snapshot = self._cell.current
+        if self.refusing:
+            raise TrefoilpickError(ErrorKind.DRAINING, "node is leaving")
+        if snapshot is None:
+            raise TrefoilpickError(ErrorKind.NOT_READY, "node enforces no version yet")
+        if not self._is_level():
+            raise TrefoilpickError(ErrorKind.NOT_LEVEL, "node may enforce an old version")
+        upstream = snapshot.upstreams.get(service)
+        if upstream is None or request.upstream != service:
+            text = f'worker of upstream "{service}" was asked for upstream "{request.upstream}"'
+            raise TrefoilpickError(ErrorKind.NO_UPSTREAM, text, outcome=Outcome.NOT_RUN)
+        if upstream is not self._upstream:
+            self._upstream = upstream
+            self.gate.limits = GateLimits(upstream.slots, upstream.connections, upstream.queue)
+        return upstream
+
+    async def _tell_leaving(self, link: HopLink) -> None:
+        if not link.idle or link.told_leaving:
+            return
+        link.told_leaving = True
+        with suppress(OSError):
+            await link.hop.send(encode_head(FrameKind.NOTICE, self.measure_load()))
+
+    async def _watch_departures(self) -> None:
+        """Give up requests whose caller's node closed the hop."""
+        while True:
+            await _read_wait(self._departures)
+            for descriptor, _ in self._departures.poll(0):
+                link = self._links.get(descriptor)
+                if link is None:
+                    continue
+                link.departed = True
+                if link.cancellable and not link.idle:
+                    await link.task.cancel(blocking=False)
+
+
+def open_hop_server(
+    settings: Settings,
+    *,
+    cell: SnapshotCell,
+    metrics: Metrics,
+    is_level: Callable[[], bool],
+    incarnation: int,
+) -> HopServer:
+    """Open the hop server of a node; `HopServer.run` accepts hops.
+
+    Args:
+        settings: Settings of the node.
+        cell: The enforced version.
+        metrics: Where requests are counted.
+        is_level: Tells whether the enforced version is as new as the fleet's.
+        incarnation: Start of the process, in nanoseconds since the Unix epoch.
+    """
+    gate = Gate(
+        GateLimits(slots=1, connections=1, queue=0),
+        warm_up_s=settings.hops.warm_up_ms / 1000,
+        warm_up_share=settings.hops.warm_up_percent / 100,
+    )
+    return HopServer(
+        settings,
+        cell=cell,
+        metrics=metrics,
+        is_level=is_level,
+        incarnation=incarnation,
+        gate=gate,
+    )
+
+
+def _listen(host: str, port: int) -> Socket:
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind((host, port))
+    sock.listen(BACKLOG)
+    return Socket(sock)
--- a/trefoilpick/settings.py
+++ b/trefoilpick/settings.py
@@ -91,6 +91,47 @@
     ] = 32_768
 
 
+@dataclass(frozen=True)
+class HopSettings:
+    """Requests that other nodes pass to the worker beside this one."""
+
+    max_connections: Annotated[
+        int, Meta(ge=1, le=100_000), _describe("Connections of other nodes at a time")
+    ] = 4_000
+    warm_up_ms: Annotated[
+        int,
+        Meta(ge=0, le=3_600_000),
+        _describe("Time in which a new worker's slots grow to all", "ms"),
+    ] = 10_000
+    warm_up_percent: Annotated[
+        int, Meta(ge=1, le=100), _describe("Slots of a worker that are open at the start", "%")
+    ] = 30
+    worker_idle_ms: Annotated[
+        int,
+        Meta(ge=0, le=3_600_000),
+        _describe("Idle time after which a worker's connection is not used again", "ms"),
+    ] = 4_000
+    body_idle_ms: Annotated[
+        int, Meta(ge=10, le=3_600_000), _describe("Time in which a body must move on", "ms")
+    ] = 30_000
+    token_lifetime_ms: Annotated[
+        int, Meta(ge=100, le=3_600_000), _describe("Time in which a token is honoured", "ms")
+    ] = 60_000
+    max_tokens: Annotated[
+        int, Meta(ge=0, le=1_000_000), _describe("Tokens that are honoured at a time")
+    ] = 10_000
+    max_answer_bytes: Annotated[
+        int,
+        Meta(ge=0, le=1_048_576),
+        _describe("Largest answer kept for a token", "bytes"),
+    ] = 65_536
+    max_answers_bytes: Annotated[
+        int,
+        Meta(ge=0, le=2**30),
+        _describe("All answers kept for tokens", "bytes"),
+    ] = 8_388_608
+
+
 @dataclass(frozen=True)
 class DrainSettings:
     """A planned stop."""
@@ -123,6 +164,7 @@
     source: SourceSettings
     control: ControlSettings = field(default_factory=ControlSettings)
     requests: RequestSettings = field(default_factory=RequestSettings)
+    hops: HopSettings = field(default_factory=HopSettings)
     drain: DrainSettings = field(default_factory=DrainSettings)
     keys: KeySettings | None = None
 
--- /dev/null
+++ b/trefoilpick/upstreams.py
@@ -0,0 +1,398 @@
+"""The worker beside a node: HTTP/1.1 over a bounded pool of kept connections."""
+
+from __future__ import annotations
+
+import socket
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+import curio
+import h11
+from curio.io import Socket
+
+from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError
+
+if TYPE_CHECKING:
+    from trefoilpick.hops import Headers, HopRequest
+
+READ_BYTES = 65_536
+"""Bytes asked of the socket at a time."""
+
+MAX_ANSWER_HEAD_BYTES = 65_536
+"""Largest head of a worker's answer, in bytes."""
+
+DEADLINE_HEADER = b"x-trefoilpick-deadline-ms"
+"""Request header: remaining time, in milliseconds."""
+
+VERSION_HEADER = b"x-trefoilpick-version"
+"""Request header: number of the version that admitted the request."""
+
+RETRY_HEADER = b"x-trefoilpick-retry"
+"""Request header: an earlier attempt was made."""
+
+NOT_RUN_HEADER = b"x-not-run"
+"""Answer header by which a worker says that it did not run a request."""
+
+CONNECTION_HEADERS = frozenset(
+    (
+        b"connection",
+        b"expect",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
+"""Headers that hold for one connection and are never passed on."""
+
+_OWN_HEADERS = frozenset((DEADLINE_HEADER, VERSION_HEADER, RETRY_HEADER))
+
+_FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
+
+_DROPPED_HEADERS = CONNECTION_HEADERS | _OWN_HEADERS
+
+
+@dataclass(frozen=True)
+class AnswerHead:
+    """Head of a worker's answer.
+
+    Attributes:
+        status: HTTP status code.
+        headers: End-to-end headers.
+    """
+
+    status: int
+    headers: Headers
+
+
+class NothingSentError(Exception):
+    """The worker's connection was closed before any byte of the request left."""
+
+
+class WorkerConnection:
+    """One connection to the worker, for one request at a time.
+
+    Args:
+        sock: A connected curio socket.
+        authority: Host header for requests that carry none.
+    """
+
+    def __init__(self, sock: Socket, authority: bytes) -> None:
+        self.idle_since_s = 0.0
+        self.is_fresh = True
+        self.sent = False
+        self.answer_begun = False
+        self.answer_complete = False
+        self._sock = sock
+        self._authority = authority
+        self._http = h11.Connection(
+            our_role=h11.CLIENT, max_incomplete_event_size=MAX_ANSWER_HEAD_BYTES
+        )
+        self._method = ""
+        self._send_broken = False
+        self._surplus = False
+
+    async def send_request(
+        self, request: HopRequest, remaining_ms: int, chunks: list[bytes], *, whole: bool
+    ) -> None:
+        """Send a request's head with the first part of its body.
+
+        Args:
+            request: The request.
+            remaining_ms: Time left until the answer's head, in milliseconds.
+            chunks: The part of the body that is at hand.
+            whole: Whether the body ends there.
+
+        Raises:
+            NothingSentError: No byte left; the request did not run.
+            TrefoilpickError: `HEAD_MALFORMED` or `BODY_MALFORMED`; nothing was sent.
+        """
+        data = self._encode_request(request, remaining_ms, chunks, whole)
+        try:
+            count = await self._sock.send(data)
+        except OSError as error:
+            raise NothingSentError from error
+        self.sent = True
+        if count < len(data):
+            await self._send_rest(memoryview(data)[count:])
+
+    async def send_data(self, chunk: bytes) -> None:
+        """Send a further part of the request's body.
+
+        Raises:
+            TrefoilpickError: `BODY_MALFORMED`, where it is longer than announced.
+        """
+        await self._send_event(h11.Data(data=chunk))
+
+    async def send_end(self) -> None:
+        """End the request's body.
+
+        Raises:
+            TrefoilpickError: `BODY_MALFORMED`, where it is shorter than announced.
+        """
+        await self._send_event(h11.EndOfMessage())
+
+    async def receive_head(self) -> AnswerHead:
+        """Wait for the head of the answer.
+
+        Raises:
+            TrefoilpickError: `UPSTREAM_LOST` or `ANSWER_MALFORMED`.
+        """
+        while True:
+            event = self._next_event()
+            if event is h11.NEED_DATA:
+                await self.fill()
+                continue
+            if isinstance(event, h11.Response):
+                return self._begin_answer(event)
+            if not isinstance(event, h11.InformationalResponse):
+                raise _lose("worker closed the connection before its answer")
+
+    def take_data(self) -> list[bytes]:
+        """Return what was received of the answer's body, and note whether it is whole.
+
+        Raises:
+            TrefoilpickError: `ANSWER_CUT`.
+        """
+        chunks: list[bytes] = []
+        while not self.answer_complete:
+            event = self._next_event()
+            if isinstance(event, h11.Data):
+                chunks.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                self.answer_complete = True
+                self._surplus = bool(self._http.trailing_data[0])
+            elif event is h11.NEED_DATA:
+                break
+            else:
+                raise _cut()
+        return chunks
+
+    async def fill(self) -> None:
+        """Wait for further bytes of the answer.
+
+        Raises:
+            TrefoilpickError: `UPSTREAM_LOST` or `ANSWER_CUT`, where the connection broke.
+        """
+        try:
+            data = await self._sock.recv(READ_BYTES)
+        except OSError as error:
+            raise self._fail() from error
+        if not data and not self.answer_begun and not self._has_partial_head():
+            raise self._fail()
+        self._http.receive_data(data)
+
+    def prepare_reuse(self) -> bool:
+        """Make ready for the next request.
+
+        Returns:
+            Whether the connection may be used again.
+        """
+        if self._surplus or self._send_broken or not self.answer_complete:
+            return False
+        try:
+            self._http.start_next_cycle()
+        except h11.ProtocolError:
+            return False
+        self.is_fresh = False
+        self.sent = self.answer_begun = self.answer_complete = False
+        return True
+
+    def is_quiet(self) -> bool:
+        """Tell whether the idle connection is open and nothing arrived on it."""
+        try:
+            self._sock._socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    async def close(self) -> None:
+        """Close the connection."""
+        await self._sock.close()
+
+    def _encode_request(
+        self, request: HopRequest, remaining_ms: int, chunks: list[bytes], whole: bool
+    ) -> bytes:
+        headers = self._list_headers(request, remaining_ms)
+        self._method = request.method
+        try:
+            head = h11.Request(method=request.method, target=request.target, headers=headers)
+            parts = [self._http.send(head)]
+        except (h11.LocalProtocolError, UnicodeEncodeError) as error:
+            text = f'request of route "{request.route}": {error}'
+            raise TrefoilpickError(ErrorKind.HEAD_MALFORMED, text) from error
+        try:
+            parts += [self._http.send(h11.Data(data=chunk)) for chunk in chunks]
+            if whole:
+                parts.append(self._http.send(h11.EndOfMessage()))
+        except h11.LocalProtocolError as error:
+            raise _reject_body(error, Outcome.NOT_RUN) from error
+        return b"".join(part for part in parts if part)
+
+    def _list_headers(self, request: HopRequest, remaining_ms: int) -> Headers:
+        headers = [pair for pair in request.headers if pair[0] not in _DROPPED_HEADERS]
+        names = {name for name, _ in headers}
+        if b"host" not in names:
+            headers.append((b"host", self._authority))
+        if request.has_body and b"content-length" not in names:
+            headers.append((b"transfer-encoding", b"chunked"))
+        headers.append((DEADLINE_HEADER, b"%d" % remaining_ms))
+        headers.append((VERSION_HEADER, b"%d" % request.number))
+        if request.is_retry:
+            headers.append((RETRY_HEADER, b"1"))
+        return headers
+
+    async def _send_event(self, event: Any) -> None:
+        try:
+            data = self._http.send(event)
+        except h11.LocalProtocolError as error:
+            raise _reject_body(error, Outcome.UNKNOWN) from error
+        if data:
+            await self._send_rest(data)
+
+    async def _send_rest(self, data: bytes | memoryview) -> None:
+        if self._send_broken:
+            return
+        try:
+            await self._sock.sendall(data)
+        except OSError:
+            # The worker may have answered before it closed: the answer tells.
+            self._send_broken = True
+
+    def _next_event(self) -> Any:
+        try:
+            return self._http.next_event()
+        except h11.RemoteProtocolError as error:
+            if self.answer_begun:
+                raise _cut() from error
+            text = f"worker's answer: {error}"
+            raise TrefoilpickError(ErrorKind.ANSWER_MALFORMED, text) from error
+
+    def _begin_answer(self, event: h11.Response) -> AnswerHead:
+        if not self._has_provable_end(event):
+            text = "worker's answer has neither a length nor chunks: its end cannot be proved"
+            raise TrefoilpickError(ErrorKind.ANSWER_MALFORMED, text, outcome=Outcome.RUN)
+        self.answer_begun = True
+        headers = [pair for pair in event.headers if pair[0] not in CONNECTION_HEADERS]
+        return AnswerHead(event.status_code, headers)
+
+    def _has_provable_end(self, event: h11.Response) -> bool:
+        if self._method == "HEAD" or event.status_code in (204, 304):
+            return True
+        return any(name in _FRAMING_HEADERS for name, _ in event.headers)
+
+    def _has_partial_head(self) -> bool:
+        return bool(self._http.trailing_data[0])
+
+    def _fail(self) -> TrefoilpickError:
+        if self.answer_begun:
+            return _cut()
+        return _lose("worker closed the connection before its answer")
+
+
+class WorkerPool:
+    """Kept connections to one worker, the last used first.
+
+    Args:
+        host: IP address of the worker.
+        port: Port of the worker.
+        max_idle_s: Idle time after which a connection is not used again, in seconds.
+    """
+
+    def __init__(self, host: str, port: int, *, max_idle_s: float) -> None:
+        self.opened = 0
+        self._address = (host, port)
+        self._authority = f"{host}:{port}".encode()
+        self._family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        self._max_idle_s = max_idle_s
+        self._idle: list[WorkerConnection] = []
+
+    @property
+    def idle(self) -> int:
+        """How many connections wait for a request."""
+        return len(self._idle)
+
+    async def acquire(self, *, connect_timeout_s: float, fresh: bool = False) -> WorkerConnection:
+        """Return a quiet kept connection, or a new one.
+
+        Args:
+            connect_timeout_s: Time to connect, in seconds.
+            fresh: Whether a kept connection will not do.
+
+        Raises:
+            TrefoilpickError: `UPSTREAM_REFUSED`; nothing was sent.
+        """
+        now_s = await curio.clock()
+        while self._idle and not fresh:
+            connection = self._idle.pop()
+            if now_s - connection.idle_since_s <= self._max_idle_s and connection.is_quiet():
+                return connection
+            await self.discard(connection)
+        while fresh and self._idle:
+            await self.discard(self._idle.pop())
+        return await self._connect(connect_timeout_s)
+
+    async def release(self, connection: WorkerConnection, *, connections: int) -> None:
+        """Keep a connection for the next request, or close it.
+
+        Args:
+            connection: A connection whose request ended.
+            connections: Connections that the worker takes.
+        """
+        if self.opened > connections or not connection.prepare_reuse():
+            await self.discard(connection)
+            return
+        connection.idle_since_s = await curio.clock()
+        self._idle.append(connection)
+
+    async def discard(self, connection: WorkerConnection) -> None:
+        """Close a connection."""
+        self.opened -= 1
+        await connection.close()
+
+    async def close(self) -> None:
+        """Close all idle connections."""
+        while self._idle:
+            await self.discard(self._idle.pop())
+
+    async def _connect(self, timeout_s: float) -> WorkerConnection:
+        sock = Socket(socket.socket(self._family, socket.SOCK_STREAM))
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        try:
+            async with curio.timeout_after(timeout_s):
+                await sock.connect(self._address)
+        except BaseException as error:
+            await sock.close()
+            if isinstance(error, (OSError, curio.TaskTimeout)):
+                text = f"worker at {self._authority.decode()} takes no connection"
+                raise TrefoilpickError(ErrorKind.UPSTREAM_REFUSED, text) from error
+            raise
+        self.opened += 1
+        return WorkerConnection(sock, self._authority)
+
+
+def open_pool(host: str, port: int, *, max_idle_s: float) -> WorkerPool:
+    """Open a pool of connections to a worker, without connecting yet.
+
+    Args:
+        host: IP address of the worker.
+        port: Port of the worker.
+        max_idle_s: Idle time after which a connection is not used again, in seconds.
+    """
+    return WorkerPool(host, port, max_idle_s=max_idle_s)
+
+
+def _lose(text: str) -> TrefoilpickError:
+    return TrefoilpickError(ErrorKind.UPSTREAM_LOST, text)
+
+
+def _cut() -> TrefoilpickError:
+    return TrefoilpickError(ErrorKind.ANSWER_CUT, "worker's answer ended before it was whole")
+
+
+def _reject_body(error: Exception, outcome: Outcome) -> TrefoilpickError:
+    return TrefoilpickError(ErrorKind.BODY_MALFORMED, f"request body: {error}", outcome=outcome)
