--- /dev/null
+++ b/tests/fakes_hop.py
@@ -0,0 +1,354 @@
+"""A scriptable node beside a worker, and what a caller's side needs around it."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter, deque
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from typing import Any
+
+import curio
+import h11
+from curio import socket
+
+from trefoilpick.callers import CallerServer, open_caller_server
+from trefoilpick.document import Contract, Document, Match, Route, Section, Upstream
+from trefoilpick.errors import ErrorKind, Outcome
+from trefoilpick.hops import (
+    FrameKind,
+    Hop,
+    HopAnswer,
+    HopFailure,
+    HopRequest,
+    Load,
+    decode_head,
+    encode_data,
+    encode_frame,
+    encode_head,
+)
+from trefoilpick.manifest import Manifest, VersionId
+from trefoilpick.metrics import Metrics
+from trefoilpick.settings import (
+    DrainSettings,
+    ListenSettings,
+    RequestSettings,
+    Settings,
+    SourceSettings,
+    VmSettings,
+    WorkerSettings,
+)
+from trefoilpick.snapshots import SnapshotCell, build_snapshot
+from trefoilpick.vms import Vm
+
+HOST = "127.0.0.1"
+END = encode_frame(FrameKind.END)
+
+
+@dataclass
+class Seen:
+    """One request that reached the fake."""
+
+    head: HopRequest
+    body: bytes
+    whole: bool
+
+
+Script = Callable[["FakeHop", Hop, HopRequest], Coroutine[Any, Any, None]]
+
+
+@dataclass
+class FakeHop:
+    """A node beside a worker that follows scripts, then answers 200."""
+
+    name: str = "vm-1"
+    scripts: deque[Script] = field(default_factory=deque)
+    seen: list[Seen] = field(default_factory=list)
+    runs: Counter[str] = field(default_factory=Counter)
+    cancelled: int = 0
+    leaving: bool = False
+    incarnation: int = 1
+    connections: int = 0
+    port: int = 0
+    service: str = "encargos"
+    data_centre: str = "lima-a"
+    region: str = "lima"
+    hops: list[Hop] = field(default_factory=list)
+
+    def load(self) -> Load:
+        return Load(self.name, self.incarnation, 7, "d", 0, 0, 10, self.leaving)
+
+    def describe(self) -> Vm:
+        return Vm(
+            self.name, self.region, self.data_centre, self.service, HOST, self.port, self.port
+        )
+
+    def listen(self) -> socket.socket:
+        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((HOST, self.port))
+        listener.listen(64)
+        self.port = listener.getsockname()[1]
+        return listener
+
+    async def run(self, listener: socket.socket) -> None:
+        while True:
+            client, _ = await listener.accept()
+            await curio.spawn(self.serve, client, daemon=True)
+
+    async def serve(self, client: socket.socket) -> None:
+        self.connections += 1
+        hop = Hop(client)
+        self.hops.append(hop)
+        try:
+            while (frame := await hop.receive()) is not None:
+                head = decode_head(frame.payload, HopRequest)
+                script = self.scripts.popleft() if self.scripts else answer_ok
+                await script(self, hop, head)
+        except OSError:
+            self.cancelled += 1
+        finally:
+            await client.close()
+
+    async def take_body(self, hop: Hop, head: HopRequest) -> bytes:
+        """Receive the body and count the run."""
+        body = b""
+        whole = not head.has_body
+        while not whole:
+            frame = await hop.receive()
+            if frame is None:
+                self.cancelled += 1
+                break
+            whole = frame.kind is FrameKind.END
+            body += frame.payload
+        self.seen.append(Seen(head, body, whole))
+        if whole:
+            self.runs[dict(head.headers).get(b"x-request-id", b"").decode()] += 1
+        return body
+
+    def encode_answer(
+        self,
+        *,
+        status: int = 200,
+        headers: tuple[tuple[bytes, bytes], ...] = (),
+        token: str | None = None,
+        outcome: Outcome = Outcome.RUN,
+    ) -> bytes:
+        answer = HopAnswer(status, list(headers), self.load(), outcome.value, token)
+        return encode_head(FrameKind.ANSWER, answer)
+
+    def encode_failure(self, kind: ErrorKind, outcome: Outcome) -> bytes:
+        failure = HopFailure(kind.value, "scripted", outcome.value, 1500, self.load())
+        return encode_head(FrameKind.FAILURE, failure)
+
+
+async def answer_ok(fake: FakeHop, hop: Hop, head: HopRequest) -> None:
+    if head.wants_token:
+        token = f"{fake.name}~{fake.incarnation}"
+        await hop.send(fake.encode_answer(status=204, token=token, outcome=Outcome.NOT_RUN), END)
+        return
+    body = await fake.take_body(hop, head)
+    content = fake.name.encode() + b":" + body
+    length = (b"content-length", str(len(content)).encode())
+    await hop.send(fake.encode_answer(headers=(length,)), encode_data([content]), END)
+
+
+def fail_with(kind: ErrorKind, outcome: Outcome = Outcome.NOT_RUN) -> Script:
+    async def script(fake: FakeHop, hop: Hop, head: HopRequest) -> None:
+        await hop.send(fake.encode_failure(kind, outcome))
+        if head.has_body:
+            await hop.close()
+            raise ConnectionResetError
+
+    return script
+
+
+class FakeDirectory:
+    """VMs by service; notes what it is told."""
+
+    def __init__(self, *fakes: FakeHop) -> None:
+        self.vms = tuple(fake.describe() for fake in fakes)
+        self.refused: list[str] = []
+        self.leaving: list[str] = []
+        self.alive: list[tuple[str, int]] = []
+
+    def list_endpoints(self, service: str) -> tuple[Vm, ...]:
+        return tuple(vm for vm in self.vms if vm.service == service)
+
+    def note_refused(self, vm: str) -> None:
+        self.refused.append(vm)
+
+    def note_leaving(self, vm: str) -> None:
+        self.leaving.append(vm)
+
+    def note_alive(self, vm: str, incarnation: int) -> None:
+        self.alive.append((vm, incarnation))
+
+
+@dataclass
+class Bench:
+    """A caller server between test callers and fakes."""
+
+    server: CallerServer
+    fakes: tuple[FakeHop, ...]
+    directory: FakeDirectory
+    metrics: Metrics
+    cell: SnapshotCell
+    ready: bool = True
+    level: bool = True
+
+    @property
+    def runs(self) -> Counter[str]:
+        return sum((fake.runs for fake in self.fakes), Counter())
+
+
+def build_document() -> Document:
+    def route(name: str, methods: tuple[str, ...], contract: Contract) -> Route:
+        return Route(name, Match(f"/{name}", methods), "encargos", contract)
+
+    routes = (
+        route("status", ("GET", "HEAD"), Contract(True, 2_000, retries=2)),
+        route("advance", ("POST",), Contract(False, 2_000, retries=2, body_limit_bytes=100_000)),
+        route("spread", ("PUT",), Contract(False, 2_000, body_limit_bytes=2**32)),
+        route("note", ("PUT",), Contract(True, 2_000, retries=2, body_limit_bytes=2**20)),
+        route("short", ("GET", "POST"), Contract(False, 300, retries=2)),
+    )
+    upstream = Upstream("encargos", connect_timeout_ms=300)
+    return Document((Section("quillqa", (upstream,), routes),))
+
+
+def build_settings(requests: RequestSettings, drain: DrainSettings) -> Settings:
+    return Settings(
+        VmSettings("vm-0", "lima", "lima-a", "portafolio"),
+        ListenSettings(HOST, caller_port=0),
+        WorkerSettings(HOST, 1),
+        SourceSettings((f"{HOST}:1",)),
+        requests=requests,
+        drain=drain,
+    )
+
+
+def run_bench(
+    main: Callable[[Bench], Coroutine[Any, Any, None]],
+    *fakes: FakeHop,
+    requests: RequestSettings | None = None,
+    drain: DrainSettings | None = None,
+) -> Bench:
+    """Run a test's main task beside a caller server and its fakes."""
+
+    async def run() -> Bench:
+        listeners = [(fake, fake.listen()) for fake in fakes]
+        directory = FakeDirectory(*fakes)
+        metrics = Metrics()
+        cell = SnapshotCell()
+        version = VersionId(7, "d")
+        cell.replace(build_snapshot(version, Manifest(7, 1, ()), build_document()))
+        server = open_caller_server(
+            build_settings(requests or RequestSettings(), drain or DrainSettings(0, 5_000)),
+            cell=cell,
+            directory=directory,
+            metrics=metrics,
+            is_ready=lambda: bench.ready,
+            is_level=lambda: bench.level,
+            random=random.Random(5),
+        )
+        bench = Bench(server, fakes, directory, metrics, cell)
+        for fake, listener in listeners:
+            await curio.spawn(fake.run, listener, daemon=True)
+        task = await curio.spawn(server.run, daemon=True)
+        async with curio.timeout_after(30):
+            await main(bench)
+        await task.cancel()
+        return bench
+
+    return curio.run(run)
+
+
+@dataclass
+class Told:
+    """What a test caller was told."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    whole: bool
+
+    @property
+    def outcome(self) -> str:
+        return self.headers.get("x-trefoilpick-outcome", "")
+
+    @property
+    def error(self) -> str:
+        return self.headers.get("x-trefoilpick-error", "")
+
+
+class TestCaller:
+    """One HTTP/1.1 connection of a caller."""
+
+    __test__ = False
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock = sock
+        self.http = h11.Connection(h11.CLIENT)
+
+    async def send(
+        self,
+        method: str,
+        target: str,
+        body: bytes | None = None,
+        *,
+        length: int | None = None,
+        **headers: str,
+    ) -> None:
+        fields = [
+            ("host", "encargos.quillqa"),
+            *((k.replace("_", "-"), v) for k, v in headers.items()),
+        ]
+        if body is not None and "transfer_encoding" not in headers:
+            fields.append(("content-length", str(len(body) if length is None else length)))
+        data = self.http.send(h11.Request(method=method, target=target, headers=fields)) or b""
+        if body:
+            data += self.http.send(h11.Data(data=body)) or b""
+        if length is None or length == len(body or b""):
+            data += self.http.send(h11.EndOfMessage()) or b""
+        await self.sock.sendall(data)
+
+    async def receive(self) -> Told:
+        told = Told(0, {}, b"", False)
+        try:
+            while not told.whole:
+                event = self.http.next_event()
+                if event is h11.NEED_DATA:
+                    self.http.receive_data(await self.sock.recv(65_536))
+                elif isinstance(event, h11.Response):
+                    told.status = event.status_code
+                    told.headers = {k.decode(): v.decode() for k, v in event.headers}
+                elif isinstance(event, h11.Data):
+                    told.body += event.data
+                elif isinstance(event, h11.EndOfMessage):
+                    told.whole = True
+                elif isinstance(event, h11.ConnectionClosed):
+                    break
+        except (OSError, h11.RemoteProtocolError):
+            return told
+        return told
+
+    async def ask(
+        self, method: str, target: str, body: bytes | None = None, **headers: str
+    ) -> Told:
+        await self.send(method, target, body, **headers)
+        told = await self.receive()
+        if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE:
+            self.http.start_next_cycle()
+        return told
+
+
+async def connect(bench: Bench) -> TestCaller:
+    return TestCaller(await curio.open_connection(HOST, bench.server.port))
+
+
+async def wait_until(condition: Callable[[], bool]) -> None:
+    """Wait for a condition, within a wide bound."""
+    async with curio.timeout_after(20):
+        while not condition():
+            await curio.sleep(0.01)
--- /dev/null
+++ b/trefoilpick/balancing.py
@@ -0,0 +1,311 @@
+"""The choice of a worker, by what this node itself saw of each.
+
+A worker's node reports its load in every answer. Together with this node's own requests in
+flight and the latencies that it measured, this is first-hand evidence; health and load endpoints
+of workers play no part. Two random candidates of the nearest zone are compared and the less
+loaded one is taken; a zone that is nearly full spills over to the next one.
+"""
+
+from __future__ import annotations
+
+from enum import IntEnum
+from typing import TYPE_CHECKING, Protocol
+
+from trefoilpick.ejection import Ejection
+from trefoilpick.errors import ErrorKind, TrefoilpickError
+from trefoilpick.vms import VmState
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Collection, Iterator
+
+    from trefoilpick.hops import Load
+    from trefoilpick.settings import VmSettings
+    from trefoilpick.vms import Vm
+
+SPILL_UTILISATION = 0.8
+"""Share of a worker's slots in use from which a farther zone is considered."""
+
+LOAD_HALF_LIFE_S = 1.0
+"""Time in which a reported load loses half of its weight, in seconds."""
+
+LATENCY_WEIGHT = 0.2
+"""Weight of the newest latency in the moving mean."""
+
+WARM_UP_S = 10.0
+"""Time in which a new worker's share grows to the full one, in seconds."""
+
+WARM_UP_START = 0.1
+"""Share of a new worker at its start."""
+
+EJECTED_DIVISOR = 2
+"""At most the total divided by this many of a service's workers are ejected at a time."""
+
+
+class Nearness(IntEnum):
+    """How near a worker stands to this node."""
+
+    DATA_CENTRE = 0
+    REGION = 1
+    OTHER = 2
+
+
+class Directory(Protocol):
+    """What the node knows of other VMs."""
+
+    def list_endpoints(self, service: str) -> tuple[Vm, ...]:
+        """Return the VMs that hold a worker of a service."""
+
+    def note_refused(self, vm: str) -> None:
+        """Note that a VM refused a connection."""
+
+    def note_leaving(self, vm: str) -> None:
+        """Note that a VM's node said that it takes no new work."""
+
+    def note_alive(self, vm: str, incarnation: int) -> None:
+        """Note that a VM's node answered."""
+
+
+class WorkerRecord:
+    """What this node saw of one worker.
+
+    Args:
+        vm: The worker's VM.
+        now: Time of the first sight, in seconds on the node's clock.
+    """
+
+    def __init__(self, vm: Vm, now: float) -> None:
+        self.vm = vm
+        self.in_flight = 0
+        self.latency_s: float | None = None
+        self.ejection = Ejection()
+        self.incarnation = 0
+        self.leaving = False
+        self._warm_at = now
+        self._slots = 1
+        self._others = 0.0
+        self._reported_at = now
+
+    def begin(self, now: float) -> None:
+        """Note that a request goes to the worker."""
+        self.in_flight += 1
+        self.ejection.begin(now)
+
+    def end(self) -> None:
+        """Note that a request to the worker is over."""
+        self.in_flight -= 1
+
+    def begin_warm_up(self, now: float) -> None:
+        """Let the worker's share grow from the small one of a new worker."""
+        self._warm_at = now + WARM_UP_S
+
+    def note_load(self, load: Load, now: float) -> bool:
+        """Take over the load that the worker's node reported.
+
+        Returns:
+            Whether the report came from an incarnation that was not known before.
+        """
+        is_new = load.incarnation != self.incarnation
+        if is_new and self.incarnation:
+            self.begin_warm_up(now)
+            self.latency_s = None
+        self.incarnation = load.incarnation
+        self.leaving = load.leaving
+        self._slots = max(load.slots, 1)
+        self._others = float(max(load.in_flight + load.queued - self.in_flight, 0))
+        self._reported_at = now
+        return is_new
+
+    def note_latency(self, latency_s: float) -> None:
+        """Take a measured latency into the moving mean, in seconds."""
+        if self.latency_s is None:
+            self.latency_s = latency_s
+        else:
+            self.latency_s += LATENCY_WEIGHT * (latency_s - self.latency_s)
+
+    def estimate_utilisation(self, now: float) -> float:
+        """Return the requests at the worker, with the next one, over its slots."""
+        age = now - self._reported_at
+        others = self._others * 0.5 ** (age / LOAD_HALF_LIFE_S) if self._others else 0.0
+        return (self.in_flight + others + 1.0) / self._slots
+
+    def estimate_cost(self, now: float, usual_latency_s: float) -> float:
+        """Return the expected cost of the next request; only its order has a meaning."""
+        latency_s = usual_latency_s if self.latency_s is None else self.latency_s
+        return self.estimate_utilisation(now) * latency_s / self._compute_share(now)
+
+    def _compute_share(self, now: float) -> float:
+        left_s = self._warm_at - now
+        if left_s <= 0:
+            return 1.0
+        return max(WARM_UP_START, 1.0 - left_s / WARM_UP_S)
+
+
+class Service:
+    """The workers of one service, as this node sees them.
+
+    Args:
+        name: Name of the service.
+        now: Time on the node's clock, in seconds.
+    """
+
+    def __init__(self, name: str, now: float) -> None:
+        self.name = name
+        self.records: dict[str, WorkerRecord] = {}
+        self.zones: tuple[tuple[WorkerRecord, ...], ...] = ()
+        self._endpoints: tuple[Vm, ...] | None = None
+        self._began_at = now
+
+    def update(self, endpoints: tuple[Vm, ...], own: VmSettings, now: float) -> None:
+        """Take over a new list of VMs; records of known VMs stay."""
+        if endpoints is self._endpoints or endpoints == self._endpoints:
+            return
+        self._endpoints = endpoints
+        known = self.records
+        self.records = {vm.name: known.get(vm.name) or WorkerRecord(vm, now) for vm in endpoints}
+        for vm in endpoints:
+            self.records[vm.name].vm = vm
+            if known and vm.name not in known:
+                self.records[vm.name].begin_warm_up(now)
+        self.zones = tuple(self._split_by_nearness(own))
+
+    def list_available(self, now: float) -> Iterator[tuple[WorkerRecord, ...]]:
+        """Yield, nearest first, the workers of each zone that may get a request."""
+        ejected = self._list_ejected(now)
+        for zone in self.zones:
+            available = tuple(record for record in zone if self._is_available(record, ejected))
+            if available:
+                yield available
+
+    def compute_usual_latency(self) -> float:
+        """Return the mean latency of the workers, in seconds."""
+        known = [entry.latency_s for entry in self.records.values() if entry.latency_s is not None]
+        return sum(known) / len(known) if known else 1.0
+
+    def _list_ejected(self, now: float) -> frozenset[str]:
+        limit = len(self.records) // EJECTED_DIVISOR
+        blocked = [record for record in self.records.values() if record.ejection.is_blocked(now)]
+        if len(blocked) > limit:
+            blocked.sort(key=lambda record: record.ejection.ejected_at)
+        return frozenset(record.vm.name for record in blocked[:limit])
+
+    def _split_by_nearness(self, own: VmSettings) -> Iterator[tuple[WorkerRecord, ...]]:
+        zones: dict[Nearness, list[WorkerRecord]] = {}
+        for record in self.records.values():
+            zones.setdefault(_measure_nearness(record.vm, own), []).append(record)
+        for nearness in sorted(zones):
+            yield tuple(zones[nearness])
+
+    @staticmethod
+    def _is_available(record: WorkerRecord, ejected: frozenset[str]) -> bool:
+        if record.leaving or record.vm.state is VmState.LEAVING:
+            return False
+        return record.vm.name not in ejected
+
+
+class Balancer:
+    """Chooses workers and keeps what was seen of them.
+
+    Args:
+        own: Which VM this is.
+        directory: What the node knows of other VMs.
+        random: Source of random choices.
+    """
+
+    def __init__(self, own: VmSettings, directory: Directory, random: random.Random) -> None:
+        self._own = own
+        self._directory = directory
+        self._random = random
+        self._services: dict[str, Service] = {}
+
+    def choose(self, service_name: str, now: float, *, avoid: Collection[str] = ()) -> WorkerRecord:
+        """Choose a worker for the next request.
+
+        Args:
+            service_name: Name of the service.
+            now: Time on the node's clock, in seconds.
+            avoid: Names of VMs that are taken only where no other is available.
+
+        Raises:
+            TrefoilpickError: `NO_UPSTREAM`, where no worker may get a request.
+        """
+        service = self._update_service(service_name, now)
+        usual_latency_s = service.compute_usual_latency()
+        best: WorkerRecord | None = None
+        best_utilisation = 0.0
+        for zone in service.list_available(now):
+            record = self._choose_of_two(zone, now, usual_latency_s, avoid)
+            if record is None:
+                continue
+            utilisation = record.estimate_utilisation(now)
+            if utilisation <= SPILL_UTILISATION or record.in_flight == 0 and utilisation <= 1.0:
+                return record
+            if best is None or utilisation < best_utilisation:
+                best, best_utilisation = record, utilisation
+        if best is not None:
+            return best
+        if avoid:
+            return self.choose(service_name, now)
+        text = f'upstream "{service_name}" has no worker that takes requests'
+        raise TrefoilpickError(ErrorKind.NO_UPSTREAM, text)
+
+    def find(self, service_name: str, vm: str, now: float) -> WorkerRecord | None:
+        """Return the record of a named VM; None where the service does not have it."""
+        return self._update_service(service_name, now).records.get(vm)
+
+    def note_load(self, record: WorkerRecord, load: Load, now: float) -> None:
+        """Take over a load report and tell the directory what is new in it."""
+        was_leaving = record.leaving
+        if record.note_load(load, now):
+            self._directory.note_alive(load.vm, load.incarnation)
+        if load.leaving and not was_leaving:
+            self._directory.note_leaving(load.vm)
+
+    def note_notice(self, vm: Vm, load: Load, now: float) -> None:
+        """Take over a load report that came between requests."""
+        service = self._services.get(vm.service)
+        record = service.records.get(vm.name) if service is not None else None
+        if record is not None:
+            self.note_load(record, load, now)
+
+    def note_success(self, record: WorkerRecord, latency_s: float) -> None:
+        """Note an answer of a worker and its latency, in seconds."""
+        record.note_latency(latency_s)
+        record.ejection.note_success()
+
+    def note_failure(self, record: WorkerRecord, now: float, *, refused: bool = False) -> None:
+        """Note a failure of a worker or of its node."""
+        record.ejection.note_failure(now, self._random)
+        if refused:
+            self._directory.note_refused(record.vm.name)
+
+    def _update_service(self, name: str, now: float) -> Service:
+        service = self._services.get(name)
+        if service is None:
+            service = self._services[name] = Service(name, now)
+        service.update(self._directory.list_endpoints(name), self._own, now)
+        return service
+
+    def _choose_of_two(
+        self,
+        zone: tuple[WorkerRecord, ...],
+        now: float,
+        usual_latency_s: float,
+        avoid: Collection[str],
+    ) -> WorkerRecord | None:
+        if avoid:
+            zone = tuple(record for record in zone if record.vm.name not in avoid)
+        if len(zone) < 2:
+            return zone[0] if zone else None
+        first, second = self._random.sample(zone, 2)
+        first_cost = first.estimate_cost(now, usual_latency_s)
+        second_cost = second.estimate_cost(now, usual_latency_s)
+        return first if first_cost <= second_cost else second
+
+
+def _measure_nearness(vm: Vm, own: VmSettings) -> Nearness:
+    if vm.region != own.region:
+        return Nearness.OTHER
+    if vm.data_centre != own.data_centre:
+        return Nearness.REGION
+    return Nearness.DATA_CENTRE
--- /dev/null
+++ b/trefoilpick/callerlinks.py
@@ -0,0 +1,264 @@
+"""One connection of a caller: its HTTP side, and how long it may stand still."""
+
+from __future__ import annotations
+
+import struct
+from dataclasses import dataclass
+from enum import Enum
+from socket import SHUT_RD, SHUT_RDWR, SO_LINGER, SOL_SOCKET
+from typing import TYPE_CHECKING
+
+import h11
+import msgspec
+
+from trefoilpick.errors import ErrorKind, TrefoilpickError
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from curio import socket
+
+    from trefoilpick.hopclient import ClientHop
+    from trefoilpick.hops import Headers
+
+READ_BYTES = 65_536
+"""Bytes asked of a caller's socket at a time."""
+
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER that resets the connection when it is closed."""
+
+BAD_HEAD_STATUS = 431
+"""Status that h11 suggests for a head over the bound."""
+
+
+class LinkState(Enum):
+    """What a caller's connection does."""
+
+    NEW = "new"
+    """It waits for the first byte of its first request."""
+    IDLE = "idle"
+    """It waits for the next request."""
+    HEAD = "head"
+    """It waits for the rest of a request's head."""
+    RUNNING = "running"
+    """Its request waits for a worker."""
+    UPLOADING = "uploading"
+    """It streams a request's body."""
+    ANSWERING = "answering"
+    """It streams an answer."""
+
+
+@dataclass
+class CoarseClock:
+    """The node's clock as last read by the reaper, in seconds."""
+
+    now: float
+
+
+class CallerLink:
+    """One connection of a caller.
+
+    Args:
+        sock: The accepted curio socket.
+        caller: IP address of the caller.
+        max_head_bytes: Largest head of a request, in bytes.
+        clock: Clock for what may take seconds.
+    """
+
+    def __init__(
+        self, sock: socket.socket, caller: str, *, max_head_bytes: int, clock: CoarseClock
+    ) -> None:
+        self.sock = sock
+        self.caller = caller
+        self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=max_head_bytes)
+        self.clock = clock
+        self.state = LinkState.NEW
+        self.touched_at = clock.now
+        self.is_expired = False
+        self.is_gone = False
+        self.is_broken = False
+        self.is_exhausted = False
+        self.head_sent = False
+        self.hop: ClientHop | None = None
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request has begun that is not answered yet."""
+        return self.state not in (LinkState.NEW, LinkState.IDLE)
+
+    async def receive_request(self) -> h11.Request | None:
+        """Return the next request's head; None where the caller closed between two requests.
+
+        Raises:
+            TrefoilpickError: `HEAD_MALFORMED`, `HEAD_TOO_LARGE` or `HEAD_TIMEOUT`.
+            OSError: The connection broke.
+        """
+        event = self._read_event()
+        while event is h11.NEED_DATA:
+            data = await self.sock.recv(READ_BYTES)
+            if self.is_expired and (not data or self.state is LinkState.HEAD):
+                self._refuse_late_head()
+                return None
+            if self.state is not LinkState.HEAD:
+                if not data:
+                    return None
+                if self.state is LinkState.IDLE:
+                    self.touched_at = self.clock.now
+                self.state = LinkState.HEAD
+            self.http.receive_data(data)
+            event = self._read_event()
+        return event if isinstance(event, h11.Request) else None
+
+    async def receive_body(self) -> bytes | None:
+        """Return the next part of the request's body; None at its end.
+
+        Raises:
+            TrefoilpickError: `BODY_MALFORMED`, `BODY_TIMEOUT` or `CALLER_GONE`.
+        """
+        while True:
+            part = self.take_body()
+            if part != b"":
+                return part
+            if self.http.they_are_waiting_for_100_continue:
+                await self.sock.sendall(
+                    self.http.send(h11.InformationalResponse(status_code=100, headers=[])) or b""
+                )
+            try:
+                data = await self.sock.recv(READ_BYTES)
+            except OSError as error:
+                text = "the caller's connection broke within the body"
+                raise TrefoilpickError(ErrorKind.CALLER_GONE, text) from error
+            if self.is_expired:
+                raise TrefoilpickError(ErrorKind.BODY_TIMEOUT, "the body stood still too long")
+            if not data:
+                raise TrefoilpickError(
+                    ErrorKind.CALLER_GONE, "the caller closed its connection within the body"
+                )
+            self.touched_at = self.clock.now
+            self.http.receive_data(data)
+
+    def take_body(self) -> bytes | None:
+        """Return a part of the body that has arrived; b"" if there is none, None at the end.
+
+        Raises:
+            TrefoilpickError: `BODY_MALFORMED`.
+        """
+        try:
+            event = self.http.next_event()
+        except h11.RemoteProtocolError as error:
+            raise TrefoilpickError(ErrorKind.BODY_MALFORMED, f"body: {error}") from error
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        return None if isinstance(event, h11.EndOfMessage) else b""
+
+    def drop_body(self) -> bool:
+        """Drop the rest of the request's body; tell whether all of it has arrived."""
+        try:
+            while (part := self.take_body()) is not None:
+                if part == b"":
+                    return False
+        except TrefoilpickError:
+            return False
+        return self.http.their_state is h11.DONE
+
+    async def send(self, data: bytes) -> None:
+        """Send encoded bytes of an answer.
+
+        Raises:
+            TrefoilpickError: `CALLER_GONE`.
+        """
+        self.head_sent = True
+        self.touched_at = self.clock.now
+        try:
+            await self.sock.sendall(data)
+        except OSError as error:
+            text = "the caller's connection broke within the answer"
+            raise TrefoilpickError(ErrorKind.CALLER_GONE, text) from error
+
+    def encode_answer(
+        self, status: int, headers: Headers, parts: Sequence[bytes], *, ended: bool
+    ) -> bytes:
+        """Return the bytes of an answer's head with the parts of its body that are there."""
+        response = h11.Response(status_code=status, headers=headers)
+        return (self.http.send(response) or b"") + self.encode_parts(parts, ended=ended)
+
+    def encode_parts(self, parts: Sequence[bytes], *, ended: bool) -> bytes:
+        """Return the bytes of further parts of an answer's body.
+
+        Raises:
+            TrefoilpickError: `ANSWER_CUT`, where the body does not have the stated length.
+        """
+        send = self.http.send
+        encoded = []
+        try:
+            for part in parts:
+                encoded.append(send(h11.Data(data=part)) or b"")
+            if ended:
+                encoded.append(send(h11.EndOfMessage()) or b"")
+        except h11.LocalProtocolError as error:
+            raise TrefoilpickError(ErrorKind.ANSWER_CUT, f"answer: {error}") from error
+        return b"".join(encoded)
+
+    def begin_next(self) -> bool:
+        """Make the connection ready for its next request; tell whether it can take one."""
+        http = self.http
+        if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
+            return False
+        http.start_next_cycle()
+        self.head_sent = False
+        self.is_exhausted = False
+        self.state = LinkState.IDLE
+        self.touched_at = self.clock.now
+        return True
+
+    def expire(self) -> None:
+        """Wake the task of a connection that stood still too long."""
+        self.is_expired = True
+        self._shut_down(SHUT_RDWR if self.state is LinkState.ANSWERING else SHUT_RD)
+        if self.hop is not None:
+            self.hop.abort()
+
+    def break_off(self) -> None:
+        """Let the connection end so that an answer that has begun is seen to be cut."""
+        self.is_broken = True
+        if self.http.their_http_version == b"1.0":
+            self.sock.setsockopt(SOL_SOCKET, SO_LINGER, RESET_ON_CLOSE)
+
+    def note_gone(self) -> None:
+        """Note that the caller left, and cancel its request."""
+        self.is_gone = True
+        if self.hop is not None:
+            self.hop.abort()
+
+    def _refuse_late_head(self) -> None:
+        if self.state is LinkState.HEAD:
+            raise TrefoilpickError(ErrorKind.HEAD_TIMEOUT, "the head did not arrive in time")
+
+    def _read_event(self) -> object:
+        try:
+            return self.http.next_event()
+        except h11.RemoteProtocolError as error:
+            is_large = error.error_status_hint == BAD_HEAD_STATUS
+            kind = ErrorKind.HEAD_TOO_LARGE if is_large else ErrorKind.HEAD_MALFORMED
+            raise TrefoilpickError(kind, f"head: {error}") from error
+
+    def _shut_down(self, how: int) -> None:
+        try:
+            self.sock._socket.shutdown(how)
+        except (OSError, AttributeError):
+            return
+
+
+def encode_error(
+    link: CallerLink, status: int, headers: Headers, body: dict[str, str], *, close: bool
+) -> bytes:
+    """Return the bytes of a whole answer with a JSON body."""
+    content = msgspec.json.encode(body)
+    headers = [
+        *headers,
+        (b"content-type", b"application/json"),
+        (b"content-length", str(len(content)).encode()),
+    ]
+    if close:
+        headers.append((b"connection", b"close"))
+    return link.encode_answer(status, headers, [content], ended=True)
--- /dev/null
+++ b/trefoilpick/callers.py
@@ -0,0 +1,372 @@
+"""The server for callers: HTTP/1.1 connections, one task each."""
+
+from __future__ import annotations
+
+import logging
+import math
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import curio
+from curio import socket
+
+from trefoilpick.balancing import Balancer, Directory
+from trefoilpick.callerlinks import CallerLink, CoarseClock, LinkState, encode_error
+from trefoilpick.calls import MS_PER_S, OWN_PREFIX, RETRY_HEADER, Call, CallBody, read_head
+from trefoilpick.errors import ErrorKind, TrefoilpickError, find_answer
+from trefoilpick.forwarding import Forwarder
+from trefoilpick.hopclient import HopPool
+from trefoilpick.reaper import Reaper
+from trefoilpick.retries import RetryBudgets
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    import h11
+
+    from trefoilpick.hops import Headers
+    from trefoilpick.metrics import Metrics
+    from trefoilpick.settings import Settings
+    from trefoilpick.snapshots import Snapshot, SnapshotCell, TeamRoute
+
+BACKLOG = 1_024
+"""Connections that may wait to be accepted."""
+
+ACCEPT_PAUSE_S = 0.05
+"""Pause after the operating system refused to accept a connection, in seconds."""
+
+LINGER_S = 1.0
+"""Time in which the rest of a refused request's body is read and dropped, in seconds."""
+
+LINGER_BYTES = 1_048_576
+"""Part of a refused request's body that is read and dropped at most, in bytes."""
+
+READ_BYTES = 65_536
+"""Bytes asked of a caller's socket at a time."""
+
+DRAIN_CHECK_S = 0.05
+"""Time between two looks at what a drain waits for, in seconds."""
+
+EXHAUSTED_MARK = b"exhausted"
+"""Value of the retry header on an answer after which a further attempt above is no use."""
+
+CLOSE_HEADER = (b"connection", b"close")
+"""Header that ends a caller's connection after the answer."""
+
+US_PER_S = 1_000_000
+"""Microseconds in a second."""
+
+logger = logging.getLogger("trefoilpick")
+
+
+@dataclass(frozen=True)
+class CallerDrain:
+    """What a drain left.
+
+    Attributes:
+        cut: Requests that were in flight when its time was over.
+    """
+
+    cut: int
+
+
+class CallerServer:
+    """Takes callers' requests and brings them to workers.
+
+    Args:
+        settings: Settings of the node.
+        listener: The listening socket.
+        cell: The enforced version.
+        forwarder: Brings requests to workers.
+        reaper: Ends what stands still.
+        metrics: Where requests are counted.
+        is_ready: Tells whether the node takes requests.
+        is_level: Tells whether the node enforces the newest version that it knows of.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        *,
+        listener: socket.socket,
+        cell: SnapshotCell,
+        forwarder: Forwarder,
+        reaper: Reaper,
+        metrics: Metrics,
+        is_ready: Callable[[], bool],
+        is_level: Callable[[], bool],
+    ) -> None:
+        self._settings = settings
+        self._listener = listener
+        self._cell = cell
+        self._forwarder = forwarder
+        self._reaper = reaper
+        self._metrics = metrics
+        self._is_ready = is_ready
+        self._is_level = is_level
+        self._is_closing = False
+        self._is_refusing = False
+
+    @property
+    def port(self) -> int:
+        """The port that it listens on."""
+        return self._listener.getsockname()[1]
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that are not answered yet."""
+        return sum(1 for link in self._reaper.links if link.is_busy)
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        reaper = await curio.spawn(self._reaper.run, daemon=True)
+        try:
+            while True:
+                await self._accept()
+        finally:
+            await reaper.cancel()
+            await self._listener.close()
+
+    async def drain(self) -> CallerDrain:
+        """Stop serving without cutting a request.
+
+        Until the notice has reached callers and peers, requests are served and each answer closes
+        its connection. Then new requests are refused, and those in flight run to their end or to
+        the bound of the settings.
+
+        Returns:
+            What was left at the bound.
+        """
+        settings = self._settings.drain
+        self._is_closing = True
+        await curio.sleep(settings.notice_ms / MS_PER_S)
+        self._is_refusing = True
+        end_at = await curio.clock() + settings.limit_ms / MS_PER_S
+        while self.in_flight and await curio.clock() < end_at:
+            self._close_unused()
+            await curio.sleep(DRAIN_CHECK_S)
+        self._close_unused()
+        report = CallerDrain(self.in_flight)
+        logger.info("callers drained", extra={"cut": report.cut})
+        return report
+
+    def _close_unused(self) -> None:
+        for link in self._reaper.links:
+            if link.state in (LinkState.IDLE, LinkState.NEW):
+                link.expire()
+
+    async def _accept(self) -> None:
+        try:
+            client, address = await self._listener.accept()
+        except OSError as error:
+            self._metrics.count("trefoilpick_accept_errors_total", reason=type(error).__name__)
+            await curio.sleep(ACCEPT_PAUSE_S)
+            return
+        client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        link = CallerLink(
+            client,
+            address[0],
+            max_head_bytes=self._settings.requests.max_head_bytes,
+            clock=self._reaper.clock,
+        )
+        if len(self._reaper.links) >= self._settings.requests.max_connections:
+            await self._refuse_connection(link)
+            return
+        self._reaper.links.add(link)
+        await curio.spawn(self._serve_link, link, daemon=True)
+
+    async def _refuse_connection(self, link: CallerLink) -> None:
+        limit = self._settings.requests.max_connections
+        text = f"the node has {limit} connections of callers"
+        error = TrefoilpickError(ErrorKind.TOO_MANY_CONNECTIONS, text)
+        self._metrics.count("trefoilpick_refused_total", kind=error.kind.value)
+        data = self._encode_error(link, error, self._cell.current, close=True)
+        try:
+            link.sock._socket.send(data)
+        except OSError:
+            pass
+        finally:
+            await link.sock.close()
+
+    async def _serve_link(self, link: CallerLink) -> None:
+        try:
+            while await self._serve_request(link):
+                pass
+        except OSError:
+            self._metrics.count("trefoilpick_caller_resets_total")
+        finally:
+            self._reaper.links.discard(link)
+            await link.sock.close()
+
+    async def _serve_request(self, link: CallerLink) -> bool:
+        """Serve the next request; tell whether the connection can take another."""
+        snapshot = self._cell.current
+        try:
+            request = await link.receive_request()
+            if request is None:
+                return False
+            link.state = LinkState.RUNNING
+            now = await curio.clock()
+            snapshot = self._cell.current
+            call = self._admit(link, request, snapshot, now)
+        except TrefoilpickError as error:
+            self._metrics.count("trefoilpick_refused_total", kind=error.kind.value)
+            await self._answer_error(link, error, snapshot)
+        else:
+            await self._run_call(call)
+        return await self._end_request(link)
+
+    async def _end_request(self, link: CallerLink) -> bool:
+        if link.is_broken:
+            return False
+        if link.begin_next():
+            return True
+        await self._linger(link)
+        return False
+
+    def _admit(
+        self, link: CallerLink, request: h11.Request, snapshot: Snapshot | None, now: float
+    ) -> Call:
+        head = read_head(request)
+        if self._is_refusing:
+            raise TrefoilpickError(ErrorKind.DRAINING, "the node is leaving")
+        if snapshot is None or not self._is_ready():
+            raise TrefoilpickError(ErrorKind.NOT_READY, "the node enforces no version yet")
+        if not self._is_level():
+            raise TrefoilpickError(ErrorKind.NOT_LEVEL, "the node is behind the newest version")
+        team_route = snapshot.find_route(head.host, head.method, head.path)
+        contract = team_route.route.contract
+        if head.body_length is not None and head.body_length > contract.body_limit_bytes:
+            text = f"body is over the route's limit of {contract.body_limit_bytes} bytes"
+            raise TrefoilpickError(ErrorKind.BODY_TOO_LARGE, text)
+        allowed_ms = contract.deadline_ms
+        if head.deadline_ms is not None:
+            allowed_ms = min(allowed_ms, head.deadline_ms)
+        body = CallBody(link, contract.body_limit_bytes, self._settings.requests.kept_body_bytes)
+        return Call(link, head, body, snapshot, team_route, now, now + allowed_ms / MS_PER_S)
+
+    async def _run_call(self, call: Call) -> None:
+        try:
+            headers = self._list_own_headers(call.snapshot)
+            if self._is_closing:
+                headers.append(CLOSE_HEADER)
+            result = self._grade(call, await self._forwarder.forward(call, headers))
+        except TrefoilpickError as error:
+            result = error.kind.value
+            await self._answer_error(call.link, error, call.snapshot)
+        except Exception as fault:
+            logger.exception("a request failed", extra={"route": call.team_route.route.name})
+            result = ErrorKind.INTERNAL.value
+            failure = TrefoilpickError(ErrorKind.INTERNAL, f"the node failed: {fault!r}")
+            await self._answer_error(call.link, failure, call.snapshot)
+        self._count(call.team_route, result)
+
+    def _grade(self, call: Call, latency_s: float) -> str:
+        team, route = call.team_route.team, call.team_route.route
+        self._metrics.observe(
+            "trefoilpick_request_microseconds", latency_s * US_PER_S, team=team, route=route.name
+        )
+        return "good" if latency_s * MS_PER_S <= route.contract.objective.latency_ms else "slow"
+
+    def _count(self, team_route: TeamRoute, result: str) -> None:
+        self._metrics.count(
+            "trefoilpick_requests_total",
+            team=team_route.team,
+            route=team_route.route.name,
+            result=result,
+        )
+
+    async def _answer_error(
+        self, link: CallerLink, error: TrefoilpickError, snapshot: Snapshot | None
+    ) -> None:
+        """Tell the caller of an error, or break off an answer that has begun."""
+        if error.kind is ErrorKind.CALLER_GONE or link.head_sent:
+            link.break_off()
+            return
+        close = self._is_closing or not link.drop_body()
+        data = self._encode_error(link, error, snapshot, close=close)
+        try:
+            await link.send(data)
+        except TrefoilpickError:
+            link.break_off()
+
+    def _encode_error(
+        self, link: CallerLink, error: TrefoilpickError, snapshot: Snapshot | None, *, close: bool
+    ) -> bytes:
+        answer = find_answer(error)
+        headers = self._list_own_headers(snapshot)
+        headers.append((OWN_PREFIX + b"error", error.kind.value.encode()))
+        headers.append((OWN_PREFIX + b"outcome", answer.outcome.value.encode()))
+        if answer.retry_after_s is not None:
+            headers.append((b"retry-after", str(math.ceil(answer.retry_after_s)).encode()))
+        if link.is_exhausted:
+            headers.append((RETRY_HEADER, EXHAUSTED_MARK))
+        body = {
+            "error": error.kind.value,
+            "text": error.text,
+            "outcome": answer.outcome.value,
+        }
+        return encode_error(link, answer.status, headers, body, close=close)
+
+    def _list_own_headers(self, snapshot: Snapshot | None) -> Headers:
+        number = snapshot.version.number if snapshot is not None else 0
+        return [(OWN_PREFIX + b"version", str(number).encode())]
+
+    async def _linger(self, link: CallerLink) -> None:
+        """Read and drop what the caller still sends, so that it can read its answer."""
+        dropped = 0
+        try:
+            link.sock._socket.shutdown(socket.SHUT_WR)
+            async with curio.ignore_after(LINGER_S):
+                while dropped < LINGER_BYTES and (data := await link.sock.recv(READ_BYTES)):
+                    dropped += len(data)
+        except OSError:
+            return
+
+
+def open_caller_server(
+    settings: Settings,
+    *,
+    cell: SnapshotCell,
+    directory: Directory,
+    metrics: Metrics,
+    is_ready: Callable[[], bool],
+    is_level: Callable[[], bool],
+    random: random.Random,
+) -> CallerServer:
+    """Open the server for callers; it listens from now on and serves when run.
+
+    Args:
+        settings: Settings of the node.
+        cell: The enforced version.
+        directory: What the node knows of other VMs.
+        metrics: Where requests are counted.
+        is_ready: Tells whether the node enforces a version; a drain is no matter of it.
+        is_level: Tells whether the node enforces the newest version that it knows of.
+        random: Source of random choices.
+
+    Raises:
+        OSError: The address cannot be listened on.
+    """
+    requests = settings.requests
+    balancer = Balancer(settings.vm, directory, random)
+    pool = HopPool(requests, balancer.note_notice)
+    forwarder = Forwarder(balancer, pool, RetryBudgets(requests.retry_percent), random)
+    listen = settings.listen
+    family = socket.AF_INET6 if ":" in listen.host else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((listen.host, listen.caller_port))
+    listener.listen(BACKLOG)
+    return CallerServer(
+        settings,
+        listener=listener,
+        cell=cell,
+        forwarder=forwarder,
+        reaper=Reaper(requests, pool, CoarseClock(time.monotonic())),
+        metrics=metrics,
+        is_ready=is_ready,
+        is_level=is_level,
+    )
--- /dev/null
+++ b/trefoilpick/ejection.py
@@ -0,0 +1,73 @@
+"""Ejection of one failing worker: pauses that grow, and single probes between them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import random
+
+FAILURES_TO_EJECT = 3
+"""Failures in a row after which a worker is ejected."""
+
+FIRST_PAUSE_S = 1.0
+"""Shortest pause of an ejected worker, in seconds."""
+
+MAX_PAUSE_S = 60.0
+"""Longest pause of an ejected worker, in seconds."""
+
+PROBE_LIMIT_S = 5.0
+"""Time after which a probe without a result no longer holds back the next one, in seconds."""
+
+
+class Ejection:
+    """Whether one worker gets requests.
+
+    After some failures in a row the worker is ejected for a pause. Then a single request goes
+    there as a probe: a good answer ends the ejection, a failure doubles the pause.
+    """
+
+    def __init__(self) -> None:
+        self.ejected_at = 0.0
+        self._failures = 0
+        self._ejections = 0
+        self._paused_until: float | None = None
+        self._probed_until = 0.0
+
+    @property
+    def is_ejected(self) -> bool:
+        """Whether the worker is ejected or on probation."""
+        return self._paused_until is not None
+
+    def is_blocked(self, now: float) -> bool:
+        """Tell whether the worker must not get a request now."""
+        if self._paused_until is None:
+            return False
+        return now < self._paused_until or now < self._probed_until
+
+    def begin(self, now: float) -> None:
+        """Note that a request goes to the worker."""
+        if self._paused_until is not None:
+            self._probed_until = now + PROBE_LIMIT_S
+
+    def note_success(self) -> None:
+        """Note a good answer: it ends an ejection."""
+        self._failures = 0
+        self._probed_until = 0.0
+        if self._paused_until is not None:
+            self._paused_until = None
+        elif self._ejections:
+            self._ejections -= 1
+
+    def note_failure(self, now: float, random: random.Random) -> None:
+        """Note a failure; it may begin an ejection or a longer pause."""
+        self._failures += 1
+        self._probed_until = 0.0
+        if self._paused_until is None and self._failures < FAILURES_TO_EJECT:
+            return
+        if self._paused_until is not None and now < self._paused_until:
+            return
+        pause_s = min(FIRST_PAUSE_S * 2**self._ejections, MAX_PAUSE_S)
+        self._ejections = min(self._ejections + 1, 16)
+        self.ejected_at = now
+        self._paused_until = now + pause_s * random.uniform(0.5, 1.0)
--- a/trefoilpick/errors.py
+++ b/trefoilpick/errors.py
@@ -47,6 +47,7 @@
     METHOD_NOT_ALLOWED = "method_not_allowed"
     BODY_TOO_LARGE = "body_too_large"
     BODY_MALFORMED = "body_malformed"
+    BODY_TIMEOUT = "body_timeout"
     NO_UPSTREAM = "no_upstream"
     QUEUE_FULL = "queue_full"
     SHED = "shed"
@@ -118,6 +119,7 @@
     ErrorKind.METHOD_NOT_ALLOWED: Answer(405, Outcome.NOT_RUN),
     ErrorKind.BODY_TOO_LARGE: Answer(413, Outcome.NOT_RUN),
     ErrorKind.BODY_MALFORMED: Answer(400, Outcome.UNKNOWN),
+    ErrorKind.BODY_TIMEOUT: Answer(408, Outcome.UNKNOWN),
     ErrorKind.NO_UPSTREAM: Answer(503, Outcome.NOT_RUN, 1.0),
     ErrorKind.QUEUE_FULL: Answer(503, Outcome.NOT_RUN, 1.0),
     ErrorKind.SHED: Answer(503, Outcome.NOT_RUN, 2.0),
--- /dev/null
+++ b/trefoilpick/forwarding.py
@@ -0,0 +1,445 @@
+"""The way of one request: a worker is chosen, the request goes there, the answer comes back."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import curio
+
+from trefoilpick.callerlinks import LinkState
+from trefoilpick.calls import MS_PER_S, OWN_PREFIX, RETRY_HEADER, RETRY_MARK, TOKEN_HEADER
+from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError
+from trefoilpick.hops import (
+    Frame,
+    FrameKind,
+    HopAnswer,
+    HopFailure,
+    HopRequest,
+    Load,
+    decode_head,
+    encode_data,
+    encode_frame,
+    encode_head,
+)
+from trefoilpick.retries import plan_retry
+from trefoilpick.tokennames import name_token_vm
+
+if TYPE_CHECKING:
+    import random
+
+    from trefoilpick.balancing import Balancer, WorkerRecord
+    from trefoilpick.calls import Call
+    from trefoilpick.hopclient import ClientHop, HopPool
+    from trefoilpick.hops import Headers
+    from trefoilpick.retries import RetryBudgets
+
+FLUSH_BYTES = 65_536
+"""Parts of an answer that are sent together at most, in bytes."""
+
+FIRST_SERVER_ERROR = 500
+"""Lowest HTTP status that counts against a worker."""
+
+END_FRAME = encode_frame(FrameKind.END)
+"""The frame that makes a body whole."""
+
+WORKER_FAULTS = frozenset(
+    {
+        ErrorKind.UPSTREAM_REFUSED,
+        ErrorKind.UPSTREAM_LOST,
+        ErrorKind.ANSWER_MALFORMED,
+        ErrorKind.ANSWER_CUT,
+    }
+)
+"""Errors that count against a worker."""
+
+
+@dataclass(frozen=True)
+class Attempt:
+    """An attempt that got an answer.
+
+    Attributes:
+        record: The chosen worker.
+        hop: The connection to its node.
+        answer: The answer's head.
+        uploader: The task that sends the rest of the body; None where all was sent.
+        answered_at: When the answer's head was received, in seconds on the node's clock.
+    """
+
+    record: WorkerRecord
+    hop: ClientHop
+    answer: HopAnswer
+    uploader: Uploader | None
+    answered_at: float
+
+
+class Uploader:
+    """Sends the rest of a request's body while the answer is waited for.
+
+    Args:
+        call: The request.
+        hop: Where the body goes.
+    """
+
+    def __init__(self, call: Call, hop: ClientHop) -> None:
+        self.error: TrefoilpickError | None = None
+        self.ended_at: float | None = None
+        self._call = call
+        self._hop = hop
+        self._task: curio.Task | None = None
+
+    async def start(self) -> None:
+        """Begin to send."""
+        self._call.link.state = LinkState.UPLOADING
+        self._call.link.touched_at = self._call.link.clock.now
+        self._task = await curio.spawn(self._run, daemon=True)
+
+    async def stop(self) -> None:
+        """Stop sending; the body stays incomplete where it is not at its end."""
+        if self._task is not None:
+            await self._task.cancel()
+
+    async def _run(self) -> None:
+        link = self._call.link
+        try:
+            while (part := await self._call.body.receive()) is not None:
+                await self._hop.send(encode_data([part]))
+                link.touched_at = link.clock.now
+            await self._hop.send(END_FRAME)
+        except TrefoilpickError as error:
+            self.error = error
+            self._hop.abort()
+        except OSError:
+            return
+        else:
+            self.ended_at = await curio.clock()
+            link.state = LinkState.ANSWERING if link.head_sent else LinkState.RUNNING
+
+
+class Forwarder:
+    """Forwards requests to workers.
+
+    Args:
+        balancer: Chooses workers.
+        pool: Connections to the nodes beside them.
+        budgets: Bounds of further attempts.
+        random: Source of the jitter.
+    """
+
+    def __init__(
+        self, balancer: Balancer, pool: HopPool, budgets: RetryBudgets, random: random.Random
+    ) -> None:
+        self._balancer = balancer
+        self._pool = pool
+        self._budgets = budgets
+        self._random = random
+
+    async def forward(self, call: Call, own_headers: Headers) -> float:
+        """Bring a request to a worker and its whole answer to the caller.
+
+        Args:
+            call: The request.
+            own_headers: Headers to add to the answer.
+
+        Returns:
+            Time until the answer's head, in seconds; that of a streamed body does not count.
+
+        Raises:
+            TrefoilpickError: The error that ended the request; nothing of an answer was sent if
+                the link's `head_sent` is not set.
+        """
+        attempt = await self._attempt_until_answered(call)
+        try:
+            await self._relay_answer(call, attempt, own_headers)
+        except TrefoilpickError as error:
+            if error.kind in WORKER_FAULTS:
+                self._balancer.note_failure(attempt.record, await curio.clock())
+            raise
+        finally:
+            await self._finish(call, attempt)
+        return attempt.answered_at - _find_begin(attempt.uploader, call.started_at)
+
+    async def _attempt_until_answered(self, call: Call) -> Attempt:
+        upstream = call.team_route.upstream.name
+        self._budgets.note_request(upstream, call.started_at)
+        tried: list[str] = []
+        while True:
+            try:
+                return await self._attempt(call, tried)
+            except TrefoilpickError as error:
+                now = await curio.clock()
+                pause_s = plan_retry(
+                    call, error, len(tried), now, budgets=self._budgets, random=self._random
+                )
+                if pause_s is None:
+                    raise
+                await curio.sleep(pause_s)
+
+    async def _attempt(self, call: Call, tried: list[str]) -> Attempt:
+        now = await curio.clock()
+        record = self._choose(call, tried, now)
+        tried.append(record.vm.name)
+        record.begin(now)
+        try:
+            return await self._attempt_at(call, record, is_retry=len(tried) > 1)
+        except TrefoilpickError as error:
+            record.end()
+            if error.kind in WORKER_FAULTS and not call.link.is_gone:
+                refused = error.kind is ErrorKind.UPSTREAM_REFUSED
+                self._balancer.note_failure(record, await curio.clock(), refused=refused)
+            raise
+        except BaseException:
+            record.end()
+            raise
+
+    def _choose(self, call: Call, tried: list[str], now: float) -> WorkerRecord:
+        upstream = call.team_route.upstream.name
+        token = call.head.token
+        if token is None:
+            return self._balancer.choose(upstream, now, avoid=tried)
+        vm = name_token_vm(token)
+        record = self._balancer.find(upstream, vm, now)
+        if record is None:
+            text = f'token names VM "{vm}", which upstream "{upstream}" does not have'
+            raise TrefoilpickError(ErrorKind.TOKEN_FOREIGN, text)
+        return record
+
+    async def _attempt_at(self, call: Call, record: WorkerRecord, *, is_retry: bool) -> Attempt:
+        connect_s = call.team_route.upstream.connect_timeout_ms / MS_PER_S
+        left_s = call.deadline_at - await curio.clock()
+        hop = await self._pool.acquire(record.vm, timeout_s=min(connect_s, left_s))
+        call.link.hop = hop
+        try:
+            attempt = await self._exchange_heads(call, record, hop, is_retry)
+        except BaseException:
+            call.link.hop = None
+            await self._pool.release(hop, await curio.clock())
+            raise
+        return attempt
+
+    async def _exchange_heads(
+        self, call: Call, record: WorkerRecord, hop: ClientHop, is_retry: bool
+    ) -> Attempt:
+        ready = call.body.take_ready()
+        now = await curio.clock()
+        request = _build_request(call, now, is_retry=is_retry)
+        data = encode_head(FrameKind.REQUEST, request) + encode_data(ready)
+        if call.body.ended and request.has_body:
+            data += END_FRAME
+        call.body.sent = True
+        await self._send_first(call, hop, data)
+        uploader = None
+        if not call.body.ended:
+            uploader = Uploader(call, hop)
+            await uploader.start()
+        try:
+            answer = await self._receive_head(call, record, hop, uploader)
+        except BaseException:
+            if uploader is not None:
+                await uploader.stop()
+            raise
+        answered_at = await curio.clock()
+        self._note_answer(record, answer, answered_at, answered_at - _find_begin(uploader, now))
+        return Attempt(record, hop, answer, uploader, answered_at)
+
+    def _note_answer(
+        self, record: WorkerRecord, answer: HopAnswer, now: float, latency_s: float
+    ) -> None:
+        self._balancer.note_load(record, answer.load, now)
+        if answer.status < FIRST_SERVER_ERROR:
+            self._balancer.note_success(record, latency_s)
+        else:
+            self._balancer.note_failure(record, now)
+
+    async def _send_first(self, call: Call, hop: ClientHop, data: bytes) -> None:
+        if call.link.is_gone:
+            raise TrefoilpickError(ErrorKind.CALLER_GONE, "the caller left before its request ran")
+        try:
+            await hop.send_first(data)
+        except OSError as error:
+            if not hop.is_handed_over:
+                text = f'connection to VM "{hop.vm.name}" broke before the request was sent'
+                raise TrefoilpickError(
+                    ErrorKind.UPSTREAM_LOST, text, outcome=Outcome.NOT_RUN
+                ) from error
+
+    async def _receive_head(
+        self, call: Call, record: WorkerRecord, hop: ClientHop, uploader: Uploader | None
+    ) -> HopAnswer:
+        while True:
+            frame = await self._receive_by_deadline(call, hop, uploader)
+            if uploader is not None and uploader.error is not None:
+                raise uploader.error
+            if frame is None:
+                raise _describe_loss(call, hop)
+            if frame.kind is FrameKind.ANSWER:
+                return decode_head(frame.payload, HopAnswer)
+            if frame.kind is FrameKind.FAILURE:
+                failure = decode_head(frame.payload, HopFailure)
+                hop.is_clean = _is_body_sent(call, uploader)
+                self._balancer.note_load(record, failure.load, await curio.clock())
+                raise _rebuild_error(failure)
+            if frame.kind is not FrameKind.NOTICE:
+                text = f'node of VM "{hop.vm.name}" sent {frame.kind.name} before its answer'
+                raise TrefoilpickError(ErrorKind.ANSWER_MALFORMED, text)
+            load = decode_head(frame.payload, Load)
+            self._balancer.note_load(record, load, await curio.clock())
+
+    async def _receive_by_deadline(
+        self, call: Call, hop: ClientHop, uploader: Uploader | None
+    ) -> Frame | None:
+        deadline_at = call.deadline_at
+        while True:
+            left_s = deadline_at - await curio.clock()
+            try:
+                return await curio.timeout_after(max(left_s, 0.0), hop.receive)
+            except curio.TaskTimeout:
+                moved_at = _move_deadline(call, uploader)
+                if moved_at is not None and moved_at > deadline_at:
+                    deadline_at = moved_at
+                    continue
+                text = f'no answer of VM "{hop.vm.name}" within the deadline'
+                raise TrefoilpickError(ErrorKind.DEADLINE_AFTER_SEND, text) from None
+            except (OSError, TrefoilpickError):
+                return None
+
+    async def _relay_answer(self, call: Call, attempt: Attempt, own_headers: Headers) -> None:
+        link = call.link
+        if _is_body_sent(call, attempt.uploader):
+            link.state = LinkState.ANSWERING
+        answer = attempt.answer
+        headers = _build_answer_headers(answer, own_headers)
+        head_pending = True
+        ended = False
+        while not ended:
+            parts, ended = await self._receive_parts(call, attempt, wait=not head_pending)
+            if head_pending:
+                data = link.encode_answer(answer.status, headers, parts, ended=ended)
+                head_pending = False
+            else:
+                data = link.encode_parts(parts, ended=ended)
+            if data:
+                await link.send(data)
+
+    async def _receive_parts(
+        self, call: Call, attempt: Attempt, *, wait: bool
+    ) -> tuple[list[bytes], bool]:
+        """Return the parts of the answer that are there, and whether they end it."""
+        parts: list[bytes] = []
+        size = 0
+        hop = attempt.hop
+        while size < FLUSH_BYTES:
+            try:
+                frame = hop.take()
+                if frame is None:
+                    if parts or not wait:
+                        break
+                    frame = await hop.receive()
+            except (OSError, TrefoilpickError):
+                frame = None
+            if frame is None or frame.kind not in (FrameKind.DATA, FrameKind.END, FrameKind.NOTICE):
+                raise _describe_cut(call, hop)
+            if frame.kind is FrameKind.END:
+                hop.is_clean = _is_body_sent(call, attempt.uploader)
+                return parts, True
+            if frame.kind is FrameKind.DATA and frame.payload:
+                parts.append(frame.payload)
+                size += len(frame.payload)
+        return parts, False
+
+    async def _finish(self, call: Call, attempt: Attempt) -> None:
+        call.link.hop = None
+        attempt.record.end()
+        if attempt.uploader is not None:
+            await attempt.uploader.stop()
+        await self._pool.release(attempt.hop, await curio.clock())
+
+
+def _is_body_sent(call: Call, uploader: Uploader | None) -> bool:
+    return call.body.ended and (uploader is None or uploader.ended_at is not None)
+
+
+def _find_begin(uploader: Uploader | None, sent_at: float) -> float:
+    """Return from when on an answer is waited for: a streamed body has to end first."""
+    if uploader is None or uploader.ended_at is None:
+        return sent_at
+    return uploader.ended_at
+
+
+def _build_request(call: Call, now: float, *, is_retry: bool) -> HopRequest:
+    left_s = call.deadline_at - now
+    if left_s <= 0:
+        text = "the deadline passed before the request was sent"
+        raise TrefoilpickError(ErrorKind.DEADLINE_BEFORE_RUN, text)
+    head = call.head
+    route = call.team_route.route
+    is_retry = is_retry or head.is_retry
+    headers = [*head.headers, (RETRY_HEADER, RETRY_MARK)] if is_retry else head.headers
+    return HopRequest(
+        number=call.snapshot.version.number,
+        digest=call.snapshot.version.digest,
+        team=call.team_route.team,
+        route=route.name,
+        upstream=call.team_route.upstream.name,
+        method=head.method,
+        target=head.target,
+        headers=headers,
+        remaining_ms=max(int(left_s * MS_PER_S), 1),
+        priority=route.contract.priority.value,
+        idempotent=route.contract.idempotent,
+        caller=call.link.caller,
+        token=head.token,
+        wants_token=head.wants_token,
+        has_body=not call.body.ended or call.body.received > 0,
+        is_retry=is_retry,
+    )
+
+
+def _build_answer_headers(answer: HopAnswer, own_headers: Headers) -> Headers:
+    headers = [
+        header
+        for header in answer.headers
+        if not header[0].startswith(OWN_PREFIX) or header[0] == RETRY_HEADER
+    ]
+    headers += own_headers
+    if answer.token is not None:
+        headers.append((TOKEN_HEADER, answer.token.encode("latin-1")))
+    headers.append((OWN_PREFIX + b"outcome", answer.outcome.encode()))
+    return headers
+
+
+def _rebuild_error(failure: HopFailure) -> TrefoilpickError:
+    try:
+        kind = ErrorKind(failure.kind)
+        outcome = Outcome(failure.outcome)
+    except ValueError:
+        kind, outcome = ErrorKind.INTERNAL, Outcome.UNKNOWN
+    retry_after_ms = failure.retry_after_ms
+    retry_after_s = None if retry_after_ms is None else retry_after_ms / MS_PER_S
+    return TrefoilpickError(kind, failure.text, outcome=outcome, retry_after_s=retry_after_s)
+
+
+def _move_deadline(call: Call, uploader: Uploader | None) -> float | None:
+    """Return the deadline of a streamed request: its time runs from the end of the body."""
+    if uploader is None:
+        return None
+    began_at = call.link.touched_at if uploader.ended_at is None else uploader.ended_at
+    allowed_s = call.deadline_at - call.started_at
+    return began_at + allowed_s
+
+
+def _describe_loss(call: Call, hop: ClientHop) -> TrefoilpickError:
+    if call.link.is_gone:
+        return TrefoilpickError(ErrorKind.CALLER_GONE, "the caller left before its answer")
+    if call.link.is_expired:
+        text = "the request's body stood still too long"
+        return TrefoilpickError(ErrorKind.BODY_TIMEOUT, text)
+    text = f'connection to VM "{hop.vm.name}" broke before the answer'
+    return TrefoilpickError(ErrorKind.UPSTREAM_LOST, text)
+
+
+def _describe_cut(call: Call, hop: ClientHop) -> TrefoilpickError:
+    if call.link.is_gone:
+        return TrefoilpickError(ErrorKind.CALLER_GONE, "the caller left within its answer")
+    text = f'the answer of VM "{hop.vm.name}" ended before it was whole'
+    return TrefoilpickError(ErrorKind.ANSWER_CUT, text)
--- /dev/null
+++ b/trefoilpick/reaper.py
@@ -0,0 +1,94 @@
+"""Ends what stands still: slow heads, unused connections, bodies without progress.
+
+One task looks at all callers' connections a few times a second. The way of a request thus sets
+no timers but that of its deadline.
+"""
+
+from __future__ import annotations
+
+import select
+from typing import TYPE_CHECKING
+
+import curio
+
+from trefoilpick.callerlinks import LinkState
+from trefoilpick.calls import MS_PER_S
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from trefoilpick.callerlinks import CallerLink, CoarseClock
+    from trefoilpick.hopclient import HopPool
+    from trefoilpick.settings import RequestSettings
+
+SWEEP_S = 0.1
+"""Time between two looks, in seconds."""
+
+POOL_SWEEP_S = 1.0
+"""Time between two looks at unused connections to other nodes, in seconds."""
+
+GONE_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+"""Events of a connection whose caller has closed its side."""
+
+WATCHED_STATES = (LinkState.RUNNING, LinkState.ANSWERING)
+"""States in which nothing reads from the caller, so that only a look shows that it left."""
+
+
+class Reaper:
+    """Watches callers' connections.
+
+    Args:
+        settings: Settings of requests.
+        pool: Connections to other nodes.
+        clock: Clock that it keeps up to date.
+
+    Attributes:
+        links: All callers' connections.
+    """
+
+    def __init__(self, settings: RequestSettings, pool: HopPool, clock: CoarseClock) -> None:
+        self.links: set[CallerLink] = set()
+        self.clock = clock
+        self._pool = pool
+        body_idle_s = settings.body_idle_ms / MS_PER_S
+        self._limits_s = {
+            LinkState.NEW: settings.head_timeout_ms / MS_PER_S,
+            LinkState.HEAD: settings.head_timeout_ms / MS_PER_S,
+            LinkState.IDLE: settings.keepalive_ms / MS_PER_S,
+            LinkState.UPLOADING: body_idle_s,
+            LinkState.ANSWERING: body_idle_s,
+        }
+
+    async def run(self) -> None:
+        """Look until cancelled."""
+        pool_swept_at = 0.0
+        while True:
+            now = self.clock.now = await curio.clock()
+            for link in list(self._find_expired(now)):
+                link.expire()
+            for link in list(self._find_gone()):
+                link.note_gone()
+            if now - pool_swept_at >= POOL_SWEEP_S:
+                pool_swept_at = now
+                await self._pool.sweep(now)
+            await curio.sleep(SWEEP_S)
+
+    def _find_expired(self, now: float) -> Iterator[CallerLink]:
+        for link in self.links:
+            limit_s = self._limits_s.get(link.state)
+            if limit_s is not None and now - link.touched_at > limit_s and not link.is_expired:
+                yield link
+
+    def _find_gone(self) -> Iterator[CallerLink]:
+        watched = {
+            link.sock.fileno(): link
+            for link in self.links
+            if link.state in WATCHED_STATES and not link.is_gone
+        }
+        if not watched:
+            return
+        poller = select.poll()
+        for number in watched:
+            poller.register(number, GONE_EVENTS)
+        for number, _events in poller.poll(0):
+            yield watched[number]
--- a/trefoilpick/settings.py
+++ b/trefoilpick/settings.py
@@ -89,6 +89,30 @@
     max_head_bytes: Annotated[
         int, Meta(ge=1_024, le=1_048_576), _describe("Largest request head", "bytes")
     ] = 32_768
+    keepalive_ms: Annotated[
+        int,
+        Meta(ge=10, le=3_600_000),
+        _describe("Time that a caller's connection may wait between requests", "ms"),
+    ] = 75_000
+    body_idle_ms: Annotated[
+        int, Meta(ge=10, le=3_600_000), _describe("Time that a body may stand still", "ms")
+    ] = 30_000
+    kept_body_bytes: Annotated[
+        int,
+        Meta(ge=0, le=1_048_576),
+        _describe("Part of a request's body that is kept for a further attempt", "bytes"),
+    ] = 65_536
+    idle_hops: Annotated[
+        int, Meta(ge=0, le=1_000), _describe("Unused connections that are kept to one VM")
+    ] = 16
+    hop_idle_ms: Annotated[
+        int, Meta(ge=10, le=3_600_000), _describe("Time that an unused connection is kept", "ms")
+    ] = 60_000
+    retry_percent: Annotated[
+        int,
+        Meta(ge=0, le=100),
+        _describe("Further attempts to an upstream, as a share of its requests", "percent"),
+    ] = 10
 
 
 @dataclass(frozen=True)
