--- /dev/null
+++ b/trefoilpick/answering.py
@@ -0,0 +1,104 @@
+"""What a node answers to each message of a peer."""
+
+from __future__ import annotations
+
+from functools import singledispatch
+from typing import TYPE_CHECKING
+
+from trefoilpick.messages import (
+    Announcement,
+    Body,
+    Exchange,
+    Fetch,
+    FetchSections,
+    FetchVms,
+    Hello,
+    Leaving,
+    Refusal,
+    Sections,
+    StatusRequest,
+    VmsDelivery,
+    pack_vms,
+    unpack_version,
+)
+
+if TYPE_CHECKING:
+    from trefoilpick.distribution import Distributor
+    from trefoilpick.vms import Vm
+
+
+@singledispatch
+async def answer_body(body: Body, node: Distributor, sender: str) -> Body | None:
+    """Return the answer to a message; None where there is none.
+
+    Args:
+        body: What the peer said.
+        node: The node that answers.
+        sender: Name of the peer's VM.
+    """
+    return None
+
+
+@answer_body.register(Hello)
+async def _(body: Hello, node: Distributor, sender: str) -> Body | None:
+    if body.vm.name != sender:
+        return Refusal("unknown")
+    node.roster.add_unlisted(body.vm)
+    return node.tell_state()
+
+
+@answer_body.register(Exchange)
+async def _(body: Exchange, node: Distributor, sender: str) -> Body | None:
+    vm = node.roster.find_vm(sender)
+    if vm is None:
+        return Refusal("unknown")
+    await node.take_state(body, vm)
+    return node.tell_state()
+
+
+@answer_body.register(Announcement)
+async def _(body: Announcement, node: Distributor, sender: str) -> Body | None:
+    vm = node.roster.find_vm(sender)
+    if vm is not None:
+        await node.take_offer(body.held, body.vms_revision, vm)
+    return None
+
+
+@answer_body.register(Leaving)
+async def _(body: Leaving, node: Distributor, sender: str) -> Body | None:
+    node.roster.note_leaving(sender)
+    return None
+
+
+@answer_body.register(Fetch)
+async def _(body: Fetch, node: Distributor, sender: str) -> Body | None:
+    wanted = unpack_version(body.wanted)
+    if wanted is None:
+        return Refusal("absent")
+    if not node.grant_delivery():
+        return Refusal("busy")
+    delivery = node.store.tell_change(wanted, unpack_version(body.base))
+    return delivery if delivery is not None else Refusal("absent")
+
+
+@answer_body.register(FetchSections)
+async def _(body: FetchSections, node: Distributor, sender: str) -> Body | None:
+    if not node.grant_delivery():
+        return Refusal("busy")
+    return Sections(node.store.list_packed(digest.hex() for digest in body.digests))
+
+
+@answer_body.register(FetchVms)
+async def _(body: FetchVms, node: Distributor, sender: str) -> Body | None:
+    change = node.roster.tell_change(body.revision)
+    return VmsDelivery(change.revision, change.base, pack_vms(change.changed), change.removed)
+
+
+@answer_body.register(StatusRequest)
+async def _(body: StatusRequest, node: Distributor, sender: str) -> Body | None:
+    return node.tell_status()
+
+
+def name_address(vm: Vm) -> str:
+    """Return "ip:port" of a VM's control link."""
+    return f"{vm.host}:{vm.control_port}"
--- /dev/null
+++ b/trefoilpick/budgets.py
@@ -0,0 +1,82 @@
+"""Limits on what a node asks of others: a budget of reads, and backoff with full jitter."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import curio
+
+from trefoilpick._clock import read_clock
+
+if TYPE_CHECKING:
+    from random import Random
+
+FIRST_BACKOFF_S = 0.2
+"""Bound of the first pause after a failure, in seconds."""
+
+MAX_BACKOFF_S = 10.0
+"""Bound of any pause after a failure, in seconds."""
+
+
+class Budget:
+    """A token bucket.
+
+    Args:
+        rate: Tokens per second.
+        burst: Tokens that may go at once.
+    """
+
+    def __init__(self, rate: float, burst: float) -> None:
+        self._rate = rate
+        self._burst = burst
+        self._tokens = burst
+        self._filled_s = read_clock()
+
+    def resize(self, rate: float, burst: float) -> None:
+        """Change the rate and the burst; what is left of the old ones stays."""
+        self._fill()
+        self._rate = rate
+        self._burst = burst
+        self._tokens = min(self._tokens, burst)
+
+    async def take(self) -> None:
+        """Wait for a token, and take it."""
+        self._fill()
+        self._tokens -= 1.0
+        if self._tokens < 0:
+            await curio.sleep(-self._tokens / self._rate)
+
+    def try_take(self) -> bool:
+        """Take a token now, where there is one."""
+        self._fill()
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+    def _fill(self) -> None:
+        now = read_clock()
+        self._tokens = min(self._burst, self._tokens + (now - self._filled_s) * self._rate)
+        self._filled_s = now
+
+
+class Backoff:
+    """Pauses that grow by each failure, drawn between nothing and their bound.
+
+    Args:
+        random: Source of draws.
+    """
+
+    def __init__(self, random: Random) -> None:
+        self._random = random
+        self._failures = 0
+
+    def clear(self) -> None:
+        """Start again after a success."""
+        self._failures = 0
+
+    async def pause(self) -> None:
+        """Wait after a failure."""
+        bound = min(MAX_BACKOFF_S, FIRST_BACKOFF_S * 2 ** min(self._failures, 16))
+        self._failures += 1
+        await curio.sleep(self._random.uniform(0.0, bound))
--- /dev/null
+++ b/trefoilpick/joining.py
@@ -0,0 +1,127 @@
+"""How a fresh node finds the newest version before it serves."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import curio
+
+from trefoilpick._clock import read_clock
+from trefoilpick.answering import name_address
+from trefoilpick.budgets import Backoff
+from trefoilpick.errors import TrefoilpickError
+from trefoilpick.messages import Exchange, Hello
+from trefoilpick.overlay import list_targets
+
+if TYPE_CHECKING:
+    from trefoilpick.distribution import Distributor
+    from trefoilpick.vms import Vm
+
+NEAR_PEERS = 2
+"""Peers of its own data centre that a fresh node asks at a time."""
+
+FAR_CENTRES = 2
+"""Other data centres of which it asks one peer each at a time."""
+
+MAX_ROUNDS = 32
+"""Rounds of questions before the exchanges alone go on."""
+
+
+class Joiner:
+    """Asks peers of several data centres and the source for the newest version.
+
+    Args:
+        node: The fresh node.
+        wait_s: Time until it may serve what nobody confirmed, in seconds.
+    """
+
+    def __init__(self, node: Distributor, *, wait_s: float) -> None:
+        self._node = node
+        self._wait_s = wait_s
+        self._started_s = read_clock()
+        self._centres: set[str] = set()
+        self._source_answered = False
+
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether the source and peers of two data centres answered, as far as there are any."""
+        centres = {vm.data_centre for vm in self._node.roster.list_vms() if vm != self._node.own}
+        return self._source_answered and len(self._centres) >= min(2, len(centres))
+
+    @property
+    def is_over(self) -> bool:
+        """Whether the wait for answers is over."""
+        return read_clock() >= self._started_s + self._wait_s
+
+    def note_peer(self, vm: Vm) -> None:
+        """Record that a peer told its state."""
+        self._centres.add(vm.data_centre)
+
+    def note_source(self) -> None:
+        """Record that the source told its manifest."""
+        self._source_answered = True
+
+    async def run(self) -> None:
+        """Ask until the node's version is confirmed."""
+        async with curio.TaskGroup() as group:
+            await group.spawn(self._ask_source)
+            await group.spawn(self._ask_peers)
+
+    async def _ask_source(self) -> None:
+        node = self._node
+        backoff = Backoff(node.random)
+        await curio.sleep(node.draw_source_delay())
+        for _ in range(MAX_ROUNDS):
+            if self._source_answered and node.roster.revision:
+                return
+            try:
+                if not node.roster.revision:
+                    await node.reader.read_list()
+                if not self._source_answered:
+                    await node.reader.read_manifest()
+                    self.note_source()
+            except TrefoilpickError:
+                await backoff.pause()
+
+    async def _ask_peers(self) -> None:
+        node = self._node
+        backoff = Backoff(node.random)
+        for address in node.draw_seeds():
+            await self._greet(address)
+        for _ in range(MAX_ROUNDS):
+            for vm in self._draw_peers():
+                if await self._greet(name_address(vm)):
+                    self.note_peer(vm)
+                else:
+                    node.roster.note_missed(vm.name)
+            if self.is_confirmed:
+                break
+            await backoff.pause()
+        await self._greet_targets()
+
+    def _draw_peers(self) -> tuple[Vm, ...]:
+        node = self._node
+        alive = [vm for vm in node.roster.list_alive() if vm.name != node.own.name]
+        near = [vm for vm in alive if vm.data_centre == node.own.data_centre]
+        centres = sorted({vm.data_centre for vm in alive} - {node.own.data_centre})
+        chosen = node.random.sample(near, min(NEAR_PEERS, len(near)))
+        for centre in node.random.sample(centres, min(FAR_CENTRES, len(centres))):
+            chosen.append(node.random.choice([vm for vm in alive if vm.data_centre == centre]))
+        return tuple(chosen)
+
+    async def _greet_targets(self) -> None:
+        """Make the node known to those that it will exchange with and that the list may lack it."""
+        node = self._node
+        for vm in list_targets(node.overlay, node.view(), node.random):
+            await self._greet(name_address(vm))
+
+    async def _greet(self, address: str) -> bool:
+        node = self._node
+        try:
+            answer = await node.links.ask(address, Hello(node.own), timeout_s=node.answer_s)
+        except TrefoilpickError:
+            return False
+        if not isinstance(answer.body, Exchange):
+            return False
+        await node.take_answer(answer, address)
+        return True
--- /dev/null
+++ b/trefoilpick/links.py
@@ -0,0 +1,350 @@
+"""Control links between nodes: ZeroMQ, one bound socket and one socket a peer."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Protocol
+
+import curio
+import zmq
+import zmq.utils.z85
+from curio.traps import _read_wait
+
+from trefoilpick._clock import read_clock
+from trefoilpick.errors import ErrorKind, TrefoilpickError
+from trefoilpick.messages import MAX_MESSAGE_BYTES
+
+if TYPE_CHECKING:
+    from trefoilpick.mailbox import Handler, Mailbox
+    from trefoilpick.messages import Body, Envelope
+    from trefoilpick.metrics import Metrics
+    from trefoilpick.settings import KeySettings
+
+MAX_QUEUED = 64
+"""Messages that wait for one peer at most."""
+
+IDLE_S = 60.0
+"""Time without a message after which a link is closed, in seconds."""
+
+SWEEP_S = 10.0
+"""Time between two looks for idle links, in seconds."""
+
+LINGER_MS = 200
+"""Time for queued messages at the end, in milliseconds."""
+
+RECONNECT_MS = 100
+"""First pause before a lost connection is tried again, in milliseconds."""
+
+RECONNECT_MAX_MS = 5_000
+"""Longest pause before a lost connection is tried again, in milliseconds."""
+
+GREETING_BYTES = 64
+"""Greeting of a connection, each way, in bytes."""
+
+HANDSHAKE_BYTES = 40
+"""Handshake without keys, each way, in bytes: estimate."""
+
+CURVE_HANDSHAKE_BYTES = 350
+"""Handshake with keys, each way, in bytes: estimate."""
+
+CURVE_MESSAGE_BYTES = 33
+"""What encryption adds to one message, in bytes."""
+
+ZAP_ADDRESS = "inproc://zeromq.zap.01"
+"""Where libzmq asks whether a client's key is admitted."""
+
+
+@dataclass
+class Traffic:
+    """Bytes of control messages, with the framing of ZeroMQ, without that of TCP and IP.
+
+    Attributes:
+        sent: Bytes sent.
+        received: Bytes received.
+    """
+
+    sent: int = 0
+    received: int = 0
+
+
+class Links(Protocol):
+    """How a node reaches its peers."""
+
+    traffic: Traffic
+
+    async def run(self, handler: Handler) -> None:
+        """Take messages until cancelled."""
+
+    async def tell(self, address: str, body: Body) -> None:
+        """Send a message without an answer; it replaces a waiting one of its kind.
+
+        Args:
+            address: "ip:port" of the peer's control link.
+            body: What to say.
+        """
+
+    async def ask(self, address: str, body: Body, *, timeout_s: float) -> Envelope:
+        """Send a request and wait for its answer.
+
+        Raises:
+            TrefoilpickError: `PEER_UNREACHABLE`.
+        """
+
+
+@dataclass
+class Peer:
+    """One peer's link.
+
+    Attributes:
+        address: "ip:port".
+        sock: The socket towards it.
+        queue: Messages that wait, by topic; a newer one replaces an older of its topic.
+        used_s: Last use, by the kernel's clock.
+        task: The link's task.
+    """
+
+    address: str
+    sock: zmq.Socket
+    queue: dict[str, bytes] = field(default_factory=dict)
+    used_s: float = 0.0
+    task: curio.Task | None = None
+
+
+class ZmqLinks:
+    """Links over ZeroMQ.
+
+    Args:
+        host: IP address to listen on.
+        port: Port to listen on.
+        mailbox: Makes and takes the messages.
+        metrics: Where messages are counted.
+        keys: Keys of the fleet; None leaves links open to anyone.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        *,
+        mailbox: Mailbox,
+        metrics: Metrics,
+        keys: KeySettings | None = None,
+    ) -> None:
+        self.traffic = Traffic()
+        self._mailbox = mailbox
+        self._metrics = metrics
+        self._keys = keys
+        self._host = host
+        self._peers: dict[str, Peer] = {}
+        self._identities: set[bytes] = set()
+        self._context = zmq.Context()
+        self._zap = self._open_zap() if keys else None
+        self._router = self._open_router(port)
+
+    async def run(self, handler: Handler) -> None:
+        """Take messages until cancelled, then close every socket."""
+        self._mailbox.set_handler(handler)
+        try:
+            async with curio.TaskGroup(wait=any) as group:
+                await group.spawn(self._serve)
+                await group.spawn(self._close_idle)
+                if self._zap is not None:
+                    await group.spawn(self._admit_keys, self._zap)
+        finally:
+            await self._close()
+
+    async def tell(self, address: str, body: Body) -> None:
+        """Send a message without an answer; it replaces a waiting one of its kind."""
+        await self._send(address, type(body).__name__, self._mailbox.encode(body))
+
+    async def ask(self, address: str, body: Body, *, timeout_s: float) -> Envelope:
+        """Send a request and wait for its answer."""
+        pending = self._mailbox.open_request(address)
+        topic = f"request {pending.request}"
+        await self._send(address, topic, self._mailbox.encode(body, request=pending.request))
+        try:
+            return await self._mailbox.wait_answer(pending, timeout_s)
+        finally:
+            peer = self._peers.get(address)
+            if peer is not None:
+                peer.queue.pop(topic, None)
+
+    def _open_router(self, port: int) -> zmq.Socket:
+        router = self._context.socket(zmq.ROUTER)
+        router.setsockopt(zmq.ROUTER_MANDATORY, 1)
+        router.setsockopt(zmq.ROUTER_HANDOVER, 1)
+        self._configure(router)
+        if self._keys is not None:
+            router.curve_server = True
+            router.curve_secretkey = self._keys.secret.encode()
+            router.curve_publickey = self._keys.public.encode()
+        try:
+            router.bind(f"tcp://{self._host}:{port}")
+        except zmq.ZMQError as error:
+            self._context.destroy(linger=0)
+            text = f"control link cannot listen on {self._host}:{port}: {error}"
+            raise TrefoilpickError(ErrorKind.SETTINGS_FAULTY, text) from error
+        return router
+
+    def _open_zap(self) -> zmq.Socket:
+        zap = self._context.socket(zmq.REP)
+        zap.bind(ZAP_ADDRESS)
+        return zap
+
+    def _open_peer(self, address: str) -> Peer:
+        sock = self._context.socket(zmq.DEALER)
+        sock.setsockopt(zmq.IMMEDIATE, 1)
+        sock.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
+        sock.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+        self._configure(sock)
+        if self._keys is not None:
+            sock.curve_serverkey = self._keys.public.encode()
+            sock.curve_secretkey = self._keys.secret.encode()
+            sock.curve_publickey = self._keys.public.encode()
+        sock.connect(f"tcp://{address}")
+        self._count_handshake()
+        return Peer(address, sock)
+
+    def _configure(self, sock: zmq.Socket) -> None:
+        sock.setsockopt(zmq.LINGER, LINGER_MS)
+        sock.setsockopt(zmq.SNDHWM, MAX_QUEUED)
+        sock.setsockopt(zmq.RCVHWM, 4 * MAX_QUEUED)
+        sock.setsockopt(zmq.MAXMSGSIZE, 2 * MAX_MESSAGE_BYTES)
+
+    async def _send(self, address: str, topic: str, data: bytes) -> None:
+        peer = self._peers.get(address)
+        if peer is None:
+            peer = self._open_peer(address)
+            self._peers[address] = peer
+            peer.task = await curio.spawn(self._run_peer, peer, daemon=True)
+        peer.used_s = read_clock()
+        peer.queue.pop(topic, None)
+        peer.queue[topic] = data
+        while len(peer.queue) > MAX_QUEUED:
+            peer.queue.pop(next(iter(peer.queue)))
+            self._metrics.count("trefoilpick_control_messages_dropped_total", reason="queue_full")
+        await self._work_peer(peer)
+
+    async def _run_peer(self, peer: Peer) -> None:
+        descriptor = peer.sock.getsockopt(zmq.FD)
+        while True:
+            await self._work_peer(peer)
+            await _read_wait(descriptor)
+
+    async def _work_peer(self, peer: Peer) -> None:
+        """Send what waits and take what came, until the socket blocks both ways."""
+        busy = True
+        # The descriptor tells of a change once: a cancelled look at it would lose the change.
+        async with curio.disable_cancellation():
+            while busy and not peer.sock.closed:
+                events = _read_events(peer.sock)
+                busy = False
+                if events & zmq.POLLOUT and peer.queue:
+                    busy = self._flush(peer)
+                if events & zmq.POLLIN:
+                    busy = await self._take_answer(peer) or busy
+
+    def _flush(self, peer: Peer) -> bool:
+        topic, data = next(iter(peer.queue.items()))
+        try:
+            peer.sock.send(data, zmq.NOBLOCK)
+        except zmq.Again:
+            return False
+        del peer.queue[topic]
+        self.traffic.sent += self._measure(data)
+        return True
+
+    async def _take_answer(self, peer: Peer) -> bool:
+        try:
+            data = peer.sock.recv_multipart(zmq.NOBLOCK)[-1]
+        except zmq.Again:
+            return False
+        self.traffic.received += self._measure(data)
+        peer.used_s = read_clock()
+        await self._mailbox.take_answer(data, peer.address)
+        return True
+
+    async def _serve(self) -> None:
+        descriptor = self._router.getsockopt(zmq.FD)
+        while True:
+            while _read_events(self._router) & zmq.POLLIN:
+                await self._take_request()
+            await _read_wait(descriptor)
+
+    async def _take_request(self) -> None:
+        try:
+            identity, *rest = self._router.recv_multipart(zmq.NOBLOCK)
+        except zmq.Again:
+            return
+        data = rest[-1] if rest else b""
+        self._note_identity(identity)
+        self.traffic.received += self._measure(data)
+        answer = await self._mailbox.take_request(data)
+        if answer is None:
+            return
+        try:
+            self._router.send_multipart([identity, answer], zmq.NOBLOCK)
+        except zmq.ZMQError:
+            self._metrics.count(
+                "trefoilpick_control_messages_dropped_total", reason="peer_slow_or_gone"
+            )
+            return
+        self.traffic.sent += self._measure(answer)
+
+    def _note_identity(self, identity: bytes) -> None:
+        if identity in self._identities:
+            return
+        if len(self._identities) >= 8_192:
+            self._identities.clear()
+        self._identities.add(identity)
+        self._count_handshake()
+
+    def _count_handshake(self) -> None:
+        handshake = HANDSHAKE_BYTES if self._keys is None else CURVE_HANDSHAKE_BYTES
+        self.traffic.sent += GREETING_BYTES + handshake
+        self.traffic.received += GREETING_BYTES + handshake
+
+    def _measure(self, data: bytes) -> int:
+        length = len(data) + (0 if self._keys is None else CURVE_MESSAGE_BYTES)
+        return length + (2 if length <= 255 else 9)
+
+    async def _close_idle(self) -> None:
+        while True:
+            await curio.sleep(SWEEP_S)
+            before = read_clock() - IDLE_S
+            for peer in [peer for peer in self._peers.values() if peer.used_s < before]:
+                await self._close_peer(peer)
+
+    async def _admit_keys(self, zap: zmq.Socket) -> None:
+        """Answer libzmq's questions: only clients with the fleet's own key are admitted."""
+        descriptor = zap.getsockopt(zmq.FD)
+        while True:
+            while _read_events(zap) & zmq.POLLIN:
+                zap.send_multipart(self._judge_key(zap.recv_multipart()))
+            await _read_wait(descriptor)
+
+    def _judge_key(self, question: list[bytes]) -> list[bytes]:
+        fleet = self._keys
+        key = question[6] if len(question) > 6 and question[5] == b"CURVE" else b""
+        if fleet is not None and key == zmq.utils.z85.decode(fleet.public):
+            return [b"1.0", question[1], b"200", b"OK", b"fleet", b""]
+        self._metrics.count("trefoilpick_control_links_refused_total", reason="key")
+        return [b"1.0", question[1], b"400", b"key is not the fleet's", b"", b""]
+
+    async def _close_peer(self, peer: Peer) -> None:
+        self._peers.pop(peer.address, None)
+        if peer.task is not None:
+            await peer.task.cancel()
+        peer.sock.close(linger=LINGER_MS)
+
+    async def _close(self) -> None:
+        for peer in list(self._peers.values()):
+            await self._close_peer(peer)
+        self._router.close(linger=LINGER_MS)
+        if self._zap is not None:
+            self._zap.close(linger=0)
+        self._context.term()
+
+
+def _read_events(sock: zmq.Socket) -> int:
+    return int(sock.getsockopt(zmq.EVENTS))
--- /dev/null
+++ b/trefoilpick/mailbox.py
@@ -0,0 +1,191 @@
+"""The messages of one node: numbering, matching of answers, refusal of replays."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import curio
+
+from trefoilpick.errors import ErrorKind, TrefoilpickError
+from trefoilpick.messages import Body, Envelope, decode_envelope, encode_envelope
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from trefoilpick.metrics import Metrics
+
+    Handler = Callable[[Envelope], Awaitable[Body | None]]
+
+REPLAY_WINDOW = 256
+"""How many messages a late one may be behind the newest of its sender."""
+
+MAX_SENDERS = 8_192
+"""Senders that a node remembers."""
+
+
+class ReplayWindow:
+    """Tells messages of one sender that came before from those that are new."""
+
+    def __init__(self) -> None:
+        self._incarnation = 0
+        self._newest = 0
+        self._seen = 0
+
+    def admit(self, incarnation: int, sequence: int) -> bool:
+        """Tell whether a message is new, and remember it.
+
+        Args:
+            incarnation: Life of the sender; messages of an earlier one are refused.
+            sequence: Number of the message in that life.
+        """
+        if incarnation < self._incarnation:
+            return False
+        if incarnation > self._incarnation:
+            self._incarnation = incarnation
+            self._newest = sequence
+            self._seen = 1
+            return True
+        if sequence > self._newest:
+            shift = min(sequence - self._newest, REPLAY_WINDOW)
+            self._seen = ((self._seen << shift) | 1) & ((1 << REPLAY_WINDOW) - 1)
+            self._newest = sequence
+            return True
+        behind = self._newest - sequence
+        if behind >= REPLAY_WINDOW or self._seen >> behind & 1:
+            return False
+        self._seen |= 1 << behind
+        return True
+
+
+@dataclass
+class Pending:
+    """A request that waits for its answer.
+
+    Attributes:
+        request: Its number.
+        address: Whom it asks.
+        arrived: Set when the answer is there.
+        answer: The answer.
+    """
+
+    request: int
+    address: str
+    arrived: curio.Event = field(default_factory=curio.Event)
+    answer: Envelope | None = None
+
+
+class Mailbox:
+    """Makes a node's messages, and takes those of its peers.
+
+    Args:
+        vm: Name of the node's VM.
+        incarnation: Start of the node's process, in nanoseconds since the Unix epoch.
+        metrics: Where messages are counted.
+    """
+
+    def __init__(self, vm: str, incarnation: int, metrics: Metrics) -> None:
+        self.vm = vm
+        self.incarnation = incarnation
+        self._metrics = metrics
+        self._sequence = 0
+        self._requests = 0
+        self._pending: dict[int, Pending] = {}
+        self._windows: dict[str, ReplayWindow] = {}
+        self._handler: Handler | None = None
+
+    def set_handler(self, handler: Handler) -> None:
+        """Set what answers the requests of peers."""
+        self._handler = handler
+
+    def encode(self, body: Body, *, request: int = 0, is_answer: bool = False) -> bytes:
+        """Return the bytes of the node's next message."""
+        self._sequence += 1
+        envelope = Envelope(
+            self.vm, self.incarnation, self._sequence, request, is_answer=is_answer, body=body
+        )
+        return encode_envelope(envelope)
+
+    def open_request(self, address: str) -> Pending:
+        """Begin a request to a peer."""
+        self._requests += 1
+        pending = Pending(self._requests, address)
+        self._pending[pending.request] = pending
+        return pending
+
+    async def wait_answer(self, pending: Pending, timeout_s: float) -> Envelope:
+        """Wait for the answer to a request.
+
+        Raises:
+            TrefoilpickError: `PEER_UNREACHABLE`, after the timeout.
+        """
+        try:
+            async with curio.timeout_after(timeout_s):
+                await pending.arrived.wait()
+        except curio.TaskTimeout as error:
+            text = f'peer "{pending.address}" gave no answer within {timeout_s:g} s'
+            raise TrefoilpickError(ErrorKind.PEER_UNREACHABLE, text) from error
+        finally:
+            self._pending.pop(pending.request, None)
+        if pending.answer is None:
+            raise TrefoilpickError(ErrorKind.INTERNAL, "answer arrived without content")
+        return pending.answer
+
+    async def take_request(self, data: bytes) -> bytes | None:
+        """Take a message that a peer sent unasked.
+
+        Args:
+            data: Its bytes, which may be anything.
+
+        Returns:
+            The bytes of the answer; None where there is none.
+        """
+        envelope = self._admit(data)
+        if envelope is None or envelope.is_answer or self._handler is None:
+            return None
+        try:
+            body = await self._handler(envelope)
+        except TrefoilpickError as error:
+            self._metrics.count(
+                "trefoilpick_control_messages_refused_total", reason=error.kind.value
+            )
+            return None
+        if body is None or envelope.request == 0:
+            return None
+        return self.encode(body, request=envelope.request, is_answer=True)
+
+    async def take_answer(self, data: bytes, address: str) -> None:
+        """Take a message that came back from a peer.
+
+        Args:
+            data: Its bytes, which may be anything.
+            address: Whom the link leads to.
+        """
+        envelope = self._admit(data)
+        if envelope is None:
+            return
+        pending = self._pending.get(envelope.request)
+        if pending is None or pending.address != address or not envelope.is_answer:
+            self._metrics.count("trefoilpick_control_messages_refused_total", reason="unmatched")
+            return
+        pending.answer = envelope
+        await pending.arrived.set()
+
+    def _admit(self, data: bytes) -> Envelope | None:
+        try:
+            envelope = decode_envelope(data)
+        except TrefoilpickError as error:
+            self._metrics.count(
+                "trefoilpick_control_messages_refused_total", reason=error.kind.value
+            )
+            return None
+        window = self._windows.get(envelope.vm)
+        if window is None:
+            window = ReplayWindow()
+            if len(self._windows) >= MAX_SENDERS:
+                self._windows.pop(next(iter(self._windows)))
+            self._windows[envelope.vm] = window
+        if not window.admit(envelope.incarnation, envelope.sequence):
+            self._metrics.count("trefoilpick_control_messages_refused_total", reason="replayed")
+            return None
+        return envelope
--- /dev/null
+++ b/trefoilpick/overlay.py
@@ -0,0 +1,153 @@
+"""Which peers a node announces to and exchanges with: a value that varies by type."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from functools import singledispatch
+from typing import TYPE_CHECKING
+
+from trefoilpick.ranks import list_fingers, order_names, rank_vms
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from trefoilpick.vms import Vm
+
+
+@dataclass(frozen=True)
+class OverlayView:
+    """What a node believes of the fleet.
+
+    Attributes:
+        own: The node's own VM.
+        alive: VMs that it believes alive, its own among them.
+        readers: Readers of each data centre.
+    """
+
+    own: Vm
+    alive: tuple[Vm, ...]
+    readers: int
+
+
+@dataclass(frozen=True)
+class FingerOverlay:
+    """Announcements flood along the fingers of a ring."""
+
+
+@dataclass(frozen=True)
+class TreeOverlay:
+    """Announcements go down a tree by rank, and up it once.
+
+    Attributes:
+        arity: Children of one node.
+    """
+
+    arity: int = 4
+
+
+@dataclass(frozen=True)
+class GossipOverlay:
+    """Announcements go to peers drawn anew for each version.
+
+    Attributes:
+        fanout: Peers drawn.
+    """
+
+    fanout: int = 4
+
+
+@dataclass(frozen=True)
+class EveryNodeWatches:
+    """Every node reads the source itself and announces nothing."""
+
+
+Overlay = FingerOverlay | TreeOverlay | GossipOverlay | EveryNodeWatches
+"""The ways of reaching the fleet."""
+
+OVERLAYS: dict[str, Overlay] = {
+    "fingers": FingerOverlay(),
+    "tree": TreeOverlay(),
+    "gossip": GossipOverlay(),
+    "every-node-watches": EveryNodeWatches(),
+}
+"""Overlays by the name that settings give."""
+
+
+def list_local(view: OverlayView) -> tuple[Vm, ...]:
+    """Return the VMs of the node's own data centre, its own among them, by rank."""
+    centre = view.own.data_centre
+    return rank_vms((vm for vm in view.alive if vm.data_centre == centre), centre)
+
+
+def find_rank(view: OverlayView) -> int:
+    """Return the node's own rank in its data centre; the first reader has rank 0."""
+    names = [vm.name for vm in list_local(view)]
+    return names.index(view.own.name) if view.own.name in names else len(names)
+
+
+@singledispatch
+def read_share(overlay: Overlay, view: OverlayView) -> bool:
+    """Tell whether the node reads the source while all goes well."""
+    return find_rank(view) < view.readers
+
+
+@read_share.register(EveryNodeWatches)
+def _(overlay: EveryNodeWatches, view: OverlayView) -> bool:
+    return True
+
+
+@singledispatch
+def list_targets(overlay: Overlay, view: OverlayView, random: Random) -> tuple[Vm, ...]:
+    """Return the peers that a node announces a version to, and exchanges with in turn.
+
+    Args:
+        overlay: The way of reaching the fleet.
+        view: What the node believes.
+        random: Source of draws.
+    """
+    raise NotImplementedError(type(overlay).__name__)
+
+
+@list_targets.register(FingerOverlay)
+def _(overlay: FingerOverlay, view: OverlayView, random: Random) -> tuple[Vm, ...]:
+    local = {vm.name: vm for vm in list_local(view)}
+    ring = order_names(local)
+    near = tuple(local[name] for name in list_fingers(ring, view.own.name))
+    return near + list_far(view)
+
+
+@list_targets.register(TreeOverlay)
+def _(overlay: TreeOverlay, view: OverlayView, random: Random) -> tuple[Vm, ...]:
+    ranked = list_local(view)
+    rank = find_rank(view)
+    first = overlay.arity * rank + 1
+    children = ranked[first : first + overlay.arity]
+    parent = ranked[(rank - 1) // overlay.arity : (rank - 1) // overlay.arity + 1] if rank else ()
+    return children + parent + list_far(view)
+
+
+@list_targets.register(GossipOverlay)
+def _(overlay: GossipOverlay, view: OverlayView, random: Random) -> tuple[Vm, ...]:
+    others = [vm for vm in view.alive if vm.name != view.own.name]
+    return tuple(random.sample(others, min(overlay.fanout, len(others))))
+
+
+@list_targets.register(EveryNodeWatches)
+def _(overlay: EveryNodeWatches, view: OverlayView, random: Random) -> tuple[Vm, ...]:
+    return ()
+
+
+def list_far(view: OverlayView) -> tuple[Vm, ...]:
+    """Return the readers of other data centres that a reader announces to.
+
+    A reader reaches its own rank's peer in the data centres at distances 1, 2, 4 … of their ring.
+    """
+    rank = find_rank(view)
+    if rank >= view.readers:
+        return ()
+    ring = order_names(vm.data_centre for vm in view.alive)
+    far: list[Vm] = []
+    for centre in list_fingers(ring, view.own.data_centre):
+        ranked = rank_vms((vm for vm in view.alive if vm.data_centre == centre), centre)
+        far.append(ranked[min(rank, len(ranked) - 1)])
+    return tuple(far)
--- /dev/null
+++ b/trefoilpick/ranks.py
@@ -0,0 +1,38 @@
+"""Order of VMs that every node computes alone, from names only."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import xxhash
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from trefoilpick.vms import Vm
+
+
+def rank_vms(vms: Iterable[Vm], key: str) -> tuple[Vm, ...]:
+    """Order VMs by rendezvous hash: one that goes changes the order of no others.
+
+    Args:
+        vms: The VMs, in any order.
+        key: What the order is for, such as the name of a data centre.
+    """
+    return tuple(
+        sorted(vms, key=lambda vm: (xxhash.xxh64_intdigest(f"{key}/{vm.name}".encode()), vm.name))
+    )
+
+
+def order_names(names: Iterable[str]) -> tuple[str, ...]:
+    """Order names around a ring, by hash."""
+    return tuple(sorted(set(names), key=lambda name: (xxhash.xxh64_intdigest(name.encode()), name)))
+
+
+def list_fingers(ring: tuple[str, ...], own: str) -> tuple[str, ...]:
+    """Return the names at distances 1, 2, 4, 8 … after a name on a ring."""
+    if own not in ring:
+        return ()
+    start = ring.index(own)
+    distances = (2**power for power in range(len(ring).bit_length()) if 2**power < len(ring))
+    return tuple(ring[(start + distance) % len(ring)] for distance in distances)
--- /dev/null
+++ b/trefoilpick/reading.py
@@ -0,0 +1,210 @@
+"""Reads and watches of the configuration service, by the few nodes that read it."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+import curio
+import msgspec
+
+from trefoilpick._clock import read_clock
+from trefoilpick.budgets import Backoff, Budget
+from trefoilpick.errors import ErrorKind, TrefoilpickError
+from trefoilpick.manifest import decode_manifest, identify_version
+from trefoilpick.source import MANIFEST_KEY, VMS_KEY, name_section_key
+from trefoilpick.vms import VmList
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+    from random import Random
+
+    from trefoilpick.manifest import Manifest, VersionId
+    from trefoilpick.metrics import Metrics
+    from trefoilpick.roster import Roster
+    from trefoilpick.source import Source, SourceValue
+    from trefoilpick.versions import VersionStore
+
+FEW_SECTIONS = 8
+"""Missing sections that a reader reads at once, whatever its rank."""
+
+TURN_S = 0.5
+"""Time that a reader leaves to the one before it when much is missing, in seconds."""
+
+logger = logging.getLogger("trefoilpick")
+
+
+class SourceReader:
+    """Reads the source for one node, within its budget.
+
+    Args:
+        source: The configuration service.
+        store: Where sections are gathered.
+        roster: Where the list of VMs goes.
+        budget: Limits the reads.
+        metrics: Where reads are counted.
+        random: Source of draws.
+        note_held: Called when a new version is held.
+        note_list: Called when a new list of VMs is taken.
+    """
+
+    def __init__(
+        self,
+        source: Source,
+        *,
+        store: VersionStore,
+        roster: Roster,
+        budget: Budget,
+        metrics: Metrics,
+        random: Random,
+        note_held: Callable[[], Awaitable[None]],
+        note_list: Callable[[], Awaitable[None]],
+    ) -> None:
+        self._source = source
+        self._store = store
+        self._roster = roster
+        self._budget = budget
+        self._metrics = metrics
+        self._random = random
+        self._note_held = note_held
+        self._note_list = note_list
+        self._reading = curio.Event()
+        self.turn = 0
+        self.answered_s = float("-inf")
+        self.asked_s = float("-inf")
+        self.failing = False
+        self.newest: VersionId | None = None
+        self.gathering: VersionId | None = None
+
+    @property
+    def is_reading(self) -> bool:
+        """Whether the node reads the source and the source answers."""
+        return self._reading.is_set() and not self.failing
+
+    async def start(self, turn: int) -> None:
+        """Begin to read and watch.
+
+        Args:
+            turn: Readers of the fleet that go before this one when much is to be read.
+        """
+        self.turn = turn
+        await self._reading.set()
+
+    def stop(self) -> None:
+        """Cease to read once the present watch ends."""
+        self._reading.clear()
+
+    async def run(self) -> None:
+        """Read and watch while it is this node's turn, until cancelled."""
+        async with curio.TaskGroup(wait=any) as group:
+            await group.spawn(self._watch, MANIFEST_KEY, self._take_manifest)
+            await group.spawn(self._watch, VMS_KEY, self._take_list)
+
+    async def read_manifest(self) -> None:
+        """Read the manifest once.
+
+        Raises:
+            TrefoilpickError: The source did not answer, or not with a manifest.
+        """
+        value = await self._read(MANIFEST_KEY)
+        self.newest = identify_version(decode_manifest(value.data))
+
+    async def read_list(self) -> None:
+        """Read the list of VMs once.
+
+        Raises:
+            TrefoilpickError: The source did not answer, or not with a list.
+        """
+        value = await self._read(VMS_KEY)
+        await self._take_list(value.data)
+
+    async def _watch(self, key: str, take: Callable[[bytes], Awaitable[None]]) -> None:
+        backoff = Backoff(self._random)
+        revision: int | None = None
+        while True:
+            await self._reading.wait()
+            try:
+                value = await self._read_or_watch(key, revision)
+                # A service that lost revisions would never end a watch: read after each idle one.
+                revision = value.revision if value is not None else None
+                if value is not None:
+                    await take(value.data)
+                backoff.clear()
+            except TrefoilpickError as error:
+                revision = None
+                self._note_failure(error)
+                await backoff.pause()
+
+    async def _read_or_watch(self, key: str, revision: int | None) -> SourceValue | None:
+        if revision is None:
+            return await self._read(key)
+        await self._budget.take()
+        self._metrics.count("trefoilpick_source_reads_total", kind="watch")
+        asked_s = read_clock()
+        value = await self._source.watch_value(key, after=revision)
+        self._note_answer(asked_s)
+        return value
+
+    async def _read(self, key: str) -> SourceValue:
+        await self._budget.take()
+        self._metrics.count("trefoilpick_source_reads_total", kind="read")
+        asked_s = read_clock()
+        value = await self._source.read_value(key)
+        self._note_answer(asked_s)
+        return value
+
+    async def _take_manifest(self, data: bytes) -> None:
+        manifest = decode_manifest(data)
+        version = identify_version(manifest)
+        self.newest = version
+        if self._store.newest is not None and version < self._store.newest:
+            self._metrics.count("trefoilpick_source_stale_total")
+        if self._is_newer(version):
+            await self._gather(manifest, version)
+
+    async def _gather(self, manifest: Manifest, version: VersionId) -> None:
+        missing = self._store.list_missing(manifest)
+        if len(missing) > FEW_SECTIONS:
+            await self._wait_turn(version)
+        self.gathering = version
+        try:
+            for ref in missing:
+                if not self._is_newer(version):
+                    return
+                if ref in self._store.list_missing(manifest):
+                    value = await self._read(name_section_key(ref.digest))
+                    self._store.add_text(ref, value.data)
+        finally:
+            self.gathering = None
+        if self._store.hold(manifest):
+            await self._note_held()
+
+    async def _wait_turn(self, version: VersionId) -> None:
+        """Leave the reading to the readers before, unless their version does not come."""
+        until = read_clock() + (self.turn + self._random.random() / 2) * TURN_S
+        while read_clock() < until and self._is_newer(version):
+            await curio.sleep(TURN_S / 10)
+
+    def _is_newer(self, version: VersionId) -> bool:
+        return self._store.newest is None or version > self._store.newest
+
+    async def _take_list(self, data: bytes) -> None:
+        try:
+            vms = msgspec.json.decode(data, type=VmList)
+        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+            raise TrefoilpickError(ErrorKind.MANIFEST_FAULTY, f"list of VMs: {error}") from error
+        if self._roster.adopt_list(vms):
+            await self._note_list()
+
+    def _note_answer(self, asked_s: float) -> None:
+        self.answered_s = read_clock()
+        self.asked_s = asked_s
+        if self.failing:
+            self.failing = False
+            logger.info("source answers again")
+
+    def _note_failure(self, error: TrefoilpickError) -> None:
+        self._metrics.count("trefoilpick_source_failures_total", kind=error.kind.value)
+        if not self.failing:
+            self.failing = True
+            logger.warning("source fails", extra={"kind": error.kind.value, "text": error.text})
--- /dev/null
+++ b/trefoilpick/relay.py
@@ -0,0 +1,236 @@
+"""Fetching of versions and of the list of VMs from the peers that announce them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import curio
+
+from trefoilpick.errors import ErrorKind, TrefoilpickError
+from trefoilpick.manifest import SectionRef
+from trefoilpick.messages import (
+    Delivery,
+    Fetch,
+    FetchSections,
+    FetchVms,
+    Sections,
+    VmsDelivery,
+    WireSection,
+    pack_version,
+    unpack_vms,
+)
+from trefoilpick.roster import VmsChange
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Iterable
+
+    from trefoilpick.links import Links
+    from trefoilpick.manifest import Manifest, VersionId
+    from trefoilpick.metrics import Metrics
+    from trefoilpick.reading import SourceReader
+    from trefoilpick.roster import Roster
+    from trefoilpick.versions import VersionStore
+
+MAX_OFFERS = 16
+"""Peers remembered that offer one version."""
+
+MAX_VERSIONS = 8
+"""Offered versions remembered."""
+
+GATHERING_S = 1.0
+"""Time that a fetch leaves to the node's own reading of the same version, in seconds."""
+
+SECTIONS_ASKED = 200
+"""Sections asked for in one message."""
+
+
+class VersionFetcher:
+    """Fetches the newest version offered, once, from one peer after the other.
+
+    Args:
+        store: Where sections are gathered.
+        links: How peers are reached.
+        reader: The node's own reading of the source.
+        metrics: Where fetches are counted.
+        answer_s: Time for one answer, in seconds.
+        note_held: Called when a new version is held.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: VersionStore,
+        links: Links,
+        reader: SourceReader,
+        metrics: Metrics,
+        answer_s: float,
+        note_held: Callable[[], Awaitable[None]],
+    ) -> None:
+        self._store = store
+        self._links = links
+        self._reader = reader
+        self._metrics = metrics
+        self._answer_s = answer_s
+        self._note_held = note_held
+        self._offers: dict[VersionId, list[str]] = {}
+        self._offered = curio.Event()
+        self.newest: VersionId | None = None
+
+    async def hear(self, version: VersionId, address: str) -> None:
+        """Take note that a peer holds a version.
+
+        Args:
+            version: The version.
+            address: "ip:port" of the peer.
+        """
+        if not self._is_newer(version):
+            return
+        if self.newest is None or version > self.newest:
+            self.newest = version
+        offers = self._offers.setdefault(version, [])
+        if address not in offers and len(offers) < MAX_OFFERS:
+            offers.append(address)
+        while len(self._offers) > MAX_VERSIONS:
+            del self._offers[min(self._offers)]
+        await self._offered.set()
+
+    async def run(self) -> None:
+        """Fetch what is offered, until cancelled."""
+        while True:
+            await self._offered.wait()
+            self._offered.clear()
+            while (version := self._pick()) is not None:
+                await self._fetch_once(version)
+
+    def _pick(self) -> VersionId | None:
+        self._offers = {
+            version: offers
+            for version, offers in self._offers.items()
+            if offers and self._is_newer(version)
+        }
+        return max(self._offers, default=None)
+
+    async def _fetch_once(self, version: VersionId) -> None:
+        if self._reader.gathering == version:
+            await self._wait_reading(version)
+            if not self._is_newer(version):
+                return
+        address = self._offers[version].pop(0)
+        try:
+            manifest = await self._fetch(version, address)
+        except TrefoilpickError as error:
+            self._metrics.count("trefoilpick_fetch_failures_total", kind=error.kind.value)
+            return
+        self._metrics.count("trefoilpick_fetches_total")
+        if self._store.hold(manifest):
+            await self._note_held()
+
+    async def _fetch(self, version: VersionId, address: str) -> Manifest:
+        request = Fetch(pack_version(version), pack_version(self._store.newest))
+        answer = await self._links.ask(address, request, timeout_s=self._answer_s)
+        delivery = answer.body
+        if not isinstance(delivery, Delivery) or delivery.version != request.wanted:
+            raise _report_unexpected(address, delivery)
+        manifest = self._store.read_manifest(delivery)
+        self._add_sections(manifest, delivery.sections)
+        while missing := self._store.list_missing(manifest):
+            await self._fetch_sections(manifest, missing, address)
+        return manifest
+
+    async def _fetch_sections(
+        self, manifest: Manifest, missing: tuple[SectionRef, ...], address: str
+    ) -> None:
+        digests = tuple(bytes.fromhex(ref.digest) for ref in missing[:SECTIONS_ASKED])
+        answer = await self._links.ask(address, FetchSections(digests), timeout_s=self._answer_s)
+        sections = answer.body
+        if not isinstance(sections, Sections) or not sections.sections:
+            raise _report_unexpected(address, sections)
+        self._add_sections(manifest, sections.sections)
+        if self._store.list_missing(manifest) == missing:
+            raise _report_unexpected(address, sections)
+
+    def _add_sections(self, manifest: Manifest, sections: Iterable[WireSection]) -> None:
+        refs = {ref.digest: ref for ref in manifest.sections}
+        for section in sections:
+            ref = refs.get(section.digest.hex())
+            if ref is not None:
+                self._store.add_packed(ref, section.packed)
+
+    async def _wait_reading(self, version: VersionId) -> None:
+        async with curio.ignore_after(GATHERING_S):
+            while self._reader.gathering == version:
+                await curio.sleep(GATHERING_S / 100)
+
+    def _is_newer(self, version: VersionId) -> bool:
+        return self._store.newest is None or version > self._store.newest
+
+
+class ListFetcher:
+    """Fetches the newest list of VMs offered, as the change against the known one.
+
+    Args:
+        roster: Where the list goes.
+        links: How peers are reached.
+        metrics: Where fetches are counted.
+        answer_s: Time for one answer, in seconds.
+        note_list: Called when a new list is taken.
+    """
+
+    def __init__(
+        self,
+        *,
+        roster: Roster,
+        links: Links,
+        metrics: Metrics,
+        answer_s: float,
+        note_list: Callable[[], Awaitable[None]],
+    ) -> None:
+        self._roster = roster
+        self._links = links
+        self._metrics = metrics
+        self._answer_s = answer_s
+        self._note_list = note_list
+        self._offers: dict[str, int] = {}
+        self._offered = curio.Event()
+
+    async def hear(self, revision: int, address: str) -> None:
+        """Take note that a peer has a revision of the list."""
+        if revision <= self._roster.revision:
+            return
+        self._offers[address] = revision
+        while len(self._offers) > MAX_OFFERS:
+            del self._offers[next(iter(self._offers))]
+        await self._offered.set()
+
+    async def run(self) -> None:
+        """Fetch what is offered, until cancelled."""
+        while True:
+            await self._offered.wait()
+            self._offered.clear()
+            while self._offers:
+                address, revision = self._offers.popitem()
+                if revision > self._roster.revision:
+                    await self._fetch_once(address)
+
+    async def _fetch_once(self, address: str) -> None:
+        try:
+            change = await self._fetch(address)
+        except TrefoilpickError as error:
+            self._metrics.count("trefoilpick_fetch_failures_total", kind=error.kind.value)
+            return
+        if self._roster.adopt_change(change):
+            await self._note_list()
+
+    async def _fetch(self, address: str) -> VmsChange:
+        request = FetchVms(self._roster.revision)
+        answer = await self._links.ask(address, request, timeout_s=self._answer_s)
+        delivery = answer.body
+        if not isinstance(delivery, VmsDelivery):
+            raise _report_unexpected(address, delivery)
+        changed = unpack_vms(delivery.packed)
+        return VmsChange(delivery.revision, delivery.base, changed, delivery.removed)
+
+
+def _report_unexpected(address: str, body: object) -> TrefoilpickError:
+    text = f'peer "{address}" answered with {type(body).__name__}'
+    return TrefoilpickError(ErrorKind.PEER_UNREACHABLE, text)
--- a/trefoilpick/settings.py
+++ b/trefoilpick/settings.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated, Any, Literal
 
 import json5
 import msgspec
@@ -74,6 +74,35 @@
     exchange_ms: Annotated[
         int, Meta(ge=50, le=60_000), _describe("Mean time between exchanges with a peer", "ms")
     ] = 2_000
+    overlay: Annotated[
+        Literal["fingers", "tree", "gossip", "every-node-watches"],
+        _describe("How versions travel between nodes"),
+    ] = "fingers"
+    seeds: Annotated[
+        tuple[Annotated[str, Meta(pattern=r"^[0-9a-fA-F.:]{2,45}:[0-9]{1,5}$")], ...],
+        _describe("Control links to ask before the list of VMs is known", "ip:port"),
+    ] = ()
+    expected_vms: Annotated[
+        int, Meta(ge=1, le=100_000), _describe("Size of the fleet until its list is known", "VMs")
+    ] = 1_100
+    source_reads_per_s: Annotated[
+        int,
+        Meta(ge=1, le=1_000_000),
+        _describe("Reads of the source that the whole fleet may make", "1/s"),
+    ] = 500
+    answer_ms: Annotated[
+        int, Meta(ge=10, le=60_000), _describe("Time for a peer's answer", "ms")
+    ] = 1_000
+    join_wait_ms: Annotated[
+        int,
+        Meta(ge=0, le=600_000),
+        _describe("Time until a fresh node serves a version that nobody confirmed", "ms"),
+    ] = 5_000
+    pause_ms: Annotated[
+        int,
+        Meta(ge=10, le=600_000),
+        _describe("Pause of the process after which it finds its level first", "ms"),
+    ] = 1_000
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/trefoilpick/versions.py
@@ -0,0 +1,222 @@
+"""Versions that a node holds: manifests, sections by digest, and the change between two."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from trefoilpick.document import Document, Section
+from trefoilpick.errors import ErrorKind, TrefoilpickError
+from trefoilpick.manifest import (
+    Manifest,
+    SectionRef,
+    VersionId,
+    compute_digest,
+    identify_version,
+)
+from trefoilpick.messages import (
+    Delivery,
+    WireRef,
+    WireSection,
+    pack_bytes,
+    pack_version,
+    unpack_bytes,
+    unpack_version,
+)
+from trefoilpick.snapshots import Snapshot, build_snapshot
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+KEPT_MANIFESTS = 8
+"""Manifests kept to tell a change against an older version."""
+
+DELIVERY_BYTES = 500_000
+"""Packed sections in one message, in bytes."""
+
+
+class VersionStore:
+    """The versions that a node holds whole, and the sections it has gathered."""
+
+    def __init__(self) -> None:
+        self._manifests: dict[VersionId, Manifest] = {}
+        self._packed: dict[str, bytes] = {}
+        self.newest: VersionId | None = None
+
+    def find_manifest(self, version: VersionId) -> Manifest | None:
+        """Return the manifest of a version that is held; None where it is not."""
+        return self._manifests.get(version)
+
+    def list_missing(self, manifest: Manifest) -> tuple[SectionRef, ...]:
+        """Return the references whose sections are not gathered yet."""
+        return tuple(ref for ref in manifest.sections if ref.digest not in self._packed)
+
+    def add_text(self, ref: SectionRef, text: bytes) -> None:
+        """Gather a section's text, as the source gives it.
+
+        Raises:
+            TrefoilpickError: `DIGEST_MISMATCH`.
+        """
+        _check_text(ref, text)
+        self._packed[ref.digest] = pack_bytes(text)
+
+    def add_packed(self, ref: SectionRef, packed: bytes) -> None:
+        """Gather a packed section, as a peer gives it.
+
+        Raises:
+            TrefoilpickError: `DIGEST_MISMATCH`, `MESSAGE_MALFORMED` or `MESSAGE_TOO_LARGE`.
+        """
+        _check_text(ref, unpack_bytes(packed, ref.size))
+        self._packed[ref.digest] = packed
+
+    def hold(self, manifest: Manifest) -> bool:
+        """Hold a version whose sections are all gathered, unless a newer one is held.
+
+        Returns:
+            Whether it is the newest now.
+        """
+        version = identify_version(manifest)
+        if self.newest is not None and version <= self.newest:
+            return False
+        if self.list_missing(manifest):
+            return False
+        self._manifests[version] = manifest
+        self.newest = version
+        return True
+
+    def forget_unused(self, *, enforced: VersionId | None, wanted: Manifest | None = None) -> None:
+        """Drop old manifests, and sections that no kept manifest names.
+
+        Args:
+            enforced: A version to keep in any case.
+            wanted: A manifest whose sections are being gathered.
+        """
+        for version in sorted(self._manifests)[:-KEPT_MANIFESTS]:
+            if version != enforced:
+                del self._manifests[version]
+        kept = [*self._manifests.values(), *([wanted] if wanted else [])]
+        named = {ref.digest for manifest in kept for ref in manifest.sections}
+        for digest in self._packed.keys() - named:
+            del self._packed[digest]
+
+    def read_texts(self, refs: Iterable[SectionRef]) -> Iterator[bytes]:
+        """Yield the texts of gathered sections."""
+        for ref in refs:
+            yield unpack_bytes(self._packed[ref.digest], ref.size)
+
+    def list_packed(self, digests: Iterable[str]) -> tuple[WireSection, ...]:
+        """Return the gathered ones of some sections, as many as fit in one message."""
+        return tuple(self._iterate_packed(digests))
+
+    def tell_change(self, wanted: VersionId, base: VersionId | None) -> Delivery | None:
+        """Return a version as the change against a base, or whole where the base is unknown.
+
+        Returns:
+            None where the version is not held.
+        """
+        manifest = self._manifests.get(wanted)
+        if manifest is None:
+            return None
+        known = self._manifests.get(base) if base is not None else None
+        before = {ref.team: ref for ref in known.sections} if known else {}
+        changed = [ref for ref in manifest.sections if before.get(ref.team) != ref]
+        teams = {ref.team for ref in manifest.sections}
+        return Delivery(
+            version=pack_version(wanted),
+            base=pack_version(base if known else None),
+            accepted_at_ms=manifest.accepted_at_ms,
+            refs=tuple(WireRef(r.team, bytes.fromhex(r.digest), r.size) for r in changed),
+            removed=tuple(team for team in before if team not in teams),
+            sections=self.list_packed(ref.digest for ref in changed),
+        )
+
+    def read_manifest(self, delivery: Delivery) -> Manifest:
+        """Return the manifest that a delivery tells, checked against its version's digest.
+
+        Raises:
+            TrefoilpickError: `DIGEST_MISMATCH`.
+        """
+        refs: dict[str, SectionRef] = {}
+        base = unpack_version(delivery.base)
+        if base is not None:
+            known = self._manifests.get(base)
+            if known is None:
+                text = f"delivery is against version {base.number}, which is not held"
+                raise TrefoilpickError(ErrorKind.DIGEST_MISMATCH, text)
+            refs = {ref.team: ref for ref in known.sections if ref.team not in delivery.removed}
+        for ref in delivery.refs:
+            refs[ref.team] = SectionRef(ref.team, ref.digest.hex(), ref.size)
+        sections = tuple(refs[team] for team in sorted(refs))
+        manifest = Manifest(delivery.version.number, delivery.accepted_at_ms, sections)
+        if identify_version(manifest) != unpack_version(delivery.version):
+            text = f"manifest of version {manifest.number} does not have the digest announced"
+            raise TrefoilpickError(ErrorKind.DIGEST_MISMATCH, text)
+        return manifest
+
+    def _iterate_packed(self, digests: Iterable[str]) -> Iterator[WireSection]:
+        room = DELIVERY_BYTES
+        for digest in digests:
+            packed = self._packed.get(digest)
+            if packed is None:
+                continue
+            room -= len(packed)
+            # One section always goes, or a large one would never be delivered.
+            if room < 0 and room + len(packed) < DELIVERY_BYTES:
+                return
+            yield WireSection(bytes.fromhex(digest), packed)
+
+
+def prepare_snapshot(
+    manifest: Manifest, store: VersionStore, *, former: Snapshot | None
+) -> Snapshot:
+    """Check a held version whole and build its snapshot.
+
+    Sections that the former snapshot has too are not decoded again.
+
+    Args:
+        manifest: A manifest whose sections are all gathered.
+        store: Where they are.
+        former: The enforced snapshot.
+
+    Raises:
+        TrefoilpickError: `DOCUMENT_FAULTY`, naming the first fault.
+    """
+    known = _index_sections(former)
+    sections = tuple(_read_section(ref, store, known) for ref in manifest.sections)
+    _check_document(sections)
+    return build_snapshot(identify_version(manifest), manifest, Document(sections))
+
+
+def _index_sections(snapshot: Snapshot | None) -> dict[str, Section]:
+    if snapshot is None:
+        return {}
+    pairs = zip(snapshot.manifest.sections, snapshot.document.sections, strict=True)
+    return {ref.digest: section for ref, section in pairs}
+
+
+def _read_section(ref: SectionRef, store: VersionStore, known: dict[str, Section]) -> Section:
+    section = known.get(ref.digest)
+    if section is None:
+        section = _decode_section(next(store.read_texts([ref])))
+    if section.team != ref.team:
+        text = f'section "{section.team}" stands under team "{ref.team}" in the manifest'
+        raise TrefoilpickError(ErrorKind.DOCUMENT_FAULTY, text)
+    return section
+
+
+def _check_text(ref: SectionRef, text: bytes) -> None:
+    if len(text) != ref.size or compute_digest(text) != ref.digest:
+        message = f'section "{ref.team}" does not have the digest that its manifest names'
+        raise TrefoilpickError(ErrorKind.DIGEST_MISMATCH, message)
+
+
+def _decode_section(text: bytes) -> Section:
+    import msgspec
+
+    try:
+        return msgspec.json.decode(text, type=Section)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        raise TrefoilpickError(ErrorKind.DOCUMENT_FAULTY, f"section: {error}") from error
+
+
+def _check_document(sections: tuple[Section, ...]) -> None:
+    """Refuse a document with faults."""
