--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,92 @@
+import ast
+from pathlib import Path
+
+import pytest
+
+from trefoilpick import metrics as module
+from trefoilpick.metrics import METRICS, MetricKind, Metrics, Series
+
+PACKAGE = Path(module.__file__).parent
+EMITTERS = {
+    "count": MetricKind.COUNTER,
+    "set_gauge": MetricKind.GAUGE,
+    "observe": MetricKind.HISTOGRAM,
+}
+SUFFIXES = {MetricKind.COUNTER: ("_total",), MetricKind.HISTOGRAM: ("_microseconds",)}
+
+
+def list_emitted() -> set[tuple[str, MetricKind]]:
+    calls = (
+        node
+        for path in PACKAGE.glob("*.py")
+        for node in ast.walk(ast.parse(path.read_text()))
+        if isinstance(node, ast.Call) and isinstance(node.func, ast.Attribute) and node.args
+    )
+    return {
+        (str(call.args[0].value), EMITTERS[call.func.attr])
+        for call in calls
+        if call.func.attr in EMITTERS
+        and ast.unparse(call.func.value).endswith("metrics")
+        and isinstance(call.args[0], ast.Constant)
+    }
+
+
+def test_every_emitted_metric_is_described_in_the_table() -> None:
+    emitted = list_emitted()
+    assert ("trefoilpick_operator_requests_total", MetricKind.COUNTER) in emitted
+    described = {(name, info.kind) for name, info in METRICS.items()}
+    assert emitted - described == set(), "add a row to trefoilpick/_metric_table.py"
+
+
+@pytest.mark.parametrize("name", sorted(METRICS))
+def test_described_metric_keeps_the_naming_rules(name: str) -> None:
+    info = METRICS[name]
+    assert name.startswith("trefoilpick_")
+    assert name.endswith(SUFFIXES.get(info.kind, ("",)))
+    assert info.help.endswith(".") and info.advice.endswith(".") and info.unit
+
+
+def test_text_format_groups_series_and_escapes_labels() -> None:
+    metrics = Metrics()
+    metrics.count("trefoilpick_requests_total", 3, team='a"b\\c\nd', route="r", result="good")
+    metrics.count("trefoilpick_requests_total", 4, team="a", route="r", result="good")
+    metrics.set_gauge("level", 1234567.5)
+    for _ in range(2):
+        metrics.observe("trefoilpick_request_microseconds", 100, team="a", route="r")
+        metrics.close_histograms()
+    lines = list(metrics.render())
+    assert lines[0].startswith("# HELP trefoilpick_requests_total ")
+    assert lines[1:6] == [
+        "# TYPE trefoilpick_requests_total counter",
+        'trefoilpick_requests_total{team="a",route="r",result="good"} 4',
+        r'trefoilpick_requests_total{team="a\"b\\c\nd",route="r",result="good"} 3',
+        "# TYPE level gauge",
+        "level 1234567.5",
+    ]
+    assert "# TYPE trefoilpick_request_microseconds summary" in lines
+    assert lines[-2:] == [
+        'trefoilpick_request_microseconds_sum{team="a",route="r"} 200',
+        'trefoilpick_request_microseconds_count{team="a",route="r"} 2',
+    ]
+
+
+def test_closing_histograms_keeps_the_totals() -> None:
+    metrics = Metrics()
+    for value in (10, 20, 30_000_000, 1e12, -5):
+        metrics.observe("lag_microseconds", value, vm="a")
+        metrics.close_histograms()
+    metrics.observe("lag_microseconds", 20, vm="b")
+    assert metrics.get_histogram("lag_microseconds").get_total_count() == 6
+    assert metrics.get_histogram("lag_microseconds", vm="b").get_total_count() == 1
+    assert metrics.get_histogram("lag_microseconds").get_min_value() == 1
+
+
+def test_number_of_series_is_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(module, "MAX_SERIES", 3)
+    metrics = Metrics()
+    for index in range(5):
+        metrics.count("calls_total", vm=str(index))
+    metrics.observe("lag_microseconds", 5)
+    metrics.count("calls_total", vm="0")
+    assert metrics.get_count("calls_total") == 4
+    assert metrics.counters[Series("trefoilpick_series_dropped_total")] == 3
--- /dev/null
+++ b/tests/test_windows.py
@@ -0,0 +1,79 @@
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from trefoilpick.errors import ErrorKind, TrefoilpickError
+from trefoilpick.metrics import Metrics
+from trefoilpick.windows import (
+    MAX_NARROW,
+    MAX_WIDE,
+    MERGED_WINDOWS,
+    NARROW_S,
+    Window,
+    merge_histograms,
+    open_windows,
+)
+
+REQUESTS = "trefoilpick_requests_total"
+CONVERGENCE = "trefoilpick_convergence_microseconds"
+
+
+def sum_counters(windows: list[Window]) -> int:
+    return sum(part.amount for window in windows for part in window.counters)
+
+
+def list_encoded(windows: list[Window]) -> list[str]:
+    return [part.encoded for window in windows for part in window.histograms]
+
+
+@settings(derandomize=True, max_examples=25, deadline=None)
+@given(st.lists(st.lists(st.integers(1, 60_000_000), max_size=4), max_size=60))
+def test_windows_sum_to_the_whole(steps: list[list[int]]) -> None:
+    metrics = Metrics()
+    windows = open_windows(metrics, now_s=0.0)
+    for index, values in enumerate(steps):
+        for value in values:
+            metrics.count(REQUESTS, value, team="a", route="r", result="good")
+            metrics.observe(CONVERGENCE, value)
+        windows.advance((index + 1) * NARROW_S)
+    now_s = (len(steps) + 1) * NARROW_S
+    found = list(windows.read(now_s))
+    whole = metrics.get_histogram(CONVERGENCE)
+    merged = merge_histograms(list_encoded(found))
+    assert sum_counters(found) == metrics.get_count(REQUESTS)
+    assert merged.get_total_count() == whole.get_total_count()
+    assert list(merged.counts) == list(whole.counts)
+    assert [window.ended_s for window in found[:-1]] == [window.begun_s for window in found[1:]]
+    assert (found[0].begun_s, found[-1].ended_s) == (now_s, 0.0)
+
+
+def test_history_is_bounded_and_drops_the_oldest() -> None:
+    metrics = Metrics()
+    windows = open_windows(metrics, now_s=0.0)
+    steps = (MAX_WIDE + 5) * MERGED_WINDOWS
+    for index in range(steps):
+        metrics.count(REQUESTS, team="a", route="r", result="good")
+        windows.advance((index + 1) * NARROW_S)
+    found = list(windows.read(steps * NARROW_S))
+    assert len(found) <= MAX_WIDE + MAX_NARROW
+    assert sum_counters(found) * NARROW_S == found[0].begun_s < steps * NARROW_S
+
+
+def test_window_waits_for_its_width_and_long_pause_makes_one_window() -> None:
+    metrics = Metrics()
+    metrics.count(REQUESTS, 5, team="a", route="r", result="good")
+    windows = open_windows(metrics, now_s=100.0)
+    metrics.count(REQUESTS, 2, team="a", route="r", result="good")
+    metrics.count("trefoilpick_operator_requests_total", status="200")
+    assert not windows.advance(100.0 + NARROW_S - 1)
+    assert windows.advance(100.0 + 3_600)
+    first, current = windows.read(100.0 + 3_700)
+    assert (first.begun_s, first.ended_s, current.counters) == (3_700, 100, ())
+    assert [(part.name, part.amount) for part in first.counters] == [(REQUESTS, 2)]
+
+
+@pytest.mark.parametrize("text", ["", "???", "HISTFAAA", "AAAA" * 20])
+def test_garbage_is_no_histogram(text: str) -> None:
+    with pytest.raises(TrefoilpickError) as caught:
+        merge_histograms([text])
+    assert caught.value.kind is ErrorKind.MESSAGE_MALFORMED
--- /dev/null
+++ b/trefoilpick/_burn_fleet.py
@@ -0,0 +1,281 @@
+"""Burn of the fleet's own bounds: convergence of versions, and control bytes."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from trefoilpick._periods import Point, choose_periods, draw_timeline
+from trefoilpick.windows import merge_histograms
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+    from hdrh.histogram import HdrHistogram
+
+    from trefoilpick._facts import ControlFact, ConvergenceFact
+
+CONVERGENCE_BOUND_MS = 8_000
+"""Time from acceptance in which a node must enforce a version, in milliseconds."""
+
+CONVERGENCE_SHARE = 0.999
+"""Share of nodes' enforcements that must keep the bound."""
+
+CONTROL_BOUND_BYTES_PER_S = 3_000
+"""Control traffic that a node may cause in both directions, in bytes a second."""
+
+US_PER_MS = 1_000
+"""Microseconds in a millisecond."""
+
+
+@dataclass(frozen=True)
+class ConvergenceRate:
+    """Convergence within one period.
+
+    Attributes:
+        period_s: The period, in seconds.
+        covered_s: What the figures cover of it, in seconds.
+        enforcements: Enforcements, one for each node and version.
+        late: Enforcements over the bound.
+        rate: Share of late ones over the error budget; None without enforcements.
+    """
+
+    period_s: float
+    covered_s: float
+    enforcements: int
+    late: int
+    rate: float | None
+
+
+@dataclass(frozen=True)
+class LateDataCentre:
+    """Late enforcements of one data centre."""
+
+    data_centre: str
+    enforcements: int
+    late: int
+
+
+@dataclass(frozen=True)
+class Bucket:
+    """Enforcements by convergence time.
+
+    Attributes:
+        upper_ms: Upper end of the bucket, in milliseconds.
+        count: Enforcements in it.
+    """
+
+    upper_ms: float
+    count: int
+
+
+@dataclass(frozen=True)
+class ConvergenceBurn:
+    """Convergence of the fleet.
+
+    Attributes:
+        bound_ms: Time in which a node must enforce a version, in milliseconds.
+        share: Share of enforcements that must keep it.
+        enforcements: Enforcements, one for each node and version.
+        late: Enforcements over the bound.
+        met: Share of enforcements within the bound; None without any.
+        budget_left: Share of the error budget that is left; None without enforcements.
+        p50_ms: Median, in milliseconds; None without enforcements.
+        p99_ms: What 99 in 100 keep, in milliseconds; None without enforcements.
+        max_ms: Longest, in milliseconds; None without enforcements.
+        rates: Burn rates, the shortest period first.
+        data_centres: Data centres, the most late one first.
+        distribution: Enforcements by time, without empty buckets.
+    """
+
+    bound_ms: int
+    share: float
+    enforcements: int
+    late: int
+    met: float | None
+    budget_left: float | None
+    p50_ms: float | None
+    p99_ms: float | None
+    max_ms: float | None
+    rates: tuple[ConvergenceRate, ...]
+    data_centres: tuple[LateDataCentre, ...]
+    distribution: tuple[Bucket, ...]
+
+
+@dataclass(frozen=True)
+class ControlRate:
+    """Control bytes within one period.
+
+    Attributes:
+        period_s: The period, in seconds.
+        covered_s: What the figures cover of it, in seconds.
+        mean_bytes_per_s: Mean of all nodes, in bytes a second.
+        max_bytes_per_s: The node with the most, in bytes a second.
+        max_vm: That node's VM.
+        rate: The mean over the bound.
+        nodes_over: Nodes over the bound.
+    """
+
+    period_s: float
+    covered_s: float
+    mean_bytes_per_s: float
+    max_bytes_per_s: float
+    max_vm: str
+    rate: float
+    nodes_over: int
+
+
+@dataclass(frozen=True)
+class DataCentreControl:
+    """Control bytes of one data centre's nodes, as the mean of a node in bytes a second."""
+
+    data_centre: str
+    nodes: int
+    mean_bytes_per_s: float
+
+
+@dataclass(frozen=True)
+class ControlBurn:
+    """Control bytes of the fleet.
+
+    Attributes:
+        bound_bytes_per_s: What a node may cause, in bytes a second.
+        total_bytes: Bytes of all nodes since the figures run.
+        rates: By period, the shortest first.
+        data_centres: By data centre, the most first.
+        timeline: Mean of a node over time, in bytes a second, the oldest first.
+    """
+
+    bound_bytes_per_s: int
+    total_bytes: int
+    rates: tuple[ControlRate, ...]
+    data_centres: tuple[DataCentreControl, ...]
+    timeline: tuple[Point, ...]
+
+
+def measure_convergence(facts: Iterable[ConvergenceFact], since_s: float) -> ConvergenceBurn:
+    """Merge the convergence of all nodes."""
+    known = list(facts)
+    histogram = merge_histograms(fact.encoded for fact in known)
+    total, late = histogram.get_total_count(), _count_late(histogram)
+    rate = _compute_rate(total, late)
+    return ConvergenceBurn(
+        bound_ms=CONVERGENCE_BOUND_MS,
+        share=CONVERGENCE_SHARE,
+        enforcements=total,
+        late=late,
+        met=None if total == 0 else 1.0 - late / total,
+        budget_left=None if rate is None else 1.0 - rate,
+        p50_ms=_read_quantile(histogram, 50),
+        p99_ms=_read_quantile(histogram, 99),
+        max_ms=_read_quantile(histogram, 100),
+        rates=tuple(_measure_convergence_rates(known, since_s)),
+        data_centres=tuple(_group_late(known)),
+        distribution=tuple(_list_buckets(histogram)),
+    )
+
+
+def measure_control(facts: Iterable[ControlFact], since_s: float) -> ControlBurn:
+    """Merge the control bytes of all nodes."""
+    known = list(facts)
+    return ControlBurn(
+        bound_bytes_per_s=CONTROL_BOUND_BYTES_PER_S,
+        total_bytes=sum(fact.amount for fact in known),
+        rates=tuple(_measure_control_rates(known, since_s)),
+        data_centres=tuple(_group_control(known)),
+        timeline=tuple(
+            Point(age_s, _compute_mean(_rate_nodes(chosen)))
+            for age_s, chosen in draw_timeline(known, since_s)
+        ),
+    )
+
+
+def _compute_rate(total: int, late: int) -> float | None:
+    return None if total == 0 else late / total / (1.0 - CONVERGENCE_SHARE)
+
+
+def _count_late(histogram: HdrHistogram) -> int:
+    # A bucket that holds values on both sides of the bound counts as late.
+    bound = CONVERGENCE_BOUND_MS * US_PER_MS
+    return sum(
+        item.count_at_value_iterated_to
+        for item in histogram.get_recorded_iterator()
+        if item.value_iterated_to > bound
+    )
+
+
+def _read_quantile(histogram: HdrHistogram, percent: float) -> float | None:
+    if histogram.get_total_count() == 0:
+        return None
+    return histogram.get_value_at_percentile(percent) / US_PER_MS
+
+
+def _measure_convergence_rates(
+    facts: list[ConvergenceFact], since_s: float
+) -> Iterator[ConvergenceRate]:
+    for period_s in choose_periods(since_s):
+        chosen = [fact for fact in facts if fact.span.ended_s < period_s]
+        histogram = merge_histograms(fact.encoded for fact in chosen)
+        total, late = histogram.get_total_count(), _count_late(histogram)
+        covered_s = max((fact.span.begun_s for fact in chosen), default=0.0)
+        yield ConvergenceRate(period_s, covered_s, total, late, _compute_rate(total, late))
+
+
+def _group_late(facts: list[ConvergenceFact]) -> Iterator[LateDataCentre]:
+    groups: dict[str, list[str]] = {}
+    for fact in facts:
+        groups.setdefault(fact.data_centre, []).append(fact.encoded)
+    found = []
+    for data_centre, encoded in groups.items():
+        histogram = merge_histograms(encoded)
+        total, late = histogram.get_total_count(), _count_late(histogram)
+        found.append(LateDataCentre(data_centre, total, late))
+    yield from sorted(found, key=lambda entry: (-entry.late, entry.data_centre))
+
+
+def _list_buckets(histogram: HdrHistogram) -> Iterator[Bucket]:
+    for item in histogram.get_recorded_iterator():
+        yield Bucket(item.value_iterated_to / US_PER_MS, item.count_at_value_iterated_to)
+
+
+def _rate_nodes(facts: list[ControlFact]) -> dict[str, float]:
+    amounts: dict[str, int] = {}
+    times: dict[str, float] = {}
+    for fact in facts:
+        amounts[fact.vm] = amounts.get(fact.vm, 0) + fact.amount
+        times[fact.vm] = times.get(fact.vm, 0.0) + fact.span.begun_s - fact.span.ended_s
+    return {vm: amounts[vm] / times[vm] for vm in amounts if times[vm] > 0}
+
+
+def _compute_mean(rates: dict[str, float]) -> float:
+    return sum(rates.values()) / len(rates) if rates else 0.0
+
+
+def _measure_control_rates(facts: list[ControlFact], since_s: float) -> Iterator[ControlRate]:
+    for period_s in choose_periods(since_s):
+        chosen = [fact for fact in facts if fact.span.ended_s < period_s]
+        rates = _rate_nodes(chosen)
+        if not rates:
+            continue
+        mean = _compute_mean(rates)
+        most = max(rates, key=lambda vm: (rates[vm], vm))
+        yield ControlRate(
+            period_s=period_s,
+            covered_s=max(fact.span.begun_s for fact in chosen),
+            mean_bytes_per_s=mean,
+            max_bytes_per_s=rates[most],
+            max_vm=most,
+            rate=mean / CONTROL_BOUND_BYTES_PER_S,
+            nodes_over=sum(rate > CONTROL_BOUND_BYTES_PER_S for rate in rates.values()),
+        )
+
+
+def _group_control(facts: list[ControlFact]) -> Iterator[DataCentreControl]:
+    groups: dict[str, list[ControlFact]] = {}
+    for fact in facts:
+        groups.setdefault(fact.data_centre, []).append(fact)
+    found = []
+    for data_centre, chosen in groups.items():
+        rates = _rate_nodes(chosen)
+        found.append(DataCentreControl(data_centre, len(rates), _compute_mean(rates)))
+    yield from sorted(found, key=lambda entry: (-entry.mean_bytes_per_s, entry.data_centre))
--- /dev/null
+++ b/trefoilpick/_cli_status.py
@@ -0,0 +1,108 @@
+"""The command `status`."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import curio
+import typer
+from rich.table import Table
+from rich.text import Text
+
+from trefoilpick._console import ExitCode, console, report_errors
+from trefoilpick.fleet import FleetView, NodeView, split_address, view_fleet
+from trefoilpick.status import Standing, VersionRef, encode_status
+
+STYLES = {
+    Standing.LEVEL: "green",
+    Standing.LAGGING: "yellow",
+    Standing.REFUSING: "red",
+    Standing.UNREACHABLE: "red",
+}
+
+
+def status(
+    address: Annotated[str, typer.Argument(help="Operators' port of any node, as ip:port.")],
+    as_json: Annotated[bool, typer.Option("--json", help="Print one JSON object.")] = False,
+    timeout_s: Annotated[
+        float, typer.Option("--timeout", min=0.1, max=600.0, help="Time for one node, in seconds.")
+    ] = 5.0,
+) -> None:
+    """Show the versions in force across the fleet, which nodes lag and why.
+
+    Exit code 0 when every node enforces the newest version, 1 when some node does not, 3 when
+    the asked node cannot be reached.
+    """
+    with report_errors():
+        split_address(address)
+    with report_errors(ExitCode.UNAVAILABLE):
+        view: FleetView = curio.run(view_fleet(address, timeout_s=timeout_s))
+    if as_json:
+        typer.echo(encode_status(view).decode())
+    else:
+        _show_view(view)
+    if view.lagging:
+        raise typer.Exit(ExitCode.FAULTY)
+
+
+def _show_view(view: FleetView) -> None:
+    newest = _name_version(view.newest)
+    level = len(view.nodes) - len(view.lagging)
+    console.print(
+        f"Version [bold]{newest}[/] is in force on {level} of {len(view.nodes)} nodes,"
+        f" as seen from {view.asked}.",
+        highlight=False,
+    )
+    console.print(_build_versions(view))
+    if view.lagging:
+        console.print(_build_nodes("Nodes that lag", view.lagging))
+    unconfirmed = tuple(node for node in view.nodes if node.unconfirmed)
+    if unconfirmed:
+        console.print(_build_nodes("Nodes with an unconfirmed version", unconfirmed))
+    if view.refused:
+        console.print(_build_refusals(view))
+    ages = [node.source_age_s for node in view.nodes if node.source_age_s is not None]
+    if ages:
+        console.print(f"Last confirmed by the source: at most {max(ages):.0f} s ago.")
+
+
+def _build_versions(view: FleetView) -> Table:
+    convergence = {entry.version: entry for entry in view.convergence}
+    nodes = {entry.version: entry.nodes for entry in view.versions}
+    table = Table(title="Versions", title_justify="left")
+    for heading in ("version", "nodes", "p50 ms", "max ms", "measured at"):
+        table.add_column(heading, justify="right")
+    for version in sorted({*convergence, *nodes}, reverse=True):
+        times = convergence.get(version)
+        cells = [f"{times.p50_ms:.0f}", f"{times.max_ms:.0f}", str(times.nodes)] if times else []
+        table.add_row(str(version), str(nodes.get(version, 0)), *cells)
+    return table
+
+
+def _build_nodes(title: str, nodes: tuple[NodeView, ...]) -> Table:
+    table = Table("VM", "data centre", "service", "standing", title=title, title_justify="left")
+    table.add_column("version", justify="right")
+    table.add_column("reason", overflow="fold")
+    for node in nodes:
+        table.add_row(
+            node.vm,
+            node.data_centre,
+            node.service,
+            Text(node.standing.value, STYLES[node.standing]),
+            _name_version(node.version),
+            Text(node.reason),
+        )
+    return table
+
+
+def _build_refusals(view: FleetView) -> Table:
+    table = Table("version", title="Refused versions", title_justify="left")
+    table.add_column("nodes", justify="right")
+    table.add_column("reason", overflow="fold")
+    for entry in view.refused:
+        table.add_row(str(entry.version), str(entry.nodes), Text(f"{entry.kind}: {entry.text}"))
+    return table
+
+
+def _name_version(version: VersionRef | None) -> str:
+    return str(version) if version is not None else "none"
--- /dev/null
+++ b/trefoilpick/_facts.py
@@ -0,0 +1,159 @@
+"""Facts that nodes' reports hold, as streams of small typed records.
+
+A window of one node becomes facts about requests, convergence and control bytes. Everything in
+the burn report is a sum over such facts, so merging nodes equals counting in one place.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from trefoilpick.errors import ErrorKind
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+    from trefoilpick.reports import NodeReport
+    from trefoilpick.windows import Window
+
+GOOD = "good"
+"""Result of a request that was answered in time."""
+
+SLOW = "slow"
+"""Result of a request that was answered after the objective's latency."""
+
+CALLER_FAULTS = frozenset(
+    kind.value
+    for kind in (
+        ErrorKind.HEAD_MALFORMED,
+        ErrorKind.HEAD_TOO_LARGE,
+        ErrorKind.HEAD_TIMEOUT,
+        ErrorKind.NO_ROUTE,
+        ErrorKind.METHOD_NOT_ALLOWED,
+        ErrorKind.BODY_TOO_LARGE,
+        ErrorKind.BODY_MALFORMED,
+        ErrorKind.TOKEN_MALFORMED,
+        ErrorKind.TOKEN_EXPIRED,
+        ErrorKind.TOKEN_FOREIGN,
+        ErrorKind.TOKEN_BUSY,
+        ErrorKind.CALLER_GONE,
+    )
+)
+"""Results that are the caller's own doing and spend no error budget."""
+
+
+@dataclass(frozen=True)
+class Span:
+    """When something was recorded, as ages in seconds before the report."""
+
+    begun_s: float
+    ended_s: float
+
+    @property
+    def middle_s(self) -> float:
+        """Age of the middle, in seconds."""
+        return (self.begun_s + self.ended_s) / 2
+
+
+@dataclass(frozen=True)
+class RequestFact:
+    """Requests of one contract that ended with one result, at one node in one window."""
+
+    span: Span
+    data_centre: str
+    team: str
+    route: str
+    result: str
+    amount: int
+
+    @property
+    def is_bad(self) -> bool:
+        """Whether the requests spend error budget."""
+        return self.result != GOOD and self.result not in CALLER_FAULTS
+
+    @property
+    def is_counted(self) -> bool:
+        """Whether the requests count towards the objective at all."""
+        return self.result not in CALLER_FAULTS
+
+
+@dataclass(frozen=True)
+class LatencyFact:
+    """Latency of one contract's requests at one node in one window, as an encoded histogram."""
+
+    team: str
+    route: str
+    encoded: str
+
+
+@dataclass(frozen=True)
+class ConvergenceFact:
+    """Convergence of versions at one node in one window, as an encoded histogram."""
+
+    span: Span
+    data_centre: str
+    encoded: str
+
+
+@dataclass(frozen=True)
+class ControlFact:
+    """Control bytes of one node in one window, in both directions."""
+
+    span: Span
+    vm: str
+    data_centre: str
+    amount: int
+
+
+def list_requests(reports: Iterable[NodeReport]) -> Iterator[RequestFact]:
+    """Yield facts about requests."""
+    for report, window in _list_windows(reports):
+        for part in window.counters:
+            if part.name == "trefoilpick_requests_total":
+                yield RequestFact(
+                    span=_read_span(window),
+                    data_centre=report.data_centre,
+                    team=part.labels.get("team", ""),
+                    route=part.labels.get("route", ""),
+                    result=part.labels.get("result", ""),
+                    amount=part.amount,
+                )
+
+
+def list_latencies(reports: Iterable[NodeReport]) -> Iterator[LatencyFact]:
+    """Yield facts about latency."""
+    for _, window in _list_windows(reports):
+        for part in window.histograms:
+            if part.name == "trefoilpick_request_microseconds":
+                team, route = part.labels.get("team", ""), part.labels.get("route", "")
+                yield LatencyFact(team, route, part.encoded)
+
+
+def list_convergence(reports: Iterable[NodeReport]) -> Iterator[ConvergenceFact]:
+    """Yield facts about convergence."""
+    for report, window in _list_windows(reports):
+        for part in window.histograms:
+            if part.name == "trefoilpick_convergence_microseconds":
+                yield ConvergenceFact(_read_span(window), report.data_centre, part.encoded)
+
+
+def list_control(reports: Iterable[NodeReport]) -> Iterator[ControlFact]:
+    """Yield facts about control bytes, one for each window, also where nothing was sent."""
+    for report, window in _list_windows(reports):
+        amount = sum(
+            part.amount
+            for part in window.counters
+            if part.name == "trefoilpick_control_bytes_total"
+        )
+        yield ControlFact(_read_span(window), report.vm, report.data_centre, amount)
+
+
+def _list_windows(reports: Iterable[NodeReport]) -> Iterator[tuple[NodeReport, Window]]:
+    for report in reports:
+        for window in report.windows:
+            yield report, window
+
+
+def _read_span(window: Window) -> Span:
+    return Span(window.begun_s, window.ended_s)
--- /dev/null
+++ b/trefoilpick/_periods.py
@@ -0,0 +1,74 @@
+"""Periods and timelines of a report, clipped to the history that exists."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Protocol, TypeVar
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+    from trefoilpick._facts import Span
+
+PERIODS_S = (300.0, 3_600.0, 21_600.0)
+"""Periods of burn rates: five minutes, one hour and six hours, in seconds."""
+
+MAX_NARROW_SPAN_S = 1_200.0
+"""History up to which a timeline has narrow bins, in seconds."""
+
+NARROW_BIN_S = 60.0
+"""Width of a narrow bin of a timeline, in seconds."""
+
+WIDE_BIN_S = 600.0
+"""Width of a wide bin of a timeline, in seconds."""
+
+
+class Dated(Protocol):
+    """Something with the span of time in which it was recorded."""
+
+    @property
+    def span(self) -> Span:
+        """When it was recorded."""
+
+
+DatedT = TypeVar("DatedT", bound=Dated)
+
+
+@dataclass(frozen=True)
+class Point:
+    """A point of a timeline.
+
+    Attributes:
+        age_s: Age of the bin's middle, in seconds before the report.
+        value: The value in the bin.
+    """
+
+    age_s: float
+    value: float
+
+
+def choose_periods(since_s: float) -> Iterator[float]:
+    """Yield the periods up to the first that covers all history.
+
+    Args:
+        since_s: Age of the oldest figure, in seconds.
+    """
+    for period_s in PERIODS_S:
+        yield period_s
+        if since_s <= period_s:
+            return
+
+
+def draw_timeline(facts: Iterable[DatedT], since_s: float) -> Iterator[tuple[float, list[DatedT]]]:
+    """Yield the facts of each bin that has any, with the age of its middle, the oldest first.
+
+    Args:
+        facts: What was recorded.
+        since_s: Age of the oldest figure, in seconds.
+    """
+    width_s = NARROW_BIN_S if since_s <= MAX_NARROW_SPAN_S else WIDE_BIN_S
+    bins: dict[int, list[DatedT]] = {}
+    for fact in facts:
+        bins.setdefault(int(fact.span.middle_s // width_s), []).append(fact)
+    for index in sorted(bins, reverse=True):
+        yield (index + 0.5) * width_s, bins[index]
--- /dev/null
+++ b/trefoilpick/burn.py
@@ -0,0 +1,267 @@
+"""Service-level burn: what was promised, what was met, and who spends the error budget.
+
+An objective of 99.9% leaves an error budget of 0.1% of the requests. The burn rate is the share
+of bad requests over that budget: at 1 the budget is spent exactly when its period ends.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from trefoilpick._burn_fleet import (
+    ControlBurn,
+    ConvergenceBurn,
+    measure_control,
+    measure_convergence,
+)
+from trefoilpick._facts import list_control, list_convergence, list_latencies, list_requests
+from trefoilpick._periods import Point, choose_periods, draw_timeline
+from trefoilpick.windows import merge_histograms
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+    from trefoilpick._facts import LatencyFact, RequestFact
+    from trefoilpick.reports import ContractStatus, NodeReport
+
+MAX_BURNERS = 5
+"""Largest number of burners that a contract lists."""
+
+US_PER_MS = 1_000
+"""Microseconds in a millisecond."""
+
+
+@dataclass(frozen=True)
+class BurnRate:
+    """Burn within one period.
+
+    Attributes:
+        period_s: The period, in seconds.
+        covered_s: What the figures cover of it, in seconds.
+        requests: Requests that count towards the objective.
+        bad: Requests that missed it.
+        rate: Share of bad requests over the error budget; None without requests.
+    """
+
+    period_s: float
+    covered_s: float
+    requests: int
+    bad: int
+    rate: float | None
+
+
+@dataclass(frozen=True)
+class Burner:
+    """Who spends error budget.
+
+    Attributes:
+        team: Owner of the route; empty where the request had no route.
+        route: Name of the route; empty where the request had none.
+        data_centre: Where the callers' node stands.
+        kind: "slow" or a value of `ErrorKind`.
+        requests: Requests that it cost.
+        share: Its share of the contract's bad requests.
+    """
+
+    team: str
+    route: str
+    data_centre: str
+    kind: str
+    requests: int
+    share: float
+
+
+@dataclass(frozen=True)
+class ContractBurn:
+    """One contract: objective, what was met, and what is left.
+
+    Attributes:
+        team: Owner of the route.
+        route: Name of the route.
+        availability: Share of requests that must be good.
+        latency_ms: Time in which a good answer's head arrives, in milliseconds.
+        requests: Requests that count towards the objective.
+        bad: Requests that missed it.
+        caller_faults: Requests that failed by the caller's own doing; they count for nothing.
+        met: Share of good requests; None without requests.
+        budget_left: Share of the error budget that is left, below 0 where overspent; None
+            without requests.
+        p50_ms: Median latency, in milliseconds; None without answers.
+        p99_ms: Latency that 99 in 100 answers keep, in milliseconds; None without answers.
+        rates: Burn rates, the shortest period first.
+        burners: Who spends the budget, the greatest first.
+        timeline: Burn rate over time, the oldest first.
+    """
+
+    team: str
+    route: str
+    availability: float
+    latency_ms: int
+    requests: int
+    bad: int
+    caller_faults: int
+    met: float | None
+    budget_left: float | None
+    p50_ms: float | None
+    p99_ms: float | None
+    rates: tuple[BurnRate, ...]
+    burners: tuple[Burner, ...]
+    timeline: tuple[Point, ...]
+
+
+@dataclass(frozen=True)
+class BurnReport:
+    """Service-level burn of a fleet.
+
+    Attributes:
+        made_at: When it was made, as ISO 8601 in UTC.
+        since_s: Age of the oldest figure, in seconds; figures of nodes that restarted are younger.
+        nodes: Nodes whose figures are in it.
+        unreachable: Nodes whose figures are missing, with the reason.
+        contracts: All contracts in force, the greatest burn first.
+        unrouted: Bad requests that no contract in force covers.
+        convergence: The fleet's convergence.
+        control: The fleet's control bytes.
+    """
+
+    made_at: str
+    since_s: float
+    nodes: int
+    unreachable: tuple[str, ...]
+    contracts: tuple[ContractBurn, ...]
+    unrouted: tuple[Burner, ...]
+    convergence: ConvergenceBurn
+    control: ControlBurn
+
+
+def build_burn(
+    reports: Iterable[NodeReport], *, made_at: str, unreachable: Iterable[str] = ()
+) -> BurnReport:
+    """Merge the reports of nodes.
+
+    Args:
+        reports: One of each node; a doubled one is ignored.
+        made_at: When they were fetched, as ISO 8601 in UTC.
+        unreachable: Nodes whose reports are missing, with the reason.
+
+    Raises:
+        TrefoilpickError: `MESSAGE_MALFORMED`, where a histogram cannot be decoded.
+    """
+    merged = list({(report.vm, report.incarnation): report for report in reports}.values())
+    since_s = max((window.begun_s for report in merged for window in report.windows), default=0.0)
+    contracts = _find_contracts(merged)
+    by_contract: dict[tuple[str, str], list[RequestFact]] = {key: [] for key in contracts}
+    unrouted: list[RequestFact] = []
+    for fact in list_requests(merged):
+        by_contract.get((fact.team, fact.route), unrouted).append(fact)
+    latencies = _group_latencies(list_latencies(merged))
+    burns = [
+        _measure_contract(contract, by_contract[key], latencies.get(key, []), since_s)
+        for key, contract in contracts.items()
+    ]
+    return BurnReport(
+        made_at=made_at,
+        since_s=since_s,
+        nodes=len(merged),
+        unreachable=tuple(unreachable),
+        contracts=tuple(sorted(burns, key=_rank_contract)),
+        unrouted=tuple(_list_burners(unrouted)),
+        convergence=measure_convergence(list_convergence(merged), since_s),
+        control=measure_control(list_control(merged), since_s),
+    )
+
+
+def compute_rate(requests: int, bad: int, availability: float) -> float | None:
+    """Return the burn rate; None without requests.
+
+    Args:
+        requests: Requests that count towards the objective.
+        bad: Requests that missed it.
+        availability: Share of requests that must be good, below 1.
+    """
+    if requests == 0:
+        return None
+    return bad / requests / (1.0 - availability)
+
+
+def _find_contracts(reports: list[NodeReport]) -> dict[tuple[str, str], ContractStatus]:
+    newest = max(reports, key=lambda report: report.number or 0, default=None)
+    if newest is None:
+        return {}
+    return {(contract.team, contract.route): contract for contract in newest.contracts}
+
+
+def _group_latencies(facts: Iterable[LatencyFact]) -> dict[tuple[str, str], list[str]]:
+    groups: dict[tuple[str, str], list[str]] = {}
+    for fact in facts:
+        groups.setdefault((fact.team, fact.route), []).append(fact.encoded)
+    return groups
+
+
+def _measure_contract(
+    contract: ContractStatus, facts: list[RequestFact], latencies: list[str], since_s: float
+) -> ContractBurn:
+    counted = [fact for fact in facts if fact.is_counted]
+    requests, bad = _count(counted)
+    rate = compute_rate(requests, bad, contract.availability)
+    histogram = merge_histograms(latencies)
+    has_latency = histogram.get_total_count() > 0
+    return ContractBurn(
+        team=contract.team,
+        route=contract.route,
+        availability=contract.availability,
+        latency_ms=contract.latency_ms,
+        requests=requests,
+        bad=bad,
+        caller_faults=sum(fact.amount for fact in facts if not fact.is_counted),
+        met=None if requests == 0 else 1.0 - bad / requests,
+        budget_left=None if rate is None else 1.0 - rate,
+        p50_ms=histogram.get_value_at_percentile(50) / US_PER_MS if has_latency else None,
+        p99_ms=histogram.get_value_at_percentile(99) / US_PER_MS if has_latency else None,
+        rates=tuple(_measure_rates(counted, contract.availability, since_s)),
+        burners=tuple(_list_burners(counted)),
+        timeline=tuple(_draw_rates(counted, contract.availability, since_s)),
+    )
+
+
+def _measure_rates(
+    facts: list[RequestFact], availability: float, since_s: float
+) -> Iterator[BurnRate]:
+    for period_s in choose_periods(since_s):
+        chosen = [fact for fact in facts if fact.span.ended_s < period_s]
+        requests, bad = _count(chosen)
+        covered_s = max((fact.span.begun_s for fact in chosen), default=0.0)
+        rate = compute_rate(requests, bad, availability)
+        yield BurnRate(period_s, covered_s, requests, bad, rate)
+
+
+def _draw_rates(facts: list[RequestFact], availability: float, since_s: float) -> Iterator[Point]:
+    for age_s, chosen in draw_timeline(facts, since_s):
+        requests, bad = _count(chosen)
+        yield Point(age_s, compute_rate(requests, bad, availability) or 0.0)
+
+
+def _list_burners(facts: list[RequestFact]) -> Iterator[Burner]:
+    counts: dict[tuple[str, str, str, str], int] = {}
+    for fact in facts:
+        if fact.is_bad:
+            key = (fact.team, fact.route, fact.data_centre, fact.result)
+            counts[key] = counts.get(key, 0) + fact.amount
+    total = sum(counts.values())
+    ranked = sorted(counts.items(), key=lambda item: (-item[1], item[0]))
+    for key, amount in ranked[:MAX_BURNERS]:
+        yield Burner(*key, amount, amount / total)
+
+
+def _count(facts: Iterable[RequestFact]) -> tuple[int, int]:
+    requests = bad = 0
+    for fact in facts:
+        requests += fact.amount
+        bad += fact.amount if fact.is_bad else 0
+    return requests, bad
+
+
+def _rank_contract(contract: ContractBurn) -> tuple[float, str, str]:
+    left = 1.0 if contract.budget_left is None else contract.budget_left
+    return left, contract.team, contract.route
--- a/trefoilpick/cli.py
+++ b/trefoilpick/cli.py
@@ -4,12 +4,17 @@
 
 import typer
 
+from trefoilpick._cli_keys import keys
+from trefoilpick._cli_status import status
+
 app = typer.Typer(
     name="trefoilpick",
     help="Configuration distribution for a service mesh.",
     no_args_is_help=True,
     pretty_exceptions_enable=False,
 )
+app.command()(status)
+app.command()(keys)
 
 
 @app.callback()
--- a/trefoilpick/status.py
+++ b/trefoilpick/status.py
@@ -4,15 +4,12 @@
 
 from dataclasses import dataclass
 from enum import Enum
-from typing import TYPE_CHECKING, TypeVar
+from typing import TypeVar
 
 import msgspec
 
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 
-if TYPE_CHECKING:
-    from collections.abc import Iterator
-
 StatusT = TypeVar("StatusT")
 
 
@@ -29,7 +26,7 @@
     """It did not answer."""
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, order=True)
 class VersionRef:
     """A version as operators see it.
 
@@ -41,6 +38,9 @@
     number: int
     digest: str
 
+    def __str__(self) -> str:
+        return f"{self.number} ({self.digest[:8]})"
+
 
 @dataclass(frozen=True)
 class EnforcedVersion:
@@ -120,8 +120,9 @@
         leaving: Whether it drains.
         version: The version that it enforces.
         newest: The newest version that it has heard of, enforced or not.
-        source_age_s: Time since the source last confirmed its version, in seconds; None where it
-            never did in this incarnation.
+        source_age_s: Time since its version was last confirmed, by the source or through a
+            reader of its data centre, in seconds; None where never in this incarnation.
+        unconfirmed: Whether it serves a version that nobody confirmed when it joined.
         reads_source: Whether it reads the source for its data centre.
         vm_list_revision: Revision of its list of VMs; None without a list.
         in_flight: Requests that the worker runs.
@@ -143,6 +144,7 @@
     version: VersionRef | None = None
     newest: VersionRef | None = None
     source_age_s: float | None = None
+    unconfirmed: bool = False
     reads_source: bool = False
     vm_list_revision: int | None = None
     in_flight: int = 0
@@ -167,23 +169,6 @@
     took_s: float = 0.0
 
 
-@dataclass(frozen=True)
-class ConvergenceRow:
-    """Convergence of one version at the nodes that told of it.
-
-    Attributes:
-        number: Version number.
-        nodes: Nodes that enforced it after its acceptance.
-        p50_ms: Median convergence time, in milliseconds.
-        max_ms: Largest convergence time, in milliseconds.
-    """
-
-    number: int
-    nodes: int
-    p50_ms: float
-    max_ms: float
-
-
 @dataclass(frozen=True)
 class Fault:
     """An error answer of the operators' port.
@@ -221,36 +206,3 @@
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         text = f"{kind.__name__} of the operators' port: {error}"
         raise TrefoilpickError(ErrorKind.MESSAGE_MALFORMED, text) from error
-
-
-def list_lagging(fleet: FleetStatus) -> Iterator[PeerStatus]:
-    """Yield the nodes that do not enforce the newest version, with the reason."""
-    if fleet.node.version is None or fleet.node.version != fleet.node.newest:
-        yield describe_self(fleet)
-    for peer in fleet.peers:
-        if peer.standing is not Standing.LEVEL:
-            yield peer
-
-
-def describe_self(fleet: FleetStatus) -> PeerStatus:
-    """Return the asking node in the form of a peer."""
-    node = fleet.node
-    return PeerStatus(
-        vm=node.vm,
-        data_centre=node.data_centre,
-        service=node.service,
-        standing=_judge_self(node),
-        number=node.version.number if node.version else None,
-        digest=node.version.digest if node.version else None,
-        age_s=0.0,
-        reason="; ".join(node.reasons),
-    )
-
-
-def _judge_self(node: NodeStatus) -> Standing:
-    if node.newest is not None and node.newest == node.version:
-        return Standing.LEVEL
-    refused = {(entry.number, entry.digest) for entry in node.refused}
-    if node.newest is not None and (node.newest.number, node.newest.digest) in refused:
-        return Standing.REFUSING
-    return Standing.LAGGING
