--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -1,4 +1,5 @@
 import ast
+import re
 from pathlib import Path
 
 import pytest
@@ -7,28 +8,21 @@
 from trefoilpick.metrics import METRICS, MetricKind, Metrics, Series
 
 PACKAGE = Path(module.__file__).parent
-EMITTERS = {
-    "count": MetricKind.COUNTER,
-    "set_gauge": MetricKind.GAUGE,
-    "observe": MetricKind.HISTOGRAM,
-}
-SUFFIXES = {MetricKind.COUNTER: ("_total",), MetricKind.HISTOGRAM: ("_microseconds",)}
+KINDS = {"_total": MetricKind.COUNTER, "_microseconds": MetricKind.HISTOGRAM}
+NAME = re.compile(r"[a-z_]+(_total|_microseconds)")
 
 
 def list_emitted() -> set[tuple[str, MetricKind]]:
-    calls = (
-        node
-        for path in PACKAGE.glob("*.py")
-        for node in ast.walk(ast.parse(path.read_text()))
-        if isinstance(node, ast.Call) and isinstance(node.func, ast.Attribute) and node.args
-    )
-    return {
-        (str(call.args[0].value), EMITTERS[call.func.attr])
-        for call in calls
-        if call.func.attr in EMITTERS
-        and ast.unparse(call.func.value).endswith("metrics")
-        and isinstance(call.args[0], ast.Constant)
+    paths = [path for path in PACKAGE.glob("*.py") if path.name != "_metric_table.py"]
+    nodes = [node for path in paths for node in ast.walk(ast.parse(path.read_text()))]
+    texts = {str(node.value) for node in nodes if isinstance(node, ast.Constant)}
+    found = {(text, KINDS[match[1]]) for text in texts if (match := NAME.fullmatch(text))}
+    gauges = {
+        (str(ast.literal_eval(node.args[0])), MetricKind.GAUGE)
+        for node in nodes
+        if isinstance(node, ast.Call) and ast.unparse(node.func).endswith(".set_gauge")
     }
+    return found | gauges
 
 
 def test_every_emitted_metric_is_described_in_the_table() -> None:
@@ -42,7 +36,7 @@
 def test_described_metric_keeps_the_naming_rules(name: str) -> None:
     info = METRICS[name]
     assert name.startswith("trefoilpick_")
-    assert name.endswith(SUFFIXES.get(info.kind, ("",)))
+    assert NAME.fullmatch(name) or info.kind is MetricKind.GAUGE
     assert info.help.endswith(".") and info.advice.endswith(".") and info.unit
 
 
--- a/trefoilpick/_exchange.py
+++ b/trefoilpick/_exchange.py
@@ -132,10 +132,10 @@
         served_s: float | None = None
         try:
             entered_s = await curio.clock()
-            self._observe("hop_queue_microseconds", entered_s - began_s)
+            self._observe("trefoilpick_hop_queue_microseconds", entered_s - began_s)
             await self._call_worker(upstream)
             served_s = await curio.clock() - entered_s
-            self._observe("hop_service_microseconds", served_s)
+            self._observe("trefoilpick_hop_service_microseconds", served_s)
         finally:
             await self._stop_upload()
             await self._give_back_connection(upstream)
--- a/trefoilpick/_facts.py
+++ b/trefoilpick/_facts.py
@@ -23,6 +23,12 @@
 SLOW = "slow"
 """Result of a request that was answered after the objective's latency."""
 
+REQUEST_COUNTERS = {
+    "trefoilpick_requests_total": "result",
+    "trefoilpick_refused_total": "kind",
+}
+"""Counters of callers' requests, with the label that tells the result."""
+
 CALLER_FAULTS = frozenset(
     kind.value
     for kind in (
@@ -107,16 +113,17 @@
 
 
 def list_requests(reports: Iterable[NodeReport]) -> Iterator[RequestFact]:
-    """Yield facts about requests."""
+    """Yield facts about requests; those refused before a route was found name no contract."""
     for report, window in _list_windows(reports):
         for part in window.counters:
-            if part.name == "trefoilpick_requests_total":
+            result = part.labels.get(REQUEST_COUNTERS.get(part.name, ""))
+            if result is not None:
                 yield RequestFact(
                     span=_read_span(window),
                     data_centre=report.data_centre,
                     team=part.labels.get("team", ""),
                     route=part.labels.get("route", ""),
-                    result=part.labels.get("result", ""),
+                    result=result,
                     amount=part.amount,
                 )
 
--- a/trefoilpick/hopserver.py
+++ b/trefoilpick/hopserver.py
@@ -155,7 +155,7 @@
         while True:
             sock, _ = await listener.accept()
             if len(self._links) >= self._settings.hops.max_connections:
-                self._metrics.count("hop_connections_refused_total")
+                self._metrics.count("trefoilpick_hop_connections_refused_total")
                 await sock.close()
                 continue
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -170,7 +170,7 @@
             with suppress(OSError):
                 await self._serve_requests(link)
         except TrefoilpickError as error:
-            self._metrics.count("hop_connections_broken_total", kind=error.kind.value)
+            self._metrics.count("trefoilpick_hop_connections_broken_total", kind=error.kind.value)
         finally:
             del self._links[descriptor]
             self._departures.unregister(descriptor)
@@ -210,7 +210,7 @@
                 return False
         finally:
             self._metrics.count(
-                "hop_requests_total", team=request.team, route=request.route, kind=kind
+                "trefoilpick_hop_requests_total", team=request.team, route=request.route, kind=kind
             )
         if exchange.hop_reusable:
             return True
