Add the platform's stand-in, its HTTP client and the checks of a document

All faults are found in one pass: fields against the data classes' types, conflicts between sections on outlines, so that one faulty field hides no other fault. Sections travel as canonical JSON without defaults; msgspec encodes a dataclass's instance dict, which lacks the defaults that were not decoded, so sections.py strips defaults itself to give equal sections equal bytes.

--- /dev/null
+++ b/tests/test_checks.py
@@ -0,0 +1,90 @@
+import pytest
+from returns.result import Failure, Success
+
+from trefoilpick.checks import SectionText, check_document, check_sections
+from trefoilpick.sections import decode_section, encode_section
+
+FAULTY = """{
+  // Confirmations of commissions.
+  "team": "encargos",
+  "upstreams": [{"name": "encargos", "slots": 0}],
+  "routes": [
+    {
+      "name": "advances", /* not idempotent */
+      "match": {"path_prefix": "/advances", "methods": ["POST"]},
+      "upstream": "pagos",
+      "contract": {"idempotent": "no", "retrys": 2}
+    },
+    {
+      "name": "advances",
+      "match": {"path_prefix": "/sketches", "methods": ["GET"]},
+      "upstream": "encargos",
+    }
+  ]
+}"""
+SOUND = """{
+  "team": "portafolio",
+  "upstreams": [{"name": "portafolio"}, {"name": "encargos"}],
+  "routes": [{"name": "sketches", "match": {"path_prefix": "/sketches", "methods": ["HEAD", "GET"]},
+              "upstream": "portafolio", "contract": {"idempotent": true}}],
+}"""
+
+
+def test_all_faults_are_named_with_their_lines() -> None:
+    texts = (SectionText("encargos.jsonc", FAULTY), SectionText("portafolio.jsonc", SOUND))
+    faults = check_document(texts, owners={"encargos": "encargos"}).failure()
+    assert [(fault.section, fault.line, fault.path) for fault in faults] == [
+        ("encargos", 4, "upstreams[0].slots"),
+        ("encargos", 9, "routes[0].upstream"),
+        ("encargos", 10, "routes[0].contract.idempotent"),
+        ("encargos", 10, "routes[0].contract.retrys"),
+        ("encargos", 12, "routes[1].contract"),
+        ("encargos", 13, "routes[1].name"),
+        ("portafolio", 3, "upstreams[1].name"),
+        ("portafolio", 4, "routes[0].match"),
+    ]
+    texts_of_faults = " ".join(fault.text for fault in faults)
+    assert 'unknown field "retrys", did you mean "retries"?' in texts_of_faults
+    assert 'route "advances": upstream "pagos" is not defined in any section' in texts_of_faults
+    assert 'upstream "encargos" is owned by section "encargos"' in texts_of_faults
+    assert 'overlaps route "advances" of section "encargos": both take GET' in texts_of_faults
+
+
+def test_nodes_find_the_same_conflicts_in_decoded_sections() -> None:
+    (section,) = check_document((SectionText("a", SOUND),)).unwrap().sections
+    again = decode_section(encode_section(section))
+    assert check_sections((section,)) == ()
+    found = {fault.text.partition(" ")[0] for fault in check_sections((section, again))}
+    assert found == {"section", "upstream", "route"}
+
+
+@pytest.mark.parametrize(
+    ("text", "line", "problem"),
+    [
+        ('{"team": "a",\n "routes" 2}', 2, "malformed JSON"),
+        ("[" * 100_000, 1, "nested too deeply"),
+        ("1" * 5_000, 1, "malformed JSON"),
+        ("[]", 1, "expected an object"),
+        ('{"team": "a"\n// " comment\n, "team": "b"}', 3, 'field "team" is given twice'),
+        ('{"team": "a", "routes": [\n{"match": {"methods": []}}]}', 2, "takes no method"),
+    ],
+)
+def test_malformed_text_is_a_fault(text: str, line: int, problem: str) -> None:
+    faults = check_document((SectionText("a.jsonc", text),)).failure()
+    assert any(problem in fault.text and fault.line == line for fault in faults), faults
+
+
+def test_section_over_the_platform_bound_is_a_fault() -> None:
+    upstreams = ",".join(f'{{"name": "{"u" * 40}{index}"}}' for index in range(20_000))
+    result = check_document((SectionText("a", f'{{"team": "a", "upstreams": [{upstreams}]}}'),))
+    assert [fault.path for fault in result.failure()] == [""]
+    assert "over 1000000" in result.failure()[0].text
+
+
+def test_undefined_upstreams_are_left_open_where_a_section_cannot_be_read() -> None:
+    lost = SectionText("b.jsonc", "{")
+    routed = SectionText("a.jsonc", FAULTY)
+    paths = [fault.path for fault in check_document((lost, routed)).failure()]
+    assert "routes[0].upstream" not in paths
+    assert isinstance(check_document((SectionText("p", SOUND),)), Success)
+    assert isinstance(check_document((routed,)), Failure)
--- /dev/null
+++ b/tests/test_source.py
@@ -0,0 +1,121 @@
+from collections.abc import Awaitable, Callable
+
+import curio
+import pytest
+
+from trefoilpick._standin_values import Faults
+from trefoilpick.errors import ErrorKind, TrefoilpickError
+from trefoilpick.settings import SourceSettings
+from trefoilpick.source import MANIFEST_KEY, HttpSource, SourceValue, open_source
+from trefoilpick.standin import Standin, open_standin
+
+Scene = Callable[[Standin, HttpSource], Awaitable[None]]
+
+
+def play(scene: Scene, *, rate: int = 10_000, read_timeout_ms: int = 20_000) -> None:
+    async def run() -> None:
+        async with open_standin(rate=rate) as standin:
+            settings = SourceSettings((standin.address,), read_timeout_ms, watch_ms=60_000)
+            source = open_source(settings)
+            await scene(standin, source)
+            await source.close()
+
+    curio.run(run)
+
+
+async def catch_kind(call: Awaitable[object]) -> ErrorKind:
+    with pytest.raises(TrefoilpickError) as caught:
+        await call
+    return caught.value.kind
+
+
+def test_read_and_watch_follow_revisions_on_kept_connections() -> None:
+    async def scene(standin: Standin, source: HttpSource) -> None:
+        assert await catch_kind(source.read_value(MANIFEST_KEY)) is ErrorKind.SOURCE_UNAVAILABLE
+        await standin.put_value(MANIFEST_KEY, b"one")
+        assert await source.read_value(MANIFEST_KEY) == SourceValue(b"one", 1)
+        watch = await curio.spawn(source.watch_value(MANIFEST_KEY, after=1))
+        while standin.counts.watching == 0:
+            await curio.sleep(0.001)
+        await standin.put_value(MANIFEST_KEY, b"one")
+        await standin.put_value(MANIFEST_KEY, b"two")
+        assert await watch.join() == SourceValue(b"two", 2)
+        assert (source.calls, standin.counts.calls, standin.counts.watches) == (3, 3, 1)
+        assert source.bytes_received > 6
+
+    play(scene)
+
+
+def test_watch_ends_without_a_change() -> None:
+    async def run() -> None:
+        async with open_standin() as standin:
+            settings = SourceSettings((standin.address,), watch_ms=100)
+            assert await open_source(settings).watch_value(MANIFEST_KEY, after=0) is None
+
+    curio.run(run)
+
+
+@pytest.mark.parametrize(
+    "faults", [Faults(down=True), Faults(truncated=True), Faults(delay_ms=600_000)]
+)
+def test_faulty_answer_is_an_error_and_its_connection_is_dropped(faults: Faults) -> None:
+    async def scene(standin: Standin, source: HttpSource) -> None:
+        await standin.put_value(MANIFEST_KEY, b"value")
+        await source.read_value(MANIFEST_KEY)
+        await standin.set_faults(faults)
+        assert await catch_kind(source.read_value(MANIFEST_KEY)) is ErrorKind.SOURCE_UNAVAILABLE
+        await standin.set_faults(Faults())
+        assert (await source.read_value(MANIFEST_KEY)).data == b"value"
+
+    play(scene, read_timeout_ms=1_000)
+
+
+def test_rate_limit_is_told_apart() -> None:
+    async def scene(standin: Standin, source: HttpSource) -> None:
+        await standin.put_value(MANIFEST_KEY, b"value")
+        kinds = set()
+        for _ in range(200):
+            try:
+                await source.read_value(MANIFEST_KEY)
+            except TrefoilpickError as error:
+                kinds.add(error.kind)
+        assert kinds == {ErrorKind.SOURCE_RATE_LIMITED}
+        assert standin.counts.rate_limited > 0
+
+    play(scene, rate=3)
+
+
+def test_next_address_is_tried_and_kept() -> None:
+    async def run() -> None:
+        async with open_standin() as gone:
+            pass
+        async with open_standin() as standin:
+            await standin.put_value(MANIFEST_KEY, b"value")
+            source = open_source(SourceSettings((gone.address, standin.address)))
+            for _ in range(3):
+                assert (await source.read_value(MANIFEST_KEY)).data == b"value"
+            await source.close()
+
+    curio.run(run)
+
+
+def test_connection_closed_while_idle_is_replaced() -> None:
+    async def run() -> None:
+        standin = open_standin()
+        host, port = standin.address.rsplit(":", 1)
+        source = open_source(SourceSettings((standin.address,)))
+        async with standin:
+            await standin.put_value(MANIFEST_KEY, b"one")
+            await source.read_value(MANIFEST_KEY)
+        async with open_standin(host, int(port)) as again:
+            await again.put_value(MANIFEST_KEY, b"two")
+            assert (await source.read_value(MANIFEST_KEY)).data == b"two"
+        await source.close()
+
+    curio.run(run)
+
+
+@pytest.mark.parametrize("address", ["host", "127.0.0.1:", "127.0.0.1:99999", ":80", "a:²"])
+def test_malformed_address_is_refused(address: str) -> None:
+    with pytest.raises(TrefoilpickError, match="ip:port"):
+        open_source(SourceSettings((address,)))
--- /dev/null
+++ b/trefoilpick/_cli_standin.py
@@ -0,0 +1,38 @@
+"""The command that runs the platform's stand-in."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated
+
+import curio
+import typer
+
+from trefoilpick._console import console, report_errors
+from trefoilpick.standin import DEFAULT_RATE, open_standin
+
+
+def standin(
+    folder: Annotated[
+        Path, typer.Option(help="Folder with the published manifest, sections and vms.")
+    ],
+    host: Annotated[str, typer.Option(help="IP address to listen on.")] = "127.0.0.1",
+    port: Annotated[int, typer.Option(help="Port to listen on.", min=0, max=65_535)] = 9_000,
+    rate: Annotated[int, typer.Option(help="Calls a second that are answered.", min=1)] = (
+        DEFAULT_RATE
+    ),
+) -> None:
+    """Run a stand-in for the platform's configuration service, for trials.
+
+    It follows the folder. GET /standin/counts shows its calls; POST /standin/faults makes it
+    slow, down, stale, truncated or wrong.
+
+    Example: trefoilpick standin --port 9000 --folder published
+    """
+    with report_errors():
+        service = open_standin(host, port, folder=folder, rate=rate)
+    console.print(f'serving "{folder}" on http://{service.address}/v1/values/')
+    try:
+        curio.run(service.run)
+    except KeyboardInterrupt:
+        console.print("stopped")
--- /dev/null
+++ b/trefoilpick/_semantics.py
@@ -0,0 +1,237 @@
+"""Conflicts within and between the sections of a document.
+
+They are found on outlines, which hold just the fields that sections can conflict in, so that a
+section with a faulty field elsewhere is still compared with the others.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from functools import singledispatch
+from typing import TYPE_CHECKING, Any
+
+from trefoilpick.document import Section
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator, Mapping, Sequence
+
+
+@dataclass(frozen=True)
+class UpstreamOutline:
+    """An upstream's name and its path in the section."""
+
+    path: str
+    name: str
+
+
+@dataclass(frozen=True)
+class RouteOutline:
+    """What a route can conflict in, and its path in the section."""
+
+    path: str
+    name: str
+    upstream: str
+    host: str
+    path_prefix: str
+    methods: tuple[str, ...]
+    is_without_method: bool = False
+
+
+@dataclass(frozen=True)
+class SectionOutline:
+    """What a section can conflict in; fields that cannot be read are empty."""
+
+    team: str
+    upstreams: tuple[UpstreamOutline, ...] = ()
+    routes: tuple[RouteOutline, ...] = ()
+
+
+@dataclass(frozen=True)
+class Conflict:
+    """A conflict.
+
+    Attributes:
+        index: Position of the section at fault.
+        path: Path of the field in that section.
+        text: What is wrong.
+    """
+
+    index: int
+    path: str
+    text: str
+
+
+@singledispatch
+def outline_section(section: object) -> SectionOutline:
+    """Return the outline of a section, whatever of it can be read."""
+    return SectionOutline("")
+
+
+@outline_section.register
+def _(section: Section) -> SectionOutline:
+    upstreams = (
+        UpstreamOutline(f"upstreams[{index}].name", upstream.name)
+        for index, upstream in enumerate(section.upstreams)
+    )
+    routes = (
+        RouteOutline(
+            f"routes[{index}]",
+            route.name,
+            route.upstream,
+            route.match.host,
+            route.match.path_prefix,
+            route.match.methods,
+            is_without_method=not route.match.methods,
+        )
+        for index, route in enumerate(section.routes)
+    )
+    return SectionOutline(section.team, tuple(upstreams), tuple(routes))
+
+
+@outline_section.register
+def _(section: dict) -> SectionOutline:
+    upstreams = (
+        UpstreamOutline(f"upstreams[{index}].name", _get_text(raw, "name"))
+        for index, raw in enumerate(_get_list(section, "upstreams"))
+    )
+    routes = (
+        _outline_raw_route(f"routes[{index}]", raw)
+        for index, raw in enumerate(_get_list(section, "routes"))
+    )
+    return SectionOutline(_get_text(section, "team"), tuple(upstreams), tuple(routes))
+
+
+def find_conflicts(
+    sections: Sequence[SectionOutline], owners: Mapping[str, str], *, is_whole: bool = True
+) -> Iterator[Conflict]:
+    """Find all conflicts of the sections of one version.
+
+    Args:
+        sections: Outlines of the sections.
+        owners: Team by upstream as the version in force has it.
+        is_whole: Whether every section could be read, so that an upstream that none of them
+            defines is a fault.
+
+    Yields:
+        Each conflict.
+    """
+    yield from _find_doubled_teams(sections)
+    yield from _find_doubled_upstreams(sections, owners)
+    if is_whole:
+        yield from _find_undefined_upstreams(sections)
+    for index, section in enumerate(sections):
+        yield from _find_doubled_routes(index, section)
+        yield from _find_faulty_methods(index, section)
+    yield from _find_overlaps(sections)
+
+
+def _find_doubled_teams(sections: Sequence[SectionOutline]) -> Iterator[Conflict]:
+    seen: set[str] = set()
+    for index, section in enumerate(sections):
+        if section.team and section.team in seen:
+            yield Conflict(index, "team", f'section "{section.team}" is defined twice')
+        seen.add(section.team)
+
+
+def _find_doubled_upstreams(
+    sections: Sequence[SectionOutline], owners: Mapping[str, str]
+) -> Iterator[Conflict]:
+    definers: dict[str, list[tuple[int, str]]] = {}
+    for index, section in enumerate(sections):
+        for upstream in section.upstreams:
+            definers.setdefault(upstream.name, []).append((index, upstream.path))
+    for name, places in definers.items():
+        if name and len(places) > 1:
+            yield from _blame_definers(sections, name, places, owners.get(name))
+
+
+def _blame_definers(
+    sections: Sequence[SectionOutline],
+    name: str,
+    places: list[tuple[int, str]],
+    owner: str | None,
+) -> Iterator[Conflict]:
+    owned = [place for place in places if sections[place[0]].team == owner]
+    first = (owned or places)[0]
+    team = sections[first[0]].team
+    for index, path in places:
+        if (index, path) == first:
+            continue
+        if sections[index].team == team:
+            yield Conflict(index, path, f'upstream "{name}" is defined twice')
+        else:
+            yield Conflict(index, path, f'upstream "{name}" is owned by section "{team}"')
+
+
+def _find_undefined_upstreams(sections: Sequence[SectionOutline]) -> Iterator[Conflict]:
+    defined = {upstream.name for section in sections for upstream in section.upstreams}
+    for index, section in enumerate(sections):
+        for route in section.routes:
+            if route.upstream and route.upstream not in defined:
+                text = (
+                    f'route "{route.name}": upstream "{route.upstream}" '
+                    "is not defined in any section"
+                )
+                yield Conflict(index, f"{route.path}.upstream", text)
+
+
+def _find_doubled_routes(index: int, section: SectionOutline) -> Iterator[Conflict]:
+    seen: set[str] = set()
+    for route in section.routes:
+        if route.name and route.name in seen:
+            text = f'route "{route.name}" is defined twice in section "{section.team}"'
+            yield Conflict(index, f"{route.path}.name", text)
+        seen.add(route.name)
+
+
+def _find_faulty_methods(index: int, section: SectionOutline) -> Iterator[Conflict]:
+    for route in section.routes:
+        path = f"{route.path}.match.methods"
+        if len(set(route.methods)) < len(route.methods):
+            yield Conflict(index, path, f'route "{route.name}": a method is named twice')
+        if route.is_without_method:
+            yield Conflict(index, path, f'route "{route.name}": it takes no method')
+
+
+def _find_overlaps(sections: Sequence[SectionOutline]) -> Iterator[Conflict]:
+    takers: dict[tuple[str, str, str], tuple[int, RouteOutline]] = {}
+    for index, section in enumerate(sections):
+        for route in section.routes:
+            rivals: dict[tuple[int, str], str] = {}
+            for method in dict.fromkeys(route.methods):
+                taken = (route.host.lower(), route.path_prefix, method)
+                rival = takers.setdefault(taken, (index, route))
+                if rival != (index, route):
+                    rivals.setdefault((rival[0], rival[1].name), method)
+            for (rival_index, rival_name), method in rivals.items():
+                text = (
+                    f'route "{route.name}" overlaps route "{rival_name}" of section '
+                    f'"{sections[rival_index].team}": both take {method} '
+                    f'"{route.path_prefix}" on host "{route.host}"'
+                )
+                yield Conflict(index, f"{route.path}.match", text)
+
+
+def _outline_raw_route(path: str, raw: Any) -> RouteOutline:
+    match = raw.get("match") if isinstance(raw, dict) else None
+    methods = tuple(name for name in _get_list(match, "methods") if isinstance(name, str))
+    prefix = _get_text(match, "path_prefix")
+    return RouteOutline(
+        path,
+        _get_text(raw, "name"),
+        _get_text(raw, "upstream"),
+        _get_text(match, "host", "*"),
+        prefix,
+        methods if prefix else (),
+        is_without_method=isinstance(match, dict) and match.get("methods") == [],
+    )
+
+
+def _get_text(raw: Any, name: str, default: str = "") -> str:
+    found = raw.get(name, default) if isinstance(raw, dict) else ""
+    return found if isinstance(found, str) else ""
+
+
+def _get_list(raw: Any, name: str) -> list[Any]:
+    found = raw.get(name) if isinstance(raw, dict) else None
+    return found if isinstance(found, list) else []
--- /dev/null
+++ b/trefoilpick/_source_connection.py
@@ -0,0 +1,155 @@
+"""One HTTP connection of a node to the platform's configuration service."""
+
+from __future__ import annotations
+
+from contextlib import suppress
+from dataclasses import dataclass
+from socket import IPPROTO_TCP, TCP_NODELAY
+from typing import Any
+
+import curio
+import h11
+
+from trefoilpick.errors import ErrorKind, TrefoilpickError
+
+MAX_VALUE_BYTES = 1_000_000
+"""Largest value that a node accepts, in bytes."""
+
+READ_BYTES = 65_536
+"""Bytes asked of the socket at a time."""
+
+
+@dataclass(frozen=True)
+class SourceReply:
+    """An answer of the service, whole.
+
+    Attributes:
+        status: HTTP status code.
+        revision: The value's revision as sent; empty where the answer names none.
+        body: The value's bytes.
+        may_reuse: Whether the connection can carry a further call.
+    """
+
+    status: int
+    revision: str
+    body: bytes
+    may_reuse: bool
+
+
+class SourceConnection:
+    """A connected socket that carries one call at a time.
+
+    Args:
+        address: IP address and port, as "ip:port".
+        sock: The connected socket.
+
+    Attributes:
+        address: IP address and port, as "ip:port".
+        is_fresh: Whether no call was answered on it yet.
+        bytes_received: Bytes that the service sent.
+        bytes_sent: Bytes that the service was sent.
+    """
+
+    def __init__(self, address: str, sock: Any) -> None:
+        self.address = address
+        self.is_fresh = True
+        self.bytes_received = 0
+        self.bytes_sent = 0
+        self._sock = sock
+        self._protocol = h11.Connection(h11.CLIENT)
+
+    async def call(self, target: str) -> SourceReply:
+        """Send a GET and return the whole answer.
+
+        Args:
+            target: Path and query.
+
+        Raises:
+            TrefoilpickError: `SOURCE_UNAVAILABLE`, where the answer is malformed, cut or too large.
+            OSError: The connection broke.
+        """
+        try:
+            await self._send(target)
+            return await self._receive()
+        except h11.ProtocolError as error:
+            raise self._report(f"{error}") from error
+
+    async def close(self) -> None:
+        """Close the connection."""
+        with suppress(OSError):
+            await self._sock.close()
+
+    async def _send(self, target: str) -> None:
+        headers = [("host", self.address), ("accept", "application/octet-stream")]
+        head = self._protocol.send(h11.Request(method="GET", target=target, headers=headers))
+        end = self._protocol.send(h11.EndOfMessage())
+        data = (head or b"") + (end or b"")
+        self.bytes_sent += len(data)
+        await self._sock.sendall(data)
+
+    async def _receive(self) -> SourceReply:
+        status, revision = 0, ""
+        body = bytearray()
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Response):
+                status = event.status_code
+                revision = dict(event.headers).get(b"x-revision", b"").decode("latin-1")
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > MAX_VALUE_BYTES:
+                    raise self._report(f"answer is over {MAX_VALUE_BYTES} bytes")
+            elif isinstance(event, h11.EndOfMessage):
+                return SourceReply(status, revision, bytes(body), self._renew())
+            elif isinstance(event, h11.ConnectionClosed):
+                raise self._report("connection closed before an answer")
+
+    async def _next_event(self) -> Any:
+        while True:
+            event = self._protocol.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            data = await self._sock.recv(READ_BYTES)
+            self.bytes_received += len(data)
+            self._protocol.receive_data(data)
+
+    def _renew(self) -> bool:
+        self.is_fresh = False
+        if self._protocol.their_state is not h11.DONE:
+            return False
+        self._protocol.start_next_cycle()
+        return True
+
+    def _report(self, text: str) -> TrefoilpickError:
+        return TrefoilpickError(
+            ErrorKind.SOURCE_UNAVAILABLE, f'source "{self.address}" sent no whole answer: {text}'
+        )
+
+
+async def open_source_connection(address: str) -> SourceConnection:
+    """Connect to the configuration service.
+
+    Args:
+        address: IP address and port, as "ip:port".
+
+    Raises:
+        OSError: It cannot be connected to.
+    """
+    host, port = split_address(address)
+    sock = await curio.open_connection(host, port)
+    sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+    return SourceConnection(address, sock)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split "ip:port" or "[ip]:port".
+
+    Raises:
+        TrefoilpickError: `SETTINGS_FAULTY`, where it is neither.
+    """
+    host, _, port = address.rpartition(":")
+    host = host.removeprefix("[").removesuffix("]")
+    if host and port.isascii() and port.isdigit() and 0 < int(port) < 65_536:
+        return host, int(port)
+    text = f'source address "{address}" is not of the form ip:port'
+    raise TrefoilpickError(ErrorKind.SETTINGS_FAULTY, text)
--- /dev/null
+++ b/trefoilpick/checks.py
@@ -0,0 +1,158 @@
+"""Checks of a document that find all of its faults in one pass."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from trefoilpick._fields import check_fields
+from trefoilpick._positions import Positions, locate_fields
+from trefoilpick._semantics import SectionOutline, find_conflicts, outline_section
+from trefoilpick._texts import parse_text
+from trefoilpick.document import MAX_SECTION_BYTES, Document, Section
+from trefoilpick.sections import encode_section
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+MAX_TEXT_BYTES = 4_000_000
+"""Largest text of a section with its comments, in bytes."""
+
+
+@dataclass(frozen=True, order=True)
+class Fault:
+    """One fault of a document.
+
+    Attributes:
+        section: Team of the section; the name of its file where no team can be read.
+        path: Path of the field, like `routes[2].contract.retries`; empty for the whole section.
+        line: Line in the section's text, from 1; 0 where there is no text.
+        text: What is wrong, naming the thing.
+        origin: Name of the section's file; empty where there is none.
+    """
+
+    section: str
+    path: str
+    line: int
+    text: str
+    origin: str = ""
+
+    def __str__(self) -> str:
+        place = f"{self.origin or self.section}:{self.line}" if self.line else self.section
+        return ": ".join(part for part in (place, self.path, self.text) if part)
+
+
+@dataclass(frozen=True)
+class SectionText:
+    """A section as its team wrote it.
+
+    Attributes:
+        origin: Name of the file.
+        text: JSON with comments.
+    """
+
+    origin: str
+    text: str
+
+
+@dataclass(frozen=True)
+class _Reading:
+    """What could be read of one section."""
+
+    origin: str
+    positions: Positions
+    outline: SectionOutline = SectionOutline("")
+    section: Section | None = None
+    is_readable: bool = False
+    faults: tuple[Fault, ...] = ()
+
+    def place(self, path: str, text: str) -> Fault:
+        line = self.positions.find_line(path)
+        return Fault(self.outline.team or self.origin, path, line, text, self.origin)
+
+
+def check_document(
+    texts: tuple[SectionText, ...], *, owners: Mapping[str, str] | None = None
+) -> Result[Document, tuple[Fault, ...]]:
+    """Check the sections of a document as their teams wrote them.
+
+    Args:
+        texts: One text a section.
+        owners: Team by upstream as the version in force has it, to tell who owns an upstream
+            that two sections define.
+
+    Returns:
+        The document, its sections ordered by team, or all of its faults.
+    """
+    readings = sorted((_read_section(text) for text in texts), key=_get_place)
+    faults = [fault for reading in readings for fault in reading.faults]
+    outlines = [reading.outline for reading in readings]
+    is_whole = all(reading.is_readable for reading in readings)
+    for conflict in find_conflicts(outlines, owners or {}, is_whole=is_whole):
+        faults.append(readings[conflict.index].place(conflict.path, conflict.text))
+    if faults:
+        return Failure(tuple(sorted(set(faults), key=_get_order)))
+    return Success(Document(tuple(reading.section for reading in readings if reading.section)))
+
+
+def check_sections(
+    sections: tuple[Section, ...], *, owners: Mapping[str, str] | None = None
+) -> tuple[Fault, ...]:
+    """Check decoded sections against each other.
+
+    Args:
+        sections: All the sections of one version.
+        owners: Team by upstream as the version in force has it.
+
+    Returns:
+        All faults, without lines; empty where the sections make a document.
+    """
+    outlines = [outline_section(section) for section in sections]
+    return tuple(
+        Fault(sections[conflict.index].team, conflict.path, 0, conflict.text)
+        for conflict in find_conflicts(outlines, owners or {})
+    )
+
+
+def _read_section(text: SectionText) -> _Reading:
+    nowhere = Positions({}, ())
+    length = len(text.text.encode("utf-8", "replace"))
+    if length > MAX_TEXT_BYTES:
+        problem = f"text has {length} bytes, over {MAX_TEXT_BYTES}"
+        fault = Fault(text.origin, "", 1, problem, text.origin)
+        return _Reading(text.origin, nowhere, faults=(fault,))
+    parsed = parse_text(text.text)
+    if isinstance(parsed, Failure):
+        error = parsed.failure()
+        fault = Fault(text.origin, "", error.line, error.text, text.origin)
+        return _Reading(text.origin, nowhere, faults=(fault,))
+    return _check_section(text, parsed.unwrap())
+
+
+def _check_section(text: SectionText, raw: Any) -> _Reading:
+    positions = locate_fields(text.text)
+    outline = outline_section(raw)
+    reading = _Reading(text.origin, positions, outline, is_readable=isinstance(raw, dict))
+    faults = [reading.place(fault.path, fault.text) for fault in check_fields(raw, Section)]
+    for path, line in positions.doubled:
+        problem = f'field "{path}" is given twice'
+        team = outline.team or text.origin
+        faults.append(Fault(team, path, line, problem, text.origin))
+    section = None if faults else msgspec.convert(raw, Section)
+    if section is not None:
+        size = len(encode_section(section))
+        if size > MAX_SECTION_BYTES:
+            problem = f'section "{outline.team}" has {size} bytes, over {MAX_SECTION_BYTES}'
+            faults.append(reading.place("", problem))
+    return _Reading(text.origin, positions, outline, section, reading.is_readable, tuple(faults))
+
+
+def _get_place(reading: _Reading) -> tuple[str, str]:
+    return reading.outline.team, reading.origin
+
+
+def _get_order(fault: Fault) -> tuple[str, int, str, str]:
+    return fault.origin, fault.line, fault.path, fault.text
--- a/trefoilpick/cli.py
+++ b/trefoilpick/cli.py
@@ -4,7 +4,9 @@
 
 import typer
 
+from trefoilpick._cli_documents import check
 from trefoilpick._cli_keys import keys
+from trefoilpick._cli_standin import standin
 from trefoilpick._cli_status import status
 
 app = typer.Typer(
@@ -22,6 +24,10 @@
     """Distribute configuration to a service mesh."""
 
 
+app.command()(check)
+app.command()(standin)
+
+
 def main() -> None:
     """Run the command line."""
     app()
--- /dev/null
+++ b/trefoilpick/publishing.py
@@ -0,0 +1,158 @@
+"""Section files of teams, and the local folder that operators publish versions from."""
+
+from __future__ import annotations
+
+import os
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from trefoilpick.checks import SectionText
+from trefoilpick.document import Document
+from trefoilpick.errors import ErrorKind, TrefoilpickError
+from trefoilpick.manifest import (
+    Manifest,
+    SectionRef,
+    compute_digest,
+    decode_manifest,
+    encode_manifest,
+)
+from trefoilpick.sections import decode_section, encode_section
+from trefoilpick.source import MANIFEST_KEY, name_section_key
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from pathlib import Path
+
+SECTION_SUFFIX = ".jsonc"
+"""End of the names of section files in a folder."""
+
+VMS_FILE = "vms.jsonc"
+"""Name of a file that is no section, in a folder of section files."""
+
+
+@dataclass(frozen=True)
+class Publication:
+    """A published version.
+
+    Attributes:
+        manifest: Its manifest.
+        document: Its sections.
+    """
+
+    manifest: Manifest
+    document: Document
+
+
+def read_section_files(paths: Iterable[Path]) -> tuple[SectionText, ...]:
+    """Read section files; a folder stands for its `*.jsonc` files without `vms.jsonc`.
+
+    Raises:
+        TrefoilpickError: `FILE_UNREADABLE`.
+    """
+    files = [file for path in paths for file in _list_files(path)]
+    return tuple(SectionText(str(file), _read_text(file)) for file in files)
+
+
+def read_publication(folder: Path) -> Publication | None:
+    """Read the newest version of a folder.
+
+    Args:
+        folder: A folder with `manifest` and `sections/<digest>`.
+
+    Returns:
+        The version; None where the folder holds no manifest.
+
+    Raises:
+        TrefoilpickError: `FILE_UNREADABLE`, `MANIFEST_FAULTY`, `DIGEST_MISMATCH` or
+            `DOCUMENT_FAULTY`.
+    """
+    if not (folder / MANIFEST_KEY).exists():
+        return None
+    manifest = decode_manifest(_read_bytes(folder / MANIFEST_KEY))
+    sections = []
+    for ref in manifest.sections:
+        data = _read_bytes(folder / name_section_key(ref.digest))
+        if compute_digest(data) != ref.digest:
+            text = f'section "{ref.team}" of version {manifest.number} does not have its digest'
+            raise TrefoilpickError(ErrorKind.DIGEST_MISMATCH, text)
+        sections.append(decode_section(data))
+    return Publication(manifest, Document(tuple(sections)))
+
+
+def list_owners(document: Document) -> dict[str, str]:
+    """Return the team by upstream."""
+    return {
+        upstream.name: section.team
+        for section in document.sections
+        for upstream in section.upstreams
+    }
+
+
+def build_manifest(document: Document, *, number: int, accepted_at_ms: int) -> Manifest:
+    """Build the manifest that accepts a document.
+
+    Args:
+        document: A document without faults.
+        number: The version's number.
+        accepted_at_ms: Time of acceptance, in milliseconds since the Unix epoch.
+    """
+    encoded = ((section.team, encode_section(section)) for section in document.sections)
+    refs = tuple(SectionRef(team, compute_digest(data), len(data)) for team, data in encoded)
+    return Manifest(number, accepted_at_ms, refs)
+
+
+def write_publication(folder: Path, publication: Publication) -> None:
+    """Write a version to a folder: its sections first, its manifest last.
+
+    Each file appears whole, by a rename. Sections of older versions stay.
+
+    Raises:
+        TrefoilpickError: `FILE_UNREADABLE`, where the folder cannot be written.
+    """
+    try:
+        for section in publication.document.sections:
+            data = encode_section(section)
+            _write_file(folder / name_section_key(compute_digest(data)), data)
+        _write_file(folder / MANIFEST_KEY, encode_manifest(publication.manifest))
+    except OSError as error:
+        text = f'folder "{folder}" cannot be written: {error.strerror}'
+        raise TrefoilpickError(ErrorKind.FILE_UNREADABLE, text) from error
+
+
+def _list_files(path: Path) -> list[Path]:
+    if not path.is_dir():
+        return [path]
+    files = [file for file in sorted(path.glob(f"*{SECTION_SUFFIX}")) if file.name != VMS_FILE]
+    if not files:
+        text = f'folder "{path}" has no section files (*{SECTION_SUFFIX})'
+        raise TrefoilpickError(ErrorKind.FILE_UNREADABLE, text)
+    return files
+
+
+def _write_file(path: Path, data: bytes) -> None:
+    path.parent.mkdir(parents=True, exist_ok=True)
+    if path.exists() and path.read_bytes() == data:
+        return
+    partial = path.with_name(f".{path.name}.{os.getpid()}.partial")
+    with partial.open("wb") as file:
+        file.write(data)
+        file.flush()
+        os.fsync(file.fileno())
+    partial.replace(path)
+
+
+def _read_text(path: Path) -> str:
+    try:
+        return _read_bytes(path).decode("utf-8")
+    except UnicodeDecodeError as error:
+        raise TrefoilpickError(
+            ErrorKind.FILE_UNREADABLE, f'file "{path}" is not UTF-8 at byte {error.start}'
+        ) from error
+
+
+def _read_bytes(path: Path) -> bytes:
+    try:
+        return path.read_bytes()
+    except OSError as error:
+        text = f'file "{path}" cannot be read: {error.strerror}'
+        raise TrefoilpickError(ErrorKind.FILE_UNREADABLE, text) from error
--- /dev/null
+++ b/trefoilpick/sections.py
@@ -0,0 +1,91 @@
+"""Encoding of a section as the platform holds it: canonical JSON without comments.
+
+Fields that have their default values are left out. So a section that does not use a new field
+reads well on nodes of the release before, and few bytes travel.
+"""
+
+from __future__ import annotations
+
+from dataclasses import MISSING, Field, fields
+from enum import Enum
+from functools import singledispatch
+from typing import Any
+
+import msgspec
+
+from trefoilpick._fields import list_unknown_fields
+from trefoilpick.document import (
+    MAX_SECTION_BYTES,
+    Contract,
+    Match,
+    Objective,
+    Route,
+    Section,
+    Upstream,
+)
+from trefoilpick.errors import ErrorKind, TrefoilpickError
+
+_DECODER = msgspec.json.Decoder(Section)
+
+
+def encode_section(section: Section) -> bytes:
+    """Return the canonical JSON of a section: the same bytes for equal sections."""
+    return msgspec.json.encode(_strip_defaults(section))
+
+
+def decode_section(data: bytes) -> Section:
+    """Read and check one section of the platform.
+
+    Args:
+        data: JSON in the canonical encoding or any other, without comments.
+
+    Raises:
+        TrefoilpickError: `DOCUMENT_FAULTY`, naming the first fault.
+    """
+    if len(data) > MAX_SECTION_BYTES:
+        text = f"section has {len(data)} bytes, over {MAX_SECTION_BYTES}"
+        raise TrefoilpickError(ErrorKind.DOCUMENT_FAULTY, text)
+    try:
+        section = _DECODER.decode(data)
+        unknown = list_unknown_fields(msgspec.json.decode(data), Section)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        raise TrefoilpickError(ErrorKind.DOCUMENT_FAULTY, f"section: {error}") from error
+    for path in unknown:
+        text = f'section "{section.team}": unknown field "{path}"'
+        raise TrefoilpickError(ErrorKind.DOCUMENT_FAULTY, text)
+    return section
+
+
+@singledispatch
+def _strip_defaults(value: Any) -> Any:
+    return value
+
+
+@_strip_defaults.register
+def _(value: Enum) -> Any:
+    return value.value
+
+
+@_strip_defaults.register
+def _(value: tuple) -> list[Any]:
+    return [_strip_defaults(item) for item in value]
+
+
+@_strip_defaults.register(Section)
+@_strip_defaults.register(Upstream)
+@_strip_defaults.register(Route)
+@_strip_defaults.register(Match)
+@_strip_defaults.register(Contract)
+@_strip_defaults.register(Objective)
+def _(value: Any) -> dict[str, Any]:
+    return {
+        entry.name: _strip_defaults(getattr(value, entry.name))
+        for entry in fields(value)
+        if getattr(value, entry.name) != _get_default(entry)
+    }
+
+
+def _get_default(entry: Field[Any]) -> Any:
+    if entry.default_factory is not MISSING:
+        return entry.default_factory()
+    return entry.default
--- a/trefoilpick/source.py
+++ b/trefoilpick/source.py
@@ -7,7 +7,20 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
+
+import curio
+
+from trefoilpick._source_connection import (
+    SourceConnection,
+    SourceReply,
+    open_source_connection,
+    split_address,
+)
+from trefoilpick.errors import ErrorKind, TrefoilpickError
+
+if TYPE_CHECKING:
+    from trefoilpick.settings import SourceSettings
 
 MANIFEST_KEY = "manifest"
 """Key of the newest accepted manifest."""
@@ -15,6 +28,17 @@
 VMS_KEY = "vms"
 """Key of the list of VMs."""
 
+READS = ""
+"""Use of the kept connection that serves reads; watches use their keys."""
+
+STATUS_OK = 200
+STATUS_NOT_MODIFIED = 304
+STATUS_NOT_FOUND = 404
+STATUS_RATE_LIMITED = 429
+
+MAX_REVISION_DIGITS = 18
+"""Longest revision that a node accepts, in decimal digits."""
+
 
 @dataclass(frozen=True)
 class SourceValue:
@@ -50,6 +74,152 @@
         """
 
 
+class HttpSource:
+    """The configuration service over HTTP.
+
+    One connection is kept for reads and one for each watched key. A connection on which a call
+    did not end well is closed and never used again.
+
+    Args:
+        settings: Addresses and times.
+
+    Attributes:
+        calls: Calls made, whatever their outcome.
+        bytes_received: Bytes that the service sent.
+        bytes_sent: Bytes that the service was sent.
+    """
+
+    def __init__(self, settings: SourceSettings) -> None:
+        self.calls = 0
+        self.bytes_received = 0
+        self.bytes_sent = 0
+        self._settings = settings
+        self._next_address = 0
+        self._kept: dict[str, SourceConnection] = {}
+        self._locks: dict[str, curio.Lock] = {}
+
+    async def read_value(self, key: str) -> SourceValue:
+        """Read a value now.
+
+        Raises:
+            TrefoilpickError: `SOURCE_UNAVAILABLE` or `SOURCE_RATE_LIMITED`.
+        """
+        timeout_s = self._settings.read_timeout_ms / 1000
+        reply = await self._call(READS, f"/v1/values/{key}", timeout_s)
+        return _read_reply(key, reply)
+
+    async def watch_value(self, key: str, *, after: int) -> SourceValue | None:
+        """Wait until a value has a revision after the given one.
+
+        Returns:
+            The value; None where the watch ended without a change.
+
+        Raises:
+            TrefoilpickError: `SOURCE_UNAVAILABLE` or `SOURCE_RATE_LIMITED`.
+        """
+        wait_ms = self._settings.watch_ms
+        timeout_s = (wait_ms + self._settings.read_timeout_ms) / 1000
+        target = f"/v1/values/{key}?after={after}&wait_ms={wait_ms}"
+        reply = await self._call(key, target, timeout_s)
+        if reply.status == STATUS_NOT_MODIFIED:
+            return None
+        return _read_reply(key, reply)
+
+    async def close(self) -> None:
+        """Close the kept connections."""
+        kept, self._kept = self._kept, {}
+        for connection in kept.values():
+            await connection.close()
+
+    async def _call(self, use: str, target: str, timeout_s: float) -> SourceReply:
+        async with self._locks.setdefault(use, curio.Lock()):
+            failure: TrefoilpickError | None = None
+            for _ in self._settings.addresses:
+                try:
+                    return await self._call_address(use, target, timeout_s)
+                except TrefoilpickError as error:
+                    failure = error
+                    self._next_address += 1
+            assert failure is not None
+            raise failure
+
+    async def _call_address(self, use: str, target: str, timeout_s: float) -> SourceReply:
+        addresses = self._settings.addresses
+        address = addresses[self._next_address % len(addresses)]
+        try:
+            async with curio.timeout_after(timeout_s):
+                reply = await self._call_kept(use, target)
+                if reply is not None:
+                    return reply
+                connection = await open_source_connection(address)
+                return await self._call_on(connection, use, target)
+        except curio.TaskTimeout as error:
+            text = f'source "{address}" did not answer within {timeout_s:g} s'
+            raise TrefoilpickError(ErrorKind.SOURCE_UNAVAILABLE, text) from error
+        except OSError as error:
+            text = f'source "{address}" cannot be reached: {error}'
+            raise TrefoilpickError(ErrorKind.SOURCE_UNAVAILABLE, text) from error
+
+    async def _call_kept(self, use: str, target: str) -> SourceReply | None:
+        # None where no connection is kept, or the service closed it while it was idle.
+        connection = self._kept.pop(use, None)
+        if connection is None:
+            return None
+        received = connection.bytes_received
+        try:
+            return await self._call_on(connection, use, target)
+        except (OSError, TrefoilpickError):
+            if connection.bytes_received > received:
+                raise
+            return None
+
+    async def _call_on(self, connection: SourceConnection, use: str, target: str) -> SourceReply:
+        received, sent = connection.bytes_received, connection.bytes_sent
+        self.calls += 1
+        is_kept = False
+        try:
+            reply = await connection.call(target)
+            is_kept = reply.may_reuse
+        finally:
+            self.bytes_received += connection.bytes_received - received
+            self.bytes_sent += connection.bytes_sent - sent
+            if is_kept:
+                self._kept[use] = connection
+            else:
+                await connection.close()
+        return reply
+
+
+def _read_reply(key: str, reply: SourceReply) -> SourceValue:
+    if reply.status == STATUS_RATE_LIMITED:
+        text = f'source refused value "{key}": rate limit'
+        raise TrefoilpickError(ErrorKind.SOURCE_RATE_LIMITED, text)
+    if reply.status == STATUS_NOT_FOUND:
+        raise TrefoilpickError(ErrorKind.SOURCE_UNAVAILABLE, f'source has no value "{key}"')
+    if reply.status != STATUS_OK:
+        text = f'source answered value "{key}" with status {reply.status}'
+        raise TrefoilpickError(ErrorKind.SOURCE_UNAVAILABLE, text)
+    revision = reply.revision
+    if not (revision.isascii() and revision.isdigit() and len(revision) <= MAX_REVISION_DIGITS):
+        text = f'source sent value "{key}" without a revision'
+        raise TrefoilpickError(ErrorKind.SOURCE_UNAVAILABLE, text)
+    return SourceValue(reply.body, int(revision))
+
+
+def open_source(settings: SourceSettings) -> HttpSource:
+    """Build the client of the configuration service; it connects at the first call.
+
+    Args:
+        settings: Addresses and times.
+
+    Raises:
+        TrefoilpickError: `SETTINGS_FAULTY`, where an address is not of the form ip:port.
+    """
+    for address in settings.addresses:
+        split_address(address)
+    return HttpSource(settings)
+
+
 def name_section_key(digest: str) -> str:
     """Return the key of the section with a digest."""
     return f"sections/{digest}"
--- /dev/null
+++ b/trefoilpick/standin.py
@@ -0,0 +1,317 @@
+"""A stand-in for the platform's configuration service, for trials, demos and tests.
+
+It serves `GET /v1/values/<key>`, and with `?after=<revision>&wait_ms=<time>` as a long poll that
+ends with 304 where nothing changed. It counts every call, limits their rate, and can be told to
+be slow, down, stale, truncated, wrong or to go backwards.
+"""
+
+from __future__ import annotations
+
+import re
+from contextlib import suppress
+from pathlib import Path
+from socket import IPPROTO_TCP, TCP_NODELAY
+from typing import TYPE_CHECKING, Any
+from urllib.parse import parse_qs, urlsplit
+
+import curio
+import h11
+import msgspec
+from curio.network import tcp_server_socket
+
+from trefoilpick._standin_values import Faults, StandinCounts, Values
+from trefoilpick.errors import ErrorKind, TrefoilpickError
+from trefoilpick.source import MANIFEST_KEY, VMS_KEY, SourceValue
+
+if TYPE_CHECKING:
+    from types import TracebackType
+
+POLL_S = 0.05
+"""Time between looks at the folder, in seconds."""
+
+MAX_WAIT_MS = 600_000
+"""Longest wait of a watch, in milliseconds."""
+
+MAX_REQUEST_BYTES = 65_536
+"""Largest body of a request, in bytes."""
+
+BACKLOG = 1_024
+"""Connections that may wait to be accepted."""
+
+READ_BYTES = 65_536
+"""Bytes asked of the socket at a time."""
+
+DEFAULT_RATE = 2_000
+"""Calls a second that the service answers."""
+
+VALUES_PATH = "/v1/values/"
+FAULTS_PATH = "/standin/faults"
+COUNTS_PATH = "/standin/counts"
+
+_KEY = re.compile(r"manifest|vms|sections/[0-9a-f]{32}")
+
+
+class Standin:
+    """A configuration service in this process.
+
+    Use it as a context manager, which serves in tasks of the running kernel, or `run` it.
+
+    Args:
+        sock: A listening curio socket.
+        folder: Folder with the published values; None where code puts them.
+        rate: Calls a second that are answered; more are refused with status 429.
+
+    Attributes:
+        address: Where it listens, as "ip:port".
+        values: The values that it serves.
+    """
+
+    def __init__(self, sock: Any, *, folder: Path | None, rate: int) -> None:
+        host, port = sock.getsockname()[:2]
+        self.address = f"{host}:{port}"
+        self.values = Values()
+        self._sock = sock
+        self._folder = folder
+        self._rate = rate
+        self._faults = Faults()
+        self._changed = curio.Condition()
+        self._task: curio.Task | None = None
+
+    @property
+    def counts(self) -> StandinCounts:
+        """Calls so far."""
+        return self.values.counts.read()
+
+    async def put_value(self, key: str, data: bytes) -> int:
+        """Publish a value and wake its watches.
+
+        Args:
+            key: "manifest", "vms" or "sections/<digest>".
+            data: The value's bytes.
+
+        Returns:
+            The value's revision.
+        """
+        revision = self.values.put(key, data)
+        await self._wake()
+        return revision
+
+    async def set_faults(self, faults: Faults) -> None:
+        """Switch the faults from now on."""
+        self._faults = faults
+        self.values.freeze(is_frozen=faults.stale)
+        await self._wake()
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        async with curio.TaskGroup(wait=any) as group:
+            if self._folder is not None:
+                await group.spawn(self._follow_folder, self._folder)
+            await group.spawn(self._accept)
+
+    async def close(self) -> None:
+        """Stop serving and close every connection."""
+        if self._task is not None:
+            await self._task.cancel()
+            self._task = None
+        await self._sock.close()
+
+    async def __aenter__(self) -> Standin:
+        self._task = await curio.spawn(self.run)
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        await self.close()
+
+    async def _wake(self) -> None:
+        async with self._changed:
+            await self._changed.notify_all()
+
+    async def _follow_folder(self, folder: Path) -> None:
+        seen: dict[str, tuple[int, int, int]] = {}
+        while True:
+            for key in (MANIFEST_KEY, VMS_KEY):
+                with suppress(OSError):
+                    stat = (folder / key).stat()
+                    mark = (stat.st_mtime_ns, stat.st_size, stat.st_ino)
+                    if seen.get(key) != mark:
+                        seen[key] = mark
+                        await self.put_value(key, (folder / key).read_bytes())
+            await curio.sleep(POLL_S)
+
+    async def _accept(self) -> None:
+        async with curio.TaskGroup(wait=None) as group:
+            while True:
+                client, _ = await self._sock.accept()
+                client.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+                await group.spawn(self._serve, client, daemon=True)
+
+    async def _serve(self, client: Any) -> None:
+        protocol = h11.Connection(h11.SERVER)
+        async with client:
+            with suppress(OSError, h11.ProtocolError):
+                while await self._serve_call(client, protocol):
+                    protocol.start_next_cycle()
+
+    async def _serve_call(self, client: Any, protocol: h11.Connection) -> bool:
+        request, body = await _receive_request(client, protocol)
+        if request is None:
+            return False
+        target = urlsplit(request.target.decode("ascii", "replace"))
+        if target.path == COUNTS_PATH:
+            return await _send(client, protocol, 200, msgspec.json.encode(self.counts))
+        if target.path == FAULTS_PATH:
+            return await self._switch_faults(client, protocol, body)
+        if request.method != b"GET" or not target.path.startswith(VALUES_PATH):
+            return await _send(client, protocol, 404)
+        query = {name: found[-1] for name, found in parse_qs(target.query).items()}
+        key = target.path.removeprefix(VALUES_PATH)
+        return await self._answer_value(client, protocol, key, query)
+
+    async def _switch_faults(self, client: Any, protocol: h11.Connection, body: bytes) -> bool:
+        try:
+            faults = msgspec.json.decode(body, type=Faults)
+        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+            return await _send(client, protocol, 400, str(error).encode())
+        await self.set_faults(faults)
+        return await _send(client, protocol, 200, msgspec.json.encode(faults))
+
+    async def _answer_value(
+        self, client: Any, protocol: h11.Connection, key: str, query: dict[str, str]
+    ) -> bool:
+        now_s = int(await curio.clock())
+        is_watch = "after" in query
+        if self.values.counts.add(now_s, key, is_watch=is_watch) > self._rate:
+            self.values.counts.rate_limited += 1
+            return await _send(client, protocol, 429, headers=[("retry-after", "1")])
+        faults = self._faults if key.startswith(self._faults.prefix) else Faults()
+        if faults.delay_ms:
+            await curio.sleep(faults.delay_ms / 1000)
+        if faults.down:
+            return await _send(client, protocol, 503)
+        value = await self._wait(key, query) if is_watch else self._find(key)
+        if value is None:
+            return await _send(client, protocol, 304 if is_watch else 404)
+        return await self._send_value(client, protocol, key, value)
+
+    async def _wait(self, key: str, query: dict[str, str]) -> SourceValue | None:
+        after, wait_ms = _read_number(query, "after"), _read_number(query, "wait_ms")
+        self.values.counts.watching += 1
+        try:
+            async with curio.ignore_after(min(wait_ms, MAX_WAIT_MS) / 1000):
+                while True:
+                    value = self._find(key)
+                    if value is not None and value.revision > after:
+                        return value
+                    async with self._changed:
+                        await self._changed.wait()
+            return None
+        finally:
+            self.values.counts.watching -= 1
+
+    def _find(self, key: str) -> SourceValue | None:
+        if not _KEY.fullmatch(key):
+            return None
+        value = self.values.get(key)
+        if value is None and self._folder is not None and key not in (MANIFEST_KEY, VMS_KEY):
+            with suppress(OSError):
+                self.values.put(key, (self._folder / key).read_bytes())
+            value = self.values.get(key)
+        return value
+
+    async def _send_value(
+        self, client: Any, protocol: h11.Connection, key: str, value: SourceValue
+    ) -> bool:
+        faults = self._faults if key.startswith(self._faults.prefix) else Faults()
+        if faults.backwards:
+            value = self.values.get_former(key) or value
+        data = bytes(byte ^ 1 for byte in value.data) if faults.wrong else value.data
+        headers = [("x-revision", str(value.revision))]
+        self.values.counts.bytes_sent += len(data)
+        if faults.truncated:
+            await _send_part(client, protocol, data, headers)
+            return False
+        return await _send(client, protocol, 200, data, headers=headers)
+
+
+def open_standin(
+    host: str = "127.0.0.1",
+    port: int = 0,
+    *,
+    folder: Path | None = None,
+    rate: int = DEFAULT_RATE,
+) -> Standin:
+    """Bind a stand-in; it serves once it is entered or run.
+
+    Args:
+        host: IP address to listen on.
+        port: Port to listen on; 0 takes a free one.
+        folder: Folder with `manifest`, `vms` and `sections/<digest>`, followed for changes.
+        rate: Calls a second that are answered.
+
+    Raises:
+        TrefoilpickError: `SETTINGS_FAULTY`, where the address cannot be listened on.
+    """
+    try:
+        sock = tcp_server_socket(host, port, backlog=BACKLOG, reuse_address=True)
+    except (OSError, OverflowError) as error:
+        text = f'stand-in cannot listen on "{host}:{port}": {error}'
+        raise TrefoilpickError(ErrorKind.SETTINGS_FAULTY, text) from error
+    return Standin(sock, folder=folder, rate=rate)
+
+
+async def _receive_request(
+    client: Any, protocol: h11.Connection
+) -> tuple[h11.Request | None, bytes]:
+    request: h11.Request | None = None
+    body = bytearray()
+    while True:
+        event = protocol.next_event()
+        if event is h11.NEED_DATA:
+            protocol.receive_data(await client.recv(READ_BYTES))
+        elif isinstance(event, h11.Request):
+            request = event
+        elif isinstance(event, h11.Data):
+            body += event.data
+            if len(body) > MAX_REQUEST_BYTES:
+                return None, b""
+        elif isinstance(event, h11.EndOfMessage):
+            return request, bytes(body)
+        else:
+            return None, b""
+
+
+async def _send(
+    client: Any,
+    protocol: h11.Connection,
+    status: int,
+    body: bytes = b"",
+    *,
+    headers: list[tuple[str, str]] | None = None,
+) -> bool:
+    length = [] if status == 304 else [("content-length", str(len(body)))]
+    parts = (
+        protocol.send(h11.Response(status_code=status, headers=length + (headers or []))),
+        protocol.send(h11.Data(data=body)) if body else b"",
+        protocol.send(h11.EndOfMessage()),
+    )
+    await client.sendall(b"".join(part or b"" for part in parts))
+    return protocol.our_state is h11.DONE and protocol.their_state is h11.DONE
+
+
+async def _send_part(
+    client: Any, protocol: h11.Connection, body: bytes, headers: list[tuple[str, str]]
+) -> None:
+    length = [("content-length", str(len(body)))]
+    head = protocol.send(h11.Response(status_code=200, headers=length + headers))
+    await client.sendall((head or b"") + body[: len(body) // 2])
+
+
+def _read_number(query: dict[str, str], name: str) -> int:
+    text = query.get(name, "0")
+    return int(text) if text.isascii() and text.isdigit() and len(text) < 19 else 0
