Run a request at most once under a token of the node beside its worker

Cause: a non-idempotent request could be told only "unknown" after a lost answer, and a retry of its caller would have run it again. Change: tokens that only the issuing process redeems, a bounded book of what ran under them, and the tests of failures of the hop server, the gate and the book. Each test of a fault counts the runs at a scripted worker and compares them with what the caller's node was told.

--- a/tests/fakes_worker.py
+++ b/tests/fakes_worker.py
@@ -88,6 +88,8 @@
         self.default: Behaviour = say()
         self.reset_after: int | None = None
         """Bytes of a request after which the connection is reset, once."""
+        self.at_accept: Callable[[Socket], Awaitable[None]] | None = None
+        """Takes the place of all else on a connection."""
         self.listener = listen()
         self.port = self.listener.getsockname()[1]
 
@@ -105,6 +107,9 @@
 
     async def _serve(self, sock: Socket) -> None:
         with suppress(OSError):
+            if self.at_accept is not None:
+                await self.at_accept(sock)
+                await curio.sleep(30)
             while call := await self._receive(sock):
                 self.ran.append(call)
                 self.running += 1
@@ -150,7 +155,7 @@
     kind: str = "cut"
     status: int | None = None
     outcome: str | None = None
-    body: bytes = b""
+    body: bytearray = field(default_factory=bytearray)
     whole: bool = False
     token: str | None = None
     headers: dict[bytes, bytes] = field(default_factory=dict)
@@ -295,7 +300,11 @@
 
 @asynccontextmanager
 async def open_bench(
-    *, drain: DrainSettings | None = None, upstream: dict[str, Any] | None = None, **hops: Any
+    *,
+    drain: DrainSettings | None = None,
+    upstream: dict[str, Any] | None = None,
+    incarnation: int = 7,
+    **hops: Any,
 ):
     worker = FakeWorker()
     settings = build_settings(worker.port, **hops)
@@ -304,7 +313,7 @@
     metrics = Metrics()
     cell = build_cell(**(upstream or {}))
     server = open_hop_server(
-        settings, cell=cell, metrics=metrics, is_level=lambda: True, incarnation=7
+        settings, cell=cell, metrics=metrics, is_level=lambda: True, incarnation=incarnation
     )
     tasks = [await curio.spawn(worker.run), await curio.spawn(server.run)]
     bench = Bench(worker, server, metrics, cell, settings.listen.hop_port)
--- a/trefoilpick/_exchange.py
+++ b/trefoilpick/_exchange.py
@@ -19,7 +19,8 @@
     encode_frame,
     encode_head,
 )
-from trefoilpick.upstreams import NOT_RUN_HEADER, NothingSentError
+from trefoilpick.tokens import KeptAnswer
+from trefoilpick.upstreams import NOT_RUN_HEADER, AnswerHead, NothingSentError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -30,7 +31,7 @@
     from trefoilpick.gate import Gate
     from trefoilpick.hops import Hop, HopRequest, Load
     from trefoilpick.metrics import Metrics
-    from trefoilpick.upstreams import AnswerHead, WorkerConnection, WorkerPool
+    from trefoilpick.upstreams import WorkerConnection, WorkerPool
 
 SHED_STATUSES = frozenset((429, 503))
 """Status codes with which a worker may say that it did not run a request."""
@@ -107,17 +108,22 @@
         self._upload: Task | None = None
         self._upload_error: TrefoilpickError | None = None
         self._answer_begun = False
+        self.was_sent = False
 
     @property
     def hop_reusable(self) -> bool:
         """Whether the hop may carry another request."""
         return self._body_received and not self._link.departed
 
-    async def run(self, upstream: Upstream) -> None:
+    async def run(self, upstream: Upstream, *, keep_bytes: int = 0) -> KeptAnswer | None:
         """Pass the request through the gate to the worker, and its answer back.
 
         Args:
             upstream: The upstream, as the enforced version describes it.
+            keep_bytes: Largest body that is returned with the answer, in bytes.
+
+        Returns:
+            The answer, where it is small enough to be kept.
 
         Raises:
             TrefoilpickError: The request ended without a whole answer.
@@ -133,14 +139,36 @@
         try:
             entered_s = await curio.clock()
             self._observe("trefoilpick_hop_queue_microseconds", entered_s - began_s)
-            await self._call_worker(upstream)
+            answer = await self._call_worker(upstream, keep_bytes)
             served_s = await curio.clock() - entered_s
             self._observe("trefoilpick_hop_service_microseconds", served_s)
+            return answer
         finally:
             await self._stop_upload()
             await self._give_back_connection(upstream)
             await gate.leave(served_s=served_s)
 
+    async def repeat(self, answer: KeptAnswer) -> None:
+        """Send an answer that was kept.
+
+        Args:
+            answer: The answer of an earlier request under the same token.
+        """
+        head = AnswerHead(answer.status, answer.headers)
+        self._answer_begun = True
+        await self._send(
+            self._encode_answer(head), encode_data([answer.body]), encode_frame(FrameKind.END)
+        )
+
+    async def grant(self, token: str) -> None:
+        """Send a new token.
+
+        Args:
+            token: The token.
+        """
+        head = self._encode_answer(AnswerHead(204, []), token=token)
+        await self._send(head, encode_frame(FrameKind.END))
+
     async def fail(self, error: TrefoilpickError) -> bool:
         """Tell the caller's node that the request ended without an answer.
 
@@ -180,9 +208,7 @@
 
     def _take_frame(self, frame: Frame | None) -> None:
         if frame is None:
-            raise TrefoilpickError(
-                ErrorKind.CALLER_GONE, "hop ended within a body", outcome=Outcome.NOT_RUN
-            )
+            raise TrefoilpickError(ErrorKind.CALLER_GONE, "hop ended within a body")
         if frame.kind is FrameKind.DATA:
             self._chunks.append(frame.payload)
         elif frame.kind is FrameKind.END:
@@ -190,12 +216,12 @@
         else:
             raise _reject_frame(frame)
 
-    async def _call_worker(self, upstream: Upstream) -> None:
+    async def _call_worker(self, upstream: Upstream, keep_bytes: int) -> KeptAnswer | None:
         try:
             async with curio.timeout_after(self._deadline_s - await curio.clock()):
                 head = await self._attempt_twice(upstream)
             self._check_shed(head)
-            await self._pass_answer(head)
+            return await self._pass_answer(head, keep_bytes)
         except curio.TaskTimeout as error:
             raise self._refuse_late() from error
         except curio.TaskCancelled as error:
@@ -209,6 +235,7 @@
         try:
             return await self._attempt(connection)
         except NothingSentError as error:
+            self.was_sent = False
             if connection.is_fresh:
                 raise _refuse_connection() from error
         except TrefoilpickError as error:
@@ -240,8 +267,15 @@
         if remaining_s <= 0:
             raise self._refuse_late()
         whole = self._body_received
+        is_retry = self._request.is_retry or self.was_sent
+        # Set before: where the sending is interrupted, some bytes may have left.
+        self.was_sent = True
         await connection.send_request(
-            self._request, max(1, int(remaining_s * 1000)), self._chunks, whole=whole
+            self._request,
+            self._chunks,
+            remaining_ms=max(1, int(remaining_s * 1000)),
+            whole=whole,
+            is_retry=is_retry,
         )
         if whole:
             self._link.cancellable = self._request.idempotent
@@ -266,19 +300,14 @@
         except OSError:
             await self._link.task.cancel(blocking=False)
 
-    async def _pass_answer(self, head: AnswerHead) -> None:
+    async def _pass_answer(self, head: AnswerHead, keep_bytes: int) -> KeptAnswer | None:
         connection = self._connection
         assert connection is not None
-        answer = HopAnswer(
-            status=head.status,
-            headers=head.headers,
-            load=self._service.measure_load(),
-            outcome=_judge_outcome(head.status).value,
-            token=None,
-        )
-        frames = [encode_head(FrameKind.ANSWER, answer)]
+        keeper = AnswerKeeper(head, keep_bytes)
+        frames = [self._encode_answer(head)]
         while True:
             chunks = connection.take_data()
+            keeper.add(chunks)
             if chunks:
                 frames.append(encode_data(chunks))
             if connection.answer_complete:
@@ -287,15 +316,28 @@
                 self._answer_begun = True
                 await self._send(*frames)
             frames = []
-            try:
-                async with curio.timeout_after(self._service.body_idle_s):
-                    await connection.fill()
-            except curio.TaskTimeout as error:
-                raise TrefoilpickError(
-                    ErrorKind.ANSWER_CUT, "worker's answer stands still"
-                ) from error
+            await self._fill(connection)
         self._answer_begun = True
         await self._send(*frames, encode_frame(FrameKind.END))
+        return keeper.build()
+
+    async def _fill(self, connection: WorkerConnection) -> None:
+        try:
+            async with curio.timeout_after(self._service.body_idle_s):
+                await connection.fill()
+        except curio.TaskTimeout as error:
+            text = "worker's answer stands still"
+            raise TrefoilpickError(ErrorKind.ANSWER_CUT, text) from error
+
+    def _encode_answer(self, head: AnswerHead, *, token: str | None = None) -> bytes:
+        answer = HopAnswer(
+            status=head.status,
+            headers=head.headers,
+            load=self._service.measure_load(),
+            outcome=_judge_outcome(head.status).value,
+            token=token,
+        )
+        return encode_head(FrameKind.ANSWER, answer)
 
     def _check_shed(self, head: AnswerHead) -> None:
         if head.status not in SHED_STATUSES:
@@ -310,7 +352,7 @@
         )
 
     def _refuse_late(self) -> TrefoilpickError:
-        if self._connection is not None and self._connection.sent:
+        if self.was_sent:
             text = "time is over and the worker has not answered"
             return TrefoilpickError(ErrorKind.DEADLINE_AFTER_SEND, text)
         text = "time is over before the request was sent"
@@ -349,6 +391,36 @@
         self._service.metrics.observe(name, seconds * 1e6, priority=self._request.priority)
 
 
+class AnswerKeeper:
+    """Collects the body of an answer while it is small enough to be kept.
+
+    Args:
+        head: Head of the answer.
+        limit: Largest body that is kept, in bytes; 0 keeps nothing.
+    """
+
+    def __init__(self, head: AnswerHead, limit: int) -> None:
+        self._head = head
+        self._room = limit
+        self._chunks: list[bytes] | None = [] if limit else None
+
+    def add(self, chunks: list[bytes]) -> None:
+        """Add a part of the body."""
+        if self._chunks is None:
+            return
+        self._room -= sum(map(len, chunks))
+        if self._room < 0:
+            self._chunks = None
+        else:
+            self._chunks += chunks
+
+    def build(self) -> KeptAnswer | None:
+        """Return the answer; None where it is too large."""
+        if self._chunks is None:
+            return None
+        return KeptAnswer(self._head.status, self._head.headers, b"".join(self._chunks))
+
+
 async def drop_rest(hop: Hop, *, limit_s: float) -> None:
     """Read and forget the rest of a body, so that the last frame sent is not lost to a reset.
 
--- /dev/null
+++ b/trefoilpick/_redemption.py
@@ -0,0 +1,79 @@
+"""One request under a token: it runs, waits for the one that runs, or gets the kept answer."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import curio
+
+from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError, find_answer
+from trefoilpick.tokens import TokenState
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from trefoilpick._exchange import Exchange
+    from trefoilpick.document import Upstream
+    from trefoilpick.hops import HopRequest
+    from trefoilpick.tokens import TokenBook, TokenEntry
+
+
+async def run_once(
+    book: TokenBook,
+    exchange: Exchange,
+    request: HopRequest,
+    *,
+    deadline_s: float,
+    admit: Callable[[HopRequest], Upstream],
+) -> None:
+    """Answer a request under its token, and run it unless one ran already.
+
+    Args:
+        book: Tokens of this process.
+        exchange: The request and its answer.
+        request: The request's head.
+        deadline_s: Reading of the clock at which the answer's head is due, in seconds.
+        admit: Returns the upstream where the node takes work.
+
+    Raises:
+        TrefoilpickError: The request ended without a whole answer.
+    """
+    assert request.token is not None
+    while True:
+        entry = book.find(request.token, request, await curio.clock())
+        if entry.state is TokenState.FREE:
+            await _run(book, entry, exchange, admit(request))
+            return
+        if entry.state is TokenState.ENDED:
+            await exchange.repeat(entry.get_answer())
+            return
+        await _wait_for_end(entry, deadline_s)
+
+
+async def _run(book: TokenBook, entry: TokenEntry, exchange: Exchange, upstream: Upstream) -> None:
+    entry.state = TokenState.RUNNING
+    try:
+        answer = await exchange.run(upstream, keep_bytes=book.max_answer_bytes)
+    except TrefoilpickError as error:
+        if find_answer(error).outcome is Outcome.NOT_RUN:
+            await book.free(entry)
+        else:
+            await book.end(entry, error=error)
+        raise
+    except BaseException:
+        if exchange.was_sent:
+            text = "caller left while the request ran"
+            await book.end(entry, error=TrefoilpickError(ErrorKind.UPSTREAM_LOST, text))
+        else:
+            await book.free(entry)
+        raise
+    await book.end(entry, answer=answer)
+
+
+async def _wait_for_end(entry: TokenEntry, deadline_s: float) -> None:
+    try:
+        async with curio.timeout_after(deadline_s - await curio.clock()):
+            await entry.changed.wait()
+    except curio.TaskTimeout as error:
+        text = "a request under the same token still runs"
+        raise TrefoilpickError(ErrorKind.TOKEN_BUSY, text) from error
--- a/trefoilpick/hopserver.py
+++ b/trefoilpick/hopserver.py
@@ -14,9 +14,11 @@
 from curio.traps import _read_wait
 
 from trefoilpick._exchange import Exchange, HopLink, Service, drop_rest
+from trefoilpick._redemption import run_once
 from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError
 from trefoilpick.gate import Gate, GateLimits
 from trefoilpick.hops import FrameKind, Hop, HopRequest, Load, decode_head, encode_head
+from trefoilpick.tokens import open_book
 from trefoilpick.upstreams import open_pool
 
 if TYPE_CHECKING:
@@ -26,6 +28,7 @@
     from trefoilpick.metrics import Metrics
     from trefoilpick.settings import Settings
     from trefoilpick.snapshots import SnapshotCell
+    from trefoilpick.tokens import TokenBook
 
 LINGER_S = 1.0
 """Time for which the rest of a body is read after a failure, in seconds."""
@@ -61,6 +64,7 @@
         is_level: Tells whether the enforced version is as new as the fleet's.
         incarnation: Start of the process, in nanoseconds since the Unix epoch.
         gate: Admission to the worker.
+        book: Tokens for running at most once.
     """
 
     def __init__(
@@ -72,8 +76,10 @@
         is_level: Callable[[], bool],
         incarnation: int,
         gate: Gate,
+        book: TokenBook,
     ) -> None:
         self.gate = gate
+        self.book = book
         self.leaving = False
         self.refusing = False
         self._settings = settings
@@ -203,7 +209,7 @@
         kind = "answered"
         exchange = Exchange(self._service, link, request, deadline_s=deadline_s)
         try:
-            await exchange.run(self._admit(request))
+            await self._answer(exchange, request, deadline_s)
         except TrefoilpickError as error:
             kind = error.kind.value
             if not await exchange.fail(error):
@@ -218,12 +224,23 @@
         await drop_rest(link.hop, limit_s=LINGER_S)
         return False
 
+    async def _answer(self, exchange: Exchange, request: HopRequest, deadline_s: float) -> None:
+        if request.wants_token:
+            self._admit(request)
+            if self.leaving:
+                raise _refuse_draining()
+            await exchange.grant(self.book.issue(request, await curio.clock()))
+        elif request.token is not None:
+            await run_once(self.book, exchange, request, deadline_s=deadline_s, admit=self._admit)
+        else:
+            await exchange.run(self._admit(request))
+
     def _admit(self, request: HopRequest) -> Upstream:
         """Return the upstream as the enforced version describes it."""
         service = self._settings.vm.service
         snapshot = self._cell.current
         if self.refusing:
-            raise TrefoilpickError(ErrorKind.DRAINING, "node is leaving")
+            raise _refuse_draining()
         if snapshot is None:
             raise TrefoilpickError(ErrorKind.NOT_READY, "node enforces no version yet")
         if not self._is_level():
@@ -286,9 +303,21 @@
         is_level=is_level,
         incarnation=incarnation,
         gate=gate,
+        book=open_book(
+            settings.vm.name,
+            incarnation,
+            lifetime_s=settings.hops.token_lifetime_ms / 1000,
+            max_tokens=settings.hops.max_tokens,
+            max_answer_bytes=settings.hops.max_answer_bytes,
+            max_answers_bytes=settings.hops.max_answers_bytes,
+        ),
     )
 
 
+def _refuse_draining() -> TrefoilpickError:
+    return TrefoilpickError(ErrorKind.DRAINING, "node is leaving")
+
+
 def _listen(host: str, port: int) -> Socket:
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     sock = socket.socket(family, socket.SOCK_STREAM)
--- a/trefoilpick/upstreams.py
+++ b/trefoilpick/upstreams.py
@@ -82,7 +82,6 @@
     def __init__(self, sock: Socket, authority: bytes) -> None:
         self.idle_since_s = 0.0
         self.is_fresh = True
-        self.sent = False
         self.answer_begun = False
         self.answer_complete = False
         self._sock = sock
@@ -95,26 +94,36 @@
         self._surplus = False
 
     async def send_request(
-        self, request: HopRequest, remaining_ms: int, chunks: list[bytes], *, whole: bool
+        self,
+        request: HopRequest,
+        chunks: list[bytes],
+        *,
+        remaining_ms: int,
+        whole: bool,
+        is_retry: bool,
     ) -> None:
         """Send a request's head with the first part of its body.
 
         Args:
             request: The request.
-            remaining_ms: Time left until the answer's head, in milliseconds.
             chunks: The part of the body that is at hand.
+            remaining_ms: Time left until the answer's head, in milliseconds.
             whole: Whether the body ends there.
+            is_retry: Whether an earlier attempt was made.
 
         Raises:
             NothingSentError: No byte left; the request did not run.
             TrefoilpickError: `HEAD_MALFORMED` or `BODY_MALFORMED`; nothing was sent.
         """
-        data = self._encode_request(request, remaining_ms, chunks, whole)
+        headers = self._list_headers(request)
+        headers.append((DEADLINE_HEADER, b"%d" % remaining_ms))
+        if is_retry:
+            headers.append((RETRY_HEADER, b"1"))
+        data = self._encode_request(request, headers, chunks, whole)
         try:
             count = await self._sock.send(data)
         except OSError as error:
             raise NothingSentError from error
-        self.sent = True
         if count < len(data):
             await self._send_rest(memoryview(data)[count:])
 
@@ -197,7 +206,7 @@
         except h11.ProtocolError:
             return False
         self.is_fresh = False
-        self.sent = self.answer_begun = self.answer_complete = False
+        self.answer_begun = self.answer_complete = False
         return True
 
     def is_quiet(self) -> bool:
@@ -215,9 +224,8 @@
         await self._sock.close()
 
     def _encode_request(
-        self, request: HopRequest, remaining_ms: int, chunks: list[bytes], whole: bool
+        self, request: HopRequest, headers: Headers, chunks: list[bytes], whole: bool
     ) -> bytes:
-        headers = self._list_headers(request, remaining_ms)
         self._method = request.method
         try:
             head = h11.Request(method=request.method, target=request.target, headers=headers)
@@ -233,17 +241,14 @@
             raise _reject_body(error, Outcome.NOT_RUN) from error
         return b"".join(part for part in parts if part)
 
-    def _list_headers(self, request: HopRequest, remaining_ms: int) -> Headers:
+    def _list_headers(self, request: HopRequest) -> Headers:
         headers = [pair for pair in request.headers if pair[0] not in _DROPPED_HEADERS]
         names = {name for name, _ in headers}
         if b"host" not in names:
             headers.append((b"host", self._authority))
         if request.has_body and b"content-length" not in names:
             headers.append((b"transfer-encoding", b"chunked"))
-        headers.append((DEADLINE_HEADER, b"%d" % remaining_ms))
         headers.append((VERSION_HEADER, b"%d" % request.number))
-        if request.is_retry:
-            headers.append((RETRY_HEADER, b"1"))
         return headers
 
     async def _send_event(self, event: Any) -> None:
