Report service-level burn: terminal, JSON and one HTML page

Nodes hand out windows of counters and histograms by age; the command merges them, so no clock of a node matters. Burn of contracts, of convergence and of control traffic, with who burns.

--- /dev/null
+++ b/tests/test_burn.py
@@ -0,0 +1,179 @@
+from collections import Counter
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from trefoilpick._facts import CALLER_FAULTS
+from trefoilpick.burn import BurnReport, build_burn, compute_rate
+from trefoilpick.errors import ANSWERS, ErrorKind
+from trefoilpick.metrics import open_histogram
+from trefoilpick.reports import ContractStatus, NodeReport
+from trefoilpick.windows import CounterPart, HistogramPart, Window, encode_histogram
+
+CONTRACT = ContractStatus("arte", "sketches", 0.99, 500)
+MADE_AT = "2026-12-03T20:00:00+00:00"
+
+
+def build_window(
+    results: dict[str, int],
+    *,
+    begun_s: float = 60,
+    ended_s: float = 0,
+    convergence_ms: tuple[int, ...] = (),
+    control_bytes: int = 0,
+    refused: int = 0,
+) -> Window:
+    labels = {"team": "arte", "route": "sketches"}
+    counters = [
+        CounterPart("trefoilpick_requests_total", {**labels, "result": result}, amount)
+        for result, amount in results.items()
+    ]
+    counters.append(CounterPart("trefoilpick_refused_total", {"kind": "not_ready"}, refused))
+    for direction in ("in", "out"):
+        name = "trefoilpick_control_bytes_total"
+        counters.append(CounterPart(name, {"direction": direction}, control_bytes // 2))
+    histogram = open_histogram()
+    for time_ms in convergence_ms:
+        histogram.record_value(time_ms * 1_000)
+    name = "trefoilpick_convergence_microseconds"
+    histograms = (HistogramPart(name, {}, encode_histogram(histogram)),)
+    return Window(begun_s, ended_s, tuple(counters), histograms)
+
+
+def build_report(*windows: Window, vm: str = "w1", data_centre: str = "lima-a") -> NodeReport:
+    histogram = open_histogram()
+    histogram.record_value(40_000)
+    name, labels = "trefoilpick_request_microseconds", {"team": "arte", "route": "sketches"}
+    latency = HistogramPart(name, labels, encode_histogram(histogram))
+    return NodeReport(vm, data_centre, 1, 3, (CONTRACT,), 60.0, (latency,), windows)
+
+
+def burn(*reports: NodeReport) -> BurnReport:
+    return build_burn(reports, made_at=MADE_AT)
+
+
+def test_budget_by_hand() -> None:
+    # 1,000 requests at 99% leave a budget of 10 bad ones; 4 are bad, so 60% is left.
+    window = build_window({"good": 996, "slow": 1, "upstream_lost": 3, "no_route": 50})
+    (contract,) = burn(build_report(window)).contracts
+    assert (contract.requests, contract.bad, contract.caller_faults) == (1_000, 4, 50)
+    assert contract.met == pytest.approx(0.996)
+    assert contract.budget_left == pytest.approx(0.6)
+    assert [(entry.kind, entry.requests) for entry in contract.burners] == [
+        ("upstream_lost", 3),
+        ("slow", 1),
+    ]
+    assert contract.burners[0].share == pytest.approx(0.75)
+    assert contract.p99_ms == pytest.approx(40, rel=0.01)
+
+
+def test_burn_rates_by_period_are_clipped_to_the_history() -> None:
+    old = build_window({"good": 800, "shed": 100}, begun_s=4_000, ended_s=400)
+    new = build_window({"good": 98, "shed": 2}, begun_s=400, ended_s=0)
+    (contract,) = burn(build_report(old, new)).contracts
+    found = [(rate.period_s, rate.covered_s, rate.requests, rate.bad) for rate in contract.rates]
+    assert found == [
+        (300, 400, 100, 2),
+        (3_600, 4_000, 1_000, 102),
+        (21_600, 4_000, 1_000, 102),
+    ]
+    assert [rate.rate for rate in contract.rates] == pytest.approx([2.0, 10.2, 10.2])
+    young = burn(build_report(build_window({"good": 1})))
+    assert [rate.period_s for rate in young.contracts[0].rates] == [300]
+    assert young.since_s == 60
+
+
+def test_burners_name_the_data_centre() -> None:
+    reports = [
+        build_report(build_window({"good": 10, "shed": 1}), vm="w1", data_centre="lima-a"),
+        build_report(build_window({"good": 10, "shed": 5}), vm="w2", data_centre="lima-b"),
+        build_report(build_window({}, refused=7), vm="w3", data_centre="lima-c"),
+    ]
+    report = burn(*reports)
+    (contract,) = report.contracts
+    assert [(entry.data_centre, entry.requests) for entry in contract.burners] == [
+        ("lima-b", 5),
+        ("lima-a", 1),
+    ]
+    (unrouted,) = report.unrouted
+    assert (unrouted.data_centre, unrouted.kind, unrouted.requests) == ("lima-c", "not_ready", 7)
+
+
+def test_no_requests_give_no_rate() -> None:
+    (contract,) = burn(build_report(build_window({}))).contracts
+    assert contract.met is None and contract.budget_left is None
+    assert contract.rates[0].rate is None
+    assert burn().contracts == ()
+
+
+def test_convergence_against_its_bound() -> None:
+    quick = tuple([400] * 999)
+    reports = [
+        build_report(build_window({}, convergence_ms=quick)),
+        build_report(build_window({}, convergence_ms=(9_000,)), vm="w2", data_centre="lima-b"),
+    ]
+    convergence = burn(*reports).convergence
+    assert (convergence.enforcements, convergence.late) == (1_000, 1)
+    assert convergence.budget_left == pytest.approx(0.0, abs=1e-9)
+    assert convergence.rates[0].rate == pytest.approx(1.0)
+    assert convergence.data_centres[0].data_centre == "lima-b"
+    assert convergence.p50_ms == pytest.approx(400, rel=0.01)
+    assert convergence.max_ms == pytest.approx(9_000, rel=0.01)
+
+
+def test_control_bytes_are_a_rate_of_each_node() -> None:
+    reports = [
+        build_report(build_window({}, begun_s=100, control_bytes=100_000)),
+        build_report(build_window({}, begun_s=10, control_bytes=50_000), vm="w2"),
+    ]
+    control = burn(*reports).control
+    (rate,) = control.rates
+    assert control.total_bytes == 150_000
+    assert (rate.mean_bytes_per_s, rate.max_bytes_per_s, rate.max_vm) == (3_000, 5_000, "w2")
+    assert (rate.rate, rate.nodes_over) == (1.0, 1)
+
+
+RESULTS = ("good", "slow", "shed", "upstream_lost", "caller_gone", "body_too_large")
+PARTS = st.lists(
+    st.dictionaries(st.sampled_from(RESULTS), st.integers(1, 1_000_000)), min_size=1, max_size=8
+)
+
+
+@settings(derandomize=True, max_examples=20, deadline=None)
+@given(PARTS, st.lists(st.integers(1, 60_000), max_size=20))
+def test_merging_nodes_equals_counting_in_one_place(
+    parts: list[dict[str, int]], times_ms: list[int]
+) -> None:
+    whole: Counter[str] = Counter()
+    for part in parts:
+        whole.update(part)
+    apart = [
+        build_report(
+            build_window(part, convergence_ms=tuple(times_ms[index :: len(parts)])), vm=f"w{index}"
+        )
+        for index, part in enumerate(parts)
+    ]
+    together = build_report(build_window(dict(whole), convergence_ms=tuple(times_ms)))
+    merged, single = burn(*apart), burn(together)
+    assert merged.contracts == single.contracts
+    assert merged.convergence == single.convergence
+    assert burn(*apart, *apart) == merged
+
+
+@settings(derandomize=True, max_examples=100, deadline=None)
+@given(st.integers(0, 10**9), st.integers(0, 10**9), st.floats(0.5, 0.9999))
+def test_budget_is_spent_exactly_at_the_objective(good: int, bad: int, objective: float) -> None:
+    rate = compute_rate(good + bad, bad, objective)
+    if rate is None:
+        assert good + bad == 0
+        return
+    met = good / (good + bad)
+    assert 1.0 - rate == pytest.approx((met - objective) / (1.0 - objective), abs=1e-6)
+
+
+def test_caller_faults_are_a_closed_set_of_error_kinds() -> None:
+    kinds = {ErrorKind(value) for value in CALLER_FAULTS}
+    assert all(400 <= ANSWERS[kind].status < 500 for kind in kinds)
+    rest = {kind for kind, answer in ANSWERS.items() if 400 <= answer.status < 500} - kinds
+    assert rest == {ErrorKind.ANSWER_NOT_KEPT}
--- /dev/null
+++ b/tests/test_cli_operators.py
@@ -0,0 +1,174 @@
+import json
+import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+import curio
+import pytest
+from typer.testing import CliRunner
+
+from trefoilpick.cli import app
+from trefoilpick.document import Contract, Document, Match, Route, Section, Upstream
+from trefoilpick.manifest import Manifest, identify_version
+from trefoilpick.metrics import Metrics
+from trefoilpick.operators import OperatorServer, open_operator_server
+from trefoilpick.settings import KeySettings, Settings, parse_settings
+from trefoilpick.snapshots import SnapshotCell, build_snapshot
+from trefoilpick.status import FleetStatus, NodeStatus, PeerStatus, Standing, VersionRef
+
+runner = CliRunner()
+
+
+def read_settings(vm: str, *more: str) -> Settings:
+    place = f'vm: {{name: "{vm}", region: "lima", data_centre: "lima-a", service: "portafolio"}}'
+    listen = 'listen: {host: "127.0.0.1"}, worker: {host: "127.0.0.1", port: 9100}'
+    source = 'source: {addresses: ["127.0.0.1:9000"]}'
+    return parse_settings("{" + ",\n".join((place, listen, source, *more)) + "}")
+
+
+class FakeNode:
+    """An operators' port with a state that tests set."""
+
+    def __init__(self, vm: str, version: VersionRef, *, bad: int) -> None:
+        self.vm, self.version = vm, version
+        self.peers: tuple[PeerStatus, ...] = ()
+        self.metrics = Metrics()
+        self._bad = bad
+        settings = read_settings(vm)
+        self.server: OperatorServer = open_operator_server(
+            settings,
+            metrics=self.metrics,
+            describe=self.describe,
+            cell=build_cell(),
+            sweep=self.sweep,
+            port=0,
+        )
+
+    @property
+    def address(self) -> str:
+        host, port = self.server.address
+        return f"{host}:{port}"
+
+    def describe(self) -> NodeStatus:
+        place = (self.vm, "lima", "lima-a", "portafolio", 1, 1.0, True)
+        return NodeStatus(*place, version=self.version, newest=self.version)
+
+    async def sweep(self) -> FleetStatus:
+        return FleetStatus(self.describe(), self.peers)
+
+    async def run(self) -> None:
+        running = await curio.spawn(self.server.run)
+        await curio.sleep(0)
+        labels = {"team": "arte", "route": "sketches"}
+        self.metrics.count("trefoilpick_requests_total", 100 - self._bad, **labels, result="good")
+        self.metrics.count("trefoilpick_requests_total", self._bad, **labels, result="shed")
+        await running.join()
+
+
+def build_cell() -> SnapshotCell:
+    route = Route("sketches", Match("/", ("GET",)), "portafolio", Contract(idempotent=True))
+    document = Document((Section("arte", (Upstream("portafolio"),), (route,)),))
+    manifest = Manifest(3, 0, ())
+    cell = SnapshotCell()
+    cell.replace(build_snapshot(identify_version(manifest), manifest, document))
+    return cell
+
+
+def describe_peer(node: FakeNode) -> PeerStatus:
+    return PeerStatus(
+        node.vm, "lima-a", "portafolio", Standing.LEVEL, operator_address=node.address
+    )
+
+
+@contextmanager
+def serve(*nodes: FakeNode) -> Iterator[None]:
+    stopped = threading.Event()
+
+    async def main() -> None:
+        tasks = [await curio.spawn(node.run) for node in nodes]
+        while not stopped.is_set():
+            await curio.sleep(0.005)
+        for task in tasks:
+            await task.cancel()
+
+    thread = threading.Thread(target=curio.run, args=(main,))
+    thread.start()
+    try:
+        yield
+    finally:
+        stopped.set()
+        thread.join()
+
+
+def open_pair(second: VersionRef, *, bad: int = 0) -> tuple[FakeNode, FakeNode]:
+    first = FakeNode("w1", VersionRef(3, "bb" * 16), bad=0)
+    other = FakeNode("w2", second, bad=bad)
+    first.peers = (describe_peer(other),)
+    return first, other
+
+
+def test_status_of_a_level_fleet() -> None:
+    first, other = open_pair(VersionRef(3, "bb" * 16))
+    with serve(first, other):
+        result = runner.invoke(app, ["status", first.address])
+    assert result.exit_code == 0, result.output
+    assert "Version 3 (bbbbbbbb) is in force on 2 of 2 nodes" in result.output
+
+
+def test_status_names_the_lagging_node() -> None:
+    first, other = open_pair(VersionRef(2, "aa" * 16))
+    with serve(first, other):
+        shown = runner.invoke(app, ["status", first.address])
+        read = runner.invoke(app, ["status", "--json", first.address])
+    assert (shown.exit_code, read.exit_code) == (1, 1)
+    assert "Nodes that lag" in shown.output
+    view = json.loads(read.output)
+    assert [(node["vm"], node["standing"]) for node in view["nodes"]] == [
+        ("w1", "level"),
+        ("w2", "lagging"),
+    ]
+
+
+def test_burn_merges_the_fleet_that_one_node_names(tmp_path: Path) -> None:
+    first, other = open_pair(VersionRef(3, "bb" * 16), bad=20)
+    page = tmp_path / "burn.html"
+    with serve(first, other):
+        read = runner.invoke(app, ["report", "burn", "--json", "--html", str(page), first.address])
+        shown = runner.invoke(app, ["report", "burn", first.address, other.address])
+    assert (read.exit_code, shown.exit_code) == (1, 1), read.output
+    (contract,) = json.loads(read.output)["contracts"]
+    assert (contract["requests"], contract["bad"]) == (200, 20)
+    assert "arte / sketches" in shown.output and "2 nodes" in shown.output
+    assert page.read_text().startswith("<!DOCTYPE html>")
+
+
+def test_burn_says_which_figures_are_missing() -> None:
+    first, other = open_pair(VersionRef(3, "bb" * 16))
+    gone = PeerStatus("w3", "lima-b", "portafolio", Standing.UNREACHABLE, reason="no answer")
+    first.peers = (*first.peers, gone)
+    with serve(first, other):
+        result = runner.invoke(app, ["report", "burn", first.address])
+    assert result.exit_code == 3
+    assert "no figures: w3: no answer" in result.output
+
+
+@pytest.mark.parametrize("command", [["status"], ["report", "burn"]])
+def test_unreachable_and_malformed_addresses_are_one_line(command: list[str]) -> None:
+    dead = FakeNode("w1", VersionRef(3, "bb" * 16), bad=0)
+    address = dead.address
+    curio.run(dead.server._sock.close())
+    unreachable = runner.invoke(app, [*command, address])
+    malformed = runner.invoke(app, [*command, "nowhere"])
+    assert (unreachable.exit_code, malformed.exit_code) == (3, 2)
+    assert f'"{address}" cannot be reached' in unreachable.stderr
+    assert malformed.stderr.count("\n") == 1
+
+
+def test_keys_are_a_fragment_of_settings() -> None:
+    shown = runner.invoke(app, ["keys"])
+    read = runner.invoke(app, ["keys", "--json"])
+    pair = json.loads(read.output)
+    assert KeySettings(**pair).public != KeySettings(**pair).secret
+    found = read_settings("w1", shown.output).keys
+    assert found is not None and len(found.secret) == 40
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,106 @@
+from dataclasses import replace
+
+import pytest
+
+from trefoilpick.errors import TrefoilpickError
+from trefoilpick.fleet import build_view, split_address
+from trefoilpick.status import (
+    EnforcedVersion,
+    FleetStatus,
+    NodeStatus,
+    PeerStatus,
+    RefusedVersion,
+    Standing,
+    VersionRef,
+)
+
+V2, V3 = VersionRef(2, "aa" * 16), VersionRef(3, "bb" * 16)
+FAULT = RefusedVersion(3, V3.digest, "document_faulty", 'upstream "x" is not defined')
+
+
+def build_node(vm: str, version: VersionRef | None, **fields: object) -> NodeStatus:
+    status = NodeStatus(
+        vm=vm,
+        region="lima",
+        data_centre="lima-a",
+        service="portafolio",
+        incarnation=1,
+        uptime_s=1.0,
+        ready=True,
+        version=version,
+        newest=version,
+    )
+    return replace(status, **fields)
+
+
+def build_peer(vm: str, standing: Standing, version: VersionRef | None) -> PeerStatus:
+    number, digest = (version.number, version.digest) if version else (None, None)
+    reason = "no answer" if standing is Standing.UNREACHABLE else ""
+    return PeerStatus(vm, "lima-b", "portafolio", standing, number, digest, 4.0, reason)
+
+
+def test_nodes_behind_the_newest_version_lag_with_a_reason() -> None:
+    fleet = FleetStatus(
+        build_node("w1", V2, newest=V3, reasons=("waits for sections",)),
+        (
+            build_peer("w2", Standing.LEVEL, V3),
+            build_peer("w3", Standing.UNREACHABLE, V2),
+            build_peer("w4", Standing.LEVEL, V2),
+        ),
+    )
+    view = build_view(fleet, {"w4": build_node("w4", V2)})
+    assert view.newest == V3
+    assert [(entry.version, entry.nodes) for entry in view.versions] == [(V3, 1), (V2, 2)]
+    assert {node.vm: (node.standing, node.reason) for node in view.lagging} == {
+        "w1": (
+            Standing.LAGGING,
+            "has heard of version 3 and does not enforce it yet; waits for sections",
+        ),
+        "w3": (Standing.UNREACHABLE, "no answer"),
+        "w4": (Standing.LAGGING, "has not heard of version 3"),
+    }
+
+
+def test_version_that_every_node_refused_makes_none_lag() -> None:
+    refusing = {"newest": V3, "refused": (FAULT,)}
+    fleet = FleetStatus(build_node("w1", V2, **refusing), (build_peer("w2", Standing.LEVEL, V2),))
+    view = build_view(fleet, {"w2": build_node("w2", V2, **refusing)})
+    assert (view.newest, view.lagging) == (V2, ())
+    (refusal,) = view.refused
+    assert (refusal.version, refusal.text, refusal.nodes) == (V3, FAULT.text, 2)
+
+
+def test_version_that_one_node_refused_makes_it_lag() -> None:
+    fleet = FleetStatus(build_node("w1", V3), ())
+    view = build_view(fleet, {"w2": build_node("w2", V2, newest=V3, refused=(FAULT,))})
+    (lagging,) = view.lagging
+    assert (lagging.vm, lagging.standing) == ("w2", Standing.REFUSING)
+    assert FAULT.text in lagging.reason
+
+
+def test_convergence_counts_only_nodes_that_measured_it() -> None:
+    def told(vm: str, *times: float | None) -> NodeStatus:
+        versions = tuple(EnforcedVersion(3, V3.digest, 0, time) for time in times)
+        return build_node(vm, V3, versions=versions)
+
+    statuses = {"w2": told("w2", 300.0), "w3": told("w3", 900.0), "w4": told("w4", None)}
+    view = build_view(FleetStatus(told("w1", 100.0), ()), statuses)
+    (convergence,) = view.convergence
+    assert (convergence.nodes, convergence.p50_ms, convergence.max_ms) == (3, 300.0, 900.0)
+
+
+def test_fleet_without_any_version_has_none() -> None:
+    view = build_view(FleetStatus(build_node("w1", None), ()), {})
+    assert (view.newest, view.versions) == (None, ())
+    assert view.lagging[0].reason == "has not heard of any version"
+
+
+@pytest.mark.parametrize("address", ["", "a", ":80", "a:", "a:0", "a:65536", "a:x", "a:²"])
+def test_malformed_address_is_named(address: str) -> None:
+    with pytest.raises(TrefoilpickError, match="is not of the form ip:port"):
+        split_address(address)
+
+
+def test_addresses_of_both_families() -> None:
+    assert split_address("127.0.0.1:80") == ("127.0.0.1", 80)
+    assert split_address("[::1]:80") == ("::1", 80)
--- /dev/null
+++ b/trefoilpick/_cli_report.py
@@ -0,0 +1,195 @@
+"""The commands of `report`."""
+
+from __future__ import annotations
+
+from datetime import UTC, datetime
+from pathlib import Path
+from typing import TYPE_CHECKING, Annotated
+
+import curio
+import typer
+from rich import box
+from rich.table import Table
+from rich.text import Text
+
+from trefoilpick._burn_page import build_page
+from trefoilpick._burn_texts import (
+    grade_budget,
+    write_bytes,
+    write_ms,
+    write_rate,
+    write_share,
+    write_span,
+)
+from trefoilpick._console import ExitCode, console, report_errors
+from trefoilpick.burn import BurnReport, build_burn
+from trefoilpick.errors import ErrorKind, TrefoilpickError
+from trefoilpick.fleet import ask_node, ask_nodes, split_address
+from trefoilpick.reports import NodeReport
+from trefoilpick.status import FleetStatus, Standing, encode_status
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from trefoilpick.burn import ContractBurn
+
+SHOWN_BURNERS = 3
+"""Burners of one contract that the terminal shows."""
+
+STYLES = {"good": "green", "warn": "yellow", "bad": "bold red"}
+
+report = typer.Typer(help="Reports merged from the nodes' own figures.", no_args_is_help=True)
+
+
+@report.callback()
+def choose_report() -> None:
+    """Merge the figures that nodes keep in memory into a report."""
+
+
+@report.command()
+def burn(
+    addresses: Annotated[
+        list[str],
+        typer.Argument(help="Operators' ports as ip:port; one alone also names the others."),
+    ],
+    as_json: Annotated[bool, typer.Option("--json", help="Print one JSON object.")] = False,
+    html: Annotated[
+        Path | None, typer.Option(help="Write one HTML page to this file.", dir_okay=False)
+    ] = None,
+    timeout_s: Annotated[
+        float, typer.Option("--timeout", min=0.1, max=600.0, help="Time for one node, in seconds.")
+    ] = 10.0,
+) -> None:
+    """Show error budgets, burn rates, and who burns them, for every contract and for the fleet.
+
+    Exit code 0 when every node's figures are in it and no budget is spent, 1 when a budget is
+    spent, 3 when figures of some node are missing.
+    """
+    with report_errors():
+        for address in addresses:
+            split_address(address)
+    with report_errors(ExitCode.UNAVAILABLE):
+        found: BurnReport = curio.run(_collect_burn(addresses, timeout_s))
+    if html is not None:
+        with report_errors():
+            _write_page(html, found)
+    if as_json:
+        typer.echo(encode_status(found).decode())
+    else:
+        _show_burn(found)
+    if found.unreachable:
+        raise typer.Exit(ExitCode.UNAVAILABLE)
+    if found.is_spent:
+        raise typer.Exit(ExitCode.FAULTY)
+
+
+async def _collect_burn(addresses: Sequence[str], timeout_s: float) -> BurnReport:
+    missing: list[str] = []
+    asked = list(addresses)
+    if len(asked) == 1:
+        fleet = await ask_node(asked[0], "/fleet", FleetStatus, timeout_s=timeout_s)
+        for peer in fleet.peers:
+            if peer.operator_address and peer.standing is not Standing.UNREACHABLE:
+                asked.append(peer.operator_address)
+            else:
+                missing.append(f"{peer.vm}: {peer.reason or 'unreachable'}")
+    answers = await ask_nodes(asked, "/report", NodeReport, timeout_s=timeout_s)
+    reports = [answer for answer in answers.values() if isinstance(answer, NodeReport)]
+    failed = [answer for answer in answers.values() if isinstance(answer, TrefoilpickError)]
+    if not reports:
+        raise failed[0]
+    missing += [error.text for error in failed]
+    made_at = datetime.now(UTC).isoformat(timespec="seconds")
+    return build_burn(reports, made_at=made_at, unreachable=missing)
+
+
+def _write_page(path: Path, found: BurnReport) -> None:
+    try:
+        path.write_text("".join(build_page(found)), encoding="utf-8")
+    except OSError as error:
+        text = f'"{path}" cannot be written: {error.strerror}'
+        raise TrefoilpickError(ErrorKind.FILE_UNREADABLE, text) from error
+
+
+def _show_burn(found: BurnReport) -> None:
+    console.print(
+        f"{found.nodes} nodes; their figures are in memory only and at most"
+        f" {write_span(found.since_s)} old.",
+        highlight=False,
+    )
+    console.print(_build_contracts(found))
+    console.print(_build_burners(found))
+    console.print(_build_fleet(found))
+    for text in found.unreachable:
+        console.print(Text(f"no figures: {text}", "yellow"))
+
+
+def _build_contracts(found: BurnReport) -> Table:
+    periods = sorted({rate.period_s for entry in found.contracts for rate in entry.rates})
+    table = _open_table("Contracts: objective, what was met, budget left, burn rate by period")
+    table.add_column("contract", overflow="fold")
+    for heading in ("objective", "met", "left", *(write_span(p) for p in periods)):
+        table.add_column(heading, justify="right")
+    for entry in found.contracts:
+        table.add_row(*_list_cells(entry, periods))
+    return table
+
+
+def _list_cells(entry: ContractBurn, periods: list[float]) -> list[str | Text]:
+    rates = {rate.period_s: rate.rate for rate in entry.rates}
+    style = STYLES[grade_budget(entry.budget_left)]
+    return [
+        f"{entry.team} / {entry.route}",
+        f"{entry.availability * 100:g}% in {write_ms(entry.latency_ms)}",
+        write_share(entry.met, digits=3),
+        Text(write_share(entry.budget_left, digits=0), style),
+        *(write_rate(rates.get(period_s)) for period_s in periods),
+    ]
+
+
+def _build_burners(found: BurnReport) -> Table:
+    table = _open_table("Who burns")
+    for heading in ("contract", "data centre", "kind"):
+        table.add_column(heading, overflow="fold")
+    for heading in ("requests", "share"):
+        table.add_column(heading, justify="right")
+    burners = [burner for entry in found.contracts for burner in entry.burners[:SHOWN_BURNERS]]
+    for burner in (*burners, *found.unrouted):
+        table.add_row(
+            f"{burner.team} / {burner.route}" if burner.route else "no contract in force",
+            burner.data_centre,
+            burner.kind,
+            f"{burner.requests:,}",
+            f"{burner.share:.0%}",
+        )
+    return table
+
+
+def _open_table(title: str) -> Table:
+    return Table(title=title, title_justify="left", box=box.SIMPLE_HEAD, pad_edge=False)
+
+
+def _build_fleet(found: BurnReport) -> Table:
+    convergence, control = found.convergence, found.control
+    table = _open_table("Fleet")
+    for heading in ("fleet", "bound", "met"):
+        table.add_column(heading, overflow="fold")
+    for heading in ("burn", "greatest"):
+        table.add_column(heading, justify="right")
+    for rate in convergence.rates:
+        table.add_row(
+            f"convergence, {write_span(rate.period_s)}",
+            f"{write_share(convergence.share, digits=1)} in {write_ms(convergence.bound_ms)}",
+            f"{rate.enforcements - rate.late:,} of {rate.enforcements:,}",
+            write_rate(rate.rate),
+            write_ms(convergence.max_ms),
+        )
+    for control_rate in control.rates:
+        table.add_row(
+            f"control traffic, {write_span(control_rate.period_s)}",
+            f"{write_bytes(control.bound_bytes_per_s)} a node",
+            write_bytes(control_rate.mean_bytes_per_s),
+            write_rate(control_rate.rate),
+            f"{write_bytes(control_rate.max_bytes_per_s)} ({control_rate.max_vm})",
+        )
+    return table
--- a/trefoilpick/_facts.py
+++ b/trefoilpick/_facts.py
@@ -39,6 +39,7 @@
         ErrorKind.METHOD_NOT_ALLOWED,
         ErrorKind.BODY_TOO_LARGE,
         ErrorKind.BODY_MALFORMED,
+        ErrorKind.BODY_TIMEOUT,
         ErrorKind.TOKEN_MALFORMED,
         ErrorKind.TOKEN_EXPIRED,
         ErrorKind.TOKEN_FOREIGN,
@@ -86,7 +87,7 @@
 
 @dataclass(frozen=True)
 class LatencyFact:
-    """Latency of one contract's requests at one node in one window, as an encoded histogram."""
+    """Latency of one contract's requests at one node since it started, as an encoded histogram."""
 
     team: str
     route: str
@@ -130,11 +131,10 @@
 
 def list_latencies(reports: Iterable[NodeReport]) -> Iterator[LatencyFact]:
     """Yield facts about latency."""
-    for _, window in _list_windows(reports):
-        for part in window.histograms:
-            if part.name == "trefoilpick_request_microseconds":
-                team, route = part.labels.get("team", ""), part.labels.get("route", "")
-                yield LatencyFact(team, route, part.encoded)
+    for report in reports:
+        for part in report.latencies:
+            team, route = part.labels.get("team", ""), part.labels.get("route", "")
+            yield LatencyFact(team, route, part.encoded)
 
 
 def list_convergence(reports: Iterable[NodeReport]) -> Iterator[ConvergenceFact]:
--- a/trefoilpick/_metric_table.py
+++ b/trefoilpick/_metric_table.py
@@ -50,7 +50,6 @@
         "Time from a request's head to its answer's head, by contract.",
         "Compare with the contract's latency objective.",
         ("team", "route"),
-        windowed=True,
     ),
     "trefoilpick_convergence_microseconds": MetricInfo(
         MetricKind.HISTOGRAM,
--- a/trefoilpick/burn.py
+++ b/trefoilpick/burn.py
@@ -87,7 +87,7 @@
         met: Share of good requests; None without requests.
         budget_left: Share of the error budget that is left, below 0 where overspent; None
             without requests.
-        p50_ms: Median latency, in milliseconds; None without answers.
+        p50_ms: Median latency since the nodes' starts, in milliseconds; None without answers.
         p99_ms: Latency that 99 in 100 answers keep, in milliseconds; None without answers.
         rates: Burn rates, the shortest period first.
         burners: Who spends the budget, the greatest first.
@@ -134,6 +134,13 @@
     convergence: ConvergenceBurn
     control: ControlBurn
 
+    @property
+    def is_spent(self) -> bool:
+        """Whether the error budget of a contract or of convergence is spent."""
+        budgets = [entry.budget_left for entry in self.contracts]
+        budgets.append(self.convergence.budget_left)
+        return any(left is not None and left <= 0 for left in budgets)
+
 
 def build_burn(
     reports: Iterable[NodeReport], *, made_at: str, unreachable: Iterable[str] = ()
@@ -245,7 +252,7 @@
 def _list_burners(facts: list[RequestFact]) -> Iterator[Burner]:
     counts: dict[tuple[str, str, str, str], int] = {}
     for fact in facts:
-        if fact.is_bad:
+        if fact.is_bad and fact.amount > 0:
             key = (fact.team, fact.route, fact.data_centre, fact.result)
             counts[key] = counts.get(key, 0) + fact.amount
     total = sum(counts.values())
--- a/trefoilpick/cli.py
+++ b/trefoilpick/cli.py
@@ -6,6 +6,7 @@
 
 from trefoilpick._cli_documents import check
 from trefoilpick._cli_keys import keys
+from trefoilpick._cli_report import report
 from trefoilpick._cli_standin import standin
 from trefoilpick._cli_status import status
 
@@ -17,6 +18,7 @@
 )
 app.command()(status)
 app.command()(keys)
+app.add_typer(report, name="report")
 
 
 @app.callback()
--- a/trefoilpick/fleet.py
+++ b/trefoilpick/fleet.py
@@ -175,7 +175,7 @@
     Returns:
         The answer or the error, by address.
     """
-    gate = curio.BoundedSemaphore(MAX_FETCHES)
+    gate = curio.Semaphore(MAX_FETCHES)
     answers: dict[str, StatusT | TrefoilpickError] = {}
 
     async def ask(address: str) -> None:
--- a/trefoilpick/metrics.py
+++ b/trefoilpick/metrics.py
@@ -116,6 +116,12 @@
                     merged.add(histogram)
         return merged
 
+    def list_histograms(self, name: str) -> Iterator[tuple[Series, HdrHistogram]]:
+        """Yield the histograms of one name, with all that was ever recorded."""
+        for series in self._sums:
+            if series.name == name:
+                yield series, self._sum_histogram(series)
+
     def list_open_histograms(self) -> Iterator[tuple[Series, HdrHistogram]]:
         """Yield the histograms of what was recorded since they were last closed."""
         yield from self._open.items()
--- a/trefoilpick/operators.py
+++ b/trefoilpick/operators.py
@@ -183,9 +183,12 @@
 
     async def _answer_report(self) -> HttpAnswer:
         assert self._windows is not None
+        status = self._describe()
         report = build_report(
             self._settings.vm,
-            incarnation=self._describe().incarnation,
+            incarnation=status.incarnation,
+            uptime_s=status.uptime_s,
+            metrics=self._metrics,
             snapshot=self._cell.current,
             windows=self._windows,
             now_s=await curio.clock(),
--- a/trefoilpick/reports.py
+++ b/trefoilpick/reports.py
@@ -5,16 +5,21 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from trefoilpick.windows import Window
+from trefoilpick.windows import HistogramPart, Window, encode_histogram
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from trefoilpick.metrics import Metrics
     from trefoilpick.settings import VmSettings
     from trefoilpick.snapshots import Snapshot
     from trefoilpick.windows import Windows
 
 
+LATENCY = "trefoilpick_request_microseconds"
+"""Name of the histograms of latency."""
+
+
 @dataclass(frozen=True)
 class ContractStatus:
     """A route's objective, as a node enforces it.
@@ -42,6 +47,8 @@
         incarnation: Start of its process, in nanoseconds since the Unix epoch.
         number: Version number that it enforces; None without one.
         contracts: Contracts of that version.
+        uptime_s: Time since its process started, in seconds.
+        latencies: Latency of requests by contract, since its process started.
         windows: Its history, the oldest first.
     """
 
@@ -50,6 +57,8 @@
     incarnation: int
     number: int | None
     contracts: tuple[ContractStatus, ...]
+    uptime_s: float
+    latencies: tuple[HistogramPart, ...]
     windows: tuple[Window, ...]
 
 
@@ -57,6 +66,8 @@
     vm: VmSettings,
     *,
     incarnation: int,
+    uptime_s: float,
+    metrics: Metrics,
     snapshot: Snapshot | None,
     windows: Windows,
     now_s: float,
@@ -66,6 +77,8 @@
     Args:
         vm: Its VM.
         incarnation: Start of its process, in nanoseconds since the Unix epoch.
+        uptime_s: Time since that start, in seconds.
+        metrics: What it counts.
         snapshot: What it enforces.
         windows: Its history.
         now_s: Reading of the monotonic clock, in seconds.
@@ -76,10 +89,17 @@
         incarnation=incarnation,
         number=snapshot.version.number if snapshot else None,
         contracts=tuple(_list_contracts(snapshot)) if snapshot else (),
+        uptime_s=uptime_s,
+        latencies=tuple(_list_latencies(metrics)),
         windows=tuple(windows.read(now_s)),
     )
 
 
+def _list_latencies(metrics: Metrics) -> Iterator[HistogramPart]:
+    for series, histogram in metrics.list_histograms(LATENCY):
+        yield HistogramPart(series.name, dict(series.labels), encode_histogram(histogram))
+
+
 def _list_contracts(snapshot: Snapshot) -> Iterator[ContractStatus]:
     for section in snapshot.document.sections:
         for route in section.routes:
