--- a/tests/fakes_fleet.py
+++ b/tests/fakes_fleet.py
@@ -61,8 +61,10 @@
 class FakeLinks:
     """`Links` over a `FakeNetwork`."""
 
-    def __init__(self, network: FakeNetwork, address: str, mailbox: Mailbox) -> None:
-        self.traffic = Traffic()
+    def __init__(
+        self, network: FakeNetwork, address: str, mailbox: Mailbox, metrics: Metrics
+    ) -> None:
+        self.traffic = Traffic(metrics)
         self._network = network
         self._address = address
         self._mailbox = mailbox
@@ -170,7 +172,7 @@
         self.history: list[tuple[int, str]] = []
         address = f"{own.host}:{own.control_port}"
         mailbox = Mailbox(own.name, life, self.metrics)
-        self.links = FakeLinks(network, address, mailbox)
+        self.links = FakeLinks(network, address, mailbox, self.metrics)
         self.distributor: Distributor = open_distributor(
             make_settings(own, control),
             own=own,
--- /dev/null
+++ b/trefoilpick/_cli_node.py
@@ -0,0 +1,63 @@
+"""The commands `node` and `worker`: thin daemons around the library."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import TYPE_CHECKING, Annotated
+
+import curio
+import typer
+
+from trefoilpick._console import console, report_errors
+from trefoilpick._signals import watch_stop_signals
+from trefoilpick.logs import open_log
+from trefoilpick.node import open_node
+from trefoilpick.settings import read_settings
+from trefoilpick.standin_worker import Worker
+
+if TYPE_CHECKING:
+    from trefoilpick.node import Node
+
+
+def node(
+    settings: Annotated[
+        Path, typer.Option(help="Settings of the node: JSON with comments.", dir_okay=False)
+    ],
+) -> None:
+    """Run the node beside the worker of this VM until SIGTERM, then drain and exit 0."""
+    with report_errors():
+        checked = read_settings(settings)
+        open_log(checked)
+        curio.run(_serve(open_node(checked)))
+
+
+def worker(
+    vm: Annotated[str, typer.Option(help="Name of the VM that it stands on.")],
+    service: Annotated[str, typer.Option(help="Name of the upstream.")],
+    host: Annotated[str, typer.Option(help="IP address to listen on.")] = "127.0.0.1",
+    port: Annotated[int, typer.Option(help="Port to listen on.")] = 9100,
+    service_time_ms: Annotated[float, typer.Option(help="Time a request takes, in ms.")] = 0.0,
+) -> None:
+    """Run a stand-in for an upstream's worker, to try the product without one."""
+    stand_in = Worker(vm, service, host, port, service_time_s=service_time_ms / 1_000)
+    console.print(f'worker of "{service}" on {host}:{port}', highlight=False)
+    curio.run(_serve_worker(stand_in))
+
+
+async def _serve(served: Node) -> None:
+    stopped = watch_stop_signals()
+    async with curio.TaskGroup(wait=None) as tasks:
+        await tasks.spawn(_stop_on_signal, stopped, served)
+        await served.run()
+
+
+async def _stop_on_signal(stopped: curio.UniversalEvent, served: Node) -> None:
+    await stopped.wait()
+    await served.request_stop()
+
+
+async def _serve_worker(stand_in: Worker) -> None:
+    stopped = watch_stop_signals()
+    async with curio.TaskGroup(wait=any) as tasks:
+        await tasks.spawn(stand_in.run)
+        await tasks.spawn(stopped.wait)
--- /dev/null
+++ b/trefoilpick/_counted_source.py
@@ -0,0 +1,43 @@
+"""A configuration service whose bytes are counted as control traffic."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from trefoilpick.links import CONTROL_BYTES
+
+if TYPE_CHECKING:
+    from trefoilpick.metrics import Metrics
+    from trefoilpick.source import Source, SourceValue
+
+VALUE_HEAD_BYTES = 180
+"""Head of a call and of its answer, in bytes: estimate."""
+
+
+class CountedSource:
+    """Passes reads on and counts their bytes.
+
+    Args:
+        source: The service.
+        metrics: Where the bytes are counted.
+    """
+
+    def __init__(self, source: Source, metrics: Metrics) -> None:
+        self._source = source
+        self._metrics = metrics
+
+    async def read_value(self, key: str) -> SourceValue:
+        """Read a value now."""
+        value = await self._source.read_value(key)
+        self._count(value)
+        return value
+
+    async def watch_value(self, key: str, *, after: int) -> SourceValue | None:
+        """Wait until a value has a revision after the given one."""
+        value = await self._source.watch_value(key, after=after)
+        self._count(value)
+        return value
+
+    def _count(self, value: SourceValue | None) -> None:
+        amount = VALUE_HEAD_BYTES + (len(value.data) if value is not None else 0)
+        self._metrics.count(CONTROL_BYTES, amount, direction="source")
--- /dev/null
+++ b/trefoilpick/_demo_document.py
@@ -0,0 +1,90 @@
+"""The versions of Quillqa's document that the demo accepts one after another."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from trefoilpick.document import Contract, Match, Priority, Route, Section, Upstream
+
+SLOTS = 10
+"""Requests that one worker runs at a time."""
+
+CONNECTIONS = 120
+"""Connections that one worker takes."""
+
+SPREAD_LIMIT_BYTES = 512 * 1024 * 1024
+"""Largest upload of a final spread, in bytes."""
+
+
+def build_first_version() -> tuple[Section, ...]:
+    """Return version 1: teams encargos and portafolio, each with its upstream."""
+    return (_build_encargos(), _build_portafolio(archive_upstream="portafolio"))
+
+
+def build_moved_version() -> tuple[Section, ...]:
+    """Return version 2: the archive moves to the workers of encargos."""
+    return (_build_encargos(), _build_portafolio(archive_upstream="encargos"))
+
+
+def build_faulty_version() -> tuple[Section, ...]:
+    """Return version 3: the archive's route names an upstream that nobody defines."""
+    return (_build_encargos(), _build_portafolio(archive_upstream="archivo"))
+
+
+def build_last_version() -> tuple[Section, ...]:
+    """Return version 4: sketch status gets a shorter deadline."""
+    encargos, portafolio = build_moved_version()
+    sketch = portafolio.routes[0]
+    shorter = replace(sketch, contract=replace(sketch.contract, deadline_ms=2_000))
+    return encargos, replace(portafolio, routes=(shorter, *portafolio.routes[1:]))
+
+
+def _build_encargos() -> Section:
+    return Section(
+        team="encargos",
+        upstreams=(_build_upstream("encargos"),),
+        routes=(
+            Route(
+                name="advances",
+                match=Match(path_prefix="/advances", methods=("POST",)),
+                upstream="encargos",
+                contract=Contract(idempotent=False, priority=Priority.INTERACTIVE, retries=2),
+            ),
+            Route(
+                name="spreads",
+                match=Match(path_prefix="/spreads", methods=("PUT",)),
+                upstream="encargos",
+                contract=Contract(
+                    idempotent=True,
+                    deadline_ms=60_000,
+                    retries=0,
+                    body_limit_bytes=SPREAD_LIMIT_BYTES,
+                ),
+            ),
+        ),
+    )
+
+
+def _build_portafolio(*, archive_upstream: str) -> Section:
+    return Section(
+        team="portafolio",
+        upstreams=(_build_upstream("portafolio"),),
+        routes=(
+            Route(
+                name="sketches",
+                match=Match(path_prefix="/sketches", methods=("GET",)),
+                upstream="portafolio",
+                contract=Contract(idempotent=True, retries=2),
+            ),
+            Route(
+                name="archive",
+                match=Match(path_prefix="/archive", methods=("GET",)),
+                upstream=archive_upstream,
+                contract=Contract(idempotent=True, priority=Priority.DEFERRABLE),
+            ),
+        ),
+    )
+
+
+def _build_upstream(name: str) -> Upstream:
+    return Upstream(name=name, slots=SLOTS, connections=CONNECTIONS)
--- /dev/null
+++ b/trefoilpick/_demo_fleet.py
@@ -0,0 +1,191 @@
+"""The demo's fleet: a platform stand-in, six VMs in three data centres, nodes and workers.
+
+All of them are tasks of one process on loopback addresses.
+"""
+
+from __future__ import annotations
+
+import random
+import socket
+from contextlib import ExitStack
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import curio
+import msgspec
+
+from trefoilpick.manifest import (
+    Manifest,
+    SectionRef,
+    VersionId,
+    compute_digest,
+    encode_manifest,
+    identify_version,
+)
+from trefoilpick.node import open_node
+from trefoilpick.sections import encode_section
+from trefoilpick.settings import (
+    ControlSettings,
+    DrainSettings,
+    ListenSettings,
+    Settings,
+    SourceSettings,
+    VmSettings,
+    WorkerSettings,
+)
+from trefoilpick.source import MANIFEST_KEY, VMS_KEY, name_section_key
+from trefoilpick.standin_worker import Worker
+from trefoilpick.vms import Vm, VmList
+
+if TYPE_CHECKING:
+    from curio.task import Task
+
+    from trefoilpick.document import Section
+    from trefoilpick.node import Node
+    from trefoilpick.standin import Standin
+
+REGION = "lima"
+DATA_CENTRES = ("lima-a", "lima-b", "lima-c")
+SERVICES = ("portafolio", "encargos")
+SERVICE_TIME_S = 0.002
+"""Time that a demo worker takes for a request, in seconds."""
+
+DRAIN_NOTICE_MS = 500
+"""Time between the leaving notice and the refusal of new requests, in milliseconds."""
+
+
+@dataclass
+class DemoVm:
+    """One VM of the demo: its node, its worker and their tasks."""
+
+    vm: Vm
+    settings: Settings
+    node: Node
+    worker: Worker
+    node_task: Task | None = None
+    worker_task: Task | None = None
+
+    @property
+    def caller_address(self) -> str:
+        """Address for callers, as "ip:port"."""
+        return f"{self.settings.listen.host}:{self.settings.listen.caller_port}"
+
+
+class DemoFleet:
+    """The demo's VMs and the platform's stand-in.
+
+    Args:
+        standin: The platform's stand-in.
+        vms: The VMs, by name.
+    """
+
+    def __init__(self, standin: Standin, vms: dict[str, DemoVm]) -> None:
+        self.standin = standin
+        self.vms = vms
+
+    async def start(self) -> None:
+        """Start all workers and nodes."""
+        for demo_vm in self.vms.values():
+            demo_vm.worker_task = await curio.spawn(demo_vm.worker.run, daemon=True)
+            demo_vm.node_task = await curio.spawn(demo_vm.node.run, daemon=True)
+
+    async def drain(self, name: str) -> None:
+        """Stop a node gracefully and wait for its end."""
+        demo_vm = self.vms[name]
+        await demo_vm.node.request_stop()
+        if demo_vm.node_task is not None:
+            await demo_vm.node_task.join()
+
+    async def kill(self, name: str) -> None:
+        """End a VM at once, its node and its worker."""
+        demo_vm = self.vms[name]
+        for task in (demo_vm.node_task, demo_vm.worker_task):
+            if task is not None:
+                await task.cancel()
+
+    async def stop(self) -> None:
+        """End everything that still runs."""
+        for name in self.vms:
+            await self.kill(name)
+
+    async def publish_vms(self) -> None:
+        """Put the list of VMs on the platform."""
+        vms = tuple(sorted((entry.vm for entry in self.vms.values()), key=lambda vm: vm.name))
+        await self.standin.put_value(VMS_KEY, msgspec.json.encode(VmList(revision=1, vms=vms)))
+
+    async def publish_version(
+        self, number: int, sections: tuple[Section, ...], *, accepted_at_ms: int
+    ) -> VersionId:
+        """Put a version on the platform: its sections first, the manifest last.
+
+        Args:
+            number: Version number.
+            sections: All sections, ordered by team. Unlike `accept`, nothing is checked.
+            accepted_at_ms: Time of acceptance, in milliseconds since the Unix epoch.
+
+        Returns:
+            The identity of the version.
+        """
+        refs = []
+        for section in sections:
+            data = encode_section(section)
+            digest = compute_digest(data)
+            await self.standin.put_value(name_section_key(digest), data)
+            refs.append(SectionRef(section.team, digest, len(data)))
+        manifest = Manifest(number, accepted_at_ms, tuple(refs))
+        await self.standin.put_value(MANIFEST_KEY, encode_manifest(manifest))
+        return identify_version(manifest)
+
+
+def build_fleet(standin: Standin, *, seed: int) -> DemoFleet:
+    """Build the demo's VMs, each with settings of its own.
+
+    Args:
+        standin: A running stand-in of the platform.
+        seed: Seed of the nodes' random choices.
+    """
+    vms: dict[str, DemoVm] = {}
+    places = [(data_centre, service) for data_centre in DATA_CENTRES for service in SERVICES]
+    for index, (data_centre, service) in enumerate(places):
+        name = f"{service}-{data_centre}"
+        host = f"127.0.0.{11 + index}"
+        settings = _build_settings(standin, name, data_centre, service, host)
+        node = open_node(settings, chance=random.Random(seed + index))
+        worker = Worker(name, service, host, settings.worker.port, service_time_s=SERVICE_TIME_S)
+        vms[name] = DemoVm(_build_vm(settings), settings, node, worker)
+    return DemoFleet(standin, vms)
+
+
+def find_free_ports(host: str, count: int) -> list[int]:
+    """Return distinct TCP ports that nobody listens on now."""
+    with ExitStack() as probes:
+        sockets = [probes.enter_context(socket.socket()) for _ in range(count)]
+        for probe in sockets:
+            probe.bind((host, 0))
+        return [probe.getsockname()[1] for probe in sockets]
+
+
+def _build_settings(
+    standin: Standin, name: str, data_centre: str, service: str, host: str
+) -> Settings:
+    ports = find_free_ports(host, 5)
+    return Settings(
+        vm=VmSettings(name, REGION, data_centre, service),
+        listen=ListenSettings(host, *ports[:4]),
+        worker=WorkerSettings(host, ports[4]),
+        source=SourceSettings((standin.address,)),
+        control=ControlSettings(exchange_ms=500),
+        drain=DrainSettings(notice_ms=DRAIN_NOTICE_MS),
+    )
+
+
+def _build_vm(settings: Settings) -> Vm:
+    return Vm(
+        name=settings.vm.name,
+        region=settings.vm.region,
+        data_centre=settings.vm.data_centre,
+        service=settings.vm.service,
+        host=settings.listen.host,
+        control_port=settings.listen.control_port,
+        hop_port=settings.listen.hop_port,
+    )
--- a/trefoilpick/cli.py
+++ b/trefoilpick/cli.py
@@ -6,6 +6,7 @@
 
 from trefoilpick._cli_documents import check
 from trefoilpick._cli_keys import keys
+from trefoilpick._cli_node import node, worker
 from trefoilpick._cli_report import report
 from trefoilpick._cli_standin import standin
 from trefoilpick._cli_status import status
@@ -16,9 +17,6 @@
     no_args_is_help=True,
     pretty_exceptions_enable=False,
 )
-app.command()(status)
-app.command()(keys)
-app.add_typer(report, name="report")
 
 
 @app.callback()
@@ -27,7 +25,12 @@
 
 
 app.command()(check)
+app.command()(keys)
+app.command()(node)
 app.command()(standin)
+app.command()(status)
+app.command()(worker)
+app.add_typer(report, name="report")
 
 
 def main() -> None:
--- a/trefoilpick/links.py
+++ b/trefoilpick/links.py
@@ -12,13 +12,14 @@
 
 from trefoilpick._clock import read_clock
 from trefoilpick.errors import ErrorKind, TrefoilpickError
+from trefoilpick.mailbox import Mailbox
 from trefoilpick.messages import MAX_MESSAGE_BYTES
 
 if TYPE_CHECKING:
-    from trefoilpick.mailbox import Handler, Mailbox
+    from trefoilpick.mailbox import Handler
     from trefoilpick.messages import Body, Envelope
     from trefoilpick.metrics import Metrics
-    from trefoilpick.settings import KeySettings
+    from trefoilpick.settings import KeySettings, Settings
 
 MAX_QUEUED = 64
 """Messages that wait for one peer at most."""
@@ -54,18 +55,36 @@
 """Where libzmq asks whether a client's key is admitted."""
 
 
+CONTROL_BYTES = "trefoilpick_control_bytes_total"
+"""Counter of control bytes, by direction."""
+
+
 @dataclass
 class Traffic:
     """Bytes of control messages, with the framing of ZeroMQ, without that of TCP and IP.
 
+    Args:
+        metrics: Where the bytes are counted by direction.
+
     Attributes:
         sent: Bytes sent.
         received: Bytes received.
     """
 
+    metrics: Metrics
     sent: int = 0
     received: int = 0
 
+    def add_sent(self, amount: int) -> None:
+        """Count bytes that were sent."""
+        self.sent += amount
+        self.metrics.count(CONTROL_BYTES, amount, direction="sent")
+
+    def add_received(self, amount: int) -> None:
+        """Count bytes that were received."""
+        self.received += amount
+        self.metrics.count(CONTROL_BYTES, amount, direction="received")
+
 
 class Links(Protocol):
     """How a node reaches its peers."""
@@ -130,7 +149,7 @@
         metrics: Metrics,
         keys: KeySettings | None = None,
     ) -> None:
-        self.traffic = Traffic()
+        self.traffic = Traffic(metrics)
         self._mailbox = mailbox
         self._metrics = metrics
         self._keys = keys
@@ -251,7 +270,7 @@
         except zmq.Again:
             return False
         del peer.queue[topic]
-        self.traffic.sent += self._measure(data)
+        self.traffic.add_sent(self._measure(data))
         return True
 
     async def _take_answer(self, peer: Peer) -> bool:
@@ -259,7 +278,7 @@
             data = peer.sock.recv_multipart(zmq.NOBLOCK)[-1]
         except zmq.Again:
             return False
-        self.traffic.received += self._measure(data)
+        self.traffic.add_received(self._measure(data))
         peer.used_s = read_clock()
         await self._mailbox.take_answer(data, peer.address)
         return True
@@ -278,7 +297,7 @@
             return
         data = rest[-1] if rest else b""
         self._note_identity(identity)
-        self.traffic.received += self._measure(data)
+        self.traffic.add_received(self._measure(data))
         answer = await self._mailbox.take_request(data)
         if answer is None:
             return
@@ -289,7 +308,7 @@
                 "trefoilpick_control_messages_dropped_total", reason="peer_slow_or_gone"
             )
             return
-        self.traffic.sent += self._measure(answer)
+        self.traffic.add_sent(self._measure(answer))
 
     def _note_identity(self, identity: bytes) -> None:
         if identity in self._identities:
@@ -301,8 +320,8 @@
 
     def _count_handshake(self) -> None:
         handshake = HANDSHAKE_BYTES if self._keys is None else CURVE_HANDSHAKE_BYTES
-        self.traffic.sent += GREETING_BYTES + handshake
-        self.traffic.received += GREETING_BYTES + handshake
+        self.traffic.add_sent(GREETING_BYTES + handshake)
+        self.traffic.add_received(GREETING_BYTES + handshake)
 
     def _measure(self, data: bytes) -> int:
         length = len(data) + (0 if self._keys is None else CURVE_MESSAGE_BYTES)
@@ -346,5 +365,20 @@
         self._context.term()
 
 
+def open_links(settings: Settings, *, incarnation: int, metrics: Metrics) -> ZmqLinks:
+    """Bind a node's control link; it serves when run.
+
+    Args:
+        settings: Settings of the node.
+        incarnation: Start of the process, in nanoseconds since the Unix epoch.
+        metrics: Where messages are counted.
+    """
+    listen = settings.listen
+    mailbox = Mailbox(settings.vm.name, incarnation, metrics)
+    return ZmqLinks(
+        listen.host, listen.control_port, mailbox=mailbox, metrics=metrics, keys=settings.keys
+    )
+
+
 def _read_events(sock: zmq.Socket) -> int:
     return int(sock.getsockopt(zmq.EVENTS))
--- /dev/null
+++ b/trefoilpick/node.py
@@ -0,0 +1,195 @@
+"""The node: one process beside the worker of one VM.
+
+`open_node` builds it from settings; a daemon or another program runs it as a task.
+"""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import TYPE_CHECKING
+
+import curio
+
+from trefoilpick._clock import read_clock
+from trefoilpick._counted_source import CountedSource
+from trefoilpick._node_status import build_fleet_status, build_node_status
+from trefoilpick.callers import open_caller_server
+from trefoilpick.distribution import open_distributor
+from trefoilpick.hopserver import open_hop_server
+from trefoilpick.links import open_links
+from trefoilpick.metrics import Metrics
+from trefoilpick.operators import open_operator_server
+from trefoilpick.roster import Roster
+from trefoilpick.snapshots import SnapshotCell
+from trefoilpick.source import open_source
+from trefoilpick.vms import Vm
+
+if TYPE_CHECKING:
+    from trefoilpick.callers import CallerServer
+    from trefoilpick.distribution import Distributor
+    from trefoilpick.hopserver import HopServer
+    from trefoilpick.links import Links
+    from trefoilpick.settings import Settings
+    from trefoilpick.source import Source
+    from trefoilpick.status import FleetStatus, NodeStatus
+
+
+class Node:
+    """One node: distribution of versions, and the way of requests.
+
+    Args:
+        settings: Checked settings.
+        metrics: Where all its parts count.
+        cell: The enforced version.
+        roster: What the node knows of other VMs.
+        distributor: Brings versions and hands them on.
+        hop_server: Takes requests of other nodes for the own worker.
+        caller_server: Takes callers' requests.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        *,
+        metrics: Metrics,
+        cell: SnapshotCell,
+        roster: Roster,
+        distributor: Distributor,
+        hop_server: HopServer,
+        caller_server: CallerServer,
+    ) -> None:
+        self.settings = settings
+        self.metrics = metrics
+        self.cell = cell
+        self.roster = roster
+        self.distributor = distributor
+        self.hop_server = hop_server
+        self.caller_server = caller_server
+        self._operators = open_operator_server(
+            settings, metrics=metrics, describe=self.describe, cell=cell, sweep=self.sweep_fleet
+        )
+        self._stop = curio.Event()
+        self._leaving = False
+        self._started_s = read_clock()
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the node takes callers' requests and does not leave."""
+        return not self._leaving and self.distributor.is_ready
+
+    async def run(self) -> None:
+        """Serve until `request_stop`, then drain and return."""
+        async with curio.TaskGroup(wait=any) as tasks:
+            await tasks.spawn(self.distributor.run)
+            await tasks.spawn(self.hop_server.run)
+            await tasks.spawn(self.caller_server.run)
+            await tasks.spawn(self._operators.run)
+            await tasks.spawn(self._drain_when_stopped)
+
+    async def request_stop(self) -> None:
+        """Begin a graceful shutdown; a second call changes nothing."""
+        await self._stop.set()
+
+    def describe(self) -> NodeStatus:
+        """Return the node's state for operators."""
+        return build_node_status(
+            self.settings.vm,
+            control=self.distributor.describe(),
+            snapshot=self.cell.current,
+            load=self.hop_server.measure_load(),
+            uptime_s=read_clock() - self._started_s,
+            leaving=self._leaving,
+        )
+
+    async def sweep_fleet(self) -> FleetStatus:
+        """Ask all other nodes for their state."""
+        began_s = read_clock()
+        peers = await self.distributor.collect_fleet()
+        took_s = read_clock() - began_s
+        return build_fleet_status(self.describe(), peers, self.roster, took_s=took_s)
+
+    async def _drain_when_stopped(self) -> None:
+        await self._stop.wait()
+        self._leaving = True
+        await self.distributor.announce_leaving()
+        async with curio.TaskGroup() as drains:
+            await drains.spawn(self.caller_server.drain)
+            await drains.spawn(self.hop_server.drain)
+
+
+def open_node(
+    settings: Settings,
+    *,
+    source: Source | None = None,
+    links: Links | None = None,
+    chance: random.Random | None = None,
+    incarnation: int | None = None,
+) -> Node:
+    """Build a node; it listens from now on and serves when run.
+
+    Args:
+        settings: Checked settings.
+        source: The configuration service; by default the one that the settings name.
+        links: Links to peers; by default over ZeroMQ.
+        chance: Source of random choices; by default seeded by the system.
+        incarnation: Start of the process, in nanoseconds since the Unix epoch; by default now.
+
+    Raises:
+        OSError: An address cannot be listened on.
+        TrefoilpickError: `SETTINGS_FAULTY`.
+    """
+    metrics = Metrics()
+    cell = SnapshotCell()
+    own = build_own_vm(settings)
+    roster = Roster(own)
+    chance = chance or random.Random()
+    incarnation = time.time_ns() if incarnation is None else incarnation
+    distributor = open_distributor(
+        settings,
+        own=own,
+        source=CountedSource(source or open_source(settings.source), metrics),
+        links=links or open_links(settings, incarnation=incarnation, metrics=metrics),
+        cell=cell,
+        roster=roster,
+        metrics=metrics,
+        random=chance,
+    )
+    hop_server = open_hop_server(
+        settings,
+        cell=cell,
+        metrics=metrics,
+        is_level=lambda: distributor.is_level,
+        incarnation=incarnation,
+    )
+    caller_server = open_caller_server(
+        settings,
+        cell=cell,
+        directory=roster,
+        metrics=metrics,
+        is_ready=lambda: distributor.is_ready,
+        is_level=lambda: distributor.is_level,
+        random=chance,
+    )
+    return Node(
+        settings,
+        metrics=metrics,
+        cell=cell,
+        roster=roster,
+        distributor=distributor,
+        hop_server=hop_server,
+        caller_server=caller_server,
+    )
+
+
+def build_own_vm(settings: Settings) -> Vm:
+    """Return the node's own VM as the platform would list it."""
+    return Vm(
+        name=settings.vm.name,
+        region=settings.vm.region,
+        data_centre=settings.vm.data_centre,
+        service=settings.vm.service,
+        host=settings.listen.host,
+        control_port=settings.listen.control_port,
+        hop_port=settings.listen.hop_port,
+    )
--- /dev/null
+++ b/trefoilpick/standin_worker.py
@@ -0,0 +1,222 @@
+"""A stand-in for an upstream's worker: a small HTTP server that counts what it runs.
+
+The demo, the benchmarks and the replay put it in the place of a firm's own service. It counts
+the runs of each request by its `x-request-id`, so that doubled and lost requests show.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+from hashlib import blake2b
+from typing import TYPE_CHECKING, Any
+
+import curio
+import h11
+import msgspec
+from curio import socket
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+REQUEST_ID_HEADER = b"x-request-id"
+"""Header that names a request for the count of runs."""
+
+ANSWER_BYTES_HEADER = b"x-answer-bytes"
+"""Header that asks for an answer body of this many bytes."""
+
+READ_BYTES = 65_536
+"""Bytes asked of the socket at a time."""
+
+CHUNK = b"\x2e" * 65_536
+"""Part of a long answer body."""
+
+BACKLOG = 128
+"""Connections that may wait to be accepted."""
+
+
+@dataclass(frozen=True)
+class WorkerReport:
+    """What a worker ran.
+
+    Attributes:
+        vm: Name of the VM that the worker stands on.
+        runs: Requests that it ran.
+        peak_in_flight: Most requests at a time.
+        peak_connections: Most connections at a time.
+        body_bytes: Bytes of request bodies that it received.
+    """
+
+    vm: str
+    runs: int
+    peak_in_flight: int
+    peak_connections: int
+    body_bytes: int
+
+
+@dataclass(frozen=True)
+class RunReceipt:
+    """The answer of a worker to one request.
+
+    Attributes:
+        vm: Name of the VM that ran it.
+        service: Name of the upstream.
+        request_id: The request's `x-request-id`.
+        body_bytes: Bytes of the request's body.
+        body_digest: BLAKE2b digest of the request's body, in hexadecimal.
+    """
+
+    vm: str
+    service: str
+    request_id: str
+    body_bytes: int
+    body_digest: str
+
+
+@dataclass
+class _Tally:
+    runs: Counter[str] = field(default_factory=Counter)
+    in_flight: int = 0
+    connections: int = 0
+    peak_in_flight: int = 0
+    peak_connections: int = 0
+    body_bytes: int = 0
+
+
+class Worker:
+    """A worker of one upstream.
+
+    Args:
+        vm: Name of its VM.
+        service: Name of its upstream.
+        host: IP address to listen on.
+        port: Port to listen on.
+        service_time_s: Time that each request takes, in seconds.
+    """
+
+    def __init__(
+        self, vm: str, service: str, host: str, port: int, *, service_time_s: float = 0.0
+    ) -> None:
+        self.vm = vm
+        self.service = service
+        self.host = host
+        self.port = port
+        self.service_time_s = service_time_s
+        self._tally = _Tally()
+
+    @property
+    def runs(self) -> Counter[str]:
+        """Runs by request identity."""
+        return self._tally.runs
+
+    def report(self) -> WorkerReport:
+        """Return what the worker ran until now."""
+        tally = self._tally
+        return WorkerReport(
+            self.vm,
+            tally.runs.total(),
+            tally.peak_in_flight,
+            tally.peak_connections,
+            tally.body_bytes,
+        )
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        await curio.tcp_server(
+            self.host, self.port, self._serve_connection, backlog=BACKLOG, reuse_address=True
+        )
+
+    async def _serve_connection(self, client: Any, _address: object) -> None:
+        client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        tally = self._tally
+        tally.connections += 1
+        tally.peak_connections = max(tally.peak_connections, tally.connections)
+        connection = h11.Connection(h11.SERVER)
+        try:
+            while await self._serve_request(client, connection):
+                connection.start_next_cycle()
+        except (OSError, h11.ProtocolError):
+            pass
+        finally:
+            tally.connections -= 1
+
+    async def _serve_request(self, client: Any, connection: h11.Connection) -> bool:
+        request = await _receive_event(client, connection)
+        if not isinstance(request, h11.Request):
+            return False
+        tally = self._tally
+        tally.in_flight += 1
+        tally.peak_in_flight = max(tally.peak_in_flight, tally.in_flight)
+        try:
+            await self._run_request(client, connection, request)
+        finally:
+            tally.in_flight -= 1
+        return connection.our_state is h11.DONE and connection.their_state is h11.DONE
+
+    async def _run_request(
+        self, client: Any, connection: h11.Connection, request: h11.Request
+    ) -> None:
+        headers = dict(request.headers)
+        request_id = headers.get(REQUEST_ID_HEADER, b"").decode("latin-1")
+        self._tally.runs[request_id] += 1
+        if connection.they_are_waiting_for_100_continue:
+            await client.sendall(
+                connection.send(h11.InformationalResponse(status_code=100, headers=[]))
+            )
+        receipt = await self._receive_body(client, connection, request_id)
+        if self.service_time_s:
+            await curio.sleep(self.service_time_s)
+        length = int(headers.get(ANSWER_BYTES_HEADER, b"0"))
+        await _send_answer(client, connection, receipt, length)
+
+    async def _receive_body(
+        self, client: Any, connection: h11.Connection, request_id: str
+    ) -> RunReceipt:
+        digest = blake2b(digest_size=16)
+        received = 0
+        while True:
+            event = await _receive_event(client, connection)
+            if not isinstance(event, h11.Data):
+                break
+            digest.update(event.data)
+            received += len(event.data)
+        self._tally.body_bytes += received
+        if not isinstance(event, h11.EndOfMessage):
+            raise ConnectionResetError("the request ended within its body")
+        return RunReceipt(self.vm, self.service, request_id, received, digest.hexdigest())
+
+
+async def _receive_event(client: Any, connection: h11.Connection) -> Any:
+    while True:
+        event = connection.next_event()
+        if event is not h11.NEED_DATA:
+            return event
+        connection.receive_data(await client.recv(READ_BYTES))
+
+
+async def _send_answer(
+    client: Any, connection: h11.Connection, receipt: RunReceipt, length: int
+) -> None:
+    body = msgspec.json.encode(receipt)
+    head = h11.Response(
+        status_code=200,
+        headers=[
+            ("content-type", "application/json"),
+            ("content-length", str(max(length, len(body)))),
+        ],
+    )
+    parts = _split_body(body, length)
+    first = connection.send(head) or b""
+    for part in parts:
+        await client.sendall(first + (connection.send(h11.Data(data=part)) or b""))
+        first = b""
+    await client.sendall(first + (connection.send(h11.EndOfMessage()) or b""))
+
+
+def _split_body(body: bytes, length: int) -> Iterator[bytes]:
+    yield body
+    left = length - len(body)
+    while left > 0:
+        part = CHUNK[:left]
+        left -= len(part)
+        yield part
--- /dev/null
+++ b/trefoilpick/traces.py
@@ -0,0 +1,266 @@
+"""Traces: what happened to a fleet, as JSON lines, with the stated outcomes at the end.
+
+Each line is an object with `event` (what happens, at `at_s` seconds from the start) or `outcome`
+(what must hold at the end). `docs/traces.md` describes every field.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+from pathlib import Path
+from typing import TYPE_CHECKING, Annotated
+
+import msgspec
+from msgspec import Meta
+
+from trefoilpick.document import Name, Section
+from trefoilpick.errors import ErrorKind, TrefoilpickError
+from trefoilpick.vms import VmState
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+Seconds = Annotated[float, Meta(ge=0.0, le=1_000_000.0)]
+"""A time or a duration, in seconds."""
+
+Count = Annotated[int, Meta(ge=0, le=1_000_000)]
+"""A number of things."""
+
+MAX_LINE_BYTES = 4_000_000
+"""Longest line of a trace, in bytes."""
+
+
+class SourceFault(Enum):
+    """What the configuration service may do wrong."""
+
+    DOWN = "down"
+    STALE = "stale"
+    SLOW = "slow"
+    TRUNCATED = "truncated"
+    WRONG = "wrong"
+
+
+class VmJoins(msgspec.Struct, frozen=True, tag_field="event", tag="vm_joins"):
+    """A VM starts, with its node and its worker."""
+
+    at_s: Seconds
+    vm: Name
+    region: Name
+    data_centre: Name
+    service: Name
+
+
+class VmListed(msgspec.Struct, frozen=True, tag_field="event", tag="vm_listed"):
+    """The platform's list shows a VM in a state; `state` null removes it."""
+
+    at_s: Seconds
+    vm: Name
+    state: VmState | None
+
+
+class VmLeaves(msgspec.Struct, frozen=True, tag_field="event", tag="vm_leaves"):
+    """A VM's node is asked to stop: a graceful shutdown."""
+
+    at_s: Seconds
+    vm: Name
+
+
+class VmDies(msgspec.Struct, frozen=True, tag_field="event", tag="vm_dies"):
+    """VMs end at once: those named, or all of a data centre."""
+
+    at_s: Seconds
+    vms: tuple[Name, ...] = ()
+    data_centre: Name | None = None
+
+
+class VmReturns(msgspec.Struct, frozen=True, tag_field="event", tag="vm_returns"):
+    """VMs that died start again, empty: those named, or all of a data centre."""
+
+    at_s: Seconds
+    vms: tuple[Name, ...] = ()
+    data_centre: Name | None = None
+
+
+class VmPauses(msgspec.Struct, frozen=True, tag_field="event", tag="vm_pauses"):
+    """A VM's node stands still for a while and wakes late."""
+
+    at_s: Seconds
+    vm: Name
+    for_s: Seconds
+
+
+class SourceFails(msgspec.Struct, frozen=True, tag_field="event", tag="source_fails"):
+    """The configuration service is faulty for a while."""
+
+    at_s: Seconds
+    fault: SourceFault
+    for_s: Seconds
+
+
+class Partition(msgspec.Struct, frozen=True, tag_field="event", tag="partition"):
+    """Data centres on one side hear nothing of the others for a while.
+
+    Attributes:
+        side: Data centres on the one side.
+        source: Whether this side reaches the configuration service.
+    """
+
+    at_s: Seconds
+    side: tuple[Name, ...]
+    for_s: Seconds
+    source: bool = False
+
+
+class VersionAccepted(msgspec.Struct, frozen=True, tag_field="event", tag="version_accepted"):
+    """Operators accept a version; sections that are not named stay as they were."""
+
+    at_s: Seconds
+    number: Annotated[int, Meta(ge=1, lt=2**53)]
+    sections: tuple[Section, ...]
+
+
+class Requests(msgspec.Struct, frozen=True, tag_field="event", tag="requests"):
+    """A caller makes requests, evenly spread over a while.
+
+    Attributes:
+        vm: The VM whose node the caller uses first; it turns to others when that fails.
+        count: How many requests.
+        for_s: Over what time.
+        token: Whether each request is made under a token for running at most once.
+    """
+
+    at_s: Seconds
+    vm: Name
+    count: Count
+    for_s: Seconds
+    method: str
+    host: str
+    path: str
+    body_bytes: Count = 0
+    token: bool = False
+
+
+class InForce(msgspec.Struct, frozen=True, tag_field="outcome", tag="in_force"):
+    """A version is in force on every running node within a time of its acceptance."""
+
+    number: int
+    within_s: Seconds
+
+
+class NeverInForce(msgspec.Struct, frozen=True, tag_field="outcome", tag="never_in_force"):
+    """No node ever enforced a version."""
+
+    number: int
+
+
+class NeverOlder(msgspec.Struct, frozen=True, tag_field="outcome", tag="never_older"):
+    """No node ever went back to an older version than one it had enforced."""
+
+
+class CallsKept(msgspec.Struct, frozen=True, tag_field="outcome", tag="calls_kept"):
+    """No call was lost, doubled, cut or falsely told "not run", and enough were answered."""
+
+    answered_share: Annotated[float, Meta(ge=0.0, le=1.0)]
+
+
+class SourceReads(msgspec.Struct, frozen=True, tag_field="outcome", tag="source_reads"):
+    """The source counted at most so many calls in any second."""
+
+    peak: Count
+
+
+Event = (
+    VmJoins
+    | VmListed
+    | VmLeaves
+    | VmDies
+    | VmReturns
+    | VmPauses
+    | SourceFails
+    | Partition
+    | VersionAccepted
+    | Requests
+)
+"""Anything that happens in a trace."""
+
+Expectation = InForce | NeverInForce | NeverOlder | CallsKept | SourceReads
+"""Anything that must hold at the end of a trace."""
+
+
+class _Probe(msgspec.Struct, frozen=True):
+    outcome: str | None = None
+
+
+_PROBES = msgspec.json.Decoder(_Probe)
+_EVENTS = msgspec.json.Decoder(Event)
+_EXPECTATIONS = msgspec.json.Decoder(Expectation)
+
+
+class Trace(msgspec.Struct, frozen=True):
+    """A whole trace.
+
+    Attributes:
+        events: What happens, in order of time.
+        expectations: What must hold at the end.
+    """
+
+    events: tuple[Event, ...]
+    expectations: tuple[Expectation, ...]
+
+
+def parse_trace(lines: Iterator[bytes], *, origin: str) -> Trace:
+    """Read and check a trace.
+
+    Args:
+        lines: JSON lines; empty lines and lines that begin with "#" are passed over.
+        origin: Name of the trace, for errors.
+
+    Raises:
+        TrefoilpickError: `TRACE_FAULTY`, naming the line.
+    """
+    events: list[Event] = []
+    expectations: list[Expectation] = []
+    for number, line in enumerate(lines, start=1):
+        if not line.strip() or line.startswith(b"#"):
+            continue
+        entry = _parse_line(line, f"{origin}:{number}")
+        if isinstance(entry, InForce | NeverInForce | NeverOlder | CallsKept | SourceReads):
+            expectations.append(entry)
+        elif expectations or (events and entry.at_s < events[-1].at_s):
+            text = f"{origin}:{number}: event is out of order"
+            raise TrefoilpickError(ErrorKind.TRACE_FAULTY, text)
+        else:
+            events.append(entry)
+    if not expectations:
+        raise TrefoilpickError(ErrorKind.TRACE_FAULTY, f"{origin}: states no outcome")
+    return Trace(tuple(events), tuple(expectations))
+
+
+def read_trace(path: Path) -> Trace:
+    """Read and check a trace's file.
+
+    Raises:
+        TrefoilpickError: `FILE_UNREADABLE` or `TRACE_FAULTY`.
+    """
+    try:
+        data = path.read_bytes()
+    except OSError as error:
+        raise TrefoilpickError(ErrorKind.FILE_UNREADABLE, f'"{path}": {error}') from error
+    return parse_trace(iter(data.splitlines()), origin=path.name)
+
+
+def encode_line(entry: Event | Expectation) -> bytes:
+    """Return one line of a trace, with its line end."""
+    return msgspec.json.encode(entry) + b"\n"
+
+
+def _parse_line(line: bytes, where: str) -> Event | Expectation:
+    if len(line) > MAX_LINE_BYTES:
+        text = f"{where}: line has {len(line)} bytes, over {MAX_LINE_BYTES}"
+        raise TrefoilpickError(ErrorKind.TRACE_FAULTY, text)
+    try:
+        if _PROBES.decode(line).outcome is not None:
+            return _EXPECTATIONS.decode(line)
+        return _EVENTS.decode(line)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        raise TrefoilpickError(ErrorKind.TRACE_FAULTY, f"{where}: {error}") from error
