--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -103,6 +103,8 @@
     assert "# TYPE trefoilpick_requests_total counter" in lines
     line = 'trefoilpick_requests_total{team="arte",route="sketches",result="good"} 2'
     assert line in lines
+    (memory,) = [line for line in lines if line.startswith("trefoilpick_process_resident_bytes ")]
+    assert 1_000_000 < float(memory.split()[1]) < 10_000_000_000
 
 
 def test_health_and_readiness_are_two_questions() -> None:
--- a/trefoilpick/_metric_table.py
+++ b/trefoilpick/_metric_table.py
@@ -61,7 +61,7 @@
     "trefoilpick_control_bytes_total": MetricInfo(
         MetricKind.COUNTER,
         "bytes",
-        "Bytes of control traffic, by direction: in or out.",
+        "Bytes of control traffic: sent to and received from peers, and exchanged with the source.",
         "Above 3 KB/s for long, look for nodes that restart or a document that is rewritten.",
         ("direction",),
         windowed=True,
@@ -226,7 +226,19 @@
         MetricKind.COUNTER,
         "records",
         "Records that were dropped because the node holds its largest number of series.",
-        "None is expected; names of teams and routes are changing all the time.",
+        "Routes are renamed very often; restart the node to drop the old ones.",
+    ),
+    "trefoilpick_process_cpu_seconds": MetricInfo(
+        MetricKind.GAUGE,
+        "seconds",
+        "Processor time that the process has used, all its work together.",
+        "Control alone may take 2.7% of a core; requests come on top.",
+    ),
+    "trefoilpick_process_resident_bytes": MetricInfo(
+        MetricKind.GAUGE,
+        "bytes",
+        "Resident memory of the process.",
+        "Above 64 MB, look at the size of the document and at kept answers.",
     ),
     "trefoilpick_operator_requests_total": MetricInfo(
         MetricKind.COUNTER,
--- a/trefoilpick/operators.py
+++ b/trefoilpick/operators.py
@@ -11,6 +11,7 @@
 from curio.network import tcp_server_socket
 
 from trefoilpick._http import MAX_HEAD_BYTES, HttpAnswer, receive_request, send_answer
+from trefoilpick._process import measure_process
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 from trefoilpick.metrics import CONTENT_TYPE
 from trefoilpick.reports import build_report
@@ -173,6 +174,7 @@
         return _answer_error(404, ErrorKind.NO_ROUTE, f'"{path}" is not a page of this port')
 
     def _answer_metrics(self) -> HttpAnswer:
+        measure_process(self._metrics)
         lines = "".join(f"{line}\n" for line in self._metrics.render())
         return HttpAnswer(200, lines.encode(), CONTENT_TYPE)
 
