Tell the addresses of operators' ports in the fleet's state; check the operators' pages

_node_status.py and node.py: `trefoilpick status` and `report` need the other nodes' addresses; the port is the same on every VM of a fleet.

--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -1,7 +1,9 @@
 import io
 import json
 import logging
+from pathlib import Path
 
+from trefoilpick import logs
 from trefoilpick.logs import EVENTS, Event, open_log, open_state_log
 from trefoilpick.metrics import Metrics
 from trefoilpick.settings import VmSettings
@@ -63,5 +65,9 @@
     assert (line["number"], line["incarnation"], line["event"]) == (4, 9, "message")
 
 
-def test_every_event_is_described() -> None:
+def test_every_event_is_described_in_the_table_and_on_the_page() -> None:
+    page = (Path(logs.__file__).parents[1] / "docs" / "logs.md").read_text()
     assert set(EVENTS) == set(Event)
+    for event, info in EVENTS.items():
+        assert f"| `{event.value}` |" in page
+        assert f"| {info.meaning} | {info.advice} |" in page
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -40,6 +40,13 @@
     assert info.help.endswith(".") and info.advice.endswith(".") and info.unit
 
 
+def test_operators_page_tells_of_every_metric() -> None:
+    page = (PACKAGE.parent / "docs" / "metrics.md").read_text()
+    for name, info in METRICS.items():
+        row = f"| `{name}` | {info.kind.value}, {info.unit} |"
+        assert row in page and f"| {info.help} | {info.advice} |" in page
+
+
 def test_text_format_groups_series_and_escapes_labels() -> None:
     metrics = Metrics()
     metrics.count("trefoilpick_requests_total", 3, team='a"b\\c\nd', route="r", result="good")
--- a/trefoilpick/_node_status.py
+++ b/trefoilpick/_node_status.py
@@ -24,6 +24,7 @@
     from trefoilpick.roster import Roster
     from trefoilpick.settings import VmSettings
     from trefoilpick.snapshots import Snapshot
+    from trefoilpick.vms import Vm
 
 FAULTY_KIND = "document_faulty"
 """Kind of a refusal whose text names the fault."""
@@ -76,7 +77,12 @@
 
 
 def build_fleet_status(
-    node: NodeStatus, peers: tuple[ControlPeer, ...], roster: Roster, *, took_s: float
+    node: NodeStatus,
+    peers: tuple[ControlPeer, ...],
+    roster: Roster,
+    *,
+    operator_port: int,
+    took_s: float,
 ) -> FleetStatus:
     """Return the fleet as a node found it when it asked all others.
 
@@ -84,15 +90,21 @@
         node: The asking node.
         peers: What the nodes answered.
         roster: What the asking node knows of VMs.
+        operator_port: Port for operators, the same on every VM of a fleet.
         took_s: How long the sweep took, in seconds.
     """
     newest = max((peer.held for peer in peers if peer.held is not None), default=None)
-    found = (_build_peer(peer, roster, newest) for peer in peers if peer.vm != node.vm)
+    found = (
+        _build_peer(peer, roster.find_vm(peer.vm), newest, operator_port)
+        for peer in peers
+        if peer.vm != node.vm
+    )
     return FleetStatus(node, tuple(found), took_s)
 
 
-def _build_peer(peer: ControlPeer, roster: Roster, newest: VersionId | None) -> PeerStatus:
-    vm = roster.find_vm(peer.vm)
+def _build_peer(
+    peer: ControlPeer, vm: Vm | None, newest: VersionId | None, operator_port: int
+) -> PeerStatus:
     return PeerStatus(
         vm=peer.vm,
         data_centre=peer.data_centre,
@@ -102,9 +114,14 @@
         digest=peer.enforced.digest if peer.enforced is not None else None,
         age_s=peer.age_s,
         reason=peer.note,
+        operator_address=_name_address(vm.host, operator_port) if vm is not None else "",
     )
 
 
+def _name_address(host: str, port: int) -> str:
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+
+
 def _judge(peer: ControlPeer, newest: VersionId | None) -> Standing:
     if peer.held is None and peer.note:
         return Standing.UNREACHABLE
--- a/trefoilpick/node.py
+++ b/trefoilpick/node.py
@@ -107,7 +107,13 @@
         began_s = read_clock()
         peers = await self.distributor.collect_fleet()
         took_s = read_clock() - began_s
-        return build_fleet_status(self.describe(), peers, self.roster, took_s=took_s)
+        return build_fleet_status(
+            self.describe(),
+            peers,
+            self.roster,
+            operator_port=self.settings.listen.operator_port,
+            took_s=took_s,
+        )
 
     async def _drain_when_stopped(self) -> None:
         await self._stop.wait()
