--- a/tests/fakes_hop.py
+++ b/tests/fakes_hop.py
@@ -208,9 +208,9 @@
 
     routes = (
         route("status", ("GET", "HEAD"), Contract(True, 2_000, retries=2)),
-        route("advance", ("POST",), Contract(False, 2_000, retries=2, body_limit_bytes=100_000)),
+        route("advance", ("POST",), Contract(False, 800, retries=2, body_limit_bytes=100_000)),
         route("spread", ("PUT",), Contract(False, 2_000, body_limit_bytes=2**32)),
-        route("note", ("PUT",), Contract(True, 2_000, retries=2, body_limit_bytes=2**20)),
+        route("note", ("PUT",), Contract(True, 800, retries=2, body_limit_bytes=2**20)),
         route("short", ("GET", "POST"), Contract(False, 300, retries=2)),
     )
     upstream = Upstream("encargos", connect_timeout_ms=300)
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -1,20 +1,481 @@
 from __future__ import annotations
 
-from fakes_hop import Bench, FakeHop, connect, run_bench
+from collections import deque
 
+import curio
+import h11
+import pytest
+from curio import socket
+from fakes_hop import (
+    END,
+    HOST,
+    Bench,
+    FakeHop,
+    Script,
+    Told,
+    answer_ok,
+    connect,
+    fail_with,
+    run_bench,
+    wait_until,
+)
 
-def test_answers_come_back_whole_on_one_connection() -> None:
+from trefoilpick.errors import ErrorKind, Outcome
+from trefoilpick.hops import (
+    FrameKind,
+    Hop,
+    HopRequest,
+    Load,
+    encode_data,
+    encode_frame,
+    encode_head,
+)
+from trefoilpick.settings import DrainSettings, RequestSettings
+
+LENGTH_10 = ((b"content-length", b"10"),)
+
+
+def reset(hop: Hop) -> None:
+    hop.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+    raise ConnectionResetError
+
+
+async def reset_after_head(fake: FakeHop, hop: Hop, head: HopRequest) -> None:
+    reset(hop)
+
+
+async def reset_within_body(fake: FakeHop, hop: Hop, head: HopRequest) -> None:
+    await hop.receive()
+    reset(hop)
+
+
+async def reset_after_run(fake: FakeHop, hop: Hop, head: HopRequest) -> None:
+    await fake.take_body(hop, head)
+    reset(hop)
+
+
+async def never_answer(fake: FakeHop, hop: Hop, head: HopRequest) -> None:
+    await fake.take_body(hop, head)
+    if await hop.receive() is None:
+        raise ConnectionResetError
+
+
+async def drip_answer(fake: FakeHop, hop: Hop, head: HopRequest) -> None:
+    await fake.take_body(hop, head)
+    for byte in fake.encode_answer(headers=LENGTH_10):
+        await hop.sock.sendall(bytes((byte,)))
+        await curio.sleep(0.05)
+
+
+async def cut_within_head(fake: FakeHop, hop: Hop, head: HopRequest) -> None:
+    await fake.take_body(hop, head)
+    await hop.send(fake.encode_answer()[:-4])
+    reset(hop)
+
+
+async def cut_before_body(fake: FakeHop, hop: Hop, head: HopRequest) -> None:
+    await fake.take_body(hop, head)
+    await hop.send(fake.encode_answer(headers=LENGTH_10))
+    await hop.close()
+    raise ConnectionResetError
+
+
+async def cut_within_body(fake: FakeHop, hop: Hop, head: HopRequest) -> None:
+    await fake.take_body(hop, head)
+    await hop.send(fake.encode_answer(headers=LENGTH_10), encode_data([b"half."]))
+    await hop.close()
+    raise ConnectionResetError
+
+
+async def cut_before_end(fake: FakeHop, hop: Hop, head: HopRequest) -> None:
+    await fake.take_body(hop, head)
+    await hop.send(fake.encode_answer(), encode_data([b"all but the end"]))
+    await hop.close()
+    raise ConnectionResetError
+
+
+async def answer_too_short(fake: FakeHop, hop: Hop, head: HopRequest) -> None:
+    await fake.take_body(hop, head)
+    await hop.send(fake.encode_answer(headers=LENGTH_10), encode_data([b"short"]), END)
+
+
+async def answer_too_long(fake: FakeHop, hop: Hop, head: HopRequest) -> None:
+    await fake.take_body(hop, head)
+    await hop.send(fake.encode_answer(headers=LENGTH_10), encode_data([b"far too long"]), END)
+
+
+async def answer_garbage(fake: FakeHop, hop: Hop, head: HopRequest) -> None:
+    await fake.take_body(hop, head)
+    await hop.send(encode_frame(FrameKind.ANSWER, b"\xc1"))
+
+
+async def answer_out_of_place(fake: FakeHop, hop: Hop, head: HopRequest) -> None:
+    await fake.take_body(hop, head)
+    await hop.send(encode_data([b"no head"]))
+
+
+async def answer_twice(fake: FakeHop, hop: Hop, head: HopRequest) -> None:
+    await answer_ok(fake, hop, head)
+    await hop.send(fake.encode_answer(status=418), END)
+
+
+BREAKS: tuple[Script, ...] = (
+    reset_after_head,
+    reset_within_body,
+    reset_after_run,
+    never_answer,
+    drip_answer,
+    cut_within_head,
+    cut_before_body,
+    cut_within_body,
+    cut_before_end,
+    answer_too_short,
+    answer_too_long,
+    answer_garbage,
+    answer_out_of_place,
+    answer_twice,
+    *(fail_with(kind) for kind in (ErrorKind.SHED, ErrorKind.DRAINING, ErrorKind.QUEUE_FULL)),
+    fail_with(ErrorKind.UPSTREAM_LOST, Outcome.UNKNOWN),
+)
+
+
+def check_truth(told: Told, runs: int, *, idempotent: bool) -> None:
+    """Compare what a caller was told with the runs of its request."""
+    if told.whole and not told.error:
+        assert runs >= 1
+        assert told.status == 200
+    if told.outcome == "not_run":
+        assert runs == 0
+    if told.outcome == "run":
+        assert runs >= 1
+    if not idempotent:
+        assert runs <= 1
+
+
+@pytest.mark.parametrize("route", ["advance", "note", "short"])
+@pytest.mark.parametrize("script", BREAKS, ids=lambda script: script.__qualname__)
+def test_tells_the_truth_after_any_break(script: Script, route: str) -> None:
+    method = "PUT" if route == "note" else "POST"
+
+    async def main(bench: Bench) -> None:
+        first = await (await connect(bench)).ask(method, f"/{route}", b"b", x_request_id="1")
+        check_truth(first, bench.runs["1"], idempotent=route == "note")
+        caller = await connect(bench)
+        after = await caller.ask("PUT", "/note", b"own", x_request_id="2")
+        assert (after.status, after.body, after.whole) == (200, b"vm-1:own", True)
+
+    run_bench(main, FakeHop(scripts=_deque(script)))
+
+
+@pytest.mark.parametrize(
+    "script",
+    [
+        reset_after_head,
+        reset_within_body,
+        reset_after_run,
+        cut_within_head,
+        answer_garbage,
+        answer_out_of_place,
+        fail_with(ErrorKind.SHED),
+        fail_with(ErrorKind.UPSTREAM_LOST, Outcome.UNKNOWN),
+    ],
+    ids=lambda script: script.__qualname__,
+)
+def test_idempotent_requests_get_over_breaks_before_the_answer(script: Script) -> None:
+    async def main(bench: Bench) -> None:
+        told = await (await connect(bench)).ask("PUT", "/note", b"b", x_request_id="1")
+        assert (told.status, told.body) == (200, b"vm-1:b")
+
+    run_bench(main, FakeHop(scripts=_deque(script, script)))
+
+
+def _deque(*scripts: Script) -> deque[Script]:
+    return deque(scripts)
+
+
+def test_refused_connection_is_not_run() -> None:
+    async def main(bench: Bench) -> None:
+        vm = bench.directory.vms[0]
+        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as unused:
+            unused.bind((HOST, 0))
+            port = unused.getsockname()[1]
+        bench.directory.vms = (type(vm)(**{**vm.__dict__, "hop_port": port}),)
+        told = await (await connect(bench)).ask("POST", "/advance", b"b")
+        assert (told.status, told.error, told.outcome) == (502, "upstream_refused", "not_run")
+        assert told.headers["x-trefoilpick-retry"] == "exhausted"
+        assert told.headers["retry-after"] == "1"
+        assert bench.directory.refused
+
+    run_bench(main, FakeHop())
+
+
+def test_not_run_is_not_said_after_an_attempt_that_may_have_run() -> None:
+    async def main(bench: Bench) -> None:
+        told = await (await connect(bench)).ask("PUT", "/note", b"b", x_request_id="1")
+        assert (told.error, told.outcome, bench.runs["1"]) == ("shed", "unknown", 1)
+
+    shed = fail_with(ErrorKind.SHED)
+    run_bench(main, FakeHop(scripts=_deque(reset_after_run, shed, shed)))
+
+
+def test_a_marked_request_is_not_tried_again() -> None:
+    async def main(bench: Bench) -> None:
+        caller = await connect(bench)
+        told = await caller.ask("PUT", "/note", b"b", x_trefoilpick_retry="1")
+        assert (told.status, told.outcome) == (503, "not_run")
+        assert "x-trefoilpick-retry" not in told.headers
+        assert (await caller.ask("PUT", "/note", b"b")).status == 200
+
+    bench = run_bench(main, FakeHop(scripts=_deque(fail_with(ErrorKind.SHED))))
+    assert bench.fakes[0].connections == 2
+
+
+def test_token_leads_to_its_vm_alone() -> None:
+    async def main(bench: Bench) -> None:
+        caller = await connect(bench)
+        told = await caller.ask("POST", "/advance", b"", x_trefoilpick_token="request")
+        token = told.headers["x-trefoilpick-token"]
+        assert (told.status, told.outcome) == (204, "not_run")
+        vm = token.split("~")[0]
+        for _ in range(8):
+            told = await caller.ask("POST", "/advance", b"b", x_trefoilpick_token=token)
+            assert told.body == vm.encode() + b":b"
+        foreign = await caller.ask("POST", "/advance", b"b", x_trefoilpick_token="vm-9~1")
+        assert (foreign.status, foreign.error, foreign.outcome) == (
+            409,
+            "token_foreign",
+            "unknown",
+        )
+        bad = await caller.ask("POST", "/advance", b"b", x_trefoilpick_token="nothing")
+        assert (bad.status, bad.outcome) == (400, "not_run")
+
+    run_bench(main, FakeHop("vm-1"), FakeHop("vm-2"))
+
+
+def test_deadline_shrinks_and_ends_the_wait() -> None:
+    async def main(bench: Bench) -> None:
+        caller = await connect(bench)
+        told = await caller.ask("POST", "/advance", b"b", x_trefoilpick_deadline_ms="150")
+        assert (told.status, told.error, told.outcome) == (504, "deadline_after_send", "unknown")
+        late = await caller.ask("POST", "/advance", b"b", x_trefoilpick_deadline_ms="0")
+        assert (late.status, late.outcome) == (504, "not_run")
+        assert 0 < bench.fakes[0].seen[0].head.remaining_ms <= 150
+        assert len(bench.fakes[0].seen) == 1
+
+    run_bench(main, FakeHop(scripts=_deque(never_answer)))
+
+
+@pytest.mark.parametrize(
+    ("sent", "status", "error"),
+    [
+        (b"NONSENSE\r\n\r\n", 400, "head_malformed"),
+        (b"GET /status HTTP/1.1\r\n\r\n", 400, "head_malformed"),
+        (b"GET /status/../advance HTTP/1.1\r\nhost: a\r\n\r\n", 400, "head_malformed"),
+        (b"GET /status/%2E%2e/advance HTTP/1.1\r\nhost: a\r\n\r\n", 400, "head_malformed"),
+        (b"GET /" + b"x" * 40_000, 431, "head_too_large"),
+        (b"GET /status HTTP/1.1\r\nhost: ", 408, "head_timeout"),
+        (b"GET /other HTTP/1.1\r\nhost: a\r\n\r\n", 404, "no_route"),
+        (b"PUT /status HTTP/1.1\r\nhost: a\r\n\r\n", 405, "method_not_allowed"),
+        (
+            b"POST /advance HTTP/1.1\r\nhost: a\r\ncontent-length: 100001\r\n\r\n",
+            413,
+            "body_too_large",
+        ),
+        (
+            b"POST /advance HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
+            + b"fff0\r\n"
+            + b"x" * 0xFFF0
+            + b"\r\nfff0\r\n"
+            + b"x" * 0xFFF0
+            + b"\r\n",
+            413,
+            "body_too_large",
+        ),
+        (
+            b"POST /advance HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n",
+            400,
+            "body_malformed",
+        ),
+        (b"POST /advance HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\nabc", 408, "body_timeout"),
+    ],
+)
+def test_callers_faults_get_a_clear_answer(sent: bytes, status: int, error: str) -> None:
+    async def main(bench: Bench) -> None:
+        caller = await connect(bench)
+        await caller.sock.sendall(sent)
+        caller.http.send(_any_request())
+        told = await caller.receive()
+        assert (told.status, told.error, told.whole) == (status, error, True)
+        assert bench.runs.total() == 0
+
+    run_bench(main, FakeHop(), requests=RequestSettings(head_timeout_ms=300, body_idle_ms=300))
+
+
+def _any_request() -> h11.Request:
+    return h11.Request(method="GET", target="/", headers=[("host", "a")])
+
+
+def test_refuses_what_it_cannot_serve() -> None:
+    async def main(bench: Bench) -> None:
+        caller = await connect(bench)
+        bench.level = False
+        assert (await caller.ask("GET", "/status")).error == "not_level"
+        bench.ready = False
+        told = await caller.ask("GET", "/status")
+        assert (told.status, told.error, told.outcome) == (503, "not_ready", "not_run")
+        bench.ready = bench.level = True
+        assert (await caller.ask("GET", "/status")).status == 200
+        over = await connect(bench)
+        over.http.send(_any_request())
+        told = await over.receive()
+        assert (told.status, told.error) == (503, "too_many_connections")
+
+    run_bench(main, FakeHop(), requests=RequestSettings(max_connections=1))
+
+
+def test_pipelined_requests_get_their_own_answers_in_order() -> None:
+    async def main(bench: Bench) -> None:
+        caller = await connect(bench)
+        head = b"PUT /note HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\n\r\n"
+        await caller.sock.sendall(b"".join(head + b"%d" % number for number in range(5)))
+        received = b""
+        while received.count(b"vm-1:") < 5:
+            received += await caller.sock.recv(65_536)
+        places = [received.index(b"vm-1:%d" % number) for number in range(5)]
+        assert places == sorted(places)
+
+    run_bench(main, FakeHop())
+
+
+def test_body_waits_for_continue_and_large_bodies_stream_whole() -> None:
+    size = 3_000_000
+
+    async def main(bench: Bench) -> None:
+        caller = await connect(bench)
+        head = b"PUT /spread HTTP/1.1\r\nhost: a\r\nexpect: 100-continue\r\n"
+        await caller.sock.sendall(head + b"content-length: %d\r\n\r\n" % size)
+        assert (await caller.sock.recv(100)).startswith(b"HTTP/1.1 100")
+        await caller.sock.sendall(bytes(size))
+        caller.http.send(_any_request())
+        told = await caller.receive()
+        assert (told.status, len(told.body)) == (200, size + len(b"vm-1:"))
+        assert bench.fakes[0].seen[0].whole
+
+    run_bench(main, FakeHop())
+
+
+async def answer_early(fake: FakeHop, hop: Hop, head: HopRequest) -> None:
+    await hop.send(fake.encode_answer(status=409), END)
+    await curio.sleep(0.2)
+    raise ConnectionResetError
+
+
+@pytest.mark.parametrize("script", [answer_early, fail_with(ErrorKind.SHED)])
+def test_early_answer_reaches_a_caller_that_still_uploads(script: Script) -> None:
+    async def main(bench: Bench) -> None:
+        caller = await connect(bench)
+        await caller.send("PUT", "/spread", bytes(100_000), length=50_000_000)
+        told = await caller.receive()
+        assert told.status == (409 if script is answer_early else 503)
+        assert told.whole
+
+    run_bench(main, FakeHop(scripts=_deque(script)))
+
+
+def test_answer_without_length_is_visibly_cut_for_http_1_0() -> None:
+    async def main(bench: Bench) -> None:
+        caller = await connect(bench)
+        await caller.sock.sendall(b"GET /status HTTP/1.0\r\nhost: a\r\n\r\n")
+        with pytest.raises(ConnectionResetError):
+            while await caller.sock.recv(65_536):
+                pass
+
+    run_bench(main, FakeHop(scripts=_deque(cut_before_end)))
+
+
+@pytest.mark.parametrize("state", ["upload", "wait", "answer"])
+def test_caller_gone_cancels_its_request(state: str) -> None:
+    async def begin_answer(fake: FakeHop, hop: Hop, head: HopRequest) -> None:
+        await fake.take_body(hop, head)
+        await hop.send(fake.encode_answer(headers=LENGTH_10), encode_data([b"half."]))
+        if await hop.receive() is None:
+            raise ConnectionResetError
+
+    script = begin_answer if state == "answer" else never_answer
+
+    async def main(bench: Bench) -> None:
+        caller = await connect(bench)
+        await caller.send("POST", "/advance", b"b", length=10 if state == "upload" else 1)
+        fake = bench.fakes[0]
+        await wait_until(lambda: bool(fake.hops if state == "upload" else fake.seen))
+        await caller.sock.close()
+        await wait_until(lambda: fake.cancelled == 1)
+        await wait_until(lambda: bench.server.in_flight == 0)
+        assert bench.metrics.get_count("trefoilpick_requests_total", result="caller_gone") == 1
+
+    run_bench(main, FakeHop(scripts=_deque(script)))
+
+
+async def answer_slowly(fake: FakeHop, hop: Hop, head: HopRequest) -> None:
+    await fake.take_body(hop, head)
+    await curio.sleep(0.3)
+    await hop.send(fake.encode_answer(headers=LENGTH_10), encode_data([b"01234"]))
+    await curio.sleep(0.3)
+    await hop.send(encode_data([b"56789"]), END)
+
+
+def test_drain_cuts_no_request_in_any_state() -> None:
+    async def main(bench: Bench) -> None:
+        idle = await connect(bench)
+        assert (await idle.ask("GET", "/status")).status == 200
+        new = await connect(bench)
+        waiting = await connect(bench)
+        bench.fakes[0].scripts.append(answer_slowly)
+        await waiting.send("GET", "/status")
+        await wait_until(lambda: len(bench.fakes[0].seen) == 2)
+        uploading = await connect(bench)
+        await uploading.send("PUT", "/spread", b"12345", length=10)
+        await wait_until(lambda: bench.server.in_flight == 2)
+        drain = await curio.spawn(bench.server.drain)
+        during = await (await connect(bench)).ask("GET", "/status")
+        assert (during.status, during.headers["connection"]) == (200, "close")
+        told = await waiting.receive()
+        assert (told.status, told.body, told.whole) == (200, b"0123456789", True)
+        refused = await (await connect(bench)).ask("GET", "/status")
+        assert (refused.status, refused.error) == (503, "draining")
+        await uploading.sock.sendall(b"67890")
+        told = await uploading.receive()
+        assert (told.status, told.body) == (200, b"vm-1:1234567890")
+        assert (await drain.join()).cut == 0
+        assert await new.sock.recv(1) == b""
+        assert await idle.sock.recv(1) == b""
+
+    run_bench(main, FakeHop(), drain=DrainSettings(notice_ms=200, limit_ms=20_000))
+
+
+def test_drain_reports_what_its_bound_left() -> None:
+    async def main(bench: Bench) -> None:
+        caller = await connect(bench)
+        await caller.send("POST", "/advance", b"b")
+        await wait_until(lambda: bool(bench.fakes[0].seen))
+        assert (await bench.server.drain()).cut == 1
+
+    run_bench(main, FakeHop(scripts=_deque(never_answer)), drain=DrainSettings(0, 100))
+
+
+def test_notice_of_a_leaving_node_ends_new_work_there() -> None:
     async def main(bench: Bench) -> None:
+        leaver = bench.fakes[0]
         caller = await connect(bench)
-        for number in range(3):
-            told = await caller.ask("POST", "/advance/x?y=1", b"abc", x_request_id=str(number))
-            assert (told.status, told.body, told.whole) == (200, b"vm-1:abc", True)
-            assert told.headers["x-trefoilpick-version"] == "7"
-            assert told.outcome == "run"
+        while not leaver.hops:
+            await caller.ask("GET", "/status")
+        leaver.leaving = True
+        notice: Load = leaver.load()
+        await leaver.hops[0].send(encode_head(FrameKind.NOTICE, notice))
+        await wait_until(lambda: bench.directory.leaving == ["vm-1"])
+        seen = len(leaver.seen)
+        for _ in range(20):
+            assert (await caller.ask("GET", "/status")).body == b"vm-2:"
+        assert len(leaver.seen) == seen
 
-    bench = run_bench(main, FakeHop())
-    fake = bench.fakes[0]
-    assert fake.connections == 1
-    assert bench.runs == {"0": 1, "1": 1, "2": 1}
-    assert fake.seen[0].head.target == "/advance/x?y=1"
-    assert bench.metrics.get_count("trefoilpick_requests_total", result="good") == 3
+    run_bench(main, FakeHop("vm-1"), FakeHop("vm-2"))
--- a/trefoilpick/balancing.py
+++ b/trefoilpick/balancing.py
@@ -38,6 +38,9 @@
 WARM_UP_START = 0.1
 """Share of a new worker at its start."""
 
+LEAVING_HOLD_S = 30.0
+"""Time for which a node's word that it is leaving holds, in seconds; a restart may follow it."""
+
 EJECTED_DIVISOR = 2
 """At most the total divided by this many of a service's workers are ejected at a time."""
 
@@ -80,7 +83,7 @@
         self.latency_s: float | None = None
         self.ejection = Ejection()
         self.incarnation = 0
-        self.leaving = False
+        self._leaving_until = now
         self._warm_at = now
         self._slots = 1
         self._others = 0.0
@@ -95,6 +98,10 @@
         """Note that a request to the worker is over."""
         self.in_flight -= 1
 
+    def is_leaving(self, now: float) -> bool:
+        """Tell whether the worker's node said lately that it takes no new work."""
+        return now < self._leaving_until
+
     def begin_warm_up(self, now: float) -> None:
         """Let the worker's share grow from the small one of a new worker."""
         self._warm_at = now + WARM_UP_S
@@ -110,7 +117,7 @@
             self.begin_warm_up(now)
             self.latency_s = None
         self.incarnation = load.incarnation
-        self.leaving = load.leaving
+        self._leaving_until = now + LEAVING_HOLD_S if load.leaving else now
         self._slots = max(load.slots, 1)
         self._others = float(max(load.in_flight + load.queued - self.in_flight, 0))
         self._reported_at = now
@@ -154,7 +161,6 @@
         self.records: dict[str, WorkerRecord] = {}
         self.zones: tuple[tuple[WorkerRecord, ...], ...] = ()
         self._endpoints: tuple[Vm, ...] | None = None
-        self._began_at = now
 
     def update(self, endpoints: tuple[Vm, ...], own: VmSettings, now: float) -> None:
         """Take over a new list of VMs; records of known VMs stay."""
@@ -173,7 +179,7 @@
         """Yield, nearest first, the workers of each zone that may get a request."""
         ejected = self._list_ejected(now)
         for zone in self.zones:
-            available = tuple(record for record in zone if self._is_available(record, ejected))
+            available = tuple(record for record in zone if _is_available(record, ejected, now))
             if available:
                 yield available
 
@@ -196,12 +202,6 @@
         for nearness in sorted(zones):
             yield tuple(zones[nearness])
 
-    @staticmethod
-    def _is_available(record: WorkerRecord, ejected: frozenset[str]) -> bool:
-        if record.leaving or record.vm.state is VmState.LEAVING:
-            return False
-        return record.vm.name not in ejected
-
 
 class Balancer:
     """Chooses workers and keeps what was seen of them.
@@ -255,7 +255,7 @@
 
     def note_load(self, record: WorkerRecord, load: Load, now: float) -> None:
         """Take over a load report and tell the directory what is new in it."""
-        was_leaving = record.leaving
+        was_leaving = record.is_leaving(now)
         if record.note_load(load, now):
             self._directory.note_alive(load.vm, load.incarnation)
         if load.leaving and not was_leaving:
@@ -309,3 +309,9 @@
     if vm.data_centre != own.data_centre:
         return Nearness.REGION
     return Nearness.DATA_CENTRE
+
+
+def _is_available(record: WorkerRecord, ejected: frozenset[str], now: float) -> bool:
+    if record.vm.state is VmState.LEAVING or record.is_leaving(now):
+        return False
+    return record.vm.name not in ejected
--- a/trefoilpick/callerlinks.py
+++ b/trefoilpick/callerlinks.py
@@ -81,6 +81,11 @@
         self.head_sent = False
         self.hop: ClientHop | None = None
 
+    @property
+    def can_answer(self) -> bool:
+        """Whether nothing of an answer was sent or encoded yet."""
+        return not self.head_sent and self.http.our_state in (h11.IDLE, h11.SEND_RESPONSE)
+
     @property
     def is_busy(self) -> bool:
         """Whether a request has begun that is not answered yet."""
@@ -178,8 +183,15 @@
     def encode_answer(
         self, status: int, headers: Headers, parts: Sequence[bytes], *, ended: bool
     ) -> bytes:
-        """Return the bytes of an answer's head with the parts of its body that are there."""
-        response = h11.Response(status_code=status, headers=headers)
+        """Return the bytes of an answer's head with the parts of its body that are there.
+
+        Raises:
+            TrefoilpickError: `ANSWER_MALFORMED` or `ANSWER_CUT`.
+        """
+        try:
+            response = h11.Response(status_code=status, headers=headers)
+        except h11.LocalProtocolError as error:
+            raise TrefoilpickError(ErrorKind.ANSWER_MALFORMED, f"answer: {error}") from error
         return (self.http.send(response) or b"") + self.encode_parts(parts, ended=ended)
 
     def encode_parts(self, parts: Sequence[bytes], *, ended: bool) -> bytes:
--- a/trefoilpick/callers.py
+++ b/trefoilpick/callers.py
@@ -13,7 +13,15 @@
 
 from trefoilpick.balancing import Balancer, Directory
 from trefoilpick.callerlinks import CallerLink, CoarseClock, LinkState, encode_error
-from trefoilpick.calls import MS_PER_S, OWN_PREFIX, RETRY_HEADER, Call, CallBody, read_head
+from trefoilpick.calls import (
+    EXHAUSTED_MARK,
+    MS_PER_S,
+    OWN_PREFIX,
+    RETRY_HEADER,
+    Call,
+    CallBody,
+    read_head,
+)
 from trefoilpick.errors import ErrorKind, TrefoilpickError, find_answer
 from trefoilpick.forwarding import Forwarder
 from trefoilpick.hopclient import HopPool
@@ -49,9 +57,6 @@
 DRAIN_CHECK_S = 0.05
 """Time between two looks at what a drain waits for, in seconds."""
 
-EXHAUSTED_MARK = b"exhausted"
-"""Value of the retry header on an answer after which a further attempt above is no use."""
-
 CLOSE_HEADER = (b"connection", b"close")
 """Header that ends a caller's connection after the answer."""
 
@@ -282,7 +287,7 @@
         self, link: CallerLink, error: TrefoilpickError, snapshot: Snapshot | None
     ) -> None:
         """Tell the caller of an error, or break off an answer that has begun."""
-        if error.kind is ErrorKind.CALLER_GONE or link.head_sent:
+        if error.kind is ErrorKind.CALLER_GONE or not link.can_answer:
             link.break_off()
             return
         close = self._is_closing or not link.drop_body()
--- a/trefoilpick/calls.py
+++ b/trefoilpick/calls.py
@@ -35,6 +35,9 @@
 RETRY_MARK = b"1"
 """Value of the retry header on a request that was tried before."""
 
+EXHAUSTED_MARK = b"exhausted"
+"""Value of the retry header on an answer after which a further attempt above is no use."""
+
 CONNECTION_HEADERS = frozenset(
     {
         b"connection",
@@ -201,6 +204,9 @@
     path = target.partition("?")[0]
     _check_path(path)
     wants_token = token == TOKEN_WISH
+    if wants_token and body_length != 0:
+        text = "a request for a token has a body"
+        raise TrefoilpickError(ErrorKind.HEAD_MALFORMED, text)
     return CallHead(
         request.method.decode("ascii"),
         _strip_port(host.decode("latin-1").lower()),
--- /dev/null
+++ b/trefoilpick/client.py
@@ -0,0 +1,360 @@
+"""A small library for callers: several nodes, whole answers, and retries that run nothing twice."""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING
+
+import curio
+import msgspec
+
+from trefoilpick._client_connection import (
+    ClientConnection,
+    RawAnswer,
+    open_client_connection,
+    read_outcome,
+)
+from trefoilpick.calls import (
+    DEADLINE_HEADER,
+    EXHAUSTED_MARK,
+    MS_PER_S,
+    OWN_PREFIX,
+    RETRY_HEADER,
+    RETRY_MARK,
+    TOKEN_HEADER,
+    TOKEN_WISH,
+)
+from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError, find_answer
+from trefoilpick.retries import RETRIABLE
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+IDLE_CONNECTIONS = 8
+"""Unused connections that are kept to one node."""
+
+CONNECT_TIMEOUT_S = 1.0
+"""Time to connect to a node, in seconds."""
+
+ATTEMPTS = 4
+"""Attempts at one request, the first among them."""
+
+FIRST_PAUSE_S = 0.05
+"""Upper bound of the first pause between attempts, in seconds; it doubles for each further one."""
+
+MAX_PAUSE_S = 5.0
+"""Longest upper bound of a pause between attempts, in seconds."""
+
+FIRST_AVOIDANCE_S = 0.5
+"""Time for which a node that broke is avoided, in seconds; it doubles for each further break."""
+
+MAX_AVOIDANCE_S = 30.0
+"""Longest time for which a node is avoided, in seconds."""
+
+WORTH_ANOTHER = RETRIABLE | {
+    ErrorKind.PEER_UNREACHABLE,
+    ErrorKind.ANSWER_CUT,
+    ErrorKind.DEADLINE_BEFORE_RUN,
+    ErrorKind.DEADLINE_AFTER_SEND,
+    ErrorKind.TOKEN_BUSY,
+}
+"""Errors after which another attempt may do better."""
+
+NODE_FAULTS = frozenset({ErrorKind.PEER_UNREACHABLE, ErrorKind.NOT_READY, ErrorKind.DRAINING})
+"""Errors for which another node is tried first."""
+
+
+@dataclass(frozen=True)
+class CallerAnswer:
+    """A whole answer of a worker.
+
+    Attributes:
+        status: HTTP status code.
+        headers: Names in lower case, and values.
+        body: The whole body.
+        outcome: What the node says of the request's execution.
+        version: Version number under which the node forwarded the request; 0 without one.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    outcome: Outcome
+    version: int
+
+
+@dataclass(frozen=True)
+class _Request:
+    method: str
+    host: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    deadline_at: float
+    is_retry: bool = False
+    token: str | None = None
+
+
+class _Node:
+    """One node that the library knows, with unused connections to it."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.idle: deque[ClientConnection] = deque()
+        self.avoided_until = 0.0
+        self._breaks = 0
+
+    async def acquire(self, *, timeout_s: float) -> ClientConnection:
+        while self.idle:
+            connection = self.idle.pop()
+            if connection.is_quiet():
+                return connection
+            await connection.close()
+        return await open_client_connection(self.address, timeout_s=timeout_s)
+
+    async def release(self, connection: ClientConnection) -> None:
+        self._breaks = 0
+        if len(self.idle) < IDLE_CONNECTIONS and connection.prepare_reuse():
+            self.idle.append(connection)
+        else:
+            await connection.close()
+
+    def avoid(self, now: float) -> None:
+        pause_s = min(FIRST_AVOIDANCE_S * 2**self._breaks, MAX_AVOIDANCE_S)
+        self._breaks = min(self._breaks + 1, 16)
+        self.avoided_until = now + pause_s
+
+
+class Caller:
+    """Sends requests through any of several nodes.
+
+    Args:
+        addresses: Addresses of nodes, as "ip:port", the preferred first.
+        chance: Source of the jitter of pauses.
+        attempts: Attempts at one request, the first among them.
+    """
+
+    def __init__(
+        self,
+        addresses: Sequence[str],
+        *,
+        chance: random.Random | None = None,
+        attempts: int = ATTEMPTS,
+    ) -> None:
+        self._nodes = [_Node(address) for address in addresses]
+        self._random = chance or random.Random()
+        self._attempts = attempts
+
+    async def request(
+        self,
+        method: str,
+        host: str,
+        path: str,
+        *,
+        headers: Sequence[tuple[str, str]] = (),
+        body: bytes = b"",
+        deadline_s: float = 10.0,
+        idempotent: bool = False,
+    ) -> CallerAnswer:
+        """Send a request and return its whole answer.
+
+        A request that is not idempotent is sent with a token, so that further attempts cannot
+        run it again.
+
+        Args:
+            method: HTTP method.
+            host: Host header.
+            path: Path and query.
+            headers: Further headers.
+            body: The whole body.
+            deadline_s: Time for all attempts, in seconds.
+            idempotent: Whether the request may run more than once.
+
+        Returns:
+            The answer, whatever its status, unless a node made it up.
+
+        Raises:
+            TrefoilpickError: No answer; its outcome speaks for all attempts together.
+        """
+        deadline_at = await curio.clock() + deadline_s
+        request = _Request(method, host, path, tuple(headers), body, deadline_at)
+        made = 0
+        known = Outcome.NOT_RUN
+        while True:
+            made += 1
+            try:
+                if not idempotent and request.token is None:
+                    request = replace(request, token=await self._fetch_token(request))
+                return await self._send(request)
+            except TrefoilpickError as error:
+                known = _combine(known, find_answer(error).outcome)
+                pause_s = self._plan_pause(error, made, known, request, await curio.clock())
+                if pause_s is None:
+                    raise _conclude(error, known) from error
+                if known is Outcome.NOT_RUN:
+                    request = replace(request, token=None)
+                request = replace(request, is_retry=True)
+                await curio.sleep(pause_s)
+
+    async def close(self) -> None:
+        """Close all unused connections."""
+        for node in self._nodes:
+            while node.idle:
+                await node.idle.pop().close()
+
+    async def _fetch_token(self, request: _Request) -> str:
+        """Get a token; the request itself is not sent, so no error says more than not run."""
+        asked = replace(request, headers=(), body=b"", token=TOKEN_WISH)
+        try:
+            answer = await self._exchange(asked)
+        except TrefoilpickError as error:
+            raise _restate(error, Outcome.NOT_RUN) from error
+        token = answer.get_header(TOKEN_HEADER.decode())
+        if token is None:
+            text = f'answer to a request for a token of "{request.path}" carries none'
+            raise TrefoilpickError(ErrorKind.ANSWER_MALFORMED, text, outcome=Outcome.NOT_RUN)
+        return token
+
+    async def _send(self, request: _Request) -> CallerAnswer:
+        answer = await self._exchange(request)
+        version = answer.get_header("x-trefoilpick-version") or "0"
+        return CallerAnswer(
+            answer.status,
+            answer.headers,
+            answer.body,
+            read_outcome(answer.headers),
+            int(version) if version.isdigit() else 0,
+        )
+
+    async def _exchange(self, request: _Request) -> RawAnswer:
+        """Send a request through one node.
+
+        Raises:
+            TrefoilpickError: The connection broke, or the node answered with an error.
+        """
+        now = await curio.clock()
+        node = self._choose_node(now)
+        left_s = request.deadline_at - now
+        if left_s <= 0:
+            raise TrefoilpickError(ErrorKind.DEADLINE_BEFORE_RUN, "the caller's time is over")
+        try:
+            connection = await node.acquire(timeout_s=min(CONNECT_TIMEOUT_S, left_s))
+        except TrefoilpickError:
+            node.avoid(await curio.clock())
+            raise
+        answer = await self._exchange_on(connection, node, request)
+        error = _read_error(answer)
+        if error is None:
+            return answer
+        if error.kind in NODE_FAULTS:
+            node.avoid(await curio.clock())
+        raise error
+
+    async def _exchange_on(
+        self, connection: ClientConnection, node: _Node, request: _Request
+    ) -> RawAnswer:
+        is_whole = False
+        try:
+            left_s = request.deadline_at - await curio.clock()
+            async with curio.timeout_after(max(left_s, 0.0)):
+                answer = await connection.exchange(
+                    request.method, request.path, _list_headers(request, left_s), request.body
+                )
+            is_whole = True
+        except curio.TaskTimeout as error:
+            text = f'no answer of "{node.address}" in the caller\'s time'
+            kind = ErrorKind.DEADLINE_AFTER_SEND
+            outcome = Outcome.UNKNOWN if connection.was_sent else Outcome.NOT_RUN
+            raise TrefoilpickError(kind, text, outcome=outcome) from error
+        except TrefoilpickError:
+            node.avoid(await curio.clock())
+            raise
+        finally:
+            if is_whole:
+                await node.release(connection)
+            else:
+                await connection.close()
+        return answer
+
+    def _choose_node(self, now: float) -> _Node:
+        for node in self._nodes:
+            if node.avoided_until <= now:
+                return node
+        return min(self._nodes, key=lambda node: node.avoided_until)
+
+    def _plan_pause(
+        self, error: TrefoilpickError, made: int, known: Outcome, request: _Request, now: float
+    ) -> float | None:
+        """Return the pause before another attempt, in seconds; None where there must be none."""
+        may_resolve = known is not Outcome.NOT_RUN and request.token is not None
+        if made >= self._attempts or error.kind not in WORTH_ANOTHER:
+            return None
+        if getattr(error, "is_exhausted", False) and not may_resolve:
+            return None
+        ceiling_s = min(FIRST_PAUSE_S * 2 ** (made - 1), MAX_PAUSE_S)
+        pause_s = self._random.uniform(0.0, ceiling_s)
+        if error.kind not in NODE_FAULTS or len(self._nodes) == 1:
+            pause_s += error.retry_after_s or 0.0
+        return pause_s if now + pause_s < request.deadline_at else None
+
+
+class _ToldError(TrefoilpickError):
+    """An error that a node told."""
+
+    is_exhausted = False
+
+
+def _list_headers(request: _Request, left_s: float) -> list[tuple[str, str]]:
+    headers = [("host", request.host), *request.headers]
+    if request.body or request.method in ("POST", "PUT", "PATCH"):
+        headers.append(("content-length", str(len(request.body))))
+    headers.append((DEADLINE_HEADER.decode(), str(max(int(left_s * MS_PER_S), 1))))
+    if request.token is not None:
+        headers.append((TOKEN_HEADER.decode(), request.token))
+    if request.is_retry:
+        headers.append((RETRY_HEADER.decode(), RETRY_MARK.decode()))
+    return headers
+
+
+def _read_error(answer: RawAnswer) -> TrefoilpickError | None:
+    name = answer.get_header((OWN_PREFIX + b"error").decode())
+    if name is None:
+        return None
+    try:
+        kind = ErrorKind(name)
+    except ValueError:
+        kind = ErrorKind.INTERNAL
+    retry_after = answer.get_header("retry-after") or ""
+    error = _ToldError(
+        kind,
+        _read_text(answer.body),
+        outcome=read_outcome(answer.headers),
+        retry_after_s=float(retry_after) if retry_after.isdigit() else None,
+    )
+    error.is_exhausted = answer.get_header(RETRY_HEADER.decode()) == EXHAUSTED_MARK.decode()
+    return error
+
+
+def _read_text(body: bytes) -> str:
+    try:
+        return msgspec.json.decode(body, type=dict[str, str]).get("text", "")
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return ""
+
+
+def _combine(known: Outcome, latest: Outcome) -> Outcome:
+    """Return what is known after another attempt: that it ran is never forgotten."""
+    order = (Outcome.NOT_RUN, Outcome.UNKNOWN, Outcome.RUN)
+    return max(known, latest, key=order.index)
+
+
+def _conclude(error: TrefoilpickError, known: Outcome) -> TrefoilpickError:
+    return error if find_answer(error).outcome is known else _restate(error, known)
+
+
+def _restate(error: TrefoilpickError, outcome: Outcome) -> TrefoilpickError:
+    told = _ToldError(error.kind, error.text, outcome=outcome, retry_after_s=error.retry_after_s)
+    told.is_exhausted = getattr(error, "is_exhausted", False)
+    return told
--- a/trefoilpick/forwarding.py
+++ b/trefoilpick/forwarding.py
@@ -8,8 +8,8 @@
 import curio
 
 from trefoilpick.callerlinks import LinkState
-from trefoilpick.calls import MS_PER_S, OWN_PREFIX, RETRY_HEADER, RETRY_MARK, TOKEN_HEADER
-from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError
+from trefoilpick.calls import MS_PER_S, OWN_PREFIX, RETRY_HEADER, TOKEN_HEADER
+from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError, find_answer
 from trefoilpick.hops import (
     Frame,
     FrameKind,
@@ -79,11 +79,17 @@
     Args:
         call: The request.
         hop: Where the body goes.
+
+    Attributes:
+        error: What is wrong with the caller's side of the body.
+        ended_at: When all of the body was sent, in seconds on the node's clock.
+        is_sending: Whether it waits for the worker's side to take a part.
     """
 
     def __init__(self, call: Call, hop: ClientHop) -> None:
         self.error: TrefoilpickError | None = None
         self.ended_at: float | None = None
+        self.is_sending = False
         self._call = call
         self._hop = hop
         self._task: curio.Task | None = None
@@ -103,7 +109,9 @@
         link = self._call.link
         try:
             while (part := await self._call.body.receive()) is not None:
+                self.is_sending = True
                 await self._hop.send(encode_data([part]))
+                self.is_sending = False
                 link.touched_at = link.clock.now
             await self._hop.send(END_FRAME)
         except TrefoilpickError as error:
@@ -163,16 +171,22 @@
         upstream = call.team_route.upstream.name
         self._budgets.note_request(upstream, call.started_at)
         tried: list[str] = []
+        may_have_run = False
         while True:
             try:
                 return await self._attempt(call, tried)
             except TrefoilpickError as error:
-                now = await curio.clock()
+                may_have_run = may_have_run or find_answer(error).outcome is not Outcome.NOT_RUN
                 pause_s = plan_retry(
-                    call, error, len(tried), now, budgets=self._budgets, random=self._random
+                    call,
+                    error,
+                    attempts=len(tried),
+                    now=await curio.clock(),
+                    budgets=self._budgets,
+                    random=self._random,
                 )
                 if pause_s is None:
-                    raise
+                    raise _weaken(error, may_have_run=may_have_run) from error
                 await curio.sleep(pause_s)
 
     async def _attempt(self, call: Call, tried: list[str]) -> Attempt:
@@ -184,14 +198,23 @@
             return await self._attempt_at(call, record, is_retry=len(tried) > 1)
         except TrefoilpickError as error:
             record.end()
-            if error.kind in WORKER_FAULTS and not call.link.is_gone:
-                refused = error.kind is ErrorKind.UPSTREAM_REFUSED
-                self._balancer.note_failure(record, await curio.clock(), refused=refused)
+            self._note_error(call, record, error, await curio.clock())
             raise
         except BaseException:
             record.end()
             raise
 
+    def _note_error(
+        self, call: Call, record: WorkerRecord, error: TrefoilpickError, now: float
+    ) -> None:
+        if error.kind is ErrorKind.DEADLINE_AFTER_SEND:
+            waited_s = now - call.started_at
+            if waited_s * MS_PER_S * 2 >= call.team_route.route.contract.deadline_ms:
+                self._balancer.note_failure(record, now)
+        elif error.kind in WORKER_FAULTS and not call.link.is_gone:
+            refused = error.kind is ErrorKind.UPSTREAM_REFUSED
+            self._balancer.note_failure(record, now, refused=refused)
+
     def _choose(self, call: Call, tried: list[str], now: float) -> WorkerRecord:
         upstream = call.team_route.upstream.name
         token = call.head.token
@@ -234,9 +257,11 @@
             await uploader.start()
         try:
             answer = await self._receive_head(call, record, hop, uploader)
-        except BaseException:
+        except BaseException as error:
             if uploader is not None:
                 await uploader.stop()
+            if isinstance(error, TrefoilpickError) and error.kind is ErrorKind.MESSAGE_MALFORMED:
+                raise TrefoilpickError(ErrorKind.ANSWER_MALFORMED, error.text) from error
             raise
         answered_at = await curio.clock()
         self._note_answer(record, answer, answered_at, answered_at - _find_begin(uploader, now))
@@ -271,7 +296,7 @@
             if uploader is not None and uploader.error is not None:
                 raise uploader.error
             if frame is None:
-                raise _describe_loss(call, hop)
+                raise _describe_loss(call, hop, uploader)
             if frame.kind is FrameKind.ANSWER:
                 return decode_head(frame.payload, HopAnswer)
             if frame.kind is FrameKind.FAILURE:
@@ -338,7 +363,7 @@
             except (OSError, TrefoilpickError):
                 frame = None
             if frame is None or frame.kind not in (FrameKind.DATA, FrameKind.END, FrameKind.NOTICE):
-                raise _describe_cut(call, hop)
+                raise _describe_cut(call, attempt)
             if frame.kind is FrameKind.END:
                 hop.is_clean = _is_body_sent(call, attempt.uploader)
                 return parts, True
@@ -359,6 +384,16 @@
     return call.body.ended and (uploader is None or uploader.ended_at is not None)
 
 
+def _weaken(error: TrefoilpickError, *, may_have_run: bool) -> TrefoilpickError:
+    """Return the error of the last attempt, with what is known of all of them."""
+    answer = find_answer(error)
+    if not may_have_run or answer.outcome is not Outcome.NOT_RUN:
+        return error
+    return TrefoilpickError(
+        error.kind, error.text, outcome=Outcome.UNKNOWN, retry_after_s=answer.retry_after_s
+    )
+
+
 def _find_begin(uploader: Uploader | None, sent_at: float) -> float:
     """Return from when on an answer is waited for: a streamed body has to end first."""
     if uploader is None or uploader.ended_at is None:
@@ -374,7 +409,6 @@
     head = call.head
     route = call.team_route.route
     is_retry = is_retry or head.is_retry
-    headers = [*head.headers, (RETRY_HEADER, RETRY_MARK)] if is_retry else head.headers
     return HopRequest(
         number=call.snapshot.version.number,
         digest=call.snapshot.version.digest,
@@ -383,7 +417,7 @@
         upstream=call.team_route.upstream.name,
         method=head.method,
         target=head.target,
-        headers=headers,
+        headers=head.headers,
         remaining_ms=max(int(left_s * MS_PER_S), 1),
         priority=route.contract.priority.value,
         idempotent=route.contract.idempotent,
@@ -428,18 +462,19 @@
     return began_at + allowed_s
 
 
-def _describe_loss(call: Call, hop: ClientHop) -> TrefoilpickError:
+def _describe_loss(call: Call, hop: ClientHop, uploader: Uploader | None) -> TrefoilpickError:
     if call.link.is_gone:
         return TrefoilpickError(ErrorKind.CALLER_GONE, "the caller left before its answer")
-    if call.link.is_expired:
-        text = "the request's body stood still too long"
-        return TrefoilpickError(ErrorKind.BODY_TIMEOUT, text)
+    if call.link.is_expired and (uploader is None or not uploader.is_sending):
+        return TrefoilpickError(ErrorKind.BODY_TIMEOUT, "the body stood still too long")
     text = f'connection to VM "{hop.vm.name}" broke before the answer'
     return TrefoilpickError(ErrorKind.UPSTREAM_LOST, text)
 
 
-def _describe_cut(call: Call, hop: ClientHop) -> TrefoilpickError:
+def _describe_cut(call: Call, attempt: Attempt) -> TrefoilpickError:
     if call.link.is_gone:
         return TrefoilpickError(ErrorKind.CALLER_GONE, "the caller left within its answer")
-    text = f'the answer of VM "{hop.vm.name}" ended before it was whole'
+    if attempt.uploader is not None and attempt.uploader.error is not None:
+        return attempt.uploader.error
+    text = f'the answer of VM "{attempt.hop.vm.name}" ended before it was whole'
     return TrefoilpickError(ErrorKind.ANSWER_CUT, text)
--- a/trefoilpick/retries.py
+++ b/trefoilpick/retries.py
@@ -117,9 +117,9 @@
 def plan_retry(
     call: Call,
     error: TrefoilpickError,
+    *,
     attempts: int,
     now: float,
-    *,
     budgets: RetryBudgets,
     random: random.Random,
 ) -> float | None:
