Age latencies and assume the document's slots for workers without a report

A worker that had not reported its slots counted as one of a single slot, so that it was never chosen beside one that had; found by the notice test. A body that was taken before an error answer no longer closes the caller's connection.

--- a/tests/fakes_hop.py
+++ b/tests/fakes_hop.py
@@ -42,6 +42,7 @@
 from trefoilpick.vms import Vm
 
 HOST = "127.0.0.1"
+PART_BYTES = 500_000
 END = encode_frame(FrameKind.END)
 
 
@@ -117,8 +118,7 @@
         while not whole:
             frame = await hop.receive()
             if frame is None:
-                self.cancelled += 1
-                break
+                raise ConnectionResetError
             whole = frame.kind is FrameKind.END
             body += frame.payload
         self.seen.append(Seen(head, body, whole))
@@ -150,7 +150,8 @@
     body = await fake.take_body(hop, head)
     content = fake.name.encode() + b":" + body
     length = (b"content-length", str(len(content)).encode())
-    await hop.send(fake.encode_answer(headers=(length,)), encode_data([content]), END)
+    parts = [content[at : at + PART_BYTES] for at in range(0, len(content), PART_BYTES)]
+    await hop.send(fake.encode_answer(headers=(length,)), encode_data(parts), END)
 
 
 def fail_with(kind: ErrorKind, outcome: Outcome = Outcome.NOT_RUN) -> Script:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -196,7 +196,7 @@
 def test_refused_connection_is_not_run() -> None:
     async def main(bench: Bench) -> None:
         vm = bench.directory.vms[0]
-        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as unused:
+        async with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as unused:
             unused.bind((HOST, 0))
             port = unused.getsockname()[1]
         bench.directory.vms = (type(vm)(**{**vm.__dict__, "hop_port": port}),)
--- a/trefoilpick/balancing.py
+++ b/trefoilpick/balancing.py
@@ -19,6 +19,7 @@
     import random
     from collections.abc import Collection, Iterator
 
+    from trefoilpick.document import Upstream
     from trefoilpick.hops import Load
     from trefoilpick.settings import VmSettings
     from trefoilpick.vms import Vm
@@ -29,6 +30,9 @@
 LOAD_HALF_LIFE_S = 1.0
 """Time in which a reported load loses half of its weight, in seconds."""
 
+LATENCY_HALF_LIFE_S = 5.0
+"""Time in which a measured latency loses half of its weight, in seconds."""
+
 LATENCY_WEIGHT = 0.2
 """Weight of the newest latency in the moving mean."""
 
@@ -80,12 +84,13 @@
     def __init__(self, vm: Vm, now: float) -> None:
         self.vm = vm
         self.in_flight = 0
-        self.latency_s: float | None = None
+        self._latency_s: float | None = None
+        self._measured_at = now
         self.ejection = Ejection()
         self.incarnation = 0
         self._leaving_until = now
         self._warm_at = now
-        self._slots = 1
+        self._slots: int | None = None
         self._others = 0.0
         self._reported_at = now
 
@@ -115,7 +120,7 @@
         is_new = load.incarnation != self.incarnation
         if is_new and self.incarnation:
             self.begin_warm_up(now)
-            self.latency_s = None
+            self._latency_s = None
         self.incarnation = load.incarnation
         self._leaving_until = now + LEAVING_HOLD_S if load.leaving else now
         self._slots = max(load.slots, 1)
@@ -123,23 +128,38 @@
         self._reported_at = now
         return is_new
 
-    def note_latency(self, latency_s: float) -> None:
+    def note_latency(self, latency_s: float, now: float) -> None:
         """Take a measured latency into the moving mean, in seconds."""
-        if self.latency_s is None:
-            self.latency_s = latency_s
+        if self._latency_s is None:
+            self._latency_s = latency_s
         else:
-            self.latency_s += LATENCY_WEIGHT * (latency_s - self.latency_s)
+            self._latency_s += LATENCY_WEIGHT * (latency_s - self._latency_s)
+        self._measured_at = now
+
+    def estimate_latency(self, now: float, usual_s: float | None) -> float | None:
+        """Return the expected latency, in seconds; an old mean gives way to the usual one."""
+        own_s = self._latency_s
+        if own_s is None or usual_s is None:
+            return usual_s if own_s is None else own_s
+        return usual_s + (own_s - usual_s) * 0.5 ** (
+            (now - self._measured_at) / LATENCY_HALF_LIFE_S
+        )
+
+    def estimate_utilisation(self, now: float, slots: int) -> float:
+        """Return the requests at the worker, with the next one, over its slots.
 
-    def estimate_utilisation(self, now: float) -> float:
-        """Return the requests at the worker, with the next one, over its slots."""
-        age = now - self._reported_at
-        others = self._others * 0.5 ** (age / LOAD_HALF_LIFE_S) if self._others else 0.0
-        return (self.in_flight + others + 1.0) / self._slots
+        Args:
+            now: Time on the node's clock, in seconds.
+            slots: Slots of a worker that has not reported its own yet.
+        """
+        age_s = now - self._reported_at
+        others = self._others * 0.5 ** (age_s / LOAD_HALF_LIFE_S) if self._others else 0.0
+        return (self.in_flight + others + 1.0) / (self._slots or slots)
 
-    def estimate_cost(self, now: float, usual_latency_s: float) -> float:
+    def estimate_cost(self, now: float, slots: int, usual_s: float | None) -> float:
         """Return the expected cost of the next request; only its order has a meaning."""
-        latency_s = usual_latency_s if self.latency_s is None else self.latency_s
-        return self.estimate_utilisation(now) * latency_s / self._compute_share(now)
+        latency_s = self.estimate_latency(now, usual_s) or 1.0
+        return self.estimate_utilisation(now, slots) * latency_s / self._compute_share(now)
 
     def _compute_share(self, now: float) -> float:
         left_s = self._warm_at - now
@@ -183,10 +203,14 @@
             if available:
                 yield available
 
-    def compute_usual_latency(self) -> float:
-        """Return the mean latency of the workers, in seconds."""
-        known = [entry.latency_s for entry in self.records.values() if entry.latency_s is not None]
-        return sum(known) / len(known) if known else 1.0
+    def compute_usual_latency(self, now: float) -> float | None:
+        """Return the mean latency of the workers, in seconds; None before any was measured."""
+        known = [
+            latency_s
+            for record in self.records.values()
+            if (latency_s := record.estimate_latency(now, None)) is not None
+        ]
+        return sum(known) / len(known) if known else None
 
     def _list_ejected(self, now: float) -> frozenset[str]:
         limit = len(self.records) // EJECTED_DIVISOR
@@ -218,26 +242,28 @@
         self._random = random
         self._services: dict[str, Service] = {}
 
-    def choose(self, service_name: str, now: float, *, avoid: Collection[str] = ()) -> WorkerRecord:
+    def choose(
+        self, upstream: Upstream, now: float, *, avoid: Collection[str] = ()
+    ) -> WorkerRecord:
         """Choose a worker for the next request.
 
         Args:
-            service_name: Name of the service.
+            upstream: The service.
             now: Time on the node's clock, in seconds.
             avoid: Names of VMs that are taken only where no other is available.
 
         Raises:
             TrefoilpickError: `NO_UPSTREAM`, where no worker may get a request.
         """
-        service = self._update_service(service_name, now)
-        usual_latency_s = service.compute_usual_latency()
+        service = self._update_service(upstream.name, now)
+        usual_s = service.compute_usual_latency(now)
         best: WorkerRecord | None = None
         best_utilisation = 0.0
         for zone in service.list_available(now):
-            record = self._choose_of_two(zone, now, usual_latency_s, avoid)
+            record = self._choose_of_two(zone, upstream, now, usual_s, avoid)
             if record is None:
                 continue
-            utilisation = record.estimate_utilisation(now)
+            utilisation = record.estimate_utilisation(now, upstream.slots)
             if utilisation <= SPILL_UTILISATION or record.in_flight == 0 and utilisation <= 1.0:
                 return record
             if best is None or utilisation < best_utilisation:
@@ -245,8 +271,8 @@
         if best is not None:
             return best
         if avoid:
-            return self.choose(service_name, now)
-        text = f'upstream "{service_name}" has no worker that takes requests'
+            return self.choose(upstream, now)
+        text = f'upstream "{upstream.name}" has no worker that takes requests'
         raise TrefoilpickError(ErrorKind.NO_UPSTREAM, text)
 
     def find(self, service_name: str, vm: str, now: float) -> WorkerRecord | None:
@@ -268,9 +294,9 @@
         if record is not None:
             self.note_load(record, load, now)
 
-    def note_success(self, record: WorkerRecord, latency_s: float) -> None:
+    def note_success(self, record: WorkerRecord, latency_s: float, now: float) -> None:
         """Note an answer of a worker and its latency, in seconds."""
-        record.note_latency(latency_s)
+        record.note_latency(latency_s, now)
         record.ejection.note_success()
 
     def note_failure(self, record: WorkerRecord, now: float, *, refused: bool = False) -> None:
@@ -289,8 +315,9 @@
     def _choose_of_two(
         self,
         zone: tuple[WorkerRecord, ...],
+        upstream: Upstream,
         now: float,
-        usual_latency_s: float,
+        usual_s: float | None,
         avoid: Collection[str],
     ) -> WorkerRecord | None:
         if avoid:
@@ -298,8 +325,8 @@
         if len(zone) < 2:
             return zone[0] if zone else None
         first, second = self._random.sample(zone, 2)
-        first_cost = first.estimate_cost(now, usual_latency_s)
-        second_cost = second.estimate_cost(now, usual_latency_s)
+        first_cost = first.estimate_cost(now, upstream.slots, usual_s)
+        second_cost = second.estimate_cost(now, upstream.slots, usual_s)
         return first if first_cost <= second_cost else second
 
 
--- a/trefoilpick/callerlinks.py
+++ b/trefoilpick/callerlinks.py
@@ -159,8 +159,8 @@
     def drop_body(self) -> bool:
         """Drop the rest of the request's body; tell whether all of it has arrived."""
         try:
-            while (part := self.take_body()) is not None:
-                if part == b"":
+            while self.http.their_state is h11.SEND_BODY:
+                if self.take_body() == b"":
                     return False
         except TrefoilpickError:
             return False
--- a/trefoilpick/forwarding.py
+++ b/trefoilpick/forwarding.py
@@ -216,14 +216,14 @@
             self._balancer.note_failure(record, now, refused=refused)
 
     def _choose(self, call: Call, tried: list[str], now: float) -> WorkerRecord:
-        upstream = call.team_route.upstream.name
+        upstream = call.team_route.upstream
         token = call.head.token
         if token is None:
             return self._balancer.choose(upstream, now, avoid=tried)
         vm = name_token_vm(token)
-        record = self._balancer.find(upstream, vm, now)
+        record = self._balancer.find(upstream.name, vm, now)
         if record is None:
-            text = f'token names VM "{vm}", which upstream "{upstream}" does not have'
+            text = f'token names VM "{vm}", which upstream "{upstream.name}" does not have'
             raise TrefoilpickError(ErrorKind.TOKEN_FOREIGN, text)
         return record
 
@@ -272,7 +272,7 @@
     ) -> None:
         self._balancer.note_load(record, answer.load, now)
         if answer.status < FIRST_SERVER_ERROR:
-            self._balancer.note_success(record, latency_s)
+            self._balancer.note_success(record, latency_s, now)
         else:
             self._balancer.note_failure(record, now)
 
