Read a token's VM from its claims; count attempts by data centre; keep records of absent VMs

Reading a service's VMs costs the roster a walk over the whole fleet, so it is done at most twice a second. The directory hears of refusals only from ejected workers, which the bound limits; a service's only worker is never ejected.

--- a/trefoilpick/_metric_table.py
+++ b/trefoilpick/_metric_table.py
@@ -51,6 +51,20 @@
         "Compare with the contract's latency objective.",
         ("team", "route"),
     ),
+    "trefoilpick_attempts_total": MetricInfo(
+        MetricKind.COUNTER,
+        "attempts",
+        "Attempts at workers, by upstream, data centre of the worker and end of the attempt.",
+        "Attempts in far data centres tell of spilling over: compare loads with slots.",
+        ("upstream", "data_centre", "end"),
+    ),
+    "trefoilpick_retries_total": MetricInfo(
+        MetricKind.COUNTER,
+        "attempts",
+        "Further attempts that this node made, by upstream and error of the attempt before.",
+        "Look for failing workers; the budget bounds the share of further attempts.",
+        ("upstream", "kind"),
+    ),
     "trefoilpick_convergence_microseconds": MetricInfo(
         MetricKind.HISTOGRAM,
         "microseconds",
--- a/trefoilpick/balancing.py
+++ b/trefoilpick/balancing.py
@@ -42,6 +42,9 @@
 WARM_UP_START = 0.1
 """Share of a new worker at its start."""
 
+REFRESH_S = 0.5
+"""Time between two readings of a service's VMs, in seconds."""
+
 LEAVING_HOLD_S = 30.0
 """Time for which a node's word that it is leaving holds, in seconds; a restart may follow it."""
 
@@ -180,24 +183,37 @@
         self.name = name
         self.records: dict[str, WorkerRecord] = {}
         self.zones: tuple[tuple[WorkerRecord, ...], ...] = ()
-        self._endpoints: tuple[Vm, ...] | None = None
+        self._endpoints: tuple[Vm, ...] = ()
+        self._refreshed_at = now - REFRESH_S
+        self._absent: dict[str, WorkerRecord] = {}
+
+    def is_due(self, now: float) -> bool:
+        """Tell whether the list of VMs must be read again."""
+        return now - self._refreshed_at >= REFRESH_S or not self._endpoints
 
     def update(self, endpoints: tuple[Vm, ...], own: VmSettings, now: float) -> None:
-        """Take over a new list of VMs; records of known VMs stay."""
-        if endpoints is self._endpoints or endpoints == self._endpoints:
+        """Take over a list of VMs; records of known VMs stay, also while they are absent."""
+        self._refreshed_at = now
+        if endpoints == self._endpoints:
             return
+        known = self._absent | self.records
+        is_first = not self._endpoints
         self._endpoints = endpoints
-        known = self.records
-        self.records = {vm.name: known.get(vm.name) or WorkerRecord(vm, now) for vm in endpoints}
+        self.records = {}
         for vm in endpoints:
-            self.records[vm.name].vm = vm
-            if known and vm.name not in known:
-                self.records[vm.name].begin_warm_up(now)
+            record = known.pop(vm.name, None)
+            if record is None:
+                record = WorkerRecord(vm, now)
+                if not is_first:
+                    record.begin_warm_up(now)
+            record.vm = vm
+            self.records[vm.name] = record
+        self._absent = dict(list(known.items())[-len(endpoints) :])
         self.zones = tuple(self._split_by_nearness(own))
 
     def list_available(self, now: float) -> Iterator[tuple[WorkerRecord, ...]]:
         """Yield, nearest first, the workers of each zone that may get a request."""
-        ejected = self._list_ejected(now)
+        ejected = self.list_ejected(now)
         for zone in self.zones:
             available = tuple(record for record in zone if _is_available(record, ejected, now))
             if available:
@@ -212,7 +228,8 @@
         ]
         return sum(known) / len(known) if known else None
 
-    def _list_ejected(self, now: float) -> frozenset[str]:
+    def list_ejected(self, now: float) -> frozenset[str]:
+        """Return the names of the VMs that get nothing now: never more than the bound."""
         limit = len(self.records) // EJECTED_DIVISOR
         blocked = [record for record in self.records.values() if record.ejection.is_blocked(now)]
         if len(blocked) > limit:
@@ -297,19 +314,24 @@
     def note_success(self, record: WorkerRecord, latency_s: float, now: float) -> None:
         """Note an answer of a worker and its latency, in seconds."""
         record.note_latency(latency_s, now)
+        if record.ejection.is_ejected:
+            self._directory.note_alive(record.vm.name, record.incarnation)
         record.ejection.note_success()
 
     def note_failure(self, record: WorkerRecord, now: float, *, refused: bool = False) -> None:
         """Note a failure of a worker or of its node."""
         record.ejection.note_failure(now, self._random)
-        if refused:
-            self._directory.note_refused(record.vm.name)
+        name = record.vm.name
+        service = self._services.get(record.vm.service)
+        if refused and service is not None and name in service.list_ejected(now):
+            self._directory.note_refused(name)
 
     def _update_service(self, name: str, now: float) -> Service:
         service = self._services.get(name)
         if service is None:
             service = self._services[name] = Service(name, now)
-        service.update(self._directory.list_endpoints(name), self._own, now)
+        if service.is_due(now):
+            service.update(self._directory.list_endpoints(name), self._own, now)
         return service
 
     def _choose_of_two(
--- a/trefoilpick/callers.py
+++ b/trefoilpick/callers.py
@@ -358,7 +358,7 @@
     requests = settings.requests
     balancer = Balancer(settings.vm, directory, random)
     pool = HopPool(requests, balancer.note_notice)
-    forwarder = Forwarder(balancer, pool, RetryBudgets(requests.retry_percent), random)
+    forwarder = Forwarder(balancer, pool, RetryBudgets(requests.retry_percent), metrics, random)
     listen = settings.listen
     family = socket.AF_INET6 if ":" in listen.host else socket.AF_INET
     listener = socket.socket(family, socket.SOCK_STREAM)
--- a/trefoilpick/forwarding.py
+++ b/trefoilpick/forwarding.py
@@ -23,7 +23,7 @@
     encode_head,
 )
 from trefoilpick.retries import plan_retry
-from trefoilpick.tokennames import name_token_vm
+from trefoilpick.tokens import read_claims
 
 if TYPE_CHECKING:
     import random
@@ -32,6 +32,7 @@
     from trefoilpick.calls import Call
     from trefoilpick.hopclient import ClientHop, HopPool
     from trefoilpick.hops import Headers
+    from trefoilpick.metrics import Metrics
     from trefoilpick.retries import RetryBudgets
 
 FLUSH_BYTES = 65_536
@@ -131,15 +132,22 @@
         balancer: Chooses workers.
         pool: Connections to the nodes beside them.
         budgets: Bounds of further attempts.
+        metrics: Where attempts are counted.
         random: Source of the jitter.
     """
 
     def __init__(
-        self, balancer: Balancer, pool: HopPool, budgets: RetryBudgets, random: random.Random
+        self,
+        balancer: Balancer,
+        pool: HopPool,
+        budgets: RetryBudgets,
+        metrics: Metrics,
+        random: random.Random,
     ) -> None:
         self._balancer = balancer
         self._pool = pool
         self._budgets = budgets
+        self._metrics = metrics
         self._random = random
 
     async def forward(self, call: Call, own_headers: Headers) -> float:
@@ -187,6 +195,9 @@
                 )
                 if pause_s is None:
                     raise _weaken(error, may_have_run=may_have_run) from error
+                self._metrics.count(
+                    "trefoilpick_retries_total", upstream=upstream, kind=error.kind.value
+                )
                 await curio.sleep(pause_s)
 
     async def _attempt(self, call: Call, tried: list[str]) -> Attempt:
@@ -198,12 +209,21 @@
             return await self._attempt_at(call, record, is_retry=len(tried) > 1)
         except TrefoilpickError as error:
             record.end()
+            self._count_attempt(record, error.kind.value)
             self._note_error(call, record, error, await curio.clock())
             raise
         except BaseException:
             record.end()
             raise
 
+    def _count_attempt(self, record: WorkerRecord, end: str) -> None:
+        self._metrics.count(
+            "trefoilpick_attempts_total",
+            upstream=record.vm.service,
+            data_centre=record.vm.data_centre,
+            end=end,
+        )
+
     def _note_error(
         self, call: Call, record: WorkerRecord, error: TrefoilpickError, now: float
     ) -> None:
@@ -220,7 +240,7 @@
         token = call.head.token
         if token is None:
             return self._balancer.choose(upstream, now, avoid=tried)
-        vm = name_token_vm(token)
+        vm = read_claims(token).vm
         record = self._balancer.find(upstream.name, vm, now)
         if record is None:
             text = f'token names VM "{vm}", which upstream "{upstream.name}" does not have'
@@ -270,6 +290,7 @@
     def _note_answer(
         self, record: WorkerRecord, answer: HopAnswer, now: float, latency_s: float
     ) -> None:
+        self._count_attempt(record, "answered")
         self._balancer.note_load(record, answer.load, now)
         if answer.status < FIRST_SERVER_ERROR:
             self._balancer.note_success(record, latency_s, now)
