--- a/trefoilpick/_cli_report.py
+++ b/trefoilpick/_cli_report.py
@@ -8,8 +8,6 @@
 
 import curio
 import typer
-from rich import box
-from rich.table import Table
 from rich.text import Text
 
 from trefoilpick._burn_page import build_page
@@ -21,7 +19,7 @@
     write_share,
     write_span,
 )
-from trefoilpick._console import ExitCode, console, report_errors
+from trefoilpick._console import ExitCode, console, open_table, report_errors
 from trefoilpick.burn import BurnReport, build_burn
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 from trefoilpick.fleet import ask_node, ask_nodes, split_address
@@ -31,6 +29,8 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from rich.table import Table
+
     from trefoilpick.burn import ContractBurn
 
 SHOWN_BURNERS = 3
@@ -118,7 +118,8 @@
         highlight=False,
     )
     console.print(_build_contracts(found))
-    console.print(_build_burners(found))
+    if found.unrouted or any(entry.burners for entry in found.contracts):
+        console.print(_build_burners(found))
     console.print(_build_fleet(found))
     for text in found.unreachable:
         console.print(Text(f"no figures: {text}", "yellow"))
@@ -126,7 +127,7 @@
 
 def _build_contracts(found: BurnReport) -> Table:
     periods = sorted({rate.period_s for entry in found.contracts for rate in entry.rates})
-    table = _open_table("Contracts: objective, what was met, budget left, burn rate by period")
+    table = open_table("Contracts: objective, what was met, budget left, burn rate by period")
     table.add_column("contract", overflow="fold")
     for heading in ("objective", "met", "left", *(write_span(p) for p in periods)):
         table.add_column(heading, justify="right")
@@ -148,7 +149,7 @@
 
 
 def _build_burners(found: BurnReport) -> Table:
-    table = _open_table("Who burns")
+    table = open_table("Who burns")
     for heading in ("contract", "data centre", "kind"):
         table.add_column(heading, overflow="fold")
     for heading in ("requests", "share"):
@@ -165,13 +166,9 @@
     return table
 
 
-def _open_table(title: str) -> Table:
-    return Table(title=title, title_justify="left", box=box.SIMPLE_HEAD, pad_edge=False)
-
-
 def _build_fleet(found: BurnReport) -> Table:
     convergence, control = found.convergence, found.control
-    table = _open_table("Fleet")
+    table = open_table("Fleet")
     for heading in ("fleet", "bound", "met"):
         table.add_column(heading, overflow="fold")
     for heading in ("burn", "greatest"):
--- a/trefoilpick/_cli_status.py
+++ b/trefoilpick/_cli_status.py
@@ -2,17 +2,19 @@
 
 from __future__ import annotations
 
-from typing import Annotated
+from typing import TYPE_CHECKING, Annotated
 
 import curio
 import typer
-from rich.table import Table
 from rich.text import Text
 
-from trefoilpick._console import ExitCode, console, report_errors
+from trefoilpick._console import ExitCode, console, open_table, report_errors
 from trefoilpick.fleet import FleetView, NodeView, split_address, view_fleet
 from trefoilpick.status import Standing, VersionRef, encode_status
 
+if TYPE_CHECKING:
+    from rich.table import Table
+
 STYLES = {
     Standing.LEVEL: "green",
     Standing.LAGGING: "yellow",
@@ -69,7 +71,7 @@
 def _build_versions(view: FleetView) -> Table:
     convergence = {entry.version: entry for entry in view.convergence}
     nodes = {entry.version: entry.nodes for entry in view.versions}
-    table = Table(title="Versions", title_justify="left")
+    table = open_table("Versions")
     for heading in ("version", "nodes", "p50 ms", "max ms", "measured at"):
         table.add_column(heading, justify="right")
     for version in sorted({*convergence, *nodes}, reverse=True):
@@ -80,8 +82,10 @@
 
 
 def _build_nodes(title: str, nodes: tuple[NodeView, ...]) -> Table:
-    table = Table("VM", "data centre", "service", "standing", title=title, title_justify="left")
-    table.add_column("version", justify="right")
+    table = open_table(title)
+    for heading in ("VM", "data centre", "service", "standing"):
+        table.add_column(heading, overflow="fold")
+    table.add_column("version", justify="right", no_wrap=True)
     table.add_column("reason", overflow="fold")
     for node in nodes:
         table.add_row(
@@ -89,14 +93,15 @@
             node.data_centre,
             node.service,
             Text(node.standing.value, STYLES[node.standing]),
-            _name_version(node.version),
+            str(node.version.number) if node.version else "none",
             Text(node.reason),
         )
     return table
 
 
 def _build_refusals(view: FleetView) -> Table:
-    table = Table("version", title="Refused versions", title_justify="left")
+    table = open_table("Refused versions")
+    table.add_column("version", no_wrap=True)
     table.add_column("nodes", justify="right")
     table.add_column("reason", overflow="fold")
     for entry in view.refused:
--- a/trefoilpick/_console.py
+++ b/trefoilpick/_console.py
@@ -7,7 +7,9 @@
 from typing import TYPE_CHECKING
 
 import typer
+from rich import box
 from rich.console import Console
+from rich.table import Table
 
 from trefoilpick.errors import TrefoilpickError
 
@@ -18,6 +20,11 @@
 error_console = Console(stderr=True)
 
 
+def open_table(title: str) -> Table:
+    """Open a table without a frame, for a person."""
+    return Table(title=title, title_justify="left", box=box.SIMPLE_HEAD, pad_edge=False)
+
+
 class ExitCode(IntEnum):
     """Exit codes of the command line."""
 
