--- /dev/null
+++ b/tests/test_standin.py
@@ -0,0 +1,107 @@
+import json
+import urllib.error
+import urllib.request
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import curio
+import pytest
+
+from trefoilpick._standin_values import Faults
+from trefoilpick.errors import TrefoilpickError
+from trefoilpick.settings import SourceSettings
+from trefoilpick.source import MANIFEST_KEY, VMS_KEY, HttpSource, SourceValue, open_source
+from trefoilpick.standin import Standin, open_standin
+
+DIGEST = "0123456789abcdef0123456789abcdef"
+
+
+def play(
+    scene: Callable[[Standin, HttpSource], Awaitable[None]], *, folder: Path | None = None
+) -> None:
+    async def run() -> None:
+        async with open_standin(folder=folder) as standin:
+            source = open_source(SourceSettings((standin.address,)))
+            await scene(standin, source)
+            await source.close()
+
+    curio.run(run)
+
+
+async def ask(url: str, body: bytes | None = None) -> tuple[int, dict]:
+    def call() -> tuple[int, dict]:
+        try:
+            with urllib.request.urlopen(url, body, timeout=60) as answer:
+                return answer.status, json.load(answer)
+        except urllib.error.HTTPError as error:
+            return error.code, {}
+
+    return await curio.run_in_thread(call)
+
+
+def test_folder_is_followed(tmp_path: Path) -> None:
+    async def scene(standin: Standin, source: HttpSource) -> None:
+        (tmp_path / "manifest").write_bytes(b"one")
+        first = await source.watch_value(MANIFEST_KEY, after=0)
+        assert first == SourceValue(b"one", 1)
+        (tmp_path / "new").write_bytes(b"two")
+        (tmp_path / "new").replace(tmp_path / "manifest")
+        assert await source.watch_value(MANIFEST_KEY, after=1) == SourceValue(b"two", 2)
+        (tmp_path / "sections").mkdir()
+        (tmp_path / "sections" / DIGEST).write_bytes(b"{}")
+        assert (await source.read_value(f"sections/{DIGEST}")).data == b"{}"
+        with pytest.raises(TrefoilpickError, match="no value"):
+            await source.read_value("sections/../manifest")
+
+    play(scene, folder=tmp_path)
+
+
+def test_faults_change_what_is_served() -> None:
+    async def scene(standin: Standin, source: HttpSource) -> None:
+        await standin.put_value(MANIFEST_KEY, b"one")
+        await standin.put_value(MANIFEST_KEY, b"two")
+        await standin.put_value(VMS_KEY, b"list")
+        await standin.set_faults(Faults(backwards=True))
+        assert await source.read_value(MANIFEST_KEY) == SourceValue(b"one", 1)
+        await standin.set_faults(Faults(wrong=True, prefix="manifest"))
+        assert (await source.read_value(MANIFEST_KEY)).data != b"two"
+        assert (await source.read_value(VMS_KEY)).data == b"list"
+        await standin.set_faults(Faults(stale=True))
+        await standin.put_value(MANIFEST_KEY, b"three")
+        assert await source.read_value(MANIFEST_KEY) == SourceValue(b"two", 2)
+        watch = await curio.spawn(source.watch_value(MANIFEST_KEY, after=2))
+        while standin.counts.watching == 0:
+            await curio.sleep(0.001)
+        await standin.set_faults(Faults())
+        assert await watch.join() == SourceValue(b"three", 3)
+
+    play(scene)
+
+
+def test_operators_switch_faults_and_read_counts() -> None:
+    async def scene(standin: Standin, source: HttpSource) -> None:
+        await standin.put_value(MANIFEST_KEY, b"one")
+        url = f"http://{standin.address}"
+        code, faults = await ask(f"{url}/standin/faults", b'{"down": true}')
+        assert (code, faults["down"], faults["stale"]) == (200, True, False)
+        assert (await ask(f"{url}/v1/values/manifest"))[0] == 503
+        assert (await ask(f"{url}/standin/faults", b"[" * 60_000))[0] == 400
+        assert (await ask(f"{url}/elsewhere"))[0] == 404
+        assert (await ask(f"{url}/v1/values/manifest?after=x&wait_ms=1"))[0] == 503
+        _, counts = await ask(f"{url}/standin/counts")
+        assert (counts["calls"], counts["reads"], counts["watches"]) == (2, 1, 1)
+        assert counts["by_key"] == {"manifest": 2}
+        assert sum(counts["by_second"].values()) == 2
+        assert 1 <= counts["peak"] <= 2
+
+    play(scene)
+
+
+def test_address_in_use_is_told() -> None:
+    async def run() -> None:
+        async with open_standin() as standin:
+            host, port = standin.address.split(":")
+            with pytest.raises(TrefoilpickError, match="cannot listen"):
+                open_standin(host, int(port))
+
+    curio.run(run)
--- a/trefoilpick/_cli_documents.py
+++ b/trefoilpick/_cli_documents.py
@@ -1,19 +1,36 @@
-"""Commands for documents."""
+"""The commands `check`, `diff` and `accept`."""
 
 from __future__ import annotations
 
+from contextlib import nullcontext
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Any
 
 import msgspec
 import typer
 from returns.result import Failure
 from rich.table import Table
+from rich.text import Text
 
+from trefoilpick._clock import read_wall_ms
 from trefoilpick._console import ExitCode, console, report_errors
-from trefoilpick.checks import Fault, check_document
+from trefoilpick.checks import Fault, SectionText, check_document
+from trefoilpick.differences import Action, Change, list_changes
 from trefoilpick.document import Document
-from trefoilpick.publishing import read_section_files
+from trefoilpick.errors import ErrorKind, TrefoilpickError
+from trefoilpick.manifest import Manifest
+from trefoilpick.publishing import (
+    Publication,
+    build_manifest,
+    list_owners,
+    lock_folder,
+    merge_sections,
+    read_publication,
+    read_section_files,
+    write_publication,
+)
+
+ACTION_STYLES = {Action.ADDED: "green", Action.REMOVED: "red", Action.CHANGED: "yellow"}
 
 SectionFiles = Annotated[
     list[Path],
@@ -21,48 +38,201 @@
         metavar="FILE...", help="Section files, or folders of them.", show_default=False
     ),
 ]
+Version = Annotated[
+    Path, typer.Argument(help="A section file, a folder of them, or a published folder.")
+]
 AsJson = Annotated[bool, typer.Option("--json", help="Print one JSON object.")]
 
 
-def check(files: SectionFiles, as_json: AsJson = False) -> None:
+def check(
+    files: SectionFiles,
+    published: Annotated[
+        Path | None,
+        typer.Option(
+            "--folder", help="Published folder that the sections of other teams are taken from."
+        ),
+    ] = None,
+    as_json: AsJson = False,
+) -> None:
     """Check a document and name all its faults.
 
-    Give every section of the document, since routes may point at upstreams of other teams.
+    Give every section of the document, or a published folder with the others, since a route may
+    point at an upstream of another team. Exit code 1 where there are faults.
+
+    Examples:
 
-    Example: trefoilpick check examples/quillqa
+        trefoilpick check examples/quillqa
+
+        trefoilpick check portafolio.jsonc --folder published
     """
     with report_errors():
-        result = check_document(read_section_files(files))
-    faults = result.failure() if isinstance(result, Failure) else ()
+        texts = read_section_files(files)
+        former = _read_former(published) if published else Document()
+        result = _check(merge_sections(texts, former), former)
+    if isinstance(result, Failure):
+        _refuse(result.failure(), as_json=as_json)
+    document = result.unwrap()
     if as_json:
-        typer.echo(msgspec.json.encode({"faults": faults}).decode())
-    elif faults:
-        print_faults(faults)
+        _print_json({"faults": [], "sections": len(document.sections)})
     else:
-        console.print(_describe_document(result.unwrap()))
-    if faults:
-        raise typer.Exit(ExitCode.FAULTY)
+        console.print(f"[green]no faults[/]: {_describe_document(document)}")
 
 
-def print_faults(faults: tuple[Fault, ...]) -> None:
-    """Print faults as a table for a person."""
-    table = Table(box=None, pad_edge=False, header_style="bold")
-    table.add_column("where", style="cyan", no_wrap=True)
-    table.add_column("section", no_wrap=True)
-    table.add_column("field")
-    table.add_column("fault", style="red")
+def diff(old: Version, new: Version, as_json: AsJson = False) -> None:
+    """Show what changes from one document to another, by team.
+
+    Exit code 0, whether or not anything changes; 1 where a document has faults.
+
+    Example: trefoilpick diff published examples/quillqa
+    """
+    with report_errors():
+        before, after = (_read_version(path, as_json=as_json) for path in (old, new))
+    changes = tuple(list_changes(before, after))
+    if as_json:
+        _print_json({"changes": changes, "teams": _list_teams(changes)})
+    elif changes:
+        _print_changes(changes)
+    else:
+        console.print("nothing changes")
+
+
+def accept(
+    folder: Annotated[Path, typer.Option(help="Local folder that is published from.")],
+    files: Annotated[
+        list[Path] | None,
+        typer.Argument(metavar="[FILE...]", help="Section files, or folders of them."),
+    ] = None,
+    remove: Annotated[
+        list[str] | None, typer.Option(help="Team whose section is removed; may be given again.")
+    ] = None,
+    above: Annotated[
+        int, typer.Option(help="The number will be above this one too.", min=0, max=2**52)
+    ] = 0,
+    is_dry_run: Annotated[
+        bool, typer.Option("--dry-run", help="Show what would be accepted; write nothing.")
+    ] = False,
+    as_json: AsJson = False,
+) -> None:
+    """Accept a new version: check it whole and write it to a local folder.
+
+    Sections of teams that no file belongs to stay as they are published. The sections are
+    written first and the manifest last, so that your publishing can follow the folder. A version
+    with faults is refused and nothing is written; exit code 1.
+
+    Examples:
+
+        trefoilpick accept examples/quillqa --folder published
+
+        trefoilpick accept encargos.jsonc --folder published --dry-run
+
+        trefoilpick accept --folder published --remove archivo
+    """
+    with report_errors(), nullcontext() if is_dry_run else lock_folder(folder):
+        texts = read_section_files(files or ())
+        former = read_publication(folder)
+        before = former.document if former else Document()
+        result = _check(merge_sections(texts, before, removed=remove or ()), before)
+        if isinstance(result, Failure):
+            _refuse(result.failure(), as_json=as_json)
+        publication = _prepare(result.unwrap(), former, above)
+        changes = tuple(list_changes(before, publication.document))
+        is_accepted = bool(changes) and not is_dry_run
+        if is_accepted:
+            write_publication(folder, publication)
+    _print_acceptance(publication.manifest, changes, is_accepted=is_accepted, as_json=as_json)
+
+
+def _check(texts: tuple[SectionText, ...], former: Document) -> Any:
+    return check_document(texts, owners=list_owners(former))
+
+
+def _prepare(document: Document, former: Publication | None, above: int) -> Publication:
+    highest = max(above, former.manifest.number if former else 0)
+    accepted_at_ms = read_wall_ms()
+    return Publication(
+        build_manifest(document, number=highest + 1, accepted_at_ms=accepted_at_ms), document
+    )
+
+
+def _read_former(folder: Path) -> Document:
+    publication = read_publication(folder)
+    if publication is None:
+        text = f'folder "{folder}" holds no published version'
+        raise TrefoilpickError(ErrorKind.FILE_UNREADABLE, text)
+    return publication.document
+
+
+def _read_version(path: Path, *, as_json: bool) -> Document:
+    publication = read_publication(path) if path.is_dir() else None
+    if publication is not None:
+        return publication.document
+    result = check_document(read_section_files([path]))
+    if isinstance(result, Failure):
+        _refuse(result.failure(), as_json=as_json)
+    return result.unwrap()
+
+
+def _refuse(faults: tuple[Fault, ...], *, as_json: bool) -> None:
+    if as_json:
+        _print_json({"faults": faults})
+    else:
+        _print_faults(faults)
+    raise typer.Exit(ExitCode.FAULTY)
+
+
+def _print_faults(faults: tuple[Fault, ...]) -> None:
     for fault in faults:
-        table.add_row(f"{fault.origin}:{fault.line}", fault.section, fault.path, fault.text)
+        place = Text(f"{fault.origin}:{fault.line}", "cyan")
+        field = Text(fault.path, "bold")
+        console.print(place, field, Text(fault.text, "red"), sep="  ", soft_wrap=True)
+    count = "1 fault" if len(faults) == 1 else f"{len(faults)} faults"
+    console.print(f"[bold red]{count}[/]")
+
+
+def _print_changes(changes: tuple[Change, ...]) -> None:
+    table = Table(box=None, pad_edge=False, header_style="bold")
+    for name in ("team", "change", "what", "field", "before", "after"):
+        table.add_column(name)
+    for change in changes:
+        action = Text(change.action.value, ACTION_STYLES[change.action])
+        thing = f'{change.thing} "{change.name}"'
+        table.add_row(change.team, action, thing)
+        for field in change.fields:
+            table.add_row("", "", "", field.path, Text(field.before), Text(field.after))
     console.print(table)
-    console.print(
-        f"[bold red]{len(faults)} faults[/]" if len(faults) > 1 else "[bold red]1 fault[/]"
-    )
+
+
+def _print_acceptance(
+    manifest: Manifest, changes: tuple[Change, ...], *, is_accepted: bool, as_json: bool
+) -> None:
+    teams = _list_teams(changes)
+    if as_json:
+        _print_json(
+            {
+                "accepted": is_accepted,
+                "version": manifest.number,
+                "teams": teams,
+                "changes": changes,
+            }
+        )
+        return
+    if not changes:
+        console.print("nothing changes: no version accepted")
+        return
+    _print_changes(changes)
+    done = "[green]accepted[/]" if is_accepted else "[yellow]not written[/]:"
+    console.print(f"{done} version {manifest.number}, which changes: {', '.join(teams)}")
+
+
+def _list_teams(changes: tuple[Change, ...]) -> list[str]:
+    return sorted({change.team for change in changes})
+
+
+def _print_json(value: dict[str, Any]) -> None:
+    typer.echo(msgspec.json.encode(value).decode())
 
 
 def _describe_document(document: Document) -> str:
     upstreams = sum(len(section.upstreams) for section in document.sections)
     routes = sum(len(section.routes) for section in document.sections)
-    return (
-        f"[green]no faults[/]: {len(document.sections)} sections, {upstreams} upstreams, "
-        f"{routes} routes"
-    )
+    return f"{len(document.sections)} sections, {upstreams} upstreams, {routes} routes"
--- a/trefoilpick/_fields.py
+++ b/trefoilpick/_fields.py
@@ -120,7 +120,8 @@
 
 def _name_thing(raw: dict[Any, Any], kind: Any) -> str:
     name = raw.get("name")
-    return f'{kind.__name__.lower()} "{_shorten(name)}"' if isinstance(name, str) else ""
+    thing = kind.__name__.removesuffix("Settings").lower()
+    return f'{thing} "{_shorten(name)}"' if isinstance(name, str) else ""
 
 
 def _describe(path: str, thing: str, problem: str) -> FieldFault:
--- a/trefoilpick/_texts.py
+++ b/trefoilpick/_texts.py
@@ -10,9 +10,14 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+MAX_JSON5_BYTES = 100_000
+"""Longest text that is read with all that JSON5 allows, in bytes."""
+
 _COMMENT = re.compile(r'("(?:\\.|[^"\\])*")|//[^\n]*|/\*.*?\*/', re.DOTALL)
 _TRAILING_COMMA = re.compile(r'("(?:\\.|[^"\\])*")|,(?=\s*[\]}])', re.DOTALL)
-_PLACE = re.compile(r"<string>:(\d+) (.*)", re.DOTALL)
+_NO_NEWLINE = re.compile(r"[^\n]")
+_JSON5_PLACE = re.compile(r"<string>:(\d+) (.*)", re.DOTALL)
+_BYTE_PLACE = re.compile(r"(?:JSON is malformed: )?(.*) \(byte (\d+)\)", re.DOTALL)
 
 
 @dataclass(frozen=True)
@@ -29,10 +34,10 @@
 
 
 def parse_text(text: str) -> Result[Any, TextError]:
-    """Read JSON with comments, with all that JSON5 allows.
+    """Read JSON with comments and trailing commas, or short text with all that JSON5 allows.
 
     The JSON5 parser handles some 50 KB a second, so it reads only what is not plain JSON once
-    comments and trailing commas are removed.
+    comments and trailing commas are blanked.
 
     Args:
         text: The text.
@@ -40,11 +45,16 @@
     Returns:
         Its value in plain Python types, or the first error.
     """
+    blanked = _TRAILING_COMMA.sub(_blank, _COMMENT.sub(_blank, text))
+    plain = blanked.encode("utf-8", "replace")
     try:
-        plain = _TRAILING_COMMA.sub(_keep_string, _COMMENT.sub(_keep_string, text))
         return Success(msgspec.json.decode(plain))
-    except (msgspec.MsgspecError, UnicodeError, RecursionError):
-        return _parse_json5(text)
+    except RecursionError:
+        return Failure(TextError(1, "values are nested too deeply"))
+    except (msgspec.MsgspecError, UnicodeError) as error:
+        if len(plain) <= MAX_JSON5_BYTES:
+            return _parse_json5(text)
+        return Failure(_read_error(error, plain))
 
 
 def _parse_json5(text: str) -> Result[Any, TextError]:
@@ -53,10 +63,18 @@
     except RecursionError:
         return Failure(TextError(1, "values are nested too deeply"))
     except (ValueError, ArithmeticError) as error:
-        found = _PLACE.match(str(error))
+        found = _JSON5_PLACE.match(str(error))
         line, problem = (int(found[1]), found[2]) if found else (1, str(error))
         return Failure(TextError(line, f"malformed JSON: {problem}"))
 
 
-def _keep_string(found: re.Match[str]) -> str:
-    return found[1] or " "
+def _read_error(error: Exception, plain: bytes) -> TextError:
+    found = _BYTE_PLACE.fullmatch(str(error))
+    if found is None:
+        return TextError(1, f"malformed JSON: {error}")
+    line = plain.count(b"\n", 0, int(found[2])) + 1
+    return TextError(line, f"malformed JSON: {found[1]}")
+
+
+def _blank(found: re.Match[str]) -> str:
+    return found[1] or _NO_NEWLINE.sub(" ", found[0])
--- /dev/null
+++ b/trefoilpick/_typed_text.py
@@ -0,0 +1,69 @@
+"""JSON with comments that is checked against a data class, each fault with its line."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+from returns.result import Failure
+
+from trefoilpick._fields import check_fields
+from trefoilpick._positions import Positions, locate_fields
+from trefoilpick._texts import parse_text
+
+
+@dataclass(frozen=True, order=True)
+class TextFault:
+    """A fault of a text.
+
+    Attributes:
+        line: Line in the text, from 1.
+        path: Path of the field; empty for the whole text.
+        text: What is wrong.
+    """
+
+    line: int
+    path: str
+    text: str
+
+    def __str__(self) -> str:
+        parts = (f"line {self.line}", self.path, self.text)
+        return ": ".join(part for part in parts if part)
+
+
+@dataclass(frozen=True)
+class TypedText:
+    """A text after its check.
+
+    Attributes:
+        raw: Its value in plain Python types; None where it is malformed.
+        positions: Lines of its fields.
+        faults: All faults, ordered by line.
+    """
+
+    raw: Any
+    positions: Positions
+    faults: tuple[TextFault, ...]
+
+
+def check_text(text: str, kind: Any) -> TypedText:
+    """Read a text and check it against a data class.
+
+    Args:
+        text: JSON with comments.
+        kind: The data class.
+    """
+    parsed = parse_text(text)
+    if isinstance(parsed, Failure):
+        error = parsed.failure()
+        return TypedText(None, Positions({}, ()), (TextFault(error.line, "", error.text),))
+    raw = parsed.unwrap()
+    positions = locate_fields(text)
+    faults = [
+        TextFault(positions.find_line(fault.path), fault.path, fault.text)
+        for fault in check_fields(raw, kind)
+    ]
+    faults += [
+        TextFault(line, path, f'field "{path}" is given twice') for path, line in positions.doubled
+    ]
+    return TypedText(raw, positions, tuple(sorted(faults)))
--- a/trefoilpick/checks.py
+++ b/trefoilpick/checks.py
@@ -2,16 +2,15 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Any
 
 import msgspec
 from returns.result import Failure, Result, Success
 
-from trefoilpick._fields import check_fields
-from trefoilpick._positions import Positions, locate_fields
+from trefoilpick._positions import Positions
 from trefoilpick._semantics import SectionOutline, find_conflicts, outline_section
-from trefoilpick._texts import parse_text
+from trefoilpick._typed_text import check_text
 from trefoilpick.document import MAX_SECTION_BYTES, Document, Section
 from trefoilpick.sections import encode_section
 
@@ -118,36 +117,33 @@
 
 
 def _read_section(text: SectionText) -> _Reading:
-    nowhere = Positions({}, ())
     length = len(text.text.encode("utf-8", "replace"))
     if length > MAX_TEXT_BYTES:
+        reading = _Reading(text.origin, Positions({}, ()))
         problem = f"text has {length} bytes, over {MAX_TEXT_BYTES}"
-        fault = Fault(text.origin, "", 1, problem, text.origin)
-        return _Reading(text.origin, nowhere, faults=(fault,))
-    parsed = parse_text(text.text)
-    if isinstance(parsed, Failure):
-        error = parsed.failure()
-        fault = Fault(text.origin, "", error.line, error.text, text.origin)
-        return _Reading(text.origin, nowhere, faults=(fault,))
-    return _check_section(text, parsed.unwrap())
-
-
-def _check_section(text: SectionText, raw: Any) -> _Reading:
-    positions = locate_fields(text.text)
-    outline = outline_section(raw)
-    reading = _Reading(text.origin, positions, outline, is_readable=isinstance(raw, dict))
-    faults = [reading.place(fault.path, fault.text) for fault in check_fields(raw, Section)]
-    for path, line in positions.doubled:
-        problem = f'field "{path}" is given twice'
-        team = outline.team or text.origin
-        faults.append(Fault(team, path, line, problem, text.origin))
-    section = None if faults else msgspec.convert(raw, Section)
-    if section is not None:
-        size = len(encode_section(section))
-        if size > MAX_SECTION_BYTES:
-            problem = f'section "{outline.team}" has {size} bytes, over {MAX_SECTION_BYTES}'
-            faults.append(reading.place("", problem))
-    return _Reading(text.origin, positions, outline, section, reading.is_readable, tuple(faults))
+        return replace(reading, faults=(reading.place("", problem),))
+    checked = check_text(text.text, Section)
+    outline = outline_section(checked.raw)
+    team = outline.team or text.origin
+    reading = _Reading(
+        text.origin,
+        checked.positions,
+        outline,
+        is_readable=isinstance(checked.raw, dict),
+        faults=tuple(
+            Fault(team, fault.path, fault.line, fault.text, text.origin) for fault in checked.faults
+        ),
+    )
+    return reading if reading.faults else _build_section(reading, checked.raw)
+
+
+def _build_section(reading: _Reading, raw: Any) -> _Reading:
+    section = msgspec.convert(raw, Section)
+    size = len(encode_section(section))
+    if size > MAX_SECTION_BYTES:
+        problem = f'section "{section.team}" has {size} bytes, over {MAX_SECTION_BYTES}'
+        return replace(reading, faults=(reading.place("", problem),))
+    return replace(reading, section=section)
 
 
 def _get_place(reading: _Reading) -> tuple[str, str]:
--- a/trefoilpick/cli.py
+++ b/trefoilpick/cli.py
@@ -4,10 +4,11 @@
 
 import typer
 
-from trefoilpick._cli_documents import check
+from trefoilpick._cli_documents import accept, check, diff
 from trefoilpick._cli_keys import keys
 from trefoilpick._cli_node import node, worker
 from trefoilpick._cli_report import report
+from trefoilpick._cli_settings import settings
 from trefoilpick._cli_standin import standin
 from trefoilpick._cli_status import status
 
@@ -27,6 +28,9 @@
 app.command()(check)
 app.command()(keys)
 app.command()(node)
+app.command()(diff)
+app.command()(accept)
+app.command()(settings)
 app.command()(standin)
 app.command()(status)
 app.command()(worker)
--- a/trefoilpick/publishing.py
+++ b/trefoilpick/publishing.py
@@ -2,10 +2,17 @@
 
 from __future__ import annotations
 
+import fcntl
 import os
+from contextlib import contextmanager
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+import msgspec
+from returns.result import Success
+
+from trefoilpick._texts import parse_text
+from trefoilpick._typed_text import check_text
 from trefoilpick.checks import SectionText
 from trefoilpick.document import Document
 from trefoilpick.errors import ErrorKind, TrefoilpickError
@@ -17,10 +24,11 @@
     encode_manifest,
 )
 from trefoilpick.sections import decode_section, encode_section
-from trefoilpick.source import MANIFEST_KEY, name_section_key
+from trefoilpick.source import MANIFEST_KEY, VMS_KEY, name_section_key
+from trefoilpick.vms import VmList
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Iterator
     from pathlib import Path
 
 SECTION_SUFFIX = ".jsonc"
@@ -88,6 +96,60 @@
     }
 
 
+def read_vms_file(path: Path) -> VmList:
+    """Read a list of VMs in JSON with comments, as a stand-in for the platform's.
+
+    Raises:
+        TrefoilpickError: `FILE_UNREADABLE` or `SETTINGS_FAULTY`.
+    """
+    checked = check_text(_read_text(path), VmList)
+    if checked.faults:
+        text = f'"{path}": {"; ".join(map(str, checked.faults))}'
+        raise TrefoilpickError(ErrorKind.SETTINGS_FAULTY, text)
+    return msgspec.convert(checked.raw, VmList)
+
+
+def write_vms(folder: Path, vms: VmList) -> None:
+    """Write a list of VMs to a folder that a stand-in serves.
+
+    Raises:
+        TrefoilpickError: `FILE_UNREADABLE`, where the folder cannot be written.
+    """
+    try:
+        _write_file(folder / VMS_KEY, msgspec.json.encode(vms))
+    except OSError as error:
+        raise _report_unwritable(folder, error) from error
+
+
+def merge_sections(
+    texts: tuple[SectionText, ...], published: Document, *, removed: Iterable[str] = ()
+) -> tuple[SectionText, ...]:
+    """Complete the sections of some teams with those that the others have published.
+
+    Args:
+        texts: New texts of some sections.
+        published: The document of the version in force.
+        removed: Teams whose sections are left out.
+
+    Raises:
+        TrefoilpickError: `DOCUMENT_FAULTY`, where a removed section is not published or is given.
+    """
+    left_out = set(removed)
+    given = {_read_team(text) for text in texts}
+    for team in sorted(left_out & given):
+        text = f'section "{team}" cannot be removed: a file of it is given'
+        raise TrefoilpickError(ErrorKind.DOCUMENT_FAULTY, text)
+    for team in sorted(left_out - {section.team for section in published.sections}):
+        text = f'section "{team}" cannot be removed: it is not published'
+        raise TrefoilpickError(ErrorKind.DOCUMENT_FAULTY, text)
+    left_out |= given
+    kept = (section for section in published.sections if section.team not in left_out)
+    return texts + tuple(
+        SectionText(f"published {section.team}", encode_section(section).decode())
+        for section in kept
+    )
+
+
 def build_manifest(document: Document, *, number: int, accepted_at_ms: int) -> Manifest:
     """Build the manifest that accepts a document.
 
@@ -115,8 +177,43 @@
             _write_file(folder / name_section_key(compute_digest(data)), data)
         _write_file(folder / MANIFEST_KEY, encode_manifest(publication.manifest))
     except OSError as error:
-        text = f'folder "{folder}" cannot be written: {error.strerror}'
+        raise _report_unwritable(folder, error) from error
+
+
+@contextmanager
+def lock_folder(folder: Path) -> Iterator[None]:
+    """Keep other processes of this VM from writing to a folder; it is made where it is missing.
+
+    Raises:
+        TrefoilpickError: `FILE_UNREADABLE`, where it cannot be locked.
+    """
+    descriptor = -1
+    try:
+        folder.mkdir(parents=True, exist_ok=True)
+        descriptor = os.open(folder, os.O_RDONLY)
+        fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except BlockingIOError as error:
+        os.close(descriptor)
+        text = f'folder "{folder}" is in use by another acceptance'
         raise TrefoilpickError(ErrorKind.FILE_UNREADABLE, text) from error
+    except OSError as error:
+        raise _report_unwritable(folder, error) from error
+    try:
+        yield
+    finally:
+        os.close(descriptor)
+
+
+def _report_unwritable(folder: Path, error: OSError) -> TrefoilpickError:
+    text = f'folder "{folder}" cannot be written: {error.strerror}'
+    return TrefoilpickError(ErrorKind.FILE_UNREADABLE, text)
+
+
+def _read_team(text: SectionText) -> str:
+    parsed = parse_text(text.text)
+    raw = parsed.unwrap() if isinstance(parsed, Success) else None
+    team = raw.get("team") if isinstance(raw, dict) else None
+    return team if isinstance(team, str) else ""
 
 
 def _list_files(path: Path) -> list[Path]:
--- a/trefoilpick/settings.py
+++ b/trefoilpick/settings.py
@@ -4,16 +4,19 @@
 
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Annotated, Any, Literal
+from typing import Annotated, Literal
 
-import json5
 import msgspec
 from msgspec import Meta
 
+from trefoilpick._typed_text import check_text
 from trefoilpick.document import Name
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 from trefoilpick.vms import Host, Port
 
+MAX_SHOWN_FAULTS = 8
+"""Faults of settings that one error names."""
+
 
 def _describe(text: str, unit: str = "") -> Meta:
     return Meta(description=text, extra={"unit": unit})
@@ -230,20 +233,13 @@
         origin: Name of the file, for errors.
 
     Raises:
-        TrefoilpickError: `SETTINGS_FAULTY`, naming the field.
+        TrefoilpickError: `SETTINGS_FAULTY`, naming the fields.
     """
-    try:
-        raw: Any = json5.loads(text)
-    except (ValueError, RecursionError) as error:
-        raise TrefoilpickError(ErrorKind.SETTINGS_FAULTY, f"{origin}: {error}") from error
-    unknown = sorted(_find_unknown(raw, Settings, "$"))
-    if unknown:
-        text = f'{origin}: unknown field "{unknown[0]}"'
-        raise TrefoilpickError(ErrorKind.SETTINGS_FAULTY, text)
-    try:
-        return msgspec.convert(raw, Settings)
-    except msgspec.ValidationError as error:
-        raise TrefoilpickError(ErrorKind.SETTINGS_FAULTY, f"{origin}: {error}") from error
+    checked = check_text(text, Settings)
+    if checked.faults:
+        shown = "; ".join(map(str, checked.faults[:MAX_SHOWN_FAULTS]))
+        raise TrefoilpickError(ErrorKind.SETTINGS_FAULTY, f"{origin}: {shown}")
+    return msgspec.convert(checked.raw, Settings)
 
 
 def read_settings(path: Path) -> Settings:
@@ -257,24 +253,3 @@
     except (OSError, UnicodeDecodeError) as error:
         raise TrefoilpickError(ErrorKind.FILE_UNREADABLE, f'"{path}": {error}') from error
     return parse_settings(text, origin=str(path))
-
-
-def _find_unknown(raw: Any, kind: Any, path: str) -> list[str]:
-    info = msgspec.inspect.type_info(kind)
-    return _list_unknown(raw, info, path)
-
-
-def _list_unknown(raw: Any, info: msgspec.inspect.Type, path: str) -> list[str]:
-    if isinstance(info, msgspec.inspect.UnionType):
-        candidates = [
-            kind for kind in info.types if isinstance(kind, msgspec.inspect.DataclassType)
-        ]
-        return _list_unknown(raw, candidates[0], path) if candidates else []
-    if not isinstance(info, msgspec.inspect.DataclassType) or not isinstance(raw, dict):
-        return []
-    known = {entry.name: entry for entry in info.fields}
-    unknown = [f"{path}.{name}" for name in raw if name not in known]
-    for name, value in raw.items():
-        if name in known:
-            unknown += _list_unknown(value, known[name].type, f"{path}.{name}")
-    return unknown
--- a/trefoilpick/standin.py
+++ b/trefoilpick/standin.py
@@ -9,6 +9,7 @@
 
 import re
 from contextlib import suppress
+from dataclasses import asdict
 from pathlib import Path
 from socket import IPPROTO_TCP, TCP_NODELAY
 from typing import TYPE_CHECKING, Any
@@ -179,7 +180,7 @@
         except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
             return await _send(client, protocol, 400, str(error).encode())
         await self.set_faults(faults)
-        return await _send(client, protocol, 200, msgspec.json.encode(faults))
+        return await _send(client, protocol, 200, msgspec.json.encode(asdict(faults)))
 
     async def _answer_value(
         self, client: Any, protocol: h11.Connection, key: str, query: dict[str, str]
