Decode canonical sections without a second pass

Cause: the search for unknown fields in Python took most of a decode: 63 ms for 160 sections, 216 ms for one of 943 kB, in which a node answers nobody. Change: bytes that encode to themselves again hold no unknown field; other bytes still get the search. The default objective is one shared value, so msgspec leaves it out of a decoded contract. Measured: 160 sections 63 -> 11.9 ms, one of 943 kB 216 -> 28.7 ms, one of 2.9 kB 0.22 -> 0.05 ms.

--- a/trefoilpick/document.py
+++ b/trefoilpick/document.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum
 from typing import Annotated
 
@@ -60,7 +60,7 @@
     priority: Priority = Priority.NORMAL
     retries: Annotated[int, Meta(ge=0, le=5)] = 1
     body_limit_bytes: Annotated[int, Meta(ge=0, le=2**40)] = 1_048_576
-    objective: Objective = field(default_factory=Objective)
+    objective: Objective = Objective()
 
 
 @dataclass(frozen=True)
--- a/trefoilpick/sections.py
+++ b/trefoilpick/sections.py
@@ -47,7 +47,10 @@
         raise TrefoilpickError(ErrorKind.DOCUMENT_FAULTY, text)
     try:
         section = _DECODER.decode(data)
-        unknown = list_unknown_fields(msgspec.json.decode(data), Section)
+        if msgspec.json.encode(section) == data:
+            # Canonical bytes that come back the same hold no unknown field.
+            return section
+        unknown = tuple(list_unknown_fields(msgspec.json.decode(data), Section))
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise TrefoilpickError(ErrorKind.DOCUMENT_FAULTY, f"section: {error}") from error
     for path in unknown:
