Parse a worker's answer in one pass

Cause: each answer was asked for before any byte of it had come, and its headers, whose iteration in h11 is slow, were walked four times. Change: the first read goes before the first parse; headers are listed once.

--- a/trefoilpick/_exchange.py
+++ b/trefoilpick/_exchange.py
@@ -214,7 +214,9 @@
 
     async def _connect(self, upstream: Upstream, *, fresh: bool) -> WorkerConnection:
         self._connection = await self._service.pool.acquire(
-            connect_timeout_s=upstream.connect_timeout_ms / 1000, fresh=fresh
+            connect_timeout_s=upstream.connect_timeout_ms / 1000,
+            now_s=await curio.clock(),
+            fresh=fresh,
         )
         return self._connection
 
--- a/trefoilpick/upstreams.py
+++ b/trefoilpick/upstreams.py
@@ -49,7 +49,11 @@
 
 _OWN_HEADERS = frozenset((DEADLINE_HEADER, VERSION_HEADER, RETRY_HEADER))
 
-_FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
+FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
+"""Headers that tell where a body ends."""
+
+BODILESS_STATUSES = frozenset((204, 304))
+"""Status codes of answers that never have a body."""
 
 _DROPPED_HEADERS = CONNECTION_HEADERS | _OWN_HEADERS
 
@@ -150,13 +154,13 @@
             TrefoilpickError: `UPSTREAM_LOST` or `ANSWER_MALFORMED`.
         """
         while True:
+            await self.fill()
             event = self._next_event()
-            if event is h11.NEED_DATA:
-                await self.fill()
-                continue
+            while isinstance(event, h11.InformationalResponse):
+                event = self._next_event()
             if isinstance(event, h11.Response):
                 return self._begin_answer(event)
-            if not isinstance(event, h11.InformationalResponse):
+            if event is not h11.NEED_DATA:
                 raise _lose("worker closed the connection before its answer")
 
     def take_data(self) -> list[bytes]:
@@ -278,18 +282,17 @@
             raise TrefoilpickError(ErrorKind.ANSWER_MALFORMED, text) from error
 
     def _begin_answer(self, event: h11.Response) -> AnswerHead:
-        if not self._has_provable_end(event):
+        headers = list(event.headers)
+        names = {name for name, _ in headers}
+        has_body = self._method != "HEAD" and event.status_code not in BODILESS_STATUSES
+        if has_body and names.isdisjoint(FRAMING_HEADERS):
             text = "worker's answer has neither a length nor chunks: its end cannot be proved"
             raise TrefoilpickError(ErrorKind.ANSWER_MALFORMED, text, outcome=Outcome.RUN)
         self.answer_begun = True
-        headers = [pair for pair in event.headers if pair[0] not in CONNECTION_HEADERS]
+        if not names.isdisjoint(CONNECTION_HEADERS):
+            headers = [pair for pair in headers if pair[0] not in CONNECTION_HEADERS]
         return AnswerHead(event.status_code, headers)
 
-    def _has_provable_end(self, event: h11.Response) -> bool:
-        if self._method == "HEAD" or event.status_code in (204, 304):
-            return True
-        return any(name in _FRAMING_HEADERS for name, _ in event.headers)
-
     def _has_partial_head(self) -> bool:
         return bool(self._http.trailing_data[0])
 
@@ -321,17 +324,19 @@
         """How many connections wait for a request."""
         return len(self._idle)
 
-    async def acquire(self, *, connect_timeout_s: float, fresh: bool = False) -> WorkerConnection:
+    async def acquire(
+        self, *, connect_timeout_s: float, now_s: float, fresh: bool = False
+    ) -> WorkerConnection:
         """Return a quiet kept connection, or a new one.
 
         Args:
             connect_timeout_s: Time to connect, in seconds.
+            now_s: Reading of the clock, in seconds.
             fresh: Whether a kept connection will not do.
 
         Raises:
             TrefoilpickError: `UPSTREAM_REFUSED`; nothing was sent.
         """
-        now_s = await curio.clock() if self._idle else 0.0
         while self._idle and not fresh:
             connection = self._idle.pop()
             if now_s - connection.idle_since_s <= self._max_idle_s and connection.is_quiet():
