Refuse faulty versions on nodes: sections decoded strictly, conflicts checked

versions.py had a check without a body and decoded sections with unknown fields; it now uses decode_section and check_sections.

--- a/trefoilpick/versions.py
+++ b/trefoilpick/versions.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from trefoilpick.checks import check_sections
 from trefoilpick.document import Document, Section
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 from trefoilpick.manifest import (
@@ -22,6 +23,7 @@
     unpack_bytes,
     unpack_version,
 )
+from trefoilpick.sections import decode_section
 from trefoilpick.snapshots import Snapshot, build_snapshot
 
 if TYPE_CHECKING:
@@ -196,7 +198,7 @@
 def _read_section(ref: SectionRef, store: VersionStore, known: dict[str, Section]) -> Section:
     section = known.get(ref.digest)
     if section is None:
-        section = _decode_section(next(store.read_texts([ref])))
+        section = decode_section(next(store.read_texts([ref])))
     if section.team != ref.team:
         text = f'section "{section.team}" stands under team "{ref.team}" in the manifest'
         raise TrefoilpickError(ErrorKind.DOCUMENT_FAULTY, text)
@@ -209,14 +211,7 @@
         raise TrefoilpickError(ErrorKind.DIGEST_MISMATCH, message)
 
 
-def _decode_section(text: bytes) -> Section:
-    import msgspec
-
-    try:
-        return msgspec.json.decode(text, type=Section)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
-        raise TrefoilpickError(ErrorKind.DOCUMENT_FAULTY, f"section: {error}") from error
-
-
 def _check_document(sections: tuple[Section, ...]) -> None:
-    """Refuse a document with faults."""
+    for fault in check_sections(sections):
+        text = f'section "{fault.section}": {fault.path}: {fault.text}'
+        raise TrefoilpickError(ErrorKind.DOCUMENT_FAULTY, text)
