--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -25,6 +25,9 @@
 }""")
 
 
+SWEEPS: list[float] = []
+
+
 def build_cell() -> SnapshotCell:
     route = Route("sketches", Match("/", ("GET",)), "portafolio", Contract(idempotent=True))
     document = Document((Section("arte", (Upstream("portafolio"),), (route,)),))
@@ -54,6 +57,8 @@
     metrics: Metrics | None = None,
 ) -> Any:
     async def sweep() -> FleetStatus:
+        SWEEPS.append(await curio.clock())
+        await curio.sleep(0.01)
         return FleetStatus(describe(), ())
 
     async def main() -> Any:
@@ -131,6 +136,20 @@
     assert (decoded.number, decoded.contracts[0].route) == (3, "sketches")
 
 
+def test_one_sweep_serves_those_who_ask_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(operators, "SWEEP_REUSE_S", 600.0)
+
+    async def use(server: OperatorServer) -> set[int]:
+        SWEEPS.clear()
+        async with curio.TaskGroup() as tasks:
+            for _ in range(8):
+                await tasks.spawn(get, server, "/fleet")
+        return {answer.status for answer in tasks.results}
+
+    assert serve(use) == {200}
+    assert len(SWEEPS) == 1
+
+
 @pytest.mark.parametrize(
     ("data", "status"),
     [
--- a/trefoilpick/operators.py
+++ b/trefoilpick/operators.py
@@ -43,6 +43,9 @@
 ROLL_S = 5.0
 """Time between looks whether a window of metrics is full, in seconds."""
 
+SWEEP_REUSE_S = 1.0
+"""Time in which the answer of one sweep of the fleet is given again, in seconds."""
+
 ACCEPT_PAUSE_S = 0.1
 """Time until connections are accepted again after an error, in seconds."""
 
@@ -80,6 +83,9 @@
         self._sweep = sweep
         self._connections = 0
         self._windows: Windows | None = None
+        self._sweeping = curio.Lock()
+        self._swept_s = float("-inf")
+        self._fleet = b""
 
     @property
     def address(self) -> tuple[str, int]:
@@ -172,9 +178,16 @@
         if path == "/report":
             return await self._answer_report()
         if path == "/fleet" and self._sweep is not None:
-            return HttpAnswer(200, encode_status(await self._sweep()))
+            return HttpAnswer(200, await self._answer_fleet(self._sweep))
         return _answer_error(404, ErrorKind.NO_ROUTE, f'"{path}" is not a page of this port')
 
+    async def _answer_fleet(self, sweep: Callable[[], Awaitable[FleetStatus]]) -> bytes:
+        async with self._sweeping:
+            if await curio.clock() >= self._swept_s + SWEEP_REUSE_S:
+                self._fleet = encode_status(await sweep())
+                self._swept_s = await curio.clock()
+            return self._fleet
+
     async def _answer_metrics(self) -> HttpAnswer:
         measure_process(self._metrics)
         lines = await _collect(self._metrics.render())
