Run nothing whose caller left, and trust no worker that answers twice

Cause: a request that lay in the socket while the process slept was sent although its caller had left, where a kept connection was at hand; a second answer that came late could meet the next request on its connection; a token did not survive a version that renames its route (the second request was told "not run" of a request that had run); hops over the limit were closed without a word; a second drain began anew. Change: the hop is looked at right before the request is sent; after surplus bytes no connection is used twice for a minute, and the longest unused one goes first; tokens are bound to host, method and target; hops over the limit get a failure that says not run; a second drain waits for the first. Dead peers are found by TCP keepalive.

--- a/trefoilpick/_exchange.py
+++ b/trefoilpick/_exchange.py
@@ -7,6 +7,7 @@
 
 import curio
 
+from trefoilpick._clock import read_clock
 from trefoilpick._hoplinks import RequestBody
 from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError, find_answer
 from trefoilpick.hops import (
@@ -108,7 +109,7 @@
         if not self._body.received and await self._body.receive_first(
             limit_s=self.deadline_s - ready_s
         ):
-            ready_s = await curio.clock()
+            ready_s = read_clock()
         entered_s = await gate.enter(
             caller=request.caller,
             priority=request.priority,
@@ -120,7 +121,7 @@
             if entered_s > ready_s:
                 self._observe("trefoilpick_hop_queue_microseconds", entered_s - ready_s)
             answer = await self._call_worker(upstream, keep_bytes, entered_s)
-            ended_s = await curio.clock()
+            ended_s = read_clock()
             self._observe("trefoilpick_hop_service_microseconds", ended_s - entered_s)
             return answer
         finally:
@@ -157,16 +158,7 @@
         """
         if self._answer_begun:
             return False
-        answer = find_answer(error)
-        retry_after_s = answer.retry_after_s
-        failure = HopFailure(
-            kind=error.kind.value,
-            text=error.text,
-            outcome=answer.outcome.value,
-            retry_after_ms=None if retry_after_s is None else round(retry_after_s * 1000),
-            load=self._service.measure_load(),
-        )
-        await self._link.send(encode_head(FrameKind.FAILURE, failure))
+        await self._link.send(encode_failure(error, self._service.measure_load()))
         return True
 
     async def _call_worker(
@@ -215,16 +207,19 @@
     async def _connect(self, upstream: Upstream, *, fresh: bool) -> WorkerConnection:
         self._connection = await self._service.pool.acquire(
             connect_timeout_s=upstream.connect_timeout_ms / 1000,
-            now_s=await curio.clock(),
+            now_s=read_clock(),
             fresh=fresh,
         )
         return self._connection
 
     async def _attempt(self, connection: WorkerConnection) -> AnswerHead:
-        # Read again, since the process may have slept since the request arrived.
-        remaining_s = self.deadline_s - await curio.clock()
+        # Looked at again, since the process may have slept since the request arrived.
+        remaining_s = self.deadline_s - read_clock()
         if remaining_s <= 0:
             raise self._refuse_late()
+        if not self._link.is_open():
+            text = "caller's node left before the request was sent"
+            raise TrefoilpickError(ErrorKind.CALLER_GONE, text, outcome=Outcome.NOT_RUN)
         whole = self._body.received
         is_retry = self._request.is_retry or self.was_sent
         # Set before: where the sending is interrupted, some bytes may have left.
@@ -357,6 +352,25 @@
         return KeptAnswer(self._head.status, self._head.headers, b"".join(self._chunks))
 
 
+def encode_failure(error: TrefoilpickError, load: Load) -> bytes:
+    """Return the frame that tells of an error.
+
+    Args:
+        error: Why a request ended.
+        load: Load of the worker.
+    """
+    answer = find_answer(error)
+    retry_after_s = answer.retry_after_s
+    failure = HopFailure(
+        kind=error.kind.value,
+        text=error.text,
+        outcome=answer.outcome.value,
+        retry_after_ms=None if retry_after_s is None else round(retry_after_s * 1000),
+        load=load,
+    )
+    return encode_head(FrameKind.FAILURE, failure)
+
+
 def _judge_outcome(status: int) -> Outcome:
     return Outcome.UNKNOWN if status in UNSURE_STATUSES else Outcome.RUN
 
--- a/trefoilpick/_hoplinks.py
+++ b/trefoilpick/_hoplinks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import select
 from contextlib import suppress
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -18,6 +19,9 @@
     from trefoilpick.upstreams import WorkerConnection
 
 
+_GONE = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+
+
 @dataclass(eq=False)
 class HopLink:
     """A hop that a caller's node opened.
@@ -40,6 +44,14 @@
     departed: bool = False
     told_leaving: bool = False
 
+    def __post_init__(self) -> None:
+        self._state = select.poll()
+        self._state.register(self.hop.sock.fileno(), _GONE)
+
+    def is_open(self) -> bool:
+        """Tell whether the caller's node still holds the hop open, as the system knows it now."""
+        return not self._state.poll(0)
+
     async def send(self, *frames: bytes) -> None:
         """Send frames, unless the caller's node is gone and the request runs on without it.
 
--- a/trefoilpick/_redemption.py
+++ b/trefoilpick/_redemption.py
@@ -6,6 +6,7 @@
 
 import curio
 
+from trefoilpick._clock import read_clock
 from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError, find_answer
 from trefoilpick.tokens import TokenState
 
@@ -38,7 +39,7 @@
     """
     assert request.token is not None
     while True:
-        entry = book.find(request.token, request, await curio.clock())
+        entry = book.find(request.token, request, read_clock())
         if entry.state is TokenState.FREE:
             await _run(book, entry, exchange, admit(request))
             return
@@ -55,13 +56,14 @@
     except TrefoilpickError as error:
         if find_answer(error).outcome is Outcome.NOT_RUN:
             await book.free(entry)
+        elif error.kind is ErrorKind.CALLER_GONE:
+            await book.end(entry, error=_lose())
         else:
             await book.end(entry, error=error)
         raise
     except BaseException:
         if exchange.was_sent:
-            text = "caller left while the request ran"
-            await book.end(entry, error=TrefoilpickError(ErrorKind.UPSTREAM_LOST, text))
+            await book.end(entry, error=_lose())
         else:
             await book.free(entry)
         raise
@@ -70,8 +72,13 @@
 
 async def _wait_for_end(entry: TokenEntry, deadline_s: float) -> None:
     try:
-        async with curio.timeout_after(deadline_s - await curio.clock()):
+        async with curio.timeout_after(deadline_s - read_clock()):
             await entry.changed.wait()
     except curio.TaskTimeout as error:
         text = "a request under the same token still runs"
         raise TrefoilpickError(ErrorKind.TOKEN_BUSY, text) from error
+
+
+def _lose() -> TrefoilpickError:
+    text = "the first caller left before the worker had the whole request"
+    return TrefoilpickError(ErrorKind.UPSTREAM_LOST, text)
--- a/trefoilpick/gate.py
+++ b/trefoilpick/gate.py
@@ -13,6 +13,7 @@
 
 import curio
 
+from trefoilpick._clock import read_clock
 from trefoilpick.document import Priority
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 
@@ -208,11 +209,11 @@
             weight = SERVICE_WEIGHT if self.service_s else 1.0
             self.service_s += weight * (served_s - self.service_s)
         if self.queued:
-            await self._let_in(await curio.clock())
+            await self._let_in(read_clock())
 
     async def _wait_turn(self, waiter: Waiter) -> float:
         try:
-            async with curio.timeout_after(waiter.deadline_s - await curio.clock()):
+            async with curio.timeout_after(waiter.deadline_s - read_clock()):
                 await waiter.decided.wait()
         except BaseException as error:
             if not waiter.decided.is_set():
@@ -224,7 +225,7 @@
             raise
         if waiter.refusal is not None:
             raise waiter.refusal
-        return float(await curio.clock())
+        return read_clock()
 
     async def _join_queue(self, waiter: Waiter, now_s: float, slots: int) -> None:
         ahead = self._count_ahead(waiter)
--- a/trefoilpick/hopserver.py
+++ b/trefoilpick/hopserver.py
@@ -13,7 +13,8 @@
 from curio.io import Socket
 from curio.traps import _read_wait
 
-from trefoilpick._exchange import Exchange, Service
+from trefoilpick._clock import read_clock
+from trefoilpick._exchange import Exchange, Service, encode_failure
 from trefoilpick._hoplinks import HopLink
 from trefoilpick._redemption import run_once
 from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError
@@ -31,6 +32,24 @@
     from trefoilpick.snapshots import SnapshotCell
     from trefoilpick.tokens import TokenBook
 
+ACCEPT_PAUSE_S = 0.05
+"""Time to the next attempt where a connection cannot be accepted, in seconds."""
+
+MAX_REFUSED = 64
+"""Connections over the limit that are told so at a time."""
+
+DRAIN_LOOK_S = 0.02
+"""Time between two looks at the requests in flight, in seconds."""
+
+KEEPALIVE_IDLE_S = 30
+"""Idle time after which the system probes the peer, in seconds."""
+
+KEEPALIVE_INTERVAL_S = 10
+"""Time between two probes, in seconds."""
+
+KEEPALIVE_PROBES = 3
+"""Unanswered probes after which a connection is broken."""
+
 LINGER_S = 1.0
 """Time for which the rest of a body is read after a failure, in seconds."""
 
@@ -92,6 +111,9 @@
         self._links: dict[int, HopLink] = {}
         self._departures = select.epoll()
         self._running = 0
+        self._refused = 0
+        self._drained = curio.Event()
+        self._report: DrainReport | None = None
         self._service = Service(
             gate=gate,
             pool=open_pool(
@@ -130,7 +152,7 @@
 
     async def run(self) -> None:
         """Accept hops until cancelled."""
-        self.gate.start_warm_up(await curio.clock())
+        self.gate.start_warm_up(read_clock())
         async with curio.TaskGroup() as group:
             watcher = await group.spawn(self._watch_departures)
             listener = _listen(self._settings.listen.host, self._settings.listen.hop_port)
@@ -143,11 +165,17 @@
     async def drain(self) -> DrainReport:
         """Take no new work, and let requests in flight end.
 
+        A second call waits for the end of the first.
+
         Returns:
             How it ended.
         """
+        if self.leaving:
+            await self._drained.wait()
+            assert self._report is not None
+            return self._report
         drain = self._settings.drain
-        began_s = await curio.clock()
+        began_s = read_clock()
         self.leaving = True
         for link in list(self._links.values()):
             await self._tell_leaving(link)
@@ -155,18 +183,46 @@
         self.refusing = True
         async with curio.ignore_after(drain.limit_ms / 1000):
             while self._running:
-                await curio.sleep(0.02)
-        return DrainReport(cut=self._running, waited_s=await curio.clock() - began_s)
+                await curio.sleep(DRAIN_LOOK_S)
+        self._report = DrainReport(cut=self._running, waited_s=read_clock() - began_s)
+        await self._drained.set()
+        return self._report
 
     async def _accept_hops(self, listener: Socket, group: curio.TaskGroup) -> None:
         while True:
-            sock, _ = await listener.accept()
-            if len(self._links) >= self._settings.hops.max_connections:
+            try:
+                sock, _ = await listener.accept()
+            except OSError:
+                # Out of descriptors, most likely: those that wait keep their place.
                 self._metrics.count("trefoilpick_hop_connections_refused_total")
-                await sock.close()
+                await curio.sleep(ACCEPT_PAUSE_S)
                 continue
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            await group.spawn(self._serve_hop, sock)
+            _set_options(sock)
+            if len(self._links) < self._settings.hops.max_connections:
+                await group.spawn(self._serve_hop, sock)
+                continue
+            self._metrics.count("trefoilpick_hop_connections_refused_total")
+            if self._refused < MAX_REFUSED:
+                await group.spawn(self._refuse_hop, sock)
+            else:
+                await sock.close()
+
+    async def _refuse_hop(self, sock: Socket) -> None:
+        self._refused += 1
+        link = HopLink(Hop(sock), await curio.current_task(), LINGER_S)
+        limit = self._settings.hops.max_connections
+        failure = encode_failure(
+            TrefoilpickError(ErrorKind.TOO_MANY_CONNECTIONS, f"{limit} hops are open already"),
+            self.measure_load(),
+        )
+        try:
+            with suppress(OSError, TrefoilpickError):
+                await link.send(failure)
+                await sock.shutdown(socket.SHUT_WR)
+                await link.drop_rest(limit_s=LINGER_S)
+        finally:
+            self._refused -= 1
+            await sock.close()
 
     async def _serve_hop(self, sock: Socket) -> None:
         link = HopLink(Hop(sock), await curio.current_task(), self._service.body_idle_s)
@@ -177,12 +233,18 @@
             with suppress(OSError):
                 await self._serve_requests(link)
         except TrefoilpickError as error:
-            self._metrics.count("trefoilpick_hop_connections_broken_total", kind=error.kind.value)
+            self._count_broken(error.kind)
+        except Exception:
+            self._count_broken(ErrorKind.INTERNAL)
+            logger.exception("request of a hop failed")
         finally:
             del self._links[descriptor]
             self._departures.unregister(descriptor)
             await link.hop.close()
 
+    def _count_broken(self, kind: ErrorKind) -> None:
+        self._metrics.count("trefoilpick_hop_connections_broken_total", kind=kind.value)
+
     async def _serve_requests(self, link: HopLink) -> None:
         while not link.departed:
             if self.leaving and not link.told_leaving:
@@ -207,7 +269,7 @@
 
     async def _serve_request(self, link: HopLink, request: HopRequest) -> bool:
         kind = "answered"
-        exchange = Exchange(self._service, link, request, began_s=await curio.clock())
+        exchange = Exchange(self._service, link, request, began_s=read_clock())
         try:
             await self._answer(exchange, request)
         except TrefoilpickError as error:
@@ -229,7 +291,7 @@
             self._admit(request)
             if self.leaving:
                 raise _refuse_draining()
-            await exchange.grant(self.book.issue(request, await curio.clock()))
+            await exchange.grant(self.book.issue(request, read_clock()))
         elif request.token is not None:
             await run_once(self.book, exchange, request, admit=self._admit)
         else:
@@ -318,6 +380,14 @@
     return TrefoilpickError(ErrorKind.DRAINING, "node is leaving")
 
 
+def _set_options(sock: Socket) -> None:
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+
+
 def _listen(host: str, port: int) -> Socket:
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     sock = socket.socket(family, socket.SOCK_STREAM)
--- a/trefoilpick/tokens.py
+++ b/trefoilpick/tokens.py
@@ -350,7 +350,9 @@
 
 
 def _digest_subject(request: HopRequest) -> bytes:
-    subject = (request.team, request.route, request.upstream, request.method, request.target)
+    # Neither route nor team: a new version may rename them between two requests of one token.
+    host = next((value for name, value in request.headers if name == b"host"), b"")
+    subject = (request.method, host.lower(), request.target)
     return hashlib.blake2b(msgspec.msgpack.encode(subject), digest_size=SUBJECT_BYTES).digest()
 
 
--- a/trefoilpick/upstreams.py
+++ b/trefoilpick/upstreams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+from collections import deque
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
@@ -10,6 +11,7 @@
 import h11
 from curio.io import Socket
 
+from trefoilpick._clock import read_clock
 from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError
 
 if TYPE_CHECKING:
@@ -21,6 +23,9 @@
 MAX_ANSWER_HEAD_BYTES = 65_536
 """Largest head of a worker's answer, in bytes."""
 
+DISTRUST_S = 60.0
+"""Time for which no connection is used twice after surplus bytes, in seconds."""
+
 DEADLINE_HEADER = b"x-trefoilpick-deadline-ms"
 """Request header: remaining time, in milliseconds."""
 
@@ -81,6 +86,13 @@
     Args:
         sock: A connected curio socket.
         authority: Host header for requests that carry none.
+
+    Attributes:
+        idle_since_s: Reading of the clock at the end of the last request, in seconds.
+        is_fresh: Whether it carried no request yet.
+        answer_begun: Whether the answer's head arrived.
+        answer_complete: Whether the whole answer arrived.
+        surplus: Whether the worker sent more than its answer.
     """
 
     def __init__(self, sock: Socket, authority: bytes) -> None:
@@ -95,7 +107,7 @@
         )
         self._method = ""
         self._send_broken = False
-        self._surplus = False
+        self.surplus = False
 
     async def send_request(
         self,
@@ -176,7 +188,7 @@
                 chunks.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
                 self.answer_complete = True
-                self._surplus = bool(self._http.trailing_data[0])
+                self.surplus = bool(self._http.trailing_data[0])
             elif event is h11.NEED_DATA:
                 break
             else:
@@ -203,7 +215,7 @@
         Returns:
             Whether the connection may be used again.
         """
-        if self._surplus or self._send_broken or not self.answer_complete:
+        if self.surplus or self._send_broken or not self.answer_complete:
             return False
         try:
             self._http.start_next_cycle()
@@ -216,7 +228,7 @@
     def is_quiet(self) -> bool:
         """Tell whether the idle connection is open and nothing arrived on it."""
         try:
-            self._sock._socket.recv(1, socket.MSG_PEEK)
+            self.surplus = bool(self._sock._socket.recv(1, socket.MSG_PEEK))
         except BlockingIOError:
             return True
         except OSError:
@@ -303,7 +315,11 @@
 
 
 class WorkerPool:
-    """Kept connections to one worker, the last used first.
+    """Kept connections to one worker, the longest unused first.
+
+    A worker that sends more than its answers is distrusted: what it sends late could be taken for
+    the answer to the next request, so for a while no connection to it is used twice. The longest
+    unused connection goes first for the same reason: what is late shows before the next use.
 
     Args:
         host: IP address of the worker.
@@ -317,7 +333,8 @@
         self._authority = f"{host}:{port}".encode()
         self._family = socket.AF_INET6 if ":" in host else socket.AF_INET
         self._max_idle_s = max_idle_s
-        self._idle: list[WorkerConnection] = []
+        self._idle: deque[WorkerConnection] = deque()
+        self._distrusted_until_s = 0.0
 
     @property
     def idle(self) -> int:
@@ -337,13 +354,15 @@
         Raises:
             TrefoilpickError: `UPSTREAM_REFUSED`; nothing was sent.
         """
-        while self._idle and not fresh:
-            connection = self._idle.pop()
-            if now_s - connection.idle_since_s <= self._max_idle_s and connection.is_quiet():
+        while self._idle:
+            connection = self._idle.popleft()
+            is_quiet = connection.is_quiet()
+            if connection.surplus:
+                self._distrust(now_s)
+            is_recent = now_s - connection.idle_since_s <= self._max_idle_s
+            if is_quiet and is_recent and not fresh and now_s >= self._distrusted_until_s:
                 return connection
             await self.discard(connection)
-        while fresh and self._idle:
-            await self.discard(self._idle.pop())
         return await self._connect(connect_timeout_s)
 
     async def release(
@@ -356,11 +375,17 @@
             connections: Connections that the worker takes.
             now_s: Reading of the clock, in seconds, where it is at hand.
         """
-        if self.opened > connections or not connection.prepare_reuse():
+        now_s = read_clock() if now_s is None else now_s
+        is_reusable = connection.prepare_reuse()
+        if connection.surplus:
+            self._distrust(now_s)
+        if is_reusable and now_s >= self._distrusted_until_s:
+            connection.idle_since_s = now_s
+            self._idle.append(connection)
+        else:
             await self.discard(connection)
-            return
-        connection.idle_since_s = await curio.clock() if now_s is None else now_s
-        self._idle.append(connection)
+        while self._idle and self.opened > connections:
+            await self.discard(self._idle.popleft())
 
     async def discard(self, connection: WorkerConnection) -> None:
         """Close a connection."""
@@ -372,6 +397,9 @@
         while self._idle:
             await self.discard(self._idle.pop())
 
+    def _distrust(self, now_s: float) -> None:
+        self._distrusted_until_s = now_s + DISTRUST_S
+
     async def _connect(self, timeout_s: float) -> WorkerConnection:
         sock = Socket(socket.socket(self._family, socket.SOCK_STREAM))
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
