Name a series once in a node's report

Change: parts refer to a table of series and are arrays; convergence is decoded once for all periods and data centres; a window's span is built once.

--- a/trefoilpick/_burn_fleet.py
+++ b/trefoilpick/_burn_fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -153,10 +154,20 @@
     timeline: tuple[Point, ...]
 
 
+@dataclass(frozen=True)
+class _ConvergenceGroup:
+    """Convergence in one data centre, of windows whose shortest period is one."""
+
+    data_centre: str
+    period_s: float
+    begun_s: float
+    histogram: HdrHistogram
+
+
 def measure_convergence(facts: Iterable[ConvergenceFact], since_s: float) -> ConvergenceBurn:
     """Merge the convergence of all nodes."""
-    known = list(facts)
-    histogram = merge_histograms(fact.encoded for fact in known)
+    groups = _group_convergence(facts, tuple(choose_periods(since_s)))
+    histogram = _sum_histograms(group.histogram for group in groups)
     total, late = histogram.get_total_count(), _count_late(histogram)
     rate = _compute_rate(total, late)
     return ConvergenceBurn(
@@ -169,8 +180,8 @@
         p50_ms=_read_quantile(histogram, 50),
         p99_ms=_read_quantile(histogram, 99),
         max_ms=_read_quantile(histogram, 100),
-        rates=tuple(_measure_convergence_rates(known, since_s)),
-        data_centres=tuple(_group_late(known)),
+        rates=tuple(_measure_convergence_rates(groups, since_s)),
+        data_centres=tuple(_group_late(groups)),
         distribution=tuple(_list_buckets(histogram)),
     )
 
@@ -210,24 +221,45 @@
     return histogram.get_value_at_percentile(percent) / US_PER_MS
 
 
+def _group_convergence(
+    facts: Iterable[ConvergenceFact], periods: tuple[float, ...]
+) -> list[_ConvergenceGroup]:
+    encoded: dict[tuple[str, float], list[str]] = {}
+    begun: dict[tuple[str, float], float] = {}
+    for fact in facts:
+        period_s = next((p for p in periods if fact.span.ended_s < p), math.inf)
+        key = (fact.data_centre, period_s)
+        encoded.setdefault(key, []).append(fact.encoded)
+        begun[key] = max(begun.get(key, 0.0), fact.span.begun_s)
+    return [
+        _ConvergenceGroup(*key, begun[key], merge_histograms(texts))
+        for key, texts in encoded.items()
+    ]
+
+
+def _sum_histograms(histograms: Iterable[HdrHistogram]) -> HdrHistogram:
+    total = merge_histograms(())
+    for histogram in histograms:
+        total.add(histogram)
+    return total
+
+
 def _measure_convergence_rates(
-    facts: list[ConvergenceFact], since_s: float
+    groups: list[_ConvergenceGroup], since_s: float
 ) -> Iterator[ConvergenceRate]:
     for period_s in choose_periods(since_s):
-        chosen = [fact for fact in facts if fact.span.ended_s < period_s]
-        histogram = merge_histograms(fact.encoded for fact in chosen)
+        chosen = [group for group in groups if group.period_s <= period_s]
+        histogram = _sum_histograms(group.histogram for group in chosen)
         total, late = histogram.get_total_count(), _count_late(histogram)
-        covered_s = max((fact.span.begun_s for fact in chosen), default=0.0)
+        covered_s = max((group.begun_s for group in chosen), default=0.0)
         yield ConvergenceRate(period_s, covered_s, total, late, _compute_rate(total, late))
 
 
-def _group_late(facts: list[ConvergenceFact]) -> Iterator[LateDataCentre]:
-    groups: dict[str, list[str]] = {}
-    for fact in facts:
-        groups.setdefault(fact.data_centre, []).append(fact.encoded)
+def _group_late(groups: list[_ConvergenceGroup]) -> Iterator[LateDataCentre]:
     found = []
-    for data_centre, encoded in groups.items():
-        histogram = merge_histograms(encoded)
+    for data_centre in {group.data_centre for group in groups}:
+        own = (group.histogram for group in groups if group.data_centre == data_centre)
+        histogram = _sum_histograms(own)
         total, late = histogram.get_total_count(), _count_late(histogram)
         found.append(LateDataCentre(data_centre, total, late))
     yield from sorted(found, key=lambda entry: (-entry.late, entry.data_centre))
--- a/trefoilpick/_facts.py
+++ b/trefoilpick/_facts.py
@@ -9,13 +9,13 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from trefoilpick.errors import ErrorKind
+from trefoilpick.errors import ErrorKind, TrefoilpickError
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
     from trefoilpick.reports import NodeReport
-    from trefoilpick.windows import Window
+    from trefoilpick.windows import SeriesRef, Window
 
 GOOD = "good"
 """Result of a request that was answered in time."""
@@ -116,14 +116,16 @@
 def list_requests(reports: Iterable[NodeReport]) -> Iterator[RequestFact]:
     """Yield facts about requests; those refused before a route was found name no contract."""
     for report, window in _list_windows(reports):
+        span = _read_span(window)
         for part in window.counters:
-            result = part.labels.get(REQUEST_COUNTERS.get(part.name, ""))
+            series = _find_series(report, part.series)
+            result = series.labels.get(REQUEST_COUNTERS.get(series.name, ""))
             if result is not None:
                 yield RequestFact(
-                    span=_read_span(window),
+                    span=span,
                     data_centre=report.data_centre,
-                    team=part.labels.get("team", ""),
-                    route=part.labels.get("route", ""),
+                    team=series.labels.get("team", ""),
+                    route=series.labels.get("route", ""),
                     result=result,
                     amount=part.amount,
                 )
@@ -133,15 +135,15 @@
     """Yield facts about latency."""
     for report in reports:
         for part in report.latencies:
-            team, route = part.labels.get("team", ""), part.labels.get("route", "")
-            yield LatencyFact(team, route, part.encoded)
+            labels = _find_series(report, part.series).labels
+            yield LatencyFact(labels.get("team", ""), labels.get("route", ""), part.encoded)
 
 
 def list_convergence(reports: Iterable[NodeReport]) -> Iterator[ConvergenceFact]:
     """Yield facts about convergence."""
     for report, window in _list_windows(reports):
         for part in window.histograms:
-            if part.name == "trefoilpick_convergence_microseconds":
+            if _find_series(report, part.series).name == "trefoilpick_convergence_microseconds":
                 yield ConvergenceFact(_read_span(window), report.data_centre, part.encoded)
 
 
@@ -151,11 +153,18 @@
         amount = sum(
             part.amount
             for part in window.counters
-            if part.name == "trefoilpick_control_bytes_total"
+            if _find_series(report, part.series).name == "trefoilpick_control_bytes_total"
         )
         yield ControlFact(_read_span(window), report.vm, report.data_centre, amount)
 
 
+def _find_series(report: NodeReport, place: int) -> SeriesRef:
+    if place < len(report.series):
+        return report.series[place]
+    text = f'report of VM "{report.vm}" names series {place} of {len(report.series)}'
+    raise TrefoilpickError(ErrorKind.MESSAGE_MALFORMED, text)
+
+
 def _list_windows(reports: Iterable[NodeReport]) -> Iterator[tuple[NodeReport, Window]]:
     for report in reports:
         for window in report.windows:
--- a/trefoilpick/operators.py
+++ b/trefoilpick/operators.py
@@ -16,7 +16,7 @@
 from trefoilpick.metrics import CONTENT_TYPE
 from trefoilpick.reports import build_report, encode_report, encode_windows, list_latencies
 from trefoilpick.status import Fault, Readiness, encode_status
-from trefoilpick.windows import open_windows
+from trefoilpick.windows import SeriesTable, open_windows
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterable
@@ -200,16 +200,20 @@
 
     async def _answer_report(self) -> HttpAnswer:
         assert self._windows is not None
+        table = SeriesTable()
+        latencies = await _collect(list_latencies(self._metrics, table))
+        found = self._windows.read(await curio.clock(), table)
+        windows = await _collect(encode_windows(found))
         status = self._describe()
         report = build_report(
             self._settings.vm,
             incarnation=status.incarnation,
             uptime_s=status.uptime_s,
-            latencies=tuple(await _collect(list_latencies(self._metrics))),
+            latencies=tuple(latencies),
+            table=table,
             snapshot=self._cell.current,
         )
-        found = self._windows.read(await curio.clock())
-        return HttpAnswer(200, encode_report(report, await _collect(encode_windows(found))))
+        return HttpAnswer(200, encode_report(report, windows))
 
     def _count(self, status: int) -> None:
         self._metrics.count("trefoilpick_operator_requests_total", status=str(status))
--- a/trefoilpick/reports.py
+++ b/trefoilpick/reports.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from trefoilpick.windows import HistogramPart, Window, encode_histogram
+from trefoilpick.windows import HistogramPart, SeriesRef, Window, encode_histogram
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
@@ -15,6 +15,7 @@
     from trefoilpick.metrics import Metrics
     from trefoilpick.settings import VmSettings
     from trefoilpick.snapshots import Snapshot
+    from trefoilpick.windows import SeriesTable
 
 
 CLOSING = b"]}"
@@ -55,6 +56,7 @@
         contracts: Contracts of that version.
         uptime_s: Time since its process started, in seconds.
         latencies: Latency of requests by contract, since its process started.
+        series: Series that latencies and windows refer to.
         windows: Its history, the oldest first.
     """
 
@@ -65,6 +67,7 @@
     contracts: tuple[ContractStatus, ...]
     uptime_s: float
     latencies: tuple[HistogramPart, ...]
+    series: tuple[SeriesRef, ...]
     windows: tuple[Window, ...]
 
 
@@ -74,6 +77,7 @@
     incarnation: int,
     uptime_s: float,
     latencies: tuple[HistogramPart, ...],
+    table: SeriesTable,
     snapshot: Snapshot | None,
 ) -> NodeReport:
     """Build the report of one node without its windows.
@@ -83,6 +87,7 @@
         incarnation: Start of its process, in nanoseconds since the Unix epoch.
         uptime_s: Time since that start, in seconds.
         latencies: What `list_latencies` gave.
+        table: Series that latencies and windows refer to.
         snapshot: What it enforces.
     """
     return NodeReport(
@@ -93,6 +98,7 @@
         contracts=tuple(_list_contracts(snapshot)) if snapshot else (),
         uptime_s=uptime_s,
         latencies=latencies,
+        series=tuple(table.list_series()),
         windows=(),
     )
 
@@ -114,10 +120,15 @@
         yield msgspec.json.encode(window)
 
 
-def list_latencies(metrics: Metrics) -> Iterator[HistogramPart]:
-    """Yield the latency of each contract; the node may record more meanwhile."""
+def list_latencies(metrics: Metrics, table: SeriesTable) -> Iterator[HistogramPart]:
+    """Yield the latency of each contract; the node may record more meanwhile.
+
+    Args:
+        metrics: What the node counts.
+        table: Takes the series.
+    """
     for series, histogram in metrics.list_histograms(LATENCY):
-        yield HistogramPart(series.name, dict(series.labels), encode_histogram(histogram))
+        yield HistogramPart(table.find_place(series), encode_histogram(histogram))
 
 
 def _list_contracts(snapshot: Snapshot) -> Iterator[ContractStatus]:
--- a/trefoilpick/windows.py
+++ b/trefoilpick/windows.py
@@ -10,13 +10,15 @@
 import zlib
 from collections import deque
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Annotated
 
+import msgspec
 from hdrh.codec import HdrCookieException, HdrHistogramSettingsException, HdrLengthException
 from hdrh.histogram import HdrHistogram
+from msgspec import Meta
 
 from trefoilpick.errors import ErrorKind, TrefoilpickError
-from trefoilpick.metrics import MAX_MICROSECONDS, METRICS, SIGNIFICANT_FIGURES, Series
+from trefoilpick.metrics import MAX_MICROSECONDS, MAX_SERIES, METRICS, SIGNIFICANT_FIGURES, Series
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
@@ -35,6 +37,12 @@
 MAX_WIDE = 36
 """Largest number of wide windows: six hours."""
 
+Place = Annotated[int, Meta(ge=0, lt=MAX_SERIES)]
+"""Place of a series in a table."""
+
+Amount = Annotated[int, Meta(ge=0)]
+"""What a counter grew by."""
+
 _DECODE_ERRORS = (
     TypeError,
     ValueError,
@@ -47,26 +55,34 @@
 
 
 @dataclass(frozen=True)
-class CounterPart:
-    """What one counter grew by within a window."""
+class SeriesRef:
+    """Name and labels of a series, which parts refer to by its place in a table."""
 
     name: str
     labels: dict[str, str]
-    amount: int
 
 
-@dataclass(frozen=True)
-class HistogramPart:
+class CounterPart(msgspec.Struct, frozen=True, array_like=True):
+    """What one counter grew by within a window.
+
+    Attributes:
+        series: Place of its series in the table.
+        amount: What it grew by.
+    """
+
+    series: Place
+    amount: Amount
+
+
+class HistogramPart(msgspec.Struct, frozen=True, array_like=True):
     """What one histogram recorded within a window.
 
     Attributes:
-        name: Name of the metric.
-        labels: Labels of the series.
+        series: Place of its series in the table.
         encoded: The histogram in HdrHistogram's V2 encoding, in base64.
     """
 
-    name: str
-    labels: dict[str, str]
+    series: Place
     encoded: str
 
 
@@ -95,6 +111,22 @@
     histograms: dict[Series, str]
 
 
+class SeriesTable:
+    """Series by place, in the order in which they were first named."""
+
+    def __init__(self) -> None:
+        self._places: dict[Series, int] = {}
+
+    def find_place(self, series: Series) -> int:
+        """Return the place of a series, a new one where it has none."""
+        return self._places.setdefault(series, len(self._places))
+
+    def list_series(self) -> Iterator[SeriesRef]:
+        """Yield all series, ordered by place."""
+        for series in self._places:
+            yield SeriesRef(series.name, dict(series.labels))
+
+
 class Windows:
     """The history of one node.
 
@@ -130,14 +162,15 @@
             self._wide.append(_merge_sealed(oldest))
         return True
 
-    def read(self, now_s: float) -> Iterator[Window]:
+    def read(self, now_s: float, table: SeriesTable) -> Iterator[Window]:
         """Yield all windows, the oldest first, the last one still open.
 
         Args:
             now_s: Reading of the monotonic clock, in seconds.
+            table: Takes the series that the windows name.
         """
         for sealed in (*self._wide, *self._narrow, self._read_current(now_s)):
-            yield _describe_window(sealed, now_s)
+            yield _describe_window(sealed, now_s, table)
 
     def _read_current(self, now_s: float) -> _Sealed:
         counters = {
@@ -202,16 +235,16 @@
     return _Sealed(parts[0].begun_s, parts[-1].ended_s, counters, histograms)
 
 
-def _describe_window(sealed: _Sealed, now_s: float) -> Window:
+def _describe_window(sealed: _Sealed, now_s: float, table: SeriesTable) -> Window:
     return Window(
         begun_s=max(now_s - sealed.begun_s, 0.0),
         ended_s=max(now_s - sealed.ended_s, 0.0),
         counters=tuple(
-            CounterPart(series.name, dict(series.labels), amount)
+            CounterPart(table.find_place(series), amount)
             for series, amount in sealed.counters.items()
         ),
         histograms=tuple(
-            HistogramPart(series.name, dict(series.labels), text)
+            HistogramPart(table.find_place(series), text)
             for series, text in sealed.histograms.items()
         ),
     )
