--- a/tests/fakes_fleet.py
+++ b/tests/fakes_fleet.py
@@ -13,6 +13,7 @@
 from trefoilpick.document import Contract, Match, Route, Section, Upstream
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 from trefoilpick.links import Traffic
+from trefoilpick.logs import StateLog
 from trefoilpick.mailbox import Mailbox
 from trefoilpick.manifest import Manifest, SectionRef, compute_digest, encode_manifest
 from trefoilpick.messages import Body, Envelope
@@ -73,7 +74,7 @@
         self._mailbox.set_handler(handler)
         self._network.ends[self._address] = self
         try:
-            await curio.sleep(1e9)
+            await curio.Event().wait()
         finally:
             if self._network.ends.get(self._address) is self:
                 del self._network.ends[self._address]
@@ -181,6 +182,7 @@
             cell=self.cell,
             roster=self.roster,
             metrics=self.metrics,
+            log=StateLog(make_settings(own, control).vm, incarnation=life, metrics=self.metrics),
             random=Random(f"{own.name}/{life}"),
             read_suspended=lambda: self.suspended_s,
         )
--- a/trefoilpick/answering.py
+++ b/trefoilpick/answering.py
@@ -52,7 +52,7 @@
     vm = node.roster.find_vm(sender)
     if vm is None:
         return Refusal("unknown")
-    await node.take_state(body, vm)
+    await node.take_state(body, sender, name_address(vm))
     return node.tell_state()
 
 
@@ -60,7 +60,7 @@
 async def _(body: Announcement, node: Distributor, sender: str) -> Body | None:
     vm = node.roster.find_vm(sender)
     if vm is not None:
-        await node.take_offer(body.held, body.vms_revision, vm)
+        await node.take_announcement(body, vm)
     return None
 
 
--- a/trefoilpick/budgets.py
+++ b/trefoilpick/budgets.py
@@ -18,6 +18,13 @@
 """Bound of any pause after a failure, in seconds."""
 
 
+MIN_WAIT_S = 0.001
+"""Shortest wait for a token, in seconds."""
+
+MAX_WAIT_S = 1.0
+"""Time until a waiting task looks at a budget again, in seconds."""
+
+
 class Budget:
     """A token bucket.
 
@@ -41,10 +48,9 @@
 
     async def take(self) -> None:
         """Wait for a token, and take it."""
-        self._fill()
-        self._tokens -= 1.0
-        if self._tokens < 0:
-            await curio.sleep(-self._tokens / self._rate)
+        while not self.try_take():
+            missing = 1.0 - self._tokens
+            await curio.sleep(max(MIN_WAIT_S, min(missing / self._rate, MAX_WAIT_S)))
 
     def try_take(self) -> bool:
         """Take a token now, where there is one."""
--- a/trefoilpick/enforcement.py
+++ b/trefoilpick/enforcement.py
@@ -3,16 +3,18 @@
 from __future__ import annotations
 
 import logging
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from trefoilpick._clock import read_clock, read_wall_ms
 from trefoilpick.errors import TrefoilpickError
+from trefoilpick.logs import Event
+from trefoilpick.status import EnforcedVersion, RefusedVersion
 from trefoilpick.versions import prepare_snapshot
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from trefoilpick.logs import StateLog
     from trefoilpick.manifest import VersionId
     from trefoilpick.metrics import Metrics
     from trefoilpick.snapshots import SnapshotCell
@@ -21,34 +23,6 @@
 KEPT_RECORDS = 16
 """Enforced and refused versions that are remembered."""
 
-logger = logging.getLogger("trefoilpick")
-
-
-@dataclass(frozen=True)
-class Convergence:
-    """How long an accepted version took to be in force on this node.
-
-    Attributes:
-        number: Version number.
-        milliseconds: From the manifest's time of acceptance.
-    """
-
-    number: int
-    milliseconds: int
-
-
-@dataclass(frozen=True)
-class RefusedVersion:
-    """A version that was held and is not enforced.
-
-    Attributes:
-        version: Its identity.
-        reason: Its first fault.
-    """
-
-    version: VersionId
-    reason: str
-
 
 class Enforcer:
     """Puts the newest held version in force, where it has no fault.
@@ -57,6 +31,7 @@
         store: The held versions.
         cell: Where the enforced snapshot is.
         metrics: Where changes are counted.
+        log: Where changes are told.
         wall_clock: Reads milliseconds since the Unix epoch.
     """
 
@@ -66,14 +41,17 @@
         store: VersionStore,
         cell: SnapshotCell,
         metrics: Metrics,
+        log: StateLog,
         wall_clock: Callable[[], int] = read_wall_ms,
     ) -> None:
         self._store = store
         self._cell = cell
         self._metrics = metrics
+        self._log = log
         self._wall_clock = wall_clock
         self.enforced_s = read_clock()
-        self.convergences: tuple[Convergence, ...] = ()
+        self._started_ms = wall_clock()
+        self.enforced_versions: tuple[EnforcedVersion, ...] = ()
         self.refused: tuple[RefusedVersion, ...] = ()
 
     @property
@@ -84,7 +62,10 @@
 
     def find_refusal(self, version: VersionId | None) -> str:
         """Return why a version was refused; empty where it was not."""
-        return next((entry.reason for entry in self.refused if entry.version == version), "")
+        for entry in self.refused:
+            if version is not None and entry.digest == version.digest:
+                return entry.text
+        return ""
 
     def enforce_newest(self) -> None:
         """Check the newest held version and enforce it, or keep the former and remember why."""
@@ -102,17 +83,21 @@
 
     def _note_enforced(self, version: VersionId, accepted_at_ms: int) -> None:
         self.enforced_s = read_clock()
-        took = max(0, self._wall_clock() - accepted_at_ms)
-        self.convergences = (*self.convergences, Convergence(version.number, took))[-KEPT_RECORDS:]
+        took_ms = None
+        if accepted_at_ms >= self._started_ms:
+            took_ms = float(max(0, self._wall_clock() - accepted_at_ms))
+            self._metrics.observe("trefoilpick_convergence_microseconds", took_ms * 1_000)
+        entry = EnforcedVersion(version.number, version.digest, accepted_at_ms, took_ms)
+        self.enforced_versions = (entry, *self.enforced_versions)[:KEPT_RECORDS]
         self._metrics.count("trefoilpick_versions_enforced_total")
         self._metrics.set_gauge("trefoilpick_version_number", version.number)
-        self._metrics.observe("trefoilpick_convergence_microseconds", took * 1_000)
-        logger.info("version enforced", extra={"version": version.number, "digest": version.digest})
+        self._log.report(Event.VERSION, version.number, digest=version.digest)
 
     def _refuse(self, version: VersionId, error: TrefoilpickError) -> None:
         if self.find_refusal(version):
             return
-        self.refused = (*self.refused, RefusedVersion(version, error.text))[-KEPT_RECORDS:]
+        entry = RefusedVersion(version.number, version.digest, error.kind.value, error.text)
+        self.refused = (entry, *self.refused)[:KEPT_RECORDS]
         self._metrics.count("trefoilpick_versions_refused_total")
-        fields = {"version": version.number, "digest": version.digest, "text": error.text}
-        logger.warning("version refused", extra=fields)
+        fields = {"digest": version.digest, "text": error.text}
+        self._log.report(Event.VERSION_REFUSED, version.number, level=logging.WARNING, **fields)
--- /dev/null
+++ b/trefoilpick/exchanges.py
@@ -0,0 +1,94 @@
+"""Exchanges of state with peers: the heartbeat, and the repair of what was missed."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import curio
+
+from trefoilpick._clock import read_clock
+from trefoilpick.answering import name_address
+from trefoilpick.errors import TrefoilpickError
+from trefoilpick.logs import Event
+from trefoilpick.messages import Exchange, Hello
+from trefoilpick.overlay import EveryNodeWatches, list_local, list_targets
+
+if TYPE_CHECKING:
+    from trefoilpick.distribution import Distributor
+    from trefoilpick.vms import Vm
+
+FAR_EXCHANGE = 8
+"""One exchange in so many goes to any VM of another data centre."""
+
+
+class Exchanger:
+    """Exchanges a node's state with one peer after the other.
+
+    Args:
+        node: The node.
+        pause_s: Mean time between two exchanges, in seconds.
+    """
+
+    def __init__(self, node: Distributor, *, pause_s: float) -> None:
+        self._node = node
+        self._pause_s = pause_s
+        self._turns = 0
+        self.asked_s = float("-inf")
+
+    async def run(self) -> None:
+        """Exchange until cancelled."""
+        node = self._node
+        if isinstance(node.overlay, EveryNodeWatches):
+            await curio.Event().wait()
+        while True:
+            await curio.sleep(self._pause_s * node.random.uniform(0.5, 1.5))
+            vm = self._draw_peer()
+            if vm is not None:
+                await self.exchange(vm)
+
+    async def exchange(self, vm: Vm) -> None:
+        """Tell a peer the node's state, and take the peer's."""
+        node = self._node
+        asked_s = read_clock()
+        address = name_address(vm)
+        try:
+            answer = await node.links.ask(address, node.tell_state(), timeout_s=node.answer_s)
+            if not isinstance(answer.body, Exchange):
+                answer = await node.links.ask(address, Hello(node.own), timeout_s=node.answer_s)
+        except TrefoilpickError:
+            # A pause of this node says nothing of the peer.
+            if not node.paused_since(asked_s):
+                self._note_missed(vm)
+            return
+        self.asked_s = max(self.asked_s, asked_s)
+        node.log.report(Event.PEER, "up", subject=vm.name)
+        await node.take_answer(answer, address)
+
+    async def exchange_now(self) -> None:
+        """Exchange at once with a peer of the node's data centre and one of another."""
+        node = self._node
+        near = [vm for vm in list_local(node.view()) if vm.name != node.own.name]
+        for vms in (near, self._list_far()):
+            if vms:
+                await curio.spawn(self.exchange, node.random.choice(vms), daemon=True)
+
+    def _note_missed(self, vm: Vm) -> None:
+        node = self._node
+        node.metrics.count("trefoilpick_heartbeats_missed_total")
+        node.roster.note_missed(vm.name)
+        if node.roster.is_dead(vm.name):
+            node.log.report(Event.PEER, "down", subject=vm.name)
+
+    def _draw_peer(self) -> Vm | None:
+        node = self._node
+        self._turns += 1
+        if self._turns % FAR_EXCHANGE == 0:
+            far = self._list_far()
+            if far:
+                return node.random.choice(far)
+        targets = list_targets(node.overlay, node.view(), node.random)
+        return targets[self._turns % len(targets)] if targets else None
+
+    def _list_far(self) -> list[Vm]:
+        own = self._node.own.data_centre
+        return [vm for vm in self._node.roster.list_alive() if vm.data_centre != own]
--- a/trefoilpick/joining.py
+++ b/trefoilpick/joining.py
@@ -11,7 +11,7 @@
 from trefoilpick.budgets import Backoff
 from trefoilpick.errors import TrefoilpickError
 from trefoilpick.messages import Exchange, Hello
-from trefoilpick.overlay import list_targets
+from trefoilpick.overlay import EveryNodeWatches
 
 if TYPE_CHECKING:
     from trefoilpick.distribution import Distributor
@@ -23,9 +23,6 @@
 FAR_CENTRES = 2
 """Other data centres of which it asks one peer each at a time."""
 
-MAX_ROUNDS = 32
-"""Rounds of questions before the exchanges alone go on."""
-
 
 class Joiner:
     """Asks peers of several data centres and the source for the newest version.
@@ -40,46 +37,45 @@
         self._wait_s = wait_s
         self._started_s = read_clock()
         self._centres: set[str] = set()
-        self._source_answered = False
 
     @property
     def is_confirmed(self) -> bool:
         """Whether the source and peers of two data centres answered, as far as there are any."""
-        centres = {vm.data_centre for vm in self._node.roster.list_vms() if vm != self._node.own}
-        return self._source_answered and len(self._centres) >= min(2, len(centres))
+        return self._source_answered and self._heard_enough
+
+    @property
+    def _source_answered(self) -> bool:
+        return self._node.reader.newest is not None
+
+    @property
+    def _heard_enough(self) -> bool:
+        node = self._node
+        centres = {vm.data_centre for vm in node.roster.list_vms() if vm.name != node.own.name}
+        return node.roster.revision > 0 and len(self._centres) >= min(2, len(centres))
 
     @property
     def is_over(self) -> bool:
         """Whether the wait for answers is over."""
         return read_clock() >= self._started_s + self._wait_s
 
-    def note_peer(self, vm: Vm) -> None:
-        """Record that a peer told its state."""
-        self._centres.add(vm.data_centre)
-
-    def note_source(self) -> None:
-        """Record that the source told its manifest."""
-        self._source_answered = True
-
     async def run(self) -> None:
-        """Ask until the node's version is confirmed."""
+        """Ask until the node's version is confirmed, then wait until cancelled."""
         async with curio.TaskGroup() as group:
             await group.spawn(self._ask_source)
-            await group.spawn(self._ask_peers)
+            if not isinstance(self._node.overlay, EveryNodeWatches):
+                await group.spawn(self._ask_peers)
+        await curio.Event().wait()
 
     async def _ask_source(self) -> None:
         node = self._node
         backoff = Backoff(node.random)
         await curio.sleep(node.draw_source_delay())
-        for _ in range(MAX_ROUNDS):
-            if self._source_answered and node.roster.revision:
-                return
+        while not (self._source_answered and node.roster.revision):
             try:
                 if not node.roster.revision:
                     await node.reader.read_list()
                 if not self._source_answered:
                     await node.reader.read_manifest()
-                    self.note_source()
             except TrefoilpickError:
                 await backoff.pause()
 
@@ -88,16 +84,15 @@
         backoff = Backoff(node.random)
         for address in node.draw_seeds():
             await self._greet(address)
-        for _ in range(MAX_ROUNDS):
+        while True:
             for vm in self._draw_peers():
                 if await self._greet(name_address(vm)):
-                    self.note_peer(vm)
+                    self._centres.add(vm.data_centre)
                 else:
                     node.roster.note_missed(vm.name)
-            if self.is_confirmed:
-                break
+            if self._heard_enough:
+                return
             await backoff.pause()
-        await self._greet_targets()
 
     def _draw_peers(self) -> tuple[Vm, ...]:
         node = self._node
@@ -109,12 +104,6 @@
             chosen.append(node.random.choice([vm for vm in alive if vm.data_centre == centre]))
         return tuple(chosen)
 
-    async def _greet_targets(self) -> None:
-        """Make the node known to those that it will exchange with and that the list may lack it."""
-        node = self._node
-        for vm in list_targets(node.overlay, node.view(), node.random):
-            await self._greet(name_address(vm))
-
     async def _greet(self, address: str) -> bool:
         node = self._node
         try:
--- a/trefoilpick/mailbox.py
+++ b/trefoilpick/mailbox.py
@@ -7,6 +7,7 @@
 
 import curio
 
+from trefoilpick._clock import read_clock
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 from trefoilpick.messages import Body, Envelope, decode_envelope, encode_envelope
 
@@ -24,6 +25,10 @@
 """Senders that a node remembers."""
 
 
+SILENT_LIFE_S = 60.0
+"""Silence of an incarnation after which an earlier one is believed, in seconds."""
+
+
 class ReplayWindow:
     """Tells messages of one sender that came before from those that are new."""
 
@@ -31,22 +36,29 @@
         self._incarnation = 0
         self._newest = 0
         self._seen = 0
+        self._heard_s = float("-inf")
 
     def admit(self, incarnation: int, sequence: int) -> bool:
         """Tell whether a message is new, and remember it.
 
+        An earlier incarnation is admitted again where the later one is silent for long: the
+        clock of a VM may have been set back between two lives of its process.
+
         Args:
             incarnation: Life of the sender; messages of an earlier one are refused.
             sequence: Number of the message in that life.
         """
-        if incarnation < self._incarnation:
+        now = read_clock()
+        if incarnation < self._incarnation and now < self._heard_s + SILENT_LIFE_S:
             return False
-        if incarnation > self._incarnation:
+        if incarnation != self._incarnation:
+            self._heard_s = now
             self._incarnation = incarnation
             self._newest = sequence
             self._seen = 1
             return True
         if sequence > self._newest:
+            self._heard_s = now
             shift = min(sequence - self._newest, REPLAY_WINDOW)
             self._seen = ((self._seen << shift) | 1) & ((1 << REPLAY_WINDOW) - 1)
             self._newest = sequence
--- a/trefoilpick/reading.py
+++ b/trefoilpick/reading.py
@@ -11,6 +11,7 @@
 from trefoilpick._clock import read_clock
 from trefoilpick.budgets import Backoff, Budget
 from trefoilpick.errors import ErrorKind, TrefoilpickError
+from trefoilpick.logs import Event
 from trefoilpick.manifest import decode_manifest, identify_version
 from trefoilpick.source import MANIFEST_KEY, VMS_KEY, name_section_key
 from trefoilpick.vms import VmList
@@ -19,6 +20,7 @@
     from collections.abc import Awaitable, Callable
     from random import Random
 
+    from trefoilpick.logs import StateLog
     from trefoilpick.manifest import Manifest, VersionId
     from trefoilpick.metrics import Metrics
     from trefoilpick.roster import Roster
@@ -31,8 +33,6 @@
 TURN_S = 0.5
 """Time that a reader leaves to the one before it when much is missing, in seconds."""
 
-logger = logging.getLogger("trefoilpick")
-
 
 class SourceReader:
     """Reads the source for one node, within its budget.
@@ -43,6 +43,7 @@
         roster: Where the list of VMs goes.
         budget: Limits the reads.
         metrics: Where reads are counted.
+        log: Where changes of state are told.
         random: Source of draws.
         note_held: Called when a new version is held.
         note_list: Called when a new list of VMs is taken.
@@ -56,6 +57,7 @@
         roster: Roster,
         budget: Budget,
         metrics: Metrics,
+        log: StateLog,
         random: Random,
         note_held: Callable[[], Awaitable[None]],
         note_list: Callable[[], Awaitable[None]],
@@ -65,6 +67,7 @@
         self._roster = roster
         self._budget = budget
         self._metrics = metrics
+        self._log = log
         self._random = random
         self._note_held = note_held
         self._note_list = note_list
@@ -89,10 +92,12 @@
         """
         self.turn = turn
         await self._reading.set()
+        self._log.report(Event.READER, "reading")
 
     def stop(self) -> None:
         """Cease to read once the present watch ends."""
         self._reading.clear()
+        self._log.report(Event.READER, "following")
 
     async def run(self) -> None:
         """Read and watch while it is this node's turn, until cancelled."""
@@ -168,12 +173,9 @@
             await self._wait_turn(version)
         self.gathering = version
         try:
-            for ref in missing:
-                if not self._is_newer(version):
-                    return
-                if ref in self._store.list_missing(manifest):
-                    value = await self._read(name_section_key(ref.digest))
-                    self._store.add_text(ref, value.data)
+            while (missing := self._store.list_missing(manifest)) and self._is_newer(version):
+                value = await self._read(name_section_key(missing[0].digest))
+                self._store.add_text(missing[0], value.data)
         finally:
             self.gathering = None
         if self._store.hold(manifest):
@@ -199,12 +201,11 @@
     def _note_answer(self, asked_s: float) -> None:
         self.answered_s = read_clock()
         self.asked_s = asked_s
-        if self.failing:
-            self.failing = False
-            logger.info("source answers again")
+        self.failing = False
+        self._log.report(Event.SOURCE, "up")
 
     def _note_failure(self, error: TrefoilpickError) -> None:
         self._metrics.count("trefoilpick_source_failures_total", kind=error.kind.value)
-        if not self.failing:
-            self.failing = True
-            logger.warning("source fails", extra={"kind": error.kind.value, "text": error.text})
+        self.failing = True
+        fields = {"kind": error.kind.value, "text": error.text}
+        self._log.report(Event.SOURCE, "down", level=logging.WARNING, **fields)
--- a/trefoilpick/roster.py
+++ b/trefoilpick/roster.py
@@ -120,9 +120,10 @@
     def note_alive(self, name: str, incarnation: int) -> None:
         """Record that a VM was heard; a new incarnation ends what was known of the former."""
         evidence = self._find_evidence(name)
-        if incarnation < evidence.incarnation:
+        silent = evidence.heard_s < self._clock() - UNLISTED_S
+        if incarnation < evidence.incarnation and not silent:
             return
-        if incarnation > evidence.incarnation:
+        if incarnation != evidence.incarnation:
             evidence.leaving = False
         evidence.incarnation = incarnation
         evidence.misses = 0
