--- a/trefoilpick/distribution.py
+++ b/trefoilpick/distribution.py
@@ -72,8 +72,8 @@
         is_level: Whether it heard of the fleet since its last pause.
         is_reader: Whether it reads the source.
         unconfirmed: Whether it serves a version that was not confirmed since it joined.
-        source_age_s: Time since the source last answered it, in seconds; None for never.
-        silence_s: Time since a reader of its data centre was known to read, in seconds.
+        source_age_s: Time since the source was known to answer in its data centre, in seconds;
+            None for never.
         vms_revision: Revision of its list of VMs.
         vms_known: VMs that it knows of.
         peers: Peers that it heard from.
@@ -92,7 +92,6 @@
     is_reader: bool
     unconfirmed: bool
     source_age_s: float | None
-    silence_s: float
     vms_revision: int
     vms_known: int
     peers: tuple[PeerStatus, ...]
@@ -259,7 +258,6 @@
     def describe(self) -> ControlStatus:
         """Return the node's state for operators."""
         newest = max(self._list_known(), default=None)
-        answered_s = self.reader.answered_s
         return ControlStatus(
             enforced=self.enforcer.enforced,
             held=self.store.newest,
@@ -268,8 +266,7 @@
             is_level=self.is_level,
             is_reader=self.reader.is_reading,
             unconfirmed=self.unconfirmed,
-            source_age_s=None if answered_s == float("-inf") else read_clock() - answered_s,
-            silence_s=self._readership.measure_silence(),
+            source_age_s=self._readership.measure_age(),
             vms_revision=self.roster.revision,
             vms_known=len(self.roster.list_vms()),
             peers=tuple(self._peers.list_peers(newest)),
--- a/trefoilpick/node.py
+++ b/trefoilpick/node.py
@@ -18,6 +18,7 @@
 from trefoilpick.distribution import open_distributor
 from trefoilpick.hopserver import open_hop_server
 from trefoilpick.links import open_links
+from trefoilpick.logs import open_state_log
 from trefoilpick.metrics import Metrics
 from trefoilpick.operators import open_operator_server
 from trefoilpick.roster import Roster
@@ -96,7 +97,6 @@
         return build_node_status(
             self.settings.vm,
             control=self.distributor.describe(),
-            snapshot=self.cell.current,
             load=self.hop_server.measure_load(),
             uptime_s=read_clock() - self._started_s,
             leaving=self._leaving,
@@ -159,6 +159,7 @@
         cell=cell,
         roster=roster,
         metrics=metrics,
+        log=open_state_log(settings.vm, incarnation=incarnation, metrics=metrics),
         random=chance,
     )
     hop_server = open_hop_server(
--- a/trefoilpick/readership.py
+++ b/trefoilpick/readership.py
@@ -78,19 +78,33 @@
         self._exchange_s = control.exchange_ms / 1000
         self._patience = random.random()
         self._seen_s = read_clock()
+        self._was_seen = False
         self._until_s = float("-inf")
 
     def note_silence(self, silence_s: float) -> None:
         """Record how long ago a peer of the data centre knew a reader to read."""
-        self._seen_s = max(self._seen_s, read_clock() - silence_s)
+        seen_s = read_clock() - silence_s
+        if seen_s >= self._seen_s:
+            self._seen_s = seen_s
+            self._was_seen = True
 
     def measure_silence(self) -> float:
         """Return the time since a reader of the data centre was known to read, in seconds."""
         now = read_clock()
         if self._reader.is_reading:
             self._seen_s = now
+            self._was_seen = True
         return now - self._seen_s
 
+    def measure_age(self) -> float | None:
+        """Return the time since the source was known to answer in the data centre, in seconds.
+
+        Returns:
+            None where it never was in this incarnation.
+        """
+        silence_s = self.measure_silence()
+        return silence_s if self._was_seen else None
+
     async def run(self) -> None:
         """Decide again and again, until cancelled."""
         while True:
