--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -65,6 +65,12 @@
     assert (line["number"], line["incarnation"], line["event"]) == (4, 9, "message")
 
 
+def test_every_event_is_reported_somewhere() -> None:
+    package = Path(logs.__file__).parent
+    text = "".join(path.read_text() for path in package.glob("*.py") if path.name != "logs.py")
+    assert {event for event in Event if f"Event.{event.name}" not in text} == set()
+
+
 def test_every_event_is_described_in_the_table_and_on_the_page() -> None:
     page = (Path(logs.__file__).parents[1] / "docs" / "logs.md").read_text()
     assert set(EVENTS) == set(Event)
--- a/trefoilpick/hopserver.py
+++ b/trefoilpick/hopserver.py
@@ -20,6 +20,7 @@
 from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError
 from trefoilpick.gate import Gate, GateLimits
 from trefoilpick.hops import FrameKind, Hop, HopRequest, Load, decode_head, encode_head
+from trefoilpick.logs import Event, open_state_log
 from trefoilpick.tokens import open_book
 from trefoilpick.upstreams import open_pool
 
@@ -105,6 +106,7 @@
         self._settings = settings
         self._cell = cell
         self._metrics = metrics
+        self._log = open_state_log(settings.vm, incarnation=incarnation, metrics=metrics)
         self._is_level = is_level
         self._incarnation = incarnation
         self._upstream: Upstream | None = None
@@ -272,8 +274,12 @@
         exchange = Exchange(self._service, link, request, began_s=read_clock())
         try:
             await self._answer(exchange, request)
+            if not request.wants_token:
+                self._log.report(Event.WORKER, "up")
         except TrefoilpickError as error:
             kind = error.kind.value
+            if error.kind is ErrorKind.UPSTREAM_REFUSED:
+                self._log.report(Event.WORKER, "down", level=logging.WARNING, text=error.text)
             if not await exchange.fail(error):
                 return False
         finally:
--- a/trefoilpick/logs.py
+++ b/trefoilpick/logs.py
@@ -40,9 +40,6 @@
     READER = "reader"
     PEER = "peer"
     WORKER = "worker"
-    UPSTREAM = "upstream"
-    OVERLOAD = "overload"
-    OPERATORS = "operators"
 
 
 @dataclass(frozen=True)
@@ -63,7 +60,7 @@
 EVENTS: dict[Event, EventInfo] = {
     Event.NODE: EventInfo(
         "The node's process moved to another stage of its life.",
-        ("starting", "serving", "draining", "stopped"),
+        ("serving", "draining", "stopped"),
         "None, where a start or a planned stop is under way.",
     ),
     Event.READINESS: EventInfo(
@@ -98,7 +95,7 @@
     ),
     Event.PEER: EventInfo(
         "Another node began or ceased to answer on the control link.",
-        ("up", "down", "leaving"),
+        ("up", "down"),
         "Look at that VM, where the platform's list still has it as live.",
     ),
     Event.WORKER: EventInfo(
@@ -106,21 +103,6 @@
         ("up", "down"),
         "Restart the worker; the node sends callers elsewhere meanwhile.",
     ),
-    Event.UPSTREAM: EventInfo(
-        "A service gained its first or lost its last VM with a free slot.",
-        ("available", "unavailable"),
-        "Look at the VMs of that service.",
-    ),
-    Event.OVERLOAD: EventInfo(
-        "The node began or ceased to shed requests.",
-        ("shedding", "normal"),
-        "Add VMs to the service, or lower the priority of some routes.",
-    ),
-    Event.OPERATORS: EventInfo(
-        "The operators' port opened or closed.",
-        ("open", "closed"),
-        "None.",
-    ),
 }
 """Meaning of each event."""
 
--- a/trefoilpick/node.py
+++ b/trefoilpick/node.py
@@ -11,6 +11,7 @@
 
 import curio
 
+from trefoilpick import __version__
 from trefoilpick._clock import read_clock
 from trefoilpick._counted_source import CountedSource
 from trefoilpick._node_status import build_fleet_status, build_node_status
@@ -18,7 +19,7 @@
 from trefoilpick.distribution import open_distributor
 from trefoilpick.hopserver import open_hop_server
 from trefoilpick.links import open_links
-from trefoilpick.logs import open_state_log
+from trefoilpick.logs import Event, open_state_log
 from trefoilpick.metrics import Metrics
 from trefoilpick.operators import open_operator_server
 from trefoilpick.roster import Roster
@@ -35,6 +36,9 @@
     from trefoilpick.source import Source
     from trefoilpick.status import FleetStatus, NodeStatus
 
+READINESS_S = 0.5
+"""Time between two looks whether the node is ready, in seconds."""
+
 
 class Node:
     """One node: distribution of versions, and the way of requests.
@@ -73,6 +77,7 @@
         self._stop = curio.Event()
         self._leaving = False
         self._started_s = read_clock()
+        self._log = distributor.log
 
     @property
     def is_ready(self) -> bool:
@@ -81,12 +86,15 @@
 
     async def run(self) -> None:
         """Serve until `request_stop`, then drain and return."""
+        self._log.report(Event.NODE, "serving", version=__version__)
         async with curio.TaskGroup(wait=any) as tasks:
             await tasks.spawn(self.distributor.run)
             await tasks.spawn(self.hop_server.run)
             await tasks.spawn(self.caller_server.run)
             await tasks.spawn(self._operators.run)
             await tasks.spawn(self._drain_when_stopped)
+            await tasks.spawn(self._report_readiness)
+        self._log.report(Event.NODE, "stopped")
 
     async def request_stop(self) -> None:
         """Begin a graceful shutdown; a second call changes nothing."""
@@ -115,9 +123,21 @@
             took_s=took_s,
         )
 
+    async def _report_readiness(self) -> None:
+        was_ready: bool | None = None
+        while True:
+            is_ready = self.is_ready
+            if is_ready is not was_ready:
+                reasons = self.describe().reasons
+                value = "ready" if is_ready else "not_ready"
+                self._log.report(Event.READINESS, value, reasons=reasons)
+                was_ready = is_ready
+            await curio.sleep(READINESS_S)
+
     async def _drain_when_stopped(self) -> None:
         await self._stop.wait()
         self._leaving = True
+        self._log.report(Event.NODE, "draining")
         await self.distributor.announce_leaving()
         async with curio.TaskGroup() as drains:
             await drains.spawn(self.caller_server.drain)
