Add the demo and the replay of traces; end callers' connections with their server

Cause: nothing showed the promises kept from the outside. Change: demo (one process, six nodes), replay of JSON-lines traces on the virtual clock with the nodes' own code, six recorded traces, typed outcomes; CallerServer.run ends its connections.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3
 BIN := .venv/bin
 
-.PHONY: install format lint types tests test demo matrix clean
+.PHONY: install format lint types tests test demo matrix replay clean
 .PHONY: bench-convergence bench-request bench-slopes
 
 install: .venv/installed
@@ -34,3 +34,6 @@
 
 clean:
 	rm -rf .venv .mypy_cache .ruff_cache .pytest_cache build out
+
+replay: install
+	$(BIN)/trefoilpick replay examples/traces/*.jsonl
--- /dev/null
+++ b/examples/make_traces.py
@@ -0,0 +1,305 @@
+"""Write the traces of this folder: days and failures of both firms, compressed in time.
+
+Run it with `python examples/make_traces.py`; it writes the same files each time.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from trefoilpick.document import Contract, Match, Priority, Route, Section, Upstream
+from trefoilpick.traces import (
+    CallsKept,
+    Event,
+    Expectation,
+    InForce,
+    NeverInForce,
+    NeverOlder,
+    Partition,
+    Requests,
+    SourceFails,
+    SourceFault,
+    SourceReads,
+    VersionAccepted,
+    VmDies,
+    VmJoins,
+    VmLeaves,
+    VmListed,
+    VmPauses,
+    VmReturns,
+    encode_line,
+)
+from trefoilpick.vms import VmState
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator, Sequence
+
+FOLDER = Path(__file__).parent / "traces"
+OUTAGE_S = 360.0
+"""An hour, compressed ten times, in seconds."""
+BOUND_S = 8.0
+"""Time in which an accepted version must be in force everywhere, in seconds."""
+
+SOURCE_PEAK = 500
+"""Reads that the fleet may make in any second: a quarter of what the source serves."""
+
+LIMA = ("lima-a", "lima-b", "lima-c")
+NOORD = ("eemshaven", "delfzijl", "veendam")
+
+
+def build_section(team: str, slots: int, connections: int, routes: Sequence[Route]) -> Section:
+    """Return a team's section with one upstream of the team's own name."""
+    upstream = Upstream(team, slots=slots, connections=connections)
+    return Section(team, (upstream,), tuple(routes))
+
+
+def build_route(
+    team: str, name: str, method: str, *, idempotent: bool, priority: Priority, limit: int = 0
+) -> Route:
+    """Return a route of a team under a path of its own name."""
+    contract = Contract(
+        idempotent=idempotent,
+        deadline_ms=10_000,
+        priority=priority,
+        retries=2,
+        body_limit_bytes=limit or 65_536,
+    )
+    return Route(name, Match(f"/{name}", (method,)), team, contract)
+
+
+PORTAFOLIO = build_section(
+    "portafolio",
+    10,
+    120,
+    [
+        build_route(
+            "portafolio", "sketches", "GET", idempotent=True, priority=Priority.INTERACTIVE
+        ),
+        build_route("portafolio", "archive", "GET", idempotent=True, priority=Priority.DEFERRABLE),
+    ],
+)
+ENCARGOS = build_section(
+    "encargos",
+    10,
+    120,
+    [
+        build_route(
+            "encargos", "advances", "POST", idempotent=False, priority=Priority.INTERACTIVE
+        ),
+        build_route(
+            "encargos",
+            "spreads",
+            "PUT",
+            idempotent=True,
+            priority=Priority.NORMAL,
+            limit=268_435_456,
+        ),
+    ],
+)
+VLOEISTOF = build_section(
+    "vloeistof",
+    6,
+    130,
+    [
+        build_route("vloeistof", "liquor", "GET", idempotent=True, priority=Priority.INTERACTIVE),
+        build_route("vloeistof", "seasons", "GET", idempotent=True, priority=Priority.DEFERRABLE),
+    ],
+)
+CORRECTIE = build_section(
+    "correctie",
+    6,
+    130,
+    [
+        build_route(
+            "correctie", "corrections", "POST", idempotent=False, priority=Priority.INTERACTIVE
+        ),
+        build_route(
+            "correctie",
+            "scans",
+            "PUT",
+            idempotent=True,
+            priority=Priority.NORMAL,
+            limit=268_435_456,
+        ),
+    ],
+)
+
+
+def change_section(section: Section, mark: int) -> Section:
+    """Return a section with one deadline changed, as teams do all day."""
+    first = section.routes[0]
+    contract = replace(first.contract, deadline_ms=10_000 + mark)
+    return replace(section, routes=(replace(first, contract=contract), *section.routes[1:]))
+
+
+def break_section(section: Section) -> Section:
+    """Return a section with a route to an upstream that nobody defines."""
+    lost = replace(section.routes[-1], upstream="nowhere")
+    return replace(section, routes=(*section.routes[:-1], lost))
+
+
+def join_vms(
+    region: str, centres: Sequence[str], counts: Sequence[tuple[str, int]]
+) -> Iterator[Event]:
+    """Yield the start of a firm's VMs, spread over its data centres."""
+    for service, count in counts:
+        for number in range(count):
+            centre = centres[number % len(centres)]
+            yield VmJoins(0.0, f"{service}-{number}", region, centre, service)
+
+
+def call_quillqa(at_s: float, for_s: float, *, scale: int = 1) -> Iterator[Event]:
+    """Yield an hour's work of editors and art directors."""
+    yield Requests(at_s, "portafolio-0", 60 * scale, for_s, "GET", "q", "/sketches/7")
+    yield Requests(at_s, "portafolio-2", 20 * scale, for_s, "GET", "q", "/archive/98")
+    yield Requests(at_s, "encargos-1", 20 * scale, for_s, "POST", "q", "/advances", 64, token=True)
+    yield Requests(at_s, "encargos-2", 6 * scale, for_s, "PUT", "q", "/spreads/3", 400_000)
+
+
+def call_rtk(at_s: float, for_s: float, *, scale: int = 1) -> Iterator[Event]:
+    """Yield an hour's work of mill operators and auditors."""
+    yield Requests(at_s, "vloeistof-0", 60 * scale, for_s, "GET", "r", "/liquor/7")
+    yield Requests(at_s, "vloeistof-4", 20 * scale, for_s, "GET", "r", "/seasons/98")
+    yield Requests(
+        at_s, "correctie-1", 20 * scale, for_s, "POST", "r", "/corrections", 64, token=True
+    )
+    yield Requests(at_s, "correctie-2", 6 * scale, for_s, "PUT", "r", "/scans/3", 400_000)
+
+
+def tell_quillqa_deadline() -> Iterator[Event | Expectation]:
+    """Yield an ordinary day of Quillqa near a print deadline."""
+    yield from join_vms("lima", LIMA, [("portafolio", 5), ("encargos", 5)])
+    yield VersionAccepted(1.0, 1, (ENCARGOS, PORTAFOLIO))
+    yield from call_quillqa(15.0, 100.0, scale=3)
+    yield VersionAccepted(30.0, 2, (change_section(PORTAFOLIO, 1),))
+    yield VersionAccepted(40.0, 3, (break_section(ENCARGOS),))
+    yield VersionAccepted(50.0, 4, (change_section(ENCARGOS, 2),))
+    yield VmLeaves(60.0, "encargos-3")
+    yield VmListed(64.0, "encargos-3", VmState.LEAVING)
+    yield VmJoins(66.0, "encargos-5", "lima", "lima-a", "encargos", listed=False)
+    yield VmListed(70.0, "encargos-5", VmState.LIVE)
+    yield VmListed(72.0, "encargos-3", None)
+    yield VmPauses(80.0, "portafolio-3", 6.0)
+    yield VersionAccepted(82.0, 5, (change_section(PORTAFOLIO, 3),))
+    yield VmDies(95.0, ("portafolio-1",))
+    yield VmReturns(105.0, ("portafolio-1",))
+    yield InForce(2, BOUND_S)
+    yield InForce(4, BOUND_S)
+    yield InForce(5, BOUND_S)
+    yield NeverInForce(3)
+    yield NeverOlder()
+    yield CallsKept(0.99)
+    yield SourceReads(SOURCE_PEAK)
+
+
+def tell_rtk_shift() -> Iterator[Event | Expectation]:
+    """Yield RTK at shift change: many corrections, two versions in one second."""
+    yield from join_vms("nl-noord", NOORD, [("vloeistof", 7), ("correctie", 4)])
+    yield VersionAccepted(1.0, 1, (CORRECTIE, VLOEISTOF))
+    yield from call_rtk(15.0, 60.0, scale=3)
+    yield VersionAccepted(30.0, 2, (change_section(VLOEISTOF, 1),))
+    yield VersionAccepted(30.5, 3, (change_section(CORRECTIE, 1),))
+    yield VmDies(40.0, ("correctie-3",))
+    yield VmListed(55.0, "correctie-3", None)
+    yield VersionAccepted(60.0, 4, (change_section(VLOEISTOF, 4),))
+    yield InForce(3, BOUND_S)
+    yield InForce(4, BOUND_S)
+    yield NeverOlder()
+    yield CallsKept(0.98)
+    yield SourceReads(SOURCE_PEAK)
+
+
+def tell_source_outage() -> Iterator[Event | Expectation]:
+    """Yield a source outage of an hour, with VMs replaced while it lasts."""
+    yield from join_vms("nl-noord", NOORD, [("vloeistof", 7), ("correctie", 4)])
+    yield VersionAccepted(1.0, 1, (CORRECTIE, VLOEISTOF))
+    yield VersionAccepted(20.0, 2, (change_section(VLOEISTOF, 1),))
+    yield SourceFails(30.0, SourceFault.DOWN, OUTAGE_S)
+    yield from call_rtk(35.0, 60.0)
+    yield VmDies(96.0, ("vloeistof-1", "vloeistof-4"))
+    yield VmReturns(99.0, ("vloeistof-1", "vloeistof-4"))
+    yield from call_rtk(120.0, 60.0)
+    yield VersionAccepted(200.0, 3, (change_section(CORRECTIE, 9),))
+    yield from call_rtk(30.0 + OUTAGE_S, 60.0)
+    yield VersionAccepted(100.0 + OUTAGE_S, 4, (change_section(CORRECTIE, 10),))
+    yield InForce(2, BOUND_S)
+    yield InForce(4, BOUND_S)
+    yield NeverOlder()
+    yield CallsKept(0.99)
+    yield SourceReads(SOURCE_PEAK)
+
+
+def tell_lost_centre() -> Iterator[Event | Expectation]:
+    """Yield the loss of a data centre, and its return by stale eyes."""
+    yield from join_vms("lima", LIMA, [("portafolio", 5), ("encargos", 5)])
+    yield VersionAccepted(1.0, 1, (ENCARGOS, PORTAFOLIO))
+    yield from call_quillqa(15.0, 90.0, scale=2)
+    yield VmDies(30.0, data_centre="lima-b")
+    yield VersionAccepted(40.0, 2, (change_section(PORTAFOLIO, 1),))
+    yield VmReturns(70.0, data_centre="lima-b")
+    yield VersionAccepted(90.0, 3, (change_section(ENCARGOS, 1),))
+    yield InForce(2, BOUND_S)
+    yield InForce(3, BOUND_S)
+    yield NeverOlder()
+    yield CallsKept(0.97)
+    yield SourceReads(SOURCE_PEAK)
+
+
+def tell_herd_return() -> Iterator[Event | Expectation]:
+    """Yield the death of all nodes at once, and their return in one moment."""
+    yield from join_vms("lima", LIMA, [("portafolio", 20), ("encargos", 20)])
+    yield VersionAccepted(1.0, 1, (ENCARGOS, PORTAFOLIO))
+    yield VersionAccepted(20.0, 2, (change_section(PORTAFOLIO, 1),))
+    for centre in LIMA:
+        yield VmDies(30.0, data_centre=centre)
+    for centre in LIMA:
+        yield VmReturns(33.0, data_centre=centre)
+    yield VersionAccepted(34.0, 3, (change_section(ENCARGOS, 1),))
+    yield from call_quillqa(48.0, 20.0)
+    yield InForce(3, BOUND_S)
+    yield NeverOlder()
+    yield CallsKept(0.99)
+    yield SourceReads(SOURCE_PEAK)
+
+
+def tell_parted_regions() -> Iterator[Event | Expectation]:
+    """Yield two regions that lose each other for minutes; one of them loses the source too."""
+    yield from join_vms("lima", LIMA, [("portafolio", 5), ("encargos", 5)])
+    yield from join_vms("nl-noord", NOORD, [("vloeistof", 7), ("correctie", 4)])
+    yield VersionAccepted(1.0, 1, (CORRECTIE, ENCARGOS, PORTAFOLIO, VLOEISTOF))
+    yield from call_quillqa(15.0, 200.0)
+    yield from call_rtk(15.0, 200.0)
+    yield Partition(30.0, NOORD, 150.0, source=False)
+    yield VersionAccepted(40.0, 2, (change_section(PORTAFOLIO, 1),))
+    yield VersionAccepted(60.0, 3, (break_section(ENCARGOS),))
+    yield VersionAccepted(170.0, 4, (change_section(ENCARGOS, 1),))
+    yield VersionAccepted(220.0, 5, (change_section(VLOEISTOF, 1),))
+    yield InForce(5, BOUND_S)
+    yield NeverInForce(3)
+    yield NeverOlder()
+    yield CallsKept(0.99)
+    yield SourceReads(SOURCE_PEAK)
+
+
+TRACES = {
+    "quillqa-deadline": tell_quillqa_deadline,
+    "rtk-shift": tell_rtk_shift,
+    "source-outage": tell_source_outage,
+    "lost-data-centre": tell_lost_centre,
+    "herd-return": tell_herd_return,
+    "parted-regions": tell_parted_regions,
+}
+
+
+def main() -> None:
+    """Write all traces."""
+    FOLDER.mkdir(exist_ok=True)
+    for name, tell in TRACES.items():
+        data = b"".join(encode_line(entry) for entry in tell())
+        (FOLDER / f"{name}.jsonl").write_bytes(data)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/trefoilpick/_calls.py
@@ -0,0 +1,100 @@
+"""Calls of a caller, each judged against the worker's receipt and kept for the ledger."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from hashlib import blake2b
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from trefoilpick._ledger import END_BY_OUTCOME, Call, CallEnd
+from trefoilpick.client import Caller, CallerAnswer
+from trefoilpick.errors import TrefoilpickError, find_answer
+from trefoilpick.standin_worker import RunReceipt
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Sequence
+
+HTTP_OK = 200
+"""Status of a stand-in worker's answer."""
+
+
+@dataclass(frozen=True)
+class CallPlan:
+    """A kind of call that a caller makes.
+
+    Attributes:
+        method: HTTP method.
+        host: Host header.
+        path: Path.
+        idempotent: Whether it may run more than once; else it is made under a token.
+        body_bytes: Length of its body.
+    """
+
+    method: str
+    host: str
+    path: str
+    idempotent: bool
+    body_bytes: int
+
+
+class CallRecorder:
+    """Makes calls and keeps how they ended.
+
+    Args:
+        name: Identity of the caller, unique among all callers.
+        addresses: Callers' addresses of nodes, as "ip:port", the preferred first.
+        chance: Source of bodies and of jitter.
+
+    Attributes:
+        calls: Calls that ended.
+    """
+
+    def __init__(self, name: str, addresses: Sequence[str], chance: random.Random) -> None:
+        self.calls: list[Call] = []
+        self._name = name
+        self._caller = Caller(tuple(addresses), chance=chance)
+        self._chance = chance
+
+    async def make_call(self, plan: CallPlan, number: int, deadline_s: float) -> None:
+        """Make one call and keep its end.
+
+        Args:
+            plan: What to call.
+            number: Number of the call, unique for this caller.
+            deadline_s: Time for all its attempts, in seconds.
+        """
+        request_id = f"{self._name}-{number}"
+        body = self._chance.randbytes(plan.body_bytes)
+        try:
+            answer = await self._caller.request(
+                plan.method,
+                plan.host,
+                plan.path,
+                headers=[("x-request-id", request_id)],
+                body=body,
+                deadline_s=deadline_s,
+                idempotent=plan.idempotent,
+            )
+            end = _judge_answer(answer, request_id, body)
+        except TrefoilpickError as error:
+            end = END_BY_OUTCOME[find_answer(error).outcome]
+        self.calls.append(Call(request_id, plan.idempotent, end))
+
+    async def close(self) -> None:
+        """Close the caller's connections."""
+        await self._caller.close()
+
+
+def _judge_answer(answer: CallerAnswer, request_id: str, body: bytes) -> CallEnd:
+    if answer.status != HTTP_OK:
+        return CallEnd.CUT
+    try:
+        receipt = msgspec.json.decode(answer.body, type=RunReceipt)
+    except msgspec.MsgspecError:
+        return CallEnd.CUT
+    digest = blake2b(body, digest_size=16).hexdigest()
+    whole = receipt.request_id == request_id and receipt.body_digest == digest
+    return CallEnd.ANSWERED if whole else CallEnd.CUT
--- /dev/null
+++ b/trefoilpick/_cli_demo.py
@@ -0,0 +1,56 @@
+"""The command `demo`."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Annotated
+
+import curio
+import msgspec
+import typer
+
+from trefoilpick._console import ExitCode, console, report_errors
+from trefoilpick.logs import LOGGER_NAME
+
+if TYPE_CHECKING:
+    from trefoilpick.demo import DemoResult
+
+
+def demo(
+    as_json: Annotated[
+        bool, typer.Option("--json", help="Print one JSON object as the last line.")
+    ] = False,
+) -> None:
+    """Run Quillqa's fleet in this process: versions, a refusal, a drain and a death.
+
+    Exit code 0 when every promise was kept, 1 otherwise.
+    """
+    # Imported here so that a node does not carry the demo in its memory.
+    from trefoilpick.demo import run_demo
+
+    logging.getLogger(LOGGER_NAME).addHandler(logging.NullHandler())
+    with report_errors(ExitCode.UNAVAILABLE):
+        result: DemoResult = curio.run(run_demo(tell=_tell))
+    if as_json:
+        typer.echo(msgspec.json.encode(result).decode())
+    else:
+        _show_result(result)
+    if not result.holds:
+        raise typer.Exit(ExitCode.FAULTY)
+
+
+def _tell(line: str) -> None:
+    console.print(f"[cyan]•[/] {line}", highlight=False)
+
+
+def _show_result(result: DemoResult) -> None:
+    requests = result.requests
+    console.print(
+        f"\n{requests.sent} requests: {requests.answered} answered, {requests.not_run} not run,"
+        f" {requests.unknown} unknown; [bold]{requests.lost} lost, {requests.doubled} doubled,"
+        f" {requests.cut} cut[/]"
+    )
+    console.print(
+        f"{result.source_reads} reads of the source, {result.control_bytes} bytes of control"
+    )
+    console.print("[green]every promise kept[/]" if result.holds else "[red]a promise broken[/]")
--- a/trefoilpick/_demo_fleet.py
+++ b/trefoilpick/_demo_fleet.py
@@ -6,14 +6,13 @@
 from __future__ import annotations
 
 import random
-import socket
-from contextlib import ExitStack
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import curio
 import msgspec
 
+from trefoilpick._ports import find_free_ports
 from trefoilpick.manifest import (
     Manifest,
     SectionRef,
@@ -156,15 +155,6 @@
     return DemoFleet(standin, vms)
 
 
-def find_free_ports(host: str, count: int) -> list[int]:
-    """Return distinct TCP ports that nobody listens on now."""
-    with ExitStack() as probes:
-        sockets = [probes.enter_context(socket.socket()) for _ in range(count)]
-        for probe in sockets:
-            probe.bind((host, 0))
-        return [probe.getsockname()[1] for probe in sockets]
-
-
 def _build_settings(
     standin: Standin, name: str, data_centre: str, service: str, host: str
 ) -> Settings:
--- /dev/null
+++ b/trefoilpick/_ports.py
@@ -0,0 +1,15 @@
+"""Free TCP ports on loopback, for fleets within one process."""
+
+from __future__ import annotations
+
+import socket
+from contextlib import ExitStack
+
+
+def find_free_ports(host: str, count: int) -> list[int]:
+    """Return distinct TCP ports that nobody listens on now."""
+    with ExitStack() as probes:
+        sockets = [probes.enter_context(socket.socket()) for _ in range(count)]
+        for probe in sockets:
+            probe.bind((host, 0))
+        return [probe.getsockname()[1] for probe in sockets]
--- /dev/null
+++ b/trefoilpick/_replay_fleet.py
@@ -0,0 +1,297 @@
+"""The fleet of a replay: nodes' own code on links and a source within one process."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field, replace
+from typing import TYPE_CHECKING
+
+import curio
+import msgspec
+
+from trefoilpick._clock import read_clock
+from trefoilpick._ports import find_free_ports
+from trefoilpick.errors import ErrorKind, TrefoilpickError
+from trefoilpick.localnet import LocalLinks, LocalNetwork, LocalSource
+from trefoilpick.mailbox import Mailbox
+from trefoilpick.metrics import Metrics
+from trefoilpick.node import build_own_vm, open_node
+from trefoilpick.settings import (
+    ControlSettings,
+    DrainSettings,
+    ListenSettings,
+    Settings,
+    SourceSettings,
+    VmSettings,
+    WorkerSettings,
+)
+from trefoilpick.snapshots import Snapshot, SnapshotCell
+from trefoilpick.source import VMS_KEY, Source, SourceValue
+from trefoilpick.standin_worker import Worker
+from trefoilpick.vms import Vm, VmList, VmState
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable, Iterator
+
+    from curio.task import Task
+
+    from trefoilpick.manifest import VersionId
+    from trefoilpick.node import Node
+    from trefoilpick.traces import VmJoins
+
+VMS_PER_NET = 200
+"""VMs that share the third number of their loopback address."""
+
+SOURCE_ADDRESS = "127.0.0.1:9"
+"""Address of the source in the settings; nothing listens there, the source is in-process."""
+
+NOTICE_MS = 1_000
+"""Time between the leaving notice and the refusal of new requests, in milliseconds."""
+
+
+@dataclass(frozen=True)
+class Enforcement:
+    """A version taken over by a node, and when, by the kernel's clock."""
+
+    at_s: float
+    version: VersionId
+
+
+@dataclass
+class Life:
+    """One incarnation of a node.
+
+    Attributes:
+        vm: Name of its VM.
+        began_s: When it started, by the kernel's clock.
+        ended_s: When it ended; infinite while it runs.
+        history: Versions that it enforced, in order.
+    """
+
+    vm: str
+    began_s: float
+    ended_s: float = float("inf")
+    history: list[Enforcement] = field(default_factory=list)
+
+    @property
+    def runs(self) -> bool:
+        """Whether it has not ended."""
+        return self.ended_s == float("inf")
+
+
+@dataclass
+class ReplayVm:
+    """One VM of a replay, through all its incarnations."""
+
+    vm: Vm
+    settings: Settings
+    worker: Worker
+    node: Node | None = None
+    life: Life | None = None
+    tasks: list[Task] = field(default_factory=list)
+    paused_until_s: float = 0.0
+    suspended_s: float = 0.0
+
+
+class _RecordingCell(SnapshotCell):
+    """Keeps what a node enforced, in order."""
+
+    def __init__(self, life: Life) -> None:
+        super().__init__()
+        self._life = life
+
+    def replace(self, snapshot: Snapshot) -> bool:
+        replaced = super().replace(snapshot)
+        if replaced:
+            self._life.history.append(Enforcement(read_clock(), snapshot.version))
+        return replaced
+
+
+class _PlacedSource:
+    """The source as it is reached from one VM."""
+
+    def __init__(self, source: Source, is_cut: Callable[[], bool]) -> None:
+        self._source = source
+        self._is_cut = is_cut
+
+    async def read_value(self, key: str) -> SourceValue:
+        self._check()
+        return await self._source.read_value(key)
+
+    async def watch_value(self, key: str, *, after: int) -> SourceValue | None:
+        self._check()
+        value = await self._source.watch_value(key, after=after)
+        self._check()
+        return value
+
+    def _check(self) -> None:
+        if self._is_cut():
+            raise TrefoilpickError(ErrorKind.SOURCE_UNAVAILABLE, "source is on the other side")
+
+
+class ReplayFleet:
+    """All VMs of a replay.
+
+    Args:
+        seed: Seed of every random choice.
+
+    Attributes:
+        source: The configuration service.
+        network: Carries messages between nodes.
+        vms: VMs by name.
+        lives: All incarnations so far.
+    """
+
+    def __init__(self, seed: int) -> None:
+        self.source = LocalSource()
+        self.network = LocalNetwork(random.Random(seed))
+        self.network.is_cut = self._is_cut
+        self.network.is_held = self._is_held
+        self.vms: dict[str, ReplayVm] = {}
+        self.lives: list[Life] = []
+        self._seed = seed
+        self._listed: dict[str, Vm] = {}
+        self._list_revision = 0
+        self._sides: list[tuple[frozenset[str], bool]] = []
+        self._by_address: dict[str, ReplayVm] = {}
+
+    async def join(self, event: VmJoins) -> None:
+        """Start a VM that is new."""
+        index = len(self.vms)
+        host = f"127.{20 + index // VMS_PER_NET}.0.{index % VMS_PER_NET + 1}"
+        settings = _build_settings(event, host)
+        worker = Worker(
+            event.vm,
+            event.service,
+            host,
+            settings.worker.port,
+            service_time_s=event.service_time_s,
+        )
+        entry = ReplayVm(build_own_vm(settings), settings, worker)
+        self.vms[event.vm] = entry
+        self._by_address[f"{host}:{settings.listen.control_port}"] = entry
+        if event.listed:
+            self._listed[event.vm] = entry.vm
+        await self.start(event.vm)
+
+    async def start(self, name: str) -> None:
+        """Start the node and the worker of a VM that does not run."""
+        entry = self._find(name)
+        if entry.life is not None and entry.life.runs:
+            return
+        life = Life(name, read_clock())
+        self.lives.append(life)
+        incarnation = len(self.lives)
+        metrics = Metrics()
+        address = f"{entry.vm.host}:{entry.vm.control_port}"
+        mailbox = Mailbox(name, incarnation, metrics)
+        entry.life = life
+        entry.node = open_node(
+            entry.settings,
+            source=_PlacedSource(self.source, lambda: self._loses_source(entry.vm.data_centre)),
+            links=LocalLinks(self.network, address, mailbox=mailbox, metrics=metrics),
+            chance=random.Random(f"{self._seed}/{incarnation}"),
+            incarnation=incarnation,
+            cell=_RecordingCell(life),
+            read_suspended=lambda: entry.suspended_s,
+        )
+        entry.tasks = [
+            await curio.spawn(entry.worker.run, daemon=True),
+            await curio.spawn(entry.node.run, daemon=True),
+        ]
+
+    async def kill(self, name: str) -> None:
+        """End a VM at once."""
+        entry = self._find(name)
+        for task in entry.tasks:
+            await task.cancel()
+        self._end_life(entry)
+
+    async def stop(self, name: str) -> None:
+        """End a VM by a graceful shutdown."""
+        entry = self._find(name)
+        if entry.node is None or entry.life is None or not entry.life.runs:
+            return
+        await entry.node.request_stop()
+        await entry.tasks[1].join()
+        await entry.tasks[0].cancel()
+        self._end_life(entry)
+
+    async def pause(self, name: str, for_s: float) -> None:
+        """Hold all messages of a node; when they flow again its suspension shows."""
+        entry = self._find(name)
+        entry.paused_until_s = read_clock() + for_s
+        await curio.sleep(for_s)
+        entry.suspended_s += for_s
+
+    async def part(self, side: Iterable[str], for_s: float, *, source: bool) -> None:
+        """Cut some data centres off from all others for a while.
+
+        Args:
+            side: Data centres on the one side.
+            for_s: How long, in seconds.
+            source: Whether they reach the source; else the others do.
+        """
+        entry = (frozenset(side), source)
+        self._sides.append(entry)
+        await curio.sleep(for_s)
+        self._sides.remove(entry)
+
+    async def list_vm(self, name: str, state: VmState | None) -> None:
+        """Change the platform's list and publish it."""
+        if state is None:
+            self._listed.pop(name, None)
+        else:
+            self._listed[name] = replace(self._find(name).vm, state=state)
+        await self.publish_list()
+
+    async def publish_list(self) -> None:
+        """Publish the list of VMs."""
+        self._list_revision += 1
+        vms = tuple(self._listed[name] for name in sorted(self._listed))
+        await self.source.put(VMS_KEY, msgspec.json.encode(VmList(self._list_revision, vms)))
+
+    def select(self, names: Iterable[str], data_centre: str | None) -> Iterator[str]:
+        """Yield the names given, then all VMs of a data centre."""
+        yield from names
+        for name, entry in self.vms.items():
+            if data_centre is not None and entry.vm.data_centre == data_centre:
+                yield name
+
+    def list_addresses(self, name: str) -> list[str]:
+        """Return callers' addresses: a VM's own, then those of the others."""
+        names = [name, *(other for other in self.vms if other != name)]
+        entries = [self._find(each).settings.listen for each in names]
+        return [f"{listen.host}:{listen.caller_port}" for listen in entries]
+
+    def _find(self, name: str) -> ReplayVm:
+        entry = self.vms.get(name)
+        if entry is None:
+            raise TrefoilpickError(ErrorKind.TRACE_FAULTY, f'VM "{name}" has not joined')
+        return entry
+
+    def _end_life(self, entry: ReplayVm) -> None:
+        if entry.life is not None and entry.life.runs:
+            entry.life.ended_s = read_clock()
+
+    def _is_cut(self, one: str, other: str) -> bool:
+        places = [self._by_address[address].vm.data_centre for address in (one, other)]
+        return any((places[0] in side) != (places[1] in side) for side, _ in self._sides)
+
+    def _is_held(self, address: str) -> bool:
+        return read_clock() < self._by_address[address].paused_until_s
+
+    def _loses_source(self, data_centre: str) -> bool:
+        return any((data_centre in side) != has_source for side, has_source in self._sides)
+
+
+def _build_settings(event: VmJoins, host: str) -> Settings:
+    ports = find_free_ports(host, 5)
+    return Settings(
+        vm=VmSettings(event.vm, event.region, event.data_centre, event.service),
+        listen=ListenSettings(host, *ports[:4]),
+        worker=WorkerSettings(host, ports[4]),
+        source=SourceSettings((SOURCE_ADDRESS,)),
+        control=ControlSettings(),
+        drain=DrainSettings(notice_ms=NOTICE_MS),
+    )
--- a/trefoilpick/_virtual.py
+++ b/trefoilpick/_virtual.py
@@ -20,6 +20,12 @@
 START_S = 1_000_000.0
 """Reading of the virtual clock at the start, in seconds."""
 
+QUIET_LOOKS = 4
+"""Looks without a ready socket after which nothing is taken to be on its way."""
+
+DELIVERY_S = 0.0002
+"""Real time in which a loopback socket of this process delivers, in seconds."""
+
 
 class VirtualTime:
     """A clock that moves only when it is told to."""
@@ -36,11 +42,16 @@
     def __init__(self, clock: VirtualTime) -> None:
         super().__init__()
         self._clock = clock
+        self._quiet = 0
 
     def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
-        ready = super().select(0)
+        # Loopback sockets of this process deliver at once, yet not always within this very call.
+        wait_s = DELIVERY_S if self._quiet < QUIET_LOOKS and timeout != 0 else 0
+        ready = super().select(wait_s)
         if ready:
+            self._quiet = 0
             return ready
+        self._quiet += 1
         if timeout is None:
             return super().select(None)
         self._clock.now_s += max(timeout, 0.0)
--- a/trefoilpick/callers.py
+++ b/trefoilpick/callers.py
@@ -4,13 +4,13 @@
 
 import logging
 import math
-import time
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import curio
 from curio import socket
 
+from trefoilpick._clock import read_clock
 from trefoilpick.balancing import Balancer, Directory
 from trefoilpick.callerlinks import CallerLink, CoarseClock, LinkState, encode_error
 from trefoilpick.calls import (
@@ -111,6 +111,7 @@
         self._metrics = metrics
         self._is_ready = is_ready
         self._is_level = is_level
+        self._tasks: set[curio.Task] = set()
         self._is_closing = False
         self._is_refusing = False
 
@@ -133,6 +134,8 @@
         finally:
             await reaper.cancel()
             await self._listener.close()
+            for task in list(self._tasks):
+                await task.cancel()
 
     async def drain(self) -> CallerDrain:
         """Stop serving without cutting a request.
@@ -180,7 +183,7 @@
             await self._refuse_connection(link)
             return
         self._reaper.links.add(link)
-        await curio.spawn(self._serve_link, link, daemon=True)
+        self._tasks.add(await curio.spawn(self._serve_link, link, daemon=True))
 
     async def _refuse_connection(self, link: CallerLink) -> None:
         limit = self._settings.requests.max_connections
@@ -203,6 +206,7 @@
             self._metrics.count("trefoilpick_caller_resets_total")
         finally:
             self._reaper.links.discard(link)
+            self._tasks.discard(await curio.current_task())
             await link.sock.close()
 
     async def _serve_request(self, link: CallerLink) -> bool:
@@ -370,7 +374,7 @@
         listener=listener,
         cell=cell,
         forwarder=forwarder,
-        reaper=Reaper(requests, pool, CoarseClock(time.monotonic())),
+        reaper=Reaper(requests, pool, CoarseClock(read_clock())),
         metrics=metrics,
         is_ready=is_ready,
         is_level=is_level,
--- a/trefoilpick/cli.py
+++ b/trefoilpick/cli.py
@@ -4,9 +4,11 @@
 
 import typer
 
+from trefoilpick._cli_demo import demo
 from trefoilpick._cli_documents import accept, check, diff
 from trefoilpick._cli_keys import keys
 from trefoilpick._cli_node import node, worker
+from trefoilpick._cli_replay import replay
 from trefoilpick._cli_report import report
 from trefoilpick._cli_settings import settings
 from trefoilpick._cli_standin import standin
@@ -25,14 +27,16 @@
     """Distribute configuration to a service mesh."""
 
 
-app.command()(check)
-app.command()(keys)
 app.command()(node)
+app.command()(status)
+app.command()(check)
 app.command()(diff)
 app.command()(accept)
 app.command()(settings)
+app.command()(keys)
+app.command()(replay)
+app.command()(demo)
 app.command()(standin)
-app.command()(status)
 app.command()(worker)
 app.add_typer(report, name="report")
 
--- a/trefoilpick/localnet.py
+++ b/trefoilpick/localnet.py
@@ -15,6 +15,7 @@
 from trefoilpick.links import Traffic
 from trefoilpick.manifest import encode_manifest
 from trefoilpick.source import MANIFEST_KEY, SourceValue, name_section_key
+from trefoilpick.traces import SourceFault
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Mapping
@@ -166,19 +167,14 @@
     Attributes:
         values: Values by key.
         times: When each call was made, by the kernel's clock, in seconds.
-        is_down: Whether every call fails.
-        read_s: Time that a read takes, in seconds.
-        spoil: Changes the bytes of a value on its way.
-        frozen: Values as they were when the service became stale; None while it is not.
+        faults: What is wrong with it now.
     """
 
     def __init__(self) -> None:
         self.values: dict[str, SourceValue] = {}
         self.times: list[float] = []
-        self.is_down = False
-        self.read_s = READ_S
-        self.spoil: Callable[[str, bytes], bytes] = lambda key, data: data
-        self.frozen: dict[str, SourceValue] | None = None
+        self.faults: set[SourceFault] = set()
+        self._frozen: dict[str, SourceValue] | None = None
         self._revision = 0
         self._changed = curio.Condition()
 
@@ -186,8 +182,7 @@
         """Publish a value and wake its watches."""
         self._revision += 1
         self.values[key] = SourceValue(data, self._revision)
-        async with self._changed:
-            await self._changed.notify_all()
+        await self._wake()
 
     async def accept(self, manifest: Manifest, texts: Mapping[str, bytes]) -> None:
         """Publish a version: its sections by digest, then its manifest."""
@@ -195,37 +190,39 @@
             await self.put(name_section_key(digest), text)
         await self.put(MANIFEST_KEY, encode_manifest(manifest))
 
-    def freeze(self) -> None:
-        """Serve the values of now until `thaw`."""
-        self.frozen = dict(self.values)
+    async def begin_fault(self, fault: SourceFault) -> None:
+        """Be faulty from now on."""
+        self.faults.add(fault)
+        if fault is SourceFault.STALE:
+            self._frozen = dict(self.values)
+        await self._wake()
 
-    async def thaw(self) -> None:
-        """Serve the newest values again."""
-        self.frozen = None
-        async with self._changed:
-            await self._changed.notify_all()
+    async def end_fault(self, fault: SourceFault) -> None:
+        """Be free of a fault again."""
+        self.faults.discard(fault)
+        if fault is SourceFault.STALE:
+            self._frozen = None
+        await self._wake()
 
     async def read_value(self, key: str) -> SourceValue:
         """Read a value now."""
         self.times.append(await curio.clock())
-        await curio.sleep(self.read_s)
+        await curio.sleep(SLOW_READ_S if SourceFault.SLOW in self.faults else READ_S)
         value = self._find(key)
-        if self.is_down or value is None:
+        if value is None:
             raise TrefoilpickError(ErrorKind.SOURCE_UNAVAILABLE, f'source has no "{key}"')
-        return SourceValue(self.spoil(key, value.data), value.revision)
+        return self._deliver(value)
 
     async def watch_value(self, key: str, *, after: int) -> SourceValue | None:
         """Wait until a value has a revision after the given one."""
         self.times.append(await curio.clock())
-        if self.is_down:
-            raise TrefoilpickError(ErrorKind.SOURCE_UNAVAILABLE, "source is down")
+        self._check_up()
         async with curio.ignore_after(WATCH_S):
             while (value := self._find(key)) is None or value.revision <= after:
                 async with self._changed:
                     await self._changed.wait()
-            if self.is_down:
-                raise TrefoilpickError(ErrorKind.SOURCE_UNAVAILABLE, "source is down")
-            return SourceValue(self.spoil(key, value.data), value.revision)
+                self._check_up()
+            return self._deliver(value)
         return None
 
     def count_peak(self) -> int:
@@ -239,5 +236,22 @@
         return peak
 
     def _find(self, key: str) -> SourceValue | None:
-        values = self.values if self.frozen is None else self.frozen
+        values = self.values if self._frozen is None else self._frozen
         return values.get(key)
+
+    def _check_up(self) -> None:
+        if SourceFault.DOWN in self.faults:
+            raise TrefoilpickError(ErrorKind.SOURCE_UNAVAILABLE, "source is down")
+
+    def _deliver(self, value: SourceValue) -> SourceValue:
+        self._check_up()
+        data = value.data
+        if SourceFault.TRUNCATED in self.faults:
+            data = data[: len(data) // 2]
+        if SourceFault.WRONG in self.faults:
+            data = data.replace(b'"', b"'", 1)
+        return SourceValue(data, value.revision)
+
+    async def _wake(self) -> None:
+        async with self._changed:
+            await self._changed.notify_all()
--- a/trefoilpick/node.py
+++ b/trefoilpick/node.py
@@ -22,12 +22,15 @@
 from trefoilpick.logs import Event, open_state_log
 from trefoilpick.metrics import Metrics
 from trefoilpick.operators import open_operator_server
+from trefoilpick.pauses import read_suspended_s
 from trefoilpick.roster import Roster
 from trefoilpick.snapshots import SnapshotCell
 from trefoilpick.source import open_source
 from trefoilpick.vms import Vm
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from trefoilpick.callers import CallerServer
     from trefoilpick.distribution import Distributor
     from trefoilpick.hopserver import HopServer
@@ -151,6 +154,8 @@
     links: Links | None = None,
     chance: random.Random | None = None,
     incarnation: int | None = None,
+    cell: SnapshotCell | None = None,
+    read_suspended: Callable[[], float] = read_suspended_s,
 ) -> Node:
     """Build a node; it listens from now on and serves when run.
 
@@ -160,13 +165,15 @@
         links: Links to peers; by default over ZeroMQ.
         chance: Source of random choices; by default seeded by the system.
         incarnation: Start of the process, in nanoseconds since the Unix epoch; by default now.
+        cell: Where the enforced snapshot goes; by default a new one.
+        read_suspended: Reads how long the VM has been suspended, in seconds.
 
     Raises:
         OSError: An address cannot be listened on.
         TrefoilpickError: `SETTINGS_FAULTY`.
     """
     metrics = Metrics()
-    cell = SnapshotCell()
+    cell = cell or SnapshotCell()
     own = build_own_vm(settings)
     roster = Roster(own)
     chance = chance or random.Random()
@@ -181,6 +188,7 @@
         metrics=metrics,
         log=open_state_log(settings.vm, incarnation=incarnation, metrics=metrics),
         random=chance,
+        read_suspended=read_suspended,
     )
     hop_server = open_hop_server(
         settings,
--- /dev/null
+++ b/trefoilpick/replay.py
@@ -0,0 +1,320 @@
+"""Replay of a trace: real nodes' code goes through its events, and its outcomes are judged."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+from functools import singledispatch
+from typing import TYPE_CHECKING
+
+import curio
+
+from trefoilpick._calls import CallPlan, CallRecorder
+from trefoilpick._clock import read_clock
+from trefoilpick._ledger import Call, CallTotals, total_calls
+from trefoilpick._replay_fleet import Life, ReplayFleet
+from trefoilpick._virtual import run_virtual
+from trefoilpick.manifest import Manifest, SectionRef, compute_digest
+from trefoilpick.sections import encode_section
+from trefoilpick.traces import (
+    CallsKept,
+    Event,
+    Expectation,
+    InForce,
+    NeverInForce,
+    NeverOlder,
+    Partition,
+    Requests,
+    SourceFails,
+    SourceReads,
+    VersionAccepted,
+    VmDies,
+    VmJoins,
+    VmLeaves,
+    VmListed,
+    VmPauses,
+    VmReturns,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from trefoilpick.document import Section
+    from trefoilpick.traces import Trace
+
+SETTLE_S = 20.0
+"""Time after the last event until outcomes are judged, in seconds."""
+
+CALL_DEADLINE_S = 20.0
+"""Time that a caller gives to one call, in seconds."""
+
+
+@dataclass(frozen=True)
+class Verdict:
+    """Whether a stated outcome holds.
+
+    Attributes:
+        outcome: What was stated, as in the trace.
+        holds: Whether it holds.
+        detail: What was seen.
+    """
+
+    outcome: str
+    holds: bool
+    detail: str
+
+
+@dataclass(frozen=True)
+class ReplayReport:
+    """What a replay saw.
+
+    Attributes:
+        verdicts: One for each stated outcome.
+        requests: Totals as counted at callers and workers.
+        source_reads: Calls that the source had.
+        source_peak: Most calls within any second.
+        messages: Messages between nodes.
+    """
+
+    verdicts: tuple[Verdict, ...]
+    requests: CallTotals
+    source_reads: int
+    source_peak: int
+    messages: int
+
+    @property
+    def holds(self) -> bool:
+        """Whether every stated outcome holds."""
+        return all(verdict.holds for verdict in self.verdicts)
+
+
+@dataclass
+class Replay:
+    """A replay under way.
+
+    Attributes:
+        trace: What happens.
+        fleet: The VMs.
+        seed: Seed of every random choice.
+        accepted_s: When each version was accepted, by the kernel's clock.
+        calls: All calls that ended.
+    """
+
+    trace: Trace
+    fleet: ReplayFleet
+    seed: int
+    accepted_s: dict[int, float] = field(default_factory=dict)
+    calls: list[Call] = field(default_factory=list)
+    sections: dict[str, Section] = field(default_factory=dict)
+
+    async def run(self) -> ReplayReport:
+        """Go through all events and judge the outcomes."""
+        began_s = read_clock()
+        async with curio.TaskGroup() as tasks:
+            for event in self.trace.events:
+                await curio.sleep(max(0.0, began_s + event.at_s - read_clock()))
+                await tasks.spawn(apply_event, event, self)
+        await curio.sleep(SETTLE_S)
+        report = self._report()
+        for name in self.fleet.vms:
+            await self.fleet.kill(name)
+        return report
+
+    def _report(self) -> ReplayReport:
+        runs: Counter[str] = Counter()
+        for entry in self.fleet.vms.values():
+            runs.update(entry.worker.runs)
+        totals = total_calls(self.calls, runs)
+        facts = ReplayFacts(self.fleet, self.accepted_s, totals)
+        verdicts = tuple(judge(stated, facts) for stated in self.trace.expectations)
+        source = self.fleet.source
+        return ReplayReport(
+            verdicts, totals, len(source.times), source.count_peak(), self.fleet.network.messages
+        )
+
+
+@dataclass(frozen=True)
+class ReplayFacts:
+    """What outcomes are judged by."""
+
+    fleet: ReplayFleet
+    accepted_s: dict[int, float]
+    calls: CallTotals
+
+
+@singledispatch
+async def apply_event(event: Event, replay: Replay) -> None:
+    """Let an event happen, to its end."""
+    raise TypeError(f'event "{type(event).__name__}" cannot be replayed')
+
+
+@apply_event.register
+async def _(event: VmJoins, replay: Replay) -> None:
+    await replay.fleet.join(event)
+    await replay.fleet.publish_list()
+
+
+@apply_event.register
+async def _(event: VmListed, replay: Replay) -> None:
+    await replay.fleet.list_vm(event.vm, event.state)
+
+
+@apply_event.register
+async def _(event: VmLeaves, replay: Replay) -> None:
+    await replay.fleet.stop(event.vm)
+
+
+@apply_event.register
+async def _(event: VmDies, replay: Replay) -> None:
+    for name in replay.fleet.select(event.vms, event.data_centre):
+        await replay.fleet.kill(name)
+
+
+@apply_event.register
+async def _(event: VmReturns, replay: Replay) -> None:
+    for name in replay.fleet.select(event.vms, event.data_centre):
+        await replay.fleet.start(name)
+
+
+@apply_event.register
+async def _(event: VmPauses, replay: Replay) -> None:
+    await replay.fleet.pause(event.vm, event.for_s)
+
+
+@apply_event.register
+async def _(event: Partition, replay: Replay) -> None:
+    await replay.fleet.part(event.side, event.for_s, source=event.source)
+
+
+@apply_event.register
+async def _(event: SourceFails, replay: Replay) -> None:
+    source = replay.fleet.source
+    await source.begin_fault(event.fault)
+    await curio.sleep(event.for_s)
+    await source.end_fault(event.fault)
+
+
+@apply_event.register
+async def _(event: VersionAccepted, replay: Replay) -> None:
+    for section in event.sections:
+        replay.sections[section.team] = section
+    texts: dict[str, bytes] = {}
+    refs: list[SectionRef] = []
+    for team in sorted(replay.sections):
+        text = encode_section(replay.sections[team])
+        digest = compute_digest(text)
+        texts[digest] = text
+        refs.append(SectionRef(team, digest, len(text)))
+    replay.accepted_s[event.number] = read_clock()
+    manifest = Manifest(event.number, int(event.at_s * 1000), tuple(refs))
+    await replay.fleet.source.accept(manifest, texts)
+
+
+@apply_event.register
+async def _(event: Requests, replay: Replay) -> None:
+    addresses = replay.fleet.list_addresses(event.vm)
+    plan = CallPlan(event.method, event.host, event.path, not event.token, event.body_bytes)
+    label = f"{event.vm}@{event.at_s:g}{event.path}"
+    recorder = CallRecorder(label, addresses, random.Random(f"{replay.seed}/{label}"))
+    pause_s = event.for_s / max(1, event.count)
+    async with curio.TaskGroup() as tasks:
+        for number in range(event.count):
+            await tasks.spawn(recorder.make_call, plan, number, CALL_DEADLINE_S)
+            await curio.sleep(pause_s)
+    await recorder.close()
+    replay.calls += recorder.calls
+
+
+@singledispatch
+def judge(stated: Expectation, facts: ReplayFacts) -> Verdict:
+    """Judge one stated outcome."""
+    raise TypeError(f'outcome "{type(stated).__name__}" cannot be judged')
+
+
+@judge.register
+def _(stated: InForce, facts: ReplayFacts) -> Verdict:
+    title = f"version {stated.number} in force everywhere within {stated.within_s:g} s"
+    accepted_s = facts.accepted_s.get(stated.number)
+    if accepted_s is None:
+        return Verdict(title, False, "it was never accepted")
+    waits = list(_list_waits(facts.fleet.lives, stated, accepted_s))
+    late = [f"{vm} ({took:.2f} s)" for vm, took in waits if took > stated.within_s]
+    if late or not waits:
+        return Verdict(title, False, "late: " + ", ".join(late) if late else "no node was there")
+    worst = max(took for _, took in waits)
+    return Verdict(title, True, f"{len(waits)} nodes, the last after {worst:.2f} s")
+
+
+@judge.register
+def _(stated: NeverInForce, facts: ReplayFacts) -> Verdict:
+    title = f"version {stated.number} never in force"
+    found = sorted(
+        {
+            life.vm
+            for life in facts.fleet.lives
+            if any(entry.version.number == stated.number for entry in life.history)
+        }
+    )
+    return Verdict(title, not found, f"enforced by {', '.join(found)}" if found else "nowhere")
+
+
+@judge.register
+def _(stated: NeverOlder, facts: ReplayFacts) -> Verdict:
+    lives = facts.fleet.lives
+    back = [
+        life.vm
+        for life in lives
+        for before, after in zip(life.history, life.history[1:], strict=False)
+        if after.version <= before.version
+    ]
+    detail = f"went back: {', '.join(back)}" if back else f"{len(lives)} incarnations"
+    return Verdict("no node went back to an older version", not back, detail)
+
+
+@judge.register
+def _(stated: CallsKept, facts: ReplayFacts) -> Verdict:
+    title = f"no call lost, doubled or cut, {stated.answered_share:.1%} answered"
+    calls = facts.calls
+    broken = calls.lost + calls.doubled + calls.cut + calls.false_not_run
+    share = calls.answered / calls.sent if calls.sent else 0.0
+    detail = (
+        f"{calls.sent} calls: {calls.answered} answered, {calls.not_run} not run,"
+        f" {calls.unknown} unknown, {calls.lost} lost, {calls.doubled} doubled, {calls.cut} cut,"
+        f" {calls.false_not_run} falsely not run"
+    )
+    return Verdict(title, broken == 0 and share >= stated.answered_share, detail)
+
+
+@judge.register
+def _(stated: SourceReads, facts: ReplayFacts) -> Verdict:
+    title = f"at most {stated.peak} reads of the source in any second"
+    peak = facts.fleet.source.count_peak()
+    return Verdict(title, peak <= stated.peak, f"peak {peak}")
+
+
+def replay_trace(trace: Trace, *, seed: int) -> ReplayReport:
+    """Replay a trace on a virtual clock.
+
+    Args:
+        trace: What happens and what must hold.
+        seed: Seed of every random choice; one seed gives one verdict.
+    """
+    return run_virtual(_run(trace, seed))
+
+
+async def _run(trace: Trace, seed: int) -> ReplayReport:
+    return await Replay(trace, ReplayFleet(seed), seed).run()
+
+
+def _list_waits(
+    lives: list[Life], stated: InForce, accepted_s: float
+) -> Iterator[tuple[str, float]]:
+    """Yield how long each node took that was there long enough to be judged."""
+    for life in lives:
+        from_s = max(accepted_s, life.began_s)
+        reached = [entry.at_s for entry in life.history if entry.version.number >= stated.number]
+        if reached:
+            yield life.vm, max(0.0, reached[0] - from_s)
+        elif life.ended_s >= from_s + stated.within_s:
+            yield life.vm, float("inf")
--- a/trefoilpick/traces.py
+++ b/trefoilpick/traces.py
@@ -41,13 +41,20 @@
 
 
 class VmJoins(msgspec.Struct, frozen=True, tag_field="event", tag="vm_joins"):
-    """A VM starts, with its node and its worker."""
+    """A VM starts, with its node and its worker.
+
+    Attributes:
+        listed: Whether the platform lists it at once; else `vm_listed` does so later.
+        service_time_s: Time that its worker takes for a request.
+    """
 
     at_s: Seconds
     vm: Name
     region: Name
     data_centre: Name
     service: Name
+    listed: bool = True
+    service_time_s: Seconds = 0.005
 
 
 class VmListed(msgspec.Struct, frozen=True, tag_field="event", tag="vm_listed"):
