--- /dev/null
+++ b/benchmarks/report.py
@@ -0,0 +1,144 @@
+"""Cost of a scrape and of a burn report, at a node and at the operator.
+
+Run with `python -m benchmarks.report`. The last line is one JSON object.
+"""
+
+from __future__ import annotations
+
+import json
+import random
+import resource
+import time
+from collections.abc import Awaitable, Callable, Iterator
+from dataclasses import replace
+from typing import Annotated
+
+import curio
+import typer
+
+from trefoilpick.burn import build_burn
+from trefoilpick.metrics import Metrics
+from trefoilpick.operators import collect_parts
+from trefoilpick.reports import (
+    ContractStatus,
+    NodeReport,
+    encode_report,
+    encode_windows,
+    list_latencies,
+)
+from trefoilpick.status import decode_status
+from trefoilpick.windows import SeriesTable, Windows, open_windows
+
+SEED = 20261203
+"""Seed of all recorded values."""
+
+MINUTES = 400
+"""Length of the recorded history, in minutes; longer than a node keeps."""
+
+DATA_CENTRES = 11
+"""Data centres of the fleet."""
+
+
+def record_history(contracts: int) -> tuple[Metrics, Windows]:
+    """Record a history that fills every window.
+
+    Args:
+        contracts: Contracts of which the node has requests.
+    """
+    chance = random.Random(SEED)
+    metrics = Metrics()
+    windows = open_windows(metrics, now_s=0.0)
+    for minute in range(1, MINUTES + 1):
+        for number in range(contracts):
+            labels = {"team": f"team-{number}", "route": "route"}
+            for result in ("good", "slow", "shed"):
+                metrics.count("trefoilpick_requests_total", 100, **labels, result=result)
+            metrics.observe(
+                "trefoilpick_request_microseconds", chance.lognormvariate(9, 1), **labels
+            )
+        metrics.count("trefoilpick_control_bytes_total", 60_000, direction="sent")
+        metrics.observe("trefoilpick_convergence_microseconds", chance.lognormvariate(13, 1))
+        windows.advance(minute * 60.0)
+    return metrics, windows
+
+
+def encode_node(metrics: Metrics, windows: Windows, contracts: int) -> bytes:
+    """Return a node's report, as it answers `/report`."""
+    table = SeriesTable()
+    latencies = tuple(list_latencies(metrics, table))
+    encoded = list(encode_windows(windows.read(MINUTES * 60.0, table)))
+    found = tuple(ContractStatus(f"team-{n}", "route", 0.999, 400) for n in range(contracts))
+    series = tuple(table.list_series())
+    head = NodeReport("vm", "lima-a", 1, 1, found, MINUTES * 60.0, latencies, series, ())
+    return encode_report(head, encoded)
+
+
+def measure_wait(work: Callable[[], Awaitable[object]]) -> tuple[float, float]:
+    """Return the time that a work takes, and the longest that another task waits, in ms."""
+
+    async def main() -> tuple[float, float]:
+        worst = 0.0
+        is_done = False
+
+        async def tick() -> None:
+            nonlocal worst
+            last = time.perf_counter()
+            while not is_done:
+                await curio.sleep(0)
+                now = time.perf_counter()
+                worst, last = max(worst, now - last), now
+
+        ticker = await curio.spawn(tick)
+        await curio.sleep(0)
+        began = time.perf_counter()
+        await work()
+        took = time.perf_counter() - began
+        is_done = True
+        await ticker.join()
+        return took * 1_000, worst * 1_000
+
+    return curio.run(main)
+
+
+def receive_reports(data: bytes, nodes: int) -> Iterator[NodeReport]:
+    """Yield the decoded reports of a fleet whose nodes all answer the same."""
+    for number in range(nodes):
+        report = decode_status(data, NodeReport)
+        data_centre = f"data-centre-{number % DATA_CENTRES}"
+        yield replace(report, vm=f"vm-{number}", data_centre=data_centre)
+
+
+def main(
+    nodes: Annotated[int, typer.Option(help="Nodes of the fleet.", min=1)] = 1_100,
+    contracts: Annotated[int, typer.Option(help="Contracts of one node.", min=1)] = 60,
+    used: Annotated[int, typer.Option(help="Contracts that a node of the fleet uses.")] = 5,
+) -> None:
+    """Measure a scrape and a report of one node, and the merge of a fleet."""
+    metrics, windows = record_history(contracts)
+    scrape = measure_wait(lambda: collect_parts(metrics.render()))
+    read = measure_wait(
+        lambda: collect_parts(encode_windows(windows.read(MINUTES * 60.0, SeriesTable())))
+    )
+    one = len(encode_node(metrics, windows, contracts))
+    data = encode_node(*record_history(used), 300)
+    began = time.process_time()
+    reports = list(receive_reports(data, nodes))
+    decoded = time.process_time()
+    build_burn(reports, made_at="")
+    built = time.process_time()
+    result = {
+        "scrape_ms": round(scrape[0], 2),
+        "scrape_longest_wait_ms": round(scrape[1], 2),
+        "report_ms": round(read[0], 2),
+        "report_longest_wait_ms": round(read[1], 2),
+        "report_bytes": one,
+        "fleet_node_bytes": len(data),
+        "fleet_decode_s": round(decoded - began, 2),
+        "fleet_build_s": round(built - decoded, 2),
+        "fleet_resident_mb": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // 1_024,
+    }
+    print(json.dumps(result))
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- a/trefoilpick/operators.py
+++ b/trefoilpick/operators.py
@@ -190,7 +190,7 @@
 
     async def _answer_metrics(self) -> HttpAnswer:
         measure_process(self._metrics)
-        lines = await _collect(self._metrics.render())
+        lines = await collect_parts(self._metrics.render())
         return HttpAnswer(200, "".join(f"{line}\n" for line in lines).encode(), CONTENT_TYPE)
 
     def _answer_ready(self) -> HttpAnswer:
@@ -201,9 +201,9 @@
     async def _answer_report(self) -> HttpAnswer:
         assert self._windows is not None
         table = SeriesTable()
-        latencies = await _collect(list_latencies(self._metrics, table))
+        latencies = await collect_parts(list_latencies(self._metrics, table))
         found = self._windows.read(await curio.clock(), table)
-        windows = await _collect(encode_windows(found))
+        windows = await collect_parts(encode_windows(found))
         status = self._describe()
         report = build_report(
             self._settings.vm,
@@ -253,7 +253,7 @@
     )
 
 
-async def _collect(parts: Iterable[PartT]) -> list[PartT]:
+async def collect_parts(parts: Iterable[PartT]) -> list[PartT]:
     """Gather parts, and let other tasks run between them."""
     gathered = []
     for part in parts:
