--- /dev/null
+++ b/benchmarks/_load.py
@@ -0,0 +1,199 @@
+"""A load generator for benchmarks: calls at a rate, or as fast as answers come.
+
+It writes and reads HTTP by hand so that it costs little beside what is measured. Run as
+`python -m benchmarks._load`, it reads a `Plan` as JSON from its input and prints the calls.
+"""
+
+from __future__ import annotations
+
+import random
+import sys
+from dataclasses import dataclass
+
+import curio
+import msgspec
+from curio import socket
+
+READ_BYTES = 65_536
+"""Bytes asked of a socket at a time."""
+
+HEAD_END = b"\r\n\r\n"
+"""End of a head."""
+
+BLIND_ATTEMPTS = 4
+"""Attempts of the simplest policy: the first and three retries."""
+
+
+@dataclass(frozen=True)
+class Lane:
+    """Calls of one kind.
+
+    Attributes:
+        name: Name in the results.
+        addresses: Where calls go, as "ip:port"; each call takes a random one.
+        path: Path of the calls.
+        rate: Calls a second; 0 for as fast as answers come.
+        connections: Connections at a time where the rate is 0.
+        blind: Whether to try again at random addresses whatever happened.
+        deadline_ms: Time for a call, in milliseconds.
+    """
+
+    name: str
+    addresses: tuple[str, ...]
+    path: str = "/status"
+    rate: float = 0.0
+    connections: int = 1
+    blind: bool = False
+    deadline_ms: int = 1_000
+
+
+@dataclass(frozen=True)
+class Plan:
+    """What a generator does.
+
+    Attributes:
+        lanes: Kinds of calls, made side by side.
+        duration_s: How long, in seconds.
+        seed: Seed of arrivals and addresses.
+        host: Host header.
+    """
+
+    lanes: tuple[Lane, ...]
+    duration_s: float
+    seed: int = 1
+    host: str = "quillqa.example"
+
+
+class Call(msgspec.Struct, frozen=True, array_like=True):
+    """One call and its end.
+
+    Attributes:
+        lane: Name of the lane.
+        status: HTTP status code; 0 without a whole answer.
+        error: Kind of error that a node told; "" without one.
+        us: Time to the whole answer, in microseconds.
+        attempts: Attempts that the generator made.
+    """
+
+    lane: str
+    status: int
+    error: str
+    us: int
+    attempts: int
+
+
+class Generator:
+    """Makes the calls of a plan."""
+
+    def __init__(self, plan: Plan) -> None:
+        self.calls: list[Call] = []
+        self._plan = plan
+        self._random = random.Random(plan.seed)
+        self._idle: dict[str, list[socket.socket]] = {}
+
+    async def run(self) -> None:
+        """Make all calls and wait for their ends."""
+        async with curio.TaskGroup() as tasks:
+            for lane in self._plan.lanes:
+                if lane.rate:
+                    await tasks.spawn(self._run_open, lane)
+                else:
+                    for _ in range(lane.connections):
+                        await tasks.spawn(self._run_closed, lane)
+
+    async def _run_open(self, lane: Lane) -> None:
+        began_at = await curio.clock()
+        due_at = began_at + self._random.random() / lane.rate
+        async with curio.TaskGroup() as tasks:
+            while due_at < began_at + self._plan.duration_s:
+                await curio.sleep(max(due_at - await curio.clock(), 0.0))
+                await tasks.spawn(self._call, lane)
+                due_at += self._random.expovariate(lane.rate)
+
+    async def _run_closed(self, lane: Lane) -> None:
+        end_at = await curio.clock() + self._plan.duration_s
+        while await curio.clock() < end_at:
+            await self._call(lane)
+
+    async def _call(self, lane: Lane) -> None:
+        began_at = await curio.clock()
+        status, error, attempts = 0, "", 0
+        async with curio.ignore_after(lane.deadline_ms / 1_000):
+            while attempts < (BLIND_ATTEMPTS if lane.blind else 1):
+                attempts += 1
+                status, error = await self._attempt(lane)
+                if 200 <= status < 500:
+                    break
+        us = int((await curio.clock() - began_at) * 1_000_000)
+        self.calls.append(Call(lane.name, status, error, us, attempts))
+
+    async def _attempt(self, lane: Lane) -> tuple[int, str]:
+        address = self._random.choice(lane.addresses)
+        idle = self._idle.setdefault(address, [])
+        sock = None
+        try:
+            sock = idle.pop() if idle else await _connect(address)
+            request = (
+                f"GET {lane.path} HTTP/1.1\r\nhost: {self._plan.host}\r\n"
+                f"x-trefoilpick-deadline-ms: {lane.deadline_ms}\r\n\r\n"
+            )
+            await sock.sendall(request.encode())
+            head, whole = await _receive(sock)
+        except OSError:
+            if sock is not None:
+                await sock.close()
+            return 0, ""
+        except BaseException:
+            if sock is not None:
+                await sock.close()
+            raise
+        if whole:
+            idle.append(sock)
+        else:
+            await sock.close()
+        return int(head[9:12] or b"0"), _find_error(head)
+
+
+async def _connect(address: str) -> socket.socket:
+    host, _, port = address.rpartition(":")
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    try:
+        await sock.connect((host, int(port)))
+    except BaseException:
+        await sock.close()
+        raise
+    return sock
+
+
+async def _receive(sock: socket.socket) -> tuple[bytes, bool]:
+    buffer = b""
+    while HEAD_END not in buffer:
+        data = await sock.recv(READ_BYTES)
+        if not data:
+            return b"", False
+        buffer += data
+    head, _, body = buffer.partition(HEAD_END)
+    lower = head.lower()
+    length = int(lower.partition(b"content-length: ")[2].partition(b"\r\n")[0] or 0)
+    while len(body) < length:
+        data = await sock.recv(READ_BYTES)
+        if not data:
+            return b"", False
+        body += data
+    return head, b"connection: close" not in lower
+
+
+def _find_error(head: bytes) -> str:
+    return head.partition(b"x-trefoilpick-error: ")[2].partition(b"\r\n")[0].decode()
+
+
+def main() -> None:
+    plan = msgspec.json.decode(sys.stdin.buffer.read(), type=Plan)
+    generator = Generator(plan)
+    curio.run(generator.run)
+    sys.stdout.buffer.write(msgspec.json.encode(generator.calls))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/request.py
@@ -0,0 +1,129 @@
+"""Measure the way of a request: added latency, processor time, calls a second.
+
+The last line of the output is one JSON object.
+"""
+
+from __future__ import annotations
+
+import json
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+import typer
+
+from benchmarks._bench_fleet import BenchFleet, WorkerPlan, build_fleet
+from benchmarks._load import Call, Lane, Plan
+
+SHORT_S = {1: 6.0, 50: 3.0, 350: 4.0}
+"""Duration of each rate in the short form, in seconds."""
+
+CONNECTIONS = 16
+"""Connections of each generator at saturation."""
+
+
+def run_load(*plans: Plan) -> list[list[Call]]:
+    """Run generators side by side, each as its own process."""
+    processes = []
+    for plan in plans:
+        process = subprocess.Popen(
+            [sys.executable, "-m", "benchmarks._load"],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+        )
+        assert process.stdin is not None
+        process.stdin.write(msgspec.json.encode(plan))
+        process.stdin.close()
+        processes.append(process)
+    results = []
+    for process in processes:
+        assert process.stdout is not None
+        results.append(msgspec.json.decode(process.stdout.read(), type=list[Call]))
+        process.wait()
+    return results
+
+
+def find_quantile(values: list[int], share: float) -> int:
+    """Return a quantile of values."""
+    ordered = sorted(values)
+    return ordered[min(int(len(ordered) * share), len(ordered) - 1)] if ordered else 0
+
+
+def measure_latency(fleet: BenchFleet, rate: float, duration_s: float) -> dict[str, object]:
+    """Compare calls through two nodes with direct ones, at a rate a node on both sides of it."""
+    plans = []
+    for index, vm in enumerate(fleet.vms):
+        other = fleet.vms[1 - index]
+        path = f"/{other.plan.service}/status"
+        lanes = (
+            Lane("direct", (other.worker_address,), path, rate),
+            Lane("through", (vm.caller_address,), path, rate),
+        )
+        plans.append(Plan(lanes, duration_s, seed=index + 1))
+    cpu_before, before = fleet.measure_cpu(), time.monotonic()
+    calls = [call for result in run_load(*plans) for call in result]
+    passed_s = time.monotonic() - before
+    cpu = [after - first for after, first in zip(fleet.measure_cpu(), cpu_before, strict=True)]
+    direct = [call.us for call in calls if call.lane == "direct" and call.status == 200]
+    through = [call.us for call in calls if call.lane == "through" and call.status == 200]
+    failed = sum(call.status != 200 for call in calls)
+    return {
+        "rate": rate,
+        "calls": len(through),
+        "failed": failed,
+        "direct_us": {"p50": find_quantile(direct, 0.5), "p99": find_quantile(direct, 0.99)},
+        "through_us": {"p50": find_quantile(through, 0.5), "p99": find_quantile(through, 0.99)},
+        "added_us": {
+            "p50": find_quantile(through, 0.5) - find_quantile(direct, 0.5),
+            "p99": find_quantile(through, 0.99) - find_quantile(direct, 0.99),
+        },
+        "core_percent": round(100 * sum(cpu) / len(cpu) / passed_s, 1),
+    }
+
+
+def measure_saturation(fleet: BenchFleet, duration_s: float) -> float:
+    """Return the calls a second that a node carries on both sides at once."""
+    plans = []
+    for index, vm in enumerate(fleet.vms):
+        path = f"/{fleet.vms[1 - index].plan.service}/status"
+        lane = Lane("through", (vm.caller_address,), path, connections=CONNECTIONS)
+        plans.append(Plan((lane,), duration_s))
+    calls = [call for result in run_load(*plans) for call in result]
+    good = sum(call.status == 200 for call in calls)
+    return round(good / duration_s / len(fleet.vms), 1)
+
+
+def main(
+    scale: Annotated[float, typer.Option(help="Durations over those of the short form.")] = 1.0,
+) -> None:
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
+    report: dict[str, object] = {}
+    with tempfile.TemporaryDirectory() as folder:
+        plans = [WorkerPlan("encargos"), WorkerPlan("portafolio")]
+        with build_fleet(Path(folder), plans) as fleet:
+            run_load(*_build_warm_up(fleet))
+            rates = []
+            for rate, duration_s in SHORT_S.items():
+                rates.append(measure_latency(fleet, rate, duration_s * scale))
+                print(rates[-1], flush=True)
+            report["latency"] = rates
+            report["calls_per_s_at_saturation"] = measure_saturation(fleet, 3.0 * scale)
+    print(json.dumps(report))
+
+
+def _build_warm_up(fleet: BenchFleet) -> list[Plan]:
+    lanes = [
+        Lane("through", (vm.caller_address,), f"/{other.plan.service}/status", 200)
+        for vm in fleet.vms
+        for other in fleet.vms
+    ]
+    return [Plan(tuple(lanes), 1.0)]
+
+
+if __name__ == "__main__":
+    typer.run(main)
