Tell busy hops of a drain too, and split the worker's side into modules of one job

Cause: a hop whose answer's head had left before the drain was never told, because it did not count as idle at that moment; the test of a drain now waits for the notice behind each answer.

--- a/tests/fakes_hop.py
+++ b/tests/fakes_hop.py
@@ -14,6 +14,7 @@
 import msgspec
 from curio import socket
 
+from trefoilpick._tokenseals import MAC_BYTES, TokenClaims
 from trefoilpick.callers import CallerServer, open_caller_server
 from trefoilpick.document import Contract, Document, Match, Route, Section, Upstream
 from trefoilpick.errors import ErrorKind, Outcome
@@ -41,7 +42,6 @@
     WorkerSettings,
 )
 from trefoilpick.snapshots import SnapshotCell, build_snapshot
-from trefoilpick.tokens import MAC_BYTES, TokenClaims
 from trefoilpick.vms import Vm
 
 HOST = "127.0.0.1"
--- a/tests/test_hopserver.py
+++ b/tests/test_hopserver.py
@@ -519,6 +519,8 @@
         for hop in hops:
             told = await hear(hop)
             assert (told.body, told.whole) == (SPREAD, True)
+            notice = await hop.receive()
+            assert notice is not None and notice.kind is FrameKind.NOTICE
         report = await drain.join()
         assert report.cut == 0
         assert len(bench.worker.ran) == len(hops)
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -2,7 +2,8 @@
 import pytest
 from fakes_worker import HOST, OK, Bench, Call, call, make_request, open_bench, reset, wait_for
 
-from trefoilpick.upstreams import WorkerConnection, open_pool
+from trefoilpick._workerconnections import WorkerConnection
+from trefoilpick.upstreams import open_pool
 
 
 def test_a_request_of_which_no_byte_left_runs_on_a_fresh_connection(
--- a/trefoilpick/_exchange.py
+++ b/trefoilpick/_exchange.py
@@ -9,6 +9,7 @@
 
 from trefoilpick._clock import read_clock
 from trefoilpick._hoplinks import RequestBody
+from trefoilpick._workerconnections import NOT_RUN_HEADER, AnswerHead, NothingSentError
 from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError, find_answer
 from trefoilpick.hops import (
     FrameKind,
@@ -19,7 +20,6 @@
     encode_head,
 )
 from trefoilpick.tokens import KeptAnswer
-from trefoilpick.upstreams import NOT_RUN_HEADER, AnswerHead, NothingSentError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -27,11 +27,12 @@
     from curio.task import Task
 
     from trefoilpick._hoplinks import HopLink
+    from trefoilpick._workerconnections import WorkerConnection
     from trefoilpick.document import Upstream
     from trefoilpick.gate import Gate
     from trefoilpick.hops import HopRequest, Load
     from trefoilpick.metrics import Metrics
-    from trefoilpick.upstreams import WorkerConnection, WorkerPool
+    from trefoilpick.upstreams import WorkerPool
 
 SHED_STATUSES = frozenset((429, 503))
 """Status codes with which a worker may say that it did not run a request."""
--- a/trefoilpick/_hoplinks.py
+++ b/trefoilpick/_hoplinks.py
@@ -15,8 +15,8 @@
 if TYPE_CHECKING:
     from curio.task import Task
 
+    from trefoilpick._workerconnections import WorkerConnection
     from trefoilpick.hops import Hop
-    from trefoilpick.upstreams import WorkerConnection
 
 
 _GONE = select.POLLRDHUP | select.POLLHUP | select.POLLERR
--- /dev/null
+++ b/trefoilpick/_workerconnections.py
@@ -0,0 +1,321 @@
+"""One HTTP/1.1 connection to the worker beside a node."""
+
+from __future__ import annotations
+
+import socket
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+import h11
+
+from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError
+
+if TYPE_CHECKING:
+    from curio.io import Socket
+
+    from trefoilpick.hops import Headers, HopRequest
+
+READ_BYTES = 65_536
+"""Bytes asked of the socket at a time."""
+
+MAX_ANSWER_HEAD_BYTES = 65_536
+"""Largest head of a worker's answer, in bytes."""
+
+DEADLINE_HEADER = b"x-trefoilpick-deadline-ms"
+"""Request header: remaining time, in milliseconds."""
+
+VERSION_HEADER = b"x-trefoilpick-version"
+"""Request header: number of the version that admitted the request."""
+
+RETRY_HEADER = b"x-trefoilpick-retry"
+"""Request header: an earlier attempt was made."""
+
+NOT_RUN_HEADER = b"x-not-run"
+"""Answer header by which a worker says that it did not run a request."""
+
+CONNECTION_HEADERS = frozenset(
+    (
+        b"connection",
+        b"expect",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
+"""Headers that hold for one connection and are never passed on."""
+
+_OWN_HEADERS = frozenset((DEADLINE_HEADER, VERSION_HEADER, RETRY_HEADER))
+
+FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
+"""Headers that tell where a body ends."""
+
+BODILESS_STATUSES = frozenset((204, 304))
+"""Status codes of answers that never have a body."""
+
+_DROPPED_HEADERS = CONNECTION_HEADERS | _OWN_HEADERS
+
+
+@dataclass(frozen=True)
+class AnswerHead:
+    """Head of a worker's answer.
+
+    Attributes:
+        status: HTTP status code.
+        headers: End-to-end headers.
+    """
+
+    status: int
+    headers: Headers
+
+
+class NothingSentError(Exception):
+    """The worker's connection was closed before any byte of the request left."""
+
+
+class WorkerConnection:
+    """One connection to the worker, for one request at a time.
+
+    Args:
+        sock: A connected curio socket.
+        authority: Host header for requests that carry none.
+
+    Attributes:
+        idle_since_s: Reading of the clock at the end of the last request, in seconds.
+        is_fresh: Whether it carried no request yet.
+        answer_begun: Whether the answer's head arrived.
+        answer_complete: Whether the whole answer arrived.
+        surplus: Whether the worker sent more than its answer.
+    """
+
+    def __init__(self, sock: Socket, authority: bytes) -> None:
+        self.idle_since_s = 0.0
+        self.is_fresh = True
+        self.answer_begun = False
+        self.answer_complete = False
+        self._sock = sock
+        self._authority = authority
+        self._http = h11.Connection(
+            our_role=h11.CLIENT, max_incomplete_event_size=MAX_ANSWER_HEAD_BYTES
+        )
+        self._method = ""
+        self._send_broken = False
+        self.surplus = False
+
+    async def send_request(
+        self,
+        request: HopRequest,
+        chunks: list[bytes],
+        *,
+        remaining_ms: int,
+        whole: bool,
+        is_retry: bool,
+    ) -> None:
+        """Send a request's head with the first part of its body.
+
+        Args:
+            request: The request.
+            chunks: The part of the body that is at hand.
+            remaining_ms: Time left until the answer's head, in milliseconds.
+            whole: Whether the body ends there.
+            is_retry: Whether an earlier attempt was made.
+
+        Raises:
+            NothingSentError: No byte left; the request did not run.
+            TrefoilpickError: `HEAD_MALFORMED` or `BODY_MALFORMED`; nothing was sent.
+        """
+        headers = self._list_headers(request)
+        headers.append((DEADLINE_HEADER, b"%d" % remaining_ms))
+        if is_retry:
+            headers.append((RETRY_HEADER, b"1"))
+        data = self._encode_request(request, headers, chunks, whole)
+        try:
+            count = await self._sock.send(data)
+        except OSError as error:
+            raise NothingSentError from error
+        if count < len(data):
+            await self._send_rest(memoryview(data)[count:])
+
+    async def send_data(self, chunk: bytes) -> None:
+        """Send a further part of the request's body.
+
+        Raises:
+            TrefoilpickError: `BODY_MALFORMED`, where it is longer than announced.
+        """
+        await self._send_event(h11.Data(data=chunk))
+
+    async def send_end(self) -> None:
+        """End the request's body.
+
+        Raises:
+            TrefoilpickError: `BODY_MALFORMED`, where it is shorter than announced.
+        """
+        await self._send_event(h11.EndOfMessage())
+
+    async def receive_head(self) -> AnswerHead:
+        """Wait for the head of the answer.
+
+        Raises:
+            TrefoilpickError: `UPSTREAM_LOST` or `ANSWER_MALFORMED`.
+        """
+        while True:
+            await self.fill()
+            event = self._next_event()
+            while isinstance(event, h11.InformationalResponse):
+                event = self._next_event()
+            if isinstance(event, h11.Response):
+                return self._begin_answer(event)
+            if event is not h11.NEED_DATA:
+                raise _lose("worker closed the connection before its answer")
+
+    def take_data(self) -> list[bytes]:
+        """Return what was received of the answer's body, and note whether it is whole.
+
+        Raises:
+            TrefoilpickError: `ANSWER_CUT`.
+        """
+        chunks: list[bytes] = []
+        while not self.answer_complete:
+            event = self._next_event()
+            if isinstance(event, h11.Data):
+                chunks.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                self.answer_complete = True
+                self.surplus = bool(self._http.trailing_data[0])
+            elif event is h11.NEED_DATA:
+                break
+            else:
+                raise _cut()
+        return chunks
+
+    async def fill(self) -> None:
+        """Wait for further bytes of the answer.
+
+        Raises:
+            TrefoilpickError: `UPSTREAM_LOST` or `ANSWER_CUT`, where the connection broke.
+        """
+        try:
+            data = await self._sock.recv(READ_BYTES)
+        except OSError as error:
+            raise self._fail() from error
+        if not data and not self.answer_begun and not self._has_partial_head():
+            raise self._fail()
+        self._http.receive_data(data)
+
+    def prepare_reuse(self) -> bool:
+        """Make ready for the next request.
+
+        Returns:
+            Whether the connection may be used again.
+        """
+        if self.surplus or self._send_broken or not self.answer_complete:
+            return False
+        try:
+            self._http.start_next_cycle()
+        except h11.ProtocolError:
+            return False
+        self.is_fresh = False
+        self.answer_begun = self.answer_complete = False
+        return True
+
+    def is_quiet(self) -> bool:
+        """Tell whether the idle connection is open and nothing arrived on it."""
+        try:
+            self.surplus = bool(self._sock._socket.recv(1, socket.MSG_PEEK))
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    async def close(self) -> None:
+        """Close the connection."""
+        await self._sock.close()
+
+    def _encode_request(
+        self, request: HopRequest, headers: Headers, chunks: list[bytes], whole: bool
+    ) -> bytes:
+        self._method = request.method
+        try:
+            head = h11.Request(method=request.method, target=request.target, headers=headers)
+            parts = [self._http.send(head)]
+        except (h11.LocalProtocolError, UnicodeEncodeError) as error:
+            text = f'request of route "{request.route}": {error}'
+            raise TrefoilpickError(ErrorKind.HEAD_MALFORMED, text) from error
+        try:
+            parts += [self._http.send(h11.Data(data=chunk)) for chunk in chunks]
+            if whole:
+                parts.append(self._http.send(h11.EndOfMessage()))
+        except h11.LocalProtocolError as error:
+            raise _reject_body(error, Outcome.NOT_RUN) from error
+        return b"".join(part for part in parts if part)
+
+    def _list_headers(self, request: HopRequest) -> Headers:
+        headers = [pair for pair in request.headers if pair[0] not in _DROPPED_HEADERS]
+        names = {name for name, _ in headers}
+        if b"host" not in names:
+            headers.append((b"host", self._authority))
+        if request.has_body and b"content-length" not in names:
+            headers.append((b"transfer-encoding", b"chunked"))
+        headers.append((VERSION_HEADER, b"%d" % request.number))
+        return headers
+
+    async def _send_event(self, event: Any) -> None:
+        try:
+            data = self._http.send(event)
+        except h11.LocalProtocolError as error:
+            raise _reject_body(error, Outcome.UNKNOWN) from error
+        if data:
+            await self._send_rest(data)
+
+    async def _send_rest(self, data: bytes | memoryview) -> None:
+        if self._send_broken:
+            return
+        try:
+            await self._sock.sendall(data)
+        except OSError:
+            # The worker may have answered before it closed: the answer tells.
+            self._send_broken = True
+
+    def _next_event(self) -> Any:
+        try:
+            return self._http.next_event()
+        except h11.RemoteProtocolError as error:
+            if self.answer_begun:
+                raise _cut() from error
+            text = f"worker's answer: {error}"
+            raise TrefoilpickError(ErrorKind.ANSWER_MALFORMED, text) from error
+
+    def _begin_answer(self, event: h11.Response) -> AnswerHead:
+        headers = list(event.headers)
+        names = {name for name, _ in headers}
+        has_body = self._method != "HEAD" and event.status_code not in BODILESS_STATUSES
+        if has_body and names.isdisjoint(FRAMING_HEADERS):
+            text = "worker's answer has neither a length nor chunks: its end cannot be proved"
+            raise TrefoilpickError(ErrorKind.ANSWER_MALFORMED, text, outcome=Outcome.RUN)
+        self.answer_begun = True
+        if not names.isdisjoint(CONNECTION_HEADERS):
+            headers = [pair for pair in headers if pair[0] not in CONNECTION_HEADERS]
+        return AnswerHead(event.status_code, headers)
+
+    def _has_partial_head(self) -> bool:
+        return bool(self._http.trailing_data[0])
+
+    def _fail(self) -> TrefoilpickError:
+        if self.answer_begun:
+            return _cut()
+        return _lose("worker closed the connection before its answer")
+
+
+def _lose(text: str) -> TrefoilpickError:
+    return TrefoilpickError(ErrorKind.UPSTREAM_LOST, text)
+
+
+def _cut() -> TrefoilpickError:
+    return TrefoilpickError(ErrorKind.ANSWER_CUT, "worker's answer ended before it was whole")
+
+
+def _reject_body(error: Exception, outcome: Outcome) -> TrefoilpickError:
+    return TrefoilpickError(ErrorKind.BODY_MALFORMED, f"request body: {error}", outcome=outcome)
--- a/trefoilpick/gate.py
+++ b/trefoilpick/gate.py
@@ -7,19 +7,15 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict, deque
-from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from dataclasses import dataclass
 
 import curio
 
 from trefoilpick._clock import read_clock
+from trefoilpick._waiting import Line, Waiter
 from trefoilpick.document import Priority
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 
-if TYPE_CHECKING:
-    from collections.abc import Iterator
-
 PRIORITIES = (Priority.INTERACTIVE.value, Priority.NORMAL.value, Priority.DEFERRABLE.value)
 """Values of `Priority`, the one that is served first at the start."""
 
@@ -45,77 +41,6 @@
     queue: int
 
 
-@dataclass(eq=False)
-class Waiter:
-    """One request in the queue.
-
-    Attributes:
-        caller: Identity of the caller, for fairness.
-        priority: Value of `Priority`.
-        deadline_s: Reading of the clock at which the request is given up, in seconds.
-        decided: Set when the request was let in or refused.
-        refusal: Why it was refused; None where it was let in.
-    """
-
-    caller: str
-    priority: str
-    deadline_s: float
-    decided: curio.Event = field(default_factory=curio.Event)
-    refusal: TrefoilpickError | None = None
-
-
-class Line:
-    """Waiting requests of one priority: callers take turns, each in order of arrival."""
-
-    def __init__(self) -> None:
-        self._callers: OrderedDict[str, deque[Waiter]] = OrderedDict()
-        self._length = 0
-
-    def __len__(self) -> int:
-        return self._length
-
-    def __iter__(self) -> Iterator[Waiter]:
-        for waiters in self._callers.values():
-            yield from waiters
-
-    def append(self, waiter: Waiter) -> None:
-        """Add a request behind those of its caller."""
-        self._callers.setdefault(waiter.caller, deque()).append(waiter)
-        self._length += 1
-
-    def take_next(self) -> Waiter:
-        """Remove and return the request whose turn it is."""
-        caller, waiters = next(iter(self._callers.items()))
-        waiter = waiters.popleft()
-        self._length -= 1
-        if waiters:
-            self._callers.move_to_end(caller)
-        else:
-            del self._callers[caller]
-        return waiter
-
-    def remove(self, waiter: Waiter) -> None:
-        """Remove a request wherever it stands."""
-        waiters = self._callers[waiter.caller]
-        waiters.remove(waiter)
-        self._length -= 1
-        if not waiters:
-            del self._callers[waiter.caller]
-
-    def count_caller(self, caller: str) -> int:
-        """Return how many requests of a caller wait."""
-        return len(self._callers.get(caller, ()))
-
-    def count_ahead(self, caller: str) -> int:
-        """Return how many requests go before a new one of a caller."""
-        own = self.count_caller(caller)
-        return sum(min(len(waiters), own + 1) for waiters in self._callers.values())
-
-    def find_newest_of_longest(self) -> Waiter:
-        """Return the newest request of the caller that has the most in the line."""
-        return max(self._callers.values(), key=len)[-1]
-
-
 class Gate:
     """Admission to one worker.
 
--- a/trefoilpick/hopserver.py
+++ b/trefoilpick/hopserver.py
@@ -3,19 +3,18 @@
 from __future__ import annotations
 
 import logging
-import select
 import socket
 from contextlib import suppress
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import curio
-from curio.io import Socket
-from curio.traps import _read_wait
 
 from trefoilpick._clock import read_clock
+from trefoilpick._departures import OpenHops
 from trefoilpick._exchange import Exchange, Service, encode_failure
 from trefoilpick._hoplinks import HopLink
+from trefoilpick._hoplistener import accept_sockets, listen
 from trefoilpick._redemption import run_once
 from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError
 from trefoilpick.gate import Gate, GateLimits
@@ -27,38 +26,23 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from curio.io import Socket
+
     from trefoilpick.document import Upstream
     from trefoilpick.metrics import Metrics
     from trefoilpick.settings import Settings
     from trefoilpick.snapshots import SnapshotCell
     from trefoilpick.tokens import TokenBook
 
-ACCEPT_PAUSE_S = 0.05
-"""Time to the next attempt where a connection cannot be accepted, in seconds."""
-
 MAX_REFUSED = 64
 """Connections over the limit that are told so at a time."""
 
 DRAIN_LOOK_S = 0.02
 """Time between two looks at the requests in flight, in seconds."""
 
-KEEPALIVE_IDLE_S = 30
-"""Idle time after which the system probes the peer, in seconds."""
-
-KEEPALIVE_INTERVAL_S = 10
-"""Time between two probes, in seconds."""
-
-KEEPALIVE_PROBES = 3
-"""Unanswered probes after which a connection is broken."""
-
 LINGER_S = 1.0
 """Time for which the rest of a body is read after a failure, in seconds."""
 
-BACKLOG = 1_024
-"""Connections that wait to be accepted."""
-
-_DEPARTED = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR | select.EPOLLONESHOT
-
 logger = logging.getLogger("trefoilpick")
 
 
@@ -110,8 +94,7 @@
         self._is_level = is_level
         self._incarnation = incarnation
         self._upstream: Upstream | None = None
-        self._links: dict[int, HopLink] = {}
-        self._departures = select.epoll()
+        self._hops = OpenHops()
         self._running = 0
         self._refused = 0
         self._drained = curio.Event()
@@ -131,7 +114,7 @@
     @property
     def hops(self) -> int:
         """How many hops are open."""
-        return len(self._links)
+        return len(self._hops)
 
     @property
     def running(self) -> int:
@@ -155,14 +138,15 @@
     async def run(self) -> None:
         """Accept hops until cancelled."""
         self.gate.start_warm_up(read_clock())
-        async with curio.TaskGroup() as group:
-            watcher = await group.spawn(self._watch_departures)
-            listener = _listen(self._settings.listen.host, self._settings.listen.hop_port)
-            async with listener:
-                await group.spawn(self._accept_hops, listener, group)
-                async for task in group:
-                    if task is watcher:
-                        break
+        listener = listen(self._settings.listen.host, self._settings.listen.hop_port)
+        async with listener, curio.TaskGroup() as group:
+            lasting = (
+                await group.spawn(self._hops.watch),
+                await group.spawn(self._accept_hops, listener, group),
+            )
+            async for task in group:
+                if task in lasting:
+                    raise task.exception
 
     async def drain(self) -> DrainReport:
         """Take no new work, and let requests in flight end.
@@ -179,7 +163,7 @@
         drain = self._settings.drain
         began_s = read_clock()
         self.leaving = True
-        for link in list(self._links.values()):
+        for link in self._hops:
             await self._tell_leaving(link)
         await curio.sleep(drain.notice_ms / 1000)
         self.refusing = True
@@ -191,24 +175,19 @@
         return self._report
 
     async def _accept_hops(self, listener: Socket, group: curio.TaskGroup) -> None:
-        while True:
-            try:
-                sock, _ = await listener.accept()
-            except OSError:
-                # Out of descriptors, most likely: those that wait keep their place.
-                self._metrics.count("trefoilpick_hop_connections_refused_total")
-                await curio.sleep(ACCEPT_PAUSE_S)
-                continue
-            _set_options(sock)
-            if len(self._links) < self._settings.hops.max_connections:
+        async for sock in accept_sockets(listener, note_error=self._count_refused):
+            if len(self._hops) < self._settings.hops.max_connections:
                 await group.spawn(self._serve_hop, sock)
                 continue
-            self._metrics.count("trefoilpick_hop_connections_refused_total")
+            self._count_refused()
             if self._refused < MAX_REFUSED:
                 await group.spawn(self._refuse_hop, sock)
             else:
                 await sock.close()
 
+    def _count_refused(self) -> None:
+        self._metrics.count("trefoilpick_hop_connections_refused_total")
+
     async def _refuse_hop(self, sock: Socket) -> None:
         self._refused += 1
         link = HopLink(Hop(sock), await curio.current_task(), LINGER_S)
@@ -228,9 +207,7 @@
 
     async def _serve_hop(self, sock: Socket) -> None:
         link = HopLink(Hop(sock), await curio.current_task(), self._service.body_idle_s)
-        descriptor = sock.fileno()
-        self._links[descriptor] = link
-        self._departures.register(descriptor, _DEPARTED)
+        self._hops.add(link)
         try:
             with suppress(OSError):
                 await self._serve_requests(link)
@@ -240,8 +217,7 @@
             self._count_broken(ErrorKind.INTERNAL)
             logger.exception("request of a hop failed")
         finally:
-            del self._links[descriptor]
-            self._departures.unregister(descriptor)
+            self._hops.remove(link)
             await link.hop.close()
 
     def _count_broken(self, kind: ErrorKind) -> None:
@@ -249,10 +225,10 @@
 
     async def _serve_requests(self, link: HopLink) -> None:
         while not link.departed:
-            if self.leaving and not link.told_leaving:
-                await self._tell_leaving(link)
             link.cancellable = True
             link.idle = True
+            if self.leaving:
+                await self._tell_leaving(link)
             frame = await link.hop.receive()
             link.idle = False
             if frame is None or link.departed:
@@ -329,18 +305,6 @@
         with suppress(OSError):
             await link.hop.send(encode_head(FrameKind.NOTICE, self.measure_load()))
 
-    async def _watch_departures(self) -> None:
-        """Give up requests whose caller's node closed the hop."""
-        while True:
-            await _read_wait(self._departures)
-            for descriptor, _ in self._departures.poll(0):
-                link = self._links.get(descriptor)
-                if link is None:
-                    continue
-                link.departed = True
-                if link.cancellable and not link.idle:
-                    await link.task.cancel(blocking=False)
-
 
 def open_hop_server(
     settings: Settings,
@@ -384,20 +348,3 @@
 
 def _refuse_draining() -> TrefoilpickError:
     return TrefoilpickError(ErrorKind.DRAINING, "node is leaving")
-
-
-def _set_options(sock: Socket) -> None:
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-
-
-def _listen(host: str, port: int) -> Socket:
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    sock = socket.socket(family, socket.SOCK_STREAM)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind((host, port))
-    sock.listen(BACKLOG)
-    return Socket(sock)
--- a/trefoilpick/tokens.py
+++ b/trefoilpick/tokens.py
@@ -7,10 +7,7 @@
 from __future__ import annotations
 
 import hashlib
-import hmac
-import secrets
 import time
-from base64 import urlsafe_b64decode, urlsafe_b64encode
 from collections import OrderedDict
 from dataclasses import dataclass, field
 from enum import Enum
@@ -19,6 +16,7 @@
 import curio
 import msgspec
 
+from trefoilpick._tokenseals import TokenClaims, TokenSeal, read_claims
 from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError
 
 if TYPE_CHECKING:
@@ -26,36 +24,19 @@
 
     from trefoilpick.hops import Headers, HopRequest
 
-MAC_BYTES = 16
-"""Length of a token's authentication code, in bytes."""
+__all__ = [
+    "KeptAnswer",
+    "TokenBook",
+    "TokenClaims",
+    "TokenEntry",
+    "TokenState",
+    "open_book",
+    "read_claims",
+]
 
 SUBJECT_BYTES = 8
 """Length of the digest of what a token is for, in bytes."""
 
-KEY_BYTES = 32
-"""Length of the key of one process, in bytes."""
-
-MAX_TOKEN_CHARS = 512
-"""Longest token that is read."""
-
-
-class TokenClaims(msgspec.Struct, frozen=True, array_like=True):
-    """What a token says.
-
-    Attributes:
-        vm: Name of the VM whose node issued it.
-        incarnation: Start of that node's process, in nanoseconds since the Unix epoch.
-        serial: Unique within that process.
-        subject: Digest of the request that it is for.
-        expires_ms: End of its lifetime, in milliseconds since the Unix epoch.
-    """
-
-    vm: str
-    incarnation: int
-    serial: int
-    subject: bytes
-    expires_ms: int
-
 
 class TokenState(Enum):
     """What happened under a token."""
@@ -148,13 +129,11 @@
     ) -> None:
         self.max_answer_bytes = max_answer_bytes
         self.answers_bytes = 0
-        self._vm = vm
-        self._incarnation = incarnation
         self._lifetime_s = lifetime_s
         self._max_tokens = max_tokens
         self._max_answers_bytes = max_answers_bytes
         self._read_wall_clock = read_wall_clock
-        self._key = secrets.token_bytes(KEY_BYTES)
+        self._seal = TokenSeal(vm, incarnation)
         self._last_serial = 0
         self._entries: OrderedDict[int, TokenEntry] = OrderedDict()
 
@@ -184,9 +163,7 @@
             expires_ms=wall_ms + round(self._lifetime_s * 1000),
         )
         self._entries[entry.serial] = entry
-        return self._seal(
-            TokenClaims(self._vm, self._incarnation, entry.serial, entry.subject, entry.expires_ms)
-        )
+        return self._seal.seal(entry.serial, entry.subject, entry.expires_ms)
 
     def find(self, token: str, request: HopRequest, now_s: float) -> TokenEntry:
         """Return the entry of a token.
@@ -199,7 +176,7 @@
         Raises:
             TrefoilpickError: `TOKEN_MALFORMED`, `TOKEN_FOREIGN` or `TOKEN_EXPIRED`.
         """
-        claims = self._open(token)
+        claims = self._seal.open(token)
         if claims.subject != _digest_subject(request):
             text = f'token was issued for another request than "{request.method} {request.target}"'
             raise TrefoilpickError(ErrorKind.TOKEN_MALFORMED, text)
@@ -275,23 +252,6 @@
     def _read_wall_ms(self) -> int:
         return int(self._read_wall_clock() * 1000)
 
-    def _seal(self, claims: TokenClaims) -> str:
-        payload = msgspec.msgpack.encode(claims)
-        return urlsafe_b64encode(payload + self._authenticate(payload)).decode()
-
-    def _open(self, token: str) -> TokenClaims:
-        claims = read_claims(token)
-        if (claims.vm, claims.incarnation) != (self._vm, self._incarnation):
-            text = f'token was issued by another process, on VM "{claims.vm}"'
-            raise TrefoilpickError(ErrorKind.TOKEN_FOREIGN, text)
-        payload, code = _split_token(token)
-        if not hmac.compare_digest(code, self._authenticate(payload)):
-            raise _reject("token is not authentic")
-        return claims
-
-    def _authenticate(self, payload: bytes) -> bytes:
-        return hashlib.blake2b(payload, key=self._key, digest_size=MAC_BYTES).digest()
-
 
 def open_book(
     vm: str,
@@ -322,33 +282,6 @@
     )
 
 
-def read_claims(token: str) -> TokenClaims:
-    """Read what a token says, without proof that it is authentic.
-
-    Args:
-        token: A token of any process.
-
-    Raises:
-        TrefoilpickError: `TOKEN_MALFORMED`.
-    """
-    try:
-        return msgspec.msgpack.decode(_split_token(token)[0], type=TokenClaims)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise _reject("token is not readable") from error
-
-
-def _split_token(token: str) -> tuple[bytes, bytes]:
-    if len(token) > MAX_TOKEN_CHARS:
-        raise _reject(f"token has {len(token)} characters, over {MAX_TOKEN_CHARS}")
-    try:
-        data = urlsafe_b64decode(token)
-    except ValueError as error:
-        raise _reject("token is not readable") from error
-    if urlsafe_b64encode(data) != token.encode():
-        raise _reject("token is not in its canonical form")
-    return data[:-MAC_BYTES], data[-MAC_BYTES:]
-
-
 def _digest_subject(request: HopRequest) -> bytes:
     # Neither route nor team: a new version may rename them between two requests of one token.
     host = next((value for name, value in request.headers if name == b"host"), b"")
@@ -364,8 +297,3 @@
 
 def _expire(outcome: Outcome | None = None) -> TrefoilpickError:
     return TrefoilpickError(ErrorKind.TOKEN_EXPIRED, "token is expired", outcome=outcome)
-
-
-def _reject(text: str) -> TrefoilpickError:
-    # The request may have run under the token that this one was made from.
-    return TrefoilpickError(ErrorKind.TOKEN_MALFORMED, text, outcome=Outcome.UNKNOWN)
