--- a/tests/test_cli_documents.py
+++ b/tests/test_cli_documents.py
@@ -58,6 +58,9 @@
     assert (folder / "manifest").read_bytes() == before
     code, output = run("check", faulty, "--folder", folder, "--json")
     assert (code, json.loads(output)["faults"][0]["path"]) == (1, "routes[0].upstream")
+    faulty.write_text(text.replace("/archive", "/sketches"))
+    code, output = run("check", faulty, "--folder", folder, "--json")
+    assert [fault["section"] for fault in json.loads(output)["faults"]] == ["archivo"]
     removed = run("accept", "--folder", folder, "--remove", "portafolio", "--json")
     assert (removed[0], removed[1].count("is not defined in any section")) == (1, 1)
 
--- a/tests/test_standin.py
+++ b/tests/test_standin.py
@@ -86,6 +86,7 @@
         assert (code, faults["down"], faults["stale"]) == (200, True, False)
         assert (await ask(f"{url}/v1/values/manifest"))[0] == 503
         assert (await ask(f"{url}/standin/faults", b"[" * 60_000))[0] == 400
+        assert (await ask(f"{url}/standin/faults", b'{"dwn": true}'))[0] == 400
         assert (await ask(f"{url}/elsewhere"))[0] == 404
         assert (await ask(f"{url}/v1/values/manifest?after=x&wait_ms=1"))[0] == 503
         _, counts = await ask(f"{url}/standin/counts")
--- a/trefoilpick/_cli_standin.py
+++ b/trefoilpick/_cli_standin.py
@@ -14,7 +14,12 @@
 
 def standin(
     folder: Annotated[
-        Path, typer.Option(help="Folder with the published manifest, sections and vms.")
+        Path,
+        typer.Option(
+            help="Folder with the published manifest, sections and vms.",
+            exists=True,
+            file_okay=False,
+        ),
     ],
     host: Annotated[str, typer.Option(help="IP address to listen on.")] = "127.0.0.1",
     port: Annotated[int, typer.Option(help="Port to listen on.", min=0, max=65_535)] = 9_000,
--- a/trefoilpick/checks.py
+++ b/trefoilpick/checks.py
@@ -51,10 +51,12 @@
     Attributes:
         origin: Name of the file.
         text: JSON with comments.
+        is_published: Whether it is in force already, so that others are at fault in a conflict.
     """
 
     origin: str
     text: str
+    is_published: bool = False
 
 
 @dataclass(frozen=True)
@@ -63,6 +65,7 @@
 
     origin: str
     positions: Positions
+    is_published: bool = False
     outline: SectionOutline = SectionOutline("")
     section: Section | None = None
     is_readable: bool = False
@@ -86,7 +89,7 @@
     Returns:
         The document, its sections ordered by team, or all of its faults.
     """
-    readings = sorted((_read_section(text) for text in texts), key=_get_place)
+    readings = sorted((_read_section(text) for text in texts), key=_get_rank)
     faults = [fault for reading in readings for fault in reading.faults]
     outlines = [reading.outline for reading in readings]
     is_whole = all(reading.is_readable for reading in readings)
@@ -94,7 +97,8 @@
         faults.append(readings[conflict.index].place(conflict.path, conflict.text))
     if faults:
         return Failure(tuple(sorted(set(faults), key=_get_order)))
-    return Success(Document(tuple(reading.section for reading in readings if reading.section)))
+    sections = (reading.section for reading in readings if reading.section)
+    return Success(Document(tuple(sorted(sections, key=_get_team))))
 
 
 def check_sections(
@@ -119,7 +123,7 @@
 def _read_section(text: SectionText) -> _Reading:
     length = len(text.text.encode("utf-8", "replace"))
     if length > MAX_TEXT_BYTES:
-        reading = _Reading(text.origin, Positions({}, ()))
+        reading = _Reading(text.origin, Positions({}, ()), text.is_published)
         problem = f"text has {length} bytes, over {MAX_TEXT_BYTES}"
         return replace(reading, faults=(reading.place("", problem),))
     checked = check_text(text.text, Section)
@@ -128,6 +132,7 @@
     reading = _Reading(
         text.origin,
         checked.positions,
+        text.is_published,
         outline,
         is_readable=isinstance(checked.raw, dict),
         faults=tuple(
@@ -146,8 +151,12 @@
     return replace(reading, section=section)
 
 
-def _get_place(reading: _Reading) -> tuple[str, str]:
-    return reading.outline.team, reading.origin
+def _get_rank(reading: _Reading) -> tuple[bool, str, str]:
+    return not reading.is_published, reading.outline.team, reading.origin
+
+
+def _get_team(section: Section) -> str:
+    return section.team
 
 
 def _get_order(fault: Fault) -> tuple[str, int, str, str]:
--- a/trefoilpick/cli.py
+++ b/trefoilpick/cli.py
@@ -18,6 +18,7 @@
     name="trefoilpick",
     help="Configuration distribution for a service mesh.",
     no_args_is_help=True,
+    rich_markup_mode="markdown",
     pretty_exceptions_enable=False,
 )
 
--- a/trefoilpick/publishing.py
+++ b/trefoilpick/publishing.py
@@ -145,7 +145,9 @@
     left_out |= given
     kept = (section for section in published.sections if section.team not in left_out)
     return texts + tuple(
-        SectionText(f"published {section.team}", encode_section(section).decode())
+        SectionText(
+            f"published {section.team}", encode_section(section).decode(), is_published=True
+        )
         for section in kept
     )
 
--- a/trefoilpick/standin.py
+++ b/trefoilpick/standin.py
@@ -21,6 +21,7 @@
 from curio.network import tcp_server_socket
 
 from trefoilpick._standin_values import Faults, StandinCounts, Values
+from trefoilpick._typed_text import check_text
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 from trefoilpick.source import MANIFEST_KEY, VMS_KEY, SourceValue
 
@@ -175,10 +176,11 @@
         return await self._answer_value(client, protocol, key, query)
 
     async def _switch_faults(self, client: Any, protocol: h11.Connection, body: bytes) -> bool:
-        try:
-            faults = msgspec.json.decode(body, type=Faults)
-        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
-            return await _send(client, protocol, 400, str(error).encode())
+        checked = check_text(body.decode("utf-8", "replace"), Faults)
+        if checked.faults:
+            text = "\n".join(map(str, checked.faults))
+            return await _send(client, protocol, 400, text.encode())
+        faults = msgspec.convert(checked.raw, Faults)
         await self.set_faults(faults)
         return await _send(client, protocol, 200, msgspec.json.encode(asdict(faults)))
 
