Reach the substitutes of other data centres too; measure fleets of real nodes

Cause: where both readers of a data centre died at once, the test waited over 8 s: other data centres announced to those two alone. Change: a reader announces to the reader of its own rank and to the first that takes its place.

--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,9 @@
 demo: install
 	$(BIN)/trefoilpick demo
 
+bench-convergence: install
+	$(BIN)/python -m benchmarks.convergence $(OPTIONS)
+
 clean:
 	rm -rf .venv .mypy_cache .ruff_cache .pytest_cache build out
 
--- /dev/null
+++ b/benchmarks/_processes.py
@@ -0,0 +1,251 @@
+"""Fleets of real node processes on loopback, with a stand-in source of their own."""
+
+from __future__ import annotations
+
+import os
+import signal
+import subprocess
+import sys
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import curio
+import msgspec
+
+from trefoilpick._http import fetch
+from trefoilpick.document import Contract, Match, Route, Section, Upstream
+from trefoilpick.errors import TrefoilpickError
+from trefoilpick.manifest import Manifest, SectionRef, compute_digest, encode_manifest
+from trefoilpick.sections import encode_section
+from trefoilpick.source import MANIFEST_KEY, VMS_KEY, name_section_key
+from trefoilpick.standin import Standin, open_standin
+from trefoilpick.status import NodeStatus, decode_status
+from trefoilpick.vms import Vm, VmList
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+OPERATOR_PORT = 8083
+CENTRES = 4
+POLL_S = 0.05
+TICKS = os.sysconf("SC_CLK_TCK")
+
+
+@dataclass(frozen=True)
+class Usage:
+    """What the processes of a fleet had used at a moment.
+
+    Attributes:
+        at_s: When, in seconds.
+        cpu_s: Processor time of all processes, in seconds.
+        control_bytes: Control bytes of all nodes, both ways, reads of the source among them.
+        calls: Calls of the source.
+    """
+
+    at_s: float
+    cpu_s: float
+    control_bytes: int
+    calls: int
+
+
+@dataclass
+class Fleet:
+    """Node processes and their source.
+
+    Attributes:
+        network: Second number of the nodes' addresses.
+        overlay: How versions travel.
+        folder: Where settings are written.
+        standin: The source.
+        sections: Sections of the document.
+        expected: Size of the fleet that nodes expect.
+    """
+
+    network: int
+    overlay: str
+    folder: Path
+    standin: Standin
+    sections: int
+    expected: int
+    vms: list[Vm] = field(default_factory=list)
+    processes: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
+    number: int = 0
+    accepted: dict[int, int] = field(default_factory=dict)
+    refs: dict[str, SectionRef] = field(default_factory=dict)
+    revision: int = 0
+
+    async def grow(self, size: int) -> None:
+        """Publish a list of more VMs and start their nodes."""
+        added = [self._make_vm(number) for number in range(len(self.vms), size)]
+        self.vms += added
+        self.revision += 1
+        vms = VmList(self.revision, tuple(sorted(self.vms, key=lambda vm: vm.name)))
+        await self.standin.put_value(VMS_KEY, msgspec.json.encode(vms))
+        self.start(added)
+
+    def start(self, vms: Iterable[Vm]) -> None:
+        """Start the nodes of VMs."""
+        for vm in vms:
+            command = [sys.executable, "-m", "trefoilpick", "node", "--settings"]
+            log = (self.folder / f"{vm.name}.log").open("ab")
+            self.processes[vm.name] = subprocess.Popen(
+                [*command, str(self._write_settings(vm))], stdout=log, stderr=log
+            )
+            log.close()
+
+    def kill(self, how: signal.Signals = signal.SIGKILL) -> None:
+        """End every process that this fleet started."""
+        for process in self.processes.values():
+            process.send_signal(how)
+        for process in self.processes.values():
+            process.wait()
+        self.processes.clear()
+
+    async def accept(self) -> int:
+        """Accept a version that changes one section; return its number."""
+        changed = range(self.sections) if not self.refs else [self.number % self.sections]
+        self.number += 1
+        for index in changed:
+            text = make_section(index, self.number)
+            digest = compute_digest(text)
+            team = f"team-{index}"
+            self.refs[team] = SectionRef(team, digest, len(text))
+            await self.standin.put_value(name_section_key(digest), text)
+        refs = tuple(self.refs[team] for team in sorted(self.refs))
+        accepted_at_ms = time.time_ns() // 1_000_000
+        self.accepted[self.number] = accepted_at_ms
+        manifest = Manifest(self.number, accepted_at_ms, refs)
+        await self.standin.put_value(MANIFEST_KEY, encode_manifest(manifest))
+        return self.number
+
+    async def wait_all(self, limit_s: float) -> float:
+        """Wait until every node is ready with the newest version; return how long it took."""
+        began = time.monotonic()
+        waiting = list(self.vms)
+        while waiting:
+            assert time.monotonic() < began + limit_s, f"{len(waiting)} nodes wait: {waiting[0]}"
+            states = await self.ask_all(waiting)
+            waiting = [vm for vm, state in zip(waiting, states, strict=True) if self._lags(state)]
+            await curio.sleep(POLL_S)
+        return time.monotonic() - began
+
+    async def ask_all(self, vms: list[Vm]) -> list[NodeStatus | None]:
+        """Ask nodes for their state, all at once."""
+        async with curio.TaskGroup() as group:
+            tasks = [await group.spawn(ask_node, vm) for vm in vms]
+        return [task.result for task in tasks]
+
+    async def read_convergences(self, numbers: Iterable[int]) -> list[float]:
+        """Return the convergence times of versions at all nodes, in milliseconds."""
+        wanted = set(numbers)
+        states = await self.ask_all(self.vms)
+        return [
+            entry.convergence_ms
+            for state in states
+            if state is not None
+            for entry in state.versions
+            if entry.number in wanted and entry.convergence_ms is not None
+        ]
+
+    async def measure(self) -> Usage:
+        """Measure what the fleet has used until now."""
+        async with curio.TaskGroup() as group:
+            tasks = [await group.spawn(read_control_bytes, vm) for vm in self.vms]
+        counted = sum(task.result for task in tasks)
+        cpu_s = sum(read_cpu_s(process.pid) for process in self.processes.values())
+        return Usage(time.monotonic(), cpu_s, counted, self.standin.counts.calls)
+
+    def measure_rss_mb(self) -> list[float]:
+        """Return the resident memory of each node, in megabytes."""
+        return sorted(read_rss_mb(process.pid) for process in self.processes.values())
+
+    def _lags(self, state: NodeStatus | None) -> bool:
+        if state is None or not state.ready or state.version is None:
+            return True
+        return state.version.number != self.number
+
+    def _make_vm(self, number: int) -> Vm:
+        centre = number % CENTRES
+        return Vm(
+            name=f"vm-{number}",
+            region=f"region-{centre % 2}",
+            data_centre=f"centre-{centre}",
+            service=f"service-{number % 16}",
+            host=f"127.{self.network}.{centre}.{number // CENTRES + 1}",
+            control_port=8082,
+            hop_port=8081,
+        )
+
+    def _write_settings(self, vm: Vm) -> Path:
+        path = self.folder / f"{vm.name}.jsonc"
+        settings = {
+            "vm": {
+                "name": vm.name,
+                "region": vm.region,
+                "data_centre": vm.data_centre,
+                "service": vm.service,
+            },
+            "listen": {"host": vm.host},
+            "worker": {"host": vm.host, "port": 9100},
+            "source": {"addresses": [self.standin.address]},
+            "control": {"overlay": self.overlay, "expected_vms": self.expected},
+        }
+        path.write_bytes(msgspec.json.encode(settings))
+        return path
+
+
+def open_fleet(
+    network: int, overlay: str, folder: Path, *, sections: int, expected: int, rate: int
+) -> Fleet:
+    """Open a fleet without nodes, with a source of its own."""
+    folder.mkdir()
+    standin = open_standin(f"127.{network}.255.1", 0, rate=rate)
+    return Fleet(network, overlay, folder, standin, sections, expected)
+
+
+def make_section(index: int, mark: int) -> bytes:
+    """Return the text of one team's section: an upstream and four routes."""
+    name = f"service-{index}"
+    routes = tuple(
+        Route(
+            f"route-{number}",
+            Match(f"/{name}/{number}", ("GET", "POST")),
+            name,
+            Contract(idempotent=number > 0, deadline_ms=1_000 + mark),
+        )
+        for number in range(4)
+    )
+    return encode_section(Section(f"team-{index}", (Upstream(name),), routes))
+
+
+async def ask_node(vm: Vm) -> NodeStatus | None:
+    """Ask a node for its state; None where it does not answer."""
+    try:
+        answer = await fetch(vm.host, OPERATOR_PORT, "/status", timeout_s=5, max_bytes=1_000_000)
+        return decode_status(answer.body, NodeStatus)
+    except TrefoilpickError:
+        return None
+
+
+async def read_control_bytes(vm: Vm) -> int:
+    """Return the control bytes that a node counted, both ways and those of the source."""
+    answer = await fetch(vm.host, OPERATOR_PORT, "/metrics", timeout_s=10, max_bytes=4_000_000)
+    lines = answer.body.decode().splitlines()
+    found = [line for line in lines if line.startswith("trefoilpick_control_bytes_total{")]
+    return sum(int(float(line.rsplit(" ", 1)[1])) for line in found)
+
+
+def read_cpu_s(pid: int) -> float:
+    """Return the processor time of a process, in seconds."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS
+
+
+def read_rss_mb(pid: int) -> float:
+    """Return the resident memory of a process, in megabytes."""
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) / 1024
+    return 0.0
--- /dev/null
+++ b/benchmarks/convergence.py
@@ -0,0 +1,199 @@
+"""Convergence, control bytes, reads, processor time and memory of fleets of real nodes.
+
+Run with `python -m benchmarks.convergence`. A fleet that uses fingers and one in which every node
+watches the source grow side by side, each with a source of its own; then the first is killed
+whole and started again. The last line is one JSON object.
+"""
+
+from __future__ import annotations
+
+import json
+import statistics
+import tempfile
+import time
+from dataclasses import asdict, dataclass
+from pathlib import Path
+from typing import Annotated
+
+import curio
+import typer
+
+from benchmarks._processes import Fleet, Usage, open_fleet
+
+SOURCE_RATE = 2_000
+LIMIT_S = 60.0
+
+
+@dataclass(frozen=True)
+class Measured:
+    """What one fleet showed at one size."""
+
+    nodes: int
+    overlay: str
+    convergence_ms: dict[str, float]
+    control_bytes_per_node_per_s: dict[str, float]
+    source_reads_per_s: dict[str, float]
+    control_bytes_per_node_per_change: float
+    source_reads_per_change: float
+    core_percent_per_node: dict[str, float]
+    core_ms_per_node_per_change: float
+    rss_mb_per_node: dict[str, float]
+
+
+@dataclass(frozen=True)
+class Herd:
+    """A restart of every node at once."""
+
+    nodes: int
+    peak_reads_in_a_second: int
+    reads: int
+    until_all_serve_s: float
+
+
+def main(
+    sizes: Annotated[str, typer.Option(help="Numbers of nodes, growing.")] = "8,16,32,64",
+    versions: Annotated[int, typer.Option(help="Versions accepted at each size.")] = 10,
+    gap_ms: Annotated[int, typer.Option(help="Time between two versions, in ms.")] = 150,
+    idle_s: Annotated[float, typer.Option(help="Time without a change, in seconds.")] = 2.0,
+    sections: Annotated[int, typer.Option(help="Sections of the document.")] = 160,
+    overlays: Annotated[
+        str, typer.Option(help="Overlays that grow side by side; the first is restarted.")
+    ] = "fingers,every-node-watches",
+    long: Annotated[bool, typer.Option(help="Go on to 128 nodes, with all overlays.")] = False,
+) -> None:
+    """Measure fleets of real nodes on loopback."""
+    grown = [int(size) for size in sizes.split(",")]
+    names = overlays.split(",")
+    if long:
+        grown, idle_s = [*grown, 128], 30.0
+        names = ["fingers", "tree", "gossip", "every-node-watches"]
+    with tempfile.TemporaryDirectory() as folder:
+        results, herd = curio.run(
+            measure_all, Path(folder), grown, names, versions, gap_ms / 1000, idle_s, sections
+        )
+    print(json.dumps({"sizes": [asdict(r) for r in results], "herd": asdict(herd)}))
+
+
+async def measure_all(
+    folder: Path,
+    sizes: list[int],
+    names: list[str],
+    versions: int,
+    gap_s: float,
+    idle_s: float,
+    sections: int,
+) -> tuple[list[Measured], Herd]:
+    fleets = [
+        open_fleet(
+            10 + place,
+            name,
+            folder / name,
+            sections=sections,
+            expected=sizes[-1],
+            rate=SOURCE_RATE,
+        )
+        for place, name in enumerate(names)
+    ]
+    results: list[Measured] = []
+    try:
+        for fleet in fleets:
+            await curio.spawn(fleet.standin.run, daemon=True)
+            await fleet.accept()
+        for size in sizes:
+            results += await measure_size(fleets, size, versions, gap_s, idle_s)
+        for fleet in fleets[1:]:
+            fleet.kill()
+        return results, await measure_herd(fleets[0])
+    finally:
+        for fleet in fleets:
+            fleet.kill()
+
+
+async def measure_size(
+    fleets: list[Fleet], size: int, versions: int, gap_s: float, idle_s: float
+) -> list[Measured]:
+    for fleet in fleets:
+        await fleet.grow(size)
+    for fleet in fleets:
+        await fleet.wait_all(LIMIT_S)
+    before = [await fleet.measure() for fleet in fleets]
+    await curio.sleep(idle_s)
+    after = [await fleet.measure() for fleet in fleets]
+    results: list[Measured] = []
+    for fleet, one, other in zip(fleets, before, after, strict=True):
+        result = await measure_changes(fleet, one, other, versions, gap_s)
+        print(result, flush=True)
+        results.append(result)
+    return results
+
+
+async def measure_changes(
+    fleet: Fleet, one: Usage, other: Usage, versions: int, gap_s: float
+) -> Measured:
+    nodes = len(fleet.vms)
+    before = await fleet.measure()
+    numbers: list[int] = []
+    for _ in range(versions):
+        numbers.append(await fleet.accept())
+        await curio.sleep(gap_s)
+    await fleet.wait_all(LIMIT_S)
+    after = await fleet.measure()
+    times = sorted(await fleet.read_convergences(numbers))
+    # Each look at a node costs it something: it is in both spans, and taken off neither.
+    idle, busy = Rates(one, other, nodes), Rates(before, after, nodes)
+    rss = fleet.measure_rss_mb()
+    return Measured(
+        nodes=nodes,
+        overlay=fleet.overlay,
+        convergence_ms={
+            "p50": pick(times, 0.5),
+            "p99": pick(times, 0.99),
+            "max": times[-1],
+            "measured": len(times),
+        },
+        control_bytes_per_node_per_s={"idle": idle.bytes, "changing": busy.bytes},
+        source_reads_per_s={"idle": idle.reads, "changing": busy.reads},
+        control_bytes_per_node_per_change=round(
+            (after.control_bytes - before.control_bytes) / nodes / versions
+            - idle.bytes * busy.span_s / versions
+        ),
+        source_reads_per_change=round((after.calls - before.calls) / versions, 1),
+        core_percent_per_node={"idle": idle.core, "changing": busy.core},
+        core_ms_per_node_per_change=round(
+            1000 * (after.cpu_s - before.cpu_s) / nodes / versions
+            - 10 * idle.core * busy.span_s / versions,
+            2,
+        ),
+        rss_mb_per_node={"p50": round(statistics.median(rss), 1), "max": round(rss[-1], 1)},
+    )
+
+
+class Rates:
+    """Rates between two moments, for each node where that applies."""
+
+    def __init__(self, one: Usage, other: Usage, nodes: int) -> None:
+        self.span_s = other.at_s - one.at_s
+        self.bytes = round((other.control_bytes - one.control_bytes) / self.span_s / nodes, 1)
+        self.reads = round((other.calls - one.calls) / self.span_s, 2)
+        self.core = round(100 * (other.cpu_s - one.cpu_s) / self.span_s / nodes, 3)
+
+
+async def measure_herd(fleet: Fleet) -> Herd:
+    fleet.kill()
+    calls = fleet.standin.counts.calls
+    second = int(time.monotonic())
+    began = time.monotonic()
+    fleet.start(fleet.vms)
+    await fleet.wait_all(LIMIT_S)
+    took_s = time.monotonic() - began
+    counts = fleet.standin.counts
+    peak = max(count for at, count in counts.by_second.items() if at >= second)
+    return Herd(len(fleet.vms), peak, counts.calls - calls, round(took_s, 2))
+
+
+def pick(ordered: list[float], share: float) -> float:
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -1,24 +1,353 @@
+import curio
+import pytest
 from fakes_fleet import FakeFleet, make_version, make_vms
 
 from trefoilpick._virtual import run_virtual
+from trefoilpick.localnet import LocalSource
+from trefoilpick.settings import ControlSettings
+from trefoilpick.status import Standing
 
 MARKS = {f"team-{number}": 0 for number in range(12)}
 
 
-def test_versions_reach_all_nodes_from_few_readers() -> None:
+async def open_running_fleet(centres: int = 3, each: int = 8) -> FakeFleet:
+    fleet = FakeFleet(make_vms(centres, each))
+    await fleet.publish_vms(1)
+    await fleet.source.accept(*make_version(1, MARKS))
+    await fleet.start()
+    await fleet.wait_all(1, 20)
+    await fleet.wait_for(lambda: all(n.distributor.is_ready for n in fleet.nodes.values()), 20)
+    return fleet
+
+
+async def accept(fleet: FakeFleet, number: int, *, broken: str | None = None) -> None:
+    marks = MARKS | {"team-3": number}
+    await fleet.source.accept(*make_version(number, marks, broken=broken))
+
+
+def test_few_nodes_read_and_all_follow() -> None:
+    async def main() -> None:
+        fleet = await open_running_fleet()
+        calls, messages = len(fleet.source.times), fleet.network.messages
+        for number in range(2, 6):
+            await accept(fleet, number)
+            await fleet.wait_all(number, 1)
+        assert len(fleet.list_readers()) == 6
+        # Two watches end and one section is read at most by each reader for each version.
+        assert len(fleet.source.times) - calls <= 4 * 6 * 3
+        # Fingers of a ring of eight are three, those of a ring of centres two.
+        assert fleet.network.messages - messages < 4 * 24 * (5 + 2) * 2
+        peers = await fleet.nodes["vm-0-0"].distributor.collect_fleet()
+        assert [peer.number for peer in peers] == [5] * 23
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("moment_s", [0.0, 0.001, 0.003, 0.005, 0.008])
+def test_readers_that_die_in_the_middle_delay_nobody_for_long(moment_s: float) -> None:
+    async def main() -> None:
+        fleet = await open_running_fleet()
+        fleet.source.read_s = 0.002
+        await accept(fleet, 2)
+        await curio.sleep(moment_s)
+        await fleet.kill(*[name for name in fleet.list_readers() if name.startswith("vm-1")])
+        await fleet.wait_all(2, 8)
+        await accept(fleet, 3)
+        await fleet.wait_all(3, 8)
+
+    run_virtual(main())
+
+
+def test_next_ranks_take_over_from_dead_readers() -> None:
+    async def main() -> None:
+        fleet = await open_running_fleet()
+        await fleet.kill(*fleet.list_readers())
+        await accept(fleet, 2)
+        await fleet.wait_all(2, 60)
+        await curio.sleep(120)
+        assert 3 <= len(fleet.list_readers()) <= 9
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize(
+    "key,spoil",
+    [
+        ("manifest", lambda data: data[: len(data) // 2]),
+        ("manifest", lambda data: b"\xff" * len(data)),
+        ("sections", lambda data: data[: len(data) // 2]),
+        ("sections", lambda data: data.replace(b"GET", b"PUT")),
+    ],
+)
+def test_spoiled_values_do_no_harm(key: str, spoil) -> None:
     async def main() -> None:
-        fleet = FakeFleet(make_vms(3, 8))
+        fleet = await open_running_fleet(2, 4)
+        fleet.source.spoil = lambda name, data: spoil(data) if name.startswith(key) else data
+        await accept(fleet, 2)
+        await curio.sleep(30)
+        assert set(fleet.list_numbers().values()) == {1}
+        fleet.source.spoil = lambda name, data: data
+        await fleet.wait_all(2, 45)
+
+    run_virtual(main())
+
+
+def test_source_that_goes_backwards_moves_nobody_back() -> None:
+    async def main() -> None:
+        fleet = await open_running_fleet(2, 4)
+        old = dict(fleet.source.values)
+        await accept(fleet, 2)
+        await fleet.wait_all(2, 8)
+        fleet.source.frozen = old
+        await curio.sleep(200)
+        await fleet.start()
+        await curio.sleep(5)
+        assert max(fleet.list_numbers().values()) == 1
+        await fleet.source.thaw()
+        await fleet.wait_all(2, 60)
+
+    run_virtual(main())
+
+
+def test_lost_doubled_late_and_crossing_messages() -> None:
+    async def main() -> None:
+        fleet = await open_running_fleet()
+        fleet.network.loss, fleet.network.doubling = 0.2, 0.3
+        fleet.network.delay_s = (0.001, 0.6)
+        for number in range(2, 12):
+            await accept(fleet, number)
+            await curio.sleep(0.3)
+        await fleet.wait_all(11, 30)
+
+    run_virtual(main())
+
+
+def test_messages_spoiled_on_their_way_are_refused() -> None:
+    async def main() -> None:
+        fleet = await open_running_fleet(2, 4)
+        fleet.network.spoil = lambda data: data[:-1] + bytes([data[-1] ^ 0xFF])
+        await accept(fleet, 2)
+        await curio.sleep(5)
+        fleet.network.spoil = lambda data: data
+        await fleet.wait_all(2, 20)
+
+    run_virtual(main())
+
+
+def test_faulty_version_is_refused_whole_and_a_good_one_follows() -> None:
+    async def main() -> None:
+        fleet = await open_running_fleet(2, 4)
+        await accept(fleet, 2, broken="team-5")
+        await curio.sleep(5)
+        assert set(fleet.list_numbers().values()) == {1}
+        for node in fleet.nodes.values():
+            status = node.distributor.describe()
+            assert [entry.number for entry in status.refused] == [2]
+            assert 'upstream "nowhere" is not defined' in status.refused[0].text
+            assert node.metrics.get_count("trefoilpick_versions_refused_total") == 1
+        peers = await fleet.nodes["vm-0-0"].distributor.collect_fleet()
+        assert {peer.standing for peer in peers} == {Standing.REFUSING}
+        await accept(fleet, 3)
+        await fleet.wait_all(3, 8)
+
+    run_virtual(main())
+
+
+def test_one_number_with_two_contents_ends_in_one_version_everywhere() -> None:
+    async def main() -> None:
+        fleet = await open_running_fleet(2, 4)
+        fleet.network.is_cut = lambda one, other: one[:7] != other[:7]
+        other = LocalSource()
+        other.values = dict(fleet.source.values)
+        for node in fleet.nodes.values():
+            if node.own.data_centre == "centre-1":
+                node.distributor.reader._source = other
+        await curio.sleep(35)
+        await fleet.source.accept(*make_version(2, MARKS | {"team-1": 1}))
+        await other.accept(*make_version(2, MARKS | {"team-1": 2}))
+        await curio.sleep(40)
+        digests = {node.cell.history[-1].digest for node in fleet.nodes.values()}
+        assert len(digests) == 2
+        fleet.network.is_cut = lambda one, other: False
+
+        def is_one() -> bool:
+            return {n.cell.history[-1].digest for n in fleet.nodes.values()} == {max(digests)}
+
+        await fleet.wait_for(is_one, 60)
+        await curio.sleep(60)
+        assert is_one()
+        assert all(len(node.cell.history) <= 3 for node in fleet.nodes.values())
+
+    run_virtual(main())
+
+
+def test_side_without_the_source_follows_through_any_path_and_after_healing() -> None:
+    async def main() -> None:
+        fleet = await open_running_fleet()
+        down = LocalSource()
+        down.is_down = True
+        for node in fleet.nodes.values():
+            if node.own.data_centre == "centre-2":
+                node.distributor.reader._source = down
+        await curio.sleep(40)
+        await accept(fleet, 2)
+        await fleet.wait_all(2, 8)
+        cut = fleet.nodes["vm-2-0"]
+        fleet.network.is_cut = lambda one, other: ("127.1.2." in one) != ("127.1.2." in other)
+        await accept(fleet, 3)
+        near = [name for name in fleet.nodes if not name.startswith("vm-2")]
+        await fleet.wait_all(3, 8, *near)
+        await curio.sleep(300)
+        assert cut.number == 2
+        status = cut.distributor.describe()
+        assert status.source_age_s is not None and status.source_age_s > 250
+        calls = fleet.network.messages
+        fleet.network.is_cut = lambda one, other: False
+        await fleet.wait_all(3, 30)
+        assert fleet.network.messages - calls < 24 * 100
+
+    run_virtual(main())
+
+
+def test_restart_of_all_keeps_to_the_budget_of_reads() -> None:
+    async def main() -> None:
+        fleet = FakeFleet(make_vms(4, 15))
+        await fleet.publish_vms(1)
+        await fleet.source.accept(*make_version(1, {f"team-{n}": 0 for n in range(150)}))
+        await fleet.start()
+        await fleet.wait_all(1, 30)
+        await fleet.wait_for(lambda: all(n.distributor.is_ready for n in fleet.nodes.values()), 30)
+        await fleet.kill()
+        fleet.source.times.clear()
+        await fleet.start()
+        await fleet.wait_all(1, 30)
+        assert fleet.source.count_peak() <= fleet.control.source_reads_per_s
+        # One reader or two read the document; everyone reads the manifest and the list.
+        assert len(fleet.source.times) < 3 * 150 + 4 * 60
+
+    run_virtual(main())
+
+
+def test_fresh_node_takes_the_highest_that_a_peer_or_the_source_tells() -> None:
+    async def main() -> None:
+        fleet = await open_running_fleet(2, 4)
+        stale = LocalSource()
+        stale.values = dict(fleet.source.values)
+        await accept(fleet, 2)
+        await fleet.wait_all(2, 8)
+        await fleet.kill("vm-1-3")
+        await fleet.start("vm-1-3", source=stale)
+        fresh = fleet.nodes["vm-1-3"]
+        await fleet.wait_for(lambda: fresh.distributor.is_ready, 10)
+        assert fresh.number == 2
+        assert not fresh.distributor.unconfirmed
+
+    run_virtual(main())
+
+
+def test_fresh_node_with_a_stale_source_alone_serves_unconfirmed_after_a_wait() -> None:
+    async def main() -> None:
+        fleet = await open_running_fleet(2, 4)
+        stale = LocalSource()
+        stale.values = dict(fleet.source.values)
+        await accept(fleet, 2)
+        await fleet.wait_all(2, 8)
+        await fleet.kill("vm-1-3")
+        fleet.network.is_cut = lambda one, other: "127.1.1.4" in one + other
+        await fleet.start("vm-1-3", source=stale)
+        fresh = fleet.nodes["vm-1-3"].distributor
+        await curio.sleep(4)
+        assert not fresh.is_ready
+        await fleet.wait_for(lambda: fresh.is_ready, 40)
+        assert fresh.describe().unconfirmed
+        fleet.network.is_cut = lambda one, other: False
+        await fleet.wait_for(lambda: fleet.nodes["vm-1-3"].number == 2, 40)
+        await fleet.wait_for(lambda: not fresh.unconfirmed, 40)
+
+    run_virtual(main())
+
+
+def test_fresh_node_with_nothing_in_reach_is_not_ready() -> None:
+    async def main() -> None:
+        control = ControlSettings(seeds=("127.1.0.2:8082",), join_wait_ms=1_000)
+        fleet = FakeFleet(make_vms(1, 2), control=control)
+        await fleet.start("vm-0-0")
+        await curio.sleep(300)
+        assert not fleet.nodes["vm-0-0"].distributor.is_ready
+        assert len(fleet.source.times) < 300
+        # A seed that knows the list and a version is enough to be told both.
+        await fleet.publish_vms(1)
+        await fleet.source.accept(*make_version(1, MARKS))
+        await fleet.start("vm-0-1")
+        await fleet.wait_all(1, 60)
+        await fleet.wait_for(lambda: fleet.nodes["vm-0-0"].distributor.is_ready, 60)
+
+    run_virtual(main())
+
+
+def test_paused_node_is_not_level_until_it_heard_something_asked_after_waking() -> None:
+    async def main() -> None:
+        fleet = await open_running_fleet(2, 4)
+        node = fleet.nodes["vm-0-1"]
+        assert node.distributor.is_level
+        fleet.network.is_held = lambda address: "127.1.0.2" in address
+        await accept(fleet, 2)
+        await fleet.wait_all(2, 8, *[name for name in fleet.nodes if name != "vm-0-1"])
+        node.suspended_s = 600.0
+        assert not node.distributor.is_level
+        await curio.sleep(1)
+        assert not node.distributor.is_level
+        fleet.network.is_held = lambda address: False
+        await fleet.wait_for(lambda: node.distributor.is_level, 8)
+        assert node.number == 2
+
+    run_virtual(main())
+
+
+def test_leaving_node_is_told_of_and_a_new_life_takes_work_again() -> None:
+    async def main() -> None:
+        fleet = await open_running_fleet(1, 4)
+        await fleet.nodes["vm-0-1"].distributor.announce_leaving()
+        others = [node for name, node in fleet.nodes.items() if name != "vm-0-1"]
+
+        def has_endpoint(node) -> bool:
+            return "vm-0-1" in {vm.name for vm in node.roster.list_endpoints("service-1")}
+
+        await fleet.wait_for(lambda: not any(has_endpoint(node) for node in others), 8)
+        await fleet.kill("vm-0-1")
+        await fleet.start("vm-0-1")
+        await fleet.wait_for(lambda: all(has_endpoint(node) for node in others), 30)
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("overlay", ["tree", "gossip", "every-node-watches"])
+def test_other_overlays_converge_too(overlay: str) -> None:
+    async def main() -> None:
+        control = ControlSettings(overlay=overlay, expected_vms=24)
+        fleet = FakeFleet(make_vms(3, 8), control=control)
         await fleet.publish_vms(1)
         await fleet.source.accept(*make_version(1, MARKS))
         await fleet.start()
-        await fleet.wait_all(1, 20)
-        await fleet.wait_for(lambda: all(n.distributor.is_ready for n in fleet.nodes.values()), 20)
-        reads = len(fleet.source.reads)
-        for number in range(2, 6):
-            await fleet.source.accept(*make_version(number, MARKS | {"team-3": number}))
-            took = await fleet.wait_all(number, 8)
-            print(number, took, len(fleet.source.reads) - reads)
-        readers = sum(node.distributor.reader.is_reading for node in fleet.nodes.values())
-        assert readers == 6
+        await fleet.wait_all(1, 30)
+        await accept(fleet, 2)
+        await fleet.wait_all(2, 30)
+
+    run_virtual(main())
+
+
+def test_vms_that_come_and_go_reach_all_rosters() -> None:
+    async def main() -> None:
+        fleet = await open_running_fleet(2, 4)
+        await fleet.publish_vms(2, fleet.vms[:-1])
+        await fleet.wait_for(
+            lambda: all(node.roster.revision == 2 for node in fleet.nodes.values()), 8
+        )
+        gone = fleet.vms[-1].name
+        await fleet.kill(gone)
+        await curio.sleep(200)
+        await fleet.publish_vms(3, fleet.vms[:-2])
+        await curio.sleep(10)
+        assert all(node.roster.find_vm(gone) is None for node in fleet.nodes.values())
 
     run_virtual(main())
--- /dev/null
+++ b/tests/test_mailbox.py
@@ -0,0 +1,148 @@
+from __future__ import annotations
+
+import zlib
+
+import curio
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from trefoilpick._virtual import run_virtual
+from trefoilpick.errors import TrefoilpickError
+from trefoilpick.mailbox import REPLAY_WINDOW, SILENT_LIFE_S, Mailbox, ReplayWindow
+from trefoilpick.messages import (
+    MAX_MESSAGE_BYTES,
+    Body,
+    Delivery,
+    Envelope,
+    Exchange,
+    FetchVms,
+    Refusal,
+    WireSection,
+    WireVersion,
+    encode_envelope,
+    unpack_bytes,
+)
+from trefoilpick.metrics import Metrics
+
+VERSION = WireVersion(7, bytes(16))
+EXCHANGE = Exchange(VERSION, VERSION, 1, 0, False)
+DELIVERY = Delivery(VERSION, VERSION, 1, (), ("team",), (WireSection(bytes(16), b"x" * 40),))
+
+
+class Receiver:
+    def __init__(self) -> None:
+        self.metrics = Metrics()
+        self.mailbox = Mailbox("vm-1", 1, self.metrics)
+        self.mailbox.set_handler(self.handle)
+        self.handled: list[Body] = []
+
+    async def handle(self, envelope: Envelope) -> Body | None:
+        self.handled.append(envelope.body)
+        return Refusal("busy")
+
+    async def take(self, data: bytes) -> None:
+        await self.mailbox.take_request(data)
+        await self.mailbox.take_answer(data, "127.0.0.1:1")
+
+    def count_refused(self, reason: str) -> int:
+        name = "trefoilpick_control_messages_refused_total"
+        return self.metrics.get_count(name, reason=reason)
+
+
+@settings(derandomize=True, deadline=None, max_examples=300)
+@given(st.binary(max_size=200))
+def test_bytes_that_are_no_message_are_counted_and_harm_nothing(data: bytes) -> None:
+    receiver = Receiver()
+    run_virtual(receiver.take(data))
+    assert receiver.handled == []
+    assert receiver.count_refused("message_malformed") == 2
+
+
+@settings(derandomize=True, deadline=None, max_examples=300)
+@given(st.sampled_from([EXCHANGE, DELIVERY]), st.data())
+def test_spoiled_message_is_refused_or_is_a_message(body: Body, data: st.DataObject) -> None:
+    whole = Mailbox("vm-2", 1, Metrics()).encode(body, request=1)
+    place = data.draw(st.integers(0, len(whole) - 1))
+    spoiled = data.draw(
+        st.sampled_from(
+            [
+                whole[:place],
+                whole[:place] + bytes([data.draw(st.integers(0, 255))]) + whole[place + 1 :],
+                whole[:place] + whole[place:] * 3,
+            ]
+        )
+    )
+    receiver = Receiver()
+    run_virtual(receiver.take(spoiled))
+    for handled in receiver.handled:
+        assert msgspec.msgpack.encode(handled)
+
+
+def test_message_over_the_bound_is_refused_unread() -> None:
+    receiver = Receiver()
+    run_virtual(receiver.take(bytes(MAX_MESSAGE_BYTES + 1)))
+    assert receiver.count_refused("message_too_large") == 2
+
+
+def test_replayed_request_is_handled_once() -> None:
+    receiver = Receiver()
+    data = Mailbox("vm-2", 1, Metrics()).encode(EXCHANGE, request=1)
+    run_virtual(receiver.take(data))
+    run_virtual(receiver.take(data))
+    assert len(receiver.handled) == 1
+    assert receiver.count_refused("replayed") == 3
+
+
+def test_answer_reaches_only_the_request_that_it_belongs_to() -> None:
+    async def main() -> None:
+        receiver = Receiver()
+        pending = receiver.mailbox.open_request("127.0.0.1:1")
+        peer = Mailbox("vm-2", 1, Metrics())
+        wrong = peer.encode(Refusal("busy"), request=pending.request + 1, is_answer=True)
+        await receiver.mailbox.take_answer(wrong, "127.0.0.1:1")
+        elsewhere = peer.encode(Refusal("busy"), request=pending.request, is_answer=True)
+        await receiver.mailbox.take_answer(elsewhere, "127.0.0.1:2")
+        assert not pending.arrived.is_set()
+        assert receiver.count_refused("unmatched") == 2
+        right = peer.encode(Refusal("absent"), request=pending.request, is_answer=True)
+        await receiver.mailbox.take_answer(right, "127.0.0.1:1")
+        answer = await receiver.mailbox.wait_answer(pending, 1)
+        assert answer.body == Refusal("absent")
+
+    run_virtual(main())
+
+
+@settings(derandomize=True, deadline=None, max_examples=100)
+@given(st.lists(st.integers(1, 2 * REPLAY_WINDOW), max_size=80))
+def test_replay_window_admits_each_number_once(numbers: list[int]) -> None:
+    window = ReplayWindow()
+    admitted = [number for number in numbers if window.admit(1, number)]
+    assert len(admitted) == len(set(admitted))
+    newest = 0
+    for number in numbers:
+        if number > newest - REPLAY_WINDOW:
+            assert number in admitted
+        newest = max(newest, number)
+
+
+def test_earlier_incarnation_is_believed_only_after_a_long_silence() -> None:
+    async def main() -> None:
+        window = ReplayWindow()
+        assert window.admit(5, 1)
+        assert not window.admit(4, 9)
+        await curio.sleep(SILENT_LIFE_S + 1)
+        assert window.admit(4, 9)
+
+    run_virtual(main())
+
+
+def test_packed_bytes_cannot_grow_without_bound() -> None:
+    bomb = zlib.compress(bytes(50_000_000))
+    with pytest.raises(TrefoilpickError, match="exceed 1000"):
+        unpack_bytes(bomb, 1_000)
+    with pytest.raises(TrefoilpickError, match="cut off"):
+        unpack_bytes(zlib.compress(b"abc")[:-2], 1_000)
+    assert unpack_bytes(zlib.compress(b"abc"), 3) == b"abc"
+    assert len(encode_envelope(Envelope("vm-1", 1, 1, 1, False, FetchVms(1)))) < 30
--- /dev/null
+++ b/tests/test_overlay.py
@@ -0,0 +1,56 @@
+from math import log2
+from random import Random
+
+import pytest
+from fakes_fleet import make_vms
+
+from trefoilpick.overlay import OVERLAYS, OverlayView, find_rank, list_targets
+from trefoilpick.ranks import list_fingers, rank_vms
+from trefoilpick.vms import Vm
+
+
+def spread(vms: tuple[Vm, ...], overlay: str, first: Vm) -> dict[str, int]:
+    """Return the VMs that an announcement reaches, with the steps it takes."""
+    random = Random(3)
+    steps = {first.name: 0}
+    waiting = [first]
+    while waiting:
+        vm = waiting.pop(0)
+        for target in list_targets(OVERLAYS[overlay], OverlayView(vm, vms, 2), random):
+            if target.name not in steps:
+                steps[target.name] = steps[vm.name] + 1
+                waiting.append(target)
+    return steps
+
+
+@pytest.mark.parametrize("overlay", ["fingers", "tree"])
+@pytest.mark.parametrize("centres,each", [(1, 1), (1, 2), (2, 1), (4, 17), (11, 100)])
+def test_every_reader_reaches_the_fleet_in_few_steps(overlay: str, centres: int, each: int) -> None:
+    vms = make_vms(centres, each)
+    readers = [vm for vm in vms if find_rank(OverlayView(vm, vms, 2)) < 2]
+    assert len(readers) == min(2, each) * centres
+    steps = spread(vms, overlay, readers[0])
+    assert len(steps) == len(vms)
+    assert max(steps.values()) <= log2(each) + log2(centres) + 3
+
+
+def test_degree_grows_by_the_logarithm() -> None:
+    vms = make_vms(11, 100)
+    degrees = [
+        len(list_targets(OVERLAYS["fingers"], OverlayView(vm, vms, 2), Random(1)))
+        for vm in vms[:100]
+    ]
+    assert sorted(degrees)[:98] == [7] * 98
+    assert max(degrees) <= 7 + 2 * 4
+
+
+def test_a_vm_that_goes_moves_no_other_in_the_ranking() -> None:
+    vms = make_vms(1, 50)
+    ranked = rank_vms(vms, "centre-0")
+    gone = ranked[20]
+    assert rank_vms(set(vms) - {gone}, "centre-0") == ranked[:20] + ranked[21:]
+
+
+def test_fingers_of_a_name_that_is_not_on_the_ring_are_none() -> None:
+    assert list_fingers(("a", "b", "c"), "d") == ()
+    assert list_fingers(("a", "b", "c"), "c") == ("a", "b")
--- /dev/null
+++ b/tests/test_roster.py
@@ -0,0 +1,114 @@
+from dataclasses import replace
+
+from fakes_fleet import make_vms
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from trefoilpick.roster import DEAD_AFTER, UNLISTED_S, Roster
+from trefoilpick.vms import VmList, VmState
+
+VMS = make_vms(1, 9)
+OWN, PEER = VMS[0], VMS[3]
+
+
+class Clock:
+    def __init__(self) -> None:
+        self.now_s = 0.0
+
+    def __call__(self) -> float:
+        return self.now_s
+
+
+def open_roster() -> tuple[Roster, Clock]:
+    clock = Clock()
+    roster = Roster(OWN, clock=clock)
+    roster.adopt_list(VmList(1, VMS))
+    return roster, clock
+
+
+def has_endpoint(roster: Roster) -> bool:
+    return PEER in roster.list_endpoints(PEER.service)
+
+
+def test_refused_connection_goes_before_the_list_and_is_retried_with_growing_pauses() -> None:
+    roster, clock = open_roster()
+    pauses = []
+    for _ in range(10):
+        assert has_endpoint(roster)
+        roster.note_refused(PEER.name)
+        began = clock.now_s
+        while not has_endpoint(roster):
+            clock.now_s += 0.5
+        pauses.append(clock.now_s - began)
+    assert pauses == [1, 2, 4, 8, 16, 32, 60, 60, 60, 60]
+    roster.note_alive(PEER.name, 1)
+    roster.note_refused(PEER.name)
+    clock.now_s += 1
+    assert has_endpoint(roster)
+
+
+def test_missed_heartbeats_make_a_vm_dead_and_one_answer_revives_it() -> None:
+    roster, _ = open_roster()
+    for _ in range(DEAD_AFTER - 1):
+        roster.note_missed(PEER.name)
+    assert has_endpoint(roster) and not roster.is_dead(PEER.name)
+    roster.note_missed(PEER.name)
+    assert not has_endpoint(roster) and roster.is_dead(PEER.name)
+    roster.note_alive(PEER.name, 1)
+    assert has_endpoint(roster)
+
+
+def test_leaving_lasts_for_one_incarnation() -> None:
+    roster, clock = open_roster()
+    roster.note_alive(PEER.name, 5)
+    roster.note_leaving(PEER.name)
+    roster.note_alive(PEER.name, 5)
+    roster.note_alive(PEER.name, 4)
+    assert not has_endpoint(roster)
+    roster.note_alive(PEER.name, 6)
+    assert has_endpoint(roster)
+    # A clock that was set back between two lives must not shut the VM out for ever.
+    roster.note_leaving(PEER.name)
+    clock.now_s += UNLISTED_S + 1
+    roster.note_alive(PEER.name, 3)
+    assert has_endpoint(roster)
+
+
+def test_vm_that_the_list_has_as_leaving_takes_no_new_work() -> None:
+    roster, _ = open_roster()
+    leaving = replace(PEER, state=VmState.LEAVING)
+    assert roster.adopt_list(VmList(2, (*VMS[:3], leaving, *VMS[4:])))
+    assert roster.list_endpoints(PEER.service) == tuple(
+        vm for vm in VMS if vm.service == PEER.service and vm != PEER
+    )
+
+
+def test_vm_that_the_list_lacks_is_used_while_it_is_heard() -> None:
+    roster, clock = open_roster()
+    fresh = replace(PEER, name="vm-fresh")
+    roster.add_unlisted(fresh)
+    roster.note_alive(fresh.name, 1)
+    assert fresh in roster.list_endpoints(PEER.service)
+    roster.adopt_list(VmList(2, VMS))
+    assert roster.find_vm(fresh.name) == fresh
+    clock.now_s += UNLISTED_S + 1
+    roster.adopt_list(VmList(3, VMS))
+    assert roster.find_vm(fresh.name) is None
+
+
+def test_older_list_changes_nothing() -> None:
+    roster, _ = open_roster()
+    assert not roster.adopt_list(VmList(1, ()))
+    assert set(roster.list_vms()) == set(VMS)
+
+
+@settings(derandomize=True, deadline=None, max_examples=60)
+@given(st.lists(st.sets(st.sampled_from(VMS)), min_size=1, max_size=6), st.data())
+def test_change_since_any_revision_gives_the_list(lists: list, data: st.DataObject) -> None:
+    known = Roster(OWN)
+    follower = Roster(OWN)
+    for revision, vms in enumerate(lists, start=1):
+        known.adopt_list(VmList(revision, tuple(vms)))
+        if data.draw(st.booleans()):
+            assert follower.adopt_change(known.tell_change(follower.revision))
+            assert set(follower.list_vms()) == vms | {OWN}
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -1,46 +1,112 @@
+import os
+
+import msgspec
 import pytest
+from fakes_fleet import make_section, make_version
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from trefoilpick.errors import ErrorKind, TrefoilpickError
-from trefoilpick.manifest import Manifest, SectionRef, compute_digest
-from trefoilpick.versions import VersionStore, prepare_snapshot
+from trefoilpick.manifest import Manifest, SectionRef, compute_digest, identify_version
+from trefoilpick.versions import KEPT_MANIFESTS, VersionStore, prepare_snapshot
 
-OWNER = b'{"team":"a","upstreams":[{"name":"u"}]}'
-ROUTE = (
-    b'{"team":"%s","routes":[{"name":"r","match":{"path_prefix":"/","methods":["GET"]},'
-    b'"upstream":"%s","contract":{"idempotent":true}}]}'
+MARKS = st.dictionaries(
+    st.sampled_from([f"team-{number}" for number in range(5)]), st.integers(0, 2), max_size=5
 )
 
 
-def prepare(*texts: bytes, teams: str) -> None:
+def open_store(*versions: tuple[Manifest, dict[str, bytes]]) -> VersionStore:
     store = VersionStore()
-    refs = tuple(
-        SectionRef(team, compute_digest(text), len(text))
-        for team, text in zip(teams, texts, strict=True)
-    )
-    for ref, text in zip(refs, texts, strict=True):
-        store.add_text(ref, text)
-    manifest = Manifest(1, 0, refs)
-    assert store.hold(manifest)
-    snapshot = prepare_snapshot(manifest, store, former=None)
-    assert [section.team for section in snapshot.document.sections] == list(teams)
-
-
-@pytest.mark.parametrize(
-    ("texts", "teams", "problem"),
-    [
-        ((ROUTE % (b"b", b"u"),), "b", 'upstream "u" is not defined'),
-        ((OWNER, OWNER.replace(b'"a"', b'"b"')), "ab", 'owned by section "a"'),
-        ((OWNER, ROUTE % (b"b", b"u"), ROUTE % (b"c", b"u")), "abc", "overlaps route"),
-        ((OWNER.replace(b'"u"', b'"u","slotz":1'),), "a", "slotz"),
-        ((OWNER,), "b", 'stands under team "b"'),
-        ((b"{",), "a", "section"),
-    ],
-)
-def test_nodes_refuse_a_faulty_version(texts: tuple[bytes, ...], teams: str, problem: str) -> None:
-    with pytest.raises(TrefoilpickError, match=problem) as caught:
-        prepare(*texts, teams=teams)
-    assert caught.value.kind is ErrorKind.DOCUMENT_FAULTY
+    for manifest, texts in versions:
+        for ref in store.list_missing(manifest):
+            store.add_text(ref, texts[ref.digest])
+        assert store.hold(manifest)
+    return store
+
+
+@settings(derandomize=True, deadline=None, max_examples=60)
+@given(MARKS, MARKS, st.booleans())
+def test_change_against_any_base_gives_the_version(one: dict, other: dict, knows: bool) -> None:
+    first, second = make_version(1, one), make_version(2, other)
+    store = open_store(first, second)
+    follower = open_store(first) if knows else VersionStore()
+    delivery = store.tell_change(identify_version(second[0]), follower.newest)
+    assert delivery is not None
+    manifest = follower.read_manifest(delivery)
+    assert manifest == second[0]
+    refs = {ref.digest: ref for ref in manifest.sections}
+    for section in delivery.sections:
+        follower.add_packed(refs[section.digest.hex()], section.packed)
+    assert follower.hold(manifest)
+    snapshot = prepare_snapshot(manifest, follower, former=None)
+    assert [section.team for section in snapshot.document.sections] == sorted(other)
+    if knows:
+        assert {s.digest.hex() for s in delivery.sections} <= set(second[1]) - set(first[1])
+
+
+def test_delivery_that_lies_is_refused() -> None:
+    first, second = make_version(1, {"a": 0, "b": 0}), make_version(2, {"a": 1, "b": 0})
+    store, follower = open_store(first, second), open_store(first)
+    delivery = store.tell_change(identify_version(second[0]), follower.newest)
+    assert delivery is not None
+    lies = [
+        msgspec.structs.replace(delivery, refs=()),
+        msgspec.structs.replace(delivery, removed=("b",)),
+        msgspec.structs.replace(delivery, accepted_at_ms=5),
+        msgspec.structs.replace(delivery, base=delivery.version),
+    ]
+    for lie in lies:
+        with pytest.raises(TrefoilpickError) as caught:
+            follower.read_manifest(lie)
+        assert caught.value.kind is ErrorKind.DIGEST_MISMATCH
+    manifest = follower.read_manifest(delivery)
+    with pytest.raises(TrefoilpickError):
+        follower.add_text(manifest.sections[0], make_section("a", 2))
+    assert follower.list_missing(manifest) == manifest.sections[:1]
+    assert not follower.hold(manifest)
 
 
-def test_nodes_prepare_a_sound_version() -> None:
-    prepare(OWNER, ROUTE % (b"b", b"u"), teams="ab")
+def test_versions_are_held_only_upwards() -> None:
+    one, other = make_version(2, {"a": 1}), make_version(2, {"a": 2})
+    low, high = sorted((one, other), key=lambda version: identify_version(version[0]))
+    store = open_store(low, high)
+    assert store.newest == identify_version(high[0])
+    assert not store.hold(low[0])
+    assert not store.hold(make_version(1, {"a": 1})[0])
+
+
+def test_section_under_another_team_is_a_fault() -> None:
+    text = make_section("a", 0)
+    ref = SectionRef("b", compute_digest(text), len(text))
+    manifest = Manifest(1, 0, (ref,))
+    store = open_store((manifest, {ref.digest: text}))
+    with pytest.raises(TrefoilpickError, match='"a" stands under team "b"'):
+        prepare_snapshot(manifest, store, former=None)
+
+
+def test_store_forgets_what_no_kept_version_names() -> None:
+    versions = [make_version(number, {"a": number, "b": 0}) for number in range(1, 30)]
+    store = open_store(*versions)
+    store.forget_unused(enforced=identify_version(versions[0][0]))
+    held = [v for v in versions if store.find_manifest(identify_version(v[0])) is not None]
+    assert held == [versions[0], *versions[-KEPT_MANIFESTS:]]
+    digests = {digest for _, texts in versions for digest in texts}
+    kept = {digest for _, texts in held for digest in texts}
+    assert {s.digest.hex() for s in store.list_packed(sorted(digests))} == kept
+
+
+def test_delivery_is_bounded_and_the_rest_comes_by_digest() -> None:
+    texts = [f'{{"team":"t{n}","x":"{os.urandom(150_000).hex()}"}}'.encode() for n in range(6)]
+    refs = tuple(SectionRef(f"t{n}", compute_digest(t), len(t)) for n, t in enumerate(texts))
+    manifest = Manifest(1, 0, refs)
+    store = open_store((manifest, {compute_digest(text): text for text in texts}))
+    delivery = store.tell_change(identify_version(manifest), None)
+    assert delivery is not None and 0 < len(delivery.sections) < 6
+    follower = VersionStore()
+    for section in delivery.sections:
+        by_digest = {ref.digest: ref for ref in follower.read_manifest(delivery).sections}
+        follower.add_packed(by_digest[section.digest.hex()], section.packed)
+    while missing := follower.list_missing(manifest):
+        for section in store.list_packed(ref.digest for ref in missing):
+            follower.add_packed(by_digest[section.digest.hex()], section.packed)
+    assert follower.hold(manifest)
--- a/trefoilpick/overlay.py
+++ b/trefoilpick/overlay.py
@@ -138,9 +138,10 @@
 
 
 def list_far(view: OverlayView) -> tuple[Vm, ...]:
-    """Return the readers of other data centres that a reader announces to.
+    """Return the VMs of other data centres that a reader announces to.
 
-    A reader reaches its own rank's peer in the data centres at distances 1, 2, 4 … of their ring.
+    In the data centres at distances 1, 2, 4 … of their ring it reaches the reader of its own rank,
+    and the first to take that reader's place: both readers of a data centre may have just died.
     """
     rank = find_rank(view)
     if rank >= view.readers:
@@ -149,5 +150,5 @@
     far: list[Vm] = []
     for centre in list_fingers(ring, view.own.data_centre):
         ranked = rank_vms((vm for vm in view.alive if vm.data_centre == centre), centre)
-        far.append(ranked[min(rank, len(ranked) - 1)])
+        far += ranked[rank :: view.readers][:2] or ranked[-1:]
     return tuple(far)
--- a/trefoilpick/reading.py
+++ b/trefoilpick/reading.py
@@ -30,7 +30,10 @@
 FEW_SECTIONS = 8
 """Missing sections that a reader reads at once, whatever its rank."""
 
-TURN_S = 0.5
+TURN_LOOK_S = 0.05
+"""Time between two looks for a version from a peer, in seconds."""
+
+TURN_S = 1.5
 """Time that a reader leaves to the one before it when much is missing, in seconds."""
 
 
@@ -78,6 +81,7 @@
         self.failing = False
         self.newest: VersionId | None = None
         self.gathering: VersionId | None = None
+        """Version whose few missing sections this reader reads now."""
 
     @property
     def is_reading(self) -> bool:
@@ -168,10 +172,11 @@
             await self._gather(manifest, version)
 
     async def _gather(self, manifest: Manifest, version: VersionId) -> None:
-        missing = self._store.list_missing(manifest)
-        if len(missing) > FEW_SECTIONS:
+        is_large = len(self._store.list_missing(manifest)) > FEW_SECTIONS
+        if is_large:
             await self._wait_turn(version)
-        self.gathering = version
+        # Much is gathered from whoever is first: a peer that holds it all, or the source.
+        self.gathering = None if is_large else version
         try:
             while (missing := self._store.list_missing(manifest)) and self._is_newer(version):
                 value = await self._read(name_section_key(missing[0].digest))
@@ -185,7 +190,7 @@
         """Leave the reading to the readers before, unless their version does not come."""
         until = read_clock() + (self.turn + self._random.random() / 2) * TURN_S
         while read_clock() < until and self._is_newer(version):
-            await curio.sleep(TURN_S / 10)
+            await curio.sleep(TURN_LOOK_S)
 
     def _is_newer(self, version: VersionId) -> bool:
         return self._store.newest is None or version > self._store.newest
