Keep the last minutes of a node's figures in windows of 15 s

Cause: a fleet that ran for a minute and a half had one point in every plot, and the burn rate of five minutes covered up to six. Change: three tiers of windows (15 s, one minute, ten minutes) that merge with age; bins of a timeline follow the length of the history.

--- a/benchmarks/report.py
+++ b/benchmarks/report.py
@@ -27,13 +27,13 @@
     list_latencies,
 )
 from trefoilpick.status import decode_status
-from trefoilpick.windows import SeriesTable, Windows, open_windows
+from trefoilpick.windows import WINDOW_S, SeriesTable, Windows, open_windows
 
 SEED = 20261203
 """Seed of all recorded values."""
 
-MINUTES = 400
-"""Length of the recorded history, in minutes; longer than a node keeps."""
+STEPS = 1_700
+"""Windows that are recorded; more than a node keeps."""
 
 DATA_CENTRES = 11
 """Data centres of the fleet."""
@@ -48,7 +48,7 @@
     chance = random.Random(SEED)
     metrics = Metrics()
     windows = open_windows(metrics, now_s=0.0)
-    for minute in range(1, MINUTES + 1):
+    for step in range(1, STEPS + 1):
         for number in range(contracts):
             labels = {"team": f"team-{number}", "route": "route"}
             for result in ("good", "slow", "shed"):
@@ -58,7 +58,7 @@
             )
         metrics.count("trefoilpick_control_bytes_total", 60_000, direction="sent")
         metrics.observe("trefoilpick_convergence_microseconds", chance.lognormvariate(13, 1))
-        windows.advance(minute * 60.0)
+        windows.advance(step * WINDOW_S)
     return metrics, windows
 
 
@@ -66,10 +66,10 @@
     """Return a node's report, as it answers `/report`."""
     table = SeriesTable()
     latencies = tuple(list_latencies(metrics, table))
-    encoded = list(encode_windows(windows.read(MINUTES * 60.0, table)))
+    encoded = list(encode_windows(windows.read(STEPS * WINDOW_S, table)))
     found = tuple(ContractStatus(f"team-{n}", "route", 0.999, 400) for n in range(contracts))
     series = tuple(table.list_series())
-    head = NodeReport("vm", "lima-a", 1, 1, found, MINUTES * 60.0, latencies, series, ())
+    head = NodeReport("vm", "lima-a", 1, 1, found, STEPS * WINDOW_S, latencies, series, ())
     return encode_report(head, encoded)
 
 
@@ -117,7 +117,7 @@
     metrics, windows = record_history(contracts)
     scrape = measure_wait(lambda: collect_parts(metrics.render()))
     read = measure_wait(
-        lambda: collect_parts(encode_windows(windows.read(MINUTES * 60.0, SeriesTable())))
+        lambda: collect_parts(encode_windows(windows.read(STEPS * WINDOW_S, SeriesTable())))
     )
     one = len(encode_node(metrics, windows, contracts))
     data = encode_node(*record_history(used), 300)
--- a/tests/test_windows.py
+++ b/tests/test_windows.py
@@ -5,10 +5,8 @@
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 from trefoilpick.metrics import Metrics
 from trefoilpick.windows import (
-    MAX_NARROW,
-    MAX_WIDE,
-    MERGED_WINDOWS,
-    NARROW_S,
+    TIERS,
+    WINDOW_S,
     SeriesRef,
     SeriesTable,
     Window,
@@ -29,7 +27,7 @@
 
 
 @settings(derandomize=True, max_examples=25, deadline=None)
-@given(st.lists(st.lists(st.integers(1, 60_000_000), max_size=4), max_size=60))
+@given(st.lists(st.lists(st.integers(1, 60_000_000), max_size=4), max_size=70))
 def test_windows_sum_to_the_whole(steps: list[list[int]]) -> None:
     metrics = Metrics()
     windows = open_windows(metrics, now_s=0.0)
@@ -37,8 +35,8 @@
         for value in values:
             metrics.count(REQUESTS, value, team="a", route="r", result="good")
             metrics.observe(CONVERGENCE, value)
-        windows.advance((index + 1) * NARROW_S)
-    now_s = (len(steps) + 1) * NARROW_S
+        windows.advance((index + 1) * WINDOW_S)
+    now_s = (len(steps) + 1) * WINDOW_S
     found = list(windows.read(now_s, SeriesTable()))
     whole = metrics.get_histogram(CONVERGENCE)
     merged = merge_histograms(list_encoded(found))
@@ -52,13 +50,14 @@
 def test_history_is_bounded_and_drops_the_oldest() -> None:
     metrics = Metrics()
     windows = open_windows(metrics, now_s=0.0)
-    steps = (MAX_WIDE + 5) * MERGED_WINDOWS
+    steps = 50 * 40
     for index in range(steps):
         metrics.count(REQUESTS, team="a", route="r", result="good")
-        windows.advance((index + 1) * NARROW_S)
-    found = list(windows.read(steps * NARROW_S, SeriesTable()))
-    assert len(found) <= MAX_WIDE + MAX_NARROW
-    assert sum_counters(found) * NARROW_S == found[0].begun_s < steps * NARROW_S
+        windows.advance((index + 1) * WINDOW_S)
+    found = list(windows.read(steps * WINDOW_S, SeriesTable()))
+    assert len(found) <= sum(tier.kept for tier in TIERS)
+    assert found[0].begun_s >= 6 * 3_600
+    assert sum_counters(found) * WINDOW_S == found[0].begun_s < steps * WINDOW_S
 
 
 def test_window_waits_for_its_width_and_long_pause_makes_one_window() -> None:
@@ -67,7 +66,7 @@
     windows = open_windows(metrics, now_s=100.0)
     metrics.count(REQUESTS, 2, team="a", route="r", result="good")
     metrics.count("trefoilpick_operator_requests_total", status="200")
-    assert not windows.advance(100.0 + NARROW_S - 1)
+    assert not windows.advance(100.0 + WINDOW_S - 1)
     assert windows.advance(100.0 + 3_600)
     table = SeriesTable()
     first, current = windows.read(100.0 + 3_700, table)
--- a/trefoilpick/_periods.py
+++ b/trefoilpick/_periods.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol, TypeVar
 
@@ -13,14 +14,8 @@
 PERIODS_S = (300.0, 3_600.0, 21_600.0)
 """Periods of burn rates: five minutes, one hour and six hours, in seconds."""
 
-MAX_NARROW_SPAN_S = 1_200.0
-"""History up to which a timeline has narrow bins, in seconds."""
-
-NARROW_BIN_S = 60.0
-"""Width of a narrow bin of a timeline, in seconds."""
-
-WIDE_BIN_S = 600.0
-"""Width of a wide bin of a timeline, in seconds."""
+BINS_S = ((900.0, 30.0), (3_600.0, 120.0), (math.inf, 600.0))
+"""Longest history and width of the bins of its timeline, in seconds."""
 
 
 class Dated(Protocol):
@@ -66,7 +61,7 @@
         facts: What was recorded.
         since_s: Age of the oldest figure, in seconds.
     """
-    width_s = NARROW_BIN_S if since_s <= MAX_NARROW_SPAN_S else WIDE_BIN_S
+    width_s = next(width_s for longest_s, width_s in BINS_S if since_s <= longest_s)
     bins: dict[int, list[DatedT]] = {}
     for fact in facts:
         bins.setdefault(int(fact.span.middle_s // width_s), []).append(fact)
--- a/trefoilpick/windows.py
+++ b/trefoilpick/windows.py
@@ -1,7 +1,7 @@
 """History of the windowed metrics: a bounded ring of time windows, kept in memory only.
 
-Windows are disjoint, so the sum of several is exact. The last minutes are kept in narrow windows,
-the hours before in wide ones. Times are ages, so that nodes with different clocks merge.
+Windows are disjoint, so the sum of several is exact. They grow wider with age: narrow ones merge
+into wider ones without loss. Times are ages, so that nodes with different clocks merge.
 """
 
 from __future__ import annotations
@@ -25,17 +25,25 @@
 
     from trefoilpick.metrics import Metrics
 
-NARROW_S = 60.0
-"""Width of a narrow window, in seconds."""
+WINDOW_S = 15.0
+"""Width of the narrowest window, in seconds."""
 
-MERGED_WINDOWS = 10
-"""Narrow windows that make one wide window."""
 
-MAX_NARROW = 2 * MERGED_WINDOWS
-"""Largest number of narrow windows; the older half is then merged."""
+@dataclass(frozen=True)
+class Tier:
+    """Windows of one width.
+
+    Attributes:
+        kept: Largest number of windows.
+        merged: Oldest windows that become one of the next tier, once there are that many.
+    """
 
-MAX_WIDE = 36
-"""Largest number of wide windows: six hours."""
+    kept: int
+    merged: int
+
+
+TIERS = (Tier(kept=24, merged=4), Tier(kept=20, merged=10), Tier(kept=36, merged=1))
+"""Windows of 15 s, of one minute and of ten minutes; the oldest of the last tier are dropped."""
 
 Place = Annotated[int, Meta(ge=0, lt=MAX_SERIES)]
 """Place of a series in a table."""
@@ -139,8 +147,7 @@
         self._metrics = metrics
         self._begun_s = now_s
         self._counted = _copy_counters(metrics)
-        self._narrow: deque[_Sealed] = deque()
-        self._wide: deque[_Sealed] = deque(maxlen=MAX_WIDE)
+        self._tiers: tuple[deque[_Sealed], ...] = tuple(deque() for _ in TIERS)
 
     def advance(self, now_s: float) -> bool:
         """Close the current window, where it is full.
@@ -151,15 +158,13 @@
         Returns:
             Whether a window was closed.
         """
-        if now_s - self._begun_s < NARROW_S:
+        if now_s - self._begun_s < WINDOW_S:
             return False
-        self._narrow.append(self._read_current(now_s))
+        self._tiers[0].append(self._read_current(now_s))
         self._metrics.close_histograms()
         self._counted = _copy_counters(self._metrics)
         self._begun_s = now_s
-        if len(self._narrow) >= MAX_NARROW:
-            oldest = [self._narrow.popleft() for _ in range(MERGED_WINDOWS)]
-            self._wide.append(_merge_sealed(oldest))
+        self._merge_full_tiers()
         return True
 
     def read(self, now_s: float, table: SeriesTable) -> Iterator[Window]:
@@ -169,9 +174,19 @@
             now_s: Reading of the monotonic clock, in seconds.
             table: Takes the series that the windows name.
         """
-        for sealed in (*self._wide, *self._narrow, self._read_current(now_s)):
+        closed = [sealed for tier in reversed(self._tiers) for sealed in tier]
+        for sealed in (*closed, self._read_current(now_s)):
             yield _describe_window(sealed, now_s, table)
 
+    def _merge_full_tiers(self) -> None:
+        following = (*self._tiers[1:], None)
+        for tier, windows, wider in zip(TIERS, self._tiers, following, strict=True):
+            if len(windows) < tier.kept:
+                return
+            oldest = [windows.popleft() for _ in range(tier.merged)]
+            if wider is not None:
+                wider.append(_merge_sealed(oldest))
+
     def _read_current(self, now_s: float) -> _Sealed:
         counters = {
             series: value - self._counted.get(series, 0)
