Split the stand-in's HTTP from its service; parse addresses in one place

A stand-in that goes down ends its waiting watches with 503, as a service would. split_address stood twice (fleet.py and the source's client) and is addresses.py now; fleet.py, its commands and its test import it from there.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -2,8 +2,9 @@
 
 import pytest
 
+from trefoilpick.addresses import split_address
 from trefoilpick.errors import TrefoilpickError
-from trefoilpick.fleet import build_view, split_address
+from trefoilpick.fleet import build_view
 from trefoilpick.status import (
     EnforcedVersion,
     FleetStatus,
--- a/tests/test_standin.py
+++ b/tests/test_standin.py
@@ -78,6 +78,19 @@
     play(scene)
 
 
+def test_watch_ends_when_the_service_goes_down() -> None:
+    async def scene(standin: Standin, source: HttpSource) -> None:
+        watch = await curio.spawn(source.watch_value(MANIFEST_KEY, after=0))
+        while standin.counts.watching == 0:
+            await curio.sleep(0.001)
+        await standin.set_faults(Faults(down=True))
+        with pytest.raises(curio.TaskError) as caught:
+            await watch.join()
+        assert "status 503" in str(caught.value.__cause__)
+
+    play(scene)
+
+
 def test_operators_switch_faults_and_read_counts() -> None:
     async def scene(standin: Standin, source: HttpSource) -> None:
         await standin.put_value(MANIFEST_KEY, b"one")
--- a/trefoilpick/_cli_report.py
+++ b/trefoilpick/_cli_report.py
@@ -20,9 +20,10 @@
     write_span,
 )
 from trefoilpick._console import ExitCode, console, open_table, report_errors
+from trefoilpick.addresses import split_address
 from trefoilpick.burn import BurnReport, build_burn
 from trefoilpick.errors import ErrorKind, TrefoilpickError
-from trefoilpick.fleet import ask_node, ask_nodes, split_address
+from trefoilpick.fleet import ask_node, ask_nodes
 from trefoilpick.reports import NodeReport
 from trefoilpick.status import FleetStatus, Standing, encode_status
 
--- a/trefoilpick/_cli_status.py
+++ b/trefoilpick/_cli_status.py
@@ -9,7 +9,8 @@
 from rich.text import Text
 
 from trefoilpick._console import ExitCode, console, open_table, report_errors
-from trefoilpick.fleet import FleetView, NodeView, split_address, view_fleet
+from trefoilpick.addresses import split_address
+from trefoilpick.fleet import FleetView, NodeView, view_fleet
 from trefoilpick.status import Standing, VersionRef, encode_status
 
 if TYPE_CHECKING:
--- a/trefoilpick/_source_connection.py
+++ b/trefoilpick/_source_connection.py
@@ -10,6 +10,7 @@
 import curio
 import h11
 
+from trefoilpick.addresses import split_address
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 
 MAX_VALUE_BYTES = 1_000_000
@@ -139,17 +140,3 @@
     sock = await curio.open_connection(host, port)
     sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
     return SourceConnection(address, sock)
-
-
-def split_address(address: str) -> tuple[str, int]:
-    """Split "ip:port" or "[ip]:port".
-
-    Raises:
-        TrefoilpickError: `SETTINGS_FAULTY`, where it is neither.
-    """
-    host, _, port = address.rpartition(":")
-    host = host.removeprefix("[").removesuffix("]")
-    if host and port.isascii() and port.isdigit() and 0 < int(port) < 65_536:
-        return host, int(port)
-    text = f'source address "{address}" is not of the form ip:port'
-    raise TrefoilpickError(ErrorKind.SETTINGS_FAULTY, text)
--- /dev/null
+++ b/trefoilpick/addresses.py
@@ -0,0 +1,28 @@
+"""Addresses as settings and the command line write them."""
+
+from __future__ import annotations
+
+from trefoilpick.errors import ErrorKind, TrefoilpickError
+
+MAX_PORT = 65_535
+"""Highest TCP port."""
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split "ip:port" or "[ip]:port".
+
+    Args:
+        address: The text.
+
+    Returns:
+        IP address and port.
+
+    Raises:
+        TrefoilpickError: `SETTINGS_FAULTY`, where it is neither.
+    """
+    host, _, port = address.rpartition(":")
+    host = host.removeprefix("[").removesuffix("]")
+    if host and port.isascii() and port.isdigit() and 0 < int(port) <= MAX_PORT:
+        return host, int(port)
+    text = f'address "{address}" is not of the form ip:port'
+    raise TrefoilpickError(ErrorKind.SETTINGS_FAULTY, text)
--- a/trefoilpick/fleet.py
+++ b/trefoilpick/fleet.py
@@ -9,6 +9,7 @@
 import curio
 
 from trefoilpick._http import fetch
+from trefoilpick.addresses import split_address
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 from trefoilpick.status import (
     FleetStatus,
@@ -133,20 +134,6 @@
         return tuple(node for node in self.nodes if node.standing is not Standing.LEVEL)
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Split "host:port" of an operators' port.
-
-    Raises:
-        TrefoilpickError: `SETTINGS_FAULTY`.
-    """
-    host, _, port = address.rpartition(":")
-    host = host.removeprefix("[").removesuffix("]")
-    if host and port.isascii() and port.isdigit() and 0 < int(port) < 65_536:
-        return host, int(port)
-    text = f'operators\' address "{address}" is not of the form ip:port'
-    raise TrefoilpickError(ErrorKind.SETTINGS_FAULTY, text)
-
-
 async def ask_node(address: str, path: str, kind: type[StatusT], *, timeout_s: float) -> StatusT:
     """Ask one page of a node's operators' port.
 
--- a/trefoilpick/source.py
+++ b/trefoilpick/source.py
@@ -15,8 +15,8 @@
     SourceConnection,
     SourceReply,
     open_source_connection,
-    split_address,
 )
+from trefoilpick.addresses import split_address
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 
 if TYPE_CHECKING:
--- a/trefoilpick/standin.py
+++ b/trefoilpick/standin.py
@@ -13,13 +13,13 @@
 from pathlib import Path
 from socket import IPPROTO_TCP, TCP_NODELAY
 from typing import TYPE_CHECKING, Any
-from urllib.parse import parse_qs, urlsplit
 
 import curio
 import h11
 import msgspec
 from curio.network import tcp_server_socket
 
+from trefoilpick._standin_http import Call, CallChannel
 from trefoilpick._standin_values import Faults, StandinCounts, Values
 from trefoilpick._typed_text import check_text
 from trefoilpick.errors import ErrorKind, TrefoilpickError
@@ -34,15 +34,9 @@
 MAX_WAIT_MS = 600_000
 """Longest wait of a watch, in milliseconds."""
 
-MAX_REQUEST_BYTES = 65_536
-"""Largest body of a request, in bytes."""
-
 BACKLOG = 1_024
 """Connections that may wait to be accepted."""
 
-READ_BYTES = 65_536
-"""Bytes asked of the socket at a time."""
-
 DEFAULT_RATE = 2_000
 """Calls a second that the service answers."""
 
@@ -154,60 +148,55 @@
                 await group.spawn(self._serve, client, daemon=True)
 
     async def _serve(self, client: Any) -> None:
-        protocol = h11.Connection(h11.SERVER)
+        channel = CallChannel(client)
         async with client:
             with suppress(OSError, h11.ProtocolError):
-                while await self._serve_call(client, protocol):
-                    protocol.start_next_cycle()
-
-    async def _serve_call(self, client: Any, protocol: h11.Connection) -> bool:
-        request, body = await _receive_request(client, protocol)
-        if request is None:
-            return False
-        target = urlsplit(request.target.decode("ascii", "replace"))
-        if target.path == COUNTS_PATH:
-            return await _send(client, protocol, 200, msgspec.json.encode(self.counts))
-        if target.path == FAULTS_PATH:
-            return await self._switch_faults(client, protocol, body)
-        if request.method != b"GET" or not target.path.startswith(VALUES_PATH):
-            return await _send(client, protocol, 404)
-        query = {name: found[-1] for name, found in parse_qs(target.query).items()}
-        key = target.path.removeprefix(VALUES_PATH)
-        return await self._answer_value(client, protocol, key, query)
-
-    async def _switch_faults(self, client: Any, protocol: h11.Connection, body: bytes) -> bool:
+                while call := await channel.receive():
+                    if not await self._answer(channel, call):
+                        return
+
+    async def _answer(self, channel: CallChannel, call: Call) -> bool:
+        if call.path == COUNTS_PATH:
+            return await channel.send(200, msgspec.json.encode(self.counts))
+        if call.path == FAULTS_PATH:
+            return await self._switch_faults(channel, call.body)
+        if call.method != "GET" or not call.path.startswith(VALUES_PATH):
+            return await channel.send(404)
+        return await self._answer_value(channel, call)
+
+    async def _switch_faults(self, channel: CallChannel, body: bytes) -> bool:
         checked = check_text(body.decode("utf-8", "replace"), Faults)
         if checked.faults:
             text = "\n".join(map(str, checked.faults))
-            return await _send(client, protocol, 400, text.encode())
+            return await channel.send(400, text.encode())
         faults = msgspec.convert(checked.raw, Faults)
         await self.set_faults(faults)
-        return await _send(client, protocol, 200, msgspec.json.encode(asdict(faults)))
+        return await channel.send(200, msgspec.json.encode(asdict(faults)))
 
-    async def _answer_value(
-        self, client: Any, protocol: h11.Connection, key: str, query: dict[str, str]
-    ) -> bool:
+    async def _answer_value(self, channel: CallChannel, call: Call) -> bool:
+        key = call.path.removeprefix(VALUES_PATH)
+        is_watch = "after" in call.query
         now_s = int(await curio.clock())
-        is_watch = "after" in query
         if self.values.counts.add(now_s, key, is_watch=is_watch) > self._rate:
             self.values.counts.rate_limited += 1
-            return await _send(client, protocol, 429, headers=[("retry-after", "1")])
-        faults = self._faults if key.startswith(self._faults.prefix) else Faults()
-        if faults.delay_ms:
-            await curio.sleep(faults.delay_ms / 1000)
-        if faults.down:
-            return await _send(client, protocol, 503)
-        value = await self._wait(key, query) if is_watch else self._find(key)
+            return await channel.send(429, headers=(("retry-after", "1"),))
+        delay_ms = self._list_faults(key).delay_ms
+        if delay_ms:
+            await curio.sleep(delay_ms / 1000)
+        value = await self._wait(key, call) if is_watch else self._find(key)
+        if self._list_faults(key).down:
+            return await channel.send(503)
         if value is None:
-            return await _send(client, protocol, 304 if is_watch else 404)
-        return await self._send_value(client, protocol, key, value)
+            return await channel.send(304 if is_watch else 404)
+        return await self._send_value(channel, key, value)
 
-    async def _wait(self, key: str, query: dict[str, str]) -> SourceValue | None:
-        after, wait_ms = _read_number(query, "after"), _read_number(query, "wait_ms")
+    async def _wait(self, key: str, call: Call) -> SourceValue | None:
+        after = call.read_number("after")
+        wait_ms = min(call.read_number("wait_ms"), MAX_WAIT_MS)
         self.values.counts.watching += 1
         try:
-            async with curio.ignore_after(min(wait_ms, MAX_WAIT_MS) / 1000):
-                while True:
+            async with curio.ignore_after(wait_ms / 1000):
+                while not self._list_faults(key).down:
                     value = self._find(key)
                     if value is not None and value.revision > after:
                         return value
@@ -217,6 +206,9 @@
         finally:
             self.values.counts.watching -= 1
 
+    def _list_faults(self, key: str) -> Faults:
+        return self._faults if key.startswith(self._faults.prefix) else Faults()
+
     def _find(self, key: str) -> SourceValue | None:
         if not _KEY.fullmatch(key):
             return None
@@ -227,19 +219,17 @@
             value = self.values.get(key)
         return value
 
-    async def _send_value(
-        self, client: Any, protocol: h11.Connection, key: str, value: SourceValue
-    ) -> bool:
-        faults = self._faults if key.startswith(self._faults.prefix) else Faults()
+    async def _send_value(self, channel: CallChannel, key: str, value: SourceValue) -> bool:
+        faults = self._list_faults(key)
         if faults.backwards:
             value = self.values.get_former(key) or value
         data = bytes(byte ^ 1 for byte in value.data) if faults.wrong else value.data
-        headers = [("x-revision", str(value.revision))]
+        headers = (("x-revision", str(value.revision)),)
         self.values.counts.bytes_sent += len(data)
         if faults.truncated:
-            await _send_part(client, protocol, data, headers)
+            await channel.send_part(data, headers=headers)
             return False
-        return await _send(client, protocol, 200, data, headers=headers)
+        return await channel.send(200, data, headers=headers)
 
 
 def open_standin(
@@ -266,55 +256,3 @@
         text = f'stand-in cannot listen on "{host}:{port}": {error}'
         raise TrefoilpickError(ErrorKind.SETTINGS_FAULTY, text) from error
     return Standin(sock, folder=folder, rate=rate)
-
-
-async def _receive_request(
-    client: Any, protocol: h11.Connection
-) -> tuple[h11.Request | None, bytes]:
-    request: h11.Request | None = None
-    body = bytearray()
-    while True:
-        event = protocol.next_event()
-        if event is h11.NEED_DATA:
-            protocol.receive_data(await client.recv(READ_BYTES))
-        elif isinstance(event, h11.Request):
-            request = event
-        elif isinstance(event, h11.Data):
-            body += event.data
-            if len(body) > MAX_REQUEST_BYTES:
-                return None, b""
-        elif isinstance(event, h11.EndOfMessage):
-            return request, bytes(body)
-        else:
-            return None, b""
-
-
-async def _send(
-    client: Any,
-    protocol: h11.Connection,
-    status: int,
-    body: bytes = b"",
-    *,
-    headers: list[tuple[str, str]] | None = None,
-) -> bool:
-    length = [] if status == 304 else [("content-length", str(len(body)))]
-    parts = (
-        protocol.send(h11.Response(status_code=status, headers=length + (headers or []))),
-        protocol.send(h11.Data(data=body)) if body else b"",
-        protocol.send(h11.EndOfMessage()),
-    )
-    await client.sendall(b"".join(part or b"" for part in parts))
-    return protocol.our_state is h11.DONE and protocol.their_state is h11.DONE
-
-
-async def _send_part(
-    client: Any, protocol: h11.Connection, body: bytes, headers: list[tuple[str, str]]
-) -> None:
-    length = [("content-length", str(len(body)))]
-    head = protocol.send(h11.Response(status_code=200, headers=length + headers))
-    await client.sendall((head or b"") + body[: len(body) // 2])
-
-
-def _read_number(query: dict[str, str], name: str) -> int:
-    text = query.get(name, "0")
-    return int(text) if text.isascii() and text.isdigit() and len(text) < 19 else 0
