--- a/benchmarks/hop.py
+++ b/benchmarks/hop.py
@@ -62,17 +62,40 @@
 """Connections of callers' nodes."""
 
 
+SPREAD_BYTES = 64 * 2**20
+"""Length of a long body, in bytes."""
+
+CHUNK = bytes(65_536)
+"""A part of a long body."""
+
+
 def serve_worker(port: int) -> None:
-    """Answer every request at once, at the least cost."""
+    """Answer every request at once, at the least cost; pass long bodies for "/spread"."""
 
     async def answer(sock: Socket, _: Any) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        while await sock.recv(65536):
-            await sock.sendall(ANSWER)
+        while data := await sock.recv(65536):
+            if data.startswith(b"POST /spread"):
+                await take_spread(sock, len(data) - data.index(b"\r\n\r\n") - 4)
+            if data.startswith(b"GET /spread"):
+                await send_spread(sock)
+            else:
+                await sock.sendall(ANSWER)
 
     curio.run(curio.tcp_server, HOST, port, answer)
 
 
+async def take_spread(sock: Socket, received: int) -> None:
+    while received < SPREAD_BYTES:
+        received += len(await sock.recv(2**20))
+
+
+async def send_spread(sock: Socket) -> None:
+    await sock.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % SPREAD_BYTES)
+    for _ in range(SPREAD_BYTES // len(CHUNK)):
+        await sock.sendall(CHUNK)
+
+
 def serve_node(port: int, worker_port: int, profile: Path | None) -> None:
     """Run the hop server until it is terminated, or for the time of one profile."""
     upstream = Upstream(SERVICE, slots=16, connections=120)
@@ -107,8 +130,9 @@
 """Time that a profiled node runs, in seconds."""
 
 
-def make_frames(*, has_body: bool) -> bytes:
-    """Return the bytes of one request on a hop."""
+def make_head(*, target: str, length: int) -> bytes:
+    """Return the frame of a request's head."""
+    has_body = length > 0
     request = HopRequest(
         number=1,
         digest="d",
@@ -116,9 +140,9 @@
         route="read",
         upstream=SERVICE,
         method="POST" if has_body else "GET",
-        target="/portfolios/77/sketches?page=2",
-        headers=HEADERS + ([(b"content-length", b"200")] if has_body else []),
-        remaining_ms=5_000,
+        target=target,
+        headers=HEADERS + ([(b"content-length", b"%d" % length)] if has_body else []),
+        remaining_ms=20_000,
         priority="interactive",
         idempotent=True,
         caller="10.0.0.7",
@@ -127,7 +151,12 @@
         has_body=has_body,
         is_retry=False,
     )
-    frames = encode_head(FrameKind.REQUEST, request)
+    return encode_head(FrameKind.REQUEST, request)
+
+
+def make_frames(*, has_body: bool) -> bytes:
+    """Return the bytes of one short request on a hop."""
+    frames = make_head(target="/portfolios/77/sketches?page=2", length=200 if has_body else 0)
     if has_body:
         frames += encode_data([b"y" * 200]) + encode_frame(FrameKind.END)
     return frames
@@ -225,6 +254,38 @@
     }
 
 
+def measure_spread(port: int, pid: int, *, upload: bool) -> dict[str, float]:
+    """Pass one long body, and return its speed and what a megabyte cost.
+
+    Args:
+        port: Hop port of the node.
+        pid: Process of the node.
+        upload: Whether the request has the body, or the answer.
+    """
+
+    async def run() -> None:
+        sock = Socket(socket.create_connection((HOST, port)))
+        hop = Hop(sock)
+        await hop.send(make_head(target="/spread", length=SPREAD_BYTES if upload else 0))
+        if upload:
+            frame = encode_data([CHUNK])
+            for _ in range(SPREAD_BYTES // len(CHUNK)):
+                await hop.send(frame)
+            await hop.send(encode_frame(FrameKind.END))
+        while (await hop.receive()).kind is not FrameKind.END:
+            continue
+        await hop.close()
+
+    before_s, began_s = read_processor_s(pid), time.perf_counter()
+    curio.run(run)
+    elapsed_s = time.perf_counter() - began_s
+    megabytes = SPREAD_BYTES / 1e6
+    return {
+        "megabytes_per_s": round(megabytes / elapsed_s, 1),
+        "processor_us_per_megabyte": round((read_processor_s(pid) - before_s) / megabytes * 1e6, 1),
+    }
+
+
 def find_free_port() -> int:
     with socket.create_server((HOST, 0)) as sock:
         return int(sock.getsockname()[1])
@@ -272,6 +333,8 @@
         else:
             result = {str(rate): measure(port, node.pid, rate, seconds) for rate in RATES}
             result["saturation"] = measure(port, node.pid, None, seconds)
+            for name, upload in (("upload", True), ("download", False)):
+                result[name] = measure_spread(port, node.pid, upload=upload)
     if profile is not None:
         pstats.Stats(str(profile)).sort_stats("tottime").print_stats(40)
         return
