--- a/tests/fakes_worker.py
+++ b/tests/fakes_worker.py
@@ -11,8 +11,10 @@
 
 import curio
 import h11
+import msgspec
 from curio.io import Socket
 
+from trefoilpick._hoplistener import listen
 from trefoilpick.document import Contract, Document, Match, Route, Section, Upstream
 from trefoilpick.hops import (
     FrameKind,
@@ -72,6 +74,24 @@
     return answer
 
 
+async def never_answer(call: Call) -> None:
+    await curio.sleep(30)
+
+
+class Hold:
+    """Answers when told to, with the first part before that or not."""
+
+    def __init__(self, answer: bytes = OK, *, first: int = 0) -> None:
+        self.finish = curio.Event()
+        self._answer = answer
+        self._first = first
+
+    async def __call__(self, call: Call) -> None:
+        await call.sock.sendall(self._answer[: self._first])
+        await self.finish.wait()
+        await call.sock.sendall(self._answer[self._first :])
+
+
 def reset(sock: Socket) -> None:
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
 
@@ -90,7 +110,7 @@
         """Bytes of a request after which the connection is reset, once."""
         self.at_accept: Callable[[Socket], Awaitable[None]] | None = None
         """Takes the place of all else on a connection."""
-        self.listener = listen()
+        self.listener = listen(HOST, 0)
         self.port = self.listener.getsockname()[1]
 
     async def run(self) -> None:
@@ -185,20 +205,13 @@
 
 
 def make_request(**fields: Any) -> HopRequest:
-    values = {name: getattr(REQUEST, name) for name in REQUEST.__struct_fields__}
-    return HopRequest(**{**values, **fields})
+    return msgspec.structs.replace(REQUEST, **fields)
 
 
 def make_read(**fields: Any) -> HopRequest:
     return make_request(**{"method": "GET", "idempotent": True, "target": "/series", **fields})
 
 
-async def connect(port: int) -> Hop:
-    sock = await curio.open_connection(HOST, port)
-    sock._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    return Hop(Socket(sock._socket))
-
-
 async def send_call(hop: Hop, request: HopRequest, *chunks: bytes) -> None:
     frames = [encode_head(FrameKind.REQUEST, request)]
     if request.has_body:
@@ -240,11 +253,6 @@
     return await hear(hop)
 
 
-def listen() -> Socket:
-    sock = socket.create_server((HOST, 0), backlog=200)
-    return Socket(sock)
-
-
 def find_free_port() -> int:
     with socket.create_server((HOST, 0)) as sock:
         return int(sock.getsockname()[1])
@@ -289,7 +297,8 @@
     async def connect(self) -> Hop:
         while True:
             with suppress(ConnectionRefusedError):
-                self.hops.append(await connect(self.port))
+                self.hops.append(Hop(await curio.open_connection(HOST, self.port)))
+                self.hops[-1].sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
                 return self.hops[-1]
             await curio.sleep(0.001)
 
--- a/tests/test_hopserver.py
+++ b/tests/test_hopserver.py
@@ -7,18 +7,20 @@
     OK,
     Bench,
     Call,
+    Hold,
     Told,
     call,
     hear,
     make_read,
     make_request,
+    never_answer,
     open_bench,
     say,
     send_call,
     wait_for,
 )
 
-from trefoilpick.hops import FrameKind, encode_data, encode_frame, encode_head
+from trefoilpick.hops import FrameKind, Hop, HopRequest, encode_data, encode_frame, encode_head
 from trefoilpick.settings import DrainSettings
 
 SPREAD = b"spread" * 1000
@@ -76,21 +78,14 @@
 def test_every_framing_is_whole_and_keeps_the_connection(name: str) -> None:
     async def test(bench: Bench) -> None:
         raw, body = FRAMINGS[name]
-        bench.worker.script = [say(raw)]
+        bench.worker.script = [say(raw), say(LONG)]
         told = await bench.call(make_read())
         assert (told.body, told.whole) == (body, True)
         head = await bench.call(make_read(method="HEAD"))
         assert (head.body, head.whole) == (b"", True)
         assert bench.worker.connections == 1
 
-    async def answer_head(call: Call) -> None:
-        await call.sock.sendall(LONG if call.method == "HEAD" else OK)
-
-    async def scripted(bench: Bench) -> None:
-        bench.worker.default = answer_head
-        await test(bench)
-
-    run_bench(scripted)
+    run_bench(test)
 
 
 async def drip_half(call: Call) -> None:
@@ -98,10 +93,6 @@
     await curio.sleep(30)
 
 
-async def never_answer(call: Call) -> None:
-    await curio.sleep(30)
-
-
 FAULTS = {
     "closed without an answer": (say(b"", then_close=True), "upstream_lost", "unknown"),
     "reset without an answer": (say(b"", then_reset=True), "upstream_lost", "unknown"),
@@ -303,77 +294,64 @@
     run_bench(test)
 
 
+async def reach_state(bench: Bench, state: str, request: HopRequest) -> Hop:
+    """Bring a request into a state."""
+    hop = await bench.connect()
+    connections = bench.worker.connections
+    if state == "uploading":
+        await hop.send(encode_head(FrameKind.REQUEST, request), encode_data([SPREAD]))
+        await wait_for(lambda: bench.worker.connections > connections)
+        return hop
+    await send_call(hop, request, SPREAD)
+    if state == "queued":
+        await wait_for(lambda: bench.server.gate.queued == 1)
+    else:
+        await wait_for(lambda: bench.worker.running > 0)
+    return hop
+
+
 @pytest.mark.parametrize("idempotent", [False, True])
 @pytest.mark.parametrize("state", ["queued", "uploading", "running", "answering"])
 def test_a_caller_that_leaves_frees_the_slot(state: str, idempotent: bool) -> None:
     async def test(bench: Bench) -> None:
-        finish = curio.Event()
-
-        async def hold(call: Call) -> None:
-            if state == "answering":
-                await call.sock.sendall(LONG + SPREAD[:100])
-            await finish.wait()
-            await call.sock.sendall(LONG + SPREAD if state != "answering" else SPREAD[100:])
-
         worker, gate = bench.worker, bench.server.gate
+        hold = Hold(LONG + SPREAD, first=100 if state == "answering" else 0)
         worker.default = hold
         request = make_request(idempotent=idempotent, has_body=True)
         if state == "queued":
-            other = await bench.connect()
-            await send_call(other, request, SPREAD)
-            await wait_for(lambda: worker.running == 1)
-        hop = await bench.connect()
-        if state == "uploading":
-            await hop.send(encode_head(FrameKind.REQUEST, request), encode_data([SPREAD]))
-            await wait_for(lambda: worker.connections == 1)
-        else:
-            await send_call(hop, request, SPREAD)
-        if state == "queued":
-            await wait_for(lambda: gate.queued == 1)
-        elif state != "uploading":
-            await wait_for(lambda: worker.running == 1)
+            await reach_state(bench, "running", request)
+        hop = await reach_state(bench, state, request)
         bench.hops.remove(hop)
         await hop.close()
         if state == "queued":
             await wait_for(lambda: gate.queued == 0)
-            assert len(worker.ran) == 1
-        elif state == "uploading":
-            await wait_for(lambda: gate.in_flight == 0)
-            assert not worker.ran
-        elif idempotent:
+        elif state == "uploading" or idempotent:
             await wait_for(lambda: gate.in_flight == 0)
         else:
             await curio.sleep(0.05)
             assert gate.in_flight == 1
-        await finish.set()
+        assert len(worker.ran) == (0 if state == "uploading" else 1)
+        await hold.finish.set()
         if state == "queued":
-            assert (await hear(other)).whole
+            assert (await hear(bench.hops[0])).whole
 
     run_bench(test, upstream={"slots": 1})
 
 
 def test_an_answer_survives_its_caller_under_a_token() -> None:
     async def test(bench: Bench) -> None:
-        finish = curio.Event()
-
-        async def hold(call: Call) -> None:
-            await finish.wait()
-            await call.sock.sendall(OK)
-
-        bench.worker.default = hold
+        bench.worker.default = hold = Hold()
         token = (await bench.call(make_request(wants_token=True))).token
         assert token is not None and not bench.worker.ran
         request = make_request(token=token)
-        hop = await bench.connect()
-        await send_call(hop, request)
-        await wait_for(lambda: bench.worker.running == 1)
+        hop = await reach_state(bench, "running", request)
         bench.hops.remove(hop)
         await hop.close()
         busy = await bench.call(make_request(token=token, remaining_ms=30))
         assert (busy.kind, busy.outcome) == ("token_busy", "unknown")
         waiting = await bench.connect()
         await send_call(waiting, request)
-        await finish.set()
+        await hold.finish.set()
         assert (await hear(waiting)).body == b"ok"
         assert (await bench.call(request)).body == b"ok"
         assert len(bench.worker.ran) == 1
@@ -384,10 +362,8 @@
 def test_a_token_is_spent_by_an_upload_that_broke_off() -> None:
     async def test(bench: Bench) -> None:
         token = (await bench.call(make_request(wants_token=True))).token
-        hop = await bench.connect()
         request = make_request(token=token, has_body=True)
-        await hop.send(encode_head(FrameKind.REQUEST, request), encode_data([SPREAD]))
-        await wait_for(lambda: bench.worker.connections == 1)
+        hop = await reach_state(bench, "uploading", request)
         bench.hops.remove(hop)
         await hop.close()
         await wait_for(lambda: bench.server.gate.in_flight == 0)
@@ -487,24 +463,11 @@
 @pytest.mark.parametrize("state", ["idle", "queued", "uploading", "running", "answering"])
 def test_a_drain_cuts_nothing(state: str) -> None:
     async def test(bench: Bench) -> None:
-        finish = curio.Event()
-
-        async def hold(call: Call) -> None:
-            if state == "answering":
-                await call.sock.sendall(LONG + SPREAD[:100])
-            await finish.wait()
-            await call.sock.sendall(LONG + SPREAD if state != "answering" else SPREAD[100:])
-
+        hold = Hold(LONG + SPREAD, first=100 if state == "answering" else 0)
         bench.worker.default = hold
         idle = await bench.connect()
-        hops = [await bench.connect() for _ in range(0 if state == "idle" else 2)]
-        for hop in hops:
-            request = make_request(has_body=True)
-            if state == "uploading":
-                await hop.send(encode_head(FrameKind.REQUEST, request), encode_data([SPREAD]))
-            else:
-                await send_call(hop, request, SPREAD)
-        await wait_for(lambda: bench.server.running == len(hops))
+        states = {"idle": [], "queued": ["running", "queued"]}.get(state, [state] * 2)
+        hops = [await reach_state(bench, each, make_request(has_body=True)) for each in states]
         await wait_for(lambda: bench.server.hops == len(hops) + 1)
         drain = await curio.spawn(bench.server.drain)
         await wait_for(lambda: bench.server.refusing)
@@ -515,14 +478,14 @@
         if state == "uploading":
             for hop in hops:
                 await hop.send(encode_data([SPREAD]), encode_frame(FrameKind.END))
-        await finish.set()
+        await hold.finish.set()
         for hop in hops:
             told = await hear(hop)
             assert (told.body, told.whole) == (SPREAD, True)
             notice = await hop.receive()
             assert notice is not None and notice.kind is FrameKind.NOTICE
-        report = await drain.join()
-        assert report.cut == 0
+        again = await bench.server.drain()
+        assert (await drain.join(), again.cut) == (again, 0)
         assert len(bench.worker.ran) == len(hops)
 
     run_bench(test, upstream={"slots": 1 if state == "queued" else 4})
@@ -531,9 +494,7 @@
 def test_a_drain_reports_what_it_cut() -> None:
     async def test(bench: Bench) -> None:
         bench.worker.default = never_answer
-        hop = await bench.connect()
-        await send_call(hop, make_read(remaining_ms=500))
-        await wait_for(lambda: bench.worker.running == 1)
+        await reach_state(bench, "running", make_read(remaining_ms=500))
         assert (await bench.server.drain()).cut == 1
 
     run_bench(test, drain=DrainSettings(notice_ms=0, limit_ms=20))
