--- a/tests/fakes_fleet.py
+++ b/tests/fakes_fleet.py
@@ -62,6 +62,11 @@
         value = await super().watch_value(key, after=after)
         return value and SourceValue(self.spoil(key, value.data), value.revision)
 
+    def copy(self) -> FakeSource:
+        other = FakeSource()
+        other.values, other._revision = dict(self.values), self._revision
+        return other
+
     async def go_back(self, values: dict[str, SourceValue]) -> None:
         await self.begin_fault(SourceFault.STALE)
         self._frozen = values
--- a/tests/test_cli_documents.py
+++ b/tests/test_cli_documents.py
@@ -82,7 +82,7 @@
     assert listed["source.watch_ms"] == {
         "path": "source.watch_ms",
         "unit": "ms",
-        "default": "30000",
+        "default": "6000",
         "range": "100 to 600_000",
         "text": "Time that a watch waits",
     }
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -156,8 +156,7 @@
     async def main() -> None:
         fleet = await open_running_fleet(2, 4)
         fleet.network.is_cut = lambda one, other: one[:7] != other[:7]
-        other = LocalSource()
-        other.values = dict(fleet.source.values)
+        other = fleet.source.copy()
         for node in fleet.nodes.values():
             if node.own.data_centre == "centre-1":
                 node.distributor.reader._source = other
@@ -230,8 +229,7 @@
 def test_fresh_node_takes_the_highest_that_a_peer_or_the_source_tells() -> None:
     async def main() -> None:
         fleet = await open_running_fleet(2, 4)
-        stale = LocalSource()
-        stale.values = dict(fleet.source.values)
+        stale = fleet.source.copy()
         await accept(fleet, 2)
         await fleet.wait_all(2, 8)
         await fleet.kill("vm-1-3")
@@ -247,8 +245,7 @@
 def test_fresh_node_with_a_stale_source_alone_serves_unconfirmed_after_a_wait() -> None:
     async def main() -> None:
         fleet = await open_running_fleet(2, 4)
-        stale = LocalSource()
-        stale.values = dict(fleet.source.values)
+        stale = fleet.source.copy()
         await accept(fleet, 2)
         await fleet.wait_all(2, 8)
         await fleet.kill("vm-1-3")
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -24,7 +24,7 @@
 
 def test_every_fault_names_its_field_and_line() -> None:
     text = TEXT.replace('"caller_port": 8080', '"caller_port": 0')
-    text = text.replace('"watch_ms": 30000', '"watch_mz": 30000').replace('"lima"', "7")
+    text = text.replace('"watch_ms": 6000', '"watch_mz": 6000').replace('"lima"', "7")
     with pytest.raises(TrefoilpickError) as caught:
         parse_settings(text, origin="node.jsonc")
     assert caught.value.kind is ErrorKind.SETTINGS_FAULTY
--- a/trefoilpick/joining.py
+++ b/trefoilpick/joining.py
@@ -85,15 +85,19 @@
         for address in node.draw_seeds():
             await self._greet(address)
         while True:
-            for vm in self._draw_peers():
-                if await self._greet(name_address(vm)):
-                    self._centres.add(vm.data_centre)
-                else:
-                    node.roster.note_missed(vm.name)
+            async with curio.TaskGroup() as group:
+                for vm in self._draw_peers():
+                    await group.spawn(self._ask_peer, vm)
             if self._heard_enough:
                 return
             await backoff.pause()
 
+    async def _ask_peer(self, vm: Vm) -> None:
+        if await self._greet(name_address(vm)):
+            self._centres.add(vm.data_centre)
+        else:
+            self._node.roster.note_missed(vm.name)
+
     def _draw_peers(self) -> tuple[Vm, ...]:
         node = self._node
         alive = [vm for vm in node.roster.list_alive() if vm.name != node.own.name]
--- a/trefoilpick/ranks.py
+++ b/trefoilpick/ranks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import lru_cache
 from typing import TYPE_CHECKING
 
 import xxhash
@@ -12,6 +13,10 @@
     from trefoilpick.vms import Vm
 
 
+MAX_HASHES = 16_384
+"""Hashes that are remembered."""
+
+
 def rank_vms(vms: Iterable[Vm], key: str) -> tuple[Vm, ...]:
     """Order VMs by rendezvous hash: one that goes changes the order of no others.
 
@@ -19,14 +24,12 @@
         vms: The VMs, in any order.
         key: What the order is for, such as the name of a data centre.
     """
-    return tuple(
-        sorted(vms, key=lambda vm: (xxhash.xxh64_intdigest(f"{key}/{vm.name}".encode()), vm.name))
-    )
+    return tuple(sorted(vms, key=lambda vm: (_hash_text(f"{key}/{vm.name}"), vm.name)))
 
 
 def order_names(names: Iterable[str]) -> tuple[str, ...]:
     """Order names around a ring, by hash."""
-    return tuple(sorted(set(names), key=lambda name: (xxhash.xxh64_intdigest(name.encode()), name)))
+    return tuple(sorted(set(names), key=lambda name: (_hash_text(name), name)))
 
 
 def list_fingers(ring: tuple[str, ...], own: str) -> tuple[str, ...]:
@@ -36,3 +39,8 @@
     start = ring.index(own)
     distances = (2**power for power in range(len(ring).bit_length()) if 2**power < len(ring))
     return tuple(ring[(start + distance) % len(ring)] for distance in distances)
+
+
+@lru_cache(maxsize=MAX_HASHES)
+def _hash_text(text: str) -> int:
+    return xxhash.xxh64_intdigest(text.encode())
--- a/trefoilpick/reading.py
+++ b/trefoilpick/reading.py
@@ -30,6 +30,13 @@
 FEW_SECTIONS = 8
 """Missing sections that a reader reads at once, whatever its rank."""
 
+REREAD_MANIFEST = 0.2
+"""Share of idle watches of the manifest after which it is read: a service that lost its
+revisions would never end a watch."""
+
+REREAD_LIST = 0.01
+"""Share of idle watches of the list of VMs after which it is read."""
+
 TURN_LOOK_S = 0.05
 """Time between two looks for a version from a peer, in seconds."""
 
@@ -106,8 +113,8 @@
     async def run(self) -> None:
         """Read and watch while it is this node's turn, until cancelled."""
         async with curio.TaskGroup(wait=any) as group:
-            await group.spawn(self._watch, MANIFEST_KEY, self._take_manifest)
-            await group.spawn(self._watch, VMS_KEY, self._take_list)
+            await group.spawn(self._watch, MANIFEST_KEY, self._take_manifest, REREAD_MANIFEST)
+            await group.spawn(self._watch, VMS_KEY, self._take_list, REREAD_LIST)
 
     async def read_manifest(self) -> None:
         """Read the manifest once.
@@ -127,17 +134,20 @@
         value = await self._read(VMS_KEY)
         await self._take_list(value.data)
 
-    async def _watch(self, key: str, take: Callable[[bytes], Awaitable[None]]) -> None:
+    async def _watch(
+        self, key: str, take: Callable[[bytes], Awaitable[None]], reread_share: float
+    ) -> None:
         backoff = Backoff(self._random)
         revision: int | None = None
         while True:
             await self._reading.wait()
             try:
                 value = await self._read_or_watch(key, revision)
-                # A service that lost revisions would never end a watch: read after each idle one.
-                revision = value.revision if value is not None else None
                 if value is not None:
+                    revision = value.revision
                     await take(value.data)
+                elif self._random.random() < reread_share:
+                    revision = None
                 backoff.clear()
             except TrefoilpickError as error:
                 revision = None
--- a/trefoilpick/roster.py
+++ b/trefoilpick/roster.py
@@ -9,7 +9,7 @@
 from trefoilpick.vms import Vm, VmList, VmState
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterator
+    from collections.abc import Callable, Iterable, Iterator
 
 DEAD_AFTER = 3
 """Missed heartbeats in a row after which a VM is believed dead."""
@@ -82,6 +82,7 @@
         self._floor = 0
         self._unlisted: dict[str, Vm] = {}
         self._evidence: dict[str, Evidence] = {}
+        self._services: dict[str, list[Vm]] | None = None
         self.revision = 0
 
     def list_vms(self) -> tuple[Vm, ...]:
@@ -94,10 +95,12 @@
 
     def list_endpoints(self, service: str) -> tuple[Vm, ...]:
         """Return the VMs that may take new work of a service."""
+        if self._services is None:
+            self._services = _group_by_service(self._iterate())
         return tuple(
             vm
-            for vm in self._iterate()
-            if vm.service == service and self._is_usable(vm.name) and not self.is_leaving(vm.name)
+            for vm in self._services.get(service, ())
+            if self._is_usable(vm.name) and not self.is_leaving(vm.name)
         )
 
     def find_vm(self, name: str) -> Vm | None:
@@ -151,6 +154,7 @@
         """Record a VM that made itself known and that the list may lack."""
         if vm.name != self.own.name and vm.name not in self._listed:
             self._unlisted[vm.name] = vm
+            self._services = None
 
     def adopt_list(self, vms: VmList) -> bool:
         """Take a whole list, unless the known one is as new or newer.
@@ -210,6 +214,7 @@
             self._floor = max(self._floor, self._removed_at.pop(oldest))
         self.revision = change.revision
         self._drop_silent()
+        self._services = None
 
     def _drop_silent(self) -> None:
         for name in [name for name in self._unlisted if not self._heard_lately(name)]:
@@ -240,5 +245,12 @@
         return self._evidence.setdefault(name, Evidence())
 
 
+def _group_by_service(vms: Iterable[Vm]) -> dict[str, list[Vm]]:
+    services: dict[str, list[Vm]] = {}
+    for vm in vms:
+        services.setdefault(vm.service, []).append(vm)
+    return services
+
+
 def _grow_pause(step: int) -> float:
     return min(MAX_PAUSE_S, FIRST_PAUSE_S * 2 ** min(step, 10))
--- a/trefoilpick/settings.py
+++ b/trefoilpick/settings.py
@@ -64,7 +64,7 @@
     ] = 2_000
     watch_ms: Annotated[
         int, Meta(ge=100, le=600_000), _describe("Time that a watch waits", "ms")
-    ] = 30_000
+    ] = 6_000
 
 
 @dataclass(frozen=True)
