--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -5,6 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from trefoilpick._cli_settings import render_markdown
 from trefoilpick._settings_info import list_settings
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 from trefoilpick.settings import parse_settings, read_settings
@@ -22,6 +23,12 @@
     assert parse_settings(re.sub(r'"keepalive_ms".*', "", TEXT)) == parsed
 
 
+def test_page_of_settings_is_current() -> None:
+    rendered = "\n".join(render_markdown(tuple(list_settings()))) + "\n"
+    written = (SAMPLE.parent.parent / "docs" / "settings.md").read_text(encoding="utf-8")
+    assert rendered == written, "run `trefoilpick settings --format markdown > docs/settings.md`"
+
+
 def test_every_fault_names_its_field_and_line() -> None:
     text = TEXT.replace('"caller_port": 8080', '"caller_port": 0')
     text = text.replace('"watch_ms": 6000', '"watch_mz": 6000').replace('"lima"', "7")
--- a/trefoilpick/_cli_documents.py
+++ b/trefoilpick/_cli_documents.py
@@ -192,7 +192,7 @@
 def _print_changes(changes: tuple[Change, ...]) -> None:
     table = Table(box=None, pad_edge=False, header_style="bold")
     for name in ("team", "change", "what", "field", "before", "after"):
-        table.add_column(name)
+        table.add_column(name, overflow="fold")
     for change in changes:
         action = Text(change.action.value, ACTION_STYLES[change.action])
         thing = f'{change.thing} "{change.name}"'
--- a/trefoilpick/_cli_settings.py
+++ b/trefoilpick/_cli_settings.py
@@ -70,7 +70,7 @@
     table = Table(box=None, pad_edge=False, header_style="bold")
     table.add_column("setting", style="cyan", no_wrap=True)
     for name in ("unit", "default", "range", "what it sets"):
-        table.add_column(name)
+        table.add_column(name, overflow="fold")
     for info in settings:
         default = Text("required", "yellow") if info.default is None else Text(info.default)
         table.add_row(info.path, info.unit, default, Text(info.range), Text(info.text))
--- a/trefoilpick/_cli_standin.py
+++ b/trefoilpick/_cli_standin.py
@@ -9,7 +9,8 @@
 import typer
 
 from trefoilpick._console import console, report_errors
-from trefoilpick.standin import DEFAULT_RATE, open_standin
+from trefoilpick._signals import watch_stop_signals
+from trefoilpick.standin import DEFAULT_RATE, Standin, open_standin
 
 
 def standin(
@@ -37,7 +38,10 @@
     with report_errors():
         service = open_standin(host, port, folder=folder, rate=rate)
     console.print(f'serving "{folder}" on http://{service.address}/v1/values/')
-    try:
-        curio.run(service.run)
-    except KeyboardInterrupt:
-        console.print("stopped")
+    curio.run(_serve_until_stopped, service)
+
+
+async def _serve_until_stopped(service: Standin) -> None:
+    stopped = watch_stop_signals()
+    async with service:
+        await stopped.wait()
