Never say not run of a repeated read whose first attempt may have run

Cause: an idempotent request whose kept connection closed before any answer byte is tried once more; where that second attempt was refused or shed, its "not run" was passed on, though the first may have run. Found by reading; the new test failed with upstream_shed, not_run. Change: the error of the first attempt, unknown, is told instead.

--- a/tests/test_hopserver.py
+++ b/tests/test_hopserver.py
@@ -1,3 +1,4 @@
+import socket
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -24,6 +25,7 @@
 from trefoilpick.settings import DrainSettings
 
 SPREAD = b"spread" * 1000
+SHED = b"HTTP/1.1 503 Busy\r\nx-not-run: 1\r\nretry-after: 3\r\ncontent-length: 0\r\n\r\n"
 LONG = b"HTTP/1.1 200 OK\r\ncontent-length: 6000\r\n\r\n"
 
 
@@ -129,8 +131,7 @@
 
 def test_a_worker_that_sheds_is_believed() -> None:
     async def test(bench: Bench) -> None:
-        head = b"HTTP/1.1 503 Busy\r\nx-not-run: 1\r\nretry-after: 3\r\ncontent-length: 0\r\n\r\n"
-        bench.worker.script = [say(head)]
+        bench.worker.script = [say(SHED)]
         told = await bench.call(make_request())
         assert (told.kind, told.outcome) == ("upstream_shed", "not_run")
         assert told.retry_after_ms == 3000
@@ -176,6 +177,26 @@
     run_bench(test)
 
 
+@pytest.mark.parametrize("second", ["refused", "shed"])
+def test_a_repeated_read_is_never_told_not_run(second: str) -> None:
+    """The first attempt may have run, whatever is known of the second."""
+
+    async def test(bench: Bench) -> None:
+        async def end(call: Call) -> None:
+            if second == "refused":
+                await bench.worker.listener.shutdown(socket.SHUT_RDWR)
+            raise ConnectionResetError
+
+        bench.worker.script = [say(), end, say(SHED)]
+        hop = await bench.connect()
+        assert (await call(hop, make_read())).whole
+        told = await call(hop, make_read())
+        assert (told.kind, told.outcome) == ("upstream_lost", "unknown")
+        assert len(bench.worker.ran) == (3 if second == "shed" else 2)
+
+    run_bench(test)
+
+
 def test_a_second_answer_reaches_nobody() -> None:
     async def test(bench: Bench) -> None:
         other = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nother"
@@ -376,7 +397,7 @@
 
 TOKEN_ENDS = {
     "shed": (
-        say(b"HTTP/1.1 503 Busy\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n"),
+        say(SHED),
         "upstream_shed",
         "answered",
     ),
--- a/trefoilpick/_exchange.py
+++ b/trefoilpick/_exchange.py
@@ -85,6 +85,7 @@
         self._body = RequestBody(link, received=not request.has_body)
         self._connection: WorkerConnection | None = None
         self._upload: Task | None = None
+        self._lost: TrefoilpickError | None = None
         self._answer_begun = False
 
     @property
@@ -177,6 +178,11 @@
             if self._body.error is None:
                 raise
             raise self._body.error from error
+        except TrefoilpickError as error:
+            if self._lost is not None and find_answer(error).outcome is Outcome.NOT_RUN:
+                # That holds for the second attempt; the first may have run.
+                raise self._lost from error
+            raise
 
     async def _attempt_twice(self, upstream: Upstream) -> AnswerHead:
         """Try again on a fresh connection where a kept one proved to be closed."""
@@ -190,6 +196,7 @@
         except TrefoilpickError as error:
             if not self._may_repeat(connection, error):
                 raise
+            self._lost = error
         self._connection = None
         await self._service.pool.discard(connection)
         try:
