Add the fault matrix: every step against every fault, and pairs, on the product's own code

Change: one table states the outcome of 25 steps by 14 faults (death and herd death apart) and 8 pairs; three runners drive distributors on fakes, both sides of a request through a faulty wire, and whole nodes with callers at work, all on the virtual clock. Seven deliberate breakages must turn a cell red. make matrix prints it. First tries failed in the runners only: a fake stale source that lied about revisions, pooled connections that hid a fault from the second call, a share of answers that no fleet can give while all of it is dead (now: every call after the fault is answered).

--- a/Makefile
+++ b/Makefile
@@ -40,3 +40,6 @@
 
 replay: install
 	$(BIN)/trefoilpick replay examples/traces/*.jsonl
+
+matrix: install
+	cd tests && ../$(BIN)/python matrix_cells.py
--- /dev/null
+++ b/tests/matrix_breakages.py
@@ -0,0 +1,155 @@
+"""Deliberate breakages of the product, each of which must turn a cell red."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack, contextmanager
+from dataclasses import dataclass
+from typing import Any
+from unittest.mock import patch
+
+from matrix_table import Cell, Fault, Stated, Step
+
+from trefoilpick import errors, retries, versions
+from trefoilpick.callers import CallerDrain, CallerServer
+from trefoilpick.document import Document
+from trefoilpick.errors import Answer, ErrorKind, Outcome
+from trefoilpick.hopserver import DrainReport, HopServer
+from trefoilpick.manifest import identify_version
+from trefoilpick.snapshots import Snapshot, SnapshotCell, build_snapshot
+from trefoilpick.tokens import TokenBook
+from trefoilpick.versions import VersionStore
+
+
+@dataclass(frozen=True)
+class Breakage:
+    name: str
+    cell: Cell
+    apply: Callable[[], Any]
+
+
+@contextmanager
+def remove_version_check() -> Iterator[None]:
+    hold = VersionStore.hold
+
+    def hold_any(store: VersionStore, manifest: Any) -> bool:
+        former, store.newest = store.newest, None
+        held = hold(store, manifest)
+        return held and former != store.newest
+
+    def replace_any(cell: SnapshotCell, snapshot: Snapshot) -> bool:
+        cell._snapshot = snapshot
+        return True
+
+    with (
+        patch.object(VersionStore, "hold", hold_any),
+        patch.object(SnapshotCell, "replace", replace_any),
+        patch("trefoilpick.reading.SourceReader._is_newer", lambda reader, version: True),
+    ):
+        yield
+
+
+@contextmanager
+def remove_digest_check() -> Iterator[None]:
+    with patch.object(versions, "_check_text", lambda ref, text: None):
+        yield
+
+
+@contextmanager
+def apply_in_part() -> Iterator[None]:
+    def prepare(manifest: Any, store: VersionStore, *, former: Any) -> Snapshot:
+        known = versions._index_sections(former)
+        sections = [versions._read_section(ref, store, known) for ref in manifest.sections]
+        names = {upstream.name for section in sections for upstream in section.upstreams}
+        sound = [s for s in sections if all(route.upstream in names for route in s.routes)]
+        return build_snapshot(identify_version(manifest), manifest, Document(tuple(sound)))
+
+    with patch("trefoilpick.enforcement.prepare_snapshot", prepare):
+        yield
+
+
+@contextmanager
+def retry_without_proof() -> Iterator[None]:
+    with patch.object(retries, "may_run_again", lambda call, error: call.body.is_replayable):
+        yield
+
+
+@contextmanager
+def say_not_run_of_lost() -> Iterator[None]:
+    lie = {ErrorKind.UPSTREAM_LOST: Answer(502, Outcome.NOT_RUN)}
+    truth = errors.find_answer
+
+    def find(error: Any) -> Answer:
+        return lie.get(error.kind) or truth(error)
+
+    with ExitStack() as stack:
+        for module in ("callers", "client", "_calls", "hopserver", "retries"):
+            stack.enter_context(patch(f"trefoilpick.{module}.find_answer", find, create=True))
+        yield
+
+
+@contextmanager
+def forget_tokens() -> Iterator[None]:
+    find = TokenBook.find
+
+    def find_fresh(book: TokenBook, token: str, request: Any, now_s: float) -> Any:
+        entry = find(book, token, request, now_s)
+        entry.state = type(entry.state).FREE
+        return entry
+
+    with patch.object(TokenBook, "find", find_fresh):
+        yield
+
+
+@contextmanager
+def drain_at_once() -> Iterator[None]:
+    async def drain_callers(server: CallerServer) -> CallerDrain:
+        return CallerDrain(0)
+
+    async def drain_hops(server: HopServer) -> DrainReport:
+        return DrainReport(0, 0)
+
+    with (
+        patch.object(CallerServer, "drain", drain_callers),
+        patch.object(HopServer, "drain", drain_hops),
+    ):
+        yield
+
+
+BREAKAGES = (
+    Breakage(
+        "version check removed",
+        Cell(Step.WATCH, Fault.REORDERED, Stated.IN_TIME),
+        remove_version_check,
+    ),
+    Breakage(
+        "digest check removed",
+        Cell(Step.READ_SECTION, Fault.GARBAGE, Stated.IN_TIME),
+        remove_digest_check,
+    ),
+    Breakage(
+        "faulty version applied in part",
+        Cell(Step.CHECK, Fault.GARBAGE, Stated.KEPT),
+        apply_in_part,
+    ),
+    Breakage(
+        "retry without proof",
+        Cell(Step.RELAY_ANSWER, Fault.RESET, Stated.TOLD),
+        retry_without_proof,
+    ),
+    Breakage(
+        "lost told as not run",
+        Cell(Step.AWAIT, Fault.RESET, Stated.TOLD),
+        say_not_run_of_lost,
+    ),
+    Breakage(
+        "tokens forgotten",
+        Cell(Step.AWAIT, Fault.RESET, Stated.TOLD),
+        forget_tokens,
+    ),
+    Breakage(
+        "drain that closes at once",
+        Cell(Step.LEAVE, Fault.STALE, Stated.SERVED),
+        drain_at_once,
+    ),
+)
--- /dev/null
+++ b/tests/matrix_cells.py
@@ -0,0 +1,68 @@
+"""Runs any cell of the matrix; as a program, prints the whole matrix for a reader."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+from matrix_lives import run_life_cell
+from matrix_requests import run_request_cell
+from matrix_table import LIFE_STEPS, VERSION_STEPS, Cell, Fault, Stated, Step, list_cells
+from matrix_versions import run_version_cell
+from rich.console import Console
+from rich.table import Table
+
+
+def find_runner(cell: Cell) -> Callable[[Cell], None]:
+    if cell.step in VERSION_STEPS:
+        return run_version_cell
+    return run_life_cell if cell.step in LIFE_STEPS else run_request_cell
+
+
+def run_cell(cell: Cell) -> None:
+    """Run one cell.
+
+    Raises:
+        AssertionError: The stated outcome or a promise does not hold.
+    """
+    find_runner(cell)(cell)
+
+
+def judge_cell(cell: Cell) -> str:
+    if cell.stated is Stated.IMPOSSIBLE:
+        return "[dim]–[/]"
+    try:
+        run_cell(cell)
+    except AssertionError:
+        return "[bold red]FAIL[/]"
+    return "[green]ok[/]"
+
+
+def print_matrix() -> bool:
+    """Print all cells by step and fault; tell whether none failed."""
+    logging.disable(logging.CRITICAL)
+    console = Console(width=200)
+    table = Table("step", *[fault.value for fault in Fault])
+    marks = {cell: judge_cell(cell) for cell in list_cells()}
+    for step in Step:
+        row = [
+            next(m for c, m in marks.items() if (c.step, c.fault, c.second) == (step, fault, None))
+            for fault in Fault
+        ]
+        table.add_row(step.value, *row)
+    console.print(table)
+    for cell, mark in marks.items():
+        if cell.second:
+            console.print(f"{mark} {cell.name}")
+    reasons = {cell.reason for cell in marks if cell.reason}
+    for reason in sorted(reasons):
+        console.print(f"[dim]–[/] {reason}")
+    failed = sum("FAIL" in mark for mark in marks.values())
+    impossible = sum(cell.stated is Stated.IMPOSSIBLE for cell in marks)
+    passed = len(marks) - failed - impossible
+    console.print(f"{passed} cells passed, {failed} failed, {impossible} impossible")
+    return failed == 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(0 if print_matrix() else 1)
--- /dev/null
+++ b/tests/matrix_lives.py
@@ -0,0 +1,222 @@
+"""Runs the cells of a node's life: whole nodes, with callers at work throughout."""
+
+from __future__ import annotations
+
+from random import Random
+
+import curio
+from matrix_table import Cell, Fault, Step
+
+from trefoilpick._calls import CallPlan, CallRecorder
+from trefoilpick._clock import read_clock
+from trefoilpick._ledger import CallEnd, total_calls
+from trefoilpick._replay_fleet import ReplayFleet
+from trefoilpick._virtual import run_virtual
+from trefoilpick.document import Contract, Match, Route, Section, Upstream
+from trefoilpick.manifest import Manifest, SectionRef, compute_digest
+from trefoilpick.sections import encode_section
+from trefoilpick.traces import SourceFault, VmJoins
+
+FAULT_S = 6.0
+RETURN_S = 2.0
+BOUND_S = 8.0
+WARM_S = 12.0
+PAUSE_S = 0.1
+SERVICE_S = 0.4
+"""Time that a worker takes for a request, so that some are always in flight, in seconds."""
+
+CALLERS = ("vm-1", "vm-2", "vm-2", "vm-2", "vm-2", "vm-2", "vm-3")
+KILLING = (Fault.DEATH, Fault.HERD, Fault.PAUSE)
+PLANNED = (Step.LEAVE, Step.DRAIN, Step.EXIT)
+SUBJECT = "vm-0"
+PLANS = (
+    CallPlan("GET", "q", "/read", True, 0),
+    CallPlan("POST", "q", "/write", False, 64),
+    CallPlan("POST", "q", "/write", False, 20_000),
+    CallPlan("PUT", "q", "/upload", True, 300_000),
+)
+
+
+class LifeRun:
+    """One cell: a node is at a step of its life when the fault strikes."""
+
+    def __init__(self, cell: Cell) -> None:
+        self.cell = cell
+        self.fleet = ReplayFleet(3)
+        self.chance = Random(9)
+        self.recorders: list[CallRecorder] = []
+        self.working = True
+        self.told_before: list[int] = []
+
+    async def run(self) -> None:
+        await self._start_fleet()
+        callers = [
+            await curio.spawn(self._call, name, number) for number, name in enumerate(CALLERS)
+        ]
+        await curio.sleep(1.0)
+        await self._bring_to_step()
+        await self._strike()
+        await self._return_subject()
+        self.told_before = [len(recorder.calls) for recorder in self.recorders]
+        await self._accept(2, 2_500)
+        await curio.sleep(BOUND_S)
+        self.working = False
+        for caller in callers:
+            await caller.join()
+        self._check()
+        for name in self.fleet.vms:
+            await self.fleet.kill(name)
+
+    def _check(self) -> None:
+        for life in self.fleet.lives:
+            versions = [entry.version for entry in life.history]
+            assert versions == sorted(set(versions)), life
+        numbers = {name: vm.life.history[-1].version.number for name, vm in self._list_running()}
+        assert set(numbers.values()) == {2}, numbers
+        assert all(vm.node.is_ready for _, vm in self._list_running())
+        runs: dict[str, int] = {}
+        for vm in self.fleet.vms.values():
+            for request_id, count in vm.worker.runs.items():
+                runs[request_id] = runs.get(request_id, 0) + count
+        totals = total_calls((c for each in self.recorders for c in each.calls), runs)
+        broken = (totals.lost, totals.doubled, totals.cut, totals.false_not_run)
+        assert broken == (0, 0, 0, 0), totals
+        assert totals.sent > 10
+        for recorder, told_before in zip(self.recorders, self.told_before, strict=True):
+            late = [call.end for call in recorder.calls[told_before:]]
+            assert late, "a caller made no call after the fault"
+            assert set(late) == {CallEnd.ANSWERED}, totals
+        faults = {self.cell.fault, self.cell.second}
+        if Fault.HERD not in faults:
+            # Callers of a fleet that is all dead are told so many times a second.
+            assert totals.answered >= 0.8 * totals.sent, totals
+        if self.cell.step in PLANNED and not faults & set(KILLING):
+            # A planned stop leaves no caller in doubt.
+            assert totals.unknown == 0, totals
+
+    def _list_running(self):
+        return [(name, vm) for name, vm in self.fleet.vms.items() if vm.life and vm.life.runs]
+
+    async def _start_fleet(self) -> None:
+        for number in range(4):
+            if self.cell.step is Step.START and number == 0:
+                continue
+            await self._join(f"vm-{number}", f"lima-{number % 2}")
+        await self._accept(1, 2_000)
+        await curio.sleep(WARM_S)
+
+    async def _join(self, name: str, data_centre: str) -> None:
+        await self.fleet.join(
+            VmJoins(0.0, name, "lima", data_centre, "portafolio", service_time_s=SERVICE_S)
+        )
+        await self.fleet.publish_list()
+
+    async def _accept(self, number: int, deadline_ms: int) -> None:
+        contract = Contract(idempotent=True, deadline_ms=deadline_ms, retries=2)
+        large = Contract(idempotent=True, deadline_ms=9_000, body_limit_bytes=2**24)
+        writing = Contract(idempotent=False, deadline_ms=deadline_ms)
+        routes = (
+            Route("read", Match("/read", ("GET",)), "portafolio", contract),
+            Route("write", Match("/write", ("POST",)), "portafolio", writing),
+            Route("upload", Match("/upload", ("PUT",)), "portafolio", large),
+        )
+        section = Section("portafolio", (Upstream("portafolio"),), routes)
+        text = encode_section(section)
+        digest = compute_digest(text)
+        manifest = Manifest(number, number, (SectionRef("portafolio", digest, len(text)),))
+        await self.fleet.source.accept(manifest, {digest: text})
+
+    async def _call(self, name: str, number: int) -> None:
+        label = f"{name}/{number}"
+        recorder = CallRecorder(label, self.fleet.list_addresses(name), Random(label))
+        self.recorders.append(recorder)
+        while self.working:
+            await recorder.make_call(self.chance.choice(PLANS), number, 20.0)
+            number += 1
+            await curio.sleep(PAUSE_S)
+        await recorder.close()
+
+    async def _bring_to_step(self) -> None:
+        step = self.cell.step
+        if step is Step.START:
+            await self._join(SUBJECT, "lima-0")
+        elif step is Step.JOIN:
+            await self.fleet.kill(SUBJECT)
+            await curio.sleep(1.0)
+            await self.fleet.start(SUBJECT)
+            await curio.sleep(0.3)
+        elif step in (Step.LEAVE, Step.DRAIN):
+            await curio.spawn(self.fleet.stop, SUBJECT, daemon=True)
+            await curio.sleep(0.01 if step is Step.LEAVE else 1.2)
+        elif step is Step.EXIT:
+            await self.fleet.stop(SUBJECT)
+
+    async def _strike(self) -> None:
+        faults = [fault for fault in (self.cell.fault, self.cell.second) if fault]
+        async with curio.TaskGroup() as tasks:
+            for fault in faults:
+                await tasks.spawn(self._hold, fault)
+
+    async def _hold(self, fault: Fault) -> None:
+        fleet = self.fleet
+        if fault is Fault.DEATH:
+            await fleet.kill(SUBJECT)
+            await curio.sleep(RETURN_S)
+        elif fault is Fault.HERD:
+            for name in fleet.vms:
+                await fleet.kill(name)
+            await curio.sleep(RETURN_S)
+            for name in fleet.vms:
+                await fleet.start(name)
+            await curio.sleep(FAULT_S)
+        elif fault is Fault.PAUSE:
+            await fleet.pause(SUBJECT, FAULT_S)
+        elif fault is Fault.PARTITION:
+            await fleet.part(["lima-1"], FAULT_S, source=True)
+        elif fault is Fault.SOURCE_DOWN:
+            await self._spoil_source(SourceFault.DOWN)
+        elif fault is Fault.STALE:
+            await self._spoil_source(SourceFault.STALE)
+        else:
+            await self._spoil_network(fault)
+
+    async def _spoil_source(self, fault: SourceFault) -> None:
+        await self.fleet.source.begin_fault(fault)
+        await curio.sleep(FAULT_S)
+        await self.fleet.source.end_fault(fault)
+
+    async def _spoil_network(self, fault: Fault) -> None:
+        network = self.fleet.network
+        if fault is Fault.SLOW:
+            network.delay_s = (0.3, 0.5)
+        elif fault is Fault.REORDERED:
+            network.delay_s = (0.001, 0.4)
+        elif fault is Fault.DOUBLED:
+            network.doubling = 1.0
+        elif fault is Fault.TRUNCATED:
+            network.spoil = lambda data: data[: len(data) // 2]
+        elif fault is Fault.GARBAGE:
+            network.spoil = lambda data: self.chance.randbytes(len(data))
+        else:
+            network.loss = 1.0
+        await curio.sleep(FAULT_S)
+        network.delay_s, network.doubling, network.loss = (0.001, 0.002), 0.0, 0.0
+        network.spoil = lambda data: data
+
+    async def _return_subject(self) -> None:
+        subject = self.fleet.vms[SUBJECT]
+        if self.cell.step in PLANNED and subject.life is not None:
+            waited_until = read_clock() + BOUND_S
+            while subject.life.runs and read_clock() < waited_until:
+                await curio.sleep(0.1)
+        await self.fleet.start(SUBJECT)
+        await curio.sleep(BOUND_S)
+
+
+def run_life_cell(cell: Cell) -> None:
+    """Run one cell of a node's life.
+
+    Raises:
+        AssertionError: The stated outcome or a promise does not hold.
+    """
+    run_virtual(LifeRun(cell).run())
--- /dev/null
+++ b/tests/matrix_table.py
@@ -0,0 +1,171 @@
+"""The fault matrix: every step against every fault, and the stated outcome of each cell."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Fault(Enum):
+    DEATH = "death"
+    HERD = "herd death"
+    PAUSE = "pause"
+    REFUSED = "refused"
+    RESET = "reset"
+    BLACK_HOLE = "black hole"
+    SLOW = "slow"
+    TRUNCATED = "truncated"
+    DOUBLED = "doubled"
+    REORDERED = "reordered"
+    STALE = "stale"
+    SOURCE_DOWN = "source down"
+    PARTITION = "partition"
+    GARBAGE = "garbage"
+
+
+class Step(Enum):
+    ANNOUNCE = "announce"
+    WATCH = "watch"
+    READ_MANIFEST = "read manifest"
+    READ_SECTION = "read section"
+    CHECK = "check"
+    PREPARE = "prepare"
+    ENFORCE = "enforce"
+    RELAY = "relay"
+    REPORT = "report"
+    ACCEPT = "accept"
+    READ_HEAD = "read head"
+    ADMIT = "admit"
+    CHOOSE = "choose"
+    CONNECT = "connect"
+    SEND_HEAD = "send head"
+    SEND_BODY = "send body"
+    AWAIT = "await"
+    RELAY_ANSWER = "relay answer"
+    FINISH = "finish"
+    START = "start"
+    JOIN = "join"
+    SERVE = "serve"
+    LEAVE = "leave"
+    DRAIN = "drain"
+    EXIT = "exit"
+
+
+VERSION_STEPS = tuple(Step)[:9]
+REQUEST_STEPS = tuple(Step)[9:19]
+LIFE_STEPS = tuple(Step)[19:]
+
+
+class Stated(Enum):
+    """What must happen, besides all promises of the brief."""
+
+    IN_TIME = "in force in 8 s"
+    """The new version is in force on every running node within 8 s in spite of the fault."""
+    AFTER = "in force 8 s after"
+    """The same, within 8 s of the fault's end."""
+    KEPT = "former kept"
+    """The former version stays whole; the next good one is in force within 8 s."""
+    ANSWERED = "answered"
+    """Requests that may run again are answered; the others are answered or told the truth."""
+    TOLD = "told"
+    """Every request is answered or told the truth before its deadline."""
+    SERVED = "served"
+    """Callers are served throughout, and the node is level in the end."""
+    IMPOSSIBLE = "impossible"
+
+
+@dataclass(frozen=True)
+class Cell:
+    step: Step
+    fault: Fault
+    stated: Stated
+    reason: str = ""
+    second: Fault | None = None
+    """A further fault at the same step."""
+
+    @property
+    def name(self) -> str:
+        pair = f" with {self.second.value}" if self.second else ""
+        return f"{self.step.value}: {self.fault.value}{pair}"
+
+
+F, S = Fault, Step
+DEATHS = {F.DEATH, F.HERD, F.PAUSE}
+SYNCHRONOUS = "checking, preparing and enforcing are one step of one task: nothing arrives within"
+IN_ORDER = "TCP delivers a connection's bytes in order and once"
+NO_PEER = "no peer or source takes part in this step"
+ONE_ANSWER = "a read's answer belongs to one request on one connection"
+NO_SOURCE = "the source takes no part in a request; a node serves on without it"
+BODY_BYTES = "TCP's checksum guards a body's bytes; HTTP/1.1 has no other sign of a changed one"
+OWN_TASK = "the step is within one task of the node; no link is used"
+
+
+def list_cells() -> Iterator[Cell]:
+    """Yield all cells, and the pairs of faults after them."""
+    for step in VERSION_STEPS:
+        for fault in Fault:
+            yield state_version(step, fault)
+    for step in REQUEST_STEPS:
+        for fault in Fault:
+            yield state_request(step, fault)
+    for step in LIFE_STEPS:
+        for fault in Fault:
+            yield state_life(step, fault)
+    yield from list_pairs()
+
+
+def state_version(step: Step, fault: Fault) -> Cell:
+    if step in (S.CHECK, S.PREPARE, S.ENFORCE):
+        if fault in DEATHS:
+            return Cell(step, fault, Stated.IN_TIME if fault is F.DEATH else Stated.AFTER)
+        if fault in (F.GARBAGE, F.TRUNCATED) and step is S.CHECK:
+            return Cell(step, fault, Stated.KEPT)
+        return Cell(step, fault, Stated.IMPOSSIBLE, SYNCHRONOUS)
+    if step in (S.WATCH, S.READ_MANIFEST, S.READ_SECTION):
+        if fault is F.DOUBLED or (fault is F.REORDERED and step is S.READ_SECTION):
+            return Cell(step, fault, Stated.IMPOSSIBLE, ONE_ANSWER)
+        if fault in (F.HERD, F.SOURCE_DOWN, F.STALE):
+            return Cell(step, fault, Stated.AFTER)
+        return Cell(step, fault, Stated.IN_TIME)
+    return Cell(step, fault, Stated.AFTER if fault is F.HERD else Stated.IN_TIME)
+
+
+def state_request(step: Step, fault: Fault) -> Cell:
+    if fault in (F.DOUBLED, F.REORDERED):
+        return Cell(step, fault, Stated.IMPOSSIBLE, IN_ORDER)
+    if fault in (F.STALE, F.SOURCE_DOWN):
+        return Cell(step, fault, Stated.ANSWERED)
+    if step in (S.ADMIT, S.CHOOSE) and fault not in DEATHS | {F.PARTITION}:
+        return Cell(step, fault, Stated.IMPOSSIBLE, OWN_TASK)
+    if step is S.SEND_BODY and fault is F.GARBAGE:
+        return Cell(step, fault, Stated.IMPOSSIBLE, BODY_BYTES)
+    if fault is F.SLOW:
+        return Cell(step, fault, Stated.ANSWERED)
+    if step is S.CONNECT and fault in (F.DEATH, F.REFUSED, F.RESET):
+        return Cell(step, fault, Stated.ANSWERED)
+    if step is S.CONNECT and fault in (F.TRUNCATED, F.GARBAGE):
+        return Cell(
+            step, fault, Stated.IMPOSSIBLE, "no bytes are sent before the connection stands"
+        )
+    return Cell(step, fault, Stated.TOLD)
+
+
+def state_life(step: Step, fault: Fault) -> Cell:
+    if step is S.EXIT and fault not in DEATHS | {F.PARTITION, F.SOURCE_DOWN, F.STALE}:
+        return Cell(step, fault, Stated.IMPOSSIBLE, "an ended node has no links")
+    if step is S.START and fault in (F.TRUNCATED, F.DOUBLED, F.REORDERED, F.GARBAGE, F.SLOW):
+        return Cell(step, fault, Stated.IMPOSSIBLE, "a starting node has had no message yet")
+    return Cell(step, fault, Stated.SERVED)
+
+
+def list_pairs() -> Iterator[Cell]:
+    """Yield cells of two faults at once."""
+    yield Cell(S.ANNOUNCE, F.DEATH, Stated.IN_TIME, second=F.PARTITION)
+    yield Cell(S.RELAY, F.DOUBLED, Stated.IN_TIME, second=F.REORDERED)
+    yield Cell(S.RELAY, F.GARBAGE, Stated.IN_TIME, second=F.PAUSE)
+    yield Cell(S.READ_SECTION, F.DEATH, Stated.AFTER, second=F.SOURCE_DOWN)
+    yield Cell(S.WATCH, F.HERD, Stated.AFTER, second=F.STALE)
+    yield Cell(S.SERVE, F.PAUSE, Stated.SERVED, second=F.PARTITION)
+    yield Cell(S.JOIN, F.SOURCE_DOWN, Stated.SERVED, second=F.DEATH)
+    yield Cell(S.DRAIN, F.SOURCE_DOWN, Stated.SERVED, second=F.PARTITION)
--- /dev/null
+++ b/tests/matrix_versions.py
@@ -0,0 +1,383 @@
+"""Runs the cells of a version's way: distributors on a fake network and a fake source."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from contextlib import contextmanager
+from random import Random
+
+import curio
+from fakes_fleet import FakeFleet, FakeNetwork, FakeNode, FakeSource, make_version, make_vms
+from matrix_table import Cell, Fault, Stated, Step
+
+from trefoilpick import enforcement
+from trefoilpick._virtual import VirtualTime, run_virtual
+from trefoilpick.errors import ErrorKind, TrefoilpickError
+from trefoilpick.manifest import encode_manifest
+from trefoilpick.messages import (
+    Announcement,
+    Delivery,
+    Exchange,
+    Fetch,
+    StatusAnswer,
+    StatusRequest,
+    decode_envelope,
+)
+from trefoilpick.source import MANIFEST_KEY, SourceValue
+
+BOUND_S = 8.0
+FAULT_S = 6.0
+"""Time that a fault lasts, in seconds."""
+
+RETURN_S = 2.0
+"""Time until a dead node starts again, in seconds."""
+
+START_S = 20.0
+
+WATCHING_S = 5.0
+"""Time after which a reader that started waits in a watch, in seconds."""
+
+LATE_S = 0.5
+"""Time by which an older value comes after the newer one, in seconds."""
+
+TEAMS = {f"team-{number}": 0 for number in range(4)}
+STEP_MESSAGES = {
+    Step.ANNOUNCE: (Announcement,),
+    Step.RELAY: (Fetch, Delivery),
+    Step.REPORT: (Exchange, StatusRequest, StatusAnswer),
+}
+SOURCE_STEPS = (Step.WATCH, Step.READ_MANIFEST, Step.READ_SECTION)
+
+
+class ProcessDeathError(Exception):
+    """The process ends here."""
+
+
+class MatrixNetwork(FakeNetwork):
+    """Lets the matrix see, change and hold each message."""
+
+    def __init__(self, random: Random) -> None:
+        super().__init__(random)
+        self.meddle: Callable[[bytes, str, str], Awaitable[list[tuple[float, bytes]]]] | None = None
+
+    async def carry(self, data: bytes, one: str, other: str, arrive: Callable) -> None:
+        if self.meddle is None:
+            await super().carry(data, one, other, arrive)
+            return
+        for delay_s, changed in await self.meddle(data, one, other):
+            await curio.spawn(self._carry_later, delay_s, changed, one, other, arrive, daemon=True)
+
+    async def _carry_later(
+        self, delay_s: float, data: bytes, one: str, other: str, arrive: Callable
+    ) -> None:
+        await curio.sleep(delay_s)
+        await self._carry_once(data, one, other, arrive)
+
+
+class MatrixSource:
+    """The source as the subject reaches it."""
+
+    def __init__(self, source: FakeSource, run: VersionRun) -> None:
+        self._source = source
+        self._run = run
+
+    async def read_value(self, key: str) -> SourceValue:
+        value = await self._source.read_value(key)
+        step = Step.READ_MANIFEST if key == MANIFEST_KEY else Step.READ_SECTION
+        return await self._run.meddle_source(step, value) if key != "vms" else value
+
+    async def watch_value(self, key: str, *, after: int) -> SourceValue | None:
+        if key == MANIFEST_KEY and self._run.late_value is not None:
+            await curio.sleep(LATE_S)
+            value, self._run.late_value = self._run.late_value, None
+            return value
+        value = await self._source.watch_value(key, after=after)
+        if value is None or key != MANIFEST_KEY:
+            return value
+        value = await self._run.meddle_source(Step.WATCH, value)
+        return await self._run.meddle_source(Step.READ_MANIFEST, value)
+
+
+class VersionRun:
+    """One cell: version 1 is in force, 2 is accepted, the fault strikes, 3 follows."""
+
+    def __init__(self, cell: Cell, clock: VirtualTime) -> None:
+        self.cell = cell
+        self.clock = clock
+        self.fleet = FakeFleet(make_vms(2, 3))
+        self.fleet.network = MatrixNetwork(Random(11))
+        self.histories: list[list[tuple[int, str]]] = []
+        self.struck = False
+        self.armed = False
+        self.until_s = 0.0
+        self.chance = Random(5)
+        self.subject = ""
+        self.dead: list[str] = []
+        self.first_revision = 0
+        self.late_value: SourceValue | None = None
+
+    async def run(self) -> None:
+        fleet = self.fleet
+        await fleet.publish_vms(1)
+        await fleet.source.accept(*make_version(1, TEAMS))
+        self.first_revision = fleet.source.values[MANIFEST_KEY].revision
+        await self._start()
+        await fleet.wait_all(1, START_S)
+        await fleet.wait_for(lambda: all(n.distributor.is_ready for n in fleet.nodes.values()), 30)
+        self.subject = self._choose_subject()
+        if self.cell.step in SOURCE_STEPS:
+            # Another incarnation of the reader, which reads through the matrix.
+            await fleet.kill(self.subject)
+            await self._start(self.subject)
+            await fleet.wait_for(self._is_subject_reading, START_S)
+            await curio.sleep(WATCHING_S)
+        await self._strike_and_heal()
+        await self._accept_last()
+        self.check_promises()
+
+    def check_promises(self) -> None:
+        """Assert that no node went back, and that each version was enforced whole."""
+        for history in self.histories:
+            assert history == sorted(set(history)), history
+        for node in self.fleet.nodes.values():
+            snapshot = node.cell.current
+            assert snapshot is not None
+            assert len(snapshot.document.sections) == len(TEAMS)
+            for routes in snapshot.routes.values():
+                assert all(entry.route.upstream in snapshot.upstreams for entry in routes)
+
+    async def _strike_and_heal(self) -> None:
+        fleet, stated = self.fleet, self.cell.stated
+        self.armed = True
+        self.struck = stated is Stated.KEPT
+        fleet.network.meddle = self._meddle
+        await curio.spawn(self._revive_when_struck, daemon=True)
+        began_s = await curio.clock()
+        broken = "team-1" if stated is Stated.KEPT else None
+        with self._hook_prepare():
+            await fleet.source.accept(*make_version(2, TEAMS | {"team-1": 2}, broken=broken))
+            await curio.sleep(0.1)
+            if self.cell.step is Step.REPORT:
+                await self._ask_fleet()
+            if stated is Stated.KEPT:
+                await curio.sleep(BOUND_S)
+                assert set(fleet.list_numbers().values()) == {1}
+                return
+            await fleet.wait_for(lambda: self.struck, BOUND_S + FAULT_S)
+            limit_s = BOUND_S
+            if stated is Stated.AFTER:
+                limit_s = max(self.until_s - began_s, 0.0) + BOUND_S
+            await self._wait_for_all(2, began_s + limit_s)
+        await curio.sleep(max(0.0, self.until_s - await curio.clock()) + 1.0)
+
+    async def _accept_last(self) -> None:
+        self.armed = False
+        began_s = await curio.clock()
+        await self.fleet.source.accept(*make_version(3, TEAMS | {"team-2": 3}))
+        await self._wait_for_all(3, began_s + BOUND_S)
+
+    async def _wait_for_all(self, number: int, until_s: float) -> None:
+        while await curio.clock() < until_s:
+            numbers = self.fleet.list_numbers()
+            if len(numbers) == len(self.fleet.vms) and set(numbers.values()) == {number}:
+                return
+            await curio.sleep(0.02)
+        raise AssertionError(f"version {number} not in force: {self.fleet.list_numbers()}")
+
+    async def _start(self, *names: str) -> None:
+        fleet = self.fleet
+        for vm in fleet.vms:
+            if names and vm.name not in names:
+                continue
+            source = fleet.source
+            if vm.name == self.subject and self.cell.step in SOURCE_STEPS:
+                source = MatrixSource(fleet.source, self)
+            await fleet.start(vm.name, source=source)
+            self._watch_cell(fleet.nodes[vm.name])
+
+    def _watch_cell(self, node: FakeNode) -> None:
+        history: list[tuple[int, str]] = []
+        self.histories.append(history)
+        replace = node.cell.replace
+
+        def record(snapshot: object) -> bool:
+            if self.cell.step is Step.ENFORCE and node.own.name == self.subject:
+                self._strike_at_once()
+            replaced = replace(snapshot)
+            if replaced:
+                history.append((snapshot.version.number, snapshot.version.digest))
+            return replaced
+
+        node.cell.replace = record
+
+    def _choose_subject(self) -> str:
+        wants_reader = self.cell.step not in (Step.RELAY, Step.REPORT)
+        for name, node in self.fleet.nodes.items():
+            if node.distributor.reader.is_reading == wants_reader:
+                return name
+        raise AssertionError("no node has the role")
+
+    def _is_subject_reading(self) -> bool:
+        node = self.fleet.nodes[self.subject]
+        return node.number == 1 and node.distributor.reader.is_reading
+
+    async def _ask_fleet(self) -> None:
+        other = next(node for name, node in self.fleet.nodes.items() if name != self.subject)
+        await other.distributor.collect_fleet()
+
+    def _list_faults(self) -> list[Fault]:
+        return [fault for fault in (self.cell.fault, self.cell.second) if fault]
+
+    async def _strike(self) -> None:
+        """Begin the faults that concern whole nodes, the source or the network, once."""
+        if self.struck or not self.armed:
+            return
+        self.struck = True
+        self.until_s = await curio.clock() + FAULT_S
+        for fault in self._list_faults():
+            await curio.spawn(self._hold_fault, fault, daemon=True)
+
+    async def _hold_fault(self, fault: Fault) -> None:
+        fleet = self.fleet
+        if fault is Fault.DEATH:
+            await self._kill_and_return(self.subject)
+        elif fault is Fault.HERD:
+            await self._kill_and_return(*[vm.name for vm in fleet.vms])
+        elif fault is Fault.PAUSE:
+            node = fleet.nodes[self.subject]
+            await curio.sleep(FAULT_S)
+            node.suspended_s += FAULT_S
+        elif fault is Fault.SOURCE_DOWN:
+            fleet.source.is_down = True
+            await curio.sleep(FAULT_S)
+            fleet.source.is_down = False
+        elif fault is Fault.STALE:
+            newest, fleet.source.values = fleet.source.values, dict(self._list_old_values())
+            await curio.sleep(FAULT_S)
+            fleet.source.values = newest
+            await fleet.source.put("vms", newest["vms"].data)
+        elif fault is Fault.PARTITION:
+            fleet.network.is_cut = lambda one, other: one.split(".")[2] != other.split(".")[2]
+            await curio.sleep(FAULT_S)
+            fleet.network.is_cut = lambda one, other: False
+
+    def _list_old_values(self) -> list[tuple[str, SourceValue]]:
+        manifest, texts = make_version(1, TEAMS)
+        values = self.fleet.source.values
+        old = encode_manifest(manifest)
+        kept = [(key, value) for key, value in values.items() if key != MANIFEST_KEY]
+        return [*kept, (MANIFEST_KEY, SourceValue(old, self.first_revision))]
+
+    async def _kill_and_return(self, *names: str) -> None:
+        alive = [name for name in names if name in self.fleet.nodes]
+        await self.fleet.kill(*alive)
+        await curio.sleep(RETURN_S)
+        await self._start(*names)
+        self.until_s = max(self.until_s, await curio.clock())
+
+    def _is_striking(self, fault: Fault) -> bool:
+        return self.struck and self.clock.now_s < self.until_s and fault in self._list_faults()
+
+    async def meddle_source(self, step: Step, value: SourceValue) -> SourceValue:
+        """Let the fault strike a read of the subject."""
+        if step is not self.cell.step or not self.armed:
+            return value
+        await self._strike()
+        if self._is_striking(Fault.SLOW):
+            await curio.sleep(FAULT_S / 2)
+        for fault in (Fault.REFUSED, Fault.RESET, Fault.PARTITION):
+            if self._is_striking(fault):
+                raise TrefoilpickError(ErrorKind.SOURCE_UNAVAILABLE, fault.value)
+        for fault in (Fault.BLACK_HOLE, Fault.PAUSE):
+            if self._is_striking(fault):
+                await curio.sleep(FAULT_S)
+                raise TrefoilpickError(ErrorKind.SOURCE_UNAVAILABLE, fault.value)
+        if self._is_striking(Fault.TRUNCATED):
+            return SourceValue(value.data[: len(value.data) // 2], value.revision)
+        if self._is_striking(Fault.GARBAGE):
+            return SourceValue(self.chance.randbytes(len(value.data)), value.revision)
+        if self._is_striking(Fault.REORDERED):
+            old = dict(self._list_old_values())[MANIFEST_KEY]
+            self.late_value = SourceValue(old.data, value.revision)
+        return value
+
+    async def _meddle(self, data: bytes, one: str, other: str) -> list[tuple[float, bytes]]:
+        subject = next(vm for vm in self.fleet.vms if vm.name == self.subject)
+        concerned = subject.host in (one.split(":")[0], other.split(":")[0])
+        wanted = STEP_MESSAGES.get(self.cell.step, ())
+        hits = concerned and isinstance(decode_envelope(data).body, wanted or ())
+        if hits:
+            await self._strike()
+        if concerned and self._is_striking(Fault.PAUSE):
+            return [(max(0.0, self.until_s - self.clock.now_s), data)]
+        if not hits:
+            return [(0.0, data)]
+        return list(self._spoil(data))
+
+    def _spoil(self, data: bytes) -> list[tuple[float, bytes]]:
+        lost = (Fault.REFUSED, Fault.RESET, Fault.BLACK_HOLE)
+        if any(self._is_striking(fault) for fault in lost):
+            return []
+        if self._is_striking(Fault.TRUNCATED):
+            data = data[: len(data) // 2]
+        if self._is_striking(Fault.GARBAGE):
+            data = self.chance.randbytes(len(data))
+        delay_s = 0.0
+        if self._is_striking(Fault.SLOW):
+            delay_s = 0.5
+        if self._is_striking(Fault.REORDERED):
+            delay_s = self.chance.uniform(0.0, 0.5)
+        copies = 2 if self._is_striking(Fault.DOUBLED) else 1
+        if self._is_striking(Fault.STALE):
+            copies = 3
+        return [(delay_s + copy * 0.3, data) for copy in range(copies)]
+
+    @contextmanager
+    def _hook_prepare(self):
+        prepare = enforcement.prepare_snapshot
+        late = self.cell.step is Step.PREPARE
+
+        def hooked(manifest, store, *, former):
+            subject = self.fleet.nodes.get(self.subject)
+            concerned = subject is not None and subject.distributor.store is store
+            if concerned and self.cell.step is Step.CHECK:
+                self._strike_at_once()
+            snapshot = prepare(manifest, store, former=former)
+            if concerned and late:
+                self._strike_at_once()
+            return snapshot
+
+        enforcement.prepare_snapshot = hooked
+        try:
+            yield
+        finally:
+            enforcement.prepare_snapshot = prepare
+
+    def _strike_at_once(self) -> None:
+        """Strike within one step of a task, where nothing can be awaited."""
+        if self.struck or not self.armed:
+            return
+        self.struck = True
+        if self.cell.fault is Fault.PAUSE:
+            self.clock.now_s += FAULT_S
+            self.until_s = self.clock.now_s
+            return
+        self.until_s = self.clock.now_s + RETURN_S
+        names = [self.subject] if self.cell.fault is Fault.DEATH else list(self.fleet.nodes)
+        self.dead = names
+        raise ProcessDeathError
+
+    async def _revive_when_struck(self) -> None:
+        while not self.dead:
+            await curio.sleep(0.01)
+        await self._kill_and_return(*self.dead)
+
+
+def run_version_cell(cell: Cell) -> None:
+    """Run one cell of a version's way.
+
+    Raises:
+        AssertionError: The stated outcome or a promise does not hold.
+    """
+    clock = VirtualTime()
+    run_virtual(VersionRun(cell, clock).run(), clock=clock)
--- /dev/null
+++ b/tests/test_matrix.py
@@ -0,0 +1,24 @@
+import pytest
+from matrix_breakages import BREAKAGES, Breakage
+from matrix_cells import run_cell
+from matrix_table import Cell, Fault, Stated, Step, list_cells
+
+CELLS = list(list_cells())
+POSSIBLE = [cell for cell in CELLS if cell.stated is not Stated.IMPOSSIBLE]
+
+
+def test_every_step_meets_every_fault() -> None:
+    single = {(cell.step, cell.fault) for cell in CELLS if cell.second is None}
+    assert single == {(step, fault) for step in Step for fault in Fault}
+    assert all(cell.reason for cell in CELLS if cell.stated is Stated.IMPOSSIBLE)
+
+
+@pytest.mark.parametrize("cell", POSSIBLE, ids=lambda cell: cell.name)
+def test_stated_outcome_holds(cell: Cell) -> None:
+    run_cell(cell)
+
+
+@pytest.mark.parametrize("breakage", BREAKAGES, ids=lambda breakage: breakage.name)
+def test_breakage_turns_its_cell_red(breakage: Breakage) -> None:
+    with breakage.apply(), pytest.raises(AssertionError):
+        run_cell(breakage.cell)
--- a/trefoilpick/_calls.py
+++ b/trefoilpick/_calls.py
@@ -29,8 +29,9 @@
         method: HTTP method.
         host: Host header.
         path: Path.
-        idempotent: Whether it may run more than once; else it is made under a token.
+        idempotent: Whether it may run more than once.
         body_bytes: Length of its body.
+        bare: Whether it is made once, without a token and without further attempts.
     """
 
     method: str
@@ -38,6 +39,7 @@
     path: str
     idempotent: bool
     body_bytes: int
+    bare: bool = False
 
 
 class CallRecorder:
@@ -56,6 +58,7 @@
         self.calls: list[Call] = []
         self._name = name
         self._caller = Caller(tuple(addresses), chance=chance)
+        self._single = Caller(tuple(addresses), chance=chance, attempts=1)
         self._chance = chance
 
     async def make_call(self, plan: CallPlan, number: int, deadline_s: float) -> None:
@@ -69,14 +72,15 @@
         request_id = f"{self._name}-{number}"
         body = self._chance.randbytes(plan.body_bytes)
         try:
-            answer = await self._caller.request(
+            caller = self._single if plan.bare else self._caller
+            answer = await caller.request(
                 plan.method,
                 plan.host,
                 plan.path,
                 headers=[("x-request-id", request_id)],
                 body=body,
                 deadline_s=deadline_s,
-                idempotent=plan.idempotent,
+                idempotent=plan.idempotent or plan.bare,
             )
             end = _judge_answer(answer, request_id, body)
         except TrefoilpickError as error:
@@ -86,6 +90,7 @@
     async def close(self) -> None:
         """Close the caller's connections."""
         await self._caller.close()
+        await self._single.close()
 
 
 def _judge_answer(answer: CallerAnswer, request_id: str, body: bytes) -> CallEnd:
