Run the matrix's version cells on the local network that all tests share

Cause: the tests' own fake network and source gave way to localnet; the matrix still named them. Change: the matrix's network extends LocalNetwork, source faults go through LocalSource.

--- a/tests/matrix_versions.py
+++ b/tests/matrix_versions.py
@@ -7,12 +7,13 @@
 from random import Random
 
 import curio
-from fakes_fleet import FakeFleet, FakeNetwork, FakeNode, FakeSource, make_version, make_vms
+from fakes_fleet import FakeFleet, FakeNode, FakeSource, make_version, make_vms
 from matrix_table import Cell, Fault, Stated, Step
 
 from trefoilpick import enforcement
 from trefoilpick._virtual import VirtualTime, run_virtual
 from trefoilpick.errors import ErrorKind, TrefoilpickError
+from trefoilpick.localnet import LocalNetwork, SourceFault
 from trefoilpick.manifest import encode_manifest
 from trefoilpick.messages import (
     Announcement,
@@ -53,7 +54,7 @@
     """The process ends here."""
 
 
-class MatrixNetwork(FakeNetwork):
+class MatrixNetwork(LocalNetwork):
     """Lets the matrix see, change and hold each message."""
 
     def __init__(self, random: Random) -> None:
@@ -248,14 +249,13 @@
             await curio.sleep(FAULT_S)
             node.suspended_s += FAULT_S
         elif fault is Fault.SOURCE_DOWN:
-            fleet.source.is_down = True
+            await fleet.source.begin_fault(SourceFault.DOWN)
             await curio.sleep(FAULT_S)
-            fleet.source.is_down = False
+            await fleet.source.end_fault(SourceFault.DOWN)
         elif fault is Fault.STALE:
-            newest, fleet.source.values = fleet.source.values, dict(self._list_old_values())
+            await fleet.source.go_back(dict(self._list_old_values()))
             await curio.sleep(FAULT_S)
-            fleet.source.values = newest
-            await fleet.source.put("vms", newest["vms"].data)
+            await fleet.source.end_fault(SourceFault.STALE)
         elif fault is Fault.PARTITION:
             fleet.network.is_cut = lambda one, other: one.split(".")[2] != other.split(".")[2]
             await curio.sleep(FAULT_S)
