Answer a fault of an operators' page with 500 and keep the port

Cause: an exception in a page ended the connection without an answer and left only curio's own trace.

--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -138,6 +138,16 @@
     assert [window.ended_s for window in decoded.windows] == [0.0]
 
 
+def test_fault_of_a_page_is_answered_and_the_port_stays() -> None:
+    def fail() -> NodeStatus:
+        raise KeyError("vm")
+
+    async def use(server: OperatorServer) -> list[int]:
+        return [(await get(server, path)).status for path in ("/status", "/health")]
+
+    assert serve(use, describe=fail) == [500, 200]
+
+
 def test_one_sweep_serves_those_who_ask_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(operators, "SWEEP_REUSE_S", 600.0)
 
--- a/trefoilpick/operators.py
+++ b/trefoilpick/operators.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from contextlib import suppress
 from socket import IPPROTO_TCP, TCP_NODELAY
 from typing import TYPE_CHECKING, TypeVar
@@ -13,6 +14,7 @@
 from trefoilpick._http import MAX_HEAD_BYTES, HttpAnswer, receive_request, send_answer
 from trefoilpick._process import measure_process
 from trefoilpick.errors import ErrorKind, TrefoilpickError
+from trefoilpick.logs import LOGGER_NAME
 from trefoilpick.metrics import CONTENT_TYPE
 from trefoilpick.reports import build_report, encode_report, encode_windows, list_latencies
 from trefoilpick.status import Fault, Readiness, encode_status
@@ -31,6 +33,8 @@
 
 PartT = TypeVar("PartT")
 
+logger = logging.getLogger(LOGGER_NAME)
+
 MAX_CONNECTIONS = 16
 """Largest number of connections at a time."""
 
@@ -165,6 +169,9 @@
             return await self._answer(path)
         except TrefoilpickError as error:
             return _answer_error(503, error.kind, error.text)
+        except Exception as fault:
+            logger.exception("a page of the operators' port failed", extra={"path": path})
+            return _answer_error(500, ErrorKind.INTERNAL, f"the node failed: {fault!r}")
 
     async def _answer(self, path: str) -> HttpAnswer:
         if path == "/metrics":
