Let a reported load count for a bounded time; test balancing, budgets, pool and caller library

A report that had nearly faded still broke every tie against its worker; found by the test of fading. The caller library's tests compare runs with what the caller concluded, with tokens, after resets, double answers, refusals and lost books.

--- a/tests/fakes_hop.py
+++ b/tests/fakes_hop.py
@@ -129,6 +129,10 @@
             self.runs[dict(head.headers).get(b"x-request-id", b"").decode()] += 1
         return body
 
+    async def give_token(self, hop: Hop, head: HopRequest) -> None:
+        token = make_token(self.name)
+        await hop.send(self.encode_answer(status=204, token=token, outcome=Outcome.NOT_RUN), END)
+
     def encode_answer(
         self,
         *,
@@ -152,8 +156,7 @@
 
 async def answer_ok(fake: FakeHop, hop: Hop, head: HopRequest) -> None:
     if head.wants_token:
-        token = make_token(fake.name)
-        await hop.send(fake.encode_answer(status=204, token=token, outcome=Outcome.NOT_RUN), END)
+        await fake.give_token(hop, head)
         return
     body = await fake.take_body(hop, head)
     content = fake.name.encode() + b":" + body
--- /dev/null
+++ b/tests/test_balancing.py
@@ -0,0 +1,195 @@
+from __future__ import annotations
+
+import random
+from collections import Counter
+from dataclasses import replace
+
+import pytest
+
+from trefoilpick.balancing import REFRESH_S, WARM_UP_S, Balancer, WorkerRecord
+from trefoilpick.document import Upstream
+from trefoilpick.errors import ErrorKind, TrefoilpickError
+from trefoilpick.hops import Load
+from trefoilpick.settings import VmSettings
+from trefoilpick.vms import Vm, VmState
+
+OWN = VmSettings("vm-0", "lima", "lima-a", "portafolio")
+UPSTREAM = Upstream("encargos", slots=10)
+
+
+class Fleet:
+    """A directory, a balancer and a clock."""
+
+    def __init__(self, count: int, *, data_centres: tuple[str, ...] = ("lima-a",)) -> None:
+        self.now = 100.0
+        self.vms = tuple(
+            Vm(
+                f"vm-{i}",
+                "lima",
+                data_centres[i % len(data_centres)],
+                "encargos",
+                "127.0.0.1",
+                1,
+                2,
+            )
+            for i in range(1, count + 1)
+        )
+        self.told: list[tuple[str, str]] = []
+        self.reads = 0
+        self.balancer = Balancer(OWN, self, random.Random(3))
+
+    def list_endpoints(self, service: str) -> tuple[Vm, ...]:
+        self.reads += 1
+        return self.vms
+
+    def note_refused(self, vm: str) -> None:
+        self.told.append(("refused", vm))
+
+    def note_leaving(self, vm: str) -> None:
+        self.told.append(("leaving", vm))
+
+    def note_alive(self, vm: str, incarnation: int) -> None:
+        self.told.append(("alive", vm))
+
+    def choose(self) -> WorkerRecord:
+        return self.balancer.choose(UPSTREAM, self.now)
+
+    def find(self, name: str) -> WorkerRecord:
+        record = self.balancer.find("encargos", name, self.now)
+        assert record is not None
+        return record
+
+    def count_choices(self, count: int = 400) -> Counter[str]:
+        return Counter(self.choose().vm.name for _ in range(count))
+
+    def report(self, name: str, **changes: int) -> None:
+        load = Load(name, 1, 7, "d", 0, 0, 10, False)
+        load = Load(*{**{f: getattr(load, f) for f in load.__struct_fields__}, **changes}.values())
+        self.balancer.note_load(self.find(name), load, self.now)
+
+    def fail(self, name: str, count: int = 3) -> None:
+        for _ in range(count):
+            self.balancer.note_failure(self.find(name), self.now, refused=True)
+
+
+def test_least_loaded_of_two_by_own_requests_in_flight() -> None:
+    fleet = Fleet(4)
+    begun = [fleet.choose() for _ in range(1)]
+    for _ in range(200):
+        record = fleet.choose()
+        record.begin(fleet.now)
+        begun.append(record)
+    in_flight = [fleet.find(vm.name).in_flight for vm in fleet.vms]
+    assert max(in_flight) - min(in_flight) <= 6
+
+
+def test_reported_load_counts_and_fades() -> None:
+    fleet = Fleet(2)
+    fleet.report("vm-1", in_flight=10, queued=20)
+    assert fleet.count_choices()["vm-1"] == 0
+    fleet.now += 20.0
+    assert fleet.count_choices()["vm-1"] > 100
+
+
+def test_a_slow_worker_gets_little_and_is_not_forgotten() -> None:
+    fleet = Fleet(4)
+    work: list[tuple[float, WorkerRecord]] = []
+    served: Counter[str] = Counter()
+    for _ in range(4_000):
+        fleet.now += 0.002
+        for item in [item for item in work if item[0] <= fleet.now]:
+            work.remove(item)
+            item[1].end()
+        record = fleet.choose()
+        service_s = 0.2 if record.vm.name == "vm-1" else 0.02
+        record.begin(fleet.now)
+        work.append((fleet.now + service_s, record))
+        fleet.balancer.note_success(record, service_s, fleet.now)
+        served[record.vm.name] += 1
+    assert 0 < served["vm-1"] < 0.08 * served.total()
+
+
+def test_near_zones_first_and_spill_before_overload() -> None:
+    fleet = Fleet(4, data_centres=("lima-a", "lima-b"))
+    near = {"vm-2", "vm-4"}
+    assert set(fleet.count_choices()) == near
+    for name in near:
+        fleet.report(name, in_flight=9)
+    assert set(fleet.count_choices()) == {"vm-1", "vm-3"}
+    for vm in fleet.vms:
+        fleet.report(vm.name, in_flight=9, queued=5 if vm.name in near else 9)
+    assert set(fleet.count_choices()) == near
+
+
+def test_at_most_half_are_ejected_and_probes_are_single() -> None:
+    fleet = Fleet(4)
+    for vm in fleet.vms[:3]:
+        fleet.choose()
+        fleet.fail(vm.name)
+        fleet.now += 0.01
+    assert set(fleet.count_choices()) == {"vm-3", "vm-4"}
+    assert fleet.told == [("refused", "vm-1"), ("refused", "vm-2")]
+    fleet.now += 2.0
+    probe = fleet.find("vm-1")
+    probe.begin(fleet.now)
+    assert "vm-1" not in fleet.count_choices()
+    probe.end()
+    fleet.balancer.note_success(probe, 0.01, fleet.now)
+    assert fleet.told[-1] == ("alive", "vm-1")
+    assert fleet.count_choices()["vm-1"] > 0
+
+
+def test_pauses_of_an_ejected_worker_grow() -> None:
+    fleet = Fleet(2)
+    fleet.choose()
+    pauses = []
+    for _ in range(5):
+        fleet.fail("vm-1")
+        began_at = fleet.now
+        while "vm-1" not in fleet.count_choices(20):
+            fleet.now += 0.1
+        pauses.append(fleet.now - began_at)
+    assert pauses[0] <= 1.2
+    assert pauses == sorted(pauses)
+    assert pauses[-1] >= 8.0
+
+
+def test_a_new_worker_and_a_restarted_one_warm_up() -> None:
+    fleet = Fleet(4)
+    fleet.count_choices(10)
+    newcomer = replace(fleet.vms[0], name="vm-9")
+    fleet.vms = (*fleet.vms, newcomer)
+    fleet.now += REFRESH_S
+    for vm in fleet.vms:
+        fleet.balancer.note_success(fleet.find(vm.name), 0.01, fleet.now)
+        fleet.find(vm.name).begin(fleet.now)
+    assert fleet.count_choices()["vm-9"] == 0
+    fleet.now += WARM_UP_S
+    assert fleet.count_choices()["vm-9"] > 20
+    fleet.report("vm-9", in_flight=1, incarnation=1)
+    fleet.report("vm-9", in_flight=1, incarnation=2)
+    assert fleet.count_choices()["vm-9"] == 0
+
+
+@pytest.mark.parametrize("by", ["load", "list"])
+def test_a_leaving_worker_gets_nothing_new(by: str) -> None:
+    fleet = Fleet(2)
+    fleet.choose()
+    if by == "load":
+        fleet.report("vm-1", leaving=True)
+        assert ("leaving", "vm-1") in fleet.told
+    else:
+        fleet.vms = (replace(fleet.vms[0], state=VmState.LEAVING), fleet.vms[1])
+        fleet.now += REFRESH_S
+    assert set(fleet.count_choices()) == {"vm-2"}
+
+
+def test_no_worker_is_a_clear_error_and_the_list_is_read_seldom() -> None:
+    fleet = Fleet(2)
+    fleet.count_choices(1_000)
+    assert fleet.reads == 1
+    for vm in fleet.vms:
+        fleet.report(vm.name, leaving=True)
+    with pytest.raises(TrefoilpickError) as caught:
+        fleet.choose()
+    assert caught.value.kind is ErrorKind.NO_UPSTREAM
--- /dev/null
+++ b/tests/test_client.py
@@ -0,0 +1,108 @@
+from __future__ import annotations
+
+import curio
+import pytest
+from fakes_hop import HOST, Bench, FakeHop, fail_with, run_bench
+from test_callers import (
+    _deque,
+    answer_twice,
+    cut_within_body,
+    reset_after_head,
+    reset_after_run,
+)
+
+from trefoilpick.client import Caller
+from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError, find_answer
+
+
+async def advance(caller: Caller, request_id: str = "1", **options: float) -> bytes:
+    answer = await caller.request(
+        "POST",
+        "encargos.quillqa",
+        "/advance",
+        headers=[("x-request-id", request_id)],
+        body=b"b",
+        **options,
+    )
+    assert answer.status == 200
+    assert (answer.outcome, answer.version) == (Outcome.RUN, 7)
+    return answer.body
+
+
+def test_requests_get_whole_answers_and_large_bodies() -> None:
+    async def main(bench: Bench) -> None:
+        caller = Caller((f"{HOST}:{bench.server.port}",))
+        assert await advance(caller) == b"vm-1:b"
+        body = bytes(range(256)) * 8_000
+        answer = await caller.request("PUT", "a", "/spread", body=body, idempotent=True)
+        assert answer.body == b"vm-1:" + body
+        await caller.close()
+
+    bench = run_bench(main, FakeHop())
+    assert bench.fakes[0].seen[0].head.token is not None
+    assert bench.fakes[0].seen[1].head.token is None
+
+
+def test_another_node_is_taken_where_one_is_dead() -> None:
+    async def main(bench: Bench) -> None:
+        caller = Caller((f"{HOST}:1", f"{HOST}:{bench.server.port}"))
+        for number in range(3):
+            assert await advance(caller, str(number)) == b"vm-1:b"
+
+    assert run_bench(main, FakeHop()).runs == {"0": 1, "1": 1, "2": 1}
+
+
+@pytest.mark.parametrize(
+    ("script", "outcome"),
+    [
+        (reset_after_head, None),
+        (answer_twice, None),
+        (fail_with(ErrorKind.QUEUE_FULL), None),
+        (fail_with(ErrorKind.TOKEN_FOREIGN, Outcome.UNKNOWN), Outcome.UNKNOWN),
+        (fail_with(ErrorKind.ANSWER_NOT_KEPT, Outcome.RUN), Outcome.RUN),
+        (fail_with(ErrorKind.TOKEN_MALFORMED, Outcome.NOT_RUN), Outcome.NOT_RUN),
+    ],
+    ids=["reset", "twice", "full", "foreign", "not-kept", "malformed"],
+)
+def test_at_most_once_by_token_and_truth_in_every_end(
+    script: object, outcome: Outcome | None
+) -> None:
+    async def main(bench: Bench) -> None:
+        caller = Caller((f"{HOST}:{bench.server.port}",))
+        told: Outcome | None = None
+        try:
+            assert await advance(caller) == b"vm-1:b"
+        except TrefoilpickError as error:
+            told = find_answer(error).outcome
+        assert told is outcome
+        assert bench.runs["1"] == (1 if outcome is None else 0)
+
+    run_bench(main, FakeHop(scripts=_deque(FakeHop.give_token, script)))
+
+
+@pytest.mark.parametrize("script", [reset_after_run, cut_within_body])
+def test_a_broken_run_is_tried_again_with_the_same_token_alone(script: object) -> None:
+    async def main(bench: Bench) -> None:
+        caller = Caller((f"{HOST}:{bench.server.port}",))
+        await advance(caller)
+        tokens = {seen.head.token for seen in bench.fakes[0].seen}
+        assert len(tokens) == 1
+
+    run_bench(main, FakeHop(scripts=_deque(FakeHop.give_token, script)))
+
+
+def test_unknown_without_an_end_is_told_as_unknown_within_the_deadline() -> None:
+    async def main(bench: Bench) -> None:
+        listener = curio.socket.socket()
+        listener.bind((HOST, 0))
+        listener.listen(5)
+        caller = Caller((f"{HOST}:{listener.getsockname()[1]}",))
+        with pytest.raises(TrefoilpickError) as caught:
+            await caller.request("GET", "a", "/status", idempotent=True, deadline_s=0.3)
+        assert find_answer(caught.value).outcome is Outcome.UNKNOWN
+        with pytest.raises(TrefoilpickError) as caught:
+            await advance(caller, deadline_s=0.3)
+        assert find_answer(caught.value).outcome is Outcome.NOT_RUN
+        await listener.close()
+
+    run_bench(main, FakeHop())
--- /dev/null
+++ b/tests/test_hopclient.py
@@ -0,0 +1,92 @@
+from __future__ import annotations
+
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import curio
+import pytest
+from curio import socket
+from fakes_hop import HOST, FakeHop
+
+from trefoilpick.errors import ErrorKind, TrefoilpickError
+from trefoilpick.hopclient import HopPool
+from trefoilpick.hops import FrameKind, Load, encode_frame, encode_head
+from trefoilpick.settings import RequestSettings
+
+
+def run_pool(main: Callable[[FakeHop, HopPool, list[Load]], Coroutine[Any, Any, None]]) -> None:
+    async def run() -> None:
+        fake = FakeHop()
+        loads: list[Load] = []
+        settings = RequestSettings(idle_hops=2, hop_idle_ms=10_000)
+        pool = HopPool(settings, lambda _vm, load, _now: loads.append(load))
+        task = await curio.spawn(fake.run, fake.listen(), daemon=True)
+        async with curio.timeout_after(20):
+            await main(fake, pool, loads)
+        await pool.close()
+        await task.cancel()
+
+    curio.run(run)
+
+
+@pytest.mark.parametrize("fault", ["none", "unclean", "closed", "surplus", "part", "idle"])
+def test_only_quiet_whole_connections_are_used_again(fault: str) -> None:
+    async def main(fake: FakeHop, pool: HopPool, _loads: list[Load]) -> None:
+        vm = fake.describe()
+        hop = await pool.acquire(vm, timeout_s=1.0)
+        while not fake.hops:
+            await curio.sleep(0.001)
+        hop.is_clean = fault != "unclean"
+        await pool.release(hop, 0.0)
+        if fault == "closed":
+            await fake.hops[0].sock.shutdown(socket.SHUT_RDWR)
+        elif fault == "surplus":
+            await fake.hops[0].send(encode_frame(FrameKind.DATA, b"late"))
+        elif fault == "part":
+            await fake.hops[0].send(b"\0\0")
+        elif fault == "idle":
+            await pool.sweep(11.0)
+        again = await pool.acquire(vm, timeout_s=1.0)
+        assert (again is hop) == (fault == "none")
+        await again.close()
+
+    run_pool(main)
+
+
+def test_notices_are_read_and_a_leaving_one_ends_the_connection() -> None:
+    async def main(fake: FakeHop, pool: HopPool, loads: list[Load]) -> None:
+        vm = fake.describe()
+        for is_leaving in (False, True):
+            hop = await pool.acquire(vm, timeout_s=1.0)
+            while not fake.hops:
+                await curio.sleep(0.001)
+            await pool.release(hop, 0.0)
+            fake.leaving = is_leaving
+            await fake.hops[-1].send(encode_head(FrameKind.NOTICE, fake.load()))
+            while len(loads) < 1 + is_leaving:
+                await pool.sweep(1.0)
+            assert loads[-1].leaving == is_leaving
+            again = await pool.acquire(vm, timeout_s=1.0)
+            assert (again is hop) == (not is_leaving)
+            await pool.release(again, 0.0)
+
+    run_pool(main)
+
+
+def test_connecting_is_bounded_and_refusals_are_not_run() -> None:
+    async def main(fake: FakeHop, pool: HopPool, _loads: list[Load]) -> None:
+        fake.port = 1
+        with pytest.raises(TrefoilpickError) as caught:
+            await pool.acquire(fake.describe(), timeout_s=1.0)
+        assert caught.value.kind is ErrorKind.UPSTREAM_REFUSED
+        full = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        full.bind((HOST, 0))
+        full.listen(0)
+        fake.port = full.getsockname()[1]
+        with pytest.raises(TrefoilpickError) as caught:
+            held = [await pool.acquire(fake.describe(), timeout_s=0.1) for _ in range(20)]
+            assert not held
+        assert caught.value.kind is ErrorKind.UPSTREAM_REFUSED
+        await full.close()
+
+    run_pool(main)
--- a/trefoilpick/balancing.py
+++ b/trefoilpick/balancing.py
@@ -30,6 +30,9 @@
 LOAD_HALF_LIFE_S = 1.0
 """Time in which a reported load loses half of its weight, in seconds."""
 
+LOAD_LIFE_S = 8.0
+"""Time after which a reported load no longer counts, in seconds."""
+
 LATENCY_HALF_LIFE_S = 5.0
 """Time in which a measured latency loses half of its weight, in seconds."""
 
@@ -155,8 +158,11 @@
             now: Time on the node's clock, in seconds.
             slots: Slots of a worker that has not reported its own yet.
         """
-        age_s = now - self._reported_at
-        others = self._others * 0.5 ** (age_s / LOAD_HALF_LIFE_S) if self._others else 0.0
+        if self._others and now - self._reported_at > LOAD_LIFE_S:
+            self._others = 0.0
+        others = self._others
+        if others:
+            others *= 0.5 ** ((now - self._reported_at) / LOAD_HALF_LIFE_S)
         return (self.in_flight + others + 1.0) / (self._slots or slots)
 
     def estimate_cost(self, now: float, slots: int, usual_s: float | None) -> float:
