Spill over by the requests at a worker before the next one

The next request was counted in, and an exception for idle workers let ten-slot workers fill up to the last slot before a farther zone was considered; found by the test of spilling.

--- a/trefoilpick/balancing.py
+++ b/trefoilpick/balancing.py
@@ -152,23 +152,27 @@
         )
 
     def estimate_utilisation(self, now: float, slots: int) -> float:
-        """Return the requests at the worker, with the next one, over its slots.
+        """Return the requests at the worker over its slots.
 
         Args:
             now: Time on the node's clock, in seconds.
             slots: Slots of a worker that has not reported its own yet.
         """
-        if self._others and now - self._reported_at > LOAD_LIFE_S:
-            self._others = 0.0
-        others = self._others
-        if others:
-            others *= 0.5 ** ((now - self._reported_at) / LOAD_HALF_LIFE_S)
-        return (self.in_flight + others + 1.0) / (self._slots or slots)
+        return self._estimate_requests(now) / (self._slots or slots)
 
     def estimate_cost(self, now: float, slots: int, usual_s: float | None) -> float:
         """Return the expected cost of the next request; only its order has a meaning."""
         latency_s = self.estimate_latency(now, usual_s) or 1.0
-        return self.estimate_utilisation(now, slots) * latency_s / self._compute_share(now)
+        requests = (self._estimate_requests(now) + 1.0) / (self._slots or slots)
+        return requests * latency_s / self._compute_share(now)
+
+    def _estimate_requests(self, now: float) -> float:
+        if not self._others:
+            return self.in_flight
+        age_s = now - self._reported_at
+        if age_s > LOAD_LIFE_S:
+            self._others = 0.0
+        return self.in_flight + self._others * 0.5 ** (age_s / LOAD_HALF_LIFE_S)
 
     def _compute_share(self, now: float) -> float:
         left_s = self._warm_at - now
@@ -287,7 +291,7 @@
             if record is None:
                 continue
             utilisation = record.estimate_utilisation(now, upstream.slots)
-            if utilisation <= SPILL_UTILISATION or record.in_flight == 0 and utilisation <= 1.0:
+            if utilisation < SPILL_UTILISATION:
                 return record
             if best is None or utilisation < best_utilisation:
                 best, best_utilisation = record, utilisation
