--- a/Makefile
+++ b/Makefile
@@ -35,6 +35,9 @@
 bench-convergence: install
 	$(BIN)/python -m benchmarks.convergence $(OPTIONS)
 
+bench-request: install
+	$(BIN)/python -m benchmarks.request
+
 clean:
 	rm -rf .venv .mypy_cache .ruff_cache .pytest_cache build out
 
--- /dev/null
+++ b/benchmarks/_policies.py
@@ -0,0 +1,145 @@
+"""Policy under load: goodput by priority, a slow worker, a lying worker, a rolling replacement."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+import time
+import urllib.request
+from collections import Counter
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from benchmarks._bench_fleet import BenchFleet, WorkerPlan
+from benchmarks._load import Call, Lane, Plan
+from benchmarks._runs import find_quantile, run_load
+from trefoilpick.document import Priority
+
+if TYPE_CHECKING:
+    from benchmarks._bench_fleet import BenchVm
+
+SLOTS = 4
+"""Slots of a worker."""
+
+SERVICE_MS = 40.0
+"""Time of a request at a worker, in milliseconds."""
+
+WORKERS = 3
+"""Workers of a service."""
+
+LOADS = (0.5, 1.0, 2.0, 4.0)
+"""Offered loads, over the capacity of the workers."""
+
+SLOW_FACTOR = 10
+"""How much slower the slow worker is."""
+
+READY_S = 0.7
+"""Pause between the replacements of two nodes, in seconds."""
+
+
+def list_plans() -> list[WorkerPlan]:
+    """Return the workers: of a plain service, of one with a slow worker, of one with a liar."""
+    plain = [WorkerPlan("plain", SLOTS, SERVICE_MS) for _ in range(WORKERS)]
+    slow = [WorkerPlan("slow", SLOTS, SERVICE_MS) for _ in range(WORKERS - 1)]
+    slow.append(WorkerPlan("slow", SLOTS, SERVICE_MS * SLOW_FACTOR))
+    lying = [WorkerPlan("lying", SLOTS, SERVICE_MS) for _ in range(WORKERS - 1)]
+    lying.append(WorkerPlan("lying", SLOTS, SERVICE_MS, is_broken=True))
+    return [*plain, *slow, *lying]
+
+
+def compute_capacity() -> float:
+    """Return the calls a second that the workers of the plain service run."""
+    return WORKERS * SLOTS * 1_000 / SERVICE_MS
+
+
+def measure_policy(
+    fleet: BenchFleet, service: str, load: float, duration_s: float
+) -> dict[str, object]:
+    """Offer a load through the nodes, then the same by the simplest policy."""
+    rate = load * compute_capacity() / len(Priority)
+    vms = [vm for vm in fleet.vms if vm.plan.service == service]
+    nodes = tuple(vm.caller_address for vm in fleet.vms)
+    workers = tuple(vm.worker_address for vm in vms)
+    before = sum(count_retries(vm) for vm in fleet.vms)
+    ours = _offer(service, rate, duration_s, nodes, blind=False)
+    retries = sum(count_retries(vm) for vm in fleet.vms) - before
+    simplest = _offer(service, rate, duration_s, workers, blind=True)
+    return {
+        "service": service,
+        "load": load,
+        "ours": _describe(ours, duration_s, retries),
+        "simplest": _describe(simplest, duration_s, sum(call.attempts - 1 for call in simplest)),
+    }
+
+
+def measure_replacement(fleet: BenchFleet) -> dict[str, object]:
+    """Replace every node of the plain service under load; compare runs with what callers heard."""
+    vms = [vm for vm in fleet.vms if vm.plan.service == "plain"]
+    process = subprocess.Popen(
+        [sys.executable, "-m", "benchmarks._rolling", *(vm.caller_address for vm in vms)],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+    )
+    time.sleep(READY_S)
+    codes = []
+    for vm in vms:
+        codes.append(fleet.stop_node(vm))
+        fleet.start_node(vm)
+        fleet.wait_ready(vms, {"plain"})
+        time.sleep(READY_S)
+    output, _ = process.communicate(b"stop\n")
+    ends: dict[str, str] = json.loads(output)
+    runs: Counter[str] = Counter()
+    for vm in vms:
+        runs.update(read_json(f"http://{vm.worker_address}/report")["runs"])
+    return {
+        "exit_codes": codes,
+        "calls": len(ends),
+        "ends": dict(Counter(ends.values())),
+        "lost": sum(end == "answered" and runs[name] == 0 for name, end in ends.items()),
+        "doubled": sum(name.startswith("once") and runs[name] > 1 for name in ends),
+        "cut": sum(end == "cut" for end in ends.values()),
+        "run_though_told_not": sum(
+            end == "not_run" and runs[name] > 0 for name, end in ends.items()
+        ),
+    }
+
+
+def count_retries(vm: BenchVm) -> int:
+    """Return the further attempts that a node made until now."""
+    url = f"http://{vm.settings.listen.host}:{vm.settings.listen.operator_port}/metrics"
+    with urllib.request.urlopen(url, timeout=5) as answer:
+        lines = answer.read().decode().splitlines()
+    found = [line for line in lines if line.startswith("trefoilpick_retries_total")]
+    return sum(int(line.rpartition(" ")[2]) for line in found)
+
+
+def read_json(url: str) -> dict[str, dict[str, int]]:
+    """Return the JSON object at an address."""
+    with urllib.request.urlopen(url, timeout=5) as answer:
+        return msgspec.json.decode(answer.read())
+
+
+def _offer(
+    service: str, rate: float, duration_s: float, addresses: tuple[str, ...], *, blind: bool
+) -> list[Call]:
+    lanes = tuple(
+        Lane(priority.value, addresses, f"/{service}/{priority.value}", rate, blind=blind)
+        for priority in Priority
+    )
+    return run_load(Plan(lanes, duration_s))[0]
+
+
+def _describe(calls: list[Call], duration_s: float, retries: int) -> dict[str, object]:
+    by_priority = {}
+    for priority in Priority:
+        mine = [call for call in calls if call.lane == priority.value]
+        good = [call.us for call in mine if call.status == 200]
+        by_priority[priority.value] = {
+            "offered_per_s": round(len(mine) / duration_s),
+            "goodput_per_s": round(len(good) / duration_s),
+            "p99_ms": round(find_quantile(good, 0.99) / 1_000),
+        }
+    return {"retries_share": round(retries / max(len(calls), 1), 3), **by_priority}
--- /dev/null
+++ b/benchmarks/_runs.py
@@ -0,0 +1,37 @@
+"""Runs of load generators, each its own process."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+
+import msgspec
+
+from benchmarks._load import Call, Plan
+
+
+def run_load(*plans: Plan) -> list[list[Call]]:
+    """Run generators side by side, each as its own process."""
+    processes = []
+    for plan in plans:
+        process = subprocess.Popen(
+            [sys.executable, "-m", "benchmarks._load"],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+        )
+        assert process.stdin is not None
+        process.stdin.write(msgspec.json.encode(plan))
+        process.stdin.close()
+        processes.append(process)
+    results = []
+    for process in processes:
+        assert process.stdout is not None
+        results.append(msgspec.json.decode(process.stdout.read(), type=list[Call]))
+        process.wait()
+    return results
+
+
+def find_quantile(values: list[int], share: float) -> int:
+    """Return a quantile of values; 0 without any."""
+    ordered = sorted(values)
+    return ordered[min(int(len(ordered) * share), len(ordered) - 1)] if ordered else 0
