--- a/trefoilpick/exchanges.py
+++ b/trefoilpick/exchanges.py
@@ -33,6 +33,7 @@
         self._node = node
         self._pause_s = pause_s
         self._turns = 0
+        self._down: set[str] = set()
         self.asked_s = float("-inf")
 
     async def run(self) -> None:
@@ -61,7 +62,7 @@
                 self._note_missed(vm)
             return
         self.asked_s = max(self.asked_s, asked_s)
-        node.log.report(Event.PEER, "up", subject=vm.name)
+        self._note_answered(vm)
         await node.take_answer(answer, address)
 
     async def exchange_now(self) -> None:
@@ -72,11 +73,18 @@
             if vms:
                 await curio.spawn(self.exchange, node.random.choice(vms), daemon=True)
 
+    def _note_answered(self, vm: Vm) -> None:
+        # A peer that was never down changes no state.
+        if vm.name in self._down:
+            self._down.discard(vm.name)
+            self._node.log.report(Event.PEER, "up", subject=vm.name)
+
     def _note_missed(self, vm: Vm) -> None:
         node = self._node
         node.metrics.count("trefoilpick_heartbeats_missed_total")
         node.roster.note_missed(vm.name)
         if node.roster.is_dead(vm.name):
+            self._down.add(vm.name)
             node.log.report(Event.PEER, "down", subject=vm.name)
 
     def _draw_peer(self) -> Vm | None:
