Bound time and memory of a check by the length of the text

Cause: an open string or comment made the search for comments try again at each further quote, and paths repeated long keys and deep nesting. Change: patterns take what is open to the end; lines are kept down to eight levels with 32 characters of a key; a thousand faults are named in one text. An open comment still is a fault. tests/test_checks.py has both.

--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -1,3 +1,5 @@
+import tracemalloc
+
 import pytest
 from returns.result import Failure, Success
 
@@ -74,6 +76,32 @@
     assert any(problem in fault.text and fault.line == line for fault in faults), faults
 
 
+@pytest.mark.parametrize(
+    "text",
+    [
+        '"' + '\\"' * 200_000,
+        "/*" * 200_000,
+        "{" + ",".join(f'"a{index}": 0' for index in range(50_000)) + "}",
+        "[" * 500 + "1," * 100_000 + "1" + "]" * 500,
+        '{"' + "k" * 100_000 + '": [' + "1," * 100_000 + "1]}",
+    ],
+    ids=["quotes", "comments", "unknown", "deep", "key"],
+)
+def test_hostile_text_ends_in_bounded_time_and_memory(text: str) -> None:
+    tracemalloc.start()
+    faults = check_document((SectionText("a.jsonc", text),)).failure()
+    _, peak_bytes = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert 1 <= len(faults) <= 1_001
+    assert peak_bytes < 100 * len(text)
+
+
+def test_open_comment_is_no_comment() -> None:
+    for text in ('{"team": "a"}/* open', '{"team": "a"}/*/'):
+        (fault,) = check_document((SectionText("a.jsonc", text),)).failure()
+        assert "malformed JSON" in fault.text
+
+
 def test_section_over_the_platform_bound_is_a_fault() -> None:
     upstreams = ",".join(f'{{"name": "{"u" * 40}{index}"}}' for index in range(20_000))
     result = check_document((SectionText("a", f'{{"team": "a", "upstreams": [{upstreams}]}}'),))
--- a/trefoilpick/_positions.py
+++ b/trefoilpick/_positions.py
@@ -6,6 +6,12 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
+MAX_DEPTH = 8
+"""Levels of nesting whose fields have lines; a section has five."""
+
+MAX_KEY = 32
+"""Part of a field's name that its path keeps, in characters."""
+
 _TOKEN = re.compile(
     r"""
     (?P<skip>//[^\n]*|/\*.*?\*/|\s+)
@@ -51,6 +57,7 @@
     seen: set[str] = field(default_factory=set)
 
     def name_entry(self) -> str:
+        """Return the path of the field that the text stands at."""
         return f"{self.path}[{self.index}]" if self.is_list else join_path(self.path, self.key)
 
 
@@ -60,40 +67,68 @@
 
 
 def locate_fields(text: str) -> Positions:
-    """Find the line of every field of a text.
+    """Find the line of every field of a text, down to `MAX_DEPTH` levels.
 
     Args:
-        text: JSON with comments; where it is malformed, the lines are those found before.
+        text: JSON with comments.
     """
-    lines: dict[str, int] = {}
-    doubled: list[tuple[str, int]] = []
-    levels: list[_Level] = []
+    locator = _Locator()
     for token, line in _list_tokens(text):
-        level = levels[-1] if levels else None
+        locator.take(token, line)
+    return Positions(locator.lines, tuple(locator.doubled))
+
+
+class _Locator:
+    """Follows the tokens of a text."""
+
+    def __init__(self) -> None:
+        self.lines: dict[str, int] = {}
+        self.doubled: list[tuple[str, int]] = []
+        self._levels: list[_Level] = []
+        self._depth = 0
+
+    def take(self, token: str, line: int) -> None:
+        """Take the next token."""
         if token in ("{", "["):
-            path = level.name_entry() if level else ""
-            lines.setdefault(path, line)
-            levels.append(_Level(path, token == "["))
+            self._open(line, is_list=token == "[")
         elif token in ("}", "]"):
-            if levels:
-                levels.pop()
-        elif level is None:
-            lines.setdefault("", line)
+            self._close()
+        elif self._depth <= MAX_DEPTH:
+            self._take_inner(token, line)
+
+    def _open(self, line: int, *, is_list: bool) -> None:
+        if self._depth < MAX_DEPTH:
+            path = self._levels[-1].name_entry() if self._levels else ""
+            self.lines.setdefault(path, line)
+            self._levels.append(_Level(path, is_list))
+        self._depth += 1
+
+    def _close(self) -> None:
+        if 0 < self._depth <= MAX_DEPTH:
+            self._levels.pop()
+        self._depth = max(self._depth - 1, 0)
+
+    def _take_inner(self, token: str, line: int) -> None:
+        level = self._levels[-1] if self._levels else None
+        if level is None:
+            self.lines.setdefault("", line)
         elif token == ",":
             level.index += 1
             level.has_key = False
         elif token == ":":
             level.has_key = True
         elif level.is_list:
-            lines.setdefault(level.name_entry(), line)
+            self.lines.setdefault(level.name_entry(), line)
         elif not level.has_key:
-            level.key = _strip_quotes(token)
-            path = level.name_entry()
-            if level.key in level.seen:
-                doubled.append((path, line))
-            level.seen.add(level.key)
-            lines.setdefault(path, line)
-    return Positions(lines, tuple(doubled))
+            self._take_key(level, _strip_quotes(token), line)
+
+    def _take_key(self, level: _Level, key: str, line: int) -> None:
+        level.key = key[:MAX_KEY]
+        path = level.name_entry()
+        if key in level.seen:
+            self.doubled.append((path, line))
+        level.seen.add(key)
+        self.lines.setdefault(path, line)
 
 
 def _list_tokens(text: str) -> Iterator[tuple[str, int]]:
--- a/trefoilpick/_texts.py
+++ b/trefoilpick/_texts.py
@@ -13,8 +13,14 @@
 MAX_JSON5_BYTES = 100_000
 """Longest text that is read with all that JSON5 allows, in bytes."""
 
-_COMMENT = re.compile(r'("(?:\\.|[^"\\])*")|//[^\n]*|/\*.*?\*/', re.DOTALL)
-_TRAILING_COMMA = re.compile(r'("(?:\\.|[^"\\])*")|,(?=\s*[\]}])', re.DOTALL)
+MIN_COMMENT = len("/**/")
+"""Shortest comment that is closed, in characters."""
+
+# Each pattern takes an open string or comment to the end, or a search would try again at each
+# further quote in it.
+_STRING = r'("(?:\\.|[^"\\])*+(?:"|\\?\Z))'
+_COMMENT = re.compile(_STRING + r"|//[^\n]*|/\*(?:.*?\*/|.*\Z)", re.DOTALL)
+_TRAILING_COMMA = re.compile(_STRING + r"|,(?=\s*[\]}])", re.DOTALL)
 _NO_NEWLINE = re.compile(r"[^\n]")
 _JSON5_PLACE = re.compile(r"<string>:(\d+) (.*)", re.DOTALL)
 _BYTE_PLACE = re.compile(r"(?:JSON is malformed: )?(.*) \(byte (\d+)\)", re.DOTALL)
@@ -77,4 +83,6 @@
 
 
 def _blank(found: re.Match[str]) -> str:
-    return found[1] or _NO_NEWLINE.sub(" ", found[0])
+    text = found[0]
+    is_open = text.startswith("/*") and (len(text) < MIN_COMMENT or not text.endswith("*/"))
+    return text if found[1] or is_open else _NO_NEWLINE.sub(" ", text)
--- a/trefoilpick/_typed_text.py
+++ b/trefoilpick/_typed_text.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from itertools import islice
 from typing import Any
 
 from returns.result import Failure
@@ -11,6 +12,9 @@
 from trefoilpick._positions import Positions, locate_fields
 from trefoilpick._texts import parse_text
 
+MAX_FAULTS = 1_000
+"""Faults of fields that are named in one text."""
+
 
 @dataclass(frozen=True, order=True)
 class TextFault:
@@ -61,9 +65,14 @@
     positions = locate_fields(text)
     faults = [
         TextFault(positions.find_line(fault.path), fault.path, fault.text)
-        for fault in check_fields(raw, kind)
+        for fault in islice(check_fields(raw, kind), MAX_FAULTS + 1)
     ]
     faults += [
-        TextFault(line, path, f'field "{path}" is given twice') for path, line in positions.doubled
+        TextFault(line, path, f'field "{path}" is given twice')
+        for path, line in positions.doubled[:MAX_FAULTS]
     ]
-    return TypedText(raw, positions, tuple(sorted(faults)))
+    faults.sort()
+    if len(faults) > MAX_FAULTS:
+        last = TextFault(faults[MAX_FAULTS].line, "", "further faults are not named")
+        faults = [*faults[:MAX_FAULTS], last]
+    return TypedText(raw, positions, tuple(faults))
