--- /dev/null
+++ b/trefoilpick/_hop_heads.py
@@ -0,0 +1,72 @@
+"""Heads of hops, built from a caller's request and read for its answer."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from trefoilpick.calls import MS_PER_S, OWN_PREFIX, RETRY_HEADER, TOKEN_HEADER
+from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError
+from trefoilpick.hops import HopRequest
+
+if TYPE_CHECKING:
+    from trefoilpick.calls import Call
+    from trefoilpick.hops import Headers, HopAnswer, HopFailure
+
+
+def build_request(call: Call, now: float, *, is_retry: bool) -> HopRequest:
+    """Build the head of a request on a hop.
+
+    Raises:
+        TrefoilpickError: `DEADLINE_BEFORE_RUN`, where its time is over.
+    """
+    left_s = call.deadline_at - now
+    if left_s <= 0:
+        text = "the deadline passed before the request was sent"
+        raise TrefoilpickError(ErrorKind.DEADLINE_BEFORE_RUN, text)
+    head = call.head
+    route = call.team_route.route
+    is_retry = is_retry or head.is_retry
+    return HopRequest(
+        number=call.snapshot.version.number,
+        digest=call.snapshot.version.digest,
+        team=call.team_route.team,
+        route=route.name,
+        upstream=call.team_route.upstream.name,
+        method=head.method,
+        target=head.target,
+        headers=head.headers,
+        remaining_ms=max(int(left_s * MS_PER_S), 1),
+        priority=route.contract.priority.value,
+        idempotent=route.contract.idempotent,
+        caller=call.link.caller,
+        token=head.token,
+        wants_token=head.wants_token,
+        has_body=not call.body.ended or call.body.received > 0,
+        is_retry=is_retry,
+    )
+
+
+def build_answer_headers(answer: HopAnswer, own_headers: Headers) -> Headers:
+    """Return the headers of an answer for the caller."""
+    headers = [
+        header
+        for header in answer.headers
+        if not header[0].startswith(OWN_PREFIX) or header[0] == RETRY_HEADER
+    ]
+    headers += own_headers
+    if answer.token is not None:
+        headers.append((TOKEN_HEADER, answer.token.encode("latin-1")))
+    headers.append((OWN_PREFIX + b"outcome", answer.outcome.encode()))
+    return headers
+
+
+def rebuild_error(failure: HopFailure) -> TrefoilpickError:
+    """Return the error that a worker's node told."""
+    try:
+        kind = ErrorKind(failure.kind)
+        outcome = Outcome(failure.outcome)
+    except ValueError:
+        kind, outcome = ErrorKind.INTERNAL, Outcome.UNKNOWN
+    retry_after_ms = failure.retry_after_ms
+    retry_after_s = None if retry_after_ms is None else retry_after_ms / MS_PER_S
+    return TrefoilpickError(kind, failure.text, outcome=outcome, retry_after_s=retry_after_s)
--- a/trefoilpick/client.py
+++ b/trefoilpick/client.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-from collections import deque
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
@@ -13,9 +12,9 @@
 from trefoilpick._client_connection import (
     ClientConnection,
     RawAnswer,
-    open_client_connection,
     read_outcome,
 )
+from trefoilpick._client_node import ClientNode
 from trefoilpick.calls import (
     DEADLINE_HEADER,
     EXHAUSTED_MARK,
@@ -32,9 +31,6 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-IDLE_CONNECTIONS = 8
-"""Unused connections that are kept to one node."""
-
 CONNECT_TIMEOUT_S = 1.0
 """Time to connect to a node, in seconds."""
 
@@ -47,12 +43,6 @@
 MAX_PAUSE_S = 5.0
 """Longest upper bound of a pause between attempts, in seconds."""
 
-FIRST_AVOIDANCE_S = 0.5
-"""Time for which a node that broke is avoided, in seconds; it doubles for each further break."""
-
-MAX_AVOIDANCE_S = 30.0
-"""Longest time for which a node is avoided, in seconds."""
-
 WORTH_ANOTHER = RETRIABLE | {
     ErrorKind.PEER_UNREACHABLE,
     ErrorKind.ANSWER_CUT,
@@ -97,36 +87,6 @@
     token: str | None = None
 
 
-class _Node:
-    """One node that the library knows, with unused connections to it."""
-
-    def __init__(self, address: str) -> None:
-        self.address = address
-        self.idle: deque[ClientConnection] = deque()
-        self.avoided_until = 0.0
-        self._breaks = 0
-
-    async def acquire(self, *, timeout_s: float) -> ClientConnection:
-        while self.idle:
-            connection = self.idle.pop()
-            if connection.is_quiet():
-                return connection
-            await connection.close()
-        return await open_client_connection(self.address, timeout_s=timeout_s)
-
-    async def release(self, connection: ClientConnection) -> None:
-        self._breaks = 0
-        if len(self.idle) < IDLE_CONNECTIONS and connection.prepare_reuse():
-            self.idle.append(connection)
-        else:
-            await connection.close()
-
-    def avoid(self, now: float) -> None:
-        pause_s = min(FIRST_AVOIDANCE_S * 2**self._breaks, MAX_AVOIDANCE_S)
-        self._breaks = min(self._breaks + 1, 16)
-        self.avoided_until = now + pause_s
-
-
 class Caller:
     """Sends requests through any of several nodes.
 
@@ -143,7 +103,7 @@
         chance: random.Random | None = None,
         attempts: int = ATTEMPTS,
     ) -> None:
-        self._nodes = [_Node(address) for address in addresses]
+        self._nodes = [ClientNode(address) for address in addresses]
         self._random = chance or random.Random()
         self._attempts = attempts
 
@@ -253,7 +213,7 @@
         raise error
 
     async def _exchange_on(
-        self, connection: ClientConnection, node: _Node, request: _Request
+        self, connection: ClientConnection, node: ClientNode, request: _Request
     ) -> RawAnswer:
         is_whole = False
         try:
@@ -278,7 +238,7 @@
                 await connection.close()
         return answer
 
-    def _choose_node(self, now: float) -> _Node:
+    def _choose_node(self, now: float) -> ClientNode:
         for node in self._nodes:
             if node.avoided_until <= now:
                 return node
--- a/trefoilpick/forwarding.py
+++ b/trefoilpick/forwarding.py
@@ -8,23 +8,23 @@
 import curio
 
 from trefoilpick._clock import read_clock
+from trefoilpick._hop_heads import build_answer_headers, build_request, rebuild_error
 from trefoilpick.callerlinks import LinkState
-from trefoilpick.calls import MS_PER_S, OWN_PREFIX, RETRY_HEADER, TOKEN_HEADER
+from trefoilpick.calls import MS_PER_S
 from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError, find_answer
 from trefoilpick.hops import (
     Frame,
     FrameKind,
     HopAnswer,
     HopFailure,
-    HopRequest,
     Load,
     decode_head,
     encode_data,
-    encode_frame,
     encode_head,
 )
 from trefoilpick.retries import plan_retry
 from trefoilpick.tokens import read_claims
+from trefoilpick.uploads import END_FRAME, Uploader
 
 if TYPE_CHECKING:
     import random
@@ -45,9 +45,6 @@
 FIRST_SERVER_ERROR = 500
 """Lowest HTTP status that counts against a worker."""
 
-END_FRAME = encode_frame(FrameKind.END)
-"""The frame that makes a body whole."""
-
 WORKER_FAULTS = frozenset(
     {
         ErrorKind.UPSTREAM_REFUSED,
@@ -78,57 +75,6 @@
     answered_at: float
 
 
-class Uploader:
-    """Sends the rest of a request's body while the answer is waited for.
-
-    Args:
-        call: The request.
-        hop: Where the body goes.
-
-    Attributes:
-        error: What is wrong with the caller's side of the body.
-        ended_at: When all of the body was sent, in seconds on the node's clock.
-        is_sending: Whether it waits for the worker's side to take a part.
-    """
-
-    def __init__(self, call: Call, hop: ClientHop) -> None:
-        self.error: TrefoilpickError | None = None
-        self.ended_at: float | None = None
-        self.is_sending = False
-        self._call = call
-        self._hop = hop
-        self._task: curio.Task | None = None
-
-    async def start(self) -> None:
-        """Begin to send."""
-        self._call.link.state = LinkState.UPLOADING
-        self._call.link.touched_at = self._call.link.clock.now
-        self._task = await curio.spawn(self._run, daemon=True)
-
-    async def stop(self) -> None:
-        """Stop sending; the body stays incomplete where it is not at its end."""
-        if self._task is not None:
-            await self._task.cancel()
-
-    async def _run(self) -> None:
-        link = self._call.link
-        try:
-            while (part := await self._call.body.receive()) is not None:
-                self.is_sending = True
-                await self._hop.send(encode_data([part]))
-                self.is_sending = False
-                link.touched_at = link.clock.now
-            await self._hop.send(END_FRAME)
-        except TrefoilpickError as error:
-            self.error = error
-            self._hop.abort()
-        except OSError:
-            return
-        else:
-            self.ended_at = read_clock()
-            link.state = LinkState.ANSWERING if link.head_sent else LinkState.RUNNING
-
-
 class Forwarder:
     """Forwards requests to workers.
 
@@ -269,7 +215,7 @@
     ) -> Attempt:
         ready = call.body.take_ready()
         now = read_clock()
-        request = _build_request(call, now, is_retry=is_retry)
+        request = build_request(call, now, is_retry=is_retry)
         data = encode_head(FrameKind.REQUEST, request) + encode_data(ready)
         if call.body.ended and request.has_body:
             data += END_FRAME
@@ -328,7 +274,7 @@
                 failure = decode_head(frame.payload, HopFailure)
                 hop.is_clean = _is_body_sent(call, uploader)
                 self._balancer.note_load(record, failure.load, read_clock())
-                raise _rebuild_error(failure)
+                raise rebuild_error(failure)
             if frame.kind is not FrameKind.NOTICE:
                 text = f'node of VM "{hop.vm.name}" sent {frame.kind.name} before its answer'
                 raise TrefoilpickError(ErrorKind.ANSWER_MALFORMED, text)
@@ -374,7 +320,7 @@
         if _is_body_sent(call, attempt.uploader):
             link.state = LinkState.ANSWERING
         answer = attempt.answer
-        headers = _build_answer_headers(answer, own_headers)
+        headers = build_answer_headers(answer, own_headers)
         head_pending = True
         ended = False
         while not ended:
@@ -442,58 +388,6 @@
     return uploader.ended_at
 
 
-def _build_request(call: Call, now: float, *, is_retry: bool) -> HopRequest:
-    left_s = call.deadline_at - now
-    if left_s <= 0:
-        text = "the deadline passed before the request was sent"
-        raise TrefoilpickError(ErrorKind.DEADLINE_BEFORE_RUN, text)
-    head = call.head
-    route = call.team_route.route
-    is_retry = is_retry or head.is_retry
-    return HopRequest(
-        number=call.snapshot.version.number,
-        digest=call.snapshot.version.digest,
-        team=call.team_route.team,
-        route=route.name,
-        upstream=call.team_route.upstream.name,
-        method=head.method,
-        target=head.target,
-        headers=head.headers,
-        remaining_ms=max(int(left_s * MS_PER_S), 1),
-        priority=route.contract.priority.value,
-        idempotent=route.contract.idempotent,
-        caller=call.link.caller,
-        token=head.token,
-        wants_token=head.wants_token,
-        has_body=not call.body.ended or call.body.received > 0,
-        is_retry=is_retry,
-    )
-
-
-def _build_answer_headers(answer: HopAnswer, own_headers: Headers) -> Headers:
-    headers = [
-        header
-        for header in answer.headers
-        if not header[0].startswith(OWN_PREFIX) or header[0] == RETRY_HEADER
-    ]
-    headers += own_headers
-    if answer.token is not None:
-        headers.append((TOKEN_HEADER, answer.token.encode("latin-1")))
-    headers.append((OWN_PREFIX + b"outcome", answer.outcome.encode()))
-    return headers
-
-
-def _rebuild_error(failure: HopFailure) -> TrefoilpickError:
-    try:
-        kind = ErrorKind(failure.kind)
-        outcome = Outcome(failure.outcome)
-    except ValueError:
-        kind, outcome = ErrorKind.INTERNAL, Outcome.UNKNOWN
-    retry_after_ms = failure.retry_after_ms
-    retry_after_s = None if retry_after_ms is None else retry_after_ms / MS_PER_S
-    return TrefoilpickError(kind, failure.text, outcome=outcome, retry_after_s=retry_after_s)
-
-
 def _move_deadline(call: Call, uploader: Uploader | None) -> float | None:
     """Return the deadline of a streamed request: its time runs from the end of the body."""
     if uploader is None:
--- /dev/null
+++ b/trefoilpick/uploads.py
@@ -0,0 +1,70 @@
+"""The rest of a request's body, sent while the answer is waited for."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import curio
+
+from trefoilpick._clock import read_clock
+from trefoilpick.callerlinks import LinkState
+from trefoilpick.errors import TrefoilpickError
+from trefoilpick.hops import FrameKind, encode_data, encode_frame
+
+if TYPE_CHECKING:
+    from trefoilpick.calls import Call
+    from trefoilpick.hopclient import ClientHop
+
+END_FRAME = encode_frame(FrameKind.END)
+"""The frame that makes a body whole."""
+
+
+class Uploader:
+    """Sends the rest of a request's body while the answer is waited for.
+
+    Args:
+        call: The request.
+        hop: Where the body goes.
+
+    Attributes:
+        error: What is wrong with the caller's side of the body.
+        ended_at: When all of the body was sent, in seconds on the node's clock.
+        is_sending: Whether it waits for the worker's side to take a part.
+    """
+
+    def __init__(self, call: Call, hop: ClientHop) -> None:
+        self.error: TrefoilpickError | None = None
+        self.ended_at: float | None = None
+        self.is_sending = False
+        self._call = call
+        self._hop = hop
+        self._task: curio.Task | None = None
+
+    async def start(self) -> None:
+        """Begin to send."""
+        self._call.link.state = LinkState.UPLOADING
+        self._call.link.touched_at = self._call.link.clock.now
+        self._task = await curio.spawn(self._run, daemon=True)
+
+    async def stop(self) -> None:
+        """Stop sending; the body stays incomplete where it is not at its end."""
+        if self._task is not None:
+            await self._task.cancel()
+
+    async def _run(self) -> None:
+        link = self._call.link
+        try:
+            while (part := await self._call.body.receive()) is not None:
+                self.is_sending = True
+                await self._hop.send(encode_data([part]))
+                self.is_sending = False
+                link.touched_at = link.clock.now
+            await self._hop.send(END_FRAME)
+        except TrefoilpickError as error:
+            self.error = error
+            self._hop.abort()
+        except OSError:
+            return
+        else:
+            self.ended_at = read_clock()
+            link.state = LinkState.ANSWERING if link.head_sent else LinkState.RUNNING
