--- a/Makefile
+++ b/Makefile
@@ -46,3 +46,6 @@
 
 matrix: install
 	cd tests && ../$(BIN)/python matrix_cells.py
+
+bench-slopes: install
+	$(BIN)/python -m benchmarks.slopes $(OPTIONS)
--- /dev/null
+++ b/benchmarks/slopes.py
@@ -0,0 +1,332 @@
+"""Measure what one more VM, section, change or message costs a node.
+
+Two methods. Parts alone: a node's own data at growing sizes, timed with `process_time` and
+weighed with `tracemalloc`. Whole fleets: the distributors of 11 data centres in one process on a
+local network with set delays and a virtual clock, so that messages, bytes, reads and the time on
+the way are counted at the size of the target itself. Their processor time is that of the whole
+process, divided by its nodes; ZeroMQ's own share is not in it.
+
+Run with `python -m benchmarks.slopes`. The last line is one JSON object.
+"""
+
+from __future__ import annotations
+
+import gc
+import json
+import logging
+import resource
+import statistics
+import time
+import tracemalloc
+from collections.abc import Callable
+from dataclasses import asdict, dataclass
+from random import Random
+from typing import Annotated, Any
+
+import curio
+import msgspec
+import typer
+
+from trefoilpick._clock import read_clock
+from trefoilpick._virtual import run_virtual
+from trefoilpick.distribution import Distributor, open_distributor
+from trefoilpick.document import Contract, Match, Route, Section, Upstream
+from trefoilpick.localnet import LocalLinks, LocalNetwork, LocalSource
+from trefoilpick.logs import LOGGER_NAME, open_state_log
+from trefoilpick.mailbox import Mailbox
+from trefoilpick.manifest import Manifest, SectionRef, compute_digest
+from trefoilpick.metrics import Metrics
+from trefoilpick.roster import Roster
+from trefoilpick.sections import encode_section
+from trefoilpick.settings import (
+    ControlSettings,
+    ListenSettings,
+    Settings,
+    SourceSettings,
+    VmSettings,
+    WorkerSettings,
+)
+from trefoilpick.snapshots import SnapshotCell
+from trefoilpick.source import VMS_KEY
+from trefoilpick.versions import VersionStore, prepare_snapshot
+from trefoilpick.vms import Vm, VmList
+
+CENTRES = 11
+REGIONS = 3
+SERVICES = 160
+ROUTES = 10
+"""Routes of a section."""
+
+VERSIONS = 6
+IDLE_S = 60.0
+GAP_S = 12.0
+DELAY_S = (0.0005, 0.004)
+"""Time of a message on its way, in seconds."""
+
+START_LIMIT_S = 120.0
+KB = 1_000
+
+
+@dataclass(frozen=True)
+class FleetSlope:
+    """What a node of a whole fleet of one size spends."""
+
+    nodes: int
+    start_s: float
+    start_reads_peak: int
+    idle_bytes_per_node_per_s: float
+    idle_messages_per_node_per_s: float
+    idle_cpu_ms_per_node_per_s: float
+    idle_reads_per_s: float
+    change_bytes_per_node: float
+    change_messages_per_node: float
+    change_cpu_ms_per_node: float
+    change_reads: float
+    convergence_ms: dict[str, float]
+
+
+def build_vms(count: int) -> tuple[Vm, ...]:
+    """Return VMs spread over the data centres and services of the target."""
+    return tuple(
+        Vm(
+            name=f"vm-{number:04d}",
+            region=f"region-{number % CENTRES % REGIONS}",
+            data_centre=f"centre-{number % CENTRES}",
+            service=f"service-{number % SERVICES}",
+            host=f"127.{number // 62500 + 1}.{number // 250 % 250}.{number % 250 + 1}",
+            control_port=8082,
+            hop_port=8081,
+        )
+        for number in range(count)
+    )
+
+
+def build_text(number: int, mark: int) -> bytes:
+    """Return the text of one team's section."""
+    team = f"service-{number}"
+    contract = Contract(idempotent=True, deadline_ms=2_000 + mark)
+    routes = tuple(
+        Route(f"route-{each}", Match(f"/{team}/{each}", ("GET", "POST")), team, contract)
+        for each in range(ROUTES)
+    )
+    return encode_section(Section(team, (Upstream(team),), routes))
+
+
+def build_version(number: int, sections: int, mark: int) -> tuple[Manifest, dict[str, bytes]]:
+    """Return a version in which the first section carries a mark."""
+    texts = {}
+    refs = []
+    for each in range(sections):
+        text = build_text(each, mark if each == 0 else 0)
+        digest = compute_digest(text)
+        texts[digest] = text
+        refs.append(SectionRef(f"service-{each}", digest, len(text)))
+    refs.sort(key=lambda ref: ref.team)
+    return Manifest(number, 0, tuple(refs)), texts
+
+
+def weigh(build: Callable[[], Any]) -> tuple[float, float]:
+    """Return the kilobytes that a value takes and the milliseconds that it takes to build."""
+    build()
+    gc.collect()
+    tracemalloc.start()
+    kept = build()
+    size = tracemalloc.get_traced_memory()[0] / KB
+    tracemalloc.stop()
+    del kept
+    began = time.process_time()
+    rounds = 5
+    for _ in range(rounds):
+        build()
+    return size, (time.process_time() - began) * 1_000 / rounds
+
+
+def measure_lists() -> list[dict[str, float]]:
+    """Measure a node's list of VMs at growing sizes."""
+    rows = []
+    for count in (110, 550, 1_100):
+        data = msgspec.json.encode(VmList(1, build_vms(count)))
+
+        def adopt(data: bytes = data) -> Roster:
+            vms = msgspec.json.decode(data, type=VmList)
+            roster = Roster(vms.vms[0])
+            roster.adopt_list(vms)
+            return roster
+
+        size, took = weigh(adopt)
+        rows.append({"vms": count, "json_kb": len(data) / KB, "kb": size, "cpu_ms": took})
+    return rows
+
+
+def measure_documents() -> list[dict[str, float]]:
+    """Measure a node's document at growing sizes, whole and for one changed section."""
+    rows = []
+    for sections in (40, 80, 160):
+        first, texts = build_version(1, sections, 0)
+        second, more = build_version(2, sections, 1)
+        store = VersionStore()
+        for manifest, known in ((first, texts), (second, more)):
+            for ref in manifest.sections:
+                store.add_text(ref, known[ref.digest])
+        former = prepare_snapshot(first, store, former=None)
+        size, whole = weigh(lambda s=store, m=first: prepare_snapshot(m, s, former=None))
+        _, change = weigh(lambda s=store, m=second, f=former: prepare_snapshot(m, s, former=f))
+        rows.append(
+            {
+                "sections": sections,
+                "json_kb": sum(len(text) for text in texts.values()) / KB,
+                "kb": size,
+                "whole_cpu_ms": whole,
+                "change_cpu_ms": change,
+            }
+        )
+    return rows
+
+
+class ModelFleet:
+    """The distributors of a fleet in one process."""
+
+    def __init__(self, vms: tuple[Vm, ...], sections: int) -> None:
+        self.vms = vms
+        self.sections = sections
+        self.network = LocalNetwork(Random(1))
+        self.network.delay_s = DELAY_S
+        self.source = LocalSource()
+        self.nodes: list[tuple[Distributor, SnapshotCell]] = []
+
+    @property
+    def bytes_sent(self) -> int:
+        """Control bytes that all nodes sent to peers."""
+        return sum(node.links.traffic.sent for node, _ in self.nodes)
+
+    async def start(self) -> float:
+        """Start all nodes at once; return when all were ready, in seconds."""
+        await self.source.put(VMS_KEY, msgspec.json.encode(VmList(1, self.vms)))
+        await self.source.accept(*build_version(1, self.sections, 0))
+        began = read_clock()
+        for number, vm in enumerate(self.vms):
+            node, cell = self._open(vm, number)
+            self.nodes.append((node, cell))
+            await curio.spawn(node.run, daemon=True)
+        while not all(node.is_ready for node, _ in self.nodes):
+            assert read_clock() < began + START_LIMIT_S, "the fleet does not become ready"
+            await curio.sleep(0.1)
+        return read_clock() - began
+
+    async def accept(self, number: int) -> list[float]:
+        """Accept a version; return when each node enforced it, in milliseconds."""
+        began = read_clock()
+        await self.source.accept(*build_version(number, self.sections, number))
+        waiting = [cell for _, cell in self.nodes]
+        times: list[float] = []
+        while waiting:
+            still = [cell for cell in waiting if cell.current.version.number < number]
+            times += [(read_clock() - began) * 1_000] * (len(waiting) - len(still))
+            waiting = still
+            await curio.sleep(0.001)
+        return times
+
+    def _open(self, vm: Vm, number: int) -> tuple[Distributor, SnapshotCell]:
+        settings = Settings(
+            vm=VmSettings(vm.name, vm.region, vm.data_centre, vm.service),
+            listen=ListenSettings(vm.host),
+            worker=WorkerSettings(vm.host, 9100),
+            source=SourceSettings(("127.0.0.1:9000",)),
+            control=ControlSettings(
+                expected_vms=len(self.vms),
+                seeds=tuple(f"{peer.host}:{peer.control_port}" for peer in self.vms[:22]),
+            ),
+        )
+        metrics = Metrics()
+        mailbox = Mailbox(vm.name, number + 1, metrics)
+        cell = SnapshotCell()
+        node = open_distributor(
+            settings,
+            own=vm,
+            source=self.source,
+            links=LocalLinks(
+                self.network, f"{vm.host}:{vm.control_port}", mailbox=mailbox, metrics=metrics
+            ),
+            cell=cell,
+            roster=Roster(vm),
+            metrics=metrics,
+            log=open_state_log(settings.vm, incarnation=number + 1, metrics=metrics),
+            random=Random(number),
+        )
+        return node, cell
+
+
+async def measure_fleet(nodes: int, sections: int) -> FleetSlope:
+    """Measure a whole fleet of one size."""
+    fleet = ModelFleet(build_vms(nodes), sections)
+    start_s = await fleet.start()
+    start_peak = fleet.source.count_peak()
+    await curio.sleep(GAP_S)
+    idle = await _measure(fleet, curio.sleep(IDLE_S), IDLE_S)
+    times: list[float] = []
+    totals = []
+    for number in range(2, 2 + VERSIONS):
+        before = len(fleet.source.times)
+
+        async def change(number: int = number) -> None:
+            times.extend(await fleet.accept(number))
+            await curio.sleep(GAP_S)
+
+        spent = await _measure(fleet, change(), 1.0)
+        totals.append((spent, len(fleet.source.times) - before))
+    changed = [statistics.mean(spent[index] for spent, _ in totals) for index in range(3)]
+    ordered = sorted(times)
+    return FleetSlope(
+        nodes=nodes,
+        start_s=round(start_s, 2),
+        start_reads_peak=start_peak,
+        idle_bytes_per_node_per_s=round(idle[0], 1),
+        idle_messages_per_node_per_s=round(idle[1], 2),
+        idle_cpu_ms_per_node_per_s=round(idle[2], 3),
+        idle_reads_per_s=round(idle[3], 2),
+        change_bytes_per_node=round(changed[0] - idle[0] * GAP_S, 1),
+        change_messages_per_node=round(changed[1] - idle[1] * GAP_S, 2),
+        change_cpu_ms_per_node=round(changed[2] - idle[2] * GAP_S, 3),
+        change_reads=statistics.mean(reads for _, reads in totals),
+        convergence_ms={
+            "p50": round(ordered[len(ordered) // 2], 1),
+            "p99": round(ordered[int(len(ordered) * 0.99)], 1),
+            "max": round(ordered[-1], 1),
+        },
+    )
+
+
+async def _measure(fleet: ModelFleet, work: Any, per_s: float) -> tuple[float, ...]:
+    """Return bytes, messages, processor ms a node and reads, all per so many seconds."""
+    sent, messages = fleet.bytes_sent, fleet.network.messages
+    reads, cpu = len(fleet.source.times), time.process_time()
+    await work
+    nodes = len(fleet.nodes)
+    return (
+        (fleet.bytes_sent - sent) / nodes / per_s,
+        (fleet.network.messages - messages) / nodes / per_s,
+        (time.process_time() - cpu) * 1_000 / nodes / per_s,
+        (len(fleet.source.times) - reads) / per_s,
+    )
+
+
+def main(
+    sizes: Annotated[str, typer.Option(help="Nodes of the model fleets.")] = "110,220,440",
+    sections: Annotated[int, typer.Option(help="Sections of the document.")] = 160,
+) -> None:
+    """Measure all slopes; the last line is one JSON object."""
+    logging.getLogger(LOGGER_NAME).setLevel(logging.CRITICAL)
+    result: dict[str, Any] = {"lists": measure_lists(), "documents": measure_documents()}
+    fleets = []
+    for size in (int(each) for each in sizes.split(",")):
+        slope: FleetSlope = run_virtual(measure_fleet(size, sections))
+        print(slope, flush=True)
+        fleets.append(asdict(slope))
+        gc.collect()
+    result["fleets"] = fleets
+    result["peak_rss_mb"] = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / KB
+    print(json.dumps(result))
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- a/trefoilpick/_cli_node.py
+++ b/trefoilpick/_cli_node.py
@@ -2,16 +2,19 @@
 
 from __future__ import annotations
 
+from contextlib import ExitStack
 from pathlib import Path
-from typing import TYPE_CHECKING, Annotated
+from typing import TYPE_CHECKING, Annotated, BinaryIO
 
 import curio
 import typer
 
 from trefoilpick._console import console, report_errors
 from trefoilpick._signals import watch_stop_signals
+from trefoilpick.errors import ErrorKind, TrefoilpickError
 from trefoilpick.logs import open_log
 from trefoilpick.node import open_node
+from trefoilpick.recorder import Recorder
 from trefoilpick.settings import read_settings
 from trefoilpick.standin_worker import Worker
 
@@ -23,12 +26,17 @@
     settings: Annotated[
         Path, typer.Option(help="Settings of the node: JSON with comments.", dir_okay=False)
     ],
+    record: Annotated[
+        Path | None,
+        typer.Option(help="Append what the node sees to this trace.", dir_okay=False),
+    ] = None,
 ) -> None:
     """Run the node beside the worker of this VM until SIGTERM, then drain and exit 0."""
-    with report_errors():
+    with report_errors(), ExitStack() as files:
         checked = read_settings(settings)
+        out = files.enter_context(_open_trace(record)) if record else None
         open_log(checked)
-        curio.run(_serve(open_node(checked)))
+        curio.run(_serve(open_node(checked), out))
 
 
 def worker(
@@ -44,10 +52,20 @@
     curio.run(_serve_worker(stand_in))
 
 
-async def _serve(served: Node) -> None:
+def _open_trace(path: Path) -> BinaryIO:
+    try:
+        return path.open("ab")
+    except OSError as error:
+        text = f'trace "{path}" cannot be written: {error.strerror}'
+        raise TrefoilpickError(ErrorKind.FILE_UNREADABLE, text) from error
+
+
+async def _serve(served: Node, out: BinaryIO | None) -> None:
     stopped = watch_stop_signals()
     async with curio.TaskGroup(wait=None) as tasks:
         await tasks.spawn(_stop_on_signal, stopped, served)
+        if out is not None:
+            await tasks.spawn(Recorder(served, out).run)
         await served.run()
 
 
--- /dev/null
+++ b/trefoilpick/recorder.py
@@ -0,0 +1,129 @@
+"""Recording of a trace: what one node sees, as lines that `replay` takes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import curio
+
+from trefoilpick._clock import read_clock
+from trefoilpick.traces import (
+    Event,
+    Requests,
+    VersionAccepted,
+    VmJoins,
+    VmLeaves,
+    VmListed,
+    encode_line,
+)
+from trefoilpick.vms import VmState
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from typing import BinaryIO
+
+    from trefoilpick.node import Node
+    from trefoilpick.snapshots import Snapshot, TeamRoute
+    from trefoilpick.vms import Vm
+
+LOOK_S = 1.0
+"""Time between two looks at the node, in seconds."""
+
+REQUESTS_COUNTER = "trefoilpick_requests_total"
+"""Counter of callers' requests, by team and route."""
+
+
+class Recorder:
+    """Appends what a node sees to a file.
+
+    Args:
+        node: The node.
+        out: Where the lines go.
+    """
+
+    def __init__(self, node: Node, out: BinaryIO) -> None:
+        self._node = node
+        self._out = out
+        self._began_s = read_clock()
+        self._snapshot: Snapshot | None = None
+        self._vms: dict[str, Vm] = {}
+        self._counts: dict[tuple[str, str], int] = {}
+
+    async def run(self) -> None:
+        """Record until cancelled, then write the node's own end."""
+        vm = self._node.settings.vm
+        try:
+            self._write(VmJoins(0.0, vm.name, vm.region, vm.data_centre, vm.service))
+            while True:
+                for event in self.look():
+                    self._write(event)
+                await curio.sleep(LOOK_S)
+        finally:
+            self._write(VmLeaves(self._read_time(), vm.name))
+
+    def look(self) -> Iterator[Event]:
+        """Yield what happened since the last look."""
+        at_s = self._read_time()
+        yield from self._list_vm_changes(at_s)
+        yield from self._list_versions(at_s)
+        yield from self._list_requests(at_s)
+
+    def _list_vm_changes(self, at_s: float) -> Iterator[Event]:
+        own = self._node.settings.vm.name
+        listed = {vm.name: vm for vm in self._node.roster.list_vms() if vm.name != own}
+        for name, vm in listed.items():
+            known = self._vms.get(name)
+            if known is None:
+                yield VmJoins(at_s, name, vm.region, vm.data_centre, vm.service)
+            if vm.state is not (known.state if known else VmState.LIVE):
+                yield VmListed(at_s, name, vm.state)
+        for name in self._vms.keys() - listed.keys():
+            yield VmListed(at_s, name, None)
+        self._vms = listed
+
+    def _list_versions(self, at_s: float) -> Iterator[Event]:
+        snapshot = self._node.cell.current
+        if snapshot is None or snapshot is self._snapshot:
+            return
+        known = self._snapshot.document.sections if self._snapshot else ()
+        changed = tuple(each for each in snapshot.document.sections if each not in known)
+        teams = {each.team for each in snapshot.document.sections}
+        removed = tuple(each.team for each in known if each.team not in teams)
+        self._snapshot = snapshot
+        yield VersionAccepted(at_s, snapshot.version.number, changed, removed)
+
+    def _list_requests(self, at_s: float) -> Iterator[Event]:
+        if self._snapshot is None:
+            return
+        for routes in self._snapshot.routes.values():
+            for entry in routes:
+                made = self._count_new(entry)
+                if made:
+                    yield self._tell_requests(at_s, entry, made)
+
+    def _tell_requests(self, at_s: float, entry: TeamRoute, made: int) -> Requests:
+        match = entry.route.match
+        return Requests(
+            at_s,
+            self._node.settings.vm.name,
+            made,
+            LOOK_S,
+            match.methods[0],
+            match.host,
+            match.path_prefix,
+            token=not entry.route.contract.idempotent,
+        )
+
+    def _count_new(self, entry: TeamRoute) -> int:
+        key = (entry.team, entry.route.name)
+        total = self._node.metrics.get_count(REQUESTS_COUNTER, team=key[0], route=key[1])
+        made = total - self._counts.get(key, 0)
+        self._counts[key] = total
+        return made
+
+    def _read_time(self) -> float:
+        return round(read_clock() - self._began_s, 3)
+
+    def _write(self, event: Event) -> None:
+        self._out.write(encode_line(event))
+        self._out.flush()
--- a/trefoilpick/replay.py
+++ b/trefoilpick/replay.py
@@ -199,6 +199,8 @@
 async def _(event: VersionAccepted, replay: Replay) -> None:
     for section in event.sections:
         replay.sections[section.team] = section
+    for team in event.removed:
+        replay.sections.pop(team, None)
     texts: dict[str, bytes] = {}
     refs: list[SectionRef] = []
     for team in sorted(replay.sections):
--- a/trefoilpick/traces.py
+++ b/trefoilpick/traces.py
@@ -119,11 +119,17 @@
 
 
 class VersionAccepted(msgspec.Struct, frozen=True, tag_field="event", tag="version_accepted"):
-    """Operators accept a version; sections that are not named stay as they were."""
+    """Operators accept a version; sections that are not named stay as they were.
+
+    Attributes:
+        sections: Sections that are new or changed.
+        removed: Teams whose sections are gone.
+    """
 
     at_s: Seconds
     number: Annotated[int, Meta(ge=1, lt=2**53)]
     sections: tuple[Section, ...]
+    removed: tuple[Name, ...] = ()
 
 
 class Requests(msgspec.Struct, frozen=True, tag_field="event", tag="requests"):
