Take the slopes of a node's parts from one module

Cause: two benchmarks measured the list of VMs and the document. Change: slopes uses control_slopes. Conclusion: one method for each figure.

--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -1,10 +1,10 @@
 """Measure what one more VM, section, change or message costs a node.
 
-Two methods. Parts alone: a node's own data at growing sizes, timed with `process_time` and
-weighed with `tracemalloc`. Whole fleets: the distributors of 11 data centres in one process on a
-local network with set delays and a virtual clock, so that messages, bytes, reads and the time on
-the way are counted at the size of the target itself. Their processor time is that of the whole
-process, divided by its nodes; ZeroMQ's own share is not in it.
+Two methods. Parts alone: a node's own data at growing sizes (`control_slopes`). Whole fleets: the
+distributors of 11 data centres in one process on a local network with set delays and a virtual
+clock, so that messages, bytes, reads and the time on the way are counted at the size of the target
+itself. Their processor time is that of the whole process, divided by its nodes; it holds the
+measurement's own looks at all nodes, and ZeroMQ's share is not in it.
 
 Run with `python -m benchmarks.slopes`. The last line is one JSON object.
 """
@@ -17,8 +17,6 @@
 import resource
 import statistics
 import time
-import tracemalloc
-from collections.abc import Callable
 from dataclasses import asdict, dataclass
 from random import Random
 from typing import Annotated, Any
@@ -27,6 +25,7 @@
 import msgspec
 import typer
 
+from benchmarks.control_slopes import measure_sections, measure_vms
 from trefoilpick._clock import read_clock
 from trefoilpick._virtual import run_virtual
 from trefoilpick.distribution import Distributor, open_distributor
@@ -48,7 +47,6 @@
 )
 from trefoilpick.snapshots import SnapshotCell
 from trefoilpick.source import VMS_KEY
-from trefoilpick.versions import VersionStore, prepare_snapshot
 from trefoilpick.vms import Vm, VmList
 
 CENTRES = 11
@@ -125,64 +123,6 @@
     return Manifest(number, 0, tuple(refs)), texts
 
 
-def weigh(build: Callable[[], Any]) -> tuple[float, float]:
-    """Return the kilobytes that a value takes and the milliseconds that it takes to build."""
-    build()
-    gc.collect()
-    tracemalloc.start()
-    kept = build()
-    size = tracemalloc.get_traced_memory()[0] / KB
-    tracemalloc.stop()
-    del kept
-    began = time.process_time()
-    rounds = 5
-    for _ in range(rounds):
-        build()
-    return size, (time.process_time() - began) * 1_000 / rounds
-
-
-def measure_lists() -> list[dict[str, float]]:
-    """Measure a node's list of VMs at growing sizes."""
-    rows = []
-    for count in (110, 550, 1_100):
-        data = msgspec.json.encode(VmList(1, build_vms(count)))
-
-        def adopt(data: bytes = data) -> Roster:
-            vms = msgspec.json.decode(data, type=VmList)
-            roster = Roster(vms.vms[0])
-            roster.adopt_list(vms)
-            return roster
-
-        size, took = weigh(adopt)
-        rows.append({"vms": count, "json_kb": len(data) / KB, "kb": size, "cpu_ms": took})
-    return rows
-
-
-def measure_documents() -> list[dict[str, float]]:
-    """Measure a node's document at growing sizes, whole and for one changed section."""
-    rows = []
-    for sections in (40, 80, 160):
-        first, texts = build_version(1, sections, 0)
-        second, more = build_version(2, sections, 1)
-        store = VersionStore()
-        for manifest, known in ((first, texts), (second, more)):
-            for ref in manifest.sections:
-                store.add_text(ref, known[ref.digest])
-        former = prepare_snapshot(first, store, former=None)
-        size, whole = weigh(lambda s=store, m=first: prepare_snapshot(m, s, former=None))
-        _, change = weigh(lambda s=store, m=second, f=former: prepare_snapshot(m, s, former=f))
-        rows.append(
-            {
-                "sections": sections,
-                "json_kb": sum(len(text) for text in texts.values()) / KB,
-                "kb": size,
-                "whole_cpu_ms": whole,
-                "change_cpu_ms": change,
-            }
-        )
-    return rows
-
-
 class ModelFleet:
     """The distributors of a fleet in one process."""
 
@@ -316,7 +256,10 @@
 ) -> None:
     """Measure all slopes; the last line is one JSON object."""
     logging.getLogger(LOGGER_NAME).setLevel(logging.CRITICAL)
-    result: dict[str, Any] = {"lists": measure_lists(), "documents": measure_documents()}
+    result: dict[str, Any] = {
+        "vms": [measure_vms(count) for count in (110, 550, 1_100)],
+        "sections": [measure_sections(count) for count in (40, 80, 160)],
+    }
     fleets = []
     for size in (int(each) for each in sizes.split(",")):
         slope: FleetSlope = run_virtual(measure_fleet(size, sections))
