Find a lagging node by its traffic: versions named on hops lead to a fetch

Cause: requests and answers between nodes carried the version, and Distributor.note_version took one, but nothing joined the two; a node that loses announcements waited for an exchange. Change: HopRequest names the sender's VM; both sides note the version they are told (Sightings) and the node fetches it from the VM that named it. The demo's VMs are built by build_own_vm.

--- /dev/null
+++ b/tests/test_sightings.py
@@ -0,0 +1,81 @@
+from collections.abc import Callable
+from random import Random
+
+import curio
+
+from trefoilpick._calls import CallPlan, CallRecorder
+from trefoilpick._replay_fleet import ReplayFleet
+from trefoilpick._virtual import run_virtual
+from trefoilpick.document import Contract, Document, Match, Route, Section, Upstream
+from trefoilpick.manifest import Manifest, SectionRef, VersionId, compute_digest
+from trefoilpick.messages import Announcement, Exchange, decode_envelope
+from trefoilpick.metrics import Metrics
+from trefoilpick.sections import encode_section
+from trefoilpick.sightings import Sighting, Sightings
+from trefoilpick.snapshots import SnapshotCell, build_snapshot
+from trefoilpick.traces import VmJoins
+
+
+def test_only_the_newest_newer_version_is_kept() -> None:
+    cell = SnapshotCell()
+    metrics = Metrics()
+    sightings = Sightings(cell, metrics)
+    sightings.note("early", 9, "ff")
+    assert sightings.take() is None
+    cell.replace(build_snapshot(VersionId(3, "bb"), Manifest(3, 0, ()), Document()))
+    for vm, number, digest in [("a", 3, "aa"), ("b", 5, "aa"), ("c", 3, "cc"), ("d", 0, "")]:
+        sightings.note(vm, number, digest)
+    assert sightings.take() == Sighting("b", VersionId(5, "aa"))
+    assert sightings.take() is None
+    assert metrics.get_count("trefoilpick_sightings_total") == 1
+
+
+async def deafen(fleet: ReplayFleet, name: str) -> None:
+    """Lose all news of versions towards one node; what it asks for still comes."""
+    carry = fleet.network.carry
+    deaf = fleet.vms[name].vm.host
+
+    async def lose_news(data: bytes, one: str, other: str, arrive: Callable) -> None:
+        body = decode_envelope(data).body
+        if deaf in (one.split(":")[0], other.split(":")[0]) and isinstance(
+            body, Announcement | Exchange
+        ):
+            return
+        await carry(data, one, other, arrive)
+
+    fleet.network.carry = lose_news
+
+
+def test_node_that_hears_no_announcement_learns_of_a_version_by_its_traffic() -> None:
+    async def main() -> None:
+        fleet = ReplayFleet(5)
+        for number in range(6):
+            name, centre = f"vm-{number}", f"lima-{number % 2}"
+            await fleet.join(VmJoins(0.0, name, "lima", centre, "portafolio"))
+        await fleet.publish_list()
+        await accept(fleet, 1)
+        await curio.sleep(15)
+        name = next(n for n, vm in fleet.vms.items() if not vm.node.describe().reads_source)
+        await deafen(fleet, name)
+        await accept(fleet, 2)
+        await curio.sleep(4)
+        assert fleet.vms[name].life.history[-1].version.number == 1
+        recorder = CallRecorder("c", fleet.list_addresses(name), Random(1))
+        for number in range(12):
+            await recorder.make_call(CallPlan("GET", "q", "/x", True, 0), number, 5.0)
+        await recorder.close()
+        await curio.sleep(2)
+        assert fleet.vms[name].life.history[-1].version.number == 2
+        for each in fleet.vms:
+            await fleet.kill(each)
+
+    run_virtual(main())
+
+
+async def accept(fleet: ReplayFleet, number: int) -> None:
+    contract = Contract(idempotent=True, deadline_ms=1_000 + number)
+    route = Route("all", Match("/", ("GET",)), "portafolio", contract)
+    text = encode_section(Section("portafolio", (Upstream("portafolio"),), (route,)))
+    digest = compute_digest(text)
+    manifest = Manifest(number, number, (SectionRef("portafolio", digest, len(text)),))
+    await fleet.source.accept(manifest, {digest: text})
--- a/trefoilpick/_demo_fleet.py
+++ b/trefoilpick/_demo_fleet.py
@@ -21,7 +21,7 @@
     encode_manifest,
     identify_version,
 )
-from trefoilpick.node import open_node
+from trefoilpick.node import build_own_vm, open_node
 from trefoilpick.sections import encode_section
 from trefoilpick.settings import (
     ControlSettings,
@@ -151,7 +151,7 @@
         settings = _build_settings(standin, name, data_centre, service, host)
         node = open_node(settings, chance=random.Random(seed + index))
         worker = Worker(name, service, host, settings.worker.port, service_time_s=SERVICE_TIME_S)
-        vms[name] = DemoVm(_build_vm(settings), settings, node, worker)
+        vms[name] = DemoVm(build_own_vm(settings), settings, node, worker)
     return DemoFleet(standin, vms)
 
 
@@ -167,15 +167,3 @@
         control=ControlSettings(exchange_ms=500),
         drain=DrainSettings(notice_ms=DRAIN_NOTICE_MS),
     )
-
-
-def _build_vm(settings: Settings) -> Vm:
-    return Vm(
-        name=settings.vm.name,
-        region=settings.vm.region,
-        data_centre=settings.vm.data_centre,
-        service=settings.vm.service,
-        host=settings.listen.host,
-        control_port=settings.listen.control_port,
-        hop_port=settings.listen.hop_port,
-    )
--- a/trefoilpick/_hop_heads.py
+++ b/trefoilpick/_hop_heads.py
@@ -13,9 +13,15 @@
     from trefoilpick.hops import Headers, HopAnswer, HopFailure
 
 
-def build_request(call: Call, now: float, *, is_retry: bool) -> HopRequest:
+def build_request(call: Call, now: float, *, is_retry: bool, vm: str) -> HopRequest:
     """Build the head of a request on a hop.
 
+    Args:
+        call: The request.
+        now: Time on the node's clock, in seconds.
+        is_retry: Whether an earlier attempt was made.
+        vm: VM of this node.
+
     Raises:
         TrefoilpickError: `DEADLINE_BEFORE_RUN`, where its time is over.
     """
@@ -43,6 +49,7 @@
         wants_token=head.wants_token,
         has_body=not call.body.ended or call.body.received > 0,
         is_retry=is_retry,
+        vm=vm,
     )
 
 
--- a/trefoilpick/_metric_table.py
+++ b/trefoilpick/_metric_table.py
@@ -173,6 +173,12 @@
         "The node asks another peer; many failures tell of a partition.",
         ("kind",),
     ),
+    "trefoilpick_sightings_total": MetricInfo(
+        MetricKind.COUNTER,
+        "versions",
+        "Newer versions that this node heard of by a request or an answer of another node.",
+        "Growing steadily, the control links of this node lose announcements.",
+    ),
     "trefoilpick_heartbeats_missed_total": MetricInfo(
         MetricKind.COUNTER,
         "heartbeats",
--- a/trefoilpick/balancing.py
+++ b/trefoilpick/balancing.py
@@ -13,11 +13,12 @@
 
 from trefoilpick.ejection import Ejection
 from trefoilpick.errors import ErrorKind, TrefoilpickError
+from trefoilpick.sightings import ignore_version
 from trefoilpick.vms import VmState
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Collection, Iterator
+    from collections.abc import Callable, Collection, Iterator
 
     from trefoilpick.document import Upstream
     from trefoilpick.hops import Load
@@ -265,10 +266,19 @@
         own: Which VM this is.
         directory: What the node knows of other VMs.
         random: Source of random choices.
+        note_version: Called with the VM, number and digest of each version that a load names.
     """
 
-    def __init__(self, own: VmSettings, directory: Directory, random: random.Random) -> None:
+    def __init__(
+        self,
+        own: VmSettings,
+        directory: Directory,
+        random: random.Random,
+        *,
+        note_version: Callable[[str, int, str], None] = ignore_version,
+    ) -> None:
         self._own = own
+        self._note_version = note_version
         self._directory = directory
         self._random = random
         self._services: dict[str, Service] = {}
@@ -306,12 +316,18 @@
         text = f'upstream "{upstream.name}" has no worker that takes requests'
         raise TrefoilpickError(ErrorKind.NO_UPSTREAM, text)
 
+    @property
+    def own_vm(self) -> str:
+        """Name of the VM of this node."""
+        return self._own.name
+
     def find(self, service_name: str, vm: str, now: float) -> WorkerRecord | None:
         """Return the record of a named VM; None where the service does not have it."""
         return self._update_service(service_name, now).records.get(vm)
 
     def note_load(self, record: WorkerRecord, load: Load, now: float) -> None:
         """Take over a load report and tell the directory what is new in it."""
+        self._note_version(load.vm, load.number, load.digest)
         was_leaving = record.is_leaving(now)
         if record.note_load(load, now):
             self._directory.note_alive(load.vm, load.incarnation)
--- a/trefoilpick/callers.py
+++ b/trefoilpick/callers.py
@@ -27,6 +27,7 @@
 from trefoilpick.hopclient import HopPool
 from trefoilpick.reaper import Reaper
 from trefoilpick.retries import RetryBudgets
+from trefoilpick.sightings import ignore_version
 
 if TYPE_CHECKING:
     import random
@@ -344,6 +345,7 @@
     is_ready: Callable[[], bool],
     is_level: Callable[[], bool],
     random: random.Random,
+    note_version: Callable[[str, int, str], None] = ignore_version,
 ) -> CallerServer:
     """Open the server for callers; it listens from now on and serves when run.
 
@@ -355,12 +357,13 @@
         is_ready: Tells whether the node enforces a version; a drain is no matter of it.
         is_level: Tells whether the node enforces the newest version that it knows of.
         random: Source of random choices.
+        note_version: Called with the VM, number and digest of each version that an answer names.
 
     Raises:
         OSError: The address cannot be listened on.
     """
     requests = settings.requests
-    balancer = Balancer(settings.vm, directory, random)
+    balancer = Balancer(settings.vm, directory, random, note_version=note_version)
     pool = HopPool(requests, balancer.note_notice)
     forwarder = Forwarder(balancer, pool, RetryBudgets(requests.retry_percent), metrics, random)
     listen = settings.listen
--- a/trefoilpick/forwarding.py
+++ b/trefoilpick/forwarding.py
@@ -215,7 +215,7 @@
     ) -> Attempt:
         ready = call.body.take_ready()
         now = read_clock()
-        request = build_request(call, now, is_retry=is_retry)
+        request = build_request(call, now, is_retry=is_retry, vm=self._balancer.own_vm)
         data = encode_head(FrameKind.REQUEST, request) + encode_data(ready)
         if call.body.ended and request.has_body:
             data += END_FRAME
--- a/trefoilpick/hops.py
+++ b/trefoilpick/hops.py
@@ -96,6 +96,7 @@
         wants_token: Whether this asks for a token and runs nothing.
         has_body: Whether DATA frames may follow.
         is_retry: Whether an earlier attempt was made anywhere above.
+        vm: VM of the node that sends it; empty where it is not told.
     """
 
     number: int
@@ -114,6 +115,7 @@
     wants_token: bool
     has_body: bool
     is_retry: bool
+    vm: str = ""
 
 
 class HopAnswer(msgspec.Struct, frozen=True, array_like=True):
--- a/trefoilpick/hopserver.py
+++ b/trefoilpick/hopserver.py
@@ -20,6 +20,7 @@
 from trefoilpick.gate import Gate, GateLimits
 from trefoilpick.hops import FrameKind, Hop, HopRequest, Load, decode_head, encode_head
 from trefoilpick.logs import Event, open_state_log
+from trefoilpick.sightings import ignore_version
 from trefoilpick.tokens import open_book
 from trefoilpick.upstreams import open_pool
 
@@ -70,6 +71,7 @@
         incarnation: Start of the process, in nanoseconds since the Unix epoch.
         gate: Admission to the worker.
         book: Tokens for running at most once.
+        note_version: Called with the VM, number and digest of the version that a request names.
     """
 
     def __init__(
@@ -82,6 +84,7 @@
         incarnation: int,
         gate: Gate,
         book: TokenBook,
+        note_version: Callable[[str, int, str], None],
     ) -> None:
         self.gate = gate
         self.book = book
@@ -92,6 +95,7 @@
         self._metrics = metrics
         self._log = open_state_log(settings.vm, incarnation=incarnation, metrics=metrics)
         self._is_level = is_level
+        self._note_version = note_version
         self._incarnation = incarnation
         self._upstream: Upstream | None = None
         self._hops = OpenHops()
@@ -237,6 +241,7 @@
                 text = f"hop frame {frame.kind.name} is out of place"
                 raise TrefoilpickError(ErrorKind.MESSAGE_MALFORMED, text)
             request = decode_head(frame.payload, HopRequest)
+            self._note_version(request.vm, request.number, request.digest)
             self._running += 1
             try:
                 reusable = await self._serve_request(link, request)
@@ -313,6 +318,7 @@
     metrics: Metrics,
     is_level: Callable[[], bool],
     incarnation: int,
+    note_version: Callable[[str, int, str], None] = ignore_version,
 ) -> HopServer:
     """Open the hop server of a node; `HopServer.run` accepts hops.
 
@@ -322,6 +328,7 @@
         metrics: Where requests are counted.
         is_level: Tells whether the enforced version is as new as the fleet's.
         incarnation: Start of the process, in nanoseconds since the Unix epoch.
+        note_version: Called with the VM, number and digest of the version that a request names.
     """
     gate = Gate(
         GateLimits(slots=1, connections=1, queue=0),
@@ -343,6 +350,7 @@
             max_answer_bytes=settings.hops.max_answer_bytes,
             max_answers_bytes=settings.hops.max_answers_bytes,
         ),
+        note_version=note_version,
     )
 
 
--- a/trefoilpick/node.py
+++ b/trefoilpick/node.py
@@ -24,6 +24,7 @@
 from trefoilpick.operators import open_operator_server
 from trefoilpick.pauses import read_suspended_s
 from trefoilpick.roster import Roster
+from trefoilpick.sightings import LOOK_S, Sightings
 from trefoilpick.snapshots import SnapshotCell
 from trefoilpick.source import open_source
 from trefoilpick.vms import Vm
@@ -54,6 +55,7 @@
         distributor: Brings versions and hands them on.
         hop_server: Takes requests of other nodes for the own worker.
         caller_server: Takes callers' requests.
+        sightings: Versions that other nodes named on hops.
     """
 
     def __init__(
@@ -66,6 +68,7 @@
         distributor: Distributor,
         hop_server: HopServer,
         caller_server: CallerServer,
+        sightings: Sightings,
     ) -> None:
         self.settings = settings
         self.metrics = metrics
@@ -74,6 +77,7 @@
         self.distributor = distributor
         self.hop_server = hop_server
         self.caller_server = caller_server
+        self._sightings = sightings
         self._operators = open_operator_server(
             settings, metrics=metrics, describe=self.describe, cell=cell, sweep=self.sweep_fleet
         )
@@ -95,6 +99,7 @@
             await tasks.spawn(self.hop_server.run)
             await tasks.spawn(self.caller_server.run)
             await tasks.spawn(self._operators.run)
+            await tasks.spawn(self._follow_sightings)
             await tasks.spawn(self._drain_when_stopped)
             await tasks.spawn(self._report_readiness)
         self._log.report(Event.NODE, "stopped")
@@ -137,6 +142,14 @@
                 was_ready = is_ready
             await curio.sleep(READINESS_S)
 
+    async def _follow_sightings(self) -> None:
+        while True:
+            await curio.sleep(LOOK_S)
+            found = self._sightings.take()
+            if found is not None:
+                version = found.version
+                await self.distributor.note_version(found.vm, version.number, version.digest)
+
     async def _drain_when_stopped(self) -> None:
         await self._stop.wait()
         self._leaving = True
@@ -190,12 +203,14 @@
         random=chance,
         read_suspended=read_suspended,
     )
+    sightings = Sightings(cell, metrics)
     hop_server = open_hop_server(
         settings,
         cell=cell,
         metrics=metrics,
         is_level=lambda: distributor.is_level,
         incarnation=incarnation,
+        note_version=sightings.note,
     )
     caller_server = open_caller_server(
         settings,
@@ -205,6 +220,7 @@
         is_ready=lambda: distributor.is_ready,
         is_level=lambda: distributor.is_level,
         random=chance,
+        note_version=sightings.note,
     )
     return Node(
         settings,
@@ -214,6 +230,7 @@
         distributor=distributor,
         hop_server=hop_server,
         caller_server=caller_server,
+        sightings=sightings,
     )
 
 
