Tell a worker's failing share in every load, so that callers' nodes avoid it after one answer

Cause: a worker that answers 500 while its health endpoint says well was found out by each of nine callers' nodes alone, after three failures each. The node beside the worker sees all its answers. Change: WorkerHealth keeps the failing share of recent answers (half-life 5 s); Load carries it; at 50% a caller's node ejects the worker at once, and probes it as ever.

--- /dev/null
+++ b/tests/test_health.py
@@ -0,0 +1,35 @@
+from random import Random
+
+from trefoilpick.ejection import Ejection
+from trefoilpick.health import WorkerHealth
+
+
+def test_share_is_told_once_there_are_answers_and_fades() -> None:
+    health = WorkerHealth(0.0)
+    health.note(0.0, failed=True)
+    assert health.measure_failing(0.0) == 0
+    health.note(0.0, failed=True)
+    health.note(0.0, failed=False)
+    health.note(0.0, failed=False)
+    assert health.measure_failing(0.0) == 50
+    assert health.measure_failing(60.0) == 0
+
+
+def test_new_answers_outweigh_old_failures() -> None:
+    health = WorkerHealth(0.0)
+    for _ in range(10):
+        health.note(0.0, failed=True)
+    for second in range(1, 21):
+        health.note(float(second), failed=False)
+    assert health.measure_failing(20.0) < 10
+
+
+def test_report_ejects_at_once_and_a_good_probe_ends_it() -> None:
+    ejection = Ejection()
+    ejection.note_report(0.0, Random(1))
+    assert ejection.is_blocked(0.0)
+    assert not ejection.is_blocked(1.0)
+    ejection.begin(1.0)
+    assert ejection.is_blocked(1.1)
+    ejection.note_success()
+    assert not ejection.is_blocked(1.1)
--- a/trefoilpick/_exchange.py
+++ b/trefoilpick/_exchange.py
@@ -30,6 +30,7 @@
     from trefoilpick._workerconnections import WorkerConnection
     from trefoilpick.document import Upstream
     from trefoilpick.gate import Gate
+    from trefoilpick.health import WorkerHealth
     from trefoilpick.hops import HopRequest, Load
     from trefoilpick.metrics import Metrics
     from trefoilpick.upstreams import WorkerPool
@@ -43,6 +44,9 @@
 END = encode_frame(FrameKind.END)
 """The frame that ends a body."""
 
+FIRST_SERVER_ERROR = 500
+"""Lowest status code that speaks against the worker."""
+
 
 @dataclass(frozen=True)
 class Service:
@@ -54,6 +58,7 @@
         metrics: Where requests are counted.
         measure_load: Returns the load of the worker.
         body_idle_s: Time in which a body must move on, in seconds.
+        health: What the worker's answers say of it.
     """
 
     gate: Gate
@@ -61,6 +66,7 @@
     metrics: Metrics
     measure_load: Callable[[], Load]
     body_idle_s: float
+    health: WorkerHealth
 
 
 class Exchange:
@@ -171,6 +177,7 @@
                 head = await self._attempt_twice(upstream)
             if head.status in SHED_STATUSES:
                 self._check_shed(head)
+            self._service.health.note(read_clock(), failed=head.status >= FIRST_SERVER_ERROR)
             return await self._pass_answer(head, keep_bytes)
         except curio.TaskTimeout as error:
             raise self._refuse_late() from error
--- a/trefoilpick/balancing.py
+++ b/trefoilpick/balancing.py
@@ -59,6 +59,9 @@
 EJECTED_DIVISOR = 2
 """At most the total divided by this many of a service's workers are ejected at a time."""
 
+FAILING_PERCENT = 50
+"""Failing share of a worker's answers at which its own node's report ejects it."""
+
 
 class Nearness(IntEnum):
     """How near a worker stands to this node."""
@@ -333,6 +336,8 @@
             self._directory.note_alive(load.vm, load.incarnation)
         if load.leaving and not was_leaving:
             self._directory.note_leaving(load.vm)
+        if load.failing_percent >= FAILING_PERCENT:
+            record.ejection.note_report(now, self._random)
 
     def note_notice(self, vm: Vm, load: Load, now: float) -> None:
         """Take over a load report that came between requests."""
--- a/trefoilpick/ejection.py
+++ b/trefoilpick/ejection.py
@@ -59,6 +59,12 @@
         elif self._ejections:
             self._ejections -= 1
 
+    def note_report(self, now: float, random: random.Random) -> None:
+        """Note that the worker's own node reports it as failing: it is ejected at once."""
+        if self._paused_until is None:
+            self._failures = FAILURES_TO_EJECT
+            self.note_failure(now, random)
+
     def note_failure(self, now: float, random: random.Random) -> None:
         """Note a failure; it may begin an ejection or a longer pause."""
         self._failures += 1
--- a/trefoilpick/hops.py
+++ b/trefoilpick/hops.py
@@ -64,6 +64,7 @@
         queued: Requests that wait for a slot.
         slots: Slots of the worker.
         leaving: Whether the node takes no new work.
+        failing_percent: Failing share of the worker's recent answers.
     """
 
     vm: str
@@ -74,6 +75,7 @@
     queued: int
     slots: int
     leaving: bool
+    failing_percent: int = 0
 
 
 class HopRequest(msgspec.Struct, frozen=True, array_like=True):
--- a/trefoilpick/hopserver.py
+++ b/trefoilpick/hopserver.py
@@ -18,6 +18,7 @@
 from trefoilpick._redemption import run_once
 from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError
 from trefoilpick.gate import Gate, GateLimits
+from trefoilpick.health import WorkerHealth
 from trefoilpick.hops import FrameKind, Hop, HopRequest, Load, decode_head, encode_head
 from trefoilpick.logs import Event, open_state_log
 from trefoilpick.sightings import ignore_version
@@ -46,6 +47,11 @@
 
 logger = logging.getLogger("trefoilpick")
 
+WORKER_FAILURES = frozenset(
+    {ErrorKind.UPSTREAM_REFUSED, ErrorKind.UPSTREAM_LOST, ErrorKind.ANSWER_MALFORMED}
+)
+"""Errors that speak against the worker."""
+
 
 @dataclass(frozen=True)
 class DrainReport:
@@ -101,6 +107,7 @@
         self._hops = OpenHops()
         self._running = 0
         self._refused = 0
+        self._health = WorkerHealth(read_clock())
         self._drained = curio.Event()
         self._report: DrainReport | None = None
         self._service = Service(
@@ -113,6 +120,7 @@
             metrics=metrics,
             measure_load=self.measure_load,
             body_idle_s=settings.hops.body_idle_ms / 1000,
+            health=self._health,
         )
 
     @property
@@ -137,6 +145,7 @@
             queued=self.gate.queued,
             slots=self.gate.limits.slots,
             leaving=self.leaving,
+            failing_percent=self._health.measure_failing(read_clock()),
         )
 
     async def run(self) -> None:
@@ -259,6 +268,8 @@
                 self._log.report(Event.WORKER, "up")
         except TrefoilpickError as error:
             kind = error.kind.value
+            if error.kind in WORKER_FAILURES:
+                self._health.note(read_clock(), failed=True)
             if error.kind is ErrorKind.UPSTREAM_REFUSED:
                 self._log.report(Event.WORKER, "down", level=logging.WARNING, text=error.text)
             if not await exchange.fail(error):
