End a node with the error that ended a part of it; name the port that cannot be listened on

Cause: with its hop port in use a node printed a traceback and exited 0: TaskGroup(wait=any) drops the error of the task that ends first, in node, distribution, links, operators, reading and standin. A node that was built and dropped hung for ever: a ZeroMQ context collected before its sockets waits for them (ruled out: linger of queued messages, there are none). Change: run_together raises what ended the first part; open_listener serves callers' and hop ports and names them; a context is kept until its sockets are closed. Conclusion: no part of a node can end unnoticed.

--- a/tests/fakes_worker.py
+++ b/tests/fakes_worker.py
@@ -14,7 +14,6 @@
 import msgspec
 from curio.io import Socket
 
-from trefoilpick._hoplistener import listen
 from trefoilpick.document import Contract, Document, Match, Route, Section, Upstream
 from trefoilpick.hops import (
     FrameKind,
@@ -29,6 +28,7 @@
     encode_head,
 )
 from trefoilpick.hopserver import HopServer, open_hop_server
+from trefoilpick.listening import open_listener
 from trefoilpick.manifest import Manifest, VersionId
 from trefoilpick.metrics import Metrics
 from trefoilpick.settings import (
@@ -110,7 +110,7 @@
         """Bytes of a request after which the connection is reset, once."""
         self.at_accept: Callable[[Socket], Awaitable[None]] | None = None
         """Takes the place of all else on a connection."""
-        self.listener = listen(HOST, 0)
+        self.listener = open_listener(HOST, 0, name="fake worker", backlog=128)
         self.port = self.listener.getsockname()[1]
 
     async def run(self) -> None:
--- a/trefoilpick/_hoplistener.py
+++ b/trefoilpick/_hoplistener.py
@@ -27,24 +27,6 @@
 """Connections that wait to be accepted."""
 
 
-def listen(host: str, port: int) -> Socket:
-    """Return a socket that listens on a port.
-
-    Args:
-        host: IP address.
-        port: TCP port.
-
-    Raises:
-        OSError: The address cannot be listened on.
-    """
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    sock = socket.socket(family, socket.SOCK_STREAM)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind((host, port))
-    sock.listen(BACKLOG)
-    return Socket(sock)
-
-
 async def accept_sockets(
     listener: Socket, *, note_error: Callable[[], None]
 ) -> AsyncIterator[Socket]:
--- a/trefoilpick/callers.py
+++ b/trefoilpick/callers.py
@@ -25,6 +25,7 @@
 from trefoilpick.errors import ErrorKind, TrefoilpickError, find_answer
 from trefoilpick.forwarding import Forwarder
 from trefoilpick.hopclient import HopPool
+from trefoilpick.listening import open_listener
 from trefoilpick.reaper import Reaper
 from trefoilpick.retries import RetryBudgets
 from trefoilpick.sightings import ignore_version
@@ -360,18 +361,15 @@
         note_version: Called with the VM, number and digest of each version that an answer names.
 
     Raises:
-        OSError: The address cannot be listened on.
+        TrefoilpickError: `SETTINGS_FAULTY`, where the address cannot be listened on.
     """
     requests = settings.requests
     balancer = Balancer(settings.vm, directory, random, note_version=note_version)
     pool = HopPool(requests, balancer.note_notice)
     forwarder = Forwarder(balancer, pool, RetryBudgets(requests.retry_percent), metrics, random)
-    listen = settings.listen
-    family = socket.AF_INET6 if ":" in listen.host else socket.AF_INET
-    listener = socket.socket(family, socket.SOCK_STREAM)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.bind((listen.host, listen.caller_port))
-    listener.listen(BACKLOG)
+    listener = open_listener(
+        settings.listen.host, settings.listen.caller_port, name="callers' port", backlog=BACKLOG
+    )
     return CallerServer(
         settings,
         listener=listener,
--- a/trefoilpick/distribution.py
+++ b/trefoilpick/distribution.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from functools import partial
 from typing import TYPE_CHECKING
 
 import curio
 
 from trefoilpick._clock import read_clock
+from trefoilpick._together import run_together
 from trefoilpick.answering import answer_body, name_address
 from trefoilpick.budgets import Budget
 from trefoilpick.enforcement import Enforcer
@@ -209,15 +211,16 @@
 
     async def run(self) -> None:
         """Take part in the distribution until cancelled."""
-        async with curio.TaskGroup(wait=any) as group:
-            await group.spawn(self.links.run, self._take_request)
-            await group.spawn(self.reader.run)
-            await group.spawn(self._readership.run)
-            await group.spawn(self._versions.run)
-            await group.spawn(self._lists.run)
-            await group.spawn(self._pauses.run)
-            await group.spawn(self._joiner.run)
-            await group.spawn(self._exchanger.run)
+        await run_together(
+            partial(self.links.run, self._take_request),
+            self.reader.run,
+            self._readership.run,
+            self._versions.run,
+            self._lists.run,
+            self._pauses.run,
+            self._joiner.run,
+            self._exchanger.run,
+        )
 
     async def announce_leaving(self) -> None:
         """Tell peers that this node takes no new work from now on."""
--- a/trefoilpick/hopserver.py
+++ b/trefoilpick/hopserver.py
@@ -14,12 +14,13 @@
 from trefoilpick._departures import OpenHops
 from trefoilpick._exchange import Exchange, Service, encode_failure
 from trefoilpick._hoplinks import HopLink
-from trefoilpick._hoplistener import accept_sockets, listen
+from trefoilpick._hoplistener import BACKLOG, accept_sockets
 from trefoilpick._redemption import run_once
 from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError
 from trefoilpick.gate import Gate, GateLimits
 from trefoilpick.health import WorkerHealth
 from trefoilpick.hops import FrameKind, Hop, HopRequest, Load, decode_head, encode_head
+from trefoilpick.listening import open_listener
 from trefoilpick.logs import Event, open_state_log
 from trefoilpick.sightings import ignore_version
 from trefoilpick.tokens import open_book
@@ -77,6 +78,7 @@
         incarnation: Start of the process, in nanoseconds since the Unix epoch.
         gate: Admission to the worker.
         book: Tokens for running at most once.
+        listener: A listening socket.
         note_version: Called with the VM, number and digest of the version that a request names.
     """
 
@@ -90,6 +92,7 @@
         incarnation: int,
         gate: Gate,
         book: TokenBook,
+        listener: Socket,
         note_version: Callable[[str, int, str], None],
     ) -> None:
         self.gate = gate
@@ -102,6 +105,7 @@
         self._log = open_state_log(settings.vm, incarnation=incarnation, metrics=metrics)
         self._is_level = is_level
         self._note_version = note_version
+        self._listener = listener
         self._incarnation = incarnation
         self._upstream: Upstream | None = None
         self._hops = OpenHops()
@@ -151,8 +155,7 @@
     async def run(self) -> None:
         """Accept hops until cancelled."""
         self.gate.start_warm_up(read_clock())
-        listener = listen(self._settings.listen.host, self._settings.listen.hop_port)
-        async with listener, curio.TaskGroup() as group:
+        async with self._listener as listener, curio.TaskGroup() as group:
             lasting = (
                 await group.spawn(self._hops.watch),
                 await group.spawn(self._accept_hops, listener, group),
@@ -331,7 +334,7 @@
     incarnation: int,
     note_version: Callable[[str, int, str], None] = ignore_version,
 ) -> HopServer:
-    """Open the hop server of a node; `HopServer.run` accepts hops.
+    """Open the hop server of a node; it listens from now on and accepts hops when run.
 
     Args:
         settings: Settings of the node.
@@ -340,6 +343,9 @@
         is_level: Tells whether the enforced version is as new as the fleet's.
         incarnation: Start of the process, in nanoseconds since the Unix epoch.
         note_version: Called with the VM, number and digest of the version that a request names.
+
+    Raises:
+        TrefoilpickError: `SETTINGS_FAULTY`, where the address cannot be listened on.
     """
     gate = Gate(
         GateLimits(slots=1, connections=1, queue=0),
@@ -361,6 +367,9 @@
             max_answer_bytes=settings.hops.max_answer_bytes,
             max_answers_bytes=settings.hops.max_answers_bytes,
         ),
+        listener=open_listener(
+            settings.listen.host, settings.listen.hop_port, name="hop port", backlog=BACKLOG
+        ),
         note_version=note_version,
     )
 
--- a/trefoilpick/links.py
+++ b/trefoilpick/links.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from functools import partial
 from typing import TYPE_CHECKING, Protocol
 
 import curio
@@ -11,6 +12,7 @@
 from curio.traps import _read_wait
 
 from trefoilpick._clock import read_clock
+from trefoilpick._together import run_together
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 from trefoilpick.mailbox import Mailbox
 from trefoilpick.messages import MAX_MESSAGE_BYTES
@@ -156,7 +158,7 @@
         self._host = host
         self._peers: dict[str, Peer] = {}
         self._identities: set[bytes] = set()
-        self._context = zmq.Context()
+        self._context = _open_context()
         self._zap = self._open_zap() if keys else None
         self._router = self._open_router(port)
 
@@ -164,11 +166,10 @@
         """Take messages until cancelled, then close every socket."""
         self._mailbox.set_handler(handler)
         try:
-            async with curio.TaskGroup(wait=any) as group:
-                await group.spawn(self._serve)
-                await group.spawn(self._close_idle)
-                if self._zap is not None:
-                    await group.spawn(self._admit_keys, self._zap)
+            parts = [self._serve, self._close_idle]
+            if self._zap is not None:
+                parts.append(partial(self._admit_keys, self._zap))
+            await run_together(*parts)
         finally:
             await self._close()
 
@@ -201,6 +202,7 @@
             router.bind(f"tcp://{self._host}:{port}")
         except zmq.ZMQError as error:
             self._context.destroy(linger=0)
+            _open_contexts.discard(self._context)
             text = f"control link cannot listen on {self._host}:{port}: {error}"
             raise TrefoilpickError(ErrorKind.SETTINGS_FAULTY, text) from error
         return router
@@ -363,6 +365,17 @@
         if self._zap is not None:
             self._zap.close(linger=0)
         self._context.term()
+        _open_contexts.discard(self._context)
+
+
+_open_contexts: set[zmq.Context[zmq.Socket[bytes]]] = set()
+
+
+def _open_context() -> zmq.Context[zmq.Socket[bytes]]:
+    context: zmq.Context[zmq.Socket[bytes]] = zmq.Context()
+    # A context that is collected before its sockets are closed waits for them for ever.
+    _open_contexts.add(context)
+    return context
 
 
 def open_links(settings: Settings, *, incarnation: int, metrics: Metrics) -> ZmqLinks:
--- a/trefoilpick/node.py
+++ b/trefoilpick/node.py
@@ -15,6 +15,7 @@
 from trefoilpick._clock import read_clock
 from trefoilpick._counted_source import CountedSource
 from trefoilpick._node_status import build_fleet_status, build_node_status
+from trefoilpick._together import run_together
 from trefoilpick.callers import open_caller_server
 from trefoilpick.distribution import open_distributor
 from trefoilpick.hopserver import open_hop_server
@@ -92,16 +93,21 @@
         return not self._leaving and self.distributor.is_ready
 
     async def run(self) -> None:
-        """Serve until `request_stop`, then drain and return."""
+        """Serve until `request_stop`, then drain and return.
+
+        Raises:
+            Exception: Whatever ended a part of the node that should have gone on.
+        """
         self._log.report(Event.NODE, "serving", version=__version__)
-        async with curio.TaskGroup(wait=any) as tasks:
-            await tasks.spawn(self.distributor.run)
-            await tasks.spawn(self.hop_server.run)
-            await tasks.spawn(self.caller_server.run)
-            await tasks.spawn(self._operators.run)
-            await tasks.spawn(self._follow_sightings)
-            await tasks.spawn(self._drain_when_stopped)
-            await tasks.spawn(self._report_readiness)
+        await run_together(
+            self.distributor.run,
+            self.hop_server.run,
+            self.caller_server.run,
+            self._operators.run,
+            self._follow_sightings,
+            self._drain_when_stopped,
+            self._report_readiness,
+        )
         self._log.report(Event.NODE, "stopped")
 
     async def request_stop(self) -> None:
@@ -182,8 +188,7 @@
         read_suspended: Reads how long the VM has been suspended, in seconds.
 
     Raises:
-        OSError: An address cannot be listened on.
-        TrefoilpickError: `SETTINGS_FAULTY`.
+        TrefoilpickError: `SETTINGS_FAULTY`, where an address cannot be listened on.
     """
     metrics = Metrics()
     cell = cell or SnapshotCell()
--- a/trefoilpick/operators.py
+++ b/trefoilpick/operators.py
@@ -4,6 +4,7 @@
 
 import logging
 from contextlib import suppress
+from functools import partial
 from socket import IPPROTO_TCP, TCP_NODELAY
 from typing import TYPE_CHECKING, TypeVar
 
@@ -13,6 +14,7 @@
 
 from trefoilpick._http import MAX_HEAD_BYTES, HttpAnswer, receive_request, send_answer
 from trefoilpick._process import measure_process
+from trefoilpick._together import run_together
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 from trefoilpick.logs import LOGGER_NAME
 from trefoilpick.metrics import CONTENT_TYPE
@@ -100,9 +102,8 @@
     async def run(self) -> None:
         """Serve until cancelled."""
         self._windows = open_windows(self._metrics, now_s=await curio.clock())
-        async with self._sock, curio.TaskGroup(wait=any) as tasks:
-            await tasks.spawn(self._roll_windows, self._windows)
-            await tasks.spawn(self._accept)
+        async with self._sock:
+            await run_together(partial(self._roll_windows, self._windows), self._accept)
 
     async def _roll_windows(self, windows: Windows) -> None:
         while True:
--- a/trefoilpick/reading.py
+++ b/trefoilpick/reading.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import logging
+from functools import partial
 from typing import TYPE_CHECKING
 
 import curio
 import msgspec
 
 from trefoilpick._clock import read_clock
+from trefoilpick._together import run_together
 from trefoilpick.budgets import Backoff, Budget
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 from trefoilpick.logs import Event
@@ -112,9 +114,10 @@
 
     async def run(self) -> None:
         """Read and watch while it is this node's turn, until cancelled."""
-        async with curio.TaskGroup(wait=any) as group:
-            await group.spawn(self._watch, MANIFEST_KEY, self._take_manifest, REREAD_MANIFEST)
-            await group.spawn(self._watch, VMS_KEY, self._take_list, REREAD_LIST)
+        await run_together(
+            partial(self._watch, MANIFEST_KEY, self._take_manifest, REREAD_MANIFEST),
+            partial(self._watch, VMS_KEY, self._take_list, REREAD_LIST),
+        )
 
     async def read_manifest(self) -> None:
         """Read the manifest once.
--- a/trefoilpick/standin.py
+++ b/trefoilpick/standin.py
@@ -10,6 +10,7 @@
 import re
 from contextlib import suppress
 from dataclasses import asdict
+from functools import partial
 from pathlib import Path
 from socket import IPPROTO_TCP, TCP_NODELAY
 from typing import TYPE_CHECKING, Any
@@ -21,6 +22,7 @@
 
 from trefoilpick._standin_http import Call, CallChannel
 from trefoilpick._standin_values import Faults, StandinCounts, Values
+from trefoilpick._together import run_together
 from trefoilpick._typed_text import check_text
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 from trefoilpick.source import MANIFEST_KEY, VMS_KEY, SourceValue
@@ -100,10 +102,10 @@
 
     async def run(self) -> None:
         """Serve until cancelled."""
-        async with curio.TaskGroup(wait=any) as group:
-            if self._folder is not None:
-                await group.spawn(self._follow_folder, self._folder)
-            await group.spawn(self._accept)
+        parts = [self._accept]
+        if self._folder is not None:
+            parts.append(partial(self._follow_folder, self._folder))
+        await run_together(*parts)
 
     async def close(self) -> None:
         """Stop serving and close every connection."""
