Wait longer for loopback sockets before the virtual clock jumps

The virtual clock waited 0.2 ms of real time in each of four looks only, then ran through whole deadlines in microseconds, while bytes of a loaded machine may still be on their way. The product's code had no part in it. Change: 1 ms in each of forty looks after the last byte.

--- a/trefoilpick/_virtual.py
+++ b/trefoilpick/_virtual.py
@@ -20,10 +20,10 @@
 START_S = 1_000_000.0
 """Reading of the virtual clock at the start, in seconds."""
 
-QUIET_LOOKS = 4
+QUIET_LOOKS = 40
 """Looks without a ready socket after which nothing is taken to be on its way."""
 
-DELIVERY_S = 0.0002
+DELIVERY_S = 0.001
 """Real time in which a loopback socket of this process delivers, in seconds."""
 
 
