Drop a function that nothing calls

Cause: list_changed_teams of differences.py is named nowhere else. Change: it is gone; behaviour is as it was. Conclusion: less to read.

--- a/trefoilpick/differences.py
+++ b/trefoilpick/differences.py
@@ -76,11 +76,6 @@
             yield from _compare_sections(former[team], newer[team])
 
 
-def list_changed_teams(before: Document, after: Document) -> tuple[str, ...]:
-    """Return the teams whose sections change, in order."""
-    return tuple(sorted({change.team for change in list_changes(before, after)}))
-
-
 def _compare_sections(before: Section, after: Section) -> Iterator[Change]:
     changes = (
         *_compare_named(after.team, "upstream", before.upstreams, after.upstreams),
