--- a/tests/fakes_hop.py
+++ b/tests/fakes_hop.py
@@ -187,6 +187,9 @@
     def list_endpoints(self, service: str) -> tuple[Vm, ...]:
         return tuple(vm for vm in self.vms if vm.service == service)
 
+    def count_vms(self) -> int:
+        return len(self.vms)
+
     def note_refused(self, vm: str) -> None:
         self.refused.append(vm)
 
--- a/tests/matrix_requests.py
+++ b/tests/matrix_requests.py
@@ -220,6 +220,9 @@
     def list_endpoints(self, service: str) -> tuple[Vm, ...]:
         return tuple(vm for vm in self.vms if vm.service == service)
 
+    def count_vms(self) -> int:
+        return 1
+
     def note_refused(self, vm_name: str) -> None:
         pass
 
--- /dev/null
+++ b/tests/platform/fakes_store.py
@@ -0,0 +1,241 @@
+"""A small store that speaks as the platform's does, with faults that a test can set."""
+
+from __future__ import annotations
+
+import base64
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+import curio
+import h11
+import msgspec
+from curio import socket
+from curio.io import Socket
+
+from trefoilpick.settings import Settings, check_settings
+
+HOST = "127.0.0.1"
+LOOK_S = 0.005
+
+
+class Fault(Enum):
+    """What the store does in place of answering."""
+
+    NONE = "none"
+    REFUSE = "refuse"
+    LIMIT = "limit"
+    SILENT = "silent"
+    LOSE = "lose"
+    RESET = "reset"
+
+
+@dataclass
+class FakeStore:
+    """Items by key, a revision, and its history.
+
+    Attributes:
+        fault: What goes wrong with every call now.
+        slow_s: Time that each answer takes besides.
+        page: Largest number of items of one page.
+        calls: Targets of all calls.
+    """
+
+    fault: Fault = Fault.NONE
+    slow_s: float = 0.0
+    page: int = 500
+    revision: int = 7
+    oldest: int = 0
+    items: dict[str, dict[str, Any]] = field(default_factory=dict)
+    events: list[dict[str, Any]] = field(default_factory=list)
+    calls: list[str] = field(default_factory=list)
+    address: str = ""
+
+    def put(self, key: str, value: Any) -> None:
+        """Write an item; bytes go as they are, all else as JSON."""
+        self.revision += 1
+        data = value if isinstance(value, bytes) else msgspec.json.encode(value)
+        text = base64.b64encode(data).decode()
+        item = {"key": key, "value": text, "revision": self.revision, "lease-id": 0}
+        self.items[key] = item
+        self.events.append(item)
+
+    def delete(self, key: str, *, told: bool = True) -> None:
+        """Remove an item; untold, as where the history is dropped."""
+        self.revision += 1
+        del self.items[key]
+        if told:
+            self.events.append({"key": key, "revision": self.revision, "deleted": True})
+
+    def forget_history(self) -> None:
+        """Drop the history."""
+        self.oldest = self.revision
+        self.events.clear()
+
+    async def serve(self, client: Socket, _address: Any) -> None:
+        """Serve one connection."""
+        protocol = h11.Connection(h11.SERVER)
+        with suppress(OSError, h11.RemoteProtocolError):
+            while True:
+                event = protocol.next_event()
+                if event is h11.NEED_DATA:
+                    protocol.receive_data(await client.recv(65_536))
+                elif isinstance(event, h11.Request):
+                    if not await self._answer(client, protocol, event.target.decode()):
+                        return
+                elif isinstance(event, h11.EndOfMessage):
+                    protocol.start_next_cycle()
+                elif event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+                    return
+
+    async def _answer(self, client: Socket, protocol: h11.Connection, target: str) -> bool:
+        self.calls.append(target)
+        await curio.sleep(self.slow_s)
+        if self.fault is Fault.RESET:
+            return False
+        if self.fault is Fault.SILENT:
+            await curio.sleep(60)
+        status, body = 503, {"error": "away"}
+        if self.fault is Fault.LIMIT:
+            status = 429
+        elif self.fault in (Fault.NONE, Fault.LOSE):
+            status, body = await self._look_up(target)
+        if self.fault is Fault.LOSE:
+            await curio.sleep(60)
+        data = msgspec.json.encode(body)
+        head = h11.Response(status_code=status, headers=[("content-length", str(len(data)))])
+        parts = [protocol.send(head), protocol.send(h11.Data(data=data))]
+        parts.append(protocol.send(h11.EndOfMessage()))
+        await client.sendall(b"".join(part or b"" for part in parts))
+        return True
+
+    async def _look_up(self, target: str) -> tuple[int, Any]:
+        parts = urlsplit(target)
+        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+        if parts.path == "/trefoilpick/kv-key":
+            item = self.items.get(query["key"])
+            return (404, {}) if item is None else (200, {**item, "store-revision": self.revision})
+        prefix = query["path-prefix"]
+        if parts.path == "/trefoilpick/kv-range":
+            return 200, self._list(prefix, query.get("after", ""))
+        return await self._watch(prefix, int(query["after"]), int(query["wait-ms"]) / 1000)
+
+    def _list(self, prefix: str, after: str) -> dict[str, Any]:
+        keys = [key for key in sorted(self.items) if key.startswith(prefix) and key > after]
+        return {
+            "items": [self.items[key] for key in keys[: self.page]],
+            "has-more": len(keys) > self.page,
+            "store-revision": self.revision,
+        }
+
+    async def _watch(self, prefix: str, after: int, wait_s: float) -> tuple[int, Any]:
+        end = await curio.clock() + wait_s
+        while True:
+            if after < self.oldest:
+                return 410, {}
+            found = [
+                event
+                for event in self.events
+                if event["revision"] > after and event["key"].startswith(prefix)
+            ]
+            if found or await curio.clock() >= end:
+                return 200, {"events": found, "store-revision": self.revision}
+            await curio.sleep(LOOK_S)
+
+
+def run_store(scene: Callable[[FakeStore], Awaitable[None]], **fields: Any) -> None:
+    """Run a scene beside a store."""
+    store = FakeStore(**fields)
+
+    async def main() -> None:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.bind((HOST, 0))
+        sock.listen(64)
+        store.address = f"{HOST}:{sock.getsockname()[1]}"
+        async with curio.TaskGroup(wait=any) as tasks:
+            await tasks.spawn(curio.network.run_server, sock, store.serve)
+            await tasks.spawn(scene, store)
+        if tasks.exception is not None:
+            raise tasks.exception
+
+    curio.run(main)
+
+
+def make_settings(address: str = "127.0.0.1:9", **source: Any) -> Settings:
+    """Return settings of a node in lima-a."""
+    defaults = {"read_timeout_ms": 150, "watch_ms": 200, "backoff_ms": 100}
+    return check_settings(
+        {
+            "vm": {
+                "name": "10.1.0.1",
+                "region": "lima",
+                "data_centre": "lima-a",
+                "service": "encargos",
+            },
+            "listen": {"host": "10.1.0.1", "hop_port": 7380, "control_port": 7381},
+            "worker": {"host": "10.1.0.1", "port": 8080},
+            "source": {
+                "addresses": [address],
+                "regions": {"lima-a": "lima", "lima-b": "lima"},
+                **defaults,
+                **source,
+            },
+        }
+    )
+
+
+def make_entry(address: str = "10.1.0.1:8080", **fields: Any) -> dict[str, Any]:
+    """Return an entry of a worker as it registers."""
+    return {
+        "service": "encargos",
+        "address": address,
+        "zone": "lima-a",
+        "version": "v1",
+        "slots": 9,
+        "state": "ready",
+        "cold-remaining": 0,
+        "sequence": 4,
+        "born": 1_700_000_000_000,
+        **fields,
+    }
+
+
+def make_configuration(version: int = 3, **fields: Any) -> dict[str, Any]:
+    """Return a configuration with a plain and a divided route."""
+    route = {
+        "name": "r-1",
+        "hostname": "ficu.example",
+        "path-prefix": "/upload/",
+        "kind": "non_idempotent",
+        "timeout": 800,
+        "target-latency": 250,
+        "priority": 0,
+        "max-attempts": 2,
+        "service": "encargos",
+    }
+    shares = [{"service": "portafolio", "weight": 90}, {"service": "encargos", "weight": 10}]
+    divided = {
+        **route,
+        "name": "r-2",
+        "path-prefix": "/read/",
+        "kind": "idempotent",
+        "priority": 4,
+        "traffic-split": shares,
+    }
+    del divided["service"]
+    service = {"health-path": "/healthz", "max-connections": 120, "protocol": "h1", "tls": False}
+    return {
+        "version": version,
+        "routes": [route, divided],
+        "services": [{"name": name, **service} for name in ("portafolio", "encargos")],
+        "limits": {
+            "max-header-bytes": 16_384,
+            "max-body-bytes": 67_108_864,
+            "header-timeout": 3_000,
+            "idle-timeout": 15_000,
+        },
+        **fields,
+    }
--- /dev/null
+++ b/tests/platform/test_configuration.py
@@ -0,0 +1,51 @@
+from __future__ import annotations
+
+import msgspec
+import pytest
+from fakes_store import make_configuration
+
+from trefoilpick.checks import check_sections
+from trefoilpick.document import CallerLimits, Document, Priority, Share
+from trefoilpick.errors import ErrorKind, TrefoilpickError
+from trefoilpick.manifest import Manifest, identify_version
+from trefoilpick.platform.configuration import decode_configuration, list_sections
+from trefoilpick.snapshots import Snapshot, build_snapshot
+
+
+def build(**fields: object) -> Snapshot:
+    data = msgspec.json.encode(make_configuration(**fields))
+    sections = tuple(list_sections(decode_configuration(data)))
+    assert not check_sections(sections)
+    manifest = Manifest(1, 0, ())
+    return build_snapshot(identify_version(manifest), manifest, Document(sections))
+
+
+def test_routes_keep_what_operators_wrote() -> None:
+    found = build().find_route("ficu.example", "PUT", "/upload/7")
+    contract = found.route.contract
+    assert (found.upstream.name, found.upstream.connections) == ("encargos", 120)
+    assert (contract.idempotent, contract.deadline_ms, contract.retries) == (False, 800, 1)
+    assert contract.objective.latency_ms == 250
+    assert contract.priority is Priority.INTERACTIVE
+    assert contract.body_limit_bytes == 67_108_864
+
+
+def test_a_divided_route_keeps_its_weights() -> None:
+    found = build().find_route("ficu.example", "GET", "/read/1")
+    assert found.route.shares == (Share("portafolio", 90), Share("encargos", 10))
+    assert [(share.upstream.name, weight) for share, weight in found.shares] == [
+        ("portafolio", 90),
+        ("encargos", 10),
+    ]
+    assert found.route.contract.priority is Priority.DEFERRABLE
+
+
+def test_limits_of_callers_hold_for_the_whole_document() -> None:
+    assert build().caller_limits == CallerLimits(16_384, 3_000, 15_000)
+
+
+@pytest.mark.parametrize("data", [b"", b"{}", b"\xff", b'{"version": "x"}'])
+def test_a_faulty_configuration_is_refused_whole(data: bytes) -> None:
+    with pytest.raises(TrefoilpickError) as caught:
+        decode_configuration(data)
+    assert caught.value.kind is ErrorKind.MANIFEST_FAULTY
--- /dev/null
+++ b/tests/platform/test_entries.py
@@ -0,0 +1,83 @@
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+import pytest
+from fakes_store import make_entry, make_settings
+
+from trefoilpick.platform.entries import WorkerEntries
+from trefoilpick.vms import Vm, VmState
+
+
+def read_entries(*values: Any) -> dict[str, Vm]:
+    entries = WorkerEntries(make_settings())
+    for number, value in enumerate(values):
+        data = value if isinstance(value, bytes) else msgspec.json.encode(value)
+        entries.put(f"servers/i-{number}", data, 10 + number, 0.0)
+    return {vm.worker: vm for vm in entries.build_list().vms}
+
+
+def test_an_entry_names_a_vm_with_its_worker() -> None:
+    found = read_entries(make_entry("10.2.0.9:8080", zone="lima-b", state="draining"))
+    assert found["i-0"] == Vm(
+        name="10.2.0.9",
+        region="lima",
+        data_centre="lima-b",
+        service="encargos",
+        host="10.2.0.9",
+        control_port=7381,
+        hop_port=7380,
+        state=VmState.LEAVING,
+        worker="i-0",
+        slots=9,
+    )
+
+
+@pytest.mark.parametrize(
+    "faulty",
+    [
+        b"",
+        b"\xff\xfe",
+        b"[]",
+        {},
+        make_entry("10.1.0.5"),
+        make_entry(5),
+        make_entry("10.1.0.5:8080", state="asleep"),
+        make_entry("10.1.0.5:8080", service=None),
+        make_entry("10.1.0.5:8080", service=""),
+        make_entry("10.1.0.5:8080", slots="9"),
+        make_entry("10.1.0.5:8080", slots=0),
+        make_entry("10.1.0.5:8080", born="now"),
+        make_entry("10.1.0.5:8080", born=1.5),
+        make_entry("10.1.0.5:8080", sequence=None),
+        {name: value for name, value in make_entry().items() if name != "born"},
+    ],
+    ids=repr,
+)
+def test_a_faulty_entry_names_no_worker_and_harms_no_other(faulty: Any) -> None:
+    assert list(read_entries(make_entry("10.1.0.4:8080"), faulty)) == ["i-0"]
+
+
+def test_the_worker_that_started_last_has_the_address() -> None:
+    old = make_entry("10.1.0.4:8080", born=1_000)
+    new = make_entry("10.1.0.4:8080", born=2_000, service="portafolio")
+    for order in ((old, new), (new, old)):
+        (vm,) = read_entries(*order).values()
+        assert vm.service == "portafolio"
+
+
+def test_a_worker_that_starts_again_under_its_name_is_live_again() -> None:
+    entries = WorkerEntries(make_settings())
+    for revision, fields in enumerate(({"state": "draining"}, {"born": 1_800_000_000_000}), 1):
+        data = msgspec.json.encode(make_entry(**fields))
+        entries.put("servers/i-0", data, revision, 0.0)
+    (vm,) = entries.build_list().vms
+    assert vm.state is VmState.LIVE
+
+
+def test_a_removed_entry_names_no_worker() -> None:
+    entries = WorkerEntries(make_settings())
+    entries.put("servers/i-0", msgspec.json.encode(make_entry()), 1, 0.0)
+    entries.remove("servers/i-0", 1.0)
+    assert entries.build_list().vms == ()
--- /dev/null
+++ b/tests/platform/test_names.py
@@ -0,0 +1,41 @@
+"""The platform's names stay within its folder, `deploy/` and their tests."""
+
+from pathlib import Path
+
+import trefoilpick
+
+ROOT = Path(trefoilpick.__file__).parents[1]
+
+NAMES = (
+    "kv-key",
+    "kv-range",
+    "kv-watch",
+    "op/config",
+    "servers/",
+    "TREFOILPICK_SETTINGS",
+    "readyz",
+    "-attempt-id",
+    "-expected-instance",
+    "-not-executed",
+    "-response-signature",
+    "hostname",
+    "path-prefix",
+    "target-latency",
+    "traffic-split",
+    "cold-remaining",
+    "store-revision",
+    "app-addr",
+    "internal-port-range",
+)
+
+
+def test_no_name_of_the_platform_stands_outside_its_folder() -> None:
+    found = [
+        f"{path.relative_to(ROOT)}: {name}"
+        for folder in ("trefoilpick", "benchmarks", "examples")
+        for path in sorted((ROOT / folder).rglob("*.py"))
+        if "platform" not in path.relative_to(ROOT).parts
+        for name in NAMES
+        if name in path.read_text(encoding="utf-8").lower()
+    ]
+    assert not found
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,187 @@
+from __future__ import annotations
+
+import random
+from collections.abc import Awaitable, Callable
+
+import curio
+import msgspec
+import pytest
+from fakes_store import (
+    FakeStore,
+    Fault,
+    make_configuration,
+    make_entry,
+    make_settings,
+    run_store,
+)
+
+from trefoilpick.errors import ErrorKind, TrefoilpickError
+from trefoilpick.manifest import decode_manifest
+from trefoilpick.platform.entries import HOLD_S
+from trefoilpick.platform.store import CONFIGURATION_KEY, StoreSource, open_store
+from trefoilpick.sections import decode_section
+from trefoilpick.source import MANIFEST_KEY, VMS_KEY, SourceValue, name_section_key
+from trefoilpick.vms import VmList, VmState
+
+Scene = Callable[[FakeStore, StoreSource], Awaitable[None]]
+
+
+def run_scene(scene: Scene, **fields: object) -> None:
+    async def main(store: FakeStore) -> None:
+        store.put(CONFIGURATION_KEY, make_configuration())
+        store.put("servers/i-1", make_entry())
+        store.put("servers/i-2", make_entry("10.2.0.1:8080", zone="lima-b"))
+        await scene(store, open_store(make_settings(store.address), random=random.Random(1)))
+
+    run_store(main, **fields)
+
+
+def read_list(value: SourceValue | None) -> VmList:
+    assert value is not None
+    return msgspec.json.decode(value.data, type=VmList)
+
+
+def list_workers(value: SourceValue | None) -> list[str]:
+    return [vm.worker for vm in read_list(value).vms]
+
+
+def test_configuration_is_read_whole_with_a_section_a_service() -> None:
+    async def scene(store: FakeStore, source: StoreSource) -> None:
+        manifest = decode_manifest((await source.read_value(MANIFEST_KEY)).data)
+        assert manifest.number == 3
+        assert [ref.team for ref in manifest.sections] == ["encargos", "portafolio"]
+        for ref in manifest.sections:
+            value = await source.read_value(name_section_key(ref.digest))
+            assert decode_section(value.data).team == ref.team
+        assert len(store.calls) == 1
+
+    run_scene(scene)
+
+
+def test_watch_tells_of_a_new_configuration_and_of_nothing_else() -> None:
+    async def scene(store: FakeStore, source: StoreSource) -> None:
+        first = await source.read_value(MANIFEST_KEY)
+        store.put("servers/i-3", make_entry("10.1.0.3:8080"))
+        assert await source.watch_value(MANIFEST_KEY, after=first.revision) is None
+        store.put(CONFIGURATION_KEY, make_configuration(9))
+        store.put(CONFIGURATION_KEY, make_configuration(12))
+        value = await source.watch_value(MANIFEST_KEY, after=first.revision)
+        assert value is not None
+        assert decode_manifest(value.data).number == 12
+
+    run_scene(scene)
+
+
+def test_a_watch_goes_on_where_the_last_one_ended_so_that_history_may_go() -> None:
+    async def scene(store: FakeStore, source: StoreSource) -> None:
+        value = await source.read_value(MANIFEST_KEY)
+        store.put("servers/i-3", make_entry("10.1.0.3:8080"))
+        assert await source.watch_value(MANIFEST_KEY, after=value.revision) is None
+        store.oldest = store.revision
+        assert await source.watch_value(MANIFEST_KEY, after=value.revision) is None
+        assert not any("kv-key" in call for call in store.calls[1:])
+
+    run_scene(scene)
+
+
+@pytest.mark.parametrize("fault", [fault for fault in Fault if fault is not Fault.NONE])
+def test_a_store_that_fails_is_told_and_its_return_is_heard(fault: Fault) -> None:
+    async def scene(store: FakeStore, source: StoreSource) -> None:
+        value = await source.read_value(MANIFEST_KEY)
+        store.fault = fault
+        limited = fault is Fault.LIMIT
+        kind = ErrorKind.SOURCE_RATE_LIMITED if limited else ErrorKind.SOURCE_UNAVAILABLE
+        for call in (
+            source.read_value(MANIFEST_KEY),
+            source.watch_value(MANIFEST_KEY, after=value.revision),
+        ):
+            with pytest.raises(TrefoilpickError) as caught:
+                await call
+            assert caught.value.kind is kind
+        store.fault = Fault.NONE
+        store.put(CONFIGURATION_KEY, make_configuration(20))
+        newer = await source.watch_value(MANIFEST_KEY, after=value.revision)
+        assert newer is not None
+        assert decode_manifest(newer.data).number == 20
+
+    run_scene(scene)
+
+
+def test_a_slow_store_is_waited_for() -> None:
+    async def scene(store: FakeStore, source: StoreSource) -> None:
+        store.slow_s = 0.1
+        assert decode_manifest((await source.read_value(MANIFEST_KEY)).data).number == 3
+
+    run_scene(scene)
+
+
+def test_a_dropped_history_is_read_anew_with_what_went_in_the_gap() -> None:
+    async def scene(store: FakeStore, source: StoreSource) -> None:
+        first = await source.read_value(VMS_KEY)
+        await source.read_value(MANIFEST_KEY)
+        store.put("servers/i-1", make_entry(state="draining"))
+        store.delete("servers/i-2", told=False)
+        store.put(CONFIGURATION_KEY, make_configuration(5))
+        store.forget_history()
+        vms = read_list(await source.watch_value(VMS_KEY, after=first.revision))
+        assert [(vm.worker, vm.state) for vm in vms.vms] == [("i-1", VmState.LEAVING)]
+        value = await source.watch_value(MANIFEST_KEY, after=0)
+        assert value is not None
+        assert decode_manifest(value.data).number == 5
+
+    run_scene(scene)
+
+
+def test_pages_are_joined_and_changes_between_them_are_told_later() -> None:
+    async def scene(store: FakeStore, source: StoreSource) -> None:
+        store.put("servers/i-3", make_entry("10.1.0.3:8080"))
+        value = await source.read_value(VMS_KEY)
+        assert list_workers(value) == ["i-1", "i-3", "i-2"]
+        assert sum("kv-range" in call for call in store.calls) == 2
+        store.delete("servers/i-1")
+        value = await source.watch_value(VMS_KEY, after=value.revision)
+        assert list_workers(value) == ["i-3", "i-2"]
+
+    run_scene(scene, page=2)
+
+
+def test_entries_that_lapse_in_an_outage_are_kept_until_live_workers_are_back() -> None:
+    async def scene(store: FakeStore, source: StoreSource) -> None:
+        await source.read_value(VMS_KEY)
+        store.fault = Fault.REFUSE
+        with pytest.raises(TrefoilpickError):
+            await source.read_value(VMS_KEY)
+        store.delete("servers/i-1")
+        store.delete("servers/i-2")
+        store.fault = Fault.NONE
+        held = await source.read_value(VMS_KEY)
+        assert list_workers(held) == ["i-1", "i-2"]
+        store.put("servers/i-2", make_entry("10.2.0.1:8080", zone="lima-b"))
+        back = await source.watch_value(VMS_KEY, after=held.revision)
+        assert list_workers(back) == ["i-1", "i-2"]
+        began = await curio.clock()
+        value = None
+        while value is None:
+            value = await source.watch_value(VMS_KEY, after=held.revision)
+        assert list_workers(value) == ["i-2"]
+        assert await curio.clock() - began < HOLD_S + 1
+        assert read_list(value).revision > read_list(back).revision > read_list(held).revision
+
+    run_scene(scene)
+
+
+def test_a_list_with_kept_entries_never_goes_before_one_without() -> None:
+    async def scene(store: FakeStore, source: StoreSource) -> None:
+        await source.read_value(VMS_KEY)
+        store.delete("servers/i-1")
+        other = open_store(make_settings(store.address), random=random.Random(2))
+        clean = read_list(await other.read_value(VMS_KEY))
+        store.fault = Fault.RESET
+        with pytest.raises(TrefoilpickError):
+            await source.read_value(VMS_KEY)
+        store.fault = Fault.NONE
+        kept = read_list(await source.read_value(VMS_KEY))
+        assert [vm.worker for vm in kept.vms] == ["i-1", "i-2"]
+        assert kept.revision < clean.revision
+
+    run_scene(scene)
--- a/tests/test_balancing.py
+++ b/tests/test_balancing.py
@@ -42,6 +42,9 @@
         self.reads += 1
         return self.vms
 
+    def count_vms(self) -> int:
+        return 1
+
     def note_refused(self, vm: str) -> None:
         self.told.append(("refused", vm))
 
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -12,6 +12,16 @@
         assert row in page
 
 
+def test_status_promises_no_more_and_no_less_than_the_outcome() -> None:
+    for kind in ErrorKind:
+        for outcome in (None, *Outcome):
+            answer = find_answer(TrefoilpickError(kind, "x", outcome=outcome))
+            if answer.status in (408, 421, 429, 503):
+                assert answer.outcome is Outcome.NOT_RUN
+            if answer.outcome is Outcome.NOT_RUN:
+                assert answer.status not in (500, 502, 504)
+
+
 def test_error_may_be_stronger_than_its_kind_and_a_kind_without_a_row_is_internal() -> None:
     stronger = TrefoilpickError(ErrorKind.ANSWER_MALFORMED, "x", outcome=Outcome.RUN)
     assert find_answer(stronger).outcome is Outcome.RUN
--- a/trefoilpick/_cli_node.py
+++ b/trefoilpick/_cli_node.py
@@ -36,7 +36,7 @@
         checked = read_settings(settings)
         out = files.enter_context(_open_trace(record)) if record else None
         open_log(checked)
-        curio.run(_serve(open_node(checked), out))
+        curio.run(serve_node(open_node(checked), out))
 
 
 def worker(
@@ -60,7 +60,8 @@
         raise TrefoilpickError(ErrorKind.FILE_UNREADABLE, text) from error
 
 
-async def _serve(served: Node, out: BinaryIO | None) -> None:
+async def serve_node(served: Node, out: BinaryIO | None) -> None:
+    """Run a node until a stop signal, and record what it sees where a trace is given."""
     stopped = watch_stop_signals()
     async with curio.TaskGroup(wait=None) as tasks:
         await tasks.spawn(_stop_on_signal, stopped, served)
--- a/trefoilpick/_exchange.py
+++ b/trefoilpick/_exchange.py
@@ -9,7 +9,7 @@
 
 from trefoilpick._clock import read_clock
 from trefoilpick._hoplinks import RequestBody
-from trefoilpick._workerconnections import NOT_RUN_HEADER, AnswerHead, NothingSentError
+from trefoilpick._workerconnections import AnswerHead, NothingSentError
 from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError, find_answer
 from trefoilpick.hops import (
     FrameKind,
@@ -28,6 +28,7 @@
 
     from trefoilpick._hoplinks import HopLink
     from trefoilpick._workerconnections import WorkerConnection
+    from trefoilpick.conventions import Conventions
     from trefoilpick.document import Upstream
     from trefoilpick.gate import Gate
     from trefoilpick.health import WorkerHealth
@@ -35,8 +36,11 @@
     from trefoilpick.metrics import Metrics
     from trefoilpick.upstreams import WorkerPool
 
-SHED_STATUSES = frozenset((429, 503))
-"""Status codes with which a worker may say that it did not run a request."""
+NOT_RUN_MARK = b"1"
+"""Value of the header by which a worker says that it did not run a request."""
+
+MISDIRECTED = 421
+"""Status of a worker that is not the expected one."""
 
 UNSURE_STATUSES = frozenset((429, 502, 503, 504))
 """Status codes that tell nothing of the request's execution."""
@@ -59,6 +63,8 @@
         measure_load: Returns the load of the worker.
         body_idle_s: Time in which a body must move on, in seconds.
         health: What the worker's answers say of it.
+        find_worker: Returns the worker's identity as the platform lists it; empty for none.
+        conventions: Headers of the fleet.
     """
 
     gate: Gate
@@ -67,6 +73,8 @@
     measure_load: Callable[[], Load]
     body_idle_s: float
     health: WorkerHealth
+    find_worker: Callable[[], str]
+    conventions: Conventions
 
 
 class Exchange:
@@ -175,8 +183,7 @@
         try:
             async with curio.timeout_after(self.deadline_s - now_s):
                 head = await self._attempt_twice(upstream)
-            if head.status in SHED_STATUSES:
-                self._check_shed(head)
+            self._check_shed(head)
             self._service.health.note(read_clock(), failed=head.status >= FIRST_SERVER_ERROR)
             return await self._pass_answer(head, keep_bytes)
         except curio.TaskTimeout as error:
@@ -246,6 +253,7 @@
             remaining_ms=max(1, int(remaining_s * 1000)),
             whole=whole,
             is_retry=is_retry,
+            expected_worker=self._service.find_worker(),
         )
         if not whole:
             self._upload = await curio.spawn(self._pass_rest, connection)
@@ -296,7 +304,10 @@
 
     def _check_shed(self, head: AnswerHead) -> None:
         headers = dict(head.headers)
-        if headers.get(NOT_RUN_HEADER) != b"1":
+        if head.status == MISDIRECTED:
+            text = "the worker's address belongs to another worker now"
+            raise TrefoilpickError(ErrorKind.UPSTREAM_REPLACED, text)
+        if headers.get(self._service.conventions.not_run) != NOT_RUN_MARK:
             return
         assert self._connection is not None
         # A short answer is at hand as a whole, and its connection can be kept.
--- a/trefoilpick/_hop_heads.py
+++ b/trefoilpick/_hop_heads.py
@@ -4,7 +4,13 @@
 
 from typing import TYPE_CHECKING
 
-from trefoilpick.calls import MS_PER_S, OWN_PREFIX, RETRY_HEADER, TOKEN_HEADER
+from trefoilpick.calls import (
+    MS_PER_S,
+    OUTCOME_HEADER,
+    OWN_HEADERS,
+    RETRY_HEADER,
+    TOKEN_HEADER,
+)
 from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError
 from trefoilpick.hops import HopRequest
 
@@ -50,6 +56,7 @@
         has_body=not call.body.ended or call.body.received > 0,
         is_retry=is_retry,
         vm=vm,
+        request_id=head.request_id,
     )
 
 
@@ -58,12 +65,12 @@
     headers = [
         header
         for header in answer.headers
-        if not header[0].startswith(OWN_PREFIX) or header[0] == RETRY_HEADER
+        if header[0] not in OWN_HEADERS or header[0] == RETRY_HEADER
     ]
     headers += own_headers
     if answer.token is not None:
         headers.append((TOKEN_HEADER, answer.token.encode("latin-1")))
-    headers.append((OWN_PREFIX + b"outcome", answer.outcome.encode()))
+    headers.append((OUTCOME_HEADER, answer.outcome.encode()))
     return headers
 
 
--- a/trefoilpick/_semantics.py
+++ b/trefoilpick/_semantics.py
@@ -35,6 +35,7 @@
     path_prefix: str
     methods: tuple[str, ...]
     is_without_method: bool = False
+    shares: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -82,6 +83,7 @@
             route.match.path_prefix,
             route.match.methods,
             is_without_method=not route.match.methods,
+            shares=tuple(share.upstream for share in route.shares),
         )
         for index, route in enumerate(section.routes)
     )
@@ -168,11 +170,17 @@
     for index, section in enumerate(sections):
         for route in section.routes:
             if route.upstream and route.upstream not in defined:
-                text = (
-                    f'route "{route.name}": upstream "{route.upstream}" '
-                    "is not defined in any section"
+                yield Conflict(
+                    index, f"{route.path}.upstream", _describe_undefined(route, route.upstream)
                 )
-                yield Conflict(index, f"{route.path}.upstream", text)
+            for number, name in enumerate(route.shares):
+                if name not in defined:
+                    path = f"{route.path}.shares[{number}].upstream"
+                    yield Conflict(index, path, _describe_undefined(route, name))
+
+
+def _describe_undefined(route: RouteOutline, upstream: str) -> str:
+    return f'route "{route.name}": upstream "{upstream}" is not defined in any section'
 
 
 def _find_doubled_routes(index: int, section: SectionOutline) -> Iterator[Conflict]:
@@ -224,6 +232,7 @@
         prefix,
         methods if prefix else (),
         is_without_method=isinstance(match, dict) and match.get("methods") == [],
+        shares=tuple(_get_text(share, "upstream") for share in _get_list(raw, "shares")),
     )
 
 
--- a/trefoilpick/_source_connection.py
+++ b/trefoilpick/_source_connection.py
@@ -4,7 +4,15 @@
 
 from contextlib import suppress
 from dataclasses import dataclass
-from socket import IPPROTO_TCP, TCP_NODELAY
+from socket import (
+    IPPROTO_TCP,
+    SO_KEEPALIVE,
+    SOL_SOCKET,
+    TCP_KEEPCNT,
+    TCP_KEEPIDLE,
+    TCP_KEEPINTVL,
+    TCP_NODELAY,
+)
 from typing import Any
 
 import curio
@@ -13,8 +21,18 @@
 from trefoilpick.addresses import split_address
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 
-MAX_VALUE_BYTES = 1_000_000
-"""Largest value that a node accepts, in bytes."""
+MAX_ANSWER_BYTES = 2_000_000
+"""Largest answer that a node accepts, in bytes: a value of the platform's bound of a megabyte, with
+room for an encoding."""
+
+KEEPALIVE_IDLE_S = 2
+"""Silence of the service's host after which the kernel asks whether it is there, in seconds."""
+
+KEEPALIVE_INTERVAL_S = 1
+"""Time between two of those questions, in seconds."""
+
+KEEPALIVE_PROBES = 2
+"""Unanswered questions after which the connection is broken."""
 
 READ_BYTES = 65_536
 """Bytes asked of the socket at a time."""
@@ -98,8 +116,8 @@
                 revision = dict(event.headers).get(b"x-revision", b"").decode("latin-1")
             elif isinstance(event, h11.Data):
                 body += event.data
-                if len(body) > MAX_VALUE_BYTES:
-                    raise self._report(f"answer is over {MAX_VALUE_BYTES} bytes")
+                if len(body) > MAX_ANSWER_BYTES:
+                    raise self._report(f"answer is over {MAX_ANSWER_BYTES} bytes")
             elif isinstance(event, h11.EndOfMessage):
                 return SourceReply(status, revision, bytes(body), self._renew())
             elif isinstance(event, h11.ConnectionClosed):
@@ -139,4 +157,8 @@
     host, port = split_address(address)
     sock = await curio.open_connection(host, port)
     sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+    sock.setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
+    sock.setsockopt(IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES)
     return SourceConnection(address, sock)
--- a/trefoilpick/_workerconnections.py
+++ b/trefoilpick/_workerconnections.py
@@ -8,6 +8,7 @@
 
 import h11
 
+from trefoilpick.conventions import OWN_CONVENTIONS, Conventions
 from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError
 
 if TYPE_CHECKING:
@@ -21,18 +22,12 @@
 MAX_ANSWER_HEAD_BYTES = 65_536
 """Largest head of a worker's answer, in bytes."""
 
-DEADLINE_HEADER = b"x-trefoilpick-deadline-ms"
-"""Request header: remaining time, in milliseconds."""
-
 VERSION_HEADER = b"x-trefoilpick-version"
 """Request header: number of the version that admitted the request."""
 
 RETRY_HEADER = b"x-trefoilpick-retry"
 """Request header: an earlier attempt was made."""
 
-NOT_RUN_HEADER = b"x-not-run"
-"""Answer header by which a worker says that it did not run a request."""
-
 CONNECTION_HEADERS = frozenset(
     (
         b"connection",
@@ -47,15 +42,19 @@
 )
 """Headers that hold for one connection and are never passed on."""
 
-_OWN_HEADERS = frozenset((DEADLINE_HEADER, VERSION_HEADER, RETRY_HEADER))
+_OWN_HEADERS = frozenset((VERSION_HEADER, RETRY_HEADER))
 
-FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
-"""Headers that tell where a body ends."""
+_DROPPED_HEADERS = CONNECTION_HEADERS | _OWN_HEADERS
 
-BODILESS_STATUSES = frozenset((204, 304))
-"""Status codes of answers that never have a body."""
+KEEP_ALIVE_MARGIN_S = 1.0
+"""Time before the end of a stated idle time from which a connection is not used, in seconds: the
+statement has whole seconds, and a request takes milliseconds to arrive."""
 
-_DROPPED_HEADERS = CONNECTION_HEADERS | _OWN_HEADERS
+FIRST_SUCCESS, LAST_SUCCESS = 200, 299
+"""Status codes that tell of success."""
+
+MAX_STRAY_ANSWERS = 4
+"""Answers to earlier requests that are skipped before the one that is waited for."""
 
 
 @dataclass(frozen=True)
@@ -81,6 +80,7 @@
     Args:
         sock: A connected curio socket.
         authority: Host header for requests that carry none.
+        conventions: Headers of the fleet.
 
     Attributes:
         idle_since_s: Reading of the clock at the end of the last request, in seconds.
@@ -88,19 +88,25 @@
         answer_begun: Whether the answer's head arrived.
         answer_complete: Whether the whole answer arrived.
         surplus: Whether the worker sent more than its answer.
+        keep_alive_s: Idle time after which the worker closes, in seconds; None where it is not
+            stated.
     """
 
-    def __init__(self, sock: Socket, authority: bytes) -> None:
+    def __init__(
+        self, sock: Socket, authority: bytes, conventions: Conventions = OWN_CONVENTIONS
+    ) -> None:
         self.idle_since_s = 0.0
         self.is_fresh = True
         self.answer_begun = False
         self.answer_complete = False
         self._sock = sock
         self._authority = authority
-        self._http = h11.Connection(
-            our_role=h11.CLIENT, max_incomplete_event_size=MAX_ANSWER_HEAD_BYTES
-        )
+        self._conventions = conventions
+        self._http = _open_protocol()
         self._method = ""
+        self._request_id = b""
+        self._strays = 0
+        self.keep_alive_s: float | None = None
         self._send_broken = False
         self.surplus = False
 
@@ -112,6 +118,7 @@
         remaining_ms: int,
         whole: bool,
         is_retry: bool,
+        expected_worker: str = "",
     ) -> None:
         """Send a request's head with the first part of its body.
 
@@ -121,13 +128,17 @@
             remaining_ms: Time left until the answer's head, in milliseconds.
             whole: Whether the body ends there.
             is_retry: Whether an earlier attempt was made.
+            expected_worker: Identity of the worker that may run it; empty for any.
 
         Raises:
             NothingSentError: No byte left; the request did not run.
             TrefoilpickError: `HEAD_MALFORMED` or `BODY_MALFORMED`; nothing was sent.
         """
         headers = self._list_headers(request)
-        headers.append((DEADLINE_HEADER, b"%d" % remaining_ms))
+        headers.append((self._conventions.deadline, b"%d" % remaining_ms))
+        if expected_worker:
+            headers.append((self._conventions.expected_worker, expected_worker.encode()))
+        self._request_id = request.request_id.encode("latin-1")
         if is_retry:
             headers.append((RETRY_HEADER, b"1"))
         data = self._encode_request(request, headers, chunks, whole)
@@ -161,13 +172,14 @@
             TrefoilpickError: `UPSTREAM_LOST` or `ANSWER_MALFORMED`.
         """
         while True:
-            await self.fill()
             event = self._next_event()
-            while isinstance(event, h11.InformationalResponse):
-                event = self._next_event()
-            if isinstance(event, h11.Response):
-                return self._begin_answer(event)
-            if event is not h11.NEED_DATA:
+            if event is h11.NEED_DATA:
+                await self.fill()
+            elif isinstance(event, h11.Response):
+                if not self._is_stray(event):
+                    return self._begin_answer(event)
+                await self._skip_stray()
+            elif not isinstance(event, h11.InformationalResponse):
                 raise _lose("worker closed the connection before its answer")
 
     def take_data(self) -> list[bytes]:
@@ -210,7 +222,7 @@
         Returns:
             Whether the connection may be used again.
         """
-        if self.surplus or self._send_broken or not self.answer_complete:
+        if self.surplus or self._strays or self._send_broken or not self.answer_complete:
             return False
         try:
             self._http.start_next_cycle()
@@ -291,15 +303,51 @@
     def _begin_answer(self, event: h11.Response) -> AnswerHead:
         headers = list(event.headers)
         names = {name for name, _ in headers}
-        has_body = self._method != "HEAD" and event.status_code not in BODILESS_STATUSES
-        if has_body and names.isdisjoint(FRAMING_HEADERS):
-            text = "worker's answer has neither a length nor chunks: its end cannot be proved"
-            raise TrefoilpickError(ErrorKind.ANSWER_MALFORMED, text, outcome=Outcome.RUN)
+        proof = self._conventions.answer_proof
+        if proof and proof not in names and _is_success(event.status_code):
+            text = f"worker's answer {event.status_code} lacks the proof of a success"
+            raise TrefoilpickError(ErrorKind.ANSWER_MALFORMED, text)
         self.answer_begun = True
         if not names.isdisjoint(CONNECTION_HEADERS):
+            self.keep_alive_s = _read_keep_alive(headers)
             headers = [pair for pair in headers if pair[0] not in CONNECTION_HEADERS]
         return AnswerHead(event.status_code, headers)
 
+    def _is_stray(self, event: h11.Response) -> bool:
+        """Tell whether an answer belongs to another request."""
+        if not (self._conventions.echoes_request_id and self._request_id):
+            return False
+        echoed = dict(event.headers).get(self._conventions.request_id)
+        if echoed is None:
+            # Whatever cannot read a request cannot name it; a success always can.
+            return _is_success(event.status_code)
+        return echoed != self._request_id
+
+    async def _skip_stray(self) -> None:
+        """Read an answer to another request, and make ready for the right one.
+
+        Raises:
+            TrefoilpickError: `ANSWER_MALFORMED`, where what follows cannot be told apart.
+        """
+        self._strays += 1
+        if self._strays > MAX_STRAY_ANSWERS or self._http.our_state is h11.SEND_BODY:
+            text = "worker answered another request"
+            raise TrefoilpickError(ErrorKind.ANSWER_MALFORMED, text)
+        event = self._next_event()
+        while not isinstance(event, h11.EndOfMessage):
+            if event is h11.NEED_DATA:
+                await self.fill()
+            elif not isinstance(event, h11.Data):
+                raise _lose("worker closed the connection within another request's answer")
+            event = self._next_event()
+        rest, is_closed = self._http.trailing_data
+        self._http = _open_protocol()
+        # Stands for the request that was sent, since its method decides how its answer ends.
+        self._http.send(h11.Request(method=self._method, target="/", headers=[("host", "")]))
+        self._http.send(h11.EndOfMessage())
+        if rest or is_closed:
+            self._http.receive_data(rest)
+
     def _has_partial_head(self) -> bool:
         return bool(self._http.trailing_data[0])
 
@@ -309,6 +357,25 @@
         return _lose("worker closed the connection before its answer")
 
 
+def _open_protocol() -> h11.Connection:
+    return h11.Connection(our_role=h11.CLIENT, max_incomplete_event_size=MAX_ANSWER_HEAD_BYTES)
+
+
+def _is_success(status: int) -> bool:
+    return FIRST_SUCCESS <= status <= LAST_SUCCESS
+
+
+def _read_keep_alive(headers: Headers) -> float | None:
+    """Return the idle time that an answer states, in seconds."""
+    for name, value in headers:
+        if name == b"keep-alive":
+            for part in value.lower().split(b","):
+                key, _, number = part.strip().partition(b"=")
+                if key == b"timeout" and number.isdigit() and len(number) < 6:
+                    return float(number)
+    return None
+
+
 def _lose(text: str) -> TrefoilpickError:
     return TrefoilpickError(ErrorKind.UPSTREAM_LOST, text)
 
--- a/trefoilpick/balancing.py
+++ b/trefoilpick/balancing.py
@@ -77,6 +77,9 @@
     def list_endpoints(self, service: str) -> tuple[Vm, ...]:
         """Return the VMs that hold a worker of a service."""
 
+    def count_vms(self) -> int:
+        """Return how many VMs the fleet has."""
+
     def note_refused(self, vm: str) -> None:
         """Note that a VM refused a connection."""
 
@@ -103,6 +106,7 @@
         self.ejection = Ejection()
         self.incarnation = 0
         self._leaving_until = now
+        self._unwilling_until = now
         self._warm_at = now
         self._slots: int | None = None
         self._others = 0.0
@@ -121,6 +125,14 @@
         """Tell whether the worker's node said lately that it takes no new work."""
         return now < self._leaving_until
 
+    def is_unwilling(self, now: float) -> bool:
+        """Tell whether the worker's node lately refused a request because the worker leaves."""
+        return now < self._unwilling_until
+
+    def note_unwilling(self, now: float) -> None:
+        """Take note that the worker's node refused a request because the worker leaves."""
+        self._unwilling_until = now + LEAVING_HOLD_S
+
     def begin_warm_up(self, now: float) -> None:
         """Let the worker's share grow from the small one of a new worker."""
         self._warm_at = now + WARM_UP_S
@@ -232,6 +244,20 @@
     def list_available(self, now: float) -> Iterator[tuple[WorkerRecord, ...]]:
         """Yield, nearest first, the workers of each zone that may get a request."""
         ejected = self.list_ejected(now)
+        found = False
+        for zone in self.zones:
+            available = tuple(record for record in zone if _is_available(record, ejected, now))
+            willing = tuple(record for record in available if not record.is_unwilling(now))
+            if willing:
+                found = True
+                yield willing
+        if not found:
+            # A refusal may be over by now, and nobody else is left to ask.
+            yield from self._list_unwilling(ejected, now)
+
+    def _list_unwilling(
+        self, ejected: frozenset[str], now: float
+    ) -> Iterator[tuple[WorkerRecord, ...]]:
         for zone in self.zones:
             available = tuple(record for record in zone if _is_available(record, ejected, now))
             if available:
--- a/trefoilpick/budgets.py
+++ b/trefoilpick/budgets.py
@@ -71,10 +71,12 @@
 
     Args:
         random: Source of draws.
+        max_s: Bound of any pause, in seconds.
     """
 
-    def __init__(self, random: Random) -> None:
+    def __init__(self, random: Random, *, max_s: float = MAX_BACKOFF_S) -> None:
         self._random = random
+        self._max_s = max_s
         self._failures = 0
 
     def clear(self) -> None:
@@ -83,6 +85,6 @@
 
     async def pause(self) -> None:
         """Wait after a failure."""
-        bound = min(MAX_BACKOFF_S, FIRST_BACKOFF_S * 2 ** min(self._failures, 16))
+        bound = min(self._max_s, FIRST_BACKOFF_S * 2 ** min(self._failures, 16))
         self._failures += 1
         await curio.sleep(self._random.uniform(0.0, bound))
--- a/trefoilpick/callers.py
+++ b/trefoilpick/callers.py
@@ -14,14 +14,18 @@
 from trefoilpick.balancing import Balancer, Directory
 from trefoilpick.callerlinks import CallerLink, CoarseClock, LinkState, encode_error
 from trefoilpick.calls import (
+    ERROR_HEADER,
     EXHAUSTED_MARK,
     MS_PER_S,
-    OWN_PREFIX,
+    OUTCOME_HEADER,
     RETRY_HEADER,
+    VERSION_HEADER,
     Call,
     CallBody,
     read_head,
 )
+from trefoilpick.conventions import OWN_CONVENTIONS, Conventions
+from trefoilpick.document import CallerLimits
 from trefoilpick.errors import ErrorKind, TrefoilpickError, find_answer
 from trefoilpick.forwarding import Forwarder
 from trefoilpick.hopclient import HopPool
@@ -29,6 +33,7 @@
 from trefoilpick.reaper import Reaper
 from trefoilpick.retries import RetryBudgets
 from trefoilpick.sightings import ignore_version
+from trefoilpick.splitting import Splitter
 
 if TYPE_CHECKING:
     import random
@@ -91,6 +96,7 @@
         metrics: Where requests are counted.
         is_ready: Tells whether the node takes requests.
         is_level: Tells whether the node enforces the newest version that it knows of.
+        conventions: Headers of the fleet.
     """
 
     def __init__(
@@ -104,6 +110,7 @@
         metrics: Metrics,
         is_ready: Callable[[], bool],
         is_level: Callable[[], bool],
+        conventions: Conventions,
     ) -> None:
         self._settings = settings
         self._listener = listener
@@ -113,6 +120,8 @@
         self._metrics = metrics
         self._is_ready = is_ready
         self._is_level = is_level
+        self._conventions = conventions
+        self._splitter = Splitter()
         self._tasks: set[curio.Task] = set()
         self._is_closing = False
         self._is_refusing = False
@@ -151,9 +160,9 @@
         """
         settings = self._settings.drain
         self._is_closing = True
-        await curio.sleep(settings.notice_ms / MS_PER_S)
+        await curio.sleep(settings.bounded_notice_ms / MS_PER_S)
         self._is_refusing = True
-        end_at = read_clock() + settings.limit_ms / MS_PER_S
+        end_at = read_clock() + settings.bounded_limit_ms / MS_PER_S
         while self.in_flight and read_clock() < end_at:
             self._close_unused()
             await curio.sleep(DRAIN_CHECK_S)
@@ -175,18 +184,26 @@
             await curio.sleep(ACCEPT_PAUSE_S)
             return
         client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        limits = self._find_limits()
         link = CallerLink(
-            client,
-            address[0],
-            max_head_bytes=self._settings.requests.max_head_bytes,
-            clock=self._reaper.clock,
+            client, address[0], max_head_bytes=limits.head_bytes, clock=self._reaper.clock
         )
+        self._reaper.limits = limits
         if len(self._reaper.links) >= self._settings.requests.max_connections:
             await self._refuse_connection(link)
             return
         self._reaper.links.add(link)
         self._tasks.add(await curio.spawn(self._serve_link, link, daemon=True))
 
+    def _find_limits(self) -> CallerLimits:
+        snapshot = self._cell.current
+        if snapshot is not None and snapshot.caller_limits is not None:
+            return snapshot.caller_limits
+        requests = self._settings.requests
+        return CallerLimits(
+            requests.max_head_bytes, requests.head_timeout_ms, requests.keepalive_ms
+        )
+
     async def _refuse_connection(self, link: CallerLink) -> None:
         limit = self._settings.requests.max_connections
         text = f"the node has {limit} connections of callers"
@@ -240,14 +257,15 @@
     def _admit(
         self, link: CallerLink, request: h11.Request, snapshot: Snapshot | None, now: float
     ) -> Call:
-        head = read_head(request)
+        head = read_head(request, self._conventions, service=self._settings.vm.service)
         if self._is_refusing:
             raise TrefoilpickError(ErrorKind.DRAINING, "the node is leaving")
         if snapshot is None or not self._is_ready():
             raise TrefoilpickError(ErrorKind.NOT_READY, "the node enforces no version yet")
         if not self._is_level():
             raise TrefoilpickError(ErrorKind.NOT_LEVEL, "the node is behind the newest version")
-        team_route = snapshot.find_route(head.host, head.method, head.path)
+        found = snapshot.find_route(head.host, head.method, head.path)
+        team_route = self._splitter.choose(found)
         contract = team_route.route.contract
         if head.body_length is not None and head.body_length > contract.body_limit_bytes:
             text = f"body is over the route's limit of {contract.body_limit_bytes} bytes"
@@ -296,7 +314,8 @@
         if error.kind is ErrorKind.CALLER_GONE or not link.can_answer:
             link.break_off()
             return
-        close = self._is_closing or not link.drop_body()
+        is_untrusted = error.kind is ErrorKind.HEAD_MALFORMED
+        close = self._is_closing or is_untrusted or not link.drop_body()
         data = self._encode_error(link, error, snapshot, close=close)
         try:
             await link.send(data)
@@ -308,10 +327,10 @@
     ) -> bytes:
         answer = find_answer(error)
         headers = self._list_own_headers(snapshot)
-        headers.append((OWN_PREFIX + b"error", error.kind.value.encode()))
-        headers.append((OWN_PREFIX + b"outcome", answer.outcome.value.encode()))
+        headers.append((ERROR_HEADER, error.kind.value.encode()))
+        headers.append((OUTCOME_HEADER, answer.outcome.value.encode()))
         if answer.retry_after_s is not None:
-            headers.append((b"retry-after", str(math.ceil(answer.retry_after_s)).encode()))
+            headers.append((b"retry-after", self._write_seconds(answer.retry_after_s)))
         if link.is_exhausted:
             headers.append((RETRY_HEADER, EXHAUSTED_MARK))
         body = {
@@ -321,9 +340,14 @@
         }
         return encode_error(link, answer.status, headers, body, close=close)
 
+    def _write_seconds(self, seconds: float) -> bytes:
+        if self._conventions.fractional_retry_after:
+            return f"{seconds:.3f}".encode()
+        return str(math.ceil(seconds)).encode()
+
     def _list_own_headers(self, snapshot: Snapshot | None) -> Headers:
         number = snapshot.version.number if snapshot is not None else 0
-        return [(OWN_PREFIX + b"version", str(number).encode())]
+        return [(VERSION_HEADER, str(number).encode())]
 
     async def _linger(self, link: CallerLink) -> None:
         """Read and drop what the caller still sends, so that it can read its answer."""
@@ -347,6 +371,7 @@
     is_level: Callable[[], bool],
     random: random.Random,
     note_version: Callable[[str, int, str], None] = ignore_version,
+    conventions: Conventions = OWN_CONVENTIONS,
 ) -> CallerServer:
     """Open the server for callers; it listens from now on and serves when run.
 
@@ -359,6 +384,7 @@
         is_level: Tells whether the node enforces the newest version that it knows of.
         random: Source of random choices.
         note_version: Called with the VM, number and digest of each version that an answer names.
+        conventions: Headers of the fleet.
 
     Raises:
         TrefoilpickError: `SETTINGS_FAULTY`, where the address cannot be listened on.
@@ -366,7 +392,10 @@
     requests = settings.requests
     balancer = Balancer(settings.vm, directory, random, note_version=note_version)
     pool = HopPool(requests, balancer.note_notice)
-    forwarder = Forwarder(balancer, pool, RetryBudgets(requests.retry_percent), metrics, random)
+    budgets = RetryBudgets(
+        requests.retry_percent, reserve=requests.retry_reserve, count_vms=directory.count_vms
+    )
+    forwarder = Forwarder(balancer, pool, budgets, metrics, random)
     listener = open_listener(
         settings.listen.host, settings.listen.caller_port, name="callers' port", backlog=BACKLOG
     )
@@ -379,4 +408,5 @@
         metrics=metrics,
         is_ready=is_ready,
         is_level=is_level,
+        conventions=conventions,
     )
--- a/trefoilpick/calls.py
+++ b/trefoilpick/calls.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from trefoilpick.conventions import OWN_CONVENTIONS, Conventions
 from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError
 from trefoilpick.hops import Headers
 
@@ -17,6 +18,15 @@
 MS_PER_S = 1_000
 """Milliseconds in a second."""
 
+VERSION_HEADER = b"x-trefoilpick-version"
+"""Header with the number of the version that admitted a request."""
+
+ERROR_HEADER = b"x-trefoilpick-error"
+"""Header with the kind of the error that ended a request."""
+
+OUTCOME_HEADER = b"x-trefoilpick-outcome"
+"""Header with what is known of a request's execution."""
+
 OWN_PREFIX = b"x-trefoilpick-"
 """Start of the names of the project's own headers."""
 
@@ -55,6 +65,25 @@
 """Headers of one connection, which go no further."""
 
 
+OWN_HEADERS = frozenset(
+    {
+        DEADLINE_HEADER,
+        ERROR_HEADER,
+        OUTCOME_HEADER,
+        RETRY_HEADER,
+        TOKEN_HEADER,
+        VERSION_HEADER,
+    }
+)
+"""Headers that a node reads and sets itself, and never passes on."""
+
+OWN_NAMES_KEPT = frozenset({b"host", b"content-length"})
+"""Headers that hold for the whole way, whatever a `Connection` header names."""
+
+MAX_DEADLINE_DIGITS = 9
+"""Longest deadline that is read, in decimal digits."""
+
+
 @dataclass(frozen=True)
 class CallHead:
     """What a request's head says.
@@ -70,6 +99,7 @@
         wants_token: Whether the caller asks for a token.
         is_retry: Whether an earlier attempt was made above.
         body_length: Length of the body in bytes; None where it is not known yet.
+        request_id: The caller's name for this attempt; empty where it gives none.
     """
 
     method: str
@@ -82,6 +112,7 @@
     wants_token: bool
     is_retry: bool
     body_length: int | None
+    request_id: str = ""
 
 
 @dataclass
@@ -165,9 +196,16 @@
     deadline_at: float
 
 
-def read_head(request: Request) -> CallHead:
+def read_head(
+    request: Request, conventions: Conventions = OWN_CONVENTIONS, *, service: str = ""
+) -> CallHead:
     """Read a request's head.
 
+    Args:
+        request: The head as the HTTP library gives it.
+        conventions: Headers of the fleet.
+        service: Service on whose VM the request begins; empty to tell none.
+
     Raises:
         TrefoilpickError: `HEAD_MALFORMED`.
     """
@@ -176,35 +214,47 @@
     deadline_ms: int | None = None
     token: str | None = None
     is_retry = False
-    body_length: int | None = 0
+    body_length = 0
+    is_chunked = False
+    request_id = b""
     kept: Headers = []
     for name, value in request.headers:
-        if name.startswith(OWN_PREFIX):
-            if name == DEADLINE_HEADER:
-                deadline_ms = _read_deadline(value)
-            elif name == TOKEN_HEADER:
+        if name == conventions.deadline:
+            deadline_ms = _read_deadline(value)
+            continue
+        if name in OWN_HEADERS:
+            if name == TOKEN_HEADER:
                 token = value.decode("latin-1")
             elif name == RETRY_HEADER:
                 is_retry = True
             continue
+        if name == conventions.caller_service or name == conventions.expected_worker:
+            continue
         if name in CONNECTION_HEADERS:
             if name == b"connection":
                 connection += b"," + value.lower()
             elif name == b"transfer-encoding":
-                body_length = None
+                is_chunked = True
             continue
         if name == b"host":
             host = value
         elif name == b"content-length":
             body_length = int(value)
+        elif name == conventions.request_id:
+            request_id = value
         kept.append((name, value))
+    if is_chunked and any(name == b"content-length" for name, _ in kept):
+        text = "the body has both a length and a transfer coding"
+        raise TrefoilpickError(ErrorKind.HEAD_MALFORMED, text)
     if connection:
         kept = _drop_named(kept, connection)
+    if service:
+        kept.append((conventions.caller_service, service.encode()))
     target = request.target.decode("ascii")
     path = target.partition("?")[0]
     _check_path(path)
     wants_token = token == TOKEN_WISH
-    if wants_token and body_length != 0:
+    if wants_token and (is_chunked or body_length):
         text = "a request for a token has a body"
         raise TrefoilpickError(ErrorKind.HEAD_MALFORMED, text)
     return CallHead(
@@ -217,12 +267,13 @@
         None if wants_token else token,
         wants_token,
         is_retry,
-        body_length,
+        None if is_chunked else body_length,
+        request_id.decode("latin-1"),
     )
 
 
 def _read_deadline(value: bytes) -> int:
-    if not value.isdigit() or len(value) > 9:
+    if not value.isdigit() or len(value) > MAX_DEADLINE_DIGITS:
         name = DEADLINE_HEADER.decode()
         text = f'header "{name}" is not a number of milliseconds'
         raise TrefoilpickError(ErrorKind.HEAD_MALFORMED, text)
@@ -230,7 +281,7 @@
 
 
 def _drop_named(headers: Headers, connection: bytes) -> Headers:
-    named = {name.strip() for name in connection.split(b",")} - {b"host", b"content-length"}
+    named = {name.strip() for name in connection.split(b",")} - OWN_NAMES_KEPT
     return [header for header in headers if header[0] not in named]
 
 
--- a/trefoilpick/distribution.py
+++ b/trefoilpick/distribution.py
@@ -46,7 +46,7 @@
     from trefoilpick.messages import Body, Envelope
     from trefoilpick.metrics import Metrics
     from trefoilpick.roster import Roster
-    from trefoilpick.settings import ControlSettings, Settings
+    from trefoilpick.settings import ControlSettings, Settings, SourceSettings
     from trefoilpick.snapshots import SnapshotCell
     from trefoilpick.source import Source
     from trefoilpick.status import EnforcedVersion, RefusedVersion
@@ -112,6 +112,7 @@
         own: Vm,
         control: ControlSettings,
         *,
+        source_settings: SourceSettings,
         source: Source,
         links: Links,
         cell: SnapshotCell,
@@ -130,6 +131,7 @@
         self.log = log
         self.store = VersionStore()
         self.answer_s = control.answer_ms / 1000
+        self.source_backoff_s = source_settings.backoff_ms / 1000
         self._control = control
         self._wait_s = control.join_wait_ms / 1000
         self._deliveries = Budget(DELIVERIES_PER_S, DELIVERIES_PER_S)
@@ -149,6 +151,7 @@
             random=random,
             note_held=self._note_held,
             note_list=self._note_list,
+            settings=source_settings,
         )
         self._readership = Readership(
             control,
@@ -444,6 +447,7 @@
     return Distributor(
         own,
         settings.control,
+        source_settings=settings.source,
         source=source,
         links=links,
         cell=cell,
--- a/trefoilpick/document.py
+++ b/trefoilpick/document.py
@@ -15,6 +15,9 @@
 MAX_SECTION_BYTES = 1_000_000
 """The platform's bound on one value, in bytes."""
 
+ANY_METHOD = "*"
+"""Stands for every HTTP method in a route's match."""
+
 Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
 """A name of a team, an upstream, a route or a data centre."""
 
@@ -69,15 +72,28 @@
 
     Attributes:
         host: The Host header without its port; "*" takes any.
-        methods: HTTP methods in upper case.
+        methods: HTTP methods in upper case; `ANY_METHOD` takes all.
         path_prefix: Start of the path, on a boundary of path segments.
     """
 
     path_prefix: Annotated[str, Meta(pattern=r"^/[^\s?#]*$", max_length=1024)]
-    methods: tuple[Annotated[str, Meta(pattern=r"^[A-Z]{1,16}$")], ...]
+    methods: tuple[Annotated[str, Meta(pattern=r"^([A-Z]{1,16}|\*)$")], ...]
     host: Annotated[str, Meta(min_length=1, max_length=253)] = "*"
 
 
+@dataclass(frozen=True)
+class Share:
+    """A part of a route's requests.
+
+    Attributes:
+        upstream: Name of the upstream that gets it.
+        weight: Its size, relative to the route's other shares.
+    """
+
+    upstream: Name
+    weight: Annotated[int, Meta(ge=0, le=1_000_000)]
+
+
 @dataclass(frozen=True)
 class Route:
     """A route of one team to an upstream.
@@ -87,12 +103,14 @@
         match: Which requests it takes.
         upstream: Name of an upstream that any section of the document defines.
         contract: What it promises.
+        shares: How its requests are divided, where not all go to `upstream`.
     """
 
     name: Name
     match: Match
     upstream: Name
     contract: Contract
+    shares: tuple[Share, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -105,6 +123,7 @@
         connections: Connections that one worker takes.
         queue: Requests that may wait for a slot beside one worker.
         connect_timeout_ms: Time to connect to a worker, in milliseconds.
+        health_path: Path at which a worker tells its health and identity; empty for none.
     """
 
     name: Name
@@ -112,6 +131,22 @@
     connections: Annotated[int, Meta(ge=1, le=100_000)] = 100
     queue: Annotated[int, Meta(ge=0, le=100_000)] = 50
     connect_timeout_ms: Annotated[int, Meta(ge=1, le=60_000)] = 1_000
+    health_path: Annotated[str, Meta(max_length=1024)] = ""
+
+
+@dataclass(frozen=True)
+class CallerLimits:
+    """What callers may send, and how long they may take. It goes before a node's settings.
+
+    Attributes:
+        head_bytes: Largest head of a request, in bytes.
+        head_timeout_ms: Time to receive a request's head, in milliseconds.
+        idle_timeout_ms: Time that a connection may wait between requests, in milliseconds.
+    """
+
+    head_bytes: Annotated[int, Meta(ge=1_024, le=1_048_576)]
+    head_timeout_ms: Annotated[int, Meta(ge=10, le=600_000)]
+    idle_timeout_ms: Annotated[int, Meta(ge=10, le=3_600_000)]
 
 
 @dataclass(frozen=True)
@@ -122,11 +157,13 @@
         team: The owner.
         upstreams: Services that the team owns.
         routes: Routes that the team owns.
+        caller_limits: Limits of all callers, where this team sets them.
     """
 
     team: Name
     upstreams: tuple[Upstream, ...] = ()
     routes: tuple[Route, ...] = ()
+    caller_limits: CallerLimits | None = None
 
 
 @dataclass(frozen=True)
--- a/trefoilpick/errors.py
+++ b/trefoilpick/errors.py
@@ -55,6 +55,7 @@
     DEADLINE_AFTER_SEND = "deadline_after_send"
     UPSTREAM_REFUSED = "upstream_refused"
     UPSTREAM_SHED = "upstream_shed"
+    UPSTREAM_REPLACED = "upstream_replaced"
     UPSTREAM_LOST = "upstream_lost"
     ANSWER_MALFORMED = "answer_malformed"
     ANSWER_CUT = "answer_cut"
@@ -119,14 +120,15 @@
     ErrorKind.METHOD_NOT_ALLOWED: Answer(405, Outcome.NOT_RUN),
     ErrorKind.BODY_TOO_LARGE: Answer(413, Outcome.NOT_RUN),
     ErrorKind.BODY_MALFORMED: Answer(400, Outcome.UNKNOWN),
-    ErrorKind.BODY_TIMEOUT: Answer(408, Outcome.UNKNOWN),
+    ErrorKind.BODY_TIMEOUT: Answer(400, Outcome.UNKNOWN),
     ErrorKind.NO_UPSTREAM: Answer(503, Outcome.NOT_RUN, 1.0),
     ErrorKind.QUEUE_FULL: Answer(503, Outcome.NOT_RUN, 1.0),
     ErrorKind.SHED: Answer(503, Outcome.NOT_RUN, 2.0),
-    ErrorKind.DEADLINE_BEFORE_RUN: Answer(504, Outcome.NOT_RUN, 1.0),
+    ErrorKind.DEADLINE_BEFORE_RUN: Answer(503, Outcome.NOT_RUN, 1.0),
     ErrorKind.DEADLINE_AFTER_SEND: Answer(504, Outcome.UNKNOWN),
-    ErrorKind.UPSTREAM_REFUSED: Answer(502, Outcome.NOT_RUN, 1.0),
+    ErrorKind.UPSTREAM_REFUSED: Answer(503, Outcome.NOT_RUN, 1.0),
     ErrorKind.UPSTREAM_SHED: Answer(503, Outcome.NOT_RUN, 1.0),
+    ErrorKind.UPSTREAM_REPLACED: Answer(503, Outcome.NOT_RUN, 1.0),
     ErrorKind.UPSTREAM_LOST: Answer(502, Outcome.UNKNOWN),
     ErrorKind.ANSWER_MALFORMED: Answer(502, Outcome.UNKNOWN),
     ErrorKind.ANSWER_CUT: Answer(502, Outcome.RUN),
@@ -140,6 +142,18 @@
 }
 """The answer for every kind that can end a request."""
 
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+"""Status codes by which callers conclude that a request did not run and will not run."""
+
+UNSURE_STATUS = 502
+"""Status in place of one that would promise too much."""
+
+RETRY_STATUS = 503
+"""Status in place of a server error that would promise too little."""
+
+FIRST_SERVER_ERROR = 500
+"""Lowest status of a server error."""
+
 
 def find_answer(error: TrefoilpickError) -> Answer:
     """Return the answer that a caller is given for an error.
@@ -151,8 +165,17 @@
         The kind's answer, with the error's own outcome and retry time where it has them.
     """
     answer = ANSWERS.get(error.kind, ANSWERS[ErrorKind.INTERNAL])
+    outcome = error.outcome or answer.outcome
     return Answer(
-        answer.status,
-        error.outcome or answer.outcome,
+        _fit_status(answer.status, outcome),
+        outcome,
         answer.retry_after_s if error.retry_after_s is None else error.retry_after_s,
     )
+
+
+def _fit_status(status: int, outcome: Outcome) -> int:
+    """Return a status that promises what is known of the request's execution, and no more."""
+    if outcome is not Outcome.NOT_RUN:
+        return UNSURE_STATUS if status in NOT_RUN_STATUSES else status
+    is_unsure = status >= FIRST_SERVER_ERROR and status not in NOT_RUN_STATUSES
+    return RETRY_STATUS if is_unsure else status
--- a/trefoilpick/forwarding.py
+++ b/trefoilpick/forwarding.py
@@ -22,7 +22,7 @@
     encode_data,
     encode_head,
 )
-from trefoilpick.retries import plan_retry
+from trefoilpick.retries import Tries, plan_retry
 from trefoilpick.tokens import read_claims
 from trefoilpick.uploads import END_FRAME, Uploader
 
@@ -45,6 +45,9 @@
 FIRST_SERVER_ERROR = 500
 """Lowest HTTP status that counts against a worker."""
 
+LEAVING_KINDS = frozenset({ErrorKind.DRAINING, ErrorKind.UPSTREAM_REPLACED})
+"""Errors of a worker that gets no more work."""
+
 WORKER_FAULTS = frozenset(
     {
         ErrorKind.UPSTREAM_REFUSED,
@@ -128,17 +131,18 @@
     async def _attempt_until_answered(self, call: Call) -> Attempt:
         upstream = call.team_route.upstream.name
         self._budgets.note_request(upstream, call.started_at)
-        tried: list[str] = []
+        tries = Tries()
         may_have_run = False
         while True:
             try:
-                return await self._attempt(call, tried)
+                return await self._attempt(call, tries)
             except TrefoilpickError as error:
+                tries.note(error)
                 may_have_run = may_have_run or find_answer(error).outcome is not Outcome.NOT_RUN
                 pause_s = plan_retry(
                     call,
                     error,
-                    attempts=len(tried),
+                    tries=tries,
                     now=read_clock(),
                     budgets=self._budgets,
                     random=self._random,
@@ -150,13 +154,13 @@
                 )
                 await curio.sleep(pause_s)
 
-    async def _attempt(self, call: Call, tried: list[str]) -> Attempt:
+    async def _attempt(self, call: Call, tries: Tries) -> Attempt:
         now = read_clock()
-        record = self._choose(call, tried, now)
-        tried.append(record.vm.name)
+        record = self._choose(call, tries.vms, now)
+        tries.vms.append(record.vm.name)
         record.begin(now)
         try:
-            return await self._attempt_at(call, record, is_retry=len(tried) > 1)
+            return await self._attempt_at(call, record, is_retry=tries.sent > 0)
         except TrefoilpickError as error:
             record.end()
             self._count_attempt(record, error.kind.value)
@@ -177,7 +181,9 @@
     def _note_error(
         self, call: Call, record: WorkerRecord, error: TrefoilpickError, now: float
     ) -> None:
-        if error.kind is ErrorKind.DEADLINE_AFTER_SEND:
+        if error.kind in LEAVING_KINDS:
+            record.note_unwilling(now)
+        elif error.kind is ErrorKind.DEADLINE_AFTER_SEND:
             waited_s = now - call.started_at
             if waited_s * MS_PER_S * 2 >= call.team_route.route.contract.deadline_ms:
                 self._balancer.note_failure(record, now)
--- a/trefoilpick/gate.py
+++ b/trefoilpick/gate.py
@@ -136,6 +136,14 @@
         if self.queued:
             await self._let_in(read_clock())
 
+    async def refuse_waiting(self, refusal: TrefoilpickError) -> None:
+        """Refuse every request that waits for a slot."""
+        for line in self._lines.values():
+            while line:
+                waiter = line.take_next()
+                self.queued -= 1
+                await _refuse(waiter, refusal)
+
     async def _wait_turn(self, waiter: Waiter) -> float:
         try:
             async with curio.timeout_after(waiter.deadline_s - read_clock()):
--- a/trefoilpick/hops.py
+++ b/trefoilpick/hops.py
@@ -99,6 +99,7 @@
         has_body: Whether DATA frames may follow.
         is_retry: Whether an earlier attempt was made anywhere above.
         vm: VM of the node that sends it; empty where it is not told.
+        request_id: The caller's name for this attempt; empty where it gave none.
     """
 
     number: int
@@ -118,6 +119,7 @@
     has_body: bool
     is_retry: bool
     vm: str = ""
+    request_id: str = ""
 
 
 class HopAnswer(msgspec.Struct, frozen=True, array_like=True):
--- a/trefoilpick/hopserver.py
+++ b/trefoilpick/hopserver.py
@@ -16,6 +16,7 @@
 from trefoilpick._hoplinks import HopLink
 from trefoilpick._hoplistener import BACKLOG, accept_sockets
 from trefoilpick._redemption import run_once
+from trefoilpick.conventions import OWN_CONVENTIONS
 from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError
 from trefoilpick.gate import Gate, GateLimits
 from trefoilpick.health import WorkerHealth
@@ -25,17 +26,20 @@
 from trefoilpick.sightings import ignore_version
 from trefoilpick.tokens import open_book
 from trefoilpick.upstreams import open_pool
+from trefoilpick.vms import VmState
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from curio.io import Socket
 
+    from trefoilpick.conventions import Conventions
     from trefoilpick.document import Upstream
     from trefoilpick.metrics import Metrics
     from trefoilpick.settings import Settings
     from trefoilpick.snapshots import SnapshotCell
     from trefoilpick.tokens import TokenBook
+    from trefoilpick.vms import Vm
 
 MAX_REFUSED = 64
 """Connections over the limit that are told so at a time."""
@@ -43,6 +47,9 @@
 DRAIN_LOOK_S = 0.02
 """Time between two looks at the requests in flight, in seconds."""
 
+QUEUE_LOOK_S = 0.1
+"""Time between two looks whether the worker leaves, in seconds."""
+
 LINGER_S = 1.0
 """Time for which the rest of a body is read after a failure, in seconds."""
 
@@ -80,6 +87,8 @@
         book: Tokens for running at most once.
         listener: A listening socket.
         note_version: Called with the VM, number and digest of the version that a request names.
+        find_own: Returns this VM as the platform lists it; None where it does not.
+        conventions: Headers of the fleet.
     """
 
     def __init__(
@@ -94,6 +103,8 @@
         book: TokenBook,
         listener: Socket,
         note_version: Callable[[str, int, str], None],
+        find_own: Callable[[], Vm | None],
+        conventions: Conventions,
     ) -> None:
         self.gate = gate
         self.book = book
@@ -105,6 +116,8 @@
         self._log = open_state_log(settings.vm, incarnation=incarnation, metrics=metrics)
         self._is_level = is_level
         self._note_version = note_version
+        self._find_own = find_own
+        self._replaced_worker = ""
         self._listener = listener
         self._incarnation = incarnation
         self._upstream: Upstream | None = None
@@ -120,11 +133,14 @@
                 settings.worker.host,
                 settings.worker.port,
                 max_idle_s=settings.hops.worker_idle_ms / 1000,
+                conventions=conventions,
             ),
             metrics=metrics,
             measure_load=self.measure_load,
             body_idle_s=settings.hops.body_idle_ms / 1000,
             health=self._health,
+            find_worker=self._find_worker,
+            conventions=conventions,
         )
 
     @property
@@ -159,6 +175,7 @@
             lasting = (
                 await group.spawn(self._hops.watch),
                 await group.spawn(self._accept_hops, listener, group),
+                await group.spawn(self._clear_queue),
             )
             async for task in group:
                 if task in lasting:
@@ -181,9 +198,9 @@
         self.leaving = True
         for link in self._hops:
             await self._tell_leaving(link)
-        await curio.sleep(drain.notice_ms / 1000)
+        await curio.sleep(drain.bounded_notice_ms / 1000)
         self.refusing = True
-        async with curio.ignore_after(drain.limit_ms / 1000):
+        async with curio.ignore_after(drain.bounded_limit_ms / 1000):
             while self._running:
                 await curio.sleep(DRAIN_LOOK_S)
         self._report = DrainReport(cut=self._running, waited_s=read_clock() - began_s)
@@ -273,6 +290,8 @@
             kind = error.kind.value
             if error.kind in WORKER_FAILURES:
                 self._health.note(read_clock(), failed=True)
+            if error.kind is ErrorKind.UPSTREAM_REPLACED:
+                self._replaced_worker = self._find_worker()
             if error.kind is ErrorKind.UPSTREAM_REFUSED:
                 self._log.report(Event.WORKER, "down", level=logging.WARNING, text=error.text)
             if not await exchange.fail(error):
@@ -312,11 +331,33 @@
         if upstream is None or request.upstream != service:
             text = f'worker of upstream "{service}" was asked for upstream "{request.upstream}"'
             raise TrefoilpickError(ErrorKind.NO_UPSTREAM, text, outcome=Outcome.NOT_RUN)
-        if upstream is not self._upstream:
+        own = self._find_own()
+        if own is not None and self._is_worker_leaving(own):
+            raise TrefoilpickError(ErrorKind.DRAINING, f'worker "{own.worker}" is leaving')
+        slots = own.slots if own is not None and own.slots else upstream.slots
+        if upstream is not self._upstream or slots != self.gate.limits.slots:
             self._upstream = upstream
-            self.gate.limits = GateLimits(upstream.slots, upstream.connections, upstream.queue)
+            self.gate.limits = GateLimits(slots, upstream.connections, upstream.queue)
         return upstream
 
+    def _find_worker(self) -> str:
+        own = self._find_own()
+        return own.worker if own is not None else ""
+
+    def _is_worker_leaving(self, own: Vm) -> bool:
+        if own.state is VmState.LEAVING:
+            return True
+        return bool(own.worker) and own.worker == self._replaced_worker
+
+    async def _clear_queue(self) -> None:
+        """Refuse what waits for a worker that leaves, so that it can go elsewhere."""
+        while True:
+            own = self._find_own()
+            if own is not None and self._is_worker_leaving(own):
+                text = f'worker "{own.worker}" is leaving'
+                await self.gate.refuse_waiting(TrefoilpickError(ErrorKind.DRAINING, text))
+            await curio.sleep(QUEUE_LOOK_S)
+
     async def _tell_leaving(self, link: HopLink) -> None:
         if not link.idle or link.told_leaving:
             return
@@ -333,6 +374,8 @@
     is_level: Callable[[], bool],
     incarnation: int,
     note_version: Callable[[str, int, str], None] = ignore_version,
+    find_own: Callable[[], Vm | None] = lambda: None,
+    conventions: Conventions = OWN_CONVENTIONS,
 ) -> HopServer:
     """Open the hop server of a node; it listens from now on and accepts hops when run.
 
@@ -343,6 +386,8 @@
         is_level: Tells whether the enforced version is as new as the fleet's.
         incarnation: Start of the process, in nanoseconds since the Unix epoch.
         note_version: Called with the VM, number and digest of the version that a request names.
+        find_own: Returns this VM as the platform lists it; None where it does not.
+        conventions: Headers of the fleet.
 
     Raises:
         TrefoilpickError: `SETTINGS_FAULTY`, where the address cannot be listened on.
@@ -371,6 +416,8 @@
             settings.listen.host, settings.listen.hop_port, name="hop port", backlog=BACKLOG
         ),
         note_version=note_version,
+        find_own=find_own,
+        conventions=conventions,
     )
 
 
--- a/trefoilpick/joining.py
+++ b/trefoilpick/joining.py
@@ -68,7 +68,7 @@
 
     async def _ask_source(self) -> None:
         node = self._node
-        backoff = Backoff(node.random)
+        backoff = Backoff(node.random, max_s=node.source_backoff_s)
         await curio.sleep(node.draw_source_delay())
         while not (self._source_answered and node.roster.revision):
             try:
--- a/trefoilpick/node.py
+++ b/trefoilpick/node.py
@@ -17,6 +17,7 @@
 from trefoilpick._node_status import build_fleet_status, build_node_status
 from trefoilpick._together import run_together
 from trefoilpick.callers import open_caller_server
+from trefoilpick.conventions import OWN_CONVENTIONS
 from trefoilpick.distribution import open_distributor
 from trefoilpick.hopserver import open_hop_server
 from trefoilpick.links import open_links
@@ -34,6 +35,7 @@
     from collections.abc import Callable
 
     from trefoilpick.callers import CallerServer
+    from trefoilpick.conventions import Conventions
     from trefoilpick.distribution import Distributor
     from trefoilpick.hopserver import HopServer
     from trefoilpick.links import Links
@@ -175,6 +177,7 @@
     incarnation: int | None = None,
     cell: SnapshotCell | None = None,
     read_suspended: Callable[[], float] = read_suspended_s,
+    conventions: Conventions = OWN_CONVENTIONS,
 ) -> Node:
     """Build a node; it listens from now on and serves when run.
 
@@ -186,6 +189,7 @@
         incarnation: Start of the process, in nanoseconds since the Unix epoch; by default now.
         cell: Where the enforced snapshot goes; by default a new one.
         read_suspended: Reads how long the VM has been suspended, in seconds.
+        conventions: Headers of the fleet.
 
     Raises:
         TrefoilpickError: `SETTINGS_FAULTY`, where an address cannot be listened on.
@@ -193,7 +197,7 @@
     metrics = Metrics()
     cell = cell or SnapshotCell()
     own = build_own_vm(settings)
-    roster = Roster(own)
+    roster = Roster(own, listed_only=settings.control.listed_only)
     chance = chance or random.Random()
     incarnation = time.time_ns() if incarnation is None else incarnation
     distributor = open_distributor(
@@ -216,6 +220,8 @@
         is_level=lambda: distributor.is_level,
         incarnation=incarnation,
         note_version=sightings.note,
+        find_own=lambda: roster.find_listed(own.name),
+        conventions=conventions,
     )
     caller_server = open_caller_server(
         settings,
@@ -226,6 +232,7 @@
         is_level=lambda: distributor.is_level,
         random=chance,
         note_version=sightings.note,
+        conventions=conventions,
     )
     return Node(
         settings,
--- /dev/null
+++ b/trefoilpick/platform/__main__.py
@@ -0,0 +1,41 @@
+"""The node on the users' platform: one process beside each worker."""
+
+from __future__ import annotations
+
+import os
+import random
+import sys
+from pathlib import Path
+
+import curio
+
+from trefoilpick._cli_node import serve_node
+from trefoilpick.errors import TrefoilpickError
+from trefoilpick.logs import open_log
+from trefoilpick.node import open_node
+from trefoilpick.platform.headers import PLATFORM_CONVENTIONS
+from trefoilpick.platform.settings import read_platform_settings
+from trefoilpick.platform.store import open_store
+
+SETTINGS_VARIABLE = "TREFOILPICK_SETTINGS"
+"""Environment variable with the path of the settings, which the platform fills in."""
+
+
+def main() -> None:
+    """Run the node until it is told to stop."""
+    chance = random.Random()
+    try:
+        settings = read_platform_settings(Path(os.environ[SETTINGS_VARIABLE]))
+        open_log(settings, stream=sys.stdout)
+        node = open_node(
+            settings,
+            source=open_store(settings, random=chance),
+            chance=chance,
+            conventions=PLATFORM_CONVENTIONS,
+        )
+    except TrefoilpickError as error:
+        sys.exit(f"{error.kind.value}: {error.text}")
+    curio.run(serve_node(node, None))
+
+
+main()
--- /dev/null
+++ b/trefoilpick/platform/configuration.py
@@ -0,0 +1,135 @@
+"""The operators' configuration on the platform, as sections of the product's document."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Literal
+
+import msgspec
+
+from trefoilpick.document import (
+    ANY_METHOD,
+    CallerLimits,
+    Contract,
+    Match,
+    Objective,
+    Priority,
+    Route,
+    Section,
+    Share,
+    Upstream,
+)
+from trefoilpick.errors import ErrorKind, TrefoilpickError
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+PRIORITIES = (Priority.INTERACTIVE, Priority.NORMAL, Priority.DEFERRABLE)
+"""The product's priorities by the platform's rank; every lower rank is the last of them."""
+
+MAX_RETRIES = 5
+"""The document's own bound on further attempts."""
+
+CONNECT_TIMEOUT_MS = 400
+"""Time to connect to a worker or its node, in milliseconds: a tenth of the slowest objective's
+order, and over a hundred round trips between data centres of one region."""
+
+
+class _Split(msgspec.Struct, frozen=True):
+    service: str
+    weight: int
+
+
+class _Route(msgspec.Struct, frozen=True, rename="kebab"):
+    name: str
+    hostname: str
+    path_prefix: str
+    kind: Literal["idempotent", "non_idempotent"]
+    timeout: float
+    """Longest time that a request is kept waiting, in milliseconds."""
+    target_latency: float
+    """Objective for the whole answer, in milliseconds."""
+    priority: int
+    max_attempts: int
+    """Workers to which one request may be sent, the first among them."""
+    service: str = ""
+    traffic_split: tuple[_Split, ...] = ()
+
+
+class _Service(msgspec.Struct, frozen=True, rename="kebab"):
+    name: str
+    max_connections: int
+    health_path: str = ""
+
+
+class _Limits(msgspec.Struct, frozen=True, rename="kebab"):
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout: float
+    """Time for a request's head, in milliseconds."""
+    idle_timeout: float
+    """Time that a connection may be unused, in milliseconds."""
+
+
+class Configuration(msgspec.Struct, frozen=True):
+    """The operators' configuration, as the store holds it."""
+
+    version: int
+    routes: tuple[_Route, ...]
+    services: tuple[_Service, ...]
+    limits: _Limits
+
+
+_DECODER = msgspec.json.Decoder(Configuration)
+
+
+def decode_configuration(data: bytes) -> Configuration:
+    """Read a configuration.
+
+    Raises:
+        TrefoilpickError: `MANIFEST_FAULTY`.
+    """
+    try:
+        return _DECODER.decode(data)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        raise TrefoilpickError(ErrorKind.MANIFEST_FAULTY, f"configuration: {error}") from error
+
+
+def list_sections(configuration: Configuration) -> Iterator[Section]:
+    """Yield one section for each service, in the order of their names.
+
+    A section holds its service and the routes that lead there; a divided route stands where its
+    first share leads. Limits of callers stand in the first section.
+    """
+    limits = configuration.limits
+    caller_limits: CallerLimits | None = CallerLimits(
+        limits.max_header_bytes, round(limits.header_timeout), round(limits.idle_timeout)
+    )
+    routes: dict[str, list[Route]] = {}
+    for raw in configuration.routes:
+        route = _build_route(raw, limits.max_body_bytes)
+        routes.setdefault(route.upstream, []).append(route)
+    for service in sorted(configuration.services, key=lambda service: service.name):
+        upstream = Upstream(
+            service.name,
+            connections=service.max_connections,
+            queue=service.max_connections,
+            connect_timeout_ms=CONNECT_TIMEOUT_MS,
+            health_path=service.health_path,
+        )
+        yield Section(service.name, (upstream,), tuple(routes.get(service.name, ())), caller_limits)
+        caller_limits = None
+
+
+def _build_route(raw: _Route, max_body_bytes: int) -> Route:
+    shares = tuple(Share(split.service, split.weight) for split in raw.traffic_split)
+    contract = Contract(
+        idempotent=raw.kind == "idempotent",
+        deadline_ms=round(raw.timeout),
+        priority=PRIORITIES[min(max(raw.priority, 0), len(PRIORITIES) - 1)],
+        retries=min(max(raw.max_attempts - 1, 0), MAX_RETRIES),
+        body_limit_bytes=max_body_bytes,
+        objective=Objective(latency_ms=round(raw.target_latency)),
+    )
+    match = Match(raw.path_prefix, (ANY_METHOD,), raw.hostname)
+    upstream = shares[0].upstream if shares else raw.service
+    return Route(raw.name, match, upstream, contract, shares)
--- a/trefoilpick/reading.py
+++ b/trefoilpick/reading.py
@@ -26,6 +26,7 @@
     from trefoilpick.manifest import Manifest, VersionId
     from trefoilpick.metrics import Metrics
     from trefoilpick.roster import Roster
+    from trefoilpick.settings import SourceSettings
     from trefoilpick.source import Source, SourceValue
     from trefoilpick.versions import VersionStore
 
@@ -59,6 +60,7 @@
         random: Source of draws.
         note_held: Called when a new version is held.
         note_list: Called when a new list of VMs is taken.
+        settings: Pauses between reads.
     """
 
     def __init__(
@@ -73,7 +75,10 @@
         random: Random,
         note_held: Callable[[], Awaitable[None]],
         note_list: Callable[[], Awaitable[None]],
+        settings: SourceSettings,
     ) -> None:
+        self._gap_s = settings.watch_gap_ms / 1000
+        self._backoff_s = settings.backoff_ms / 1000
         self._source = source
         self._store = store
         self._roster = roster
@@ -140,7 +145,7 @@
     async def _watch(
         self, key: str, take: Callable[[bytes], Awaitable[None]], reread_share: float
     ) -> None:
-        backoff = Backoff(self._random)
+        backoff = Backoff(self._random, max_s=self._backoff_s)
         revision: int | None = None
         while True:
             await self._reading.wait()
@@ -149,6 +154,8 @@
                 if value is not None:
                     revision = value.revision
                     await take(value.data)
+                    # Changes in quick succession are read together.
+                    await curio.sleep(self._gap_s)
                 elif self._random.random() < reread_share:
                     revision = None
                 backoff.clear()
--- a/trefoilpick/reaper.py
+++ b/trefoilpick/reaper.py
@@ -14,6 +14,7 @@
 from trefoilpick._clock import read_clock
 from trefoilpick.callerlinks import LinkState
 from trefoilpick.calls import MS_PER_S
+from trefoilpick.document import CallerLimits
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -45,20 +46,17 @@
 
     Attributes:
         links: All callers' connections.
+        limits: Limits of callers that are in force.
     """
 
     def __init__(self, settings: RequestSettings, pool: HopPool, clock: CoarseClock) -> None:
         self.links: set[CallerLink] = set()
         self.clock = clock
         self._pool = pool
-        body_idle_s = settings.body_idle_ms / MS_PER_S
-        self._limits_s = {
-            LinkState.NEW: settings.head_timeout_ms / MS_PER_S,
-            LinkState.HEAD: settings.head_timeout_ms / MS_PER_S,
-            LinkState.IDLE: settings.keepalive_ms / MS_PER_S,
-            LinkState.UPLOADING: body_idle_s,
-            LinkState.ANSWERING: body_idle_s,
-        }
+        self._body_idle_s = settings.body_idle_ms / MS_PER_S
+        self.limits = CallerLimits(
+            settings.max_head_bytes, settings.head_timeout_ms, settings.keepalive_ms
+        )
 
     async def run(self) -> None:
         """Look until cancelled."""
@@ -77,8 +75,16 @@
             await curio.sleep(SWEEP_S)
 
     def _find_expired(self, now: float) -> Iterator[CallerLink]:
+        head_s = self.limits.head_timeout_ms / MS_PER_S
+        limits_s = {
+            LinkState.NEW: head_s,
+            LinkState.HEAD: head_s,
+            LinkState.IDLE: self.limits.idle_timeout_ms / MS_PER_S,
+            LinkState.UPLOADING: self._body_idle_s,
+            LinkState.ANSWERING: self._body_idle_s,
+        }
         for link in self.links:
-            limit_s = self._limits_s.get(link.state)
+            limit_s = limits_s.get(link.state)
             if limit_s is not None and now - link.touched_at > limit_s and not link.is_expired:
                 yield link
 
--- a/trefoilpick/retries.py
+++ b/trefoilpick/retries.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError, find_answer
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
 
     from trefoilpick.calls import Call
 
@@ -21,6 +23,7 @@
         ErrorKind.SHED,
         ErrorKind.UPSTREAM_REFUSED,
         ErrorKind.UPSTREAM_SHED,
+        ErrorKind.UPSTREAM_REPLACED,
         ErrorKind.UPSTREAM_LOST,
         ErrorKind.ANSWER_MALFORMED,
         ErrorKind.INTERNAL,
@@ -31,6 +34,25 @@
 WORTH_THE_SAME_VM = frozenset({ErrorKind.UPSTREAM_LOST, ErrorKind.ANSWER_MALFORMED})
 """Errors after which the same VM may do better."""
 
+UNSENT = frozenset(
+    {
+        ErrorKind.NOT_READY,
+        ErrorKind.NOT_LEVEL,
+        ErrorKind.DRAINING,
+        ErrorKind.TOO_MANY_CONNECTIONS,
+        ErrorKind.QUEUE_FULL,
+        ErrorKind.SHED,
+        ErrorKind.UPSTREAM_REFUSED,
+    }
+)
+"""Errors before any worker saw the request: another worker may be asked at no cost to any."""
+
+OVERLOADS = frozenset({ErrorKind.QUEUE_FULL, ErrorKind.SHED})
+"""Errors that are likely to meet the request at the next worker too."""
+
+MAX_REDIRECTS = 4
+"""Workers whose nodes may refuse a request before its caller is told."""
+
 FIRST_PAUSE_S = 0.005
 """Upper bound of the first pause, in seconds; it doubles for each further one."""
 
@@ -50,11 +72,15 @@
     Args:
         share: Further attempts for each request, from 0 to 1.
         now: Time on the node's clock, in seconds.
+        floor_per_s: Further attempts per second that are allowed whatever the number of requests.
     """
 
-    def __init__(self, share: float, now: float) -> None:
+    def __init__(
+        self, share: float, now: float, *, floor_per_s: float = BUDGET_FLOOR_PER_S
+    ) -> None:
         self._share = share
-        self._tokens = BUDGET_FLOOR_PER_S * BUDGET_WINDOW_S
+        self._floor_per_s = floor_per_s
+        self._tokens = floor_per_s * BUDGET_WINDOW_S
         self._limit = self._tokens
         self._updated_at = now
 
@@ -75,7 +101,7 @@
         passed_s = max(now - self._updated_at, 0.0)
         self._updated_at = now
         faded = self._tokens * max(1.0 - passed_s / BUDGET_WINDOW_S, 0.0)
-        self._tokens = faded + BUDGET_FLOOR_PER_S * min(passed_s, BUDGET_WINDOW_S)
+        self._tokens = faded + self._floor_per_s * min(passed_s, BUDGET_WINDOW_S)
 
 
 class RetryBudgets:
@@ -83,10 +109,17 @@
 
     Args:
         percent: Further attempts as a share of requests, in percent.
+        reserve: Further attempts that all nodes may make besides in `BUDGET_WINDOW_S`; 0 leaves
+            each node `BUDGET_FLOOR_PER_S`.
+        count_vms: Returns the number of nodes that share the reserve.
     """
 
-    def __init__(self, percent: int) -> None:
+    def __init__(
+        self, percent: int, *, reserve: int = 0, count_vms: Callable[[], int] = lambda: 1
+    ) -> None:
         self._share = percent / 100.0
+        self._reserve = reserve
+        self._count_vms = count_vms
         self._budgets: dict[str, RetryBudget] = {}
 
     def note_request(self, upstream: str, now: float) -> None:
@@ -100,9 +133,15 @@
     def _find(self, upstream: str, now: float) -> RetryBudget:
         budget = self._budgets.get(upstream)
         if budget is None:
-            budget = self._budgets[upstream] = RetryBudget(self._share, now)
+            budget = RetryBudget(self._share, now, floor_per_s=self._find_floor())
+            self._budgets[upstream] = budget
         return budget
 
+    def _find_floor(self) -> float:
+        if not self._reserve:
+            return BUDGET_FLOOR_PER_S
+        return self._reserve / BUDGET_WINDOW_S / max(self._count_vms(), 1)
+
 
 def may_run_again(call: Call, error: TrefoilpickError) -> bool:
     """Tell whether a further attempt can do no harm after an error.
@@ -120,11 +159,38 @@
     return call.team_route.route.contract.idempotent
 
 
+@dataclass
+class Tries:
+    """What was tried for one request.
+
+    Attributes:
+        vms: Names of the VMs that were asked.
+        sent: Attempts that may have reached a worker.
+        overloaded: Nodes that refused for want of room.
+    """
+
+    vms: list[str] = field(default_factory=list)
+    sent: int = 0
+    overloaded: int = 0
+
+    def note(self, error: TrefoilpickError) -> None:
+        """Take note of how the last attempt ended."""
+        if is_unsent(error):
+            self.overloaded += error.kind in OVERLOADS
+        else:
+            self.sent += 1
+
+
+def is_unsent(error: TrefoilpickError) -> bool:
+    """Tell whether no worker saw the attempt that an error ended."""
+    return error.kind in UNSENT and find_answer(error).outcome is Outcome.NOT_RUN
+
+
 def plan_retry(
     call: Call,
     error: TrefoilpickError,
     *,
-    attempts: int,
+    tries: Tries,
     now: float,
     budgets: RetryBudgets,
     random: random.Random,
@@ -134,7 +200,7 @@
     Args:
         call: The request.
         error: What ended the last attempt.
-        attempts: Attempts that were made.
+        tries: Attempts that were made.
         now: Time on the node's clock, in seconds.
         budgets: Bounds of further attempts.
         random: Source of the jitter.
@@ -144,13 +210,24 @@
     """
     if call.link.head_sent or call.link.is_gone or call.head.is_retry:
         return None
-    call.link.is_exhausted = attempts > 1
-    if attempts > call.team_route.route.contract.retries or not may_run_again(call, error):
+    call.link.is_exhausted = len(tries.vms) > 1
+    if not may_run_again(call, error):
+        return None
+    if is_unsent(error):
+        return _plan_redirect(call, tries, now)
+    if tries.sent > call.team_route.route.contract.retries:
         return None
-    pause_s = random.uniform(0.0, min(FIRST_PAUSE_S * 2 ** (attempts - 1), MAX_PAUSE_S))
+    pause_s = random.uniform(0.0, min(FIRST_PAUSE_S * 2 ** (tries.sent - 1), MAX_PAUSE_S))
     if now + pause_s >= call.deadline_at:
         return None
     if not budgets.take(call.team_route.upstream.name, now):
         call.link.is_exhausted = True
         return None
     return pause_s
+
+
+def _plan_redirect(call: Call, tries: Tries, now: float) -> float | None:
+    weighty = tries.sent + tries.overloaded
+    if len(tries.vms) > MAX_REDIRECTS or weighty > call.team_route.route.contract.retries:
+        return None
+    return 0.0 if now < call.deadline_at else None
--- a/trefoilpick/roster.py
+++ b/trefoilpick/roster.py
@@ -70,11 +70,19 @@
 
     Args:
         own: The node's own VM.
+        listed_only: Whether only VMs on the platform's list get requests.
         clock: Reads the monotonic time in seconds.
     """
 
-    def __init__(self, own: Vm, *, clock: Callable[[], float] = read_clock) -> None:
+    def __init__(
+        self,
+        own: Vm,
+        *,
+        listed_only: bool = False,
+        clock: Callable[[], float] = read_clock,
+    ) -> None:
         self.own = own
+        self._listed_only = listed_only
         self._clock = clock
         self._listed: dict[str, Vm] = {}
         self._changed_at: dict[str, int] = {}
@@ -96,13 +104,22 @@
     def list_endpoints(self, service: str) -> tuple[Vm, ...]:
         """Return the VMs that may take new work of a service."""
         if self._services is None:
-            self._services = _group_by_service(self._iterate())
+            usable = self._listed.values() if self._listed_only else self._iterate()
+            self._services = _group_by_service(usable)
         return tuple(
             vm
             for vm in self._services.get(service, ())
             if self._is_usable(vm.name) and not self.is_leaving(vm.name)
         )
 
+    def count_vms(self) -> int:
+        """Return how many VMs are listed or were heard of."""
+        return sum(1 for _ in self._iterate())
+
+    def find_listed(self, name: str) -> Vm | None:
+        """Return a VM's record in the platform's list; None where it has none."""
+        return self._listed.get(name)
+
     def find_vm(self, name: str) -> Vm | None:
         """Return a VM's record; None where it is unknown."""
         return self._listed.get(name) or self._unlisted.get(name)
--- a/trefoilpick/sections.py
+++ b/trefoilpick/sections.py
@@ -16,11 +16,13 @@
 from trefoilpick._fields import list_unknown_fields
 from trefoilpick.document import (
     MAX_SECTION_BYTES,
+    CallerLimits,
     Contract,
     Match,
     Objective,
     Route,
     Section,
+    Share,
     Upstream,
 )
 from trefoilpick.errors import ErrorKind, TrefoilpickError
@@ -75,6 +77,8 @@
 
 
 @_strip_defaults.register(Section)
+@_strip_defaults.register(CallerLimits)
+@_strip_defaults.register(Share)
 @_strip_defaults.register(Upstream)
 @_strip_defaults.register(Route)
 @_strip_defaults.register(Match)
--- a/trefoilpick/settings.py
+++ b/trefoilpick/settings.py
@@ -3,17 +3,26 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from itertools import islice
 from pathlib import Path
-from typing import Annotated, Literal
+from typing import Annotated, Any, Literal
 
 import msgspec
 from msgspec import Meta
 
+from trefoilpick._fields import check_fields
 from trefoilpick._typed_text import check_text
 from trefoilpick.document import Name
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 from trefoilpick.vms import Host, Port
 
+NOTICE_SHARE = 0.4
+"""Part of the grace in which peers and callers learn that the node leaves: a third of it, and what
+a notice may take to be heard."""
+
+GRACE_SHARE = 0.92
+"""Part of the grace after which requests are cut: over five sixths, in which workers may answer."""
+
 MAX_SHOWN_FAULTS = 8
 """Faults of settings that one error names."""
 
@@ -65,6 +74,15 @@
     watch_ms: Annotated[
         int, Meta(ge=100, le=600_000), _describe("Time that a watch waits", "ms")
     ] = 6_000
+    watch_gap_ms: Annotated[
+        int, Meta(ge=0, le=60_000), _describe("Time between a change and the next watch", "ms")
+    ] = 0
+    backoff_ms: Annotated[
+        int, Meta(ge=10, le=600_000), _describe("Longest pause after a failed read", "ms")
+    ] = 10_000
+    regions: Annotated[
+        dict[str, str], _describe("Region by data centre, where the list of VMs names none")
+    ] = field(default_factory=dict)
 
 
 @dataclass(frozen=True)
@@ -72,7 +90,7 @@
     """Distribution of versions between nodes."""
 
     readers: Annotated[
-        int, Meta(ge=1, le=16), _describe("Nodes of a data centre that read the source")
+        int, Meta(ge=1, le=256), _describe("Nodes of a data centre that read the source")
     ] = 2
     exchange_ms: Annotated[
         int, Meta(ge=50, le=60_000), _describe("Mean time between exchanges with a peer", "ms")
@@ -85,6 +103,9 @@
         tuple[Annotated[str, Meta(pattern=r"^[0-9a-fA-F.:]{2,45}:[0-9]{1,5}$")], ...],
         _describe("Control links to ask before the list of VMs is known", "ip:port"),
     ] = ()
+    listed_only: Annotated[
+        bool, _describe("Whether only VMs on the platform's list get requests")
+    ] = False
     expected_vms: Annotated[
         int, Meta(ge=1, le=100_000), _describe("Size of the fleet until its list is known", "VMs")
     ] = 1_100
@@ -145,6 +166,11 @@
         Meta(ge=0, le=100),
         _describe("Further attempts to an upstream, as a share of its requests", "percent"),
     ] = 10
+    retry_reserve: Annotated[
+        int,
+        Meta(ge=0, le=1_000_000),
+        _describe("Further attempts that all nodes may make to an upstream besides, in 10 s"),
+    ] = 0
 
 
 @dataclass(frozen=True)
@@ -200,6 +226,25 @@
     limit_ms: Annotated[
         int, Meta(ge=0, le=86_400_000), _describe("Time for requests in flight to end", "ms")
     ] = 600_000
+    grace_ms: Annotated[
+        int,
+        Meta(ge=0, le=86_400_000),
+        _describe("Time until the process is killed; shortens both others, 0 for no bound", "ms"),
+    ] = 0
+
+    @property
+    def bounded_notice_ms(self) -> float:
+        """Time of notice within the grace, in milliseconds."""
+        return (
+            min(self.notice_ms, self.grace_ms * NOTICE_SHARE) if self.grace_ms else self.notice_ms
+        )
+
+    @property
+    def bounded_limit_ms(self) -> float:
+        """Time for requests in flight within the grace, in milliseconds."""
+        if not self.grace_ms:
+            return self.limit_ms
+        return min(self.limit_ms, self.grace_ms * GRACE_SHARE - self.bounded_notice_ms)
 
 
 @dataclass(frozen=True)
@@ -242,6 +287,23 @@
     return msgspec.convert(checked.raw, Settings)
 
 
+def check_settings(raw: Any, *, origin: str = "settings") -> Settings:
+    """Check settings in plain Python types.
+
+    Args:
+        raw: Settings by name.
+        origin: Where they come from, for errors.
+
+    Raises:
+        TrefoilpickError: `SETTINGS_FAULTY`, naming the fields.
+    """
+    faults = list(islice(check_fields(raw, Settings), MAX_SHOWN_FAULTS))
+    if faults:
+        shown = "; ".join(f"{fault.path}: {fault.text}" for fault in faults)
+        raise TrefoilpickError(ErrorKind.SETTINGS_FAULTY, f"{origin}: {shown}")
+    return msgspec.convert(raw, Settings)
+
+
 def read_settings(path: Path) -> Settings:
     """Read and check a file of settings.
 
--- a/trefoilpick/snapshots.py
+++ b/trefoilpick/snapshots.py
@@ -5,20 +5,29 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from trefoilpick.document import ANY_METHOD
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 
 if TYPE_CHECKING:
-    from trefoilpick.document import Document, Route, Upstream
+    from trefoilpick.document import CallerLimits, Document, Route, Upstream
     from trefoilpick.manifest import Manifest, VersionId
 
 
 @dataclass(frozen=True)
 class TeamRoute:
-    """A route with its owner and its upstream."""
+    """A route with its owner and its upstream.
+
+    Attributes:
+        team: The owner.
+        route: The route.
+        upstream: Where its requests go.
+        shares: Where its requests go instead, with weights, where they are divided.
+    """
 
     team: str
     route: Route
     upstream: Upstream
+    shares: tuple[tuple[TeamRoute, int], ...] = ()
 
 
 @dataclass(frozen=True)
@@ -31,6 +40,7 @@
         document: All its sections.
         upstreams: Upstreams by name.
         routes: Routes by host, the longest path prefix first.
+        caller_limits: Limits of callers, where the document sets them.
     """
 
     version: VersionId
@@ -38,6 +48,7 @@
     document: Document
     upstreams: dict[str, Upstream] = field(repr=False)
     routes: dict[str, tuple[TeamRoute, ...]] = field(repr=False)
+    caller_limits: CallerLimits | None = None
 
     def find_route(self, host: str, method: str, path: str) -> TeamRoute:
         """Return the route that takes a request.
@@ -57,7 +68,8 @@
             for candidate in candidates:
                 if not match_prefix(candidate.route.match.path_prefix, path):
                     continue
-                if method in candidate.route.match.methods:
+                methods = candidate.route.match.methods
+                if method in methods or ANY_METHOD in methods:
                     return candidate
                 path_known = True
         if path_known:
@@ -116,19 +128,25 @@
     by_host: dict[str, list[TeamRoute]] = {}
     for section in document.sections:
         for route in section.routes:
-            if route.upstream not in upstreams:
-                text = (
-                    f'route "{route.name}" of section "{section.team}": '
-                    f'upstream "{route.upstream}" is not defined'
-                )
-                raise TrefoilpickError(ErrorKind.DOCUMENT_FAULTY, text)
-            team_route = TeamRoute(section.team, route, upstreams[route.upstream])
+            team_route = _link_route(section.team, route, upstreams)
             by_host.setdefault(route.match.host.lower(), []).append(team_route)
     routes = {
         host: tuple(sorted(found, key=_measure_prefix, reverse=True))
         for host, found in by_host.items()
     }
-    return Snapshot(version, manifest, document, upstreams, routes)
+    limits = (section.caller_limits for section in document.sections if section.caller_limits)
+    return Snapshot(version, manifest, document, upstreams, routes, next(limits, None))
+
+
+def _link_route(team: str, route: Route, upstreams: dict[str, Upstream]) -> TeamRoute:
+    for name in (route.upstream, *(share.upstream for share in route.shares)):
+        if name not in upstreams:
+            text = f'route "{route.name}" of section "{team}": upstream "{name}" is not defined'
+            raise TrefoilpickError(ErrorKind.DOCUMENT_FAULTY, text)
+    shares = tuple(
+        (TeamRoute(team, route, upstreams[share.upstream]), share.weight) for share in route.shares
+    )
+    return TeamRoute(team, route, upstreams[route.upstream], shares)
 
 
 def _measure_prefix(team_route: TeamRoute) -> int:
--- a/trefoilpick/source.py
+++ b/trefoilpick/source.py
@@ -74,11 +74,11 @@
         """
 
 
-class HttpSource:
-    """The configuration service over HTTP.
+class SourceClient:
+    """Calls of the configuration service over HTTP.
 
-    One connection is kept for reads and one for each watched key. A connection on which a call
-    did not end well is closed and never used again.
+    One connection is kept for each use. A connection on which a call did not end well is closed
+    and never used again.
 
     Args:
         settings: Addresses and times.
@@ -98,40 +98,24 @@
         self._kept: dict[str, SourceConnection] = {}
         self._locks: dict[str, curio.Lock] = {}
 
-    async def read_value(self, key: str) -> SourceValue:
-        """Read a value now.
-
-        Raises:
-            TrefoilpickError: `SOURCE_UNAVAILABLE` or `SOURCE_RATE_LIMITED`.
-        """
-        timeout_s = self._settings.read_timeout_ms / 1000
-        reply = await self._call(READS, f"/v1/values/{key}", timeout_s)
-        return _read_reply(key, reply)
-
-    async def watch_value(self, key: str, *, after: int) -> SourceValue | None:
-        """Wait until a value has a revision after the given one.
-
-        Returns:
-            The value; None where the watch ended without a change.
-
-        Raises:
-            TrefoilpickError: `SOURCE_UNAVAILABLE` or `SOURCE_RATE_LIMITED`.
-        """
-        wait_ms = self._settings.watch_ms
-        timeout_s = (wait_ms + self._settings.read_timeout_ms) / 1000
-        target = f"/v1/values/{key}?after={after}&wait_ms={wait_ms}"
-        reply = await self._call(key, target, timeout_s)
-        if reply.status == STATUS_NOT_MODIFIED:
-            return None
-        return _read_reply(key, reply)
-
     async def close(self) -> None:
         """Close the kept connections."""
         kept, self._kept = self._kept, {}
         for connection in kept.values():
             await connection.close()
 
-    async def _call(self, use: str, target: str, timeout_s: float) -> SourceReply:
+    async def call(self, use: str, target: str, *, wait_s: float = 0.0) -> SourceReply:
+        """Make a call and return its whole answer.
+
+        Args:
+            use: What the connection is kept for.
+            target: Path and query.
+            wait_s: Time for which the service may hold the call, in seconds.
+
+        Raises:
+            TrefoilpickError: `SOURCE_UNAVAILABLE`.
+        """
+        timeout_s = wait_s + self._settings.read_timeout_ms / 1000
         async with self._locks.setdefault(use, curio.Lock()):
             failure: TrefoilpickError | None = None
             for _ in self._settings.addresses:
@@ -190,6 +174,43 @@
         return reply
 
 
+class HttpSource:
+    """The configuration service with its values by key.
+
+    Args:
+        client: Makes the calls.
+        settings: Times.
+    """
+
+    def __init__(self, client: SourceClient, settings: SourceSettings) -> None:
+        self.client = client
+        self._watch_ms = settings.watch_ms
+
+    async def read_value(self, key: str) -> SourceValue:
+        """Read a value now.
+
+        Raises:
+            TrefoilpickError: `SOURCE_UNAVAILABLE` or `SOURCE_RATE_LIMITED`.
+        """
+        reply = await self.client.call(READS, f"/v1/values/{key}")
+        return _read_reply(key, reply)
+
+    async def watch_value(self, key: str, *, after: int) -> SourceValue | None:
+        """Wait until a value has a revision after the given one.
+
+        Returns:
+            The value; None where the watch ended without a change.
+
+        Raises:
+            TrefoilpickError: `SOURCE_UNAVAILABLE` or `SOURCE_RATE_LIMITED`.
+        """
+        target = f"/v1/values/{key}?after={after}&wait_ms={self._watch_ms}"
+        reply = await self.client.call(key, target, wait_s=self._watch_ms / 1000)
+        if reply.status == STATUS_NOT_MODIFIED:
+            return None
+        return _read_reply(key, reply)
+
+
 def _read_reply(key: str, reply: SourceReply) -> SourceValue:
     if reply.status == STATUS_RATE_LIMITED:
         text = f'source refused value "{key}": rate limit'
@@ -206,8 +227,8 @@
     return SourceValue(reply.body, int(revision))
 
 
-def open_source(settings: SourceSettings) -> HttpSource:
-    """Build the client of the configuration service; it connects at the first call.
+def open_client(settings: SourceSettings) -> SourceClient:
+    """Build a client of the configuration service; it connects at the first call.
 
     Args:
         settings: Addresses and times.
@@ -217,7 +238,19 @@
     """
     for address in settings.addresses:
         split_address(address)
-    return HttpSource(settings)
+    return SourceClient(settings)
+
+
+def open_source(settings: SourceSettings) -> HttpSource:
+    """Build the configuration service as a node reads it; it connects at the first call.
+
+    Args:
+        settings: Addresses and times.
+
+    Raises:
+        TrefoilpickError: `SETTINGS_FAULTY`, where an address is not of the form ip:port.
+    """
+    return HttpSource(open_client(settings), settings)
 
 
 def name_section_key(digest: str) -> str:
--- a/trefoilpick/upstreams.py
+++ b/trefoilpick/upstreams.py
@@ -9,7 +9,8 @@
 from curio.io import Socket
 
 from trefoilpick._clock import read_clock
-from trefoilpick._workerconnections import WorkerConnection
+from trefoilpick._workerconnections import KEEP_ALIVE_MARGIN_S, WorkerConnection
+from trefoilpick.conventions import OWN_CONVENTIONS, Conventions
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 
 DISTRUST_S = 60.0
@@ -26,15 +27,25 @@
     Args:
         host: IP address of the worker.
         port: Port of the worker.
-        max_idle_s: Idle time after which a connection is not used again, in seconds.
+        max_idle_s: Idle time after which a connection is not used again, in seconds, where the
+            worker states none.
+        conventions: Headers of the fleet.
     """
 
-    def __init__(self, host: str, port: int, *, max_idle_s: float) -> None:
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        *,
+        max_idle_s: float,
+        conventions: Conventions = OWN_CONVENTIONS,
+    ) -> None:
         self.opened = 0
         self._address = (host, port)
         self._authority = f"{host}:{port}".encode()
         self._family = socket.AF_INET6 if ":" in host else socket.AF_INET
         self._max_idle_s = max_idle_s
+        self._conventions = conventions
         self._idle: deque[WorkerConnection] = deque()
         self._distrusted_until_s = 0.0
 
@@ -61,7 +72,7 @@
             is_quiet = connection.is_quiet()
             if connection.surplus:
                 self._distrust(now_s)
-            is_recent = now_s - connection.idle_since_s <= self._max_idle_s
+            is_recent = now_s - connection.idle_since_s <= self._find_max_idle(connection)
             if is_quiet and is_recent and not fresh and now_s >= self._distrusted_until_s:
                 return connection
             await self.discard(connection)
@@ -99,6 +110,11 @@
         while self._idle:
             await self.discard(self._idle.pop())
 
+    def _find_max_idle(self, connection: WorkerConnection) -> float:
+        if connection.keep_alive_s is None:
+            return self._max_idle_s
+        return connection.keep_alive_s - KEEP_ALIVE_MARGIN_S
+
     def _distrust(self, now_s: float) -> None:
         self._distrusted_until_s = now_s + DISTRUST_S
 
@@ -115,15 +131,19 @@
                 raise TrefoilpickError(ErrorKind.UPSTREAM_REFUSED, text) from error
             raise
         self.opened += 1
-        return WorkerConnection(sock, self._authority)
+        return WorkerConnection(sock, self._authority, self._conventions)
 
 
-def open_pool(host: str, port: int, *, max_idle_s: float) -> WorkerPool:
+def open_pool(
+    host: str, port: int, *, max_idle_s: float, conventions: Conventions = OWN_CONVENTIONS
+) -> WorkerPool:
     """Open a pool of connections to a worker, without connecting yet.
 
     Args:
         host: IP address of the worker.
         port: Port of the worker.
-        max_idle_s: Idle time after which a connection is not used again, in seconds.
+        max_idle_s: Idle time after which a connection is not used again, in seconds, where the
+            worker states none.
+        conventions: Headers of the fleet.
     """
-    return WorkerPool(host, port, max_idle_s=max_idle_s)
+    return WorkerPool(host, port, max_idle_s=max_idle_s, conventions=conventions)
--- a/trefoilpick/vms.py
+++ b/trefoilpick/vms.py
@@ -37,6 +37,8 @@
         control_port: Port of the node's control link.
         hop_port: Port on which the node takes requests from other nodes.
         state: What the platform says of it.
+        worker: Identity of the worker's present life; empty where the platform names none.
+        slots: Requests that the worker runs at a time; 0 where its upstream says it.
     """
 
     name: Name
@@ -47,6 +49,8 @@
     control_port: Port
     hop_port: Port
     state: VmState = VmState.LIVE
+    worker: str = ""
+    slots: int = 0
 
 
 @dataclass(frozen=True)
