--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -74,6 +74,20 @@
     assert has_endpoint(roster)
 
 
+def test_a_life_that_began_earlier_by_a_clock_set_back_counts_once_it_answers() -> None:
+    roster, _ = open_roster()
+    roster.note_alive(PEER.name, 5)
+    roster.note_leaving(PEER.name)
+    roster.note_alive(PEER.name, 3)
+    assert not has_endpoint(roster)
+    roster.note_alive(PEER.name, 3, is_current=True)
+    assert has_endpoint(roster)
+    # A late message of the life before changes nothing.
+    roster.note_leaving(PEER.name)
+    roster.note_alive(PEER.name, 5)
+    assert not has_endpoint(roster)
+
+
 def test_vm_that_the_list_has_as_leaving_takes_no_new_work() -> None:
     roster, _ = open_roster()
     leaving = replace(PEER, state=VmState.LEAVING)
--- a/trefoilpick/_cli_node.py
+++ b/trefoilpick/_cli_node.py
@@ -10,16 +10,20 @@
 import typer
 
 from trefoilpick._console import console, report_errors
-from trefoilpick._signals import watch_stop_signals
+from trefoilpick._signals import watch_reload_signals, watch_stop_signals
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 from trefoilpick.logs import open_log
 from trefoilpick.node import open_node
 from trefoilpick.recorder import Recorder
+from trefoilpick.reloading import Reloader
 from trefoilpick.settings import read_settings
 from trefoilpick.standin_worker import Worker
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from trefoilpick.node import Node
+    from trefoilpick.settings import Settings
 
 
 def node(
@@ -36,7 +40,7 @@
         checked = read_settings(settings)
         out = files.enter_context(_open_trace(record)) if record else None
         open_log(checked)
-        curio.run(serve_node(open_node(checked), out))
+        curio.run(serve_node(open_node(checked), settings, read_settings, out=out))
 
 
 def worker(
@@ -60,11 +64,26 @@
         raise TrefoilpickError(ErrorKind.FILE_UNREADABLE, text) from error
 
 
-async def serve_node(served: Node, out: BinaryIO | None) -> None:
-    """Run a node until a stop signal, and record what it sees where a trace is given."""
+async def serve_node(
+    served: Node,
+    path: Path,
+    read: Callable[[Path], Settings],
+    *,
+    out: BinaryIO | None = None,
+) -> None:
+    """Run a node until a stop signal, and follow its settings.
+
+    Args:
+        served: The node.
+        path: The file of its settings.
+        read: Reads and checks that file.
+        out: Where a trace of what it sees goes.
+    """
     stopped = watch_stop_signals()
+    reloader = Reloader(served, path, read, watch_reload_signals())
     async with curio.TaskGroup(wait=None) as tasks:
         await tasks.spawn(_stop_on_signal, stopped, served)
+        await tasks.spawn(reloader.run)
         if out is not None:
             await tasks.spawn(Recorder(served, out).run)
         await served.run()
--- a/trefoilpick/_counted_source.py
+++ b/trefoilpick/_counted_source.py
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     from trefoilpick.metrics import Metrics
+    from trefoilpick.settings import SourceSettings
     from trefoilpick.source import Source, SourceValue
 
 VALUE_HEAD_BYTES = 180
@@ -38,6 +39,10 @@
         self._count(value)
         return value
 
+    def apply_settings(self, settings: SourceSettings) -> None:
+        """Take over changed addresses and times."""
+        self._source.apply_settings(settings)
+
     def _count(self, value: SourceValue | None) -> None:
         amount = VALUE_HEAD_BYTES + (len(value.data) if value is not None else 0)
         self._metrics.count(CONTROL_BYTES, amount, direction="source")
--- a/trefoilpick/_exchange.py
+++ b/trefoilpick/_exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -92,10 +93,12 @@
     ) -> None:
         self.deadline_s = began_s + request.remaining_ms / 1000
         self.was_sent = False
+        self.status = 0
+        """Status of the worker's answer; 0 before one."""
+        self.began_s = began_s
         self._service = service
         self._link = link
         self._request = request
-        self._began_s = began_s
         self._body = RequestBody(link, received=not request.has_body)
         self._connection: WorkerConnection | None = None
         self._upload: Task | None = None
@@ -121,7 +124,7 @@
             TrefoilpickError: The request ended without a whole answer.
         """
         request, gate = self._request, self._service.gate
-        ready_s = self._began_s
+        ready_s = self.began_s
         if not self._body.received and await self._body.receive_first(
             limit_s=self.deadline_s - ready_s
         ):
@@ -131,6 +134,8 @@
             priority=request.priority,
             deadline_s=self.deadline_s,
             now_s=ready_s,
+            route=request.route,
+            objective_s=self._find_objective(),
         )
         ended_s: float | None = None
         try:
@@ -143,7 +148,13 @@
         finally:
             await self._stop_upload()
             await self._give_back_connection(upstream, ended_s)
-            await gate.leave(served_s=None if ended_s is None else ended_s - entered_s)
+            await gate.leave(
+                served_s=None if ended_s is None else ended_s - entered_s, route=request.route
+            )
+
+    def _find_objective(self) -> float:
+        left_ms = self._request.objective_ms
+        return math.inf if left_ms is None else self.began_s + left_ms / 1000
 
     async def repeat(self, answer: KeptAnswer) -> None:
         """Send an answer that was kept.
@@ -183,6 +194,7 @@
         try:
             async with curio.timeout_after(self.deadline_s - now_s):
                 head = await self._attempt_twice(upstream)
+            self.status = head.status
             self._check_shed(head)
             self._service.health.note(read_clock(), failed=head.status >= FIRST_SERVER_ERROR)
             return await self._pass_answer(head, keep_bytes)
--- a/trefoilpick/_hop_heads.py
+++ b/trefoilpick/_hop_heads.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from trefoilpick.calls import (
@@ -57,9 +58,15 @@
         is_retry=is_retry,
         vm=vm,
         request_id=head.request_id,
+        objective_ms=_find_objective_ms(call, now),
     )
 
 
+def _find_objective_ms(call: Call, now: float) -> int | None:
+    left_s = call.objective_at - now
+    return int(left_s * MS_PER_S) if math.isfinite(left_s) else None
+
+
 def build_answer_headers(answer: HopAnswer, own_headers: Headers) -> Headers:
     """Return the headers of an answer for the caller."""
     headers = [
--- a/trefoilpick/_metric_table.py
+++ b/trefoilpick/_metric_table.py
@@ -173,6 +173,13 @@
         "The node asks another peer; many failures tell of a partition.",
         ("kind",),
     ),
+    "trefoilpick_log_lines_omitted_total": MetricInfo(
+        MetricKind.COUNTER,
+        "lines",
+        "Lines of requests that the log's budget left out, by event.",
+        "Under load this grows; the counters of requests still tell all of them.",
+        ("event",),
+    ),
     "trefoilpick_sightings_total": MetricInfo(
         MetricKind.COUNTER,
         "versions",
--- a/trefoilpick/_replay_fleet.py
+++ b/trefoilpick/_replay_fleet.py
@@ -118,6 +118,9 @@
         self._check()
         return await self._source.read_value(key)
 
+    def apply_settings(self, settings: SourceSettings) -> None:
+        """Take over nothing: this source has no address and no times."""
+
     async def watch_value(self, key: str, *, after: int) -> SourceValue | None:
         self._check()
         value = await self._source.watch_value(key, after=after)
--- a/trefoilpick/_waiting.py
+++ b/trefoilpick/_waiting.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict, deque
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -20,6 +21,8 @@
         caller: Identity of the caller, for fairness.
         priority: Value of `Priority`.
         deadline_s: Reading of the clock at which the request is given up, in seconds.
+        objective_s: Reading of the clock at which its answer is late, in seconds.
+        service_s: Time that the worker is expected to take, in seconds.
         decided: Set when the request was let in or refused.
         refusal: Why it was refused; None where it was let in.
     """
@@ -27,6 +30,8 @@
     caller: str
     priority: str
     deadline_s: float
+    objective_s: float = math.inf
+    service_s: float = 0.0
     decided: curio.Event = field(default_factory=curio.Event)
     refusal: TrefoilpickError | None = None
 
@@ -37,6 +42,8 @@
     def __init__(self) -> None:
         self._callers: OrderedDict[str, deque[Waiter]] = OrderedDict()
         self._length = 0
+        self.work_s = 0.0
+        """Time that the worker is expected to take for all of them, in seconds."""
 
     def __len__(self) -> int:
         return self._length
@@ -44,13 +51,13 @@
     def append(self, waiter: Waiter) -> None:
         """Add a request behind those of its caller."""
         self._callers.setdefault(waiter.caller, deque()).append(waiter)
-        self._length += 1
+        self._note(waiter, 1)
 
     def take_next(self) -> Waiter:
         """Remove and return the request whose turn it is."""
         caller, waiters = next(iter(self._callers.items()))
         waiter = waiters.popleft()
-        self._length -= 1
+        self._note(waiter, -1)
         if waiters:
             self._callers.move_to_end(caller)
         else:
@@ -61,7 +68,7 @@
         """Remove a request wherever it stands."""
         waiters = self._callers[waiter.caller]
         waiters.remove(waiter)
-        self._length -= 1
+        self._note(waiter, -1)
         if not waiters:
             del self._callers[waiter.caller]
 
@@ -74,6 +81,16 @@
         own = self.count_caller(caller)
         return sum(min(len(waiters), own + 1) for waiters in self._callers.values())
 
+    def estimate_ahead(self, caller: str) -> float:
+        """Return the work of the requests that go before a new one of a caller, in seconds."""
+        if not self._length:
+            return 0.0
+        return self.work_s * self.count_ahead(caller) / self._length
+
+    def _note(self, waiter: Waiter, change: int) -> None:
+        self._length += change
+        self.work_s = self.work_s + change * waiter.service_s if self._length else 0.0
+
     def find_newest_of_longest(self) -> Waiter:
         """Return the newest request of the caller that has the most in the line."""
         return max(self._callers.values(), key=len)[-1]
--- a/trefoilpick/balancing.py
+++ b/trefoilpick/balancing.py
@@ -28,6 +28,10 @@
 SPILL_UTILISATION = 0.8
 """Share of a worker's slots in use from which a farther zone is considered."""
 
+FAR_GAIN = 0.25
+"""How much less utilised a worker of a farther zone must be to get a request, as a share of its
+slots: less gains no more time than the way there takes, and bytes between data centres cost."""
+
 LOAD_HALF_LIFE_S = 1.0
 """Time in which a reported load loses half of its weight, in seconds."""
 
@@ -336,7 +340,7 @@
             utilisation = record.estimate_utilisation(now, upstream.slots)
             if utilisation < SPILL_UTILISATION:
                 return record
-            if best is None or utilisation < best_utilisation:
+            if best is None or utilisation < best_utilisation - FAR_GAIN:
                 best, best_utilisation = record, utilisation
         if best is not None:
             return best
--- a/trefoilpick/callerlinks.py
+++ b/trefoilpick/callerlinks.py
@@ -82,6 +82,7 @@
         self.is_exhausted = False
         self.head_sent = False
         self.hop: ClientHop | None = None
+        self.request_id = ""
 
     @property
     def can_answer(self) -> bool:
@@ -220,6 +221,7 @@
             return False
         http.start_next_cycle()
         self.head_sent = False
+        self.request_id = ""
         self.is_exhausted = False
         self.is_late = False
         self.state = LinkState.IDLE
--- a/trefoilpick/callers.py
+++ b/trefoilpick/callers.py
@@ -30,7 +30,9 @@
 from trefoilpick.forwarding import Forwarder
 from trefoilpick.hopclient import HopPool
 from trefoilpick.listening import open_listener
+from trefoilpick.patience import PatienceTable
 from trefoilpick.reaper import Reaper
+from trefoilpick.requestlogs import RequestEvent, RequestLog, open_request_log
 from trefoilpick.retries import RetryBudgets
 from trefoilpick.sightings import ignore_version
 from trefoilpick.splitting import Splitter
@@ -61,12 +63,19 @@
 READ_BYTES = 65_536
 """Bytes asked of a caller's socket at a time."""
 
+ANSWER_MARGIN_MS = 20
+"""Time for a request and its answer on the caller's own link, in milliseconds: twice 8 ms, the
+longest of the users' deployments, and some."""
+
 DRAIN_CHECK_S = 0.05
 """Time between two looks at what a drain waits for, in seconds."""
 
 CLOSE_HEADER = (b"connection", b"close")
 """Header that ends a caller's connection after the answer."""
 
+GOOD_RESULTS = frozenset({"good", "slow"})
+"""Results of requests that a worker answered."""
+
 US_PER_S = 1_000_000
 """Microseconds in a second."""
 
@@ -97,6 +106,7 @@
         is_ready: Tells whether the node takes requests.
         is_level: Tells whether the node enforces the newest version that it knows of.
         conventions: Headers of the fleet.
+        log: Where the ends of requests are told.
     """
 
     def __init__(
@@ -111,7 +121,9 @@
         is_ready: Callable[[], bool],
         is_level: Callable[[], bool],
         conventions: Conventions,
+        log: RequestLog,
     ) -> None:
+        self.drain_settings = settings.drain
         self._settings = settings
         self._listener = listener
         self._cell = cell
@@ -121,7 +133,9 @@
         self._is_ready = is_ready
         self._is_level = is_level
         self._conventions = conventions
+        self._log = log
         self._splitter = Splitter()
+        self._patience = PatienceTable()
         self._tasks: set[curio.Task] = set()
         self._is_closing = False
         self._is_refusing = False
@@ -158,7 +172,7 @@
         Returns:
             What was left at the bound.
         """
-        settings = self._settings.drain
+        settings = self.drain_settings
         self._is_closing = True
         await curio.sleep(settings.bounded_notice_ms / MS_PER_S)
         self._is_refusing = True
@@ -241,6 +255,7 @@
             call = self._admit(link, request, snapshot, now)
         except TrefoilpickError as error:
             self._metrics.count("trefoilpick_refused_total", kind=error.kind.value)
+            self._log_refusal(link, error, snapshot)
             await self._answer_error(link, error, snapshot)
         else:
             await self._run_call(call)
@@ -258,6 +273,7 @@
         self, link: CallerLink, request: h11.Request, snapshot: Snapshot | None, now: float
     ) -> Call:
         head = read_head(request, self._conventions, service=self._settings.vm.service)
+        link.request_id = head.request_id
         if self._is_refusing:
             raise TrefoilpickError(ErrorKind.DRAINING, "the node is leaving")
         if snapshot is None or not self._is_ready():
@@ -272,9 +288,22 @@
             raise TrefoilpickError(ErrorKind.BODY_TOO_LARGE, text)
         allowed_ms = contract.deadline_ms
         if head.deadline_ms is not None:
-            allowed_ms = min(allowed_ms, head.deadline_ms)
+            allowed_ms = min(allowed_ms, head.deadline_ms - ANSWER_MARGIN_MS)
+        elapsed_ms = self._patience.measure_elapsed(
+            team_route.team, team_route.route.name, head.deadline_ms, now
+        )
+        objective_ms = contract.objective.latency_ms - elapsed_ms
         body = CallBody(link, contract.body_limit_bytes, self._settings.requests.kept_body_bytes)
-        return Call(link, head, body, snapshot, team_route, now, now + allowed_ms / MS_PER_S)
+        return Call(
+            link,
+            head,
+            body,
+            snapshot,
+            team_route,
+            now,
+            now + allowed_ms / MS_PER_S,
+            now + objective_ms / MS_PER_S,
+        )
 
     async def _run_call(self, call: Call) -> None:
         try:
@@ -291,6 +320,39 @@
             failure = TrefoilpickError(ErrorKind.INTERNAL, f"the node failed: {fault!r}")
             await self._answer_error(call.link, failure, call.snapshot)
         self._count(call.team_route, result)
+        self._log_call(call, result)
+
+    def _log_call(self, call: Call, result: str) -> None:
+        failed = result not in GOOD_RESULTS
+        if not self._log.take(RequestEvent.REQUEST, failed=failed):
+            return
+        route = call.team_route
+        self._log.write(
+            RequestEvent.REQUEST,
+            result,
+            failed=failed,
+            request_id=call.head.request_id,
+            route=route.route.name,
+            upstream=route.upstream.name,
+            version=call.snapshot.version.number,
+            vms=call.tries.vms,
+            ends=call.tries.ends,
+            allowed_ms=round((call.deadline_at - call.started_at) * MS_PER_S),
+            took_ms=round((read_clock() - call.started_at) * MS_PER_S, 1),
+        )
+
+    def _log_refusal(
+        self, link: CallerLink, error: TrefoilpickError, snapshot: Snapshot | None
+    ) -> None:
+        if self._log.take(RequestEvent.REQUEST, failed=True):
+            self._log.write(
+                RequestEvent.REQUEST,
+                error.kind.value,
+                failed=True,
+                request_id=link.request_id,
+                version=snapshot.version.number if snapshot is not None else 0,
+                text=error.text,
+            )
 
     def _grade(self, call: Call, latency_s: float) -> str:
         team, route = call.team_route.team, call.team_route.route
@@ -372,6 +434,7 @@
     random: random.Random,
     note_version: Callable[[str, int, str], None] = ignore_version,
     conventions: Conventions = OWN_CONVENTIONS,
+    log: RequestLog | None = None,
 ) -> CallerServer:
     """Open the server for callers; it listens from now on and serves when run.
 
@@ -385,6 +448,7 @@
         random: Source of random choices.
         note_version: Called with the VM, number and digest of each version that an answer names.
         conventions: Headers of the fleet.
+        log: Where the ends of requests are told; by default a log of its own.
 
     Raises:
         TrefoilpickError: `SETTINGS_FAULTY`, where the address cannot be listened on.
@@ -409,4 +473,5 @@
         is_ready=is_ready,
         is_level=is_level,
         conventions=conventions,
+        log=log or open_request_log(settings.vm.name, incarnation=0, metrics=metrics),
     )
--- a/trefoilpick/calls.py
+++ b/trefoilpick/calls.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from trefoilpick.conventions import OWN_CONVENTIONS, Conventions
 from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError
 from trefoilpick.hops import Headers
+from trefoilpick.retries import Tries
 
 if TYPE_CHECKING:
     from h11 import Request
@@ -185,6 +187,8 @@
         team_route: Its route.
         started_at: When its head was received, in seconds on the node's clock.
         deadline_at: Until when the answer's head must come, in seconds on the node's clock.
+        objective_at: When the answer is late, in seconds on the node's clock.
+        tries: Attempts that were made.
     """
 
     link: CallerLink
@@ -194,6 +198,8 @@
     team_route: TeamRoute
     started_at: float
     deadline_at: float
+    objective_at: float = math.inf
+    tries: Tries = field(default_factory=Tries)
 
 
 def read_head(
--- a/trefoilpick/distribution.py
+++ b/trefoilpick/distribution.py
@@ -225,6 +225,10 @@
             self._exchanger.run,
         )
 
+    def apply_source_settings(self, settings: SourceSettings) -> None:
+        """Take over changed addresses and times of the source."""
+        self.reader.apply_settings(settings)
+
     async def announce_leaving(self) -> None:
         """Tell peers that this node takes no new work from now on."""
         self._leaving = True
@@ -334,7 +338,7 @@
             answer: The answer, of any content.
             address: "ip:port" of the peer.
         """
-        self.roster.note_alive(answer.vm, answer.incarnation)
+        self.roster.note_alive(answer.vm, answer.incarnation, is_current=True)
         if isinstance(answer.body, Exchange):
             await self.take_state(answer.body, answer.vm, address)
 
--- a/trefoilpick/errors.py
+++ b/trefoilpick/errors.py
@@ -57,6 +57,7 @@
     UPSTREAM_SHED = "upstream_shed"
     UPSTREAM_REPLACED = "upstream_replaced"
     UPSTREAM_LOST = "upstream_lost"
+    UPSTREAM_FAILED = "upstream_failed"
     ANSWER_MALFORMED = "answer_malformed"
     ANSWER_CUT = "answer_cut"
     ANSWER_NOT_KEPT = "answer_not_kept"
@@ -130,6 +131,7 @@
     ErrorKind.UPSTREAM_SHED: Answer(503, Outcome.NOT_RUN, 1.0),
     ErrorKind.UPSTREAM_REPLACED: Answer(503, Outcome.NOT_RUN, 1.0),
     ErrorKind.UPSTREAM_LOST: Answer(502, Outcome.UNKNOWN),
+    ErrorKind.UPSTREAM_FAILED: Answer(502, Outcome.RUN),
     ErrorKind.ANSWER_MALFORMED: Answer(502, Outcome.UNKNOWN),
     ErrorKind.ANSWER_CUT: Answer(502, Outcome.RUN),
     ErrorKind.ANSWER_NOT_KEPT: Answer(409, Outcome.RUN),
--- a/trefoilpick/forwarding.py
+++ b/trefoilpick/forwarding.py
@@ -22,7 +22,7 @@
     encode_data,
     encode_head,
 )
-from trefoilpick.retries import Tries, plan_retry
+from trefoilpick.retries import plan_retry
 from trefoilpick.tokens import read_claims
 from trefoilpick.uploads import END_FRAME, Uploader
 
@@ -34,12 +34,12 @@
     from trefoilpick.hopclient import ClientHop, HopPool
     from trefoilpick.hops import Headers
     from trefoilpick.metrics import Metrics
-    from trefoilpick.retries import RetryBudgets
+    from trefoilpick.retries import RetryBudgets, Tries
 
 FLUSH_BYTES = 65_536
 """Parts of an answer that are sent together at most, in bytes."""
 
-COARSE_DEADLINE_S = 1.0
+COARSE_DEADLINE_S = 5.0
 """Remaining time from which the reaper watches a deadline, in seconds."""
 
 FIRST_SERVER_ERROR = 500
@@ -131,28 +131,42 @@
     async def _attempt_until_answered(self, call: Call) -> Attempt:
         upstream = call.team_route.upstream.name
         self._budgets.note_request(upstream, call.started_at)
-        tries = Tries()
+        tries = call.tries
         may_have_run = False
         while True:
             try:
-                return await self._attempt(call, tries)
+                attempt = await self._attempt(call, tries)
+                failure = _find_failure(attempt.answer)
+                if failure is None:
+                    return attempt
+                may_have_run = True
+                pause_s = self._plan_retry(call, failure)
+                if pause_s is None:
+                    return attempt
+                await self._finish(call, attempt)
             except TrefoilpickError as error:
-                tries.note(error)
                 may_have_run = may_have_run or find_answer(error).outcome is not Outcome.NOT_RUN
-                pause_s = plan_retry(
-                    call,
-                    error,
-                    tries=tries,
-                    now=read_clock(),
-                    budgets=self._budgets,
-                    random=self._random,
-                )
+                pause_s = self._plan_retry(call, error)
                 if pause_s is None:
                     raise _weaken(error, may_have_run=may_have_run) from error
-                self._metrics.count(
-                    "trefoilpick_retries_total", upstream=upstream, kind=error.kind.value
-                )
-                await curio.sleep(pause_s)
+            await curio.sleep(pause_s)
+
+    def _plan_retry(self, call: Call, error: TrefoilpickError) -> float | None:
+        call.tries.note(error)
+        pause_s = plan_retry(
+            call,
+            error,
+            tries=call.tries,
+            now=read_clock(),
+            budgets=self._budgets,
+            random=self._random,
+        )
+        if pause_s is not None:
+            upstream = call.team_route.upstream.name
+            self._metrics.count(
+                "trefoilpick_retries_total", upstream=upstream, kind=error.kind.value
+            )
+        return pause_s
 
     async def _attempt(self, call: Call, tries: Tries) -> Attempt:
         now = read_clock()
@@ -373,6 +387,14 @@
         await self._pool.release(attempt.hop, read_clock())
 
 
+def _find_failure(answer: HopAnswer) -> TrefoilpickError | None:
+    """Return the error for an answer that tells of a worker's failure; None for any other."""
+    if answer.status < FIRST_SERVER_ERROR:
+        return None
+    text = f"worker answered with status {answer.status}"
+    return TrefoilpickError(ErrorKind.UPSTREAM_FAILED, text)
+
+
 def _is_body_sent(call: Call, uploader: Uploader | None) -> bool:
     return call.body.ended and (uploader is None or uploader.ended_at is not None)
 
--- a/trefoilpick/gate.py
+++ b/trefoilpick/gate.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 import curio
@@ -19,9 +20,19 @@
 PRIORITIES = (Priority.INTERACTIVE.value, Priority.NORMAL.value, Priority.DEFERRABLE.value)
 """Values of `Priority`, the one that is served first at the start."""
 
+DELAYED = "delayed"
+"""Line of requests whose answers are late in any case."""
+
+DELAYED_DIVISOR = 2
+"""At most the slots divided by this many requests wait in that line: each takes a slot from one
+that could be answered in time."""
+
 SERVICE_WEIGHT = 0.1
 """Weight of the newest service time in the mean."""
 
+MAX_ROUTES = 4_096
+"""Routes whose service times are remembered: more than a document of the target's size has."""
+
 MIN_RETRY_AFTER_S = 0.05
 """Shortest advice on when to come back, in seconds."""
 
@@ -41,6 +52,29 @@
     queue: int
 
 
+class ServiceTimes:
+    """Mean times that a worker takes, by route.
+
+    Attributes:
+        mean_s: The mean over all requests, in seconds; 0 before the first.
+    """
+
+    def __init__(self) -> None:
+        self.mean_s = 0.0
+        self._routes: dict[str, float] = {}
+
+    def note(self, route: str, served_s: float) -> None:
+        """Take a time into the means, in seconds."""
+        self.mean_s = _blend(self.mean_s, served_s)
+        if route not in self._routes and len(self._routes) >= MAX_ROUTES:
+            self._routes.pop(next(iter(self._routes)))
+        self._routes[route] = _blend(self._routes.get(route, 0.0), served_s)
+
+    def estimate(self, route: str) -> float:
+        """Return the time that a request of a route is expected to take, in seconds."""
+        return self._routes.get(route, self.mean_s)
+
+
 class Gate:
     """Admission to one worker.
 
@@ -60,11 +94,16 @@
         self.limits = limits
         self.in_flight = 0
         self.queued = 0
-        self.service_s = 0.0
+        self._times = ServiceTimes()
         self._started_s = 0.0
         self._warm_up_s = warm_up_s
         self._warm_up_share = warm_up_share
-        self._lines = {priority: Line() for priority in PRIORITIES}
+        self._lines = {name: Line() for name in (*PRIORITIES, DELAYED)}
+
+    @property
+    def service_s(self) -> float:
+        """Mean time that the worker takes for a request, in seconds; 0 before any was served."""
+        return self._times.mean_s
 
     def start_warm_up(self, now_s: float) -> None:
         """Begin with a part of the slots.
@@ -96,14 +135,28 @@
         """
         return self.service_s * (ahead + 1) / slots
 
-    async def enter(self, *, caller: str, priority: str, deadline_s: float, now_s: float) -> float:
+    async def enter(
+        self,
+        *,
+        caller: str,
+        priority: str,
+        deadline_s: float,
+        now_s: float,
+        route: str = "",
+        objective_s: float = math.inf,
+    ) -> float:
         """Take a slot, or wait for one.
 
+        A request waits only where it is expected to be answered within its objective. One whose
+        answer is late in any case waits behind all others, and only where few do.
+
         Args:
             caller: Identity of the caller.
             priority: Value of `Priority`.
             deadline_s: Reading of the clock at which the request is given up, in seconds.
             now_s: Reading of the clock, in seconds.
+            route: Which requests take a like time.
+            objective_s: Reading of the clock at which the answer is late, in seconds.
 
         Returns:
             Reading of the clock when it took a slot, in seconds.
@@ -118,21 +171,27 @@
         if self.in_flight < slots and not self.queued:
             self.in_flight += 1
             return now_s
-        waiter = Waiter(caller, priority if priority in self._lines else PRIORITIES[1], deadline_s)
+        waiter = Waiter(
+            caller,
+            priority if priority in self._lines else PRIORITIES[1],
+            deadline_s,
+            objective_s,
+            self._times.estimate(route),
+        )
         await self._join_queue(waiter, now_s, slots)
         await self._let_in(now_s)
         return await self._wait_turn(waiter)
 
-    async def leave(self, *, served_s: float | None = None) -> None:
+    async def leave(self, *, served_s: float | None = None, route: str = "") -> None:
         """Give a slot back, and let in whoever is next.
 
         Args:
             served_s: Time that the worker took, in seconds; None where it did not answer.
+            route: Which requests take a like time.
         """
         self.in_flight -= 1
         if served_s is not None:
-            weight = SERVICE_WEIGHT if self.service_s else 1.0
-            self.service_s += weight * (served_s - self.service_s)
+            self._times.note(route, served_s)
         if self.queued:
             await self._let_in(read_clock())
 
@@ -161,16 +220,44 @@
         return read_clock()
 
     async def _join_queue(self, waiter: Waiter, now_s: float, slots: int) -> None:
-        ahead = self._count_ahead(waiter)
-        wait_s = self.estimate_wait(ahead, slots)
-        if now_s + wait_s > waiter.deadline_s:
-            text = f"estimated wait of {wait_s:.3f} s is over the remaining time"
+        start_s = now_s + self._estimate_start(waiter, slots)
+        if start_s > waiter.deadline_s:
+            text = f"estimated wait of {start_s - now_s:.3f} s is over the remaining time"
             raise TrefoilpickError(ErrorKind.SHED, text, retry_after_s=self._advise(slots))
+        if start_s + waiter.service_s > waiter.objective_s:
+            if now_s + waiter.service_s <= waiter.objective_s:
+                text = f"estimated wait of {start_s - now_s:.3f} s is over the objective"
+                raise TrefoilpickError(ErrorKind.SHED, text, retry_after_s=self._advise(slots))
+            self._delay(waiter, now_s, slots)
         if self.queued >= self.limits.queue:
             await self._displace_for(waiter, slots)
         self._lines[waiter.priority].append(waiter)
         self.queued += 1
 
+    def _delay(self, waiter: Waiter, now_s: float, slots: int) -> None:
+        """Put a request behind all that can be answered within their objectives.
+
+        Raises:
+            TrefoilpickError: `SHED`, where it would hardly be served.
+        """
+        waiter.priority = DELAYED
+        end_s = now_s + self._estimate_start(waiter, slots) + waiter.service_s
+        if len(self._lines[DELAYED]) >= max(1, slots // DELAYED_DIVISOR) or (
+            end_s > waiter.deadline_s
+        ):
+            text = "its answer would be late, and others wait for theirs"
+            raise TrefoilpickError(ErrorKind.SHED, text, retry_after_s=self._advise(slots))
+
+    def _estimate_start(self, waiter: Waiter, slots: int) -> float:
+        """Return the time until a new request leaves the queue, in seconds."""
+        work_s = self.service_s
+        for name, line in self._lines.items():
+            if name == waiter.priority:
+                work_s += line.estimate_ahead(waiter.caller)
+                break
+            work_s += line.work_s
+        return work_s / slots
+
     async def _displace_for(self, waiter: Waiter, slots: int) -> None:
         victim = self._find_victim(waiter)
         if victim is None:
@@ -201,14 +288,6 @@
             return victim
         return None
 
-    def _count_ahead(self, waiter: Waiter) -> int:
-        ahead = 0
-        for priority in PRIORITIES:
-            if priority == waiter.priority:
-                break
-            ahead += len(self._lines[priority])
-        return ahead + self._lines[waiter.priority].count_ahead(waiter.caller)
-
     def _advise(self, slots: int) -> float:
         return max(MIN_RETRY_AFTER_S, self.estimate_wait(self.queued, slots))
 
@@ -218,12 +297,29 @@
             while line and self.in_flight < slots:
                 waiter = line.take_next()
                 self.queued -= 1
-                if now_s >= waiter.deadline_s:
+                needed_s = waiter.service_s if waiter.priority == DELAYED else 0.0
+                if now_s + needed_s >= waiter.deadline_s:
                     await _refuse(waiter, _refuse_late())
                     continue
+                if waiter.priority != DELAYED and now_s + waiter.service_s > waiter.objective_s:
+                    await self._delay_or_refuse(waiter, now_s, slots)
+                    continue
                 self.in_flight += 1
                 await waiter.decided.set()
 
+    async def _delay_or_refuse(self, waiter: Waiter, now_s: float, slots: int) -> None:
+        try:
+            self._delay(waiter, now_s, slots)
+        except TrefoilpickError as refusal:
+            await _refuse(waiter, refusal)
+            return
+        self._lines[DELAYED].append(waiter)
+        self.queued += 1
+
+
+def _blend(mean_s: float, newest_s: float) -> float:
+    return mean_s + (SERVICE_WEIGHT if mean_s else 1.0) * (newest_s - mean_s)
+
 
 def _refuse_late() -> TrefoilpickError:
     return TrefoilpickError(ErrorKind.DEADLINE_BEFORE_RUN, "time is over before the request ran")
--- a/trefoilpick/hops.py
+++ b/trefoilpick/hops.py
@@ -100,6 +100,8 @@
         is_retry: Whether an earlier attempt was made anywhere above.
         vm: VM of the node that sends it; empty where it is not told.
         request_id: The caller's name for this attempt; empty where it gave none.
+        objective_ms: Time left until the answer is late, in milliseconds, below 0 where it is late
+            already; None where the route has no objective.
     """
 
     number: int
@@ -120,6 +122,7 @@
     is_retry: bool
     vm: str = ""
     request_id: str = ""
+    objective_ms: int | None = None
 
 
 class HopAnswer(msgspec.Struct, frozen=True, array_like=True):
--- a/trefoilpick/hopserver.py
+++ b/trefoilpick/hopserver.py
@@ -23,6 +23,7 @@
 from trefoilpick.hops import FrameKind, Hop, HopRequest, Load, decode_head, encode_head
 from trefoilpick.listening import open_listener
 from trefoilpick.logs import Event, open_state_log
+from trefoilpick.requestlogs import RequestEvent, open_request_log
 from trefoilpick.sightings import ignore_version
 from trefoilpick.tokens import open_book
 from trefoilpick.upstreams import open_pool
@@ -110,10 +111,14 @@
         self.book = book
         self.leaving = False
         self.refusing = False
+        self.drain_settings = settings.drain
         self._settings = settings
         self._cell = cell
         self._metrics = metrics
         self._log = open_state_log(settings.vm, incarnation=incarnation, metrics=metrics)
+        self._requests = open_request_log(
+            settings.vm.name, incarnation=incarnation, metrics=metrics
+        )
         self._is_level = is_level
         self._note_version = note_version
         self._find_own = find_own
@@ -193,7 +198,7 @@
             await self._drained.wait()
             assert self._report is not None
             return self._report
-        drain = self._settings.drain
+        drain = self.drain_settings
         began_s = read_clock()
         self.leaving = True
         for link in self._hops:
@@ -300,12 +305,35 @@
             self._metrics.count(
                 "trefoilpick_hop_requests_total", team=request.team, route=request.route, kind=kind
             )
+            self._log_run(exchange, request, kind)
         if exchange.hop_reusable:
             return True
         await link.hop.sock.shutdown(socket.SHUT_WR)
         await link.drop_rest(limit_s=LINGER_S)
         return False
 
+    def _log_run(self, exchange: Exchange, request: HopRequest, kind: str) -> None:
+        failed = kind != "answered"
+        if not self._requests.take(RequestEvent.RUN, failed=failed):
+            return
+        self._requests.write(
+            RequestEvent.RUN,
+            kind,
+            failed=failed,
+            request_id=request.request_id,
+            route=request.route,
+            version=request.number,
+            sender=request.vm,
+            worker=self._find_worker(),
+            was_sent=exchange.was_sent,
+            status=exchange.status,
+            running=self.gate.in_flight,
+            queued=self.gate.queued,
+            slots=self.gate.limits.slots,
+            allowed_ms=request.remaining_ms,
+            took_ms=round((read_clock() - exchange.began_s) * 1000, 1),
+        )
+
     async def _answer(self, exchange: Exchange, request: HopRequest) -> None:
         if request.wants_token:
             self._admit(request)
--- a/trefoilpick/localnet.py
+++ b/trefoilpick/localnet.py
@@ -25,6 +25,7 @@
     from trefoilpick.manifest import Manifest
     from trefoilpick.messages import Body, Envelope
     from trefoilpick.metrics import Metrics
+    from trefoilpick.settings import SourceSettings
 
 FOREVER_S = 1e9
 """Time that no run reaches, in seconds."""
@@ -213,6 +214,9 @@
             raise TrefoilpickError(ErrorKind.SOURCE_UNAVAILABLE, f'source has no "{key}"')
         return self._deliver(value)
 
+    def apply_settings(self, settings: SourceSettings) -> None:
+        """Take over nothing: this source has no address and no times."""
+
     async def watch_value(self, key: str, *, after: int) -> SourceValue | None:
         """Wait until a value has a revision after the given one."""
         self.times.append(await curio.clock())
--- a/trefoilpick/logs.py
+++ b/trefoilpick/logs.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import logging
+import os
 import sys
 from dataclasses import dataclass
 from datetime import UTC, datetime
@@ -193,7 +194,59 @@
 
 
 class _LineHandler(logging.StreamHandler[TextIO]):
-    """The package's own handler, so that a second `open_log` replaces the first."""
+    """Writes lines to a stream, and never waits for who reads it.
+
+    A line that a full pipe does not take whole is dropped, counted, and the count is told by the
+    next line that is taken.
+    """
+
+    def __init__(self, stream: TextIO) -> None:
+        super().__init__(stream)
+        self.dropped = 0
+        self._rest = b""
+        self._descriptor = _open_descriptor(stream)
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one line, where it can be written at once."""
+        if self._descriptor is None:
+            super().emit(record)
+            return
+        try:
+            if self.dropped:
+                record.dropped_before = self.dropped
+            line = (self.format(record) + self.terminator).encode()
+            if self._write(line):
+                self.dropped = 0
+            else:
+                self.dropped += 1
+        except Exception:
+            self.handleError(record)
+
+    def _write(self, line: bytes) -> bool:
+        """Write a line after the rest of the one before it; tell whether it was taken."""
+        assert self._descriptor is not None
+        while self._rest:
+            try:
+                self._rest = self._rest[os.write(self._descriptor, self._rest) :]
+            except BlockingIOError:
+                return False
+        try:
+            self._rest = line[os.write(self._descriptor, line) :]
+        except BlockingIOError:
+            return False
+        return True
+
+
+def _open_descriptor(stream: TextIO) -> int | None:
+    """Return a descriptor that never blocks; None for a terminal or a stream without one."""
+    try:
+        if stream.isatty():
+            return None
+        descriptor = stream.fileno()
+        os.set_blocking(descriptor, False)
+    except (OSError, ValueError):
+        return None
+    return descriptor
 
 
 def open_log(
@@ -207,7 +260,7 @@
 
     Args:
         settings: Settings of the node named in lines that name none themselves.
-        stream: Where lines go; the process's standard error where not given.
+        stream: Where lines go; the process's standard output where not given.
         level: Lowest level that is written.
         incarnation: The incarnation named in lines that name none themselves.
 
@@ -219,7 +272,7 @@
         defaults |= {"vm": settings.vm.name, "data_centre": settings.vm.data_centre}
     if incarnation is not None:
         defaults["incarnation"] = incarnation
-    handler = _LineHandler(stream or sys.stderr)
+    handler = _LineHandler(stream or sys.stdout)
     handler.setFormatter(_LineFormatter(defaults))
     logger = logging.getLogger(LOGGER_NAME)
     for old in [entry for entry in logger.handlers if isinstance(entry, _LineHandler)]:
--- a/trefoilpick/node.py
+++ b/trefoilpick/node.py
@@ -25,6 +25,7 @@
 from trefoilpick.metrics import Metrics
 from trefoilpick.operators import open_operator_server
 from trefoilpick.pauses import read_suspended_s
+from trefoilpick.requestlogs import open_request_log
 from trefoilpick.roster import Roster
 from trefoilpick.sightings import LOOK_S, Sightings
 from trefoilpick.snapshots import SnapshotCell
@@ -116,6 +117,13 @@
         """Begin a graceful shutdown; a second call changes nothing."""
         await self._stop.set()
 
+    def apply_settings(self, settings: Settings) -> None:
+        """Take over what a running node can of changed settings."""
+        self.settings = settings
+        self.caller_server.drain_settings = settings.drain
+        self.hop_server.drain_settings = settings.drain
+        self.distributor.apply_source_settings(settings.source)
+
     def describe(self) -> NodeStatus:
         """Return the node's state for operators."""
         return build_node_status(
@@ -213,6 +221,7 @@
         read_suspended=read_suspended,
     )
     sightings = Sightings(cell, metrics)
+    requests = open_request_log(settings.vm.name, incarnation=incarnation, metrics=metrics)
     hop_server = open_hop_server(
         settings,
         cell=cell,
@@ -233,6 +242,7 @@
         random=chance,
         note_version=sightings.note,
         conventions=conventions,
+        log=requests,
     )
     return Node(
         settings,
--- a/trefoilpick/platform/__main__.py
+++ b/trefoilpick/platform/__main__.py
@@ -25,7 +25,8 @@
     """Run the node until it is told to stop."""
     chance = random.Random()
     try:
-        settings = read_platform_settings(Path(os.environ[SETTINGS_VARIABLE]))
+        path = Path(os.environ[SETTINGS_VARIABLE])
+        settings = read_platform_settings(path)
         open_log(settings, stream=sys.stdout)
         node = open_node(
             settings,
@@ -35,7 +36,7 @@
         )
     except TrefoilpickError as error:
         sys.exit(f"{error.kind.value}: {error.text}")
-    curio.run(serve_node(node, None))
+    curio.run(serve_node(node, path, read_platform_settings))
 
 
 main()
--- a/trefoilpick/platform/store.py
+++ b/trefoilpick/platform/store.py
@@ -31,7 +31,7 @@
     from collections.abc import Callable
 
     from trefoilpick._source_connection import SourceReply
-    from trefoilpick.settings import Settings
+    from trefoilpick.settings import Settings, SourceSettings
     from trefoilpick.source import SourceClient
 
 BodyT = TypeVar("BodyT", bound=msgspec.Struct)
@@ -108,6 +108,11 @@
         self._positions: dict[str, int] = {}
         self._sections: list[dict[str, bytes]] = []
 
+    def apply_settings(self, settings: SourceSettings) -> None:
+        """Take over changed addresses and times."""
+        self._client.apply_settings(settings)
+        self._watch_ms = settings.watch_ms
+
     async def read_value(self, key: str) -> SourceValue:
         """Read a value now.
 
--- a/trefoilpick/reading.py
+++ b/trefoilpick/reading.py
@@ -97,6 +97,12 @@
         self.gathering: VersionId | None = None
         """Version whose few missing sections this reader reads now."""
 
+    def apply_settings(self, settings: SourceSettings) -> None:
+        """Take over changed addresses and times."""
+        self._gap_s = settings.watch_gap_ms / 1000
+        self._backoff_s = settings.backoff_ms / 1000
+        self._source.apply_settings(settings)
+
     @property
     def is_reading(self) -> bool:
         """Whether the node reads the source and the source answers."""
--- a/trefoilpick/retries.py
+++ b/trefoilpick/retries.py
@@ -25,6 +25,7 @@
         ErrorKind.UPSTREAM_SHED,
         ErrorKind.UPSTREAM_REPLACED,
         ErrorKind.UPSTREAM_LOST,
+        ErrorKind.UPSTREAM_FAILED,
         ErrorKind.ANSWER_MALFORMED,
         ErrorKind.INTERNAL,
     }
@@ -167,14 +168,17 @@
         vms: Names of the VMs that were asked.
         sent: Attempts that may have reached a worker.
         overloaded: Nodes that refused for want of room.
+        ends: Why each attempt that failed did, as "VM: kind".
     """
 
     vms: list[str] = field(default_factory=list)
     sent: int = 0
     overloaded: int = 0
+    ends: list[str] = field(default_factory=list)
 
     def note(self, error: TrefoilpickError) -> None:
         """Take note of how the last attempt ended."""
+        self.ends.append(f"{self.vms[-1] if self.vms else '-'}: {error.kind.value}")
         if is_unsent(error):
             self.overloaded += error.kind in OVERLOADS
         else:
--- a/trefoilpick/roster.py
+++ b/trefoilpick/roster.py
@@ -23,6 +23,9 @@
 UNLISTED_S = 120.0
 """Time that a silent VM stays that the list lacks, in seconds."""
 
+FORMER_LIVES = 4
+"""Lives of one VM's process that are remembered: restarts within the time that a message takes."""
+
 MAX_TOMBSTONES = 4_096
 """Removals that are remembered to tell a change of the list."""
 
@@ -33,6 +36,8 @@
 
     Attributes:
         incarnation: Newest life of its process; 0 where none was seen.
+        former: Lives before it, which late messages may still name. Their numbers come from a wall
+            clock, which jumps, and so tell no order.
         leaving: Whether that life takes no new work.
         misses: Heartbeats missed in a row.
         refusals: Connections refused in a row.
@@ -41,6 +46,7 @@
     """
 
     incarnation: int = 0
+    former: tuple[int, ...] = ()
     leaving: bool = False
     misses: int = 0
     refusals: int = 0
@@ -137,14 +143,23 @@
         evidence = self._evidence.get(name)
         return evidence is not None and evidence.misses >= DEAD_AFTER
 
-    def note_alive(self, name: str, incarnation: int) -> None:
-        """Record that a VM was heard; a new incarnation ends what was known of the former."""
+    def note_alive(self, name: str, incarnation: int, *, is_current: bool = False) -> None:
+        """Record that a VM was heard; a new incarnation ends what was known of the former.
+
+        Args:
+            name: The VM.
+            incarnation: The life of its process that was heard.
+            is_current: Whether it answered what was asked just now, so that even one that began
+                earlier by its own clock, which may jump, is its present life.
+        """
         evidence = self._find_evidence(name)
         silent = evidence.heard_s < self._clock() - UNLISTED_S
-        if incarnation < evidence.incarnation and not silent:
+        is_older = incarnation < evidence.incarnation and not is_current
+        if (is_older or incarnation in evidence.former) and not silent:
             return
         if incarnation != evidence.incarnation:
             evidence.leaving = False
+            evidence.former = (*evidence.former, evidence.incarnation)[-FORMER_LIVES:]
         evidence.incarnation = incarnation
         evidence.misses = 0
         evidence.refusals = 0
--- a/trefoilpick/source.py
+++ b/trefoilpick/source.py
@@ -73,6 +73,9 @@
             TrefoilpickError: `SOURCE_UNAVAILABLE` or `SOURCE_RATE_LIMITED`.
         """
 
+    def apply_settings(self, settings: SourceSettings) -> None:
+        """Take over changed addresses and times."""
+
 
 class SourceClient:
     """Calls of the configuration service over HTTP.
@@ -98,6 +101,10 @@
         self._kept: dict[str, SourceConnection] = {}
         self._locks: dict[str, curio.Lock] = {}
 
+    def apply_settings(self, settings: SourceSettings) -> None:
+        """Take over changed addresses and times; calls under way end as they began."""
+        self._settings = settings
+
     async def close(self) -> None:
         """Close the kept connections."""
         kept, self._kept = self._kept, {}
@@ -186,6 +193,11 @@
         self.client = client
         self._watch_ms = settings.watch_ms
 
+    def apply_settings(self, settings: SourceSettings) -> None:
+        """Take over changed addresses and times."""
+        self.client.apply_settings(settings)
+        self._watch_ms = settings.watch_ms
+
     async def read_value(self, key: str) -> SourceValue:
         """Read a value now.
 
