--- a/trefoilpick/platform/store.py
+++ b/trefoilpick/platform/store.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, TypeVar
 from urllib.parse import quote
 
+import curio
 import msgspec
 
 from trefoilpick._clock import read_clock
@@ -46,6 +47,16 @@
 STATUS_HISTORY_GONE = 410
 """Status of a watch whose start the store no longer remembers."""
 
+SHORTEST_ANSWER_S = 0.25
+"""Shortest time that a watch leaves for its answer besides its wait, in seconds: the store answers
+in milliseconds, and with a wait of 0.7 s the end of a silent watch is noticed within a second."""
+
+ANSWER_FACTOR = 4.0
+"""Multiple of the store's last time for an answer that the next one gets."""
+
+ANSWER_DECAY = 0.8
+"""Part of a longer time for answers that stays after each quick one."""
+
 SHORTEST_WAIT = 0.6
 """Smallest part of the settings' wait that a watch takes: nodes that heard of one change together
 do not all ask again together."""
@@ -74,7 +85,7 @@
     has_more: bool = False
 
 
-class _Changes(msgspec.Struct, frozen=True, rename="kebab"):
+class _Events(msgspec.Struct, frozen=True, rename="kebab"):
     events: tuple[_Item, ...]
     store_revision: int
 
@@ -82,10 +93,13 @@
 class StoreSource:
     """The platform's store, translated to the values that a node reads.
 
+    One watch serves both values. A watch may fall silent for good, so it is short, and the time
+    that its answer may take follows the store's own.
+
     Args:
         client: Makes the calls.
         entries: The workers that the store names.
-        watch_ms: Longest wait of a watch, in milliseconds.
+        settings: Times.
         random: Source of the jitter of waits.
         clock: Reads the node's clock, in seconds.
     """
@@ -94,24 +108,28 @@
         self,
         client: SourceClient,
         entries: WorkerEntries,
+        settings: SourceSettings,
         *,
-        watch_ms: int,
         random: random.Random,
         clock: Callable[[], float] = read_clock,
     ) -> None:
         self._client = client
         self._entries = entries
-        self._watch_ms = watch_ms
+        self._settings = settings
         self._random = random
         self._clock = clock
+        self._answer_s = SHORTEST_ANSWER_S
         self._is_failing = False
-        self._positions: dict[str, int] = {}
+        self._watching = curio.Lock()
+        self._position: int | None = None
+        self._read_at: dict[str, int] = {}
+        self._changes: dict[str, list[_Item]] = {MANIFEST_KEY: [], VMS_KEY: []}
         self._sections: list[dict[str, bytes]] = []
 
     def apply_settings(self, settings: SourceSettings) -> None:
         """Take over changed addresses and times."""
         self._client.apply_settings(settings)
-        self._watch_ms = settings.watch_ms
+        self._settings = settings
 
     async def read_value(self, key: str) -> SourceValue:
         """Read a value now.
@@ -137,31 +155,24 @@
         Raises:
             TrefoilpickError: `SOURCE_UNAVAILABLE`, `SOURCE_RATE_LIMITED` or `MANIFEST_FAULTY`.
         """
-        if key not in self._positions:
+        async with self._watching:
+            if key in self._read_at and not self._changes[key]:
+                await self._watch()
+        if key not in self._read_at:
             return await self.read_value(key)
+        changes, self._changes[key] = self._changes[key], []
         if key == MANIFEST_KEY:
-            return await self._watch_configuration()
-        return await self._watch_entries()
+            return self._take_configuration(changes[-1]) if changes else None
+        return self._take_entries(changes)
 
     async def _read_configuration(self) -> SourceValue:
         reply = await self._call(READS, f"{KEY_PATH}?key={quote(CONFIGURATION_KEY, safe='')}")
         item = _decode(reply, _OneItem)
-        self._positions[MANIFEST_KEY] = item.store_revision
-        return self._take_configuration(item.value, item.revision)
+        self._note_read(MANIFEST_KEY, item.store_revision)
+        return self._take_configuration(_Item(CONFIGURATION_KEY, item.revision, item.value))
 
-    async def _watch_configuration(self) -> SourceValue | None:
-        changes = await self._watch(MANIFEST_KEY, CONFIGURATION_KEY, self._watch_ms)
-        if changes is None:
-            return await self._read_configuration()
-        written = [
-            item for item in changes.events if item.key == CONFIGURATION_KEY and not item.deleted
-        ]
-        if not written:
-            return None
-        return self._take_configuration(written[-1].value, written[-1].revision)
-
-    def _take_configuration(self, value: str, revision: int) -> SourceValue:
-        configuration = decode_configuration(_decode_base64(value))
+    def _take_configuration(self, item: _Item) -> SourceValue:
+        configuration = decode_configuration(_decode_base64(item.value))
         refs: list[SectionRef] = []
         texts: dict[str, bytes] = {}
         for section in list_sections(configuration):
@@ -171,7 +182,7 @@
             texts[name_section_key(digest)] = text
         self._sections = [*self._sections, texts][-KEPT_SECTIONS:]
         manifest = Manifest(configuration.version, 0, tuple(refs))
-        return SourceValue(encode_manifest(manifest), revision)
+        return SourceValue(encode_manifest(manifest), item.revision)
 
     async def _read_entries(self) -> SourceValue:
         items: dict[str, tuple[bytes, int]] = {}
@@ -179,7 +190,7 @@
         target = f"{RANGE_PATH}?path-prefix={prefix}"
         page = _decode(await self._call(READS, target), _Page)
         # Pages are not of one moment: what changed since the first is told again.
-        position = page.store_revision
+        revision = page.store_revision
         while True:
             for item in page.items:
                 items[item.key] = (_decode_base64(item.value), item.revision)
@@ -188,27 +199,20 @@
             after = quote(page.items[-1].key, safe="")
             page = _decode(await self._call(READS, f"{target}&after={after}"), _Page)
         now = self._clock()
-        self._entries.replace_all(items, position, now)
+        self._entries.replace_all(items, revision, now)
         self._entries.drop_held(now)
-        self._positions[VMS_KEY] = position
+        self._note_read(VMS_KEY, revision)
         return self._tell_entries()
 
-    async def _watch_entries(self) -> SourceValue | None:
-        hold_s = self._entries.find_hold_s(self._clock())
-        wait_ms = self._watch_ms
-        if hold_s is not None:
-            wait_ms = min(wait_ms, int(hold_s * 1000) + 1)
-        changes = await self._watch(VMS_KEY, ENTRY_PREFIX, wait_ms)
-        if changes is None:
-            return await self._read_entries()
+    def _take_entries(self, changes: list[_Item]) -> SourceValue | None:
         now = self._clock()
-        for item in changes.events:
+        for item in changes:
             if item.deleted:
                 self._entries.remove(item.key, now)
             else:
                 self._entries.put(item.key, _decode_base64(item.value), item.revision, now)
-        self._entries.revision = max(self._entries.revision, changes.store_revision)
-        if self._entries.drop_held(now) or changes.events:
+            self._entries.revision = max(self._entries.revision, item.revision)
+        if self._entries.drop_held(now) or changes:
             return self._tell_entries()
         return None
 
@@ -216,26 +220,55 @@
         vms = self._entries.build_list()
         return SourceValue(msgspec.json.encode(vms), vms.revision)
 
-    async def _watch(self, key: str, prefix: str, wait_ms: int) -> _Changes | None:
-        """Wait for changes; None where the store no longer remembers the position."""
-        wait_ms = max(1, int(wait_ms * self._random.uniform(SHORTEST_WAIT, 1.0)))
-        target = (
-            f"{WATCH_PATH}?path-prefix={quote(prefix, safe='')}"
-            f"&after={self._positions[key]}&wait-ms={wait_ms}"
+    def _note_read(self, key: str, revision: int) -> None:
+        self._read_at[key] = revision
+        self._changes[key] = []
+        if self._position is None:
+            self._position = revision
+
+    async def _watch(self) -> None:
+        """Wait for changes of either value, and keep them until they are taken."""
+        wait_ms = self._draw_wait()
+        began_at = self._clock()
+        reply = await self._call(
+            WATCH_PATH,
+            f"{WATCH_PATH}?path-prefix=&after={self._position}&wait-ms={wait_ms}",
+            wait_s=wait_ms / 1000,
         )
-        reply = await self._call(key, target, wait_s=wait_ms / 1000)
         if reply.status == STATUS_HISTORY_GONE:
-            return None
-        changes = _decode(reply, _Changes)
-        self._positions[key] = max(self._positions[key], changes.store_revision)
-        return changes
+            self._read_at.clear()
+            self._position = None
+            return
+        told = _decode(reply, _Events)
+        if not told.events:
+            self._note_answer_time(self._clock() - began_at - wait_ms / 1000)
+        self._position = max(self._position or 0, told.store_revision)
+        for item in told.events:
+            key = _find_value(item)
+            if key is not None and item.revision > self._read_at.get(key, item.revision):
+                self._changes[key].append(item)
+
+    def _draw_wait(self) -> int:
+        wait_ms = self._settings.watch_ms * self._random.uniform(SHORTEST_WAIT, 1.0)
+        hold_s = self._entries.find_hold_s(self._clock())
+        if hold_s is not None:
+            wait_ms = min(wait_ms, hold_s * 1000)
+        return max(1, int(wait_ms))
+
+    def _note_answer_time(self, took_s: float) -> None:
+        wanted_s = max(SHORTEST_ANSWER_S, ANSWER_FACTOR * took_s)
+        self._answer_s = max(wanted_s, self._answer_s * ANSWER_DECAY)
 
     async def _call(self, use: str, target: str, *, wait_s: float = 0.0) -> SourceReply:
+        longest_s = self._settings.read_timeout_ms / 1000
+        answer_s = min(self._answer_s, longest_s) if wait_s else longest_s
         try:
-            reply = await self._client.call(use, target, wait_s=wait_s)
+            reply = await self._client.call(use, target, wait_s=wait_s, answer_s=answer_s)
             _check_status(reply, target)
         except TrefoilpickError:
             self._is_failing = True
+            if wait_s:
+                self._answer_s = min(2 * self._answer_s, longest_s)
             raise
         if self._is_failing:
             self._is_failing = False
@@ -243,6 +276,13 @@
         return reply
 
 
+def _find_value(item: _Item) -> str | None:
+    """Return the value that an item belongs to; None for one that names nothing of it."""
+    if item.key == CONFIGURATION_KEY:
+        return None if item.deleted else MANIFEST_KEY
+    return VMS_KEY if item.key.startswith(ENTRY_PREFIX) else None
+
+
 def _check_status(reply: SourceReply, target: str) -> None:
     if reply.status in (STATUS_OK, STATUS_HISTORY_GONE):
         return
@@ -279,6 +319,6 @@
     return StoreSource(
         open_client(settings.source),
         WorkerEntries(settings),
-        watch_ms=settings.source.watch_ms,
+        settings.source,
         random=random,
     )
--- a/trefoilpick/source.py
+++ b/trefoilpick/source.py
@@ -111,18 +111,23 @@
         for connection in kept.values():
             await connection.close()
 
-    async def call(self, use: str, target: str, *, wait_s: float = 0.0) -> SourceReply:
+    async def call(
+        self, use: str, target: str, *, wait_s: float = 0.0, answer_s: float | None = None
+    ) -> SourceReply:
         """Make a call and return its whole answer.
 
         Args:
             use: What the connection is kept for.
             target: Path and query.
             wait_s: Time for which the service may hold the call, in seconds.
+            answer_s: Time for the answer besides, in seconds; by default that of the settings.
 
         Raises:
             TrefoilpickError: `SOURCE_UNAVAILABLE`.
         """
-        timeout_s = wait_s + self._settings.read_timeout_ms / 1000
+        if answer_s is None:
+            answer_s = self._settings.read_timeout_ms / 1000
+        timeout_s = wait_s + answer_s
         async with self._locks.setdefault(use, curio.Lock()):
             failure: TrefoilpickError | None = None
             for _ in self._settings.addresses:
