--- a/tests/platform/fakes_store.py
+++ b/tests/platform/fakes_store.py
@@ -114,7 +114,10 @@
 
     async def _look_up(self, target: str) -> tuple[int, Any]:
         parts = urlsplit(target)
-        query = {name: values[0] for name, values in parse_qs(parts.query, keep_blank_values=True).items()}
+        query = {
+            name: values[0]
+            for name, values in parse_qs(parts.query, keep_blank_values=True).items()
+        }
         if parts.path == "/trefoilpick/kv-key":
             item = self.items.get(query["key"])
             return (404, {}) if item is None else (200, {**item, "store-revision": self.revision})
--- /dev/null
+++ b/tests/test_gate_objectives.py
@@ -0,0 +1,112 @@
+"""A full service: more load than its worker can run, and answers worth most within an objective."""
+
+from __future__ import annotations
+
+from functools import partial
+
+import curio
+import pytest
+
+from trefoilpick._clock import read_clock
+from trefoilpick._virtual import run_virtual
+from trefoilpick.document import Priority
+from trefoilpick.errors import ErrorKind, TrefoilpickError
+from trefoilpick.gate import Gate, GateLimits
+
+SERVICE_S = 0.1
+OBJECTIVE_S = 0.4
+DEADLINE_S = 2.5
+SLOTS = 4
+
+
+class Load:
+    """Callers of one worker, and how they were answered."""
+
+    def __init__(self) -> None:
+        self.gate = Gate(GateLimits(SLOTS, 100, 1_000))
+        self.in_time: dict[str, int] = {}
+        self.late: dict[str, int] = {}
+        self.refused: dict[str, int] = {}
+        self.longest_refusal_s = 0.0
+
+    async def call(self, name: str, priority: str, *, elapsed_s: float = 0.0) -> None:
+        began_s = read_clock()
+        try:
+            await self.gate.enter(
+                caller="c",
+                priority=priority,
+                deadline_s=began_s + DEADLINE_S - elapsed_s,
+                now_s=began_s,
+                route=name,
+                objective_s=began_s + OBJECTIVE_S - elapsed_s,
+            )
+        except TrefoilpickError as error:
+            assert error.kind in (ErrorKind.SHED, ErrorKind.DEADLINE_BEFORE_RUN)
+            self.refused[name] = self.refused.get(name, 0) + 1
+            self.longest_refusal_s = max(self.longest_refusal_s, read_clock() - began_s)
+            return
+        await curio.sleep(SERVICE_S)
+        await self.gate.leave(served_s=SERVICE_S, route=name)
+        took_s = read_clock() - began_s + elapsed_s
+        counts = self.in_time if took_s <= OBJECTIVE_S else self.late
+        counts[name] = counts.get(name, 0) + 1
+
+    async def press(
+        self, name: str, priority: Priority, rate_per_s: float, for_s: float, **fields: float
+    ) -> None:
+        async with curio.TaskGroup() as tasks:
+            for _ in range(round(rate_per_s * for_s)):
+                await tasks.spawn(partial(self.call, name, priority.value, **fields))
+                await curio.sleep(1 / rate_per_s)
+
+
+def test_under_twice_the_load_those_who_are_served_are_served_in_time() -> None:
+    load = Load()
+    run_virtual(partial(load.press, "read", Priority.NORMAL, 2 * SLOTS / SERVICE_S, 10.0))
+    capacity = 10.0 * SLOTS / SERVICE_S
+    assert load.in_time["read"] >= 0.95 * capacity
+    assert load.late.get("read", 0) <= 0.05 * capacity
+    assert load.longest_refusal_s <= OBJECTIVE_S / 2
+
+
+def test_urgent_requests_go_before_others_and_starve_nobody_below_capacity() -> None:
+    load = Load()
+
+    async def main() -> None:
+        async with curio.TaskGroup() as tasks:
+            await tasks.spawn(load.press, "advance", Priority.INTERACTIVE, 20.0, 10.0)
+            await tasks.spawn(load.press, "archive", Priority.DEFERRABLE, 60.0, 10.0)
+
+    run_virtual(main)
+    assert load.in_time["advance"] >= 0.99 * 200
+    assert load.in_time["archive"] >= 0.5 * 600 * (40 - 20) / 60
+
+
+@pytest.mark.parametrize("late_per_s", [5.0, 40.0])
+def test_callers_whose_answer_is_late_anyway_take_nothing_from_others(late_per_s: float) -> None:
+    load = Load()
+
+    async def main() -> None:
+        async with curio.TaskGroup() as tasks:
+            await tasks.spawn(load.press, "read", Priority.NORMAL, 50.0, 10.0)
+            async with curio.TaskGroup() as others:
+                await others.spawn(press_late, load, late_per_s)
+
+    run_virtual(main)
+    assert load.in_time["read"] >= 0.9 * 10.0 * SLOTS / SERVICE_S
+
+
+async def press_late(load: Load, rate_per_s: float) -> None:
+    await load.press("again", Priority.NORMAL, rate_per_s, 10.0, elapsed_s=OBJECTIVE_S)
+
+
+def test_callers_whose_answer_is_late_are_served_where_there_is_room() -> None:
+    load = Load()
+
+    async def main() -> None:
+        async with curio.TaskGroup() as tasks:
+            await tasks.spawn(load.press, "read", Priority.NORMAL, 20.0, 10.0)
+            await tasks.spawn(press_late, load, 10.0)
+
+    run_virtual(main)
+    assert load.late["again"] >= 0.95 * 100
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -51,3 +51,22 @@
     for _ in range(100):
         call(19, is_retry=False)
     assert runs <= 100 * (1 + 19 * 0.1) + 19 * 60
+
+
+@pytest.mark.parametrize("vms", [2, 10, 79])
+def test_shared_budget_holds_in_every_window_when_a_service_sheds_half(vms: int) -> None:
+    """All nodes meet a service that sheds every other arrival, after a calm time to save in."""
+    share, reserve, rate = 0.13, 39, 320.0
+    budgets = [RetryBudgets(13, reserve=reserve, count_vms=lambda: vms) for _ in range(vms)]
+    chance = random.Random(3)
+    taken: list[float] = []
+    for number in range(int(rate * 40)):
+        now = number / rate
+        budget = budgets[chance.randrange(vms)]
+        budget.note_request("encargos", now)
+        if now > 15.0 and chance.random() < 0.55 and budget.take("encargos", now):
+            taken.append(now)
+    for begin in taken:
+        spent = sum(begin <= moment < begin + 10.0 for moment in taken)
+        assert spent <= share / 0.65 * rate * 10.0 + reserve / 0.65
+    assert len(taken) >= 0.9 * share * rate * 25.0
--- a/trefoilpick/_exchange.py
+++ b/trefoilpick/_exchange.py
@@ -49,6 +49,10 @@
 END = encode_frame(FrameKind.END)
 """The frame that ends a body."""
 
+MAX_ADVICE_S = 3.0
+"""Longest advice of one worker that a caller is given, in seconds: by then the list of VMs tells
+whether it leaves."""
+
 FIRST_SERVER_ERROR = 500
 """Lowest status code that speaks against the worker."""
 
@@ -327,7 +331,7 @@
         raise TrefoilpickError(
             ErrorKind.UPSTREAM_SHED,
             f"worker shed the request with status {head.status}",
-            retry_after_s=_parse_seconds(headers.get(b"retry-after")),
+            retry_after_s=_limit_advice(headers.get(b"retry-after")),
         )
 
     def _refuse_late(self) -> TrefoilpickError:
@@ -413,10 +417,11 @@
     return Outcome.UNKNOWN if status in UNSURE_STATUSES else Outcome.RUN
 
 
-def _parse_seconds(value: bytes | None) -> float | None:
+def _limit_advice(value: bytes | None) -> float | None:
+    """Return a worker's advice on when to come back, in seconds; other workers may have room."""
     if value is None or not value.isdigit():
         return None
-    return float(value[:9])
+    return min(float(value[:9]), MAX_ADVICE_S)
 
 
 def _refuse_connection() -> TrefoilpickError:
--- a/trefoilpick/platform/settings.py
+++ b/trefoilpick/platform/settings.py
@@ -22,8 +22,9 @@
 READS_SHARE = 4
 """One in so many of the store's reads is for this system: others read there too."""
 
-RETRY_SHARE = 0.5
-"""Part of the platform's retry budget that is planned for: calls of repeats count in it too."""
+RETRY_SHARE = 0.65
+"""Part of the platform's retry budget that is planned for: what was saved before a window and calls
+of repeats count in it too."""
 
 PERCENT = 100
 MS_PER_S = 1_000
--- a/trefoilpick/platform/store.py
+++ b/trefoilpick/platform/store.py
@@ -4,6 +4,7 @@
 
 import base64
 import binascii
+import math
 from typing import TYPE_CHECKING, TypeVar
 from urllib.parse import quote
 
@@ -119,6 +120,7 @@
         self._random = random
         self._clock = clock
         self._answer_s = SHORTEST_ANSWER_S
+        self._heard_at = -math.inf
         self._is_failing = False
         self._watching = curio.Lock()
         self._position: int | None = None
@@ -228,6 +230,10 @@
 
     async def _watch(self) -> None:
         """Wait for changes of either value, and keep them until they are taken."""
+        # Changes in quick succession are heard together.
+        await curio.sleep(
+            max(self._heard_at + self._settings.watch_gap_ms / 1000 - self._clock(), 0)
+        )
         wait_ms = self._draw_wait()
         began_at = self._clock()
         reply = await self._call(
@@ -240,7 +246,9 @@
             self._position = None
             return
         told = _decode(reply, _Events)
-        if not told.events:
+        if told.events:
+            self._heard_at = self._clock()
+        else:
             self._note_answer_time(self._clock() - began_at - wait_ms / 1000)
         self._position = max(self._position or 0, told.store_revision)
         for item in told.events:
--- a/trefoilpick/retries.py
+++ b/trefoilpick/retries.py
@@ -61,7 +61,11 @@
 """Longest upper bound of a pause, in seconds."""
 
 BUDGET_WINDOW_S = 10.0
-"""Time in which an unused budget fades, in seconds."""
+"""Time over which further attempts are bounded, in seconds."""
+
+SHARED_FADE_S = 3.0
+"""Time in which an unused part of a budget that all nodes share fades, in seconds: what was saved
+comes on top of what a window brings, so it is a small part of one."""
 
 BUDGET_FLOOR_PER_S = 0.2
 """Further attempts per second that are allowed whatever the number of requests."""
@@ -74,14 +78,21 @@
         share: Further attempts for each request, from 0 to 1.
         now: Time on the node's clock, in seconds.
         floor_per_s: Further attempts per second that are allowed whatever the number of requests.
+        fade_s: Time in which what is unused fades, in seconds.
     """
 
     def __init__(
-        self, share: float, now: float, *, floor_per_s: float = BUDGET_FLOOR_PER_S
+        self,
+        share: float,
+        now: float,
+        *,
+        floor_per_s: float = BUDGET_FLOOR_PER_S,
+        fade_s: float = BUDGET_WINDOW_S,
     ) -> None:
         self._share = share
         self._floor_per_s = floor_per_s
-        self._tokens = floor_per_s * BUDGET_WINDOW_S
+        self._fade_s = fade_s
+        self._tokens = floor_per_s * fade_s
         self._limit = self._tokens
         self._updated_at = now
 
@@ -101,8 +112,10 @@
     def _update(self, now: float) -> None:
         passed_s = max(now - self._updated_at, 0.0)
         self._updated_at = now
-        faded = self._tokens * max(1.0 - passed_s / BUDGET_WINDOW_S, 0.0)
-        self._tokens = faded + self._floor_per_s * min(passed_s, BUDGET_WINDOW_S)
+        # A single attempt never fades, or a slow trickle would never add up to one.
+        faded = self._tokens * max(1.0 - passed_s / self._fade_s, 0.0)
+        single = min(self._tokens + self._floor_per_s * passed_s, 1.0)
+        self._tokens = max(faded + self._floor_per_s * min(passed_s, self._fade_s), single)
 
 
 class RetryBudgets:
@@ -134,14 +147,14 @@
     def _find(self, upstream: str, now: float) -> RetryBudget:
         budget = self._budgets.get(upstream)
         if budget is None:
-            budget = RetryBudget(self._share, now, floor_per_s=self._find_floor())
-            self._budgets[upstream] = budget
+            budget = self._budgets[upstream] = self._open(now)
         return budget
 
-    def _find_floor(self) -> float:
+    def _open(self, now: float) -> RetryBudget:
         if not self._reserve:
-            return BUDGET_FLOOR_PER_S
-        return self._reserve / BUDGET_WINDOW_S / max(self._count_vms(), 1)
+            return RetryBudget(self._share, now)
+        floor_per_s = self._reserve / BUDGET_WINDOW_S / max(self._count_vms(), 1)
+        return RetryBudget(self._share, now, floor_per_s=floor_per_s, fade_s=SHARED_FADE_S)
 
 
 def may_run_again(call: Call, error: TrefoilpickError) -> bool:
