--- a/tests/fakes_worker.py
+++ b/tests/fakes_worker.py
@@ -14,6 +14,7 @@
 import msgspec
 from curio.io import Socket
 
+from trefoilpick.conventions import OWN_CONVENTIONS, Conventions
 from trefoilpick.document import Contract, Document, Match, Route, Section, Upstream
 from trefoilpick.hops import (
     FrameKind,
@@ -41,6 +42,7 @@
     WorkerSettings,
 )
 from trefoilpick.snapshots import SnapshotCell, build_snapshot
+from trefoilpick.vms import Vm
 
 OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
 
@@ -313,6 +315,8 @@
     drain: DrainSettings | None = None,
     upstream: dict[str, Any] | None = None,
     incarnation: int = 7,
+    conventions: Conventions = OWN_CONVENTIONS,
+    find_own: Callable[[], Vm | None] = lambda: None,
     **hops: Any,
 ):
     worker = FakeWorker()
@@ -322,7 +326,13 @@
     metrics = Metrics()
     cell = build_cell(**(upstream or {}))
     server = open_hop_server(
-        settings, cell=cell, metrics=metrics, is_level=lambda: True, incarnation=incarnation
+        settings,
+        cell=cell,
+        metrics=metrics,
+        is_level=lambda: True,
+        incarnation=incarnation,
+        conventions=conventions,
+        find_own=find_own,
     )
     tasks = [await curio.spawn(worker.run), await curio.spawn(server.run)]
     bench = Bench(worker, server, metrics, cell, settings.listen.hop_port)
--- /dev/null
+++ b/tests/test_explanation.py
@@ -0,0 +1,50 @@
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import pytest
+from typer.testing import CliRunner
+
+from trefoilpick.cli import app
+from trefoilpick.errors import TrefoilpickError
+from trefoilpick.explanation import count_causes, explain_request, read_logs
+
+
+def write_log(path: Path, *lines: dict[str, object], before: str = "") -> Path:
+    path.write_text("".join(f"{before}{json.dumps(line)}\n" for line in lines) + "no JSON {\n")
+    return path
+
+
+def test_lines_of_all_nodes_become_one_story(tmp_path: Path) -> None:
+    near = write_log(
+        tmp_path / "a.log",
+        {"time": "2", "vm": "a", "event": "request", "value": "shed", "request_id": "7", "x": [1]},
+        {"time": "3", "vm": "a", "event": "request", "value": "shed", "request_id": "8"},
+        {"time": "4", "vm": "a", "event": "request", "value": "good", "request_id": "9"},
+        {"time": "5", "vm": "a", "event": "request", "value": "caller_gone"},
+    )
+    far = write_log(
+        tmp_path / "b.log",
+        {"time": "1", "vm": "b", "event": "run", "value": "shed", "request_id": "7", "queued": 27},
+        before="   0.56 node-b ",
+    )
+    story = explain_request("7", read_logs([near, far]))
+    assert [(line.vm, line.event, line.details) for line in story] == [
+        ("b", "run", "queued=27"),
+        ("a", "request", "x=[1]"),
+    ]
+    assert list(count_causes(read_logs([near, far]))) == [("shed", 2), ("caller_gone", 1)]
+    run = CliRunner().invoke(app, ["explain", str(near), str(far), "--request", "7"])
+    assert run.exit_code == 0
+    assert run.output.index("run: shed") < run.output.index("request: shed")
+    unknown = CliRunner().invoke(app, ["explain", str(near), "--request", "no"])
+    assert unknown.exit_code == 1
+    assert "unknown" in unknown.output
+    counted = CliRunner().invoke(app, ["explain", str(near)])
+    assert "2 shed" in counted.output
+
+
+def test_a_missing_log_is_named(tmp_path: Path) -> None:
+    with pytest.raises(TrefoilpickError, match="gone.log"):
+        list(read_logs([tmp_path / "gone.log"]))
--- /dev/null
+++ b/tests/test_pipelining.py
@@ -0,0 +1,136 @@
+"""Callers that send requests before their earlier ones are answered."""
+
+from __future__ import annotations
+
+from collections import deque
+
+import curio
+from fakes_hop import (
+    HOST,
+    Bench,
+    FakeHop,
+    answer_ok,
+    connect,
+    run_bench,
+    wait_until,
+)
+
+from trefoilpick._clock import read_clock
+from trefoilpick.hops import Hop, HopRequest, encode_data
+
+STATUS = b"GET /status HTTP/1.1\r\nhost: a\r\nx-request-id: %d\r\n\r\n"
+SHORT = b"GET /short HTTP/1.1\r\nhost: a\r\nx-request-id: %d\r\n\r\n"
+LENGTH_10 = [(b"content-length", b"10")]
+
+
+def answer_after(seconds: float, body: bytes):  # type: ignore[no-untyped-def]
+    async def answer(fake: FakeHop, hop: Hop, head: HopRequest) -> None:
+        await fake.take_body(hop, head)
+        await curio.sleep(seconds)
+        await hop.send(
+            fake.encode_answer(headers=[(b"content-length", b"%d" % len(body))]),
+            encode_data([body]),
+            b"\x00\x00\x00\x00\x03",
+        )
+
+    return answer
+
+
+async def cut_within_body(fake: FakeHop, hop: Hop, head: HopRequest) -> None:
+    await fake.take_body(hop, head)
+    await curio.sleep(0.1)
+    await hop.send(fake.encode_answer(headers=LENGTH_10), encode_data([b"half."]))
+    raise ConnectionResetError
+
+
+async def receive_all(sock: curio.io.Socket, end: bytes) -> bytes:
+    received = b""
+    while end not in received:
+        data = await sock.recv(65_536)
+        if not data:
+            break
+        received += data
+    return received
+
+
+def test_slow_requests_run_at_once_and_are_answered_in_order() -> None:
+    async def main(bench: Bench) -> None:
+        caller = await connect(bench)
+        began_at = read_clock()
+        await caller.sock.sendall(b"".join(STATUS % number for number in range(4)))
+        received = await receive_all(caller.sock, b"fourth")
+        assert read_clock() - began_at < 0.9
+        places = [received.index(word) for word in (b"first", b"second", b"third", b"fourth")]
+        assert places == sorted(places)
+
+    words = (b"first", b"second", b"third", b"fourth")
+    scripts = (answer_after(0.4 - 0.1 * place, word) for place, word in enumerate(words))
+    run_bench(main, FakeHop(scripts=deque(scripts)))
+
+
+def test_what_may_not_be_repeated_runs_only_after_all_earlier_answers_have_left() -> None:
+    async def main(bench: Bench) -> None:
+        caller = await connect(bench)
+        await caller.sock.sendall(STATUS % 1 + SHORT % 2)
+        await wait_until(lambda: bench.runs["1"] == 1)
+        await curio.sleep(0.05)
+        assert bench.runs["2"] == 0
+        assert b"vm-1:" in await receive_all(caller.sock, b"vm-1:")
+        assert bench.runs["2"] == 1
+
+    run_bench(main, FakeHop(scripts=deque([answer_after(0.2, b"first")])))
+
+
+def test_nothing_follows_an_answer_that_was_cut() -> None:
+    async def main(bench: Bench) -> None:
+        caller = await connect(bench)
+        await caller.sock.sendall(STATUS % 1 + STATUS % 2 + SHORT % 3)
+        received = await receive_all(caller.sock, b"never")
+        assert received.endswith(b"half.")
+        assert received.count(b"HTTP/1.1") == 1
+        assert bench.runs["3"] == 0
+
+    run_bench(main, FakeHop(scripts=deque([cut_within_body, answer_ok])))
+
+
+def test_a_caller_that_leaves_gives_up_all_of_its_requests() -> None:
+    async def main(bench: Bench) -> None:
+        sock = await curio.open_connection(HOST, bench.server.port)
+        await sock.sendall(STATUS % 1 + STATUS % 2)
+        await wait_until(lambda: bench.runs.total() == 2)
+        await sock.close()
+        await wait_until(lambda: bench.server.in_flight == 0)
+
+    async def wait_long(fake: FakeHop, hop: Hop, head: HopRequest) -> None:
+        await fake.take_body(hop, head)
+        assert await hop.receive() is None
+        raise ConnectionResetError
+
+    run_bench(main, FakeHop(scripts=deque([wait_long, wait_long])))
+
+
+def test_an_error_between_answers_keeps_its_place() -> None:
+    async def main(bench: Bench) -> None:
+        caller = await connect(bench)
+        unknown = b"GET /nowhere HTTP/1.1\r\nhost: a\r\n\r\n"
+        await caller.sock.sendall(STATUS % 1 + unknown + STATUS % 2)
+        received = await receive_all(caller.sock, b"last")
+        assert received.index(b"first") < received.index(b" 404 ") < received.index(b"last")
+
+    scripts = deque([answer_after(0.2, b"first"), answer_after(0.0, b"last")])
+    run_bench(main, FakeHop(scripts=scripts))
+
+
+def test_a_drain_waits_for_requests_that_run_side_by_side() -> None:
+    async def main(bench: Bench) -> None:
+        caller = await connect(bench)
+        await caller.sock.sendall(STATUS % 1 + STATUS % 2)
+        await wait_until(lambda: bench.runs.total() == 2)
+        draining = await curio.spawn(bench.server.drain)
+        received = await receive_all(caller.sock, b"second")
+        assert b"first" in received
+        report = await draining.join()
+        assert report.cut == 0
+
+    scripts = deque([answer_after(0.3, b"first"), answer_after(0.2, b"second")])
+    run_bench(main, FakeHop(scripts=scripts))
--- a/trefoilpick/_hop_heads.py
+++ b/trefoilpick/_hop_heads.py
@@ -20,6 +20,11 @@
     from trefoilpick.hops import Headers, HopAnswer, HopFailure
 
 
+HOP_MARGIN_MS = 15
+"""Time that a node keeps of a request's deadline, in milliseconds: ten times the way between data
+centres of a region, so that the worker's node can still say that the request did not run."""
+
+
 def build_request(call: Call, now: float, *, is_retry: bool, vm: str) -> HopRequest:
     """Build the head of a request on a hop.
 
@@ -48,7 +53,7 @@
         method=head.method,
         target=head.target,
         headers=head.headers,
-        remaining_ms=max(int(left_s * MS_PER_S), 1),
+        remaining_ms=max(int(left_s * MS_PER_S) - HOP_MARGIN_MS, 1),
         priority=route.contract.priority.value,
         idempotent=route.contract.idempotent,
         caller=call.link.caller,
--- a/trefoilpick/callerlinks.py
+++ b/trefoilpick/callerlinks.py
@@ -46,6 +46,8 @@
     """It streams a request's body."""
     ANSWERING = "answering"
     """It streams an answer."""
+    PIPELINING = "pipelining"
+    """It waits for the next request while earlier ones run."""
 
 
 @dataclass
@@ -110,7 +112,7 @@
             if self.state is not LinkState.HEAD:
                 if not data:
                     return None
-                if self.state is LinkState.IDLE:
+                if self.state in (LinkState.IDLE, LinkState.PIPELINING):
                     self.touched_at = self.clock.now
                 self.state = LinkState.HEAD
             self.http.receive_data(data)
@@ -228,6 +230,25 @@
         self.touched_at = self.clock.now
         return True
 
+    def skip_answer(self) -> None:
+        """Make ready for the next request while another link answers this one."""
+        self.drop_body()
+        self.http.send(h11.Response(status_code=200, headers=[(b"content-length", b"0")]))
+        self.http.send(h11.EndOfMessage())
+        self.begin_next()
+        self.state = LinkState.PIPELINING
+
+    def rest(self) -> None:
+        """Note that no request runs any more while the next one is waited for."""
+        if self.state is LinkState.PIPELINING:
+            self.state = LinkState.IDLE
+            self.touched_at = self.clock.now
+
+    def end(self) -> None:
+        """End the connection under the task that waits for the next request."""
+        self.is_broken = True
+        self._shut_down(SHUT_RDWR)
+
     def expire(self) -> None:
         """Wake the task of a connection that stood still too long."""
         self.is_expired = True
--- a/trefoilpick/callers.py
+++ b/trefoilpick/callers.py
@@ -31,6 +31,7 @@
 from trefoilpick.hopclient import HopPool
 from trefoilpick.listening import open_listener
 from trefoilpick.patience import PatienceTable
+from trefoilpick.pipelining import Pipeline, Turn
 from trefoilpick.reaper import Reaper
 from trefoilpick.requestlogs import RequestEvent, RequestLog, open_request_log
 from trefoilpick.retries import RetryBudgets
@@ -39,7 +40,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     import h11
 
@@ -207,7 +208,7 @@
             await self._refuse_connection(link)
             return
         self._reaper.links.add(link)
-        self._tasks.add(await curio.spawn(self._serve_link, link, daemon=True))
+        await self._spawn(self._serve_link, link)
 
     def _find_limits(self) -> CallerLimits:
         snapshot = self._cell.current
@@ -232,34 +233,74 @@
             await link.sock.close()
 
     async def _serve_link(self, link: CallerLink) -> None:
+        pipeline = Pipeline(link)
         try:
-            while await self._serve_request(link):
+            while await self._serve_request(link, pipeline):
                 pass
         except OSError:
             self._metrics.count("trefoilpick_caller_resets_total")
         finally:
+            pipeline.note_gone()
             self._reaper.links.discard(link)
             self._tasks.discard(await curio.current_task())
             await link.sock.close()
 
-    async def _serve_request(self, link: CallerLink) -> bool:
+    async def _serve_request(self, link: CallerLink, pipeline: Pipeline) -> bool:
         """Serve the next request; tell whether the connection can take another."""
-        snapshot = self._cell.current
         try:
             request = await link.receive_request()
-            if request is None:
-                return False
-            link.state = LinkState.RUNNING
-            now = read_clock()
-            snapshot = self._cell.current
-            call = self._admit(link, request, snapshot, now)
         except TrefoilpickError as error:
-            self._metrics.count("trefoilpick_refused_total", kind=error.kind.value)
-            self._log_refusal(link, error, snapshot)
-            await self._answer_error(link, error, snapshot)
+            if await pipeline.finish():
+                await self._refuse(link, error, self._cell.current)
+            return await self._end_request(link)
+        if request is None:
+            pipeline.note_gone()
+            await pipeline.finish()
+            return False
+        if pipeline.may_take(request) and not self._is_closing:
+            turn = await pipeline.take(max_head_bytes=self._reaper.limits.head_bytes)
+            await self._spawn(self._serve_turn, turn, request, pipeline)
+            return not link.is_broken
+        if not await pipeline.finish():
+            return False
+        link.state = LinkState.RUNNING
+        await self._run_request(link, request)
+        return await self._end_request(link)
+
+    async def _serve_turn(self, turn: Turn, request: h11.Request, pipeline: Pipeline) -> None:
+        self._reaper.links.add(turn.link)
+        try:
+            await self._run_request(turn.link, request, turn)
+        finally:
+            self._reaper.links.discard(turn.link)
+            self._tasks.discard(await curio.current_task())
+            async with curio.disable_cancellation():
+                await pipeline.end(turn)
+
+    async def _run_request(
+        self, link: CallerLink, request: h11.Request, turn: Turn | None = None
+    ) -> None:
+        snapshot = self._cell.current
+        try:
+            call = self._admit(link, request, snapshot, read_clock())
+            if turn is not None and not call.team_route.route.contract.idempotent:
+                await turn.wait_earlier()
+        except TrefoilpickError as error:
+            await self._refuse(link, error, snapshot)
+        except OSError:
+            link.break_off()
         else:
             await self._run_call(call)
-        return await self._end_request(link)
+
+    async def _refuse(
+        self, link: CallerLink, error: TrefoilpickError, snapshot: Snapshot | None
+    ) -> None:
+        self._metrics.count("trefoilpick_refused_total", kind=error.kind.value)
+        self._log_refusal(link, error, snapshot)
+        await self._answer_error(link, error, snapshot)
+
+    async def _spawn(self, serve: Callable[..., Awaitable[None]], *args: object) -> None:
+        self._tasks.add(await curio.spawn(serve, *args, daemon=True))
 
     async def _end_request(self, link: CallerLink) -> bool:
         if link.is_broken:
--- a/trefoilpick/cli.py
+++ b/trefoilpick/cli.py
@@ -6,6 +6,7 @@
 
 from trefoilpick._cli_demo import demo
 from trefoilpick._cli_documents import accept, check, diff
+from trefoilpick._cli_explain import explain
 from trefoilpick._cli_keys import keys
 from trefoilpick._cli_node import node, worker
 from trefoilpick._cli_replay import replay
@@ -35,6 +36,7 @@
 app.command()(accept)
 app.command()(settings)
 app.command()(keys)
+app.command()(explain)
 app.command()(replay)
 app.command()(demo)
 app.command()(standin)
--- /dev/null
+++ b/trefoilpick/explanation.py
@@ -0,0 +1,95 @@
+"""The story of one request, gathered from the logs of all nodes."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+from trefoilpick.errors import ErrorKind, TrefoilpickError
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+    from pathlib import Path
+
+COMMON_FIELDS = frozenset(
+    {"time", "level", "message", "vm", "data_centre", "incarnation", "event", "value", "request_id"}
+)
+"""Fields that stand before the others, or that every line of a node has."""
+
+
+@dataclass(frozen=True, order=True)
+class LogLine:
+    """One line of a node's log.
+
+    Attributes:
+        time: When it was written, in UTC.
+        vm: VM of the node.
+        event: What it tells of.
+        value: How that ended or what it is now.
+        request_id: The request; empty where it tells of none.
+        details: Further fields, as text.
+    """
+
+    time: str
+    vm: str
+    event: str
+    value: str
+    request_id: str
+    details: str
+
+
+def explain_request(request_id: str, lines: Iterable[LogLine]) -> tuple[LogLine, ...]:
+    """Return the lines of a request, in the order of their times."""
+    return tuple(sorted(line for line in lines if line.request_id == request_id))
+
+
+def count_causes(lines: Iterable[LogLine]) -> Iterator[tuple[str, int]]:
+    """Yield why callers' requests failed, and how many lines tell of each, the most first."""
+    counts: dict[str, int] = {}
+    for line in lines:
+        if line.event == "request" and line.value not in ("good", "slow"):
+            counts[line.value] = counts.get(line.value, 0) + 1
+    yield from sorted(counts.items(), key=lambda entry: (-entry[1], entry[0]))
+
+
+def read_logs(paths: Iterable[Path]) -> Iterator[LogLine]:
+    """Yield the lines of logs; what precedes a line's JSON object is passed over.
+
+    Raises:
+        TrefoilpickError: `FILE_UNREADABLE`.
+    """
+    for path in paths:
+        try:
+            with path.open(encoding="utf-8", errors="replace") as texts:
+                yield from _read_lines(texts)
+        except OSError as error:
+            text = f'log "{path}": {error.strerror}'
+            raise TrefoilpickError(ErrorKind.FILE_UNREADABLE, text) from error
+
+
+def _read_lines(texts: Iterable[str]) -> Iterator[LogLine]:
+    for text in texts:
+        _, brace, rest = text.partition("{")
+        try:
+            fields = json.loads(brace + rest)
+        except ValueError:
+            continue
+        if isinstance(fields, dict) and "event" in fields:
+            yield _build_line(fields)
+
+
+def _build_line(fields: dict[str, Any]) -> LogLine:
+    details = (
+        f"{name}={json.dumps(value) if isinstance(value, (list, dict)) else value}"
+        for name, value in fields.items()
+        if name not in COMMON_FIELDS
+    )
+    return LogLine(
+        time=str(fields.get("time", "")),
+        vm=str(fields.get("vm", "")),
+        event=str(fields["event"]),
+        value=str(fields.get("value", "")),
+        request_id=str(fields.get("request_id", "")),
+        details=", ".join(details),
+    )
--- a/trefoilpick/reaper.py
+++ b/trefoilpick/reaper.py
@@ -94,15 +94,14 @@
                 yield link
 
     def _find_gone(self) -> Iterator[CallerLink]:
-        watched = {
-            link.sock.fileno(): link
-            for link in self.links
-            if link.state in WATCHED_STATES and not link.is_gone
-        }
+        watched: dict[int, list[CallerLink]] = {}
+        for link in self.links:
+            if link.state in WATCHED_STATES and not link.is_gone:
+                watched.setdefault(link.sock.fileno(), []).append(link)
         if not watched:
             return
         poller = select.poll()
         for number in watched:
             poller.register(number, GONE_EVENTS)
         for number, _events in poller.poll(0):
-            yield watched[number]
+            yield from watched[number]
