Refuse overtaken requests early, and let peers use a worker while callers learn that its node stops

Ruled out: hanging connections to restarting nodes (the log says deadline_before_run beside the worker). Change: the queue is looked through ten times a second; what cannot meet its objective goes behind or is refused, and waits there for a quarter of its time at most.

--- a/tests/test_gate_objectives.py
+++ b/tests/test_gate_objectives.py
@@ -62,7 +62,7 @@
 
 def test_under_twice_the_load_those_who_are_served_are_served_in_time() -> None:
     load = Load()
-    run_virtual(partial(load.press, "read", Priority.NORMAL, 2 * SLOTS / SERVICE_S, 10.0))
+    run_virtual(load.press("read", Priority.NORMAL, 2 * SLOTS / SERVICE_S, 10.0))
     capacity = 10.0 * SLOTS / SERVICE_S
     assert load.in_time["read"] >= 0.95 * capacity
     assert load.late.get("read", 0) <= 0.05 * capacity
@@ -77,7 +77,7 @@
             await tasks.spawn(load.press, "advance", Priority.INTERACTIVE, 20.0, 10.0)
             await tasks.spawn(load.press, "archive", Priority.DEFERRABLE, 60.0, 10.0)
 
-    run_virtual(main)
+    run_virtual(main())
     assert load.in_time["advance"] >= 0.99 * 200
     assert load.in_time["archive"] >= 0.5 * 600 * (40 - 20) / 60
 
@@ -92,10 +92,31 @@
             async with curio.TaskGroup() as others:
                 await others.spawn(press_late, load, late_per_s)
 
-    run_virtual(main)
+    run_virtual(main())
     assert load.in_time["read"] >= 0.9 * 10.0 * SLOTS / SERVICE_S
 
 
+def test_requests_that_urgent_ones_overtake_are_told_long_before_their_deadline() -> None:
+    load = Load()
+
+    async def look() -> None:
+        while True:
+            await curio.sleep(0.1)
+            await load.gate.refuse_late(read_clock())
+
+    async def main() -> None:
+        looking = await curio.spawn(look)
+        async with curio.TaskGroup() as tasks:
+            await tasks.spawn(load.press, "read", Priority.DEFERRABLE, 30.0, 5.0)
+            await curio.sleep(0.5)
+            await tasks.spawn(load.press, "advance", Priority.INTERACTIVE, 45.0, 4.0)
+        await looking.cancel()
+
+    run_virtual(main())
+    assert load.refused["read"] > 20
+    assert load.longest_refusal_s <= DEADLINE_S / 2
+
+
 async def press_late(load: Load, rate_per_s: float) -> None:
     await load.press("again", Priority.NORMAL, rate_per_s, 10.0, elapsed_s=OBJECTIVE_S)
 
@@ -108,5 +129,5 @@
             await tasks.spawn(load.press, "read", Priority.NORMAL, 20.0, 10.0)
             await tasks.spawn(press_late, load, 10.0)
 
-    run_virtual(main)
+    run_virtual(main())
     assert load.late["again"] >= 0.95 * 100
--- a/tests/test_hopserver_conventions.py
+++ b/tests/test_hopserver_conventions.py
@@ -166,3 +166,18 @@
         assert len(bench.worker.ran) == 1
 
     run(test, own=own)
+
+
+def test_a_node_serves_peers_to_the_end_of_its_notice_only_where_its_worker_stays() -> None:
+    own: list[Any] = [OWN]
+
+    async def test(bench: Bench) -> None:
+        assert bench.server.serves_to_the_end
+        own[0] = replace(OWN, state=VmState.LEAVING)
+        assert not bench.server.serves_to_the_end
+        own[0] = replace(OWN, worker="")
+        assert not bench.server.serves_to_the_end
+        own[0] = None
+        assert not bench.server.serves_to_the_end
+
+    run(test, own=own)
--- a/trefoilpick/_waiting.py
+++ b/trefoilpick/_waiting.py
@@ -10,6 +10,8 @@
 import curio
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from trefoilpick.errors import TrefoilpickError
 
 
@@ -23,6 +25,7 @@
         deadline_s: Reading of the clock at which the request is given up, in seconds.
         objective_s: Reading of the clock at which its answer is late, in seconds.
         service_s: Time that the worker is expected to take, in seconds.
+        patience_s: Reading of the clock until which it waits behind all others, in seconds.
         decided: Set when the request was let in or refused.
         refusal: Why it was refused; None where it was let in.
     """
@@ -32,6 +35,7 @@
     deadline_s: float
     objective_s: float = math.inf
     service_s: float = 0.0
+    patience_s: float = math.inf
     decided: curio.Event = field(default_factory=curio.Event)
     refusal: TrefoilpickError | None = None
 
@@ -48,6 +52,10 @@
     def __len__(self) -> int:
         return self._length
 
+    def __iter__(self) -> Iterator[Waiter]:
+        for waiters in list(self._callers.values()):
+            yield from list(waiters)
+
     def append(self, waiter: Waiter) -> None:
         """Add a request behind those of its caller."""
         self._callers.setdefault(waiter.caller, deque()).append(waiter)
--- a/trefoilpick/gate.py
+++ b/trefoilpick/gate.py
@@ -27,6 +27,10 @@
 """At most the slots divided by this many requests wait in that line: each takes a slot from one
 that could be answered in time."""
 
+DELAYED_PATIENCE = 0.25
+"""Part of the time left that such a request waits at most: after it, its caller does better to ask
+another node while there is time."""
+
 SERVICE_WEIGHT = 0.1
 """Weight of the newest service time in the mean."""
 
@@ -195,6 +199,19 @@
         if self.queued:
             await self._let_in(read_clock())
 
+    async def refuse_late(self, now_s: float) -> None:
+        """Refuse waiting requests that cannot be answered in time any more.
+
+        Args:
+            now_s: Reading of the clock, in seconds.
+        """
+        slots = self.count_slots(now_s)
+        for line in self._lines.values():
+            for waiter in line:
+                if self._is_late(waiter, now_s):
+                    self._remove(waiter)
+                    await self._delay_or_refuse(waiter, now_s, slots)
+
     async def refuse_waiting(self, refusal: TrefoilpickError) -> None:
         """Refuse every request that waits for a slot."""
         for line in self._lines.values():
@@ -241,6 +258,7 @@
             TrefoilpickError: `SHED`, where it would hardly be served.
         """
         waiter.priority = DELAYED
+        waiter.patience_s = now_s + DELAYED_PATIENCE * (waiter.deadline_s - now_s)
         end_s = now_s + self._estimate_start(waiter, slots) + waiter.service_s
         if len(self._lines[DELAYED]) >= max(1, slots // DELAYED_DIVISOR) or (
             end_s > waiter.deadline_s
@@ -297,17 +315,29 @@
             while line and self.in_flight < slots:
                 waiter = line.take_next()
                 self.queued -= 1
-                needed_s = waiter.service_s if waiter.priority == DELAYED else 0.0
-                if now_s + needed_s >= waiter.deadline_s:
-                    await _refuse(waiter, _refuse_late())
-                    continue
-                if waiter.priority != DELAYED and now_s + waiter.service_s > waiter.objective_s:
+                if self._is_late(waiter, now_s):
                     await self._delay_or_refuse(waiter, now_s, slots)
                     continue
                 self.in_flight += 1
                 await waiter.decided.set()
 
+    def _is_late(self, waiter: Waiter, now_s: float) -> bool:
+        """Tell whether a waiting request cannot be answered by what its line is for."""
+        if now_s >= waiter.deadline_s:
+            return True
+        if waiter.priority == DELAYED:
+            return now_s + waiter.service_s > waiter.deadline_s or now_s > waiter.patience_s
+        return now_s + waiter.service_s > waiter.objective_s
+
     async def _delay_or_refuse(self, waiter: Waiter, now_s: float, slots: int) -> None:
+        if now_s >= waiter.deadline_s:
+            await _refuse(waiter, _refuse_late())
+            return
+        if waiter.priority == DELAYED:
+            text = "others took the slots that it waited for"
+            refusal = TrefoilpickError(ErrorKind.SHED, text, retry_after_s=self._advise(slots))
+            await _refuse(waiter, refusal)
+            return
         try:
             self._delay(waiter, now_s, slots)
         except TrefoilpickError as refusal:
--- a/trefoilpick/hopserver.py
+++ b/trefoilpick/hopserver.py
@@ -49,7 +49,7 @@
 """Time between two looks at the requests in flight, in seconds."""
 
 QUEUE_LOOK_S = 0.1
-"""Time between two looks whether the worker leaves, in seconds."""
+"""Time between two looks at what waits in vain, in seconds."""
 
 LINGER_S = 1.0
 """Time for which the rest of a body is read after a failure, in seconds."""
@@ -186,6 +186,12 @@
                 if task in lasting:
                     raise task.exception
 
+    @property
+    def serves_to_the_end(self) -> bool:
+        """Whether the worker stays when this node leaves, so that peers may use it to the end."""
+        own = self._find_own()
+        return own is not None and bool(own.worker) and not self._is_worker_leaving(own)
+
     async def drain(self) -> DrainReport:
         """Take no new work, and let requests in flight end.
 
@@ -203,7 +209,8 @@
         self.leaving = True
         for link in self._hops:
             await self._tell_leaving(link)
-        await curio.sleep(drain.bounded_notice_ms / 1000)
+        notice_s = drain.bounded_notice_ms / 1000
+        await curio.sleep(min(notice_s, drain.peer_notice_ms / 1000))
         self.refusing = True
         async with curio.ignore_after(drain.bounded_limit_ms / 1000):
             while self._running:
@@ -378,12 +385,14 @@
         return bool(own.worker) and own.worker == self._replaced_worker
 
     async def _clear_queue(self) -> None:
-        """Refuse what waits for a worker that leaves, so that it can go elsewhere."""
+        """Refuse what waits in vain, so that it can go elsewhere: the worker leaves, or is full."""
         while True:
             own = self._find_own()
             if own is not None and self._is_worker_leaving(own):
                 text = f'worker "{own.worker}" is leaving'
                 await self.gate.refuse_waiting(TrefoilpickError(ErrorKind.DRAINING, text))
+            elif self.gate.queued:
+                await self.gate.refuse_late(read_clock())
             await curio.sleep(QUEUE_LOOK_S)
 
     async def _tell_leaving(self, link: HopLink) -> None:
--- a/trefoilpick/node.py
+++ b/trefoilpick/node.py
@@ -170,10 +170,18 @@
         await self._stop.wait()
         self._leaving = True
         self._log.report(Event.NODE, "draining")
-        await self.distributor.announce_leaving()
         async with curio.TaskGroup() as drains:
             await drains.spawn(self.caller_server.drain)
-            await drains.spawn(self.hop_server.drain)
+            await drains.spawn(self._drain_hops)
+
+    async def _drain_hops(self) -> None:
+        """Leave the peers; where the worker stays, only after callers had their notice."""
+        drain = self.settings.drain
+        notice_s = drain.bounded_notice_ms / 1000
+        if self.hop_server.serves_to_the_end:
+            await curio.sleep(max(notice_s - drain.peer_notice_ms / 1000, 0.0))
+        await self.distributor.announce_leaving()
+        await self.hop_server.drain()
 
 
 def open_node(
--- a/trefoilpick/settings.py
+++ b/trefoilpick/settings.py
@@ -226,6 +226,11 @@
     limit_ms: Annotated[
         int, Meta(ge=0, le=86_400_000), _describe("Time for requests in flight to end", "ms")
     ] = 600_000
+    peer_notice_ms: Annotated[
+        int,
+        Meta(ge=0, le=60_000),
+        _describe("Longest part of the notice in which other nodes' requests are taken", "ms"),
+    ] = 60_000
     grace_ms: Annotated[
         int,
         Meta(ge=0, le=86_400_000),
