Spread the return of callers that were refused again

Ruled out: a long pause at the first refusal, which makes every answer late. Change: from a quarter of the objective on, the advice is a third of the time left, the longest that callers follow.

--- a/tests/test_patience.py
+++ b/tests/test_patience.py
@@ -1,6 +1,6 @@
 from __future__ import annotations
 
-from trefoilpick.patience import MEMORY_S, PatienceTable
+from trefoilpick.patience import MEMORY_S, PatienceTable, advise_pause
 
 
 def test_a_caller_that_comes_back_leaves_less_time_than_at_first() -> None:
@@ -17,3 +17,12 @@
     table.measure_elapsed("t", "r", 2_500, 0.0)
     assert table.measure_elapsed("t", "r", 1_000, MEMORY_S + 1) == 0
     assert table.measure_elapsed("t", "r", 900, MEMORY_S + 2) == 100
+
+
+def test_a_refused_caller_comes_back_soon_at_first_and_spreads_its_time_later() -> None:
+    """A burst longer than the objective: the last attempt must come after it."""
+    fresh = advise_pause(0.05, elapsed_ms=0, objective_ms=400, left_s=2.4)
+    assert fresh == 0.05
+    again = advise_pause(0.05, elapsed_ms=120, objective_ms=400, left_s=2.4)
+    assert again == 0.8
+    assert advise_pause(1.5, elapsed_ms=900, objective_ms=400, left_s=1.2) == 1.5
--- a/trefoilpick/callers.py
+++ b/trefoilpick/callers.py
@@ -30,11 +30,11 @@
 from trefoilpick.forwarding import Forwarder
 from trefoilpick.hopclient import HopPool
 from trefoilpick.listening import open_listener
-from trefoilpick.patience import PatienceTable
+from trefoilpick.patience import PatienceTable, advise_pause
 from trefoilpick.pipelining import Pipeline, Turn
 from trefoilpick.reaper import Reaper
 from trefoilpick.requestlogs import RequestEvent, RequestLog, open_request_log
-from trefoilpick.retries import RetryBudgets
+from trefoilpick.retries import OVERLOADS, RetryBudgets
 from trefoilpick.sightings import ignore_version
 from trefoilpick.splitting import Splitter
 
@@ -344,6 +344,7 @@
             now,
             now + allowed_ms / MS_PER_S,
             now + objective_ms / MS_PER_S,
+            elapsed_ms,
         )
 
     async def _run_call(self, call: Call) -> None:
@@ -354,6 +355,8 @@
             result = self._grade(call, await self._forwarder.forward(call, headers))
         except TrefoilpickError as error:
             result = error.kind.value
+            if error.kind in OVERLOADS:
+                _spread_return(call, error)
             await self._answer_error(call.link, error, call.snapshot)
         except Exception as fault:
             logger.exception("a request failed", extra={"route": call.team_route.route.name})
@@ -464,6 +467,15 @@
             return
 
 
+def _spread_return(call: Call, error: TrefoilpickError) -> None:
+    error.retry_after_s = advise_pause(
+        find_answer(error).retry_after_s or 0.0,
+        elapsed_ms=call.elapsed_ms,
+        objective_ms=call.team_route.route.contract.objective.latency_ms,
+        left_s=call.deadline_at - read_clock(),
+    )
+
+
 def open_caller_server(
     settings: Settings,
     *,
--- a/trefoilpick/calls.py
+++ b/trefoilpick/calls.py
@@ -188,6 +188,7 @@
         started_at: When its head was received, in seconds on the node's clock.
         deadline_at: Until when the answer's head must come, in seconds on the node's clock.
         objective_at: When the answer is late, in seconds on the node's clock.
+        elapsed_ms: Time since the caller's first attempt, in milliseconds.
         tries: Attempts that were made.
     """
 
@@ -199,6 +200,7 @@
     started_at: float
     deadline_at: float
     objective_at: float = math.inf
+    elapsed_ms: int = 0
     tries: Tries = field(default_factory=Tries)
 
 
--- a/trefoilpick/patience.py
+++ b/trefoilpick/patience.py
@@ -11,6 +11,12 @@
 MAX_ROUTES = 4_096
 """Routes that are remembered: more than a document of the target's size has."""
 
+FRESH_DIVISOR = 4
+"""A caller may still be answered in time after less than its objective divided by this."""
+
+PAUSE_DIVISOR = 3
+"""Callers wait for at most the time that they have left divided by this, as the platform says."""
+
 MEMORY_S = 60.0
 """Time for which the longest deadline of a route is remembered, in seconds: several times the
 longest one that callers give."""
@@ -24,6 +30,23 @@
     seen_at: float
 
 
+def advise_pause(advice_s: float, *, elapsed_ms: int, objective_ms: int, left_s: float) -> float:
+    """Return when a refused caller should come back, in seconds.
+
+    At first it comes back soon, since its answer may still be in time. After that it spreads what
+    time it has left, so that its last attempt does not meet the same overload.
+
+    Args:
+        advice_s: When there may be room, in seconds.
+        elapsed_ms: Time since the caller's first attempt, in milliseconds.
+        objective_ms: Time in which its answer is in time, in milliseconds.
+        left_s: Time that the caller leaves, in seconds.
+    """
+    if elapsed_ms * FRESH_DIVISOR < objective_ms:
+        return advice_s
+    return max(advice_s, left_s / PAUSE_DIVISOR)
+
+
 class PatienceTable:
     """Longest deadlines by route."""
 
