--- a/tests/test_patience.py
+++ b/tests/test_patience.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import pytest
+
 from trefoilpick.patience import MEMORY_S, PatienceTable, advise_pause
 
 
@@ -24,5 +26,5 @@
     fresh = advise_pause(0.05, elapsed_ms=0, objective_ms=400, left_s=2.4)
     assert fresh == 0.05
     again = advise_pause(0.05, elapsed_ms=120, objective_ms=400, left_s=2.4)
-    assert again == 0.8
+    assert again == pytest.approx(0.8)
     assert advise_pause(1.5, elapsed_ms=900, objective_ms=400, left_s=1.2) == 1.5
