--- a/trefoilpick/balancing.py
+++ b/trefoilpick/balancing.py
@@ -28,8 +28,9 @@
 SPILL_UTILISATION = 0.9
 """Share of a worker's slots in use from which a farther zone is considered."""
 
-FULL_UTILISATION = 1.0
-"""Share of a worker's slots in use from which another refusal is expected."""
+FULL_UTILISATION = 2.0
+"""Requests over slots of a worker from which another refusal is expected: a queue of as many as run
+already takes the whole of a usual objective."""
 
 FAR_GAIN = 0.4
 """How much less utilised a worker of a farther zone must be to get a request, as a share of its
--- a/trefoilpick/platform/store.py
+++ b/trefoilpick/platform/store.py
@@ -50,7 +50,7 @@
 
 SHORTEST_ANSWER_S = 0.25
 """Shortest time that a watch leaves for its answer besides its wait, in seconds: the store answers
-in milliseconds, and with a wait of 0.7 s the end of a silent watch is noticed within a second."""
+in milliseconds, and a silent watch must be noticed soon after its wait."""
 
 ANSWER_FACTOR = 4.0
 """Multiple of the store's last time for an answer that the next one gets."""
