Test the whole path on a small platform of our own, and what changed in requests and reload

Change: two nodes, two workers, a store and a client on loopback: proof and headers, a leaving worker, a new configuration, a used address, a node that only its peer tells; tests of reload, of nodes that refuse, of server errors, of a length beside a transfer coding, of deadlines handed on.

--- /dev/null
+++ b/tests/platform/test_path.py
@@ -0,0 +1,273 @@
+"""The whole path on a small platform: store, two nodes, two workers and a client."""
+
+from __future__ import annotations
+
+import random
+import socket
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from dataclasses import dataclass, field
+from typing import Any
+
+import curio
+import h11
+from curio.io import Socket
+from fakes_store import FakeStore, make_configuration, make_entry, run_store
+
+from trefoilpick.node import Node, open_node
+from trefoilpick.platform.headers import PLATFORM_CONVENTIONS
+from trefoilpick.platform.settings import build_settings
+from trefoilpick.platform.store import CONFIGURATION_KEY, open_store
+
+HOSTS = ("127.0.41.1", "127.0.41.2")
+UPLOAD = b"PUT /upload/1 HTTP/1.1\r\nhost: ficu.example\r\ncontent-length: 2\r\n"
+ID = b"x-trefoilpick-attempt-id"
+EXPECTED = b"x-trefoilpick-expected-instance"
+CALLER = b"x-trefoilpick-caller-service"
+DEADLINE = b"x-trefoilpick-deadline-ms"
+
+
+def find_ports(count: int) -> list[int]:
+    """Return ports that are free on every address of the test."""
+    found: list[int] = []
+    while len(found) < count:
+        with socket.socket() as probe:
+            probe.bind(("0.0.0.0", 0))
+            found.append(probe.getsockname()[1])
+    return found
+
+
+@dataclass
+class PlatformWorker:
+    """A worker that answers as the platform's do."""
+
+    host: str
+    port: int
+    identity: str
+    heads: list[dict[bytes, bytes]] = field(default_factory=list)
+
+    async def run(self) -> None:
+        listener = Socket(socket.create_server((self.host, self.port)))
+        async with listener:
+            while True:
+                client, _ = await listener.accept()
+                await curio.spawn(self._serve, client, daemon=True)
+
+    async def _serve(self, client: Socket) -> None:
+        protocol = h11.Connection(h11.SERVER)
+        with suppress(OSError, h11.RemoteProtocolError):
+            async with client:
+                while True:
+                    event = protocol.next_event()
+                    if event is h11.NEED_DATA:
+                        protocol.receive_data(await client.recv(65_536))
+                    elif isinstance(event, h11.Request):
+                        head = dict(event.headers)
+                    elif isinstance(event, h11.EndOfMessage):
+                        await client.sendall(self._answer(protocol, head))
+                        protocol.start_next_cycle()
+                    elif isinstance(event, h11.ConnectionClosed):
+                        return
+
+    def _answer(self, protocol: h11.Connection, head: dict[bytes, bytes]) -> bytes:
+        if head.get(EXPECTED) != self.identity.encode():
+            parts = h11.Response(status_code=421, headers=[(b"content-length", b"0")]), b""
+        else:
+            self.heads.append(head)
+            body = self.identity.encode()
+            headers = [
+                (ID, head[ID]),
+                (b"x-trefoilpick-response-signature", b"s." + head[ID]),
+                (b"content-length", str(len(body)).encode()),
+            ]
+            parts = h11.Response(status_code=200, headers=headers), body
+        sent = [protocol.send(parts[0]), protocol.send(h11.Data(data=parts[1]))]
+        sent.append(protocol.send(h11.EndOfMessage()))
+        return b"".join(part or b"" for part in sent)
+
+
+@dataclass(frozen=True)
+class Answer:
+    """What a client got."""
+
+    status: int
+    headers: dict[bytes, bytes]
+    body: bytes
+
+
+@dataclass
+class Scene:
+    """A store, nodes by host, and their workers."""
+
+    store: FakeStore
+    ports: list[int]
+    workers: list[PlatformWorker]
+    nodes: list[Node] = field(default_factory=list)
+
+    def register(self, number: int, **fields: Any) -> None:
+        """Write the entry of a worker."""
+        worker = self.workers[number]
+        entry = make_entry(f"{worker.host}:{worker.port}", zone=f"lima-{'ab'[number]}", **fields)
+        self.store.put(f"servers/{worker.identity}", entry)
+
+    async def ask(self, host: str, request: bytes, body: bytes = b"") -> Answer:
+        """Send a request on a connection of its own."""
+        client = await curio.open_connection(host, self.ports[2])
+        protocol = h11.Connection(h11.CLIENT)
+        protocol.send(h11.Request(method="GET", target="/", headers=[("host", "-")]))
+        protocol.send(h11.EndOfMessage())
+        async with client:
+            await client.sendall(request + b"\r\n" + body)
+            status, headers, parts = 0, {}, []
+            while True:
+                event = protocol.next_event()
+                if event is h11.NEED_DATA:
+                    protocol.receive_data(await client.recv(65_536))
+                elif isinstance(event, h11.Response):
+                    status, headers = event.status_code, dict(event.headers)
+                elif isinstance(event, h11.Data):
+                    parts.append(bytes(event.data))
+                elif isinstance(event, h11.EndOfMessage):
+                    return Answer(status, headers, b"".join(parts))
+
+    async def ask_until(self, wanted: Callable[[Answer], bool], request: bytes) -> Answer:
+        """Send a request again and again until its answer is the wanted one."""
+        number = 0
+        async with curio.timeout_after(20):
+            while True:
+                number += 1
+                answer = await self.ask(HOSTS[0], request + ID + b": again-%d\r\n" % number, b"ab")
+                if wanted(answer):
+                    return answer
+                await curio.sleep(0.05)
+
+
+def run_path(test: Callable[[Scene], Awaitable[None]]) -> None:
+    """Run a test beside two nodes that serve."""
+
+    async def main(store: FakeStore) -> None:
+        ports = find_ports(5)
+        workers = [
+            PlatformWorker(host, ports[4], f"i-{number}") for number, host in enumerate(HOSTS)
+        ]
+        scene = Scene(store, ports, workers)
+        store.put(CONFIGURATION_KEY, make_configuration())
+        scene.nodes += [open_platform_node(scene, host) for host in HOSTS]
+        async with curio.TaskGroup(wait=any) as tasks:
+            for part in (*workers, *scene.nodes):
+                await tasks.spawn(part.run)
+            await tasks.spawn(watch, scene, test)
+        if tasks.exception is not None:
+            raise tasks.exception
+
+    async def watch(scene: Scene, test: Callable[[Scene], Awaitable[None]]) -> None:
+        for number in range(len(HOSTS)):
+            scene.register(number)
+        await scene.ask_until(lambda answer: answer.status == 200, UPLOAD)
+        await test(scene)
+
+    run_store(main)
+
+
+def open_platform_node(scene: Scene, host: str) -> Node:
+    facts = {
+        "ip": host,
+        "zone": "lima-a" if host == HOSTS[0] else "lima-b",
+        "region": "lima",
+        "zones": {"lima-a": "lima", "lima-b": "lima"},
+        "service": "encargos",
+        "app-addr": f"{host}:{scene.ports[4]}",
+        "listen": {"outbound": f"{host}:{scene.ports[2]}", "ready": f"{host}:{scene.ports[3]}"},
+        "internal-port-range": [scene.ports[0], scene.ports[0] + 15],
+        "provider": {"address": scene.store.address, "reads-per-s": 2_000},
+        "bounds": {"grace": 6, "retry-budget-ratio": 0.2, "retry-budget-slack": 60},
+    }
+    own = {
+        "source": {"watch_ms": 200, "read_timeout_ms": 500, "backoff_ms": 100},
+        "control": {"listed_only": True, "join_wait_ms": 200, "expected_vms": 2, "readers": 4},
+        "hops": {"warm_up_ms": 0},
+    }
+    settings = build_settings({"platform": facts, **own}, origin="test")
+    chance = random.Random(host)
+    return open_node(
+        settings,
+        source=open_store(settings, random=chance),
+        chance=chance,
+        conventions=PLATFORM_CONVENTIONS,
+    )
+
+
+def test_a_request_comes_back_whole_with_its_proof() -> None:
+    async def test(scene: Scene) -> None:
+        spoofed = CALLER + b": other\r\n" + DEADLINE + b": 1500\r\n" + ID + b": one\r\n"
+        answer = await scene.ask(HOSTS[0], UPLOAD + spoofed, b"ab")
+        assert answer.status == 200
+        assert answer.headers[b"x-trefoilpick-response-signature"] == b"s.one"
+        worker = next(w for w in scene.workers if w.identity.encode() == answer.body)
+        head = next(head for head in worker.heads if head[ID] == b"one")
+        assert head[EXPECTED] == answer.body
+        assert head[CALLER] == b"encargos"
+        assert 0 < int(head[DEADLINE]) < 800
+
+    run_path(test)
+
+
+def test_a_leaving_worker_gets_nothing_more() -> None:
+    async def test(scene: Scene) -> None:
+        scene.register(0, state="draining")
+        await curio.sleep(1.0)
+        before = len(scene.workers[0].heads)
+        for number in range(20):
+            answer = await scene.ask(HOSTS[0], UPLOAD + ID + b": %d\r\n" % number, b"ab")
+            assert (answer.status, answer.body) == (200, b"i-1")
+        assert len(scene.workers[0].heads) == before
+
+    run_path(test)
+
+
+def test_a_new_configuration_holds_and_an_unknown_route_is_not_found() -> None:
+    async def test(scene: Scene) -> None:
+        other = b"PUT /new/1 HTTP/1.1\r\nhost: ficu.example\r\ncontent-length: 2\r\n"
+        answer = await scene.ask(HOSTS[0], other + ID + b": none\r\n", b"ab")
+        assert answer.status == 404
+        changed = make_configuration(8)
+        changed["routes"].append({**changed["routes"][0], "name": "r-9", "path-prefix": "/new/"})
+        scene.store.put(CONFIGURATION_KEY, changed)
+        await scene.ask_until(lambda found: found.status == 200, other)
+        assert scene.nodes[0].describe().version is not None
+
+    run_path(test)
+
+
+def test_a_worker_under_a_used_address_runs_nothing_meant_for_the_former() -> None:
+    async def test(scene: Scene) -> None:
+        scene.store.delete("servers/i-1")
+        scene.workers[0].identity = "i-7"
+        before = len(scene.workers[0].heads)
+        answer = await scene.ask(HOSTS[0], UPLOAD + ID + b": x\r\n", b"ab")
+        assert answer.status in (200, 503)
+        assert answer.status == 503 or answer.body == b"i-1"
+        assert len(scene.workers[0].heads) == before
+        scene.store.delete("servers/i-0")
+        scene.register(0, born=1_800_000_000_000)
+        await scene.ask_until(lambda found: found.body == b"i-7", UPLOAD)
+
+    run_path(test)
+
+
+def test_a_node_that_is_cut_off_from_the_store_learns_from_its_peer() -> None:
+    async def test(scene: Scene) -> None:
+        # From now on only the second node reaches the store.
+        away = scene.nodes[0].settings.source
+        scene.nodes[0].distributor.apply_source_settings(
+            type(away)(("127.0.41.9:9",), read_timeout_ms=100, watch_ms=100, backoff_ms=100)
+        )
+        await curio.sleep(1.0)
+        other = b"PUT /new/1 HTTP/1.1\r\nhost: ficu.example\r\ncontent-length: 2\r\n"
+        changed = make_configuration(9)
+        changed["routes"].append({**changed["routes"][0], "name": "r-9", "path-prefix": "/new/"})
+        scene.store.put(CONFIGURATION_KEY, changed)
+        await scene.ask_until(lambda found: found.status == 200, other)
+        assert not scene.nodes[0].distributor.describe().is_reader
+
+    run_path(test)
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -492,3 +492,63 @@
         assert len(leaver.seen) == seen
 
     run_bench(main, FakeHop("vm-1"), FakeHop("vm-2"))
+
+
+def test_nodes_that_refuse_cost_no_attempt_and_no_budget() -> None:
+    """A rolling replacement: four of five nodes say that they leave, one takes the request."""
+
+    async def main(bench: Bench) -> None:
+        told = await (await connect(bench)).ask("PUT", "/spread", b"b")
+        assert (told.status, told.whole) == (200, True)
+
+    refusing = [
+        FakeHop(name=f"vm-{number}", scripts=_deque(fail_with(ErrorKind.DRAINING)))
+        for number in range(1, 5)
+    ]
+    run_bench(main, *refusing, FakeHop(name="vm-5"))
+
+
+def test_a_server_error_of_an_idempotent_request_is_tried_elsewhere_once() -> None:
+    async def fail(fake: FakeHop, hop: Hop, head: HopRequest) -> None:
+        await fake.take_body(hop, head)
+        await hop.send(fake.encode_answer(status=500), encode_data([b"broken"]), END)
+
+    async def main(bench: Bench) -> None:
+        told = await (await connect(bench)).ask("PUT", "/note", b"b", x_request_id="1")
+        assert (told.status, told.whole, bench.runs["1"]) == (200, True, 2)
+        bench.fakes[0].scripts.append(fail)
+        told = await (await connect(bench)).ask("POST", "/advance", b"b", x_request_id="2")
+        assert (told.status, told.body, bench.runs["2"]) == (500, b"broken", 1)
+
+    run_bench(main, FakeHop(scripts=_deque(fail)))
+
+
+def test_a_length_beside_a_transfer_coding_is_refused_and_what_follows_is_not_read() -> None:
+    smuggled = b"POST /advance HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\n\r\nb"
+
+    async def main(bench: Bench) -> None:
+        caller = await connect(bench)
+        head = b"PUT /note HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\n"
+        await caller.sock.sendall(head + b"transfer-encoding: chunked\r\n\r\n0\r\n\r\n" + smuggled)
+        received = b""
+        while data := await caller.sock.recv(65_536):
+            received += data
+        assert received.startswith(b"HTTP/1.1 400")
+        assert received.count(b"HTTP/1.1") == 1
+        assert bench.runs.total() == 0
+
+    run_bench(main, FakeHop())
+
+
+def test_the_worker_gets_less_time_than_the_caller_leaves_and_knows_the_objective() -> None:
+    async def main(bench: Bench) -> None:
+        caller = await connect(bench)
+        await caller.ask("PUT", "/note", b"b", x_trefoilpick_deadline_ms="600")
+        await caller.ask("PUT", "/note", b"b", x_trefoilpick_deadline_ms="400")
+        first, again = (seen.head for seen in bench.fakes[0].seen)
+        assert 500 < first.remaining_ms < 600
+        assert 300 < again.remaining_ms < 400
+        assert first.objective_ms is not None and again.objective_ms is not None
+        assert 150 <= first.objective_ms - again.objective_ms <= 250
+
+    run_bench(main, FakeHop())
