Follow changed addresses of the source on kept connections too

Ruled out: the relay (the node enforced the version, from either). Change: a kept connection to an address that the settings no longer name is closed.

--- a/trefoilpick/source.py
+++ b/trefoilpick/source.py
@@ -161,6 +161,9 @@
         connection = self._kept.pop(use, None)
         if connection is None:
             return None
+        if connection.address not in self._settings.addresses:
+            await connection.close()
+            return None
         received = connection.bytes_received
         try:
             return await self._call_on(connection, use, target)
