Read settings files in one place; look at each zone once when choosing a worker

The platform's settings read their file with a copy of read_settings' lines; a choice with nobody willing built every zone's list a second time. Change: read_settings_text serves both; zones whose workers are unwilling are kept as they are found. Behaviour is as it was.

--- a/trefoilpick/balancing.py
+++ b/trefoilpick/balancing.py
@@ -253,23 +253,18 @@
         """Yield, nearest first, the workers of each zone that may get a request."""
         ejected = self.list_ejected(now)
         found = False
+        unwilling: list[tuple[WorkerRecord, ...]] = []
         for zone in self.zones:
             available = tuple(record for record in zone if _is_available(record, ejected, now))
             willing = tuple(record for record in available if not record.is_unwilling(now))
             if willing:
                 found = True
                 yield willing
+            elif available:
+                unwilling.append(available)
         if not found:
             # A refusal may be over by now, and nobody else is left to ask.
-            yield from self._list_unwilling(ejected, now)
-
-    def _list_unwilling(
-        self, ejected: frozenset[str], now: float
-    ) -> Iterator[tuple[WorkerRecord, ...]]:
-        for zone in self.zones:
-            available = tuple(record for record in zone if _is_available(record, ejected, now))
-            if available:
-                yield available
+            yield from unwilling
 
     def compute_usual_latency(self, now: float) -> float | None:
         """Return the mean latency of the workers, in seconds; None before any was measured."""
--- a/trefoilpick/platform/settings.py
+++ b/trefoilpick/platform/settings.py
@@ -10,7 +10,7 @@
 from trefoilpick._texts import parse_text
 from trefoilpick.addresses import split_address
 from trefoilpick.errors import ErrorKind, TrefoilpickError
-from trefoilpick.settings import Settings, check_settings
+from trefoilpick.settings import Settings, check_settings, read_settings_text
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -79,11 +79,7 @@
     Raises:
         TrefoilpickError: `FILE_UNREADABLE` or `SETTINGS_FAULTY`.
     """
-    try:
-        text = path.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        raise TrefoilpickError(ErrorKind.FILE_UNREADABLE, f'"{path}": {error}') from error
-    parsed = parse_text(text)
+    parsed = parse_text(read_settings_text(path))
     if isinstance(parsed, Failure):
         fault = parsed.failure()
         message = f"{path}: line {fault.line}: {fault.text}"
--- a/trefoilpick/settings.py
+++ b/trefoilpick/settings.py
@@ -315,8 +315,16 @@
     Raises:
         TrefoilpickError: `FILE_UNREADABLE` or `SETTINGS_FAULTY`.
     """
+    return parse_settings(read_settings_text(path), origin=str(path))
+
+
+def read_settings_text(path: Path) -> str:
+    """Read the text of a file of settings.
+
+    Raises:
+        TrefoilpickError: `FILE_UNREADABLE`.
+    """
     try:
-        text = path.read_text(encoding="utf-8")
+        return path.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
         raise TrefoilpickError(ErrorKind.FILE_UNREADABLE, f'"{path}": {error}') from error
-    return parse_settings(text, origin=str(path))
