Keep a change that a watch hears while a read is under way; fewer bytes and calls between VMs

One watch of the store serves both values, and a read of one value dropped whatever the other value's watch had heard meanwhile; the next read came seconds later. The test reproduces it for the first read and for one after a failure, and fails before.

--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -15,12 +15,19 @@
     run_store,
 )
 
+from trefoilpick._source_connection import SourceReply
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 from trefoilpick.manifest import decode_manifest
 from trefoilpick.platform.entries import HOLD_S
 from trefoilpick.platform.store import CONFIGURATION_KEY, StoreSource, open_store
 from trefoilpick.sections import decode_section
-from trefoilpick.source import MANIFEST_KEY, VMS_KEY, SourceValue, name_section_key
+from trefoilpick.source import (
+    MANIFEST_KEY,
+    VMS_KEY,
+    SourceClient,
+    SourceValue,
+    name_section_key,
+)
 from trefoilpick.vms import VmList, VmState
 
 Scene = Callable[[FakeStore, StoreSource], Awaitable[None]]
@@ -107,6 +114,39 @@
     run_scene(scene)
 
 
+@pytest.mark.parametrize("is_first", [True, False], ids=["first read", "read after a failure"])
+def test_a_change_that_a_watch_hears_while_a_read_is_under_way_is_not_lost(
+    is_first: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The read of one value answers with what was, after the other's watch heard what is."""
+    call = SourceClient.call
+    heard = curio.Event()
+
+    async def call_late(client: SourceClient, use: str, target: str, **times: float) -> SourceReply:
+        reply = await call(client, use, target, **times)
+        if "kv-key" in target and not heard.is_set():
+            await heard.wait()
+        return reply
+
+    async def scene(store: FakeStore, source: StoreSource) -> None:
+        if not is_first:
+            await source.read_value(MANIFEST_KEY)
+        vms = await source.read_value(VMS_KEY)
+        monkeypatch.setattr(SourceClient, "call", call_late)
+        reading = await curio.spawn(source.read_value, MANIFEST_KEY)
+        await curio.sleep(0.1)
+        store.put(CONFIGURATION_KEY, make_configuration(20))
+        assert await source.watch_value(VMS_KEY, after=vms.revision) is None
+        await heard.set()
+        older = await reading.join()
+        assert decode_manifest(older.data).number == 3
+        value = await source.watch_value(MANIFEST_KEY, after=older.revision)
+        assert value is not None
+        assert decode_manifest(value.data).number == 20
+
+    run_scene(scene)
+
+
 def test_a_slow_store_is_waited_for() -> None:
     async def scene(store: FakeStore, source: StoreSource) -> None:
         store.slow_s = 0.1
--- a/tests/test_balancing.py
+++ b/tests/test_balancing.py
@@ -227,3 +227,9 @@
     assert fleet.count_choices().keys() == {"vm-2"}
     fleet.find("vm-2").note_unwilling(fleet.now)
     assert fleet.count_choices().keys() == {"vm-1", "vm-2"}
+
+
+def test_a_worker_behind_a_partition_is_left_alone_at_once() -> None:
+    fleet = Fleet(4)
+    fleet.balancer.note_silence(fleet.find("vm-2"), fleet.now)
+    assert fleet.count_choices()["vm-2"] == 0
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import errno
 from collections import deque
 
 import curio
@@ -22,7 +23,9 @@
 )
 
 from trefoilpick.errors import ErrorKind, Outcome
+from trefoilpick.hopclient import ClientHop
 from trefoilpick.hops import (
+    Frame,
     FrameKind,
     Hop,
     HopRequest,
@@ -552,3 +555,38 @@
         assert 150 <= first.objective_ms - again.objective_ms <= 250
 
     run_bench(main, FakeHop())
+
+
+def test_a_vm_that_is_cut_off_gets_one_request_and_no_more(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A partition: what is sent is not acknowledged, and the hop breaks with a timeout."""
+    receive = ClientHop.receive
+
+    async def receive_unless_cut(hop: ClientHop) -> Frame | None:
+        if hop.vm.name == "vm-1":
+            raise TimeoutError(errno.ETIMEDOUT, "timed out")
+        return await receive(hop)
+
+    monkeypatch.setattr(ClientHop, "receive", receive_unless_cut)
+
+    async def main(bench: Bench) -> None:
+        caller = await connect(bench)
+        for _ in range(20):
+            told = await caller.ask("PUT", "/note", b"b")
+            assert told.body.startswith(b"vm-2")
+
+    bench = run_bench(main, FakeHop("vm-1"), FakeHop("vm-2"))
+    assert bench.fakes[0].connections == 1
+
+
+def test_heads_to_another_data_centre_are_compressed_both_ways() -> None:
+    async def main(bench: Bench) -> None:
+        caller = await connect(bench)
+        for _ in range(3):
+            told = await caller.ask("PUT", "/note", b"body")
+            assert told.body.endswith(b":body")
+
+    bench = run_bench(main, FakeHop("vm-1", data_centre="lima-z"), FakeHop("vm-2"))
+    run_bench(main, FakeHop("vm-1", data_centre="lima-z"))
+    assert all(hop._packer is None for fake in bench.fakes[1:] for hop in fake.hops)
--- a/tests/test_hopserver_conventions.py
+++ b/tests/test_hopserver_conventions.py
@@ -181,3 +181,18 @@
         assert not bench.server.serves_to_the_end
 
     run(test, own=own)
+
+
+def test_after_a_second_answer_other_connections_are_used_again() -> None:
+    """Workers that send more than their answers: each new connection holds a slot for a while."""
+
+    async def test(bench: Bench) -> None:
+        bench.worker.script = [say(answer(b"7", b"ok") + answer(b"7", b"no"))]
+        await bench.call(make_read(request_id="7"))
+        for number in (b"8", b"9", b"10"):
+            bench.worker.script = [say(answer(number, b"next"))]
+            told = await bench.call(make_read(request_id=number.decode()))
+            assert (told.body, told.whole) == (b"next", True)
+        assert bench.worker.connections == 2
+
+    run(test)
--- /dev/null
+++ b/tests/test_packing.py
@@ -0,0 +1,59 @@
+"""Calls between data centres: most bytes there are heads that repeat the ones before."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from trefoilpick.errors import ErrorKind, TrefoilpickError
+from trefoilpick.hops import HopRequest
+from trefoilpick.packing import Packer, Unpacker
+
+MAX_BYTES = 4_096
+
+
+def encode_request(number: int) -> bytes:
+    request = HopRequest(
+        number=12,
+        digest="5a" * 32,
+        team="encargos",
+        route="ledger",
+        upstream="encargos",
+        method="GET",
+        target=f"/ledger/{number}",
+        headers=[(b"host", b"encargos.example"), (b"accept", b"*/*")],
+        remaining_ms=400 - number,
+        priority="normal",
+        idempotent=True,
+        caller="10.1.0.38",
+        token=None,
+        wants_token=False,
+        has_body=False,
+        is_retry=False,
+        vm="10.1.0.38",
+        request_id=f"{number * 7_919:016x}",
+        objective_ms=120,
+    )
+    return msgspec.msgpack.encode(request)
+
+
+def test_heads_come_back_in_order_and_take_a_quarter_of_their_bytes() -> None:
+    packer, unpacker = Packer(), Unpacker(max_bytes=MAX_BYTES)
+    heads = [encode_request(number) for number in range(100)]
+    packed = [packer.pack(head) for head in heads]
+    assert [unpacker.unpack(data) for data in packed] == heads
+    assert sum(map(len, packed)) * 4 < sum(map(len, heads))
+
+
+def test_a_head_over_the_limit_is_refused() -> None:
+    packed = Packer().pack(bytes(MAX_BYTES + 1))
+    with pytest.raises(TrefoilpickError) as caught:
+        Unpacker(max_bytes=MAX_BYTES).unpack(packed)
+    assert caught.value.kind is ErrorKind.MESSAGE_TOO_LARGE
+
+
+@pytest.mark.parametrize("data", [b"\xff\xff\xff", b"\x07", b"garbage that is no block"])
+def test_bytes_that_are_no_compressed_head_are_refused(data: bytes) -> None:
+    with pytest.raises(TrefoilpickError) as caught:
+        Unpacker(max_bytes=MAX_BYTES).unpack(data)
+    assert caught.value.kind is ErrorKind.MESSAGE_MALFORMED
--- a/trefoilpick/_exchange.py
+++ b/trefoilpick/_exchange.py
@@ -107,6 +107,7 @@
         self._connection: WorkerConnection | None = None
         self._upload: Task | None = None
         self._lost: TrefoilpickError | None = None
+        self._sent_s = began_s
         self._answer_begun = False
 
     @property
@@ -224,6 +225,8 @@
             if connection.is_fresh:
                 raise _refuse_connection() from error
         except TrefoilpickError as error:
+            if error.kind is ErrorKind.UPSTREAM_LOST:
+                self._service.pool.note_lost(connection, sent_s=self._sent_s, now_s=read_clock())
             if not self._may_repeat(connection, error):
                 raise
             self._lost = error
@@ -247,6 +250,7 @@
             connect_timeout_s=upstream.connect_timeout_ms / 1000,
             now_s=read_clock(),
             fresh=fresh,
+            newest=not self._request.idempotent,
         )
         return self._connection
 
@@ -262,6 +266,7 @@
         is_retry = self._request.is_retry or self.was_sent
         # Set before: where the sending is interrupted, some bytes may have left.
         self.was_sent = True
+        self._sent_s = read_clock()
         self._link.cancellable = self._request.idempotent or not whole
         await connection.send_request(
             self._request,
--- a/trefoilpick/_hoplinks.py
+++ b/trefoilpick/_hoplinks.py
@@ -60,7 +60,7 @@
         """
         if self.departed:
             return
-        data = b"".join(frames)
+        data = self.hop.pack(b"".join(frames))
         try:
             rest = memoryview(data)[self.hop.send_some(data) :]
             if rest:
--- a/trefoilpick/balancing.py
+++ b/trefoilpick/balancing.py
@@ -394,6 +394,10 @@
         if refused and service is not None and name in service.list_ejected(now):
             self._directory.note_refused(name)
 
+    def note_silence(self, record: WorkerRecord, now: float) -> None:
+        """Note that a worker's VM is cut off: no further request needs to find that out."""
+        record.ejection.note_report(now, self._random)
+
     def _update_service(self, name: str, now: float) -> Service:
         service = self._services.get(name)
         if service is None:
--- a/trefoilpick/callers.py
+++ b/trefoilpick/callers.py
@@ -508,7 +508,7 @@
     """
     requests = settings.requests
     balancer = Balancer(settings.vm, directory, random, note_version=note_version)
-    pool = HopPool(requests, balancer.note_notice)
+    pool = HopPool(requests, balancer.note_notice, data_centre=settings.vm.data_centre)
     budgets = RetryBudgets(
         requests.retry_percent, reserve=requests.retry_reserve, count_vms=directory.count_vms
     )
--- a/trefoilpick/errors.py
+++ b/trefoilpick/errors.py
@@ -57,6 +57,7 @@
     UPSTREAM_SHED = "upstream_shed"
     UPSTREAM_REPLACED = "upstream_replaced"
     UPSTREAM_LOST = "upstream_lost"
+    UPSTREAM_SILENT = "upstream_silent"
     UPSTREAM_FAILED = "upstream_failed"
     ANSWER_MALFORMED = "answer_malformed"
     ANSWER_CUT = "answer_cut"
@@ -131,6 +132,7 @@
     ErrorKind.UPSTREAM_SHED: Answer(503, Outcome.NOT_RUN, 0.1),
     ErrorKind.UPSTREAM_REPLACED: Answer(503, Outcome.NOT_RUN, 0.1),
     ErrorKind.UPSTREAM_LOST: Answer(502, Outcome.UNKNOWN),
+    ErrorKind.UPSTREAM_SILENT: Answer(502, Outcome.UNKNOWN),
     ErrorKind.UPSTREAM_FAILED: Answer(502, Outcome.RUN),
     ErrorKind.ANSWER_MALFORMED: Answer(502, Outcome.UNKNOWN),
     ErrorKind.ANSWER_CUT: Answer(502, Outcome.RUN),
--- a/trefoilpick/forwarding.py
+++ b/trefoilpick/forwarding.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -206,6 +207,8 @@
             waited_s = now - call.started_at
             if waited_s * MS_PER_S * 2 >= call.team_route.route.contract.deadline_ms:
                 self._balancer.note_failure(record, now)
+        elif error.kind is ErrorKind.UPSTREAM_SILENT:
+            self._balancer.note_silence(record, now)
         elif error.kind in WORKER_FAULTS and not call.link.is_gone:
             refused = error.kind is ErrorKind.UPSTREAM_REFUSED
             self._balancer.note_failure(record, now, refused=refused)
@@ -321,7 +324,10 @@
                 if moved_at is None or moved_at <= deadline_at:
                     raise _describe_lateness(hop) from None
                 deadline_at = moved_at
-            except (OSError, TrefoilpickError):
+            except OSError as error:
+                _check_silence(hop, error)
+                return None
+            except TrefoilpickError:
                 return None
 
     async def _receive_by_coarse_deadline(self, call: Call, hop: ClientHop) -> Frame | None:
@@ -331,11 +337,15 @@
         """
         link = call.link
         link.deadline_at = call.deadline_at
+        frame = None
         try:
             frame = await hop.receive()
-        except (OSError, TrefoilpickError):
-            frame = None
-        link.deadline_at = None
+        except OSError as error:
+            _check_silence(hop, error)
+        except TrefoilpickError:
+            pass
+        finally:
+            link.deadline_at = None
         if link.is_late:
             raise _describe_lateness(hop)
         return frame
@@ -430,6 +440,17 @@
     return began_at + allowed_s
 
 
+def _check_silence(hop: ClientHop, error: OSError) -> None:
+    """Tell a node that is cut off from one that closed its hop.
+
+    Raises:
+        TrefoilpickError: `UPSTREAM_SILENT`.
+    """
+    if error.errno == errno.ETIMEDOUT:
+        text = f'VM "{hop.vm.name}" does not acknowledge what it is sent'
+        raise TrefoilpickError(ErrorKind.UPSTREAM_SILENT, text) from error
+
+
 def _describe_loss(call: Call, hop: ClientHop, uploader: Uploader | None) -> TrefoilpickError:
     if call.link.is_gone:
         return TrefoilpickError(ErrorKind.CALLER_GONE, "the caller left before its answer")
--- a/trefoilpick/hopclient.py
+++ b/trefoilpick/hopclient.py
@@ -28,6 +28,10 @@
 PEEK_FLAGS = socket.MSG_PEEK | socket.MSG_DONTWAIT
 """Flags that look at a connection's input without taking it or waiting."""
 
+SILENCE_MS = 500
+"""Time for which a node may leave bytes unacknowledged before its hop breaks, in milliseconds: over
+twice the shortest retransmission timeout, so that one lost packet breaks none."""
+
 NOTICE_TIMEOUT_S = 0.05
 """Time to receive the rest of a notice that has begun, in seconds."""
 
@@ -60,6 +64,7 @@
         """
         self.is_handed_over = False
         self.is_clean = False
+        data = self.pack(data)
         sent = await self.sock.send(data)
         self.is_handed_over = True
         if sent < len(data):
@@ -91,12 +96,19 @@
     Args:
         settings: Settings of requests.
         note_load: Called with the VM's name and the load of each notice.
+        data_centre: Where this node stands; heads to other data centres are compressed. Empty
+            where it does not matter.
     """
 
     def __init__(
-        self, settings: RequestSettings, note_load: Callable[[Vm, Load, float], None]
+        self,
+        settings: RequestSettings,
+        note_load: Callable[[Vm, Load, float], None],
+        *,
+        data_centre: str = "",
     ) -> None:
         self._settings = settings
+        self._data_centre = data_centre
         self._note_load = note_load
         self._idle: dict[str, deque[ClientHop]] = {}
 
@@ -114,7 +126,10 @@
             ):
                 return hop
             await hop.close()
-        return await open_hop(vm, timeout_s=timeout_s)
+        hop = await open_hop(vm, timeout_s=timeout_s)
+        if self._data_centre and vm.data_centre != self._data_centre:
+            hop.begin_packing()
+        return hop
 
     async def release(self, hop: ClientHop, now: float) -> None:
         """Take back a connection, to keep it if its last exchange was whole."""
@@ -180,6 +195,7 @@
     sock = socket.socket(family, socket.SOCK_STREAM)
     try:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENCE_MS)
         await curio.timeout_after(max(timeout_s, 0.0), sock.connect, (vm.host, vm.hop_port))
     except (OSError, curio.TaskTimeout) as error:
         await sock.close()
--- a/trefoilpick/hops.py
+++ b/trefoilpick/hops.py
@@ -3,6 +3,9 @@
 A hop is a TCP connection that carries one request at a time, as frames: a length, a kind and a
 payload. Heads are msgpack; bodies are raw bytes, so that TCP's own flow control is the
 backpressure of both bodies. A body is whole only when its END frame arrived.
+
+On a hop between data centres heads are compressed: the end that opened it begins, and the other
+end follows from the first compressed head on.
 """
 
 from __future__ import annotations
@@ -14,6 +17,7 @@
 import msgspec
 
 from trefoilpick.errors import ErrorKind, TrefoilpickError
+from trefoilpick.packing import Packer, Unpacker
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -52,6 +56,13 @@
     """Payload: `Load`. From the worker's node between requests, when its state changes."""
 
 
+HEAD_KINDS = frozenset((FrameKind.REQUEST, FrameKind.ANSWER, FrameKind.FAILURE, FrameKind.NOTICE))
+"""Kinds whose payload is a head; one is always the first frame that is sent together."""
+
+PACKED_FLAG = 0x80
+"""Bit of a frame's kind: the payload is compressed."""
+
+
 class Load(msgspec.Struct, frozen=True, array_like=True):
     """First-hand load of one worker, as its own node sees it.
 
@@ -178,14 +189,40 @@
     def __init__(self, sock: Socket) -> None:
         self.sock = sock
         self._buffer = bytearray()
+        self._packer: Packer | None = None
+        self._unpacker: Unpacker | None = None
+
+    def begin_packing(self) -> None:
+        """Compress the heads that are sent from now on."""
+        if self._packer is None:
+            self._packer = Packer()
+
+    def pack(self, data: bytes) -> bytes:
+        """Return encoded frames as they go on the wire; they must be sent, and in this order.
+
+        Args:
+            data: Whole frames; at most the first one is a head.
+        """
+        if self._packer is None:
+            return data
+        length, kind = FRAME_HEADER.unpack_from(data)
+        if kind not in HEAD_KINDS:
+            return data
+        end = FRAME_HEADER.size + length
+        head = self._packer.pack(data[FRAME_HEADER.size : end])
+        return FRAME_HEADER.pack(len(head), kind | PACKED_FLAG) + head + data[end:]
 
     async def send(self, *frames: bytes) -> None:
         """Send encoded frames in one call."""
-        await self.sock.sendall(frames[0] if len(frames) == 1 else b"".join(frames))
+        data = frames[0] if len(frames) == 1 else b"".join(frames)
+        await self.sock.sendall(self.pack(data))
 
     def send_some(self, data: bytes) -> int:
         """Send as much as the socket takes without waiting.
 
+        Args:
+            data: Bytes as they go on the wire.
+
         Returns:
             How many bytes were sent.
 
@@ -236,6 +273,9 @@
             return None
         payload = bytes(buffer[FRAME_HEADER.size : end])
         del buffer[:end]
+        if kind & PACKED_FLAG:
+            kind ^= PACKED_FLAG
+            payload = self._unpack(payload)
         try:
             return Frame(FrameKind(kind), payload)
         except ValueError as error:
@@ -246,6 +286,12 @@
         """Close the connection."""
         await self.sock.close()
 
+    def _unpack(self, payload: bytes) -> bytes:
+        if self._unpacker is None:
+            self._unpacker = Unpacker(max_bytes=MAX_FRAME_BYTES)
+            self.begin_packing()
+        return self._unpacker.unpack(payload)
+
 
 def encode_frame(kind: FrameKind, payload: bytes = b"") -> bytes:
     """Return the bytes of one frame."""
--- a/trefoilpick/platform/store.py
+++ b/trefoilpick/platform/store.py
@@ -224,7 +224,8 @@
 
     def _note_read(self, key: str, revision: int) -> None:
         self._read_at[key] = revision
-        self._changes[key] = []
+        # The other value's watch may have heard of later changes while the read was under way.
+        self._changes[key] = [item for item in self._changes[key] if item.revision > revision]
         if self._position is None:
             self._position = revision
 
@@ -253,7 +254,7 @@
         self._position = max(self._position or 0, told.store_revision)
         for item in told.events:
             key = _find_value(item)
-            if key is not None and item.revision > self._read_at.get(key, item.revision):
+            if key is not None and item.revision > self._read_at.get(key, 0):
                 self._changes[key].append(item)
 
     def _draw_wait(self) -> int:
--- a/trefoilpick/retries.py
+++ b/trefoilpick/retries.py
@@ -25,6 +25,7 @@
         ErrorKind.UPSTREAM_SHED,
         ErrorKind.UPSTREAM_REPLACED,
         ErrorKind.UPSTREAM_LOST,
+        ErrorKind.UPSTREAM_SILENT,
         ErrorKind.UPSTREAM_FAILED,
         ErrorKind.ANSWER_MALFORMED,
         ErrorKind.INTERNAL,
--- a/trefoilpick/upstreams.py
+++ b/trefoilpick/upstreams.py
@@ -16,13 +16,31 @@
 DISTRUST_S = 60.0
 """Time for which no connection is used twice after surplus bytes, in seconds."""
 
+FORGOTTEN_WITHIN_S = 0.02
+"""Time after sending within which a reset shows that the worker had forgotten the connection, in
+seconds: many times the way to a worker on the same VM, and less than a request takes."""
+
+FORGOTTEN_DIVISOR = 2
+"""A forgotten connection's idle time divided by this is taken as safe: it was forgotten at some
+unknown moment before."""
+
+SHORTEST_IDLE_S = 0.05
+"""Idle time that is always taken as safe, in seconds: less would end the reuse of connections."""
+
+FORGOTTEN_HOLD_S = 10.0
+"""Time for which a safe idle time is kept to, in seconds; then the worker's own word counts."""
+
 
 class WorkerPool:
     """Kept connections to one worker, the longest unused first.
 
     A worker that sends more than its answers is distrusted: what it sends late could be taken for
-    the answer to the next request, so for a while no connection to it is used twice. The longest
-    unused connection goes first for the same reason: what is late shows before the next use.
+    the answer to the next request, so for a while no connection to it is used twice, unless its
+    answers name their requests. The longest unused connection goes first for the same reason: what
+    is late shows before the next use.
+
+    A worker may forget a connection without a word. Whatever is sent on it next is reset, which
+    does not prove that nothing ran; so once that was seen, connections are trusted for less time.
 
     Args:
         host: IP address of the worker.
@@ -48,6 +66,8 @@
         self._conventions = conventions
         self._idle: deque[WorkerConnection] = deque()
         self._distrusted_until_s = 0.0
+        self._safe_idle_s = 0.0
+        self._safe_until_s = 0.0
 
     @property
     def idle(self) -> int:
@@ -55,7 +75,12 @@
         return len(self._idle)
 
     async def acquire(
-        self, *, connect_timeout_s: float, now_s: float, fresh: bool = False
+        self,
+        *,
+        connect_timeout_s: float,
+        now_s: float,
+        fresh: bool = False,
+        newest: bool = False,
     ) -> WorkerConnection:
         """Return a quiet kept connection, or a new one.
 
@@ -63,16 +88,18 @@
             connect_timeout_s: Time to connect, in seconds.
             now_s: Reading of the clock, in seconds.
             fresh: Whether a kept connection will not do.
+            newest: Whether the connection that was used last goes first: the one that is forgotten
+                least likely.
 
         Raises:
             TrefoilpickError: `UPSTREAM_REFUSED`; nothing was sent.
         """
         while self._idle:
-            connection = self._idle.popleft()
+            connection = self._idle.pop() if newest else self._idle.popleft()
             is_quiet = connection.is_quiet()
             if connection.surplus:
                 self._distrust(now_s)
-            is_recent = now_s - connection.idle_since_s <= self._find_max_idle(connection)
+            is_recent = now_s - connection.idle_since_s <= self._find_max_idle(connection, now_s)
             if is_quiet and is_recent and not fresh and now_s >= self._distrusted_until_s:
                 return connection
             await self.discard(connection)
@@ -110,13 +137,29 @@
         while self._idle:
             await self.discard(self._idle.pop())
 
-    def _find_max_idle(self, connection: WorkerConnection) -> float:
-        if connection.keep_alive_s is None:
-            return self._max_idle_s
-        return connection.keep_alive_s - KEEP_ALIVE_MARGIN_S
+    def note_lost(self, connection: WorkerConnection, *, sent_s: float, now_s: float) -> None:
+        """Note that a kept connection broke before any answer.
+
+        Args:
+            connection: The connection.
+            sent_s: Reading of the clock when the request was sent, in seconds.
+            now_s: Reading of the clock, in seconds.
+        """
+        if connection.is_fresh or now_s - sent_s > FORGOTTEN_WITHIN_S:
+            return
+        idle_s = max(sent_s - connection.idle_since_s, 0.0)
+        self._safe_idle_s = max(idle_s / FORGOTTEN_DIVISOR, SHORTEST_IDLE_S)
+        self._safe_until_s = now_s + FORGOTTEN_HOLD_S
+
+    def _find_max_idle(self, connection: WorkerConnection, now_s: float) -> float:
+        stated_s = self._max_idle_s
+        if connection.keep_alive_s is not None:
+            stated_s = connection.keep_alive_s - KEEP_ALIVE_MARGIN_S
+        return min(stated_s, self._safe_idle_s) if now_s < self._safe_until_s else stated_s
 
     def _distrust(self, now_s: float) -> None:
-        self._distrusted_until_s = now_s + DISTRUST_S
+        if not self._conventions.echoes_request_id:
+            self._distrusted_until_s = now_s + DISTRUST_S
 
     async def _connect(self, timeout_s: float) -> WorkerConnection:
         sock = Socket(socket.socket(self._family, socket.SOCK_STREAM))
