Every node of a small fleet reads; a VM off the list that does not answer is no peer

Released VMs were off the list but counted as alive until three missed heartbeats and again at each retry: they took ranks, so that a live node ceased to read, and stood between it and the readers on the ring. Ruled out: the store (readers followed at once); a break of the follower's own link (its exchanges went on).

--- a/tests/test_overlay.py
+++ b/tests/test_overlay.py
@@ -4,7 +4,7 @@
 import pytest
 from fakes_fleet import make_vms
 
-from trefoilpick.overlay import OVERLAYS, OverlayView, find_rank, list_targets
+from trefoilpick.overlay import OVERLAYS, OverlayView, find_rank, list_targets, read_share
 from trefoilpick.ranks import list_fingers, rank_vms
 from trefoilpick.vms import Vm
 
@@ -54,3 +54,11 @@
 def test_fingers_of_a_name_that_is_not_on_the_ring_are_none() -> None:
     assert list_fingers(("a", "b", "c"), "d") == ()
     assert list_fingers(("a", "b", "c"), "c") == ("a", "b")
+
+
+@pytest.mark.parametrize(("each", "readers"), [(5, 15), (6, 9)])
+def test_every_node_of_a_small_fleet_reads(each: int, readers: int) -> None:
+    vms = make_vms(3, each)
+    overlay = OVERLAYS["fingers"]
+    views = [OverlayView(vm, vms, 3, small_fleet=16) for vm in vms]
+    assert sum(read_share(overlay, view) for view in views) == readers
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -110,6 +110,20 @@
     assert roster.find_vm(fresh.name) is None
 
 
+def test_vm_that_the_list_dropped_and_that_does_not_answer_is_no_peer() -> None:
+    """VMs that are taken away while versions come fast: none of them may stand between readers."""
+    roster, clock = open_roster()
+    roster.note_alive(PEER.name, 1)
+    roster.adopt_list(VmList(2, tuple(vm for vm in VMS if vm != PEER)))
+    assert PEER in roster.list_alive()
+    roster.note_missed(PEER.name)
+    assert PEER not in roster.list_alive()
+    clock.now_s += UNLISTED_S - 1
+    assert PEER not in roster.list_alive()
+    roster.note_alive(PEER.name, 2)
+    assert PEER in roster.list_alive()
+
+
 def test_older_list_changes_nothing() -> None:
     roster, _ = open_roster()
     assert not roster.adopt_list(VmList(1, ()))
--- a/trefoilpick/distribution.py
+++ b/trefoilpick/distribution.py
@@ -289,7 +289,8 @@
 
     def view(self) -> OverlayView:
         """Return what the node believes of the fleet."""
-        return OverlayView(self.own, self.roster.list_alive(), self._control.readers)
+        control = self._control
+        return OverlayView(self.own, self.roster.list_alive(), control.readers, control.small_fleet)
 
     def tell_state(self) -> Exchange:
         """Return the node's state in few bytes."""
--- a/trefoilpick/overlay.py
+++ b/trefoilpick/overlay.py
@@ -22,11 +22,18 @@
         own: The node's own VM.
         alive: VMs that it believes alive, its own among them.
         readers: Readers of each data centre.
+        small_fleet: Size of a fleet of which every node reads.
     """
 
     own: Vm
     alive: tuple[Vm, ...]
     readers: int
+    small_fleet: int = 0
+
+    @property
+    def is_small(self) -> bool:
+        """Whether every node reads the source, the first ranks and all others."""
+        return len(self.alive) <= self.small_fleet
 
 
 @dataclass(frozen=True)
@@ -88,7 +95,7 @@
 @singledispatch
 def read_share(overlay: Overlay, view: OverlayView) -> bool:
     """Tell whether the node reads the source while all goes well."""
-    return find_rank(view) < view.readers
+    return view.is_small or find_rank(view) < view.readers
 
 
 @read_share.register(EveryNodeWatches)
--- a/trefoilpick/readership.py
+++ b/trefoilpick/readership.py
@@ -138,7 +138,10 @@
         alive = self._roster.list_alive()
         if is_reader:
             centres = {vm.data_centre for vm in alive}
-            return READERS_SHARE * reads / (self._control.readers * len(centres)), READER_BURST
+            readers = self._control.readers * len(centres)
+            if self._view().is_small:
+                readers = max(readers, len(alive))
+            return READERS_SHARE * reads / readers, READER_BURST
         listed = self._roster.revision > 0
         vms = len(alive) if listed else max(len(alive), self._control.expected_vms)
         return (1 - READERS_SHARE) * reads / vms, OTHER_BURST
--- a/trefoilpick/roster.py
+++ b/trefoilpick/roster.py
@@ -267,6 +267,9 @@
         evidence = self._evidence.get(name)
         if evidence is None or name == self.own.name:
             return True
+        if name in self._unlisted:
+            # The list says that it is gone: one question without an answer confirms that.
+            return evidence.misses == 0 and evidence.refusals == 0
         if evidence.misses < DEAD_AFTER and evidence.refusals == 0:
             return True
         return evidence.retry_s <= self._clock()
--- a/trefoilpick/settings.py
+++ b/trefoilpick/settings.py
@@ -92,6 +92,9 @@
     readers: Annotated[
         int, Meta(ge=1, le=256), _describe("Nodes of a data centre that read the source")
     ] = 2
+    small_fleet: Annotated[
+        int, Meta(ge=0, le=256), _describe("Size of a fleet of which every node reads", "VMs")
+    ] = 0
     exchange_ms: Annotated[
         int, Meta(ge=50, le=60_000), _describe("Mean time between exchanges with a peer", "ms")
     ] = 2_000
