Light requests make room for heavy ones in their data centre

Ruled out: compressing bodies. Change: where a data centre is full, requests that move few bytes leave at 0.8 of the near slots for a gain of 0.3, those that move 2 kB or more at 1.2 for a gain of 0.8; bytes are learned by route.

--- a/tests/test_balancing.py
+++ b/tests/test_balancing.py
@@ -233,3 +233,20 @@
     fleet = Fleet(4)
     fleet.balancer.note_silence(fleet.find("vm-2"), fleet.now)
     assert fleet.count_choices()["vm-2"] == 0
+
+
+def test_light_requests_make_room_for_heavy_ones_in_their_data_centre() -> None:
+    """A data centre with more work than slots, and free slots far away: bytes there cost."""
+    fleet = Fleet(4, data_centres=("lima-a", "lima-b"))
+    near, far = {"vm-2", "vm-4"}, {"vm-1", "vm-3"}
+    for name in near:
+        fleet.report(name, in_flight=10)
+    for name in far:
+        fleet.report(name, in_flight=3)
+    chosen = {fleet.balancer.choose(UPSTREAM, fleet.now, is_heavy=True).vm.name for _ in range(50)}
+    assert chosen <= near
+    assert set(fleet.count_choices()) <= far
+    for name in near:
+        fleet.report(name, in_flight=10, queued=4)
+    chosen = {fleet.balancer.choose(UPSTREAM, fleet.now, is_heavy=True).vm.name for _ in range(50)}
+    assert chosen <= far
--- /dev/null
+++ b/tests/test_transfers.py
@@ -0,0 +1,21 @@
+from trefoilpick.transfers import HEAVY_BYTES, MAX_ROUTES, TransferSizes
+
+
+def test_a_route_is_heavy_by_what_its_requests_moved_lately() -> None:
+    sizes = TransferSizes()
+    assert not sizes.is_heavy("encargos", "spread")
+    sizes.note("encargos", "spread", HEAVY_BYTES)
+    sizes.note("encargos", "ledger", 100)
+    assert sizes.is_heavy("encargos", "spread")
+    assert not sizes.is_heavy("encargos", "ledger")
+    for _ in range(50):
+        sizes.note("encargos", "spread", 100)
+    assert not sizes.is_heavy("encargos", "spread")
+
+
+def test_memory_of_routes_is_bounded() -> None:
+    sizes = TransferSizes()
+    for number in range(MAX_ROUTES + 1):
+        sizes.note("team", str(number), HEAVY_BYTES)
+    assert not sizes.is_heavy("team", "0")
+    assert sizes.is_heavy("team", str(MAX_ROUTES))
--- a/trefoilpick/balancing.py
+++ b/trefoilpick/balancing.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from enum import IntEnum
 from typing import TYPE_CHECKING, Protocol
 
@@ -25,16 +26,31 @@
     from trefoilpick.settings import VmSettings
     from trefoilpick.vms import Vm
 
-SPILL_UTILISATION = 0.9
-"""Share of a worker's slots in use from which a farther zone is considered."""
-
 FULL_UTILISATION = 2.0
 """Requests over slots of a worker from which another refusal is expected: a queue of as many as run
 already takes the whole of a usual objective."""
 
-FAR_GAIN = 0.4
-"""How much less utilised a worker of a farther zone must be to get a request, as a share of its
-slots: less gains no more time than the way there takes, and bytes between data centres cost."""
+
+@dataclass(frozen=True)
+class Spill:
+    """When a request leaves its data centre, in shares of a worker's slots.
+
+    Attributes:
+        utilisation: Use of the near worker from which a farther one is considered.
+        gain: How much less used the farther one must be.
+    """
+
+    utilisation: float
+    gain: float
+
+
+LIGHT_SPILL = Spill(utilisation=0.8, gain=0.3)
+"""For requests that move few bytes: a free slot far away beats a busy one nearby, and less gains
+no more time than the way there takes."""
+
+HEAVY_SPILL = Spill(utilisation=1.2, gain=0.8)
+"""For requests that move many bytes, which cost between data centres: the light ones make room for
+them first, so that they leave only for most of a service time."""
 
 LOAD_HALF_LIFE_S = 1.0
 """Time in which a reported load loses half of its weight, in seconds."""
@@ -316,7 +332,12 @@
         self._services: dict[str, Service] = {}
 
     def choose(
-        self, upstream: Upstream, now: float, *, avoid: Collection[str] = ()
+        self,
+        upstream: Upstream,
+        now: float,
+        *,
+        avoid: Collection[str] = (),
+        is_heavy: bool = False,
     ) -> WorkerRecord:
         """Choose a worker for the next request.
 
@@ -324,12 +345,14 @@
             upstream: The service.
             now: Time on the node's clock, in seconds.
             avoid: Names of VMs that are taken only where no other is available.
+            is_heavy: Whether the request moves many bytes.
 
         Raises:
             TrefoilpickError: `NO_UPSTREAM`, where no worker may get a request.
         """
         service = self._update_service(upstream.name, now)
         usual_s = service.compute_usual_latency(now)
+        spill = HEAVY_SPILL if is_heavy else LIGHT_SPILL
         best: WorkerRecord | None = None
         best_utilisation = 0.0
         for zone in service.list_available(now):
@@ -337,14 +360,14 @@
             if record is None:
                 continue
             utilisation = record.estimate_utilisation(now, upstream.slots)
-            if utilisation < SPILL_UTILISATION:
+            if utilisation < spill.utilisation:
                 return record
-            if best is None or utilisation < best_utilisation - FAR_GAIN:
+            if best is None or utilisation < best_utilisation - spill.gain:
                 best, best_utilisation = record, utilisation
         if best is not None:
             return best
         if avoid:
-            return self.choose(upstream, now)
+            return self.choose(upstream, now, is_heavy=is_heavy)
         text = f'upstream "{upstream.name}" has no worker that takes requests'
         raise TrefoilpickError(ErrorKind.NO_UPSTREAM, text)
 
--- a/trefoilpick/forwarding.py
+++ b/trefoilpick/forwarding.py
@@ -25,6 +25,7 @@
 )
 from trefoilpick.retries import plan_retry
 from trefoilpick.tokens import read_claims
+from trefoilpick.transfers import TransferSizes
 from trefoilpick.uploads import END_FRAME, Uploader
 
 if TYPE_CHECKING:
@@ -103,6 +104,7 @@
         self._budgets = budgets
         self._metrics = metrics
         self._random = random
+        self._sizes = TransferSizes()
 
     async def forward(self, call: Call, own_headers: Headers) -> float:
         """Bring a request to a worker and its whole answer to the caller.
@@ -217,7 +219,9 @@
         upstream = call.team_route.upstream
         token = call.head.token
         if token is None:
-            return self._balancer.choose(upstream, now, avoid=tried)
+            team, route = call.team_route.team, call.team_route.route.name
+            is_heavy = self._sizes.is_heavy(team, route)
+            return self._balancer.choose(upstream, now, avoid=tried, is_heavy=is_heavy)
         vm = read_claims(token).vm
         record = self._balancer.find(upstream.name, vm, now)
         if record is None:
@@ -358,8 +362,10 @@
         headers = build_answer_headers(answer, own_headers)
         head_pending = True
         ended = False
+        size = call.body.received
         while not ended:
             parts, ended = await self._receive_parts(call, attempt, wait=not head_pending)
+            size += sum(map(len, parts))
             if head_pending:
                 data = link.encode_answer(answer.status, headers, parts, ended=ended)
                 head_pending = False
@@ -367,6 +373,7 @@
                 data = link.encode_parts(parts, ended=ended)
             if data:
                 await link.send(data)
+        self._sizes.note(call.team_route.team, call.team_route.route.name, size)
 
     async def _receive_parts(
         self, call: Call, attempt: Attempt, *, wait: bool
