Calls that workers make are urgent and have the time of their parents

A nested call leaves the time that its parent has left, which was taken for that of a caller that came back, so that its objective of 120 ms was mostly over and it waited behind all others. Ruled out: failures of correctie's workers (143 of 9,336). Change: a call whose identity names its parent is not taken to have come back, has its deadline as its objective, and goes first at the worker.

--- a/tests/fakes_hop.py
+++ b/tests/fakes_hop.py
@@ -16,6 +16,7 @@
 
 from trefoilpick._tokenseals import MAC_BYTES, TokenClaims
 from trefoilpick.callers import CallerServer, open_caller_server
+from trefoilpick.conventions import OWN_CONVENTIONS, Conventions
 from trefoilpick.document import Contract, Document, Match, Route, Section, Upstream
 from trefoilpick.errors import ErrorKind, Outcome
 from trefoilpick.hops import (
@@ -248,6 +249,7 @@
     *fakes: FakeHop,
     requests: RequestSettings | None = None,
     drain: DrainSettings | None = None,
+    conventions: Conventions = OWN_CONVENTIONS,
 ) -> Bench:
     """Run a test's main task beside a caller server and its fakes."""
 
@@ -266,6 +268,7 @@
             is_ready=lambda: bench.ready,
             is_level=lambda: bench.level,
             random=random.Random(5),
+            conventions=conventions,
         )
         bench = Bench(server, fakes, directory, metrics, cell)
         for fake, listener in listeners:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -22,6 +22,7 @@
     wait_until,
 )
 
+from trefoilpick.conventions import Conventions
 from trefoilpick.errors import ErrorKind, Outcome
 from trefoilpick.hopclient import ClientHop
 from trefoilpick.hops import (
@@ -590,3 +591,26 @@
     bench = run_bench(main, FakeHop("vm-1", data_centre="lima-z"), FakeHop("vm-2"))
     run_bench(main, FakeHop("vm-1", data_centre="lima-z"))
     assert all(hop._packer is None for fake in bench.fakes[1:] for hop in fake.hops)
+
+
+@pytest.mark.parametrize(
+    ("request_id", "priority", "objective_ms"),
+    [("7a.1", "interactive", range(280, 301)), ("7b", "normal", range(-600, 0))],
+    ids=["nested", "returning"],
+)
+def test_a_nested_call_is_urgent_and_has_the_time_of_its_parent(
+    request_id: str, priority: str, objective_ms: range
+) -> None:
+    """A call that a worker makes late in its run leaves less time, and has not come back."""
+
+    async def main(bench: Bench) -> None:
+        caller = await connect(bench)
+        for deadline_ms, name in (("1000", "1"), ("320", request_id)):
+            await caller.ask(
+                "PUT", "/note", b"b", x_request_id=name, x_trefoilpick_deadline_ms=deadline_ms
+            )
+
+    bench = run_bench(main, FakeHop(), conventions=Conventions(nested_mark=b"."))
+    head = bench.fakes[0].seen[-1].head
+    assert head.priority == priority
+    assert head.objective_ms in objective_ms
--- a/tests/test_gate_objectives.py
+++ b/tests/test_gate_objectives.py
@@ -131,3 +131,16 @@
 
     run_virtual(main())
     assert load.late["again"] >= 0.95 * 100
+
+
+def test_nested_calls_are_served_while_long_requests_fill_the_worker() -> None:
+    """A worker is overloaded by audits, and other workers' runs wait for calls that it serves."""
+    load = Load()
+
+    async def main() -> None:
+        async with curio.TaskGroup() as tasks:
+            await tasks.spawn(load.press, "nested", Priority.INTERACTIVE, 15.0, 10.0)
+            await tasks.spawn(load.press, "audit", Priority.DEFERRABLE, 60.0, 10.0)
+
+    run_virtual(main())
+    assert load.in_time["nested"] >= 0.98 * 150
--- a/trefoilpick/_hop_heads.py
+++ b/trefoilpick/_hop_heads.py
@@ -12,6 +12,7 @@
     RETRY_HEADER,
     TOKEN_HEADER,
 )
+from trefoilpick.document import Priority
 from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError
 from trefoilpick.hops import HopRequest
 
@@ -54,7 +55,7 @@
         target=head.target,
         headers=head.headers,
         remaining_ms=max(int(left_s * MS_PER_S) - HOP_MARGIN_MS, 1),
-        priority=route.contract.priority.value,
+        priority=_find_priority(call).value,
         idempotent=route.contract.idempotent,
         caller=call.link.caller,
         token=head.token,
@@ -67,6 +68,11 @@
     )
 
 
+def _find_priority(call: Call) -> Priority:
+    """Return the priority at the worker: without a nested call its parent's run is wasted."""
+    return Priority.INTERACTIVE if call.head.is_nested else call.team_route.route.contract.priority
+
+
 def _find_objective_ms(call: Call, now: float) -> int | None:
     left_s = call.objective_at - now
     return int(left_s * MS_PER_S) if math.isfinite(left_s) else None
--- a/trefoilpick/callers.py
+++ b/trefoilpick/callers.py
@@ -22,6 +22,7 @@
     VERSION_HEADER,
     Call,
     CallBody,
+    CallHead,
     read_head,
 )
 from trefoilpick.conventions import OWN_CONVENTIONS, Conventions
@@ -330,10 +331,7 @@
         allowed_ms = contract.deadline_ms
         if head.deadline_ms is not None:
             allowed_ms = min(allowed_ms, head.deadline_ms - ANSWER_MARGIN_MS)
-        elapsed_ms = self._patience.measure_elapsed(
-            team_route.team, team_route.route.name, head.deadline_ms, now
-        )
-        objective_ms = contract.objective.latency_ms - elapsed_ms
+        elapsed_ms, objective_ms = self._find_objective(head, team_route, allowed_ms, now)
         body = CallBody(link, contract.body_limit_bytes, self._settings.requests.kept_body_bytes)
         return Call(
             link,
@@ -347,6 +345,19 @@
             elapsed_ms,
         )
 
+    def _find_objective(
+        self, head: CallHead, team_route: TeamRoute, allowed_ms: float, now: float
+    ) -> tuple[int, float]:
+        """Return how long ago the caller first asked and what is left of its objective, in ms."""
+        if head.is_nested:
+            # It has the time that its parent has, and a refusal wastes the parent's run.
+            return 0, allowed_ms
+        route = team_route.route
+        elapsed_ms = self._patience.measure_elapsed(
+            team_route.team, route.name, head.deadline_ms, now
+        )
+        return elapsed_ms, route.contract.objective.latency_ms - elapsed_ms
+
     async def _run_call(self, call: Call) -> None:
         try:
             headers = self._list_own_headers(call.snapshot)
--- a/trefoilpick/calls.py
+++ b/trefoilpick/calls.py
@@ -102,6 +102,7 @@
         is_retry: Whether an earlier attempt was made above.
         body_length: Length of the body in bytes; None where it is not known yet.
         request_id: The caller's name for this attempt; empty where it gives none.
+        is_nested: Whether a worker makes it while it runs another request.
     """
 
     method: str
@@ -115,6 +116,7 @@
     is_retry: bool
     body_length: int | None
     request_id: str = ""
+    is_nested: bool = False
 
 
 @dataclass
@@ -277,6 +279,7 @@
         is_retry,
         None if is_chunked else body_length,
         request_id.decode("latin-1"),
+        bool(conventions.nested_mark) and conventions.nested_mark in request_id,
     )
 
 
--- a/trefoilpick/conventions.py
+++ b/trefoilpick/conventions.py
@@ -17,6 +17,9 @@
         not_run: Answer header by which a worker says that it did not run the request.
         answer_proof: Answer header that each success of a worker bears; empty where none does.
         echoes_request_id: Whether each answer of a worker repeats the request's identity.
+        nested_mark: What stands, in the identity of a call that a worker makes while it runs a
+            request, between the identity of that request and the rest; empty where calls do not
+            tell.
         fractional_retry_after: Whether callers read fractions of seconds in `Retry-After`.
     """
 
@@ -27,6 +30,7 @@
     not_run: bytes = b"x-not-run"
     answer_proof: bytes = b""
     echoes_request_id: bool = False
+    nested_mark: bytes = b""
     fractional_retry_after: bool = False
 
 
--- a/trefoilpick/platform/headers.py
+++ b/trefoilpick/platform/headers.py
@@ -12,6 +12,8 @@
     not_run=b"x-trefoilpick-not-executed",
     answer_proof=b"x-trefoilpick-response-signature",
     echoes_request_id=True,
+    # Seen on the wire, not told on the platform's pages: a hint that only orders requests.
+    nested_mark=b".",
     fractional_retry_after=True,
 )
 """The platform's names for what the product tells and reads in headers."""
