Nodes with thin links leave reading to others; long answers of the source may take their time

Counted by socket, every node read 300 kB/s from the store: the document is over 500 kB there, each node that joins read it for itself until one reading was whole, and a reading was given up after 1 s, which a link of 5 Mbit/s fills. Ruled out: control messages (50 B/s a node), lags of the event loop (13 in 77 nodes).

--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,60 @@
+"""Runs seeds of the soak: `python -m soak --seeds 50 --seconds 20 --nodes 8`."""
+
+from __future__ import annotations
+
+import random
+import shutil
+import time
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from soak.runs import RunPlan, run_soak
+from soak.seeds import REGRESSIONS
+
+FRESH_SEEDS = 2**31
+
+
+def main(
+    seeds: Annotated[int, typer.Option(help="Number of seeds.", min=1)] = 1,
+    first: Annotated[int, typer.Option(help="First seed; 0 draws fresh ones.")] = 0,
+    seconds: Annotated[float, typer.Option(help="Time of faults for each seed, in s.")] = 20.0,
+    nodes: Annotated[int, typer.Option(help="Node processes.", min=2, max=200)] = 6,
+    network: Annotated[int, typer.Option(help="Second number of all addresses.")] = 60,
+    breakage: Annotated[str, typer.Option(help="Deliberate breakage of all nodes.")] = "",
+    regressions: Annotated[bool, typer.Option(help="Begin with seeds that once failed.")] = True,
+    out: Annotated[Path, typer.Option(help="Where logs of failed seeds are kept.")] = Path(
+        "out/soak"
+    ),
+) -> None:
+    """Run seeds one after the other; exit 1 where a promise was broken."""
+    plans = [entry.plan for entry in REGRESSIONS] if regressions and not breakage else []
+    chosen = range(first, first + seeds) if first else _draw_seeds(seeds)
+    plans += [RunPlan(seed, nodes, seconds, breakage) for seed in chosen]
+    failed = 0
+    for plan in plans:
+        folder = out / f"seed-{plan.seed}"
+        shutil.rmtree(folder, ignore_errors=True)
+        began = time.monotonic()
+        report = run_soak(plan, folder=folder, network=network)
+        verdict = "holds" if report.holds else "BROKEN"
+        typer.echo(
+            f"seed {plan.seed}: {verdict}; {report.faults} faults, {report.versions} versions, "
+            f"{report.calls} calls, {report.answered} answered, {time.monotonic() - began:.0f} s"
+        )
+        for text in report.violations[:10]:
+            typer.echo(f"  {text}")
+        failed += not report.holds
+        if report.holds:
+            shutil.rmtree(folder)
+    raise typer.Exit(1 if failed else 0)
+
+
+def _draw_seeds(count: int) -> list[int]:
+    chance = random.SystemRandom()
+    return [chance.randrange(1, FRESH_SEEDS) for _ in range(count)]
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/soak/breakages.py
@@ -0,0 +1,128 @@
+"""Deliberate breakages of the product: the soak must catch each."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+from trefoilpick import _redemption as redemption
+from trefoilpick import callers, errors, forwarding, hopclient, reading, relay, retries
+from trefoilpick import hopserver as hopserver_module
+from trefoilpick import node as node_module
+from trefoilpick.errors import Answer, ErrorKind, Outcome, TrefoilpickError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+UNSAFE_KINDS = (ErrorKind.UPSTREAM_LOST, ErrorKind.DEADLINE_AFTER_SEND, ErrorKind.ANSWER_CUT)
+"""Errors after which a request may have run."""
+
+
+@dataclass(frozen=True)
+class Breakage:
+    """One breakage.
+
+    Attributes:
+        text: What is broken.
+        apply: Breaks it in this process.
+    """
+
+    text: str
+    apply: Callable[[], None]
+
+
+def _retry_without_proof() -> None:
+    def may_run_again(call: Any, error: TrefoilpickError) -> bool:
+        return call.body.is_replayable
+
+    retries.may_run_again = may_run_again  # type: ignore[assignment]
+
+
+def _deny_runs() -> None:
+    for kind in UNSAFE_KINDS:
+        errors.ANSWERS[kind] = Answer(503, Outcome.NOT_RUN)
+
+    def keep(error: TrefoilpickError, *, may_have_run: bool) -> TrefoilpickError:
+        return error
+
+    forwarding._weaken = keep
+
+
+def _forget_tokens() -> None:
+    async def run(book: Any, exchange: Any, request: Any, *, admit: Any) -> None:
+        await exchange.run(admit(request))
+
+    redemption.run_once = run
+    hopserver_module.run_once = run
+
+
+def _mix_answers() -> None:
+    release = hopclient.HopPool.release
+
+    async def release_unclean(self: Any, hop: Any, now: float) -> None:
+        hop.is_clean = True
+        await release(self, hop, now)
+
+    hopclient.HopPool.release = release_unclean  # type: ignore[method-assign]
+    hopclient.HopPool.acquire = _acquire_any  # type: ignore[method-assign]
+
+
+async def _acquire_any(self: Any, vm: Any, *, timeout_s: float) -> Any:
+    idle = self._idle.get(vm.name)
+    if idle:
+        return idle.pop()
+    return await hopclient.open_hop(vm, timeout_s=timeout_s)
+
+
+def _leave_at_once() -> None:
+    async def drain(self: Any) -> Any:
+        return callers.CallerDrain(0)
+
+    async def drain_hops(self: Any) -> Any:
+        return hopserver_module.DrainReport(cut=0, waited_s=0.0)
+
+    callers.CallerServer.drain = drain  # type: ignore[method-assign]
+    hopserver_module.HopServer.drain = drain_hops  # type: ignore[method-assign]
+
+
+def _ignore_versions() -> None:
+    def is_newer(self: Any, version: Any) -> bool:
+        return self._store.newest is None
+
+    reading.SourceReader._is_newer = is_newer  # type: ignore[method-assign]
+    relay.VersionFetcher._is_newer = is_newer  # type: ignore[method-assign]
+
+
+def _go_back() -> None:
+    snapshots: list[Any] = []
+    cell_type = node_module.SnapshotCell
+    replace = cell_type.replace
+
+    def replace_and_return(self: Any, snapshot: Any) -> bool:
+        snapshots.append(snapshot)
+        is_new = replace(self, snapshot)
+        if len(snapshots) % 2 == 0:
+            self._snapshot = snapshots[-2]
+        return is_new
+
+    cell_type.replace = replace_and_return  # type: ignore[method-assign]
+
+
+def _crash_on_stop() -> None:
+    async def end(self: Any) -> None:
+        raise SystemExit(1)
+
+    node_module.Node.request_stop = end  # type: ignore[method-assign]
+
+
+BREAKAGES = {
+    "retry-without-proof": Breakage("requests run again without a proof", _retry_without_proof),
+    "deny-runs": Breakage("what may have run is said not to have run", _deny_runs),
+    "forget-tokens": Breakage("a token runs its request each time", _forget_tokens),
+    "mix-answers": Breakage("hops with unread answers are used again", _mix_answers),
+    "leave-at-once": Breakage("a drain ends before its requests", _leave_at_once),
+    "ignore-versions": Breakage("only the first version is taken", _ignore_versions),
+    "go-back": Breakage("every second version is followed by the former", _go_back),
+    "crash-on-stop": Breakage("the node ends at once when told to stop", _crash_on_stop),
+}
+"""All breakages by name."""
--- /dev/null
+++ b/soak/checks.py
@@ -0,0 +1,140 @@
+"""Promises that the soak checks, from what callers, workers and operators see."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import curio
+
+from soak.callers import ARCHIVE
+from soak.fleet import OPERATOR_PORT, SERVICES
+from trefoilpick._http import fetch
+from trefoilpick._ledger import CallEnd, total_calls
+from trefoilpick.errors import TrefoilpickError
+from trefoilpick.status import NodeStatus, decode_status
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+    from soak.callers import Told
+    from soak.fleet import SoakFleet, SoakNode
+
+ENFORCED_WITHIN_S = 8.0
+"""Time in which a version must be in force at a node without trouble, in seconds: the target."""
+
+RECOVERED_WITHIN_S = 20.0
+"""Time in which all nodes are ready with the newest version after the last fault, in seconds: the
+target's 8 s, a start, and the time that a peer which was dead is left alone."""
+
+GOOD_SHARE = 0.98
+"""Share of calls that are answered once all is well."""
+
+LOOK_S = 0.25
+"""Time between two looks at the nodes, in seconds."""
+
+
+@dataclass
+class Watch:
+    """Looks at the nodes while the soak runs.
+
+    Attributes:
+        fleet: The fleet.
+        violations: What went wrong, as texts.
+    """
+
+    fleet: SoakFleet
+    violations: list[str] = field(default_factory=list)
+    _versions: dict[tuple[str, int], int] = field(default_factory=dict)
+
+    async def run(self) -> None:
+        """Look again and again, until cancelled."""
+        while True:
+            for node in self.fleet.nodes:
+                await self._look(node)
+            await curio.sleep(LOOK_S)
+
+    async def wait_for_recovery(self) -> None:
+        """Wait until every node is ready with the newest version."""
+        began = time.monotonic()
+        waiting = list(self.fleet.nodes)
+        while waiting:
+            if time.monotonic() - began > RECOVERED_WITHIN_S:
+                names = ", ".join(node.vm.name for node in waiting)
+                self.violations.append(f"no recovery within {RECOVERED_WITHIN_S} s: {names}")
+                return
+            waiting = [node for node in waiting if not await self._is_level(node)]
+            await curio.sleep(LOOK_S)
+
+    async def _look(self, node: SoakNode) -> None:
+        life = (node.vm.name, node.lives)
+        now = time.monotonic()
+        due = self._find_due(node, now)
+        status = await ask_status(node)
+        if status is None or status.version is None or life[1] != node.lives:
+            return
+        number = status.version.number
+        before = self._versions.get(life, 0)
+        self._versions[life] = max(before, number)
+        if number < before:
+            self.violations.append(f"{node.vm.name} went back from version {before} to {number}")
+        if number < due and node.troubled_at < now - ENFORCED_WITHIN_S and not node.is_down:
+            self.violations.append(f"{node.vm.name} has version {number}, {due} is due")
+
+    def _find_due(self, node: SoakNode, now: float) -> int:
+        """Return the version that a node must have by now."""
+        before = now - ENFORCED_WITHIN_S
+        return max((nr for nr, at in self.fleet.accepted.items() if at <= before), default=0)
+
+    async def _is_level(self, node: SoakNode) -> bool:
+        status = await ask_status(node)
+        if status is None or status.version is None:
+            return False
+        return status.ready and status.version.number == self.fleet.newest
+
+
+async def ask_status(node: SoakNode) -> NodeStatus | None:
+    """Return a node's state; None where it does not answer."""
+    try:
+        answer = await fetch(node.host, OPERATOR_PORT, "/status", timeout_s=0.5, max_bytes=500_000)
+        return decode_status(answer.body, NodeStatus)
+    except TrefoilpickError:
+        return None
+
+
+def check_calls(told: Iterable[Told], fleet: SoakFleet) -> Iterator[str]:
+    """Yield what went wrong with the calls.
+
+    Args:
+        told: All calls.
+        fleet: What ran them.
+    """
+    told = list(told)
+    totals = total_calls((entry.call for entry in told), fleet.count_runs())
+    for name in ("lost", "doubled", "cut", "false_not_run"):
+        if count := getattr(totals, name):
+            yield f"{count} calls {name.replace('_', ' ')}"
+    for entry in told:
+        if entry.path == ARCHIVE and entry.service and not _may_serve(entry, fleet):
+            yield f"{entry.call.request_id} was served by {entry.service}, which lost its route"
+
+
+def check_recovery(told: Iterable[Told], healed_at: float) -> Iterator[str]:
+    """Yield what went wrong with the calls after everything was well."""
+    late = [entry for entry in told if entry.sent_at > healed_at]
+    good = sum(entry.call.end is CallEnd.ANSWERED for entry in late)
+    if not late or good < GOOD_SHARE * len(late):
+        yield f"{good} of {len(late)} calls answered after the recovery"
+
+
+def _may_serve(entry: Told, fleet: SoakFleet) -> bool:
+    """Tell whether a service had the archive's route when a call was made, or not long before."""
+    newest = max(
+        (nr for nr, at in fleet.accepted.items() if at <= entry.sent_at - ENFORCED_WITHIN_S),
+        default=0,
+    )
+    allowed = {nr for nr in fleet.accepted if nr >= newest}
+    # A node that is cut off may lag; the check holds for a fleet without trouble since then.
+    calm = all(node.troubled_at < entry.sent_at - ENFORCED_WITHIN_S for node in fleet.nodes)
+    return not calm or entry.service in {SERVICES[(nr - 1) % len(SERVICES)] for nr in allowed}
--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,300 @@
+"""Faults of the soak, drawn from a seed, and how each is injected from outside a node."""
+
+from __future__ import annotations
+
+import signal
+import time
+from dataclasses import dataclass
+from functools import singledispatch
+from typing import TYPE_CHECKING
+
+import curio
+
+from soak.proxies import CALM, LinkTrouble
+from trefoilpick.standin import Faults
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Iterator
+
+    from soak.fleet import SoakFleet, SoakNode
+
+SHORTEST_S, LONGEST_S = 0.3, 2.5
+"""How long a fault lasts, in seconds."""
+
+MEAN_GAP_S = 0.8
+"""Mean time between two faults, in seconds: shorter than most last, so that they overlap."""
+
+STORM_GAP_S = 0.15
+"""Time between the versions of a storm, in seconds."""
+
+STOP_LIMIT_S = 12.0
+"""Time in which a node that was told to stop must have ended, in seconds: its notice, its limit
+and as much again on a busy machine."""
+
+
+@dataclass(frozen=True)
+class NodeKilled:
+    """A node's process is killed and started again after a while."""
+
+    node: int
+    for_s: float
+
+
+@dataclass(frozen=True)
+class NodeStopped:
+    """A node's process is told to stop, and started again once it has ended."""
+
+    node: int
+
+
+@dataclass(frozen=True)
+class NodePaused:
+    """A node's process stands still for a while."""
+
+    node: int
+    for_s: float
+
+
+@dataclass(frozen=True)
+class NodeReloaded:
+    """A node's process is told that its settings changed."""
+
+    node: int
+
+
+@dataclass(frozen=True)
+class ClockMoved:
+    """The time of day jumps on a VM, and back after a while."""
+
+    node: int
+    for_s: float
+    by_ms: int
+
+
+@dataclass(frozen=True)
+class LinksTroubled:
+    """Links between a node and all others are in trouble for a while."""
+
+    node: int
+    for_s: float
+    trouble: LinkTrouble
+
+
+@dataclass(frozen=True)
+class LinksReset:
+    """All connections of other nodes to a node are reset, and those to its worker."""
+
+    node: int
+
+
+@dataclass(frozen=True)
+class WorkerTroubled:
+    """A worker is slow, or the way to it is in trouble, for a while."""
+
+    node: int
+    for_s: float
+    service_time_s: float
+    trouble: LinkTrouble
+
+
+@dataclass(frozen=True)
+class SourceTroubled:
+    """The source is in trouble for a while: for all nodes, or cut off from one."""
+
+    for_s: float
+    faults: Faults
+    node: int | None = None
+
+
+@dataclass(frozen=True)
+class VersionsAccepted:
+    """Some versions are accepted in quick succession."""
+
+    count: int
+
+
+Fault = (
+    NodeKilled
+    | NodeStopped
+    | NodePaused
+    | NodeReloaded
+    | ClockMoved
+    | LinksTroubled
+    | LinksReset
+    | WorkerTroubled
+    | SourceTroubled
+    | VersionsAccepted
+)
+
+TROUBLES = (
+    LinkTrouble(delay_s=0.05),
+    LinkTrouble(delay_s=0.3),
+    LinkTrouble(holds_requests=True),
+    LinkTrouble(holds_answers=True),
+    LinkTrouble(holds_requests=True, holds_answers=True),
+    LinkTrouble(refuses=True),
+)
+
+SOURCE_FAULTS = (
+    Faults(down=True),
+    Faults(delay_ms=600),
+    Faults(stale=True),
+    Faults(truncated=True),
+    Faults(backwards=True),
+)
+
+
+def draw_faults(
+    random: random.Random, *, seconds: float, nodes: int
+) -> Iterator[tuple[float, Fault]]:
+    """Yield the times of faults from the start, in seconds, and the faults."""
+    at_s = 0.0
+    while (at_s := at_s + random.expovariate(1 / MEAN_GAP_S)) < seconds:
+        yield at_s, _draw_fault(random, nodes)
+
+
+def _draw_fault(random: random.Random, nodes: int) -> Fault:
+    node = random.randrange(nodes)
+    for_s = random.uniform(SHORTEST_S, LONGEST_S)
+    makers = (
+        lambda: NodeKilled(node, for_s),
+        lambda: NodeStopped(node),
+        lambda: NodeStopped(node),
+        lambda: NodePaused(node, for_s),
+        lambda: NodeReloaded(node),
+        lambda: ClockMoved(node, for_s, random.choice((-5_000, 5_000))),
+        lambda: LinksTroubled(node, for_s, random.choice(TROUBLES)),
+        lambda: LinksReset(node),
+        lambda: WorkerTroubled(
+            node, for_s, random.choice((0.02, 0.4)), random.choice((CALM, *TROUBLES))
+        ),
+        lambda: SourceTroubled(for_s, random.choice(SOURCE_FAULTS)),
+        lambda: SourceTroubled(for_s, Faults(), node),
+        lambda: VersionsAccepted(random.choice((1, 1, 1, 8))),
+        lambda: VersionsAccepted(1),
+    )
+    return random.choice(makers)()
+
+
+@singledispatch
+async def inject(fault: Fault, fleet: SoakFleet) -> None:
+    """Let a fault begin, last and end."""
+    raise NotImplementedError(type(fault).__name__)
+
+
+@inject.register(NodeKilled)
+async def _(fault: NodeKilled, fleet: SoakFleet) -> None:
+    node = fleet.nodes[fault.node]
+    if node.is_down:
+        return
+    node.is_down = True
+    _note_trouble(node)
+    fleet.signal_node(node, signal.SIGKILL)
+    await fleet.wait_for_end(node, STOP_LIMIT_S)
+    await curio.sleep(fault.for_s)
+    fleet.start_node(node)
+    _note_trouble(node)
+
+
+@inject.register(NodeStopped)
+async def _(fault: NodeStopped, fleet: SoakFleet) -> None:
+    node = fleet.nodes[fault.node]
+    if node.is_down:
+        return
+    node.is_down = True
+    node.told_to_stop_at = time.monotonic()
+    fleet.signal_node(node, signal.SIGTERM)
+    if not await fleet.wait_for_end(node, STOP_LIMIT_S):
+        fleet.signal_node(node, signal.SIGKILL)
+        await fleet.wait_for_end(node, STOP_LIMIT_S)
+    _note_trouble(node)
+    fleet.start_node(node)
+
+
+@inject.register(NodePaused)
+async def _(fault: NodePaused, fleet: SoakFleet) -> None:
+    node = fleet.nodes[fault.node]
+    _note_trouble(node)
+    fleet.signal_node(node, signal.SIGSTOP)
+    await curio.sleep(fault.for_s)
+    fleet.signal_node(node, signal.SIGCONT)
+    _note_trouble(node)
+
+
+@inject.register(NodeReloaded)
+async def _(fault: NodeReloaded, fleet: SoakFleet) -> None:
+    node = fleet.nodes[fault.node]
+    if not node.is_down and time.monotonic() - node.troubled_at > LONGEST_S:
+        fleet.signal_node(node, signal.SIGHUP)
+
+
+@inject.register(ClockMoved)
+async def _(fault: ClockMoved, fleet: SoakFleet) -> None:
+    node = fleet.nodes[fault.node]
+    node.clock_path.write_text(str(fault.by_ms))
+    await curio.sleep(fault.for_s)
+    node.clock_path.write_text("0")
+
+
+@inject.register(LinksTroubled)
+async def _(fault: LinksTroubled, fleet: SoakFleet) -> None:
+    for node in fleet.nodes:
+        # Requests of the others may wait for what this one does not say.
+        _note_trouble(node)
+    node = fleet.nodes[fault.node]
+    node.set_links(fault.trouble)
+    await curio.sleep(fault.for_s)
+    node.set_links(CALM)
+    for other in fleet.nodes:
+        _note_trouble(other)
+
+
+@inject.register(LinksReset)
+async def _(fault: LinksReset, fleet: SoakFleet) -> None:
+    node = fleet.nodes[fault.node]
+    _note_trouble(node)
+    for link in (*node.links, node.worker_link):
+        link.reset()
+
+
+@inject.register(WorkerTroubled)
+async def _(fault: WorkerTroubled, fleet: SoakFleet) -> None:
+    node = fleet.nodes[fault.node]
+    _note_trouble(node)
+    node.worker.service_time_s = fault.service_time_s
+    node.worker_link.trouble = fault.trouble
+    await curio.sleep(fault.for_s)
+    node.worker.service_time_s = 0.02
+    node.worker_link.trouble = CALM
+    _note_trouble(node)
+
+
+@inject.register(SourceTroubled)
+async def _(fault: SourceTroubled, fleet: SoakFleet) -> None:
+    troubled = fleet.nodes if fault.node is None else [fleet.nodes[fault.node]]
+    for node in troubled:
+        _note_trouble(node)
+    if fault.node is None:
+        await fleet.standin.set_faults(fault.faults)
+    else:
+        fleet.nodes[fault.node].source_link.trouble = LinkTrouble(refuses=True)
+        fleet.nodes[fault.node].source_link.reset()
+    await curio.sleep(fault.for_s)
+    if fault.node is None:
+        await fleet.standin.set_faults(Faults())
+    else:
+        fleet.nodes[fault.node].source_link.trouble = CALM
+    for node in troubled:
+        _note_trouble(node)
+
+
+@inject.register(VersionsAccepted)
+async def _(fault: VersionsAccepted, fleet: SoakFleet) -> None:
+    for _number in range(fault.count):
+        await fleet.accept()
+        await curio.sleep(STORM_GAP_S)
+
+
+def _note_trouble(node: SoakNode) -> None:
+    node.troubled_at = time.monotonic()
--- /dev/null
+++ b/soak/fleet.py
@@ -0,0 +1,264 @@
+"""The soak's fleet: node processes, workers, the platform's stand-in, and proxies between them."""
+
+from __future__ import annotations
+
+import signal
+import subprocess
+import sys
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import curio
+import msgspec
+
+from soak.proxies import CALM, LinkTrouble, Proxy
+from trefoilpick._demo_document import build_first_version, build_moved_version
+from trefoilpick.manifest import Manifest, SectionRef, compute_digest, encode_manifest
+from trefoilpick.sections import encode_section
+from trefoilpick.source import MANIFEST_KEY, VMS_KEY, name_section_key
+from trefoilpick.standin import Standin, open_standin
+from trefoilpick.standin_worker import Worker
+from trefoilpick.vms import Vm, VmList
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+DATA_CENTRES = ("lima-a", "lima-b", "lima-c")
+SERVICES = ("portafolio", "encargos")
+
+CALLER_PORT, HOP_PORT, CONTROL_PORT, OPERATOR_PORT = 8080, 8081, 8082, 8083
+WORKER_PORT, SOURCE_PORT = 9100, 9000
+
+NODES_NET, LINKS_NET, WORKER_LINKS_NET, WORKERS_NET, SOURCE_LINKS_NET, SOURCE_NET = range(6)
+"""Third number of the addresses of each kind of place."""
+
+SERVICE_TIME_S = 0.02
+"""Time that a worker takes for a request, in seconds."""
+
+NOTICE_MS = 500
+"""Time between a leaving node's notice and its refusals, in milliseconds."""
+
+DRAIN_LIMIT_MS = 4_000
+"""Time for requests in flight to end, in milliseconds: longer than callers wait."""
+
+STATIC_SETTINGS = {
+    "control": {"exchange_ms": 500, "join_wait_ms": 1_000, "expected_vms": 50},
+    "source": {"watch_ms": 2_000, "watch_gap_ms": 200, "backoff_ms": 1_000},
+    "drain": {"notice_ms": NOTICE_MS, "limit_ms": DRAIN_LIMIT_MS},
+}
+"""Settings that all nodes share."""
+
+
+@dataclass
+class SoakNode:
+    """One VM: its node's process, its worker and the links around it.
+
+    Attributes:
+        vm: Its record on the platform's list, with the proxies' address.
+        host: Where the node listens itself.
+        worker: The worker.
+        links: Proxies of its hop and control ports.
+        worker_link: Proxy between the node and its worker.
+        source_link: Proxy between the node and the source.
+        process: The node's process; None while it is down.
+        lives: Processes that were started.
+        clock_path: File with what its wall clock is off by, in milliseconds.
+        troubled_at: When something was last wrong with it, in seconds of the monotonic clock.
+        told_to_stop_at: When its process was last told to stop, likewise.
+    """
+
+    vm: Vm
+    host: str
+    worker: Worker
+    links: tuple[Proxy, ...]
+    worker_link: Proxy
+    source_link: Proxy
+    clock_path: Path
+    process: subprocess.Popen[bytes] | None = None
+    lives: int = 0
+    troubled_at: float = float("-inf")
+    told_to_stop_at: float = float("-inf")
+    is_down: bool = False
+
+    @property
+    def caller_address(self) -> str:
+        """Address for callers, as "ip:port"."""
+        return f"{self.host}:{CALLER_PORT}"
+
+    def set_links(self, trouble: LinkTrouble) -> None:
+        """Change what is wrong between it and all other nodes."""
+        for link in self.links:
+            link.trouble = trouble
+
+
+@dataclass
+class SoakFleet:
+    """All VMs, and the source.
+
+    Attributes:
+        network: Second number of all addresses.
+        folder: Where settings and logs are written.
+        breakage: Name of a deliberate breakage in all nodes; empty for none.
+        standin: The source.
+        nodes: The VMs.
+        accepted: When each version was accepted, in seconds of the monotonic clock, by number.
+    """
+
+    network: int
+    folder: Path
+    breakage: str
+    standin: Standin
+    nodes: list[SoakNode] = field(default_factory=list)
+    accepted: dict[int, float] = field(default_factory=dict)
+
+    @property
+    def newest(self) -> int:
+        """Number of the newest version."""
+        return max(self.accepted, default=0)
+
+    def count_runs(self) -> Counter[str]:
+        """Return how often each request ran, over all workers."""
+        runs: Counter[str] = Counter()
+        for node in self.nodes:
+            runs += node.worker.runs
+        return runs
+
+    async def start(self, count: int) -> None:
+        """Publish a version and the list of VMs, and start all of it."""
+        await curio.spawn(self.standin.run, daemon=True)
+        self.nodes = [self._build_node(number) for number in range(count)]
+        vms = VmList(1, tuple(sorted((node.vm for node in self.nodes), key=lambda vm: vm.name)))
+        await self.standin.put_value(VMS_KEY, msgspec.json.encode(vms))
+        await self.accept()
+        for node in self.nodes:
+            for proxy in (*node.links, node.worker_link, node.source_link):
+                await curio.spawn(proxy.run, daemon=True)
+            await curio.spawn(node.worker.run, daemon=True)
+            self.start_node(node)
+
+    async def accept(self) -> int:
+        """Accept the next version: the archive moves from one service to the other."""
+        number = self.newest + 1
+        sections = build_moved_version() if number % 2 == 0 else build_first_version()
+        refs = []
+        for section in sections:
+            data = encode_section(section)
+            digest = compute_digest(data)
+            await self.standin.put_value(name_section_key(digest), data)
+            refs.append(SectionRef(section.team, digest, len(data)))
+        manifest = Manifest(number, time.time_ns() // 1_000_000, tuple(refs))
+        await self.standin.put_value(MANIFEST_KEY, encode_manifest(manifest))
+        self.accepted[number] = time.monotonic()
+        return number
+
+    def start_node(self, node: SoakNode) -> None:
+        """Start a node's process."""
+        settings = self.folder / f"{node.vm.name}.jsonc"
+        settings.write_bytes(msgspec.json.encode(self._describe(node)))
+        command = [sys.executable, "-m", "soak.launcher", str(settings), str(node.clock_path)]
+        if self.breakage:
+            command.append(self.breakage)
+        with (self.folder / f"{node.vm.name}.log").open("ab") as log:
+            node.process = subprocess.Popen(command, stdout=log, stderr=log)
+        node.lives += 1
+        node.is_down = False
+
+    def signal_node(self, node: SoakNode, number: signal.Signals) -> None:
+        """Send a signal to a node's process, if it runs."""
+        if node.process is not None and node.process.poll() is None:
+            node.process.send_signal(number)
+
+    async def wait_for_end(self, node: SoakNode, limit_s: float) -> bool:
+        """Wait until a node's process has ended; tell whether it did in time."""
+        until = time.monotonic() + limit_s
+        while node.process is not None and node.process.poll() is None:
+            if time.monotonic() > until:
+                return False
+            await curio.sleep(0.05)
+        return True
+
+    def heal(self) -> None:
+        """Take away everything that is wrong, and start what is down."""
+        for node in self.nodes:
+            node.set_links(CALM)
+            node.worker_link.trouble = node.source_link.trouble = CALM
+            node.worker.service_time_s = SERVICE_TIME_S
+            node.clock_path.write_text("0")
+            self.signal_node(node, signal.SIGCONT)
+            if node.process is not None and node.process.poll() is not None:
+                self.start_node(node)
+
+    def stop(self) -> None:
+        """End every process that this fleet started."""
+        for node in self.nodes:
+            self.signal_node(node, signal.SIGKILL)
+        for node in self.nodes:
+            if node.process is not None:
+                node.process.wait()
+
+    def _build_node(self, number: int) -> SoakNode:
+        service = SERVICES[number % len(SERVICES)]
+        name = f"vm-{number}"
+        host = self._name_host(NODES_NET, number)
+        links_host = self._name_host(LINKS_NET, number)
+        vm = Vm(
+            name,
+            "lima",
+            DATA_CENTRES[number % len(DATA_CENTRES)],
+            service,
+            links_host,
+            CONTROL_PORT,
+            HOP_PORT,
+        )
+        worker_host = self._name_host(WORKERS_NET, number)
+        source_host, _, source_port = self.standin.address.partition(":")
+        return SoakNode(
+            vm,
+            host,
+            Worker(name, service, worker_host, WORKER_PORT, service_time_s=SERVICE_TIME_S),
+            tuple(Proxy((links_host, port), (host, port)) for port in (HOP_PORT, CONTROL_PORT)),
+            Proxy(
+                (self._name_host(WORKER_LINKS_NET, number), WORKER_PORT),
+                (worker_host, WORKER_PORT),
+            ),
+            Proxy(
+                (self._name_host(SOURCE_LINKS_NET, number), SOURCE_PORT),
+                (source_host, int(source_port)),
+            ),
+            self.folder / f"{name}.clock",
+        )
+
+    def _describe(self, node: SoakNode) -> dict[str, dict[str, object]]:
+        number = self.nodes.index(node)
+        source = f"{self._name_host(SOURCE_LINKS_NET, number)}:{SOURCE_PORT}"
+        vm = node.vm
+        return {
+            **STATIC_SETTINGS,
+            "source": {**STATIC_SETTINGS["source"], "addresses": [source]},
+            "vm": {
+                "name": vm.name,
+                "region": vm.region,
+                "data_centre": vm.data_centre,
+                "service": vm.service,
+            },
+            "listen": {"host": node.host},
+            "worker": {"host": self._name_host(WORKER_LINKS_NET, number), "port": WORKER_PORT},
+        }
+
+    def _name_host(self, net: int, number: int) -> str:
+        return f"127.{self.network}.{net}.{number + 1}"
+
+
+def open_fleet(network: int, folder: Path, *, breakage: str = "") -> SoakFleet:
+    """Open a fleet without VMs.
+
+    Args:
+        network: Second number of all addresses: of one run at a time on this machine.
+        folder: Where settings and logs are written.
+        breakage: Name of a deliberate breakage in all nodes; empty for none.
+    """
+    folder.mkdir(parents=True, exist_ok=True)
+    standin = open_standin(f"127.{network}.{SOURCE_NET}.1", 0)
+    return SoakFleet(network, folder, breakage, standin)
--- /dev/null
+++ b/soak/launcher.py
@@ -0,0 +1,42 @@
+"""Runs a node with a wall clock that the soak moves, and with a deliberate breakage where asked."""
+
+from __future__ import annotations
+
+import sys
+import time
+from contextlib import suppress
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from soak.breakages import BREAKAGES
+from trefoilpick._cli_node import node
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+NS_PER_MS = 1_000_000
+
+
+def move_clock(path: Path) -> None:
+    """Let the process's time of day be off by what a file says, in milliseconds."""
+    read_time: Callable[[], int] = time.time_ns
+
+    def read_moved_time() -> int:
+        with suppress(OSError, ValueError):
+            return read_time() + int(path.read_text()) * NS_PER_MS
+        return read_time()
+
+    time.time_ns = read_moved_time
+
+
+def main() -> None:
+    """Run the node: settings, file of the clock, name of a breakage."""
+    settings, clock, *breakages = sys.argv[1:]
+    move_clock(Path(clock))
+    for name in breakages:
+        BREAKAGES[name].apply()
+    node(Path(settings), None)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/soak/runs.py
@@ -0,0 +1,132 @@
+"""One run of the soak: a fleet, callers, faults by seed, and the verdict."""
+
+from __future__ import annotations
+
+import random
+import time
+from dataclasses import dataclass
+from functools import partial
+from typing import TYPE_CHECKING
+
+import curio
+
+from soak.callers import LastingCaller, LibraryCaller
+from soak.checks import Watch, check_calls, check_recovery
+from soak.faults import draw_faults, inject
+from soak.fleet import open_fleet
+from trefoilpick._ledger import CallEnd
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from soak.callers import Told
+    from soak.fleet import SoakFleet
+
+LIBRARY_CALLERS = 8
+"""Callers with the library; each node has a lasting one besides."""
+
+CALM_S = 3.0
+"""Time for which callers go on after the recovery, in seconds."""
+
+
+@dataclass(frozen=True)
+class RunPlan:
+    """How to run a seed.
+
+    Attributes:
+        seed: Seed of all choices.
+        nodes: Node processes.
+        seconds: Time of faults, in seconds.
+        breakage: Name of a deliberate breakage in all nodes; empty for none.
+    """
+
+    seed: int
+    nodes: int
+    seconds: float
+    breakage: str = ""
+
+
+@dataclass(frozen=True)
+class RunReport:
+    """What a run saw."""
+
+    faults: int
+    versions: int
+    calls: int
+    answered: int
+    violations: tuple[str, ...]
+
+    @property
+    def holds(self) -> bool:
+        """Whether every promise was kept."""
+        return not self.violations
+
+
+def run_soak(plan: RunPlan, *, folder: Path, network: int) -> RunReport:
+    """Run a seed; all processes that it starts have ended when it returns.
+
+    Args:
+        plan: How to run it.
+        folder: Where settings, logs and the list of faults go.
+        network: Second number of all addresses: of one run at a time on this machine.
+    """
+    return curio.run(partial(_run, plan, folder, network))
+
+
+async def _run(plan: RunPlan, folder: Path, network: int) -> RunReport:
+    fleet = open_fleet(network, folder, breakage=plan.breakage)
+    try:
+        await fleet.start(plan.nodes)
+        return await _soak(plan, fleet)
+    finally:
+        fleet.stop()
+
+
+async def _soak(plan: RunPlan, fleet: SoakFleet) -> RunReport:
+    chance = random.Random(plan.seed)
+    watch = Watch(fleet)
+    await watch.wait_for_recovery()
+    callers = _open_callers(fleet, chance)
+    tasks = [await curio.spawn(caller.run, daemon=True) for caller in callers]
+    watching = await curio.spawn(watch.run, daemon=True)
+    faults = await _inject_all(plan, fleet, chance)
+    fleet.heal()
+    await watch.wait_for_recovery()
+    healed_at = time.monotonic()
+    await curio.sleep(CALM_S)
+    await watching.cancel()
+    for task in tasks:
+        # A call that is under way has no end that could be checked.
+        await task.cancel()
+    told: list[Told] = [entry for caller in callers for entry in caller.told]
+    violations = [
+        *watch.violations,
+        *check_calls(told, fleet),
+        *check_recovery(told, healed_at),
+        *(text for caller in callers if isinstance(caller, LastingCaller) for text in caller.cut),
+    ]
+    answered = sum(entry.call.end is CallEnd.ANSWERED for entry in told)
+    return RunReport(faults, len(fleet.accepted), len(told), answered, tuple(violations))
+
+
+def _open_callers(fleet: SoakFleet, chance: random.Random) -> list[LibraryCaller | LastingCaller]:
+    library = [
+        LibraryCaller(f"library-{number}", fleet.nodes, random.Random(chance.random()))
+        for number in range(LIBRARY_CALLERS)
+    ]
+    lasting = [LastingCaller(f"lasting-{node.vm.name}", node) for node in fleet.nodes]
+    return [*library, *lasting]
+
+
+async def _inject_all(plan: RunPlan, fleet: SoakFleet, chance: random.Random) -> int:
+    began = time.monotonic()
+    count = 0
+    with (fleet.folder / "faults.txt").open("w") as lines:
+        async with curio.TaskGroup() as group:
+            for at_s, fault in draw_faults(chance, seconds=plan.seconds, nodes=plan.nodes):
+                await curio.sleep(max(began + at_s - time.monotonic(), 0.0))
+                lines.write(f"{at_s:.3f} {fault}\n")
+                lines.flush()
+                count += 1
+                await group.spawn(inject, fault, fleet)
+    return count
--- a/trefoilpick/_source_connection.py
+++ b/trefoilpick/_source_connection.py
@@ -34,6 +34,10 @@
 KEEPALIVE_PROBES = 2
 """Unanswered questions after which the connection is broken."""
 
+STANDSTILL_S = 1.0
+"""Time for which an answer that has begun may stand still, in seconds: over a thin link a long one
+takes many times what the service takes."""
+
 READ_BYTES = 65_536
 """Bytes asked of the socket at a time."""
 
@@ -75,18 +79,22 @@
         self.bytes_received = 0
         self.bytes_sent = 0
         self._sock = sock
+        self._part_s = STANDSTILL_S
         self._protocol = h11.Connection(h11.CLIENT)
 
-    async def call(self, target: str) -> SourceReply:
+    async def call(self, target: str, *, answer_s: float) -> SourceReply:
         """Send a GET and return the whole answer.
 
         Args:
             target: Path and query.
+            answer_s: Time until the answer begins, in seconds.
 
         Raises:
             TrefoilpickError: `SOURCE_UNAVAILABLE`, where the answer is malformed, cut or too large.
             OSError: The connection broke.
+            curio.TaskTimeout: The answer did not begin in time, or stood still.
         """
+        self._part_s = answer_s
         try:
             await self._send(target)
             return await self._receive()
@@ -128,7 +136,8 @@
             event = self._protocol.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            data = await self._sock.recv(READ_BYTES)
+            data = await curio.timeout_after(self._part_s, self._sock.recv, READ_BYTES)
+            self._part_s = STANDSTILL_S
             self.bytes_received += len(data)
             self._protocol.receive_data(data)
 
--- a/trefoilpick/distribution.py
+++ b/trefoilpick/distribution.py
@@ -58,6 +58,10 @@
 SWEEP_TASKS = 16
 """Peers asked at a time for their state."""
 
+FOLLOWED_S = 5.0
+"""Time since a reader of the data centre was known to read for which it is followed, in seconds:
+several exchanges."""
+
 HERD_SPREAD = 2.0
 """Reads of each VM that a restart of the whole fleet is spread for."""
 
@@ -290,7 +294,13 @@
     def view(self) -> OverlayView:
         """Return what the node believes of the fleet."""
         control = self._control
-        return OverlayView(self.own, self.roster.list_alive(), control.readers, control.small_fleet)
+        return OverlayView(
+            self.own,
+            self.roster.list_alive(),
+            control.readers,
+            control.small_fleet,
+            self.roster.list_thin(is_thin=control.thin_link),
+        )
 
     def tell_state(self) -> Exchange:
         """Return the node's state in few bytes."""
@@ -298,8 +308,9 @@
             held=pack_version(self.store.newest),
             enforced=pack_version(self.enforcer.enforced),
             vms_revision=self.roster.revision,
-            silence_ms=int(self._readership.measure_silence() * 1000),
+            silence_ms=self._readership.tell_silence(),
             leaving=self._leaving,
+            has_thin_link=self._control.thin_link,
         )
 
     def tell_status(self) -> StatusAnswer:
@@ -313,6 +324,18 @@
             enforced_ms=int((read_clock() - self.enforcer.enforced_s) * 1000),
         )
 
+    @property
+    def follows(self) -> bool:
+        """Whether the node leaves reading to others, and hears that they read lately."""
+        age_s = self._readership.measure_age()
+        is_heard = age_s is not None and age_s < FOLLOWED_S
+        return self._control.thin_link and is_heard and self.store.newest is not None
+
+    @property
+    def has_thin_link(self) -> bool:
+        """Whether its link is too thin to read the source while other nodes can."""
+        return self._control.thin_link
+
     def grant_delivery(self) -> bool:
         """Tell whether one more delivery fits in this second."""
         return self._deliveries.try_take()
@@ -354,6 +377,7 @@
         vm = self.roster.find_vm(name)
         if vm is not None:
             self._peers.note_state(name, state.held, state.enforced, state.vms_revision)
+            self.roster.note_link(name, is_thin=state.has_thin_link)
             if state.leaving:
                 self.roster.note_leaving(name)
             if vm.data_centre == self.own.data_centre:
--- a/trefoilpick/joining.py
+++ b/trefoilpick/joining.py
@@ -24,6 +24,14 @@
 """Other data centres of which it asks one peer each at a time."""
 
 
+PATIENCE_S = 4.0
+"""Time in which a node with a thin link waits for those that read before it, in seconds: they need
+one reading, and the news a few exchanges."""
+
+LOOK_S = 0.05
+"""Time between two looks at what peers told, in seconds."""
+
+
 class Joiner:
     """Asks peers of several data centres and the source for the newest version.
 
@@ -45,7 +53,7 @@
 
     @property
     def _source_answered(self) -> bool:
-        return self._node.reader.newest is not None
+        return self._node.reader.newest is not None or self._node.follows
 
     @property
     def _heard_enough(self) -> bool:
@@ -66,6 +74,12 @@
                 await group.spawn(self._ask_peers)
         await curio.Event().wait()
 
+    @property
+    def _is_patient(self) -> bool:
+        """Whether others may still read for this node."""
+        passed_s = read_clock() - self._started_s
+        return self._node.has_thin_link and not self._source_answered and passed_s < PATIENCE_S
+
     async def _ask_source(self) -> None:
         node = self._node
         backoff = Backoff(node.random, max_s=node.source_backoff_s)
@@ -74,7 +88,9 @@
             try:
                 if not node.roster.revision:
                     await node.reader.read_list()
-                if not self._source_answered:
+                if self._is_patient:
+                    await curio.sleep(LOOK_S)
+                elif not self._source_answered:
                     await node.reader.read_manifest()
             except TrefoilpickError:
                 await backoff.pause()
--- a/trefoilpick/messages.py
+++ b/trefoilpick/messages.py
@@ -39,6 +39,7 @@
         vms_revision: Revision of its list of VMs.
         silence_ms: Time since a reader of the data centre was known to read, in milliseconds.
         leaving: Whether the node takes no new work.
+        has_thin_link: Whether its link is too thin to read the source while other nodes can.
     """
 
     held: WireVersion
@@ -46,6 +47,7 @@
     vms_revision: Count
     silence_ms: Count
     leaving: bool
+    has_thin_link: bool = False
 
 
 class Hello(msgspec.Struct, frozen=True, array_like=True, tag=2):
--- a/trefoilpick/overlay.py
+++ b/trefoilpick/overlay.py
@@ -23,12 +23,14 @@
         alive: VMs that it believes alive, its own among them.
         readers: Readers of each data centre.
         small_fleet: Size of a fleet of which every node reads.
+        thin: Names of VMs with thin links; they rank behind all others.
     """
 
     own: Vm
     alive: tuple[Vm, ...]
     readers: int
     small_fleet: int = 0
+    thin: frozenset[str] = frozenset()
 
     @property
     def is_small(self) -> bool:
@@ -82,8 +84,13 @@
 
 def list_local(view: OverlayView) -> tuple[Vm, ...]:
     """Return the VMs of the node's own data centre, its own among them, by rank."""
-    centre = view.own.data_centre
-    return rank_vms((vm for vm in view.alive if vm.data_centre == centre), centre)
+    return list_centre(view, view.own.data_centre)
+
+
+def list_centre(view: OverlayView, centre: str) -> tuple[Vm, ...]:
+    """Return the VMs of a data centre by rank: those with thin links behind all others."""
+    ranked = rank_vms((vm for vm in view.alive if vm.data_centre == centre), centre)
+    return tuple(sorted(ranked, key=lambda vm: vm.name in view.thin)) if view.thin else ranked
 
 
 def find_rank(view: OverlayView) -> int:
@@ -156,6 +163,6 @@
     ring = order_names(vm.data_centre for vm in view.alive)
     far: list[Vm] = []
     for centre in list_fingers(ring, view.own.data_centre):
-        ranked = rank_vms((vm for vm in view.alive if vm.data_centre == centre), centre)
+        ranked = list_centre(view, centre)
         far += ranked[rank :: view.readers][:2] or ranked[-1:]
     return tuple(far)
--- a/trefoilpick/platform/settings.py
+++ b/trefoilpick/platform/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -31,6 +32,11 @@
 MS_PER_S = 1_000
 
 
+THIN_LINK_MBPS = 20.0
+"""Link below which a node leaves reading to others, in Mbit/s: a document of 500 kB would fill it
+for 0.2 s and more, and one may come each 0.2 s."""
+
+
 class _Listen(msgspec.Struct, frozen=True):
     outbound: str
     """Address for requests that begin on this machine."""
@@ -44,6 +50,11 @@
     """Reads that all readers together may make in a second."""
 
 
+class _Limits(msgspec.Struct, frozen=True, rename="kebab"):
+    link_mbps: float = math.inf
+    """Bandwidth of the machine's link, in Mbit/s."""
+
+
 class _Bounds(msgspec.Struct, frozen=True, rename="kebab"):
     grace: float
     """Time from SIGTERM to SIGKILL, in seconds."""
@@ -71,6 +82,7 @@
     """First and last port for links between nodes, the same on all machines."""
     provider: _Store
     bounds: _Bounds
+    limits: _Limits = _Limits()
 
 
 def read_platform_settings(path: Path) -> Settings:
@@ -125,7 +137,10 @@
         },
         "worker": {"host": worker_host, "port": worker_port},
         "source": {"addresses": [facts.provider.address], "regions": facts.zones},
-        "control": {"source_reads_per_s": max(int(facts.provider.reads_per_s) // READS_SHARE, 1)},
+        "control": {
+            "source_reads_per_s": max(int(facts.provider.reads_per_s) // READS_SHARE, 1),
+            "thin_link": facts.limits.link_mbps < THIN_LINK_MBPS,
+        },
         "requests": {
             "retry_percent": int(PERCENT * RETRY_SHARE * bounds.retry_budget_ratio),
             "retry_reserve": int(RETRY_SHARE * bounds.retry_budget_slack),
--- a/trefoilpick/readership.py
+++ b/trefoilpick/readership.py
@@ -38,6 +38,9 @@
 OTHER_BURST = 4.0
 """Reads that another node may make at once."""
 
+NEVER_MS = 2**31
+"""Silence that is told where no reader was known yet, in milliseconds: longer than any."""
+
 UNLIMITED = 1e9
 """Rate and burst where every node watches the source."""
 
@@ -96,6 +99,11 @@
             self._was_seen = True
         return now - self._seen_s
 
+    def tell_silence(self) -> int:
+        """Return the silence for peers, in milliseconds; very long where no reader was known."""
+        silence_s = self.measure_silence()
+        return int(silence_s * 1_000) if self._was_seen else NEVER_MS
+
     def measure_age(self) -> float | None:
         """Return the time since the source was known to answer in the data centre, in seconds.
 
--- a/trefoilpick/roster.py
+++ b/trefoilpick/roster.py
@@ -43,6 +43,7 @@
         refusals: Connections refused in a row.
         retry_s: When to try it again after misses or refusals, by the kernel's clock.
         heard_s: When it was last heard, by the kernel's clock.
+        has_thin_link: Whether it told that its link is thin; None where it told nothing.
     """
 
     incarnation: int = 0
@@ -52,6 +53,7 @@
     refusals: int = 0
     retry_s: float = 0.0
     heard_s: float = float("-inf")
+    has_thin_link: bool | None = None
 
 
 @dataclass(frozen=True)
@@ -182,6 +184,28 @@
         """Record that a VM takes no new work in its present life."""
         self._find_evidence(name).leaving = True
 
+    def note_link(self, name: str, *, is_thin: bool) -> None:
+        """Record whether a VM has a thin link."""
+        self._find_evidence(name).has_thin_link = is_thin
+
+    def list_thin(self, *, is_thin: bool) -> frozenset[str]:
+        """Return the VMs that are taken to have thin links.
+
+        Of a VM that told nothing yet a node believes what keeps thin links free: one with a thin
+        link that it has none; another one that it has one, where any has.
+
+        Args:
+            is_thin: Whether the node's own link is thin.
+        """
+        known = {name: evidence.has_thin_link for name, evidence in self._evidence.items()}
+        thin = {name for name, told in known.items() if told}
+        if is_thin:
+            thin.add(self.own.name)
+        elif thin:
+            thin |= {vm.name for vm in self._iterate() if known.get(vm.name) is None}
+            thin.discard(self.own.name)
+        return frozenset(thin)
+
     def add_unlisted(self, vm: Vm) -> None:
         """Record a VM that made itself known and that the list may lack."""
         if vm.name != self.own.name and vm.name not in self._listed:
--- a/trefoilpick/settings.py
+++ b/trefoilpick/settings.py
@@ -95,6 +95,9 @@
     small_fleet: Annotated[
         int, Meta(ge=0, le=256), _describe("Size of a fleet of which every node reads", "VMs")
     ] = 0
+    thin_link: Annotated[
+        bool, _describe("Whether the link is too thin to read the source while other nodes can")
+    ] = False
     exchange_ms: Annotated[
         int, Meta(ge=50, le=60_000), _describe("Mean time between exchanges with a peer", "ms")
     ] = 2_000
--- a/trefoilpick/source.py
+++ b/trefoilpick/source.py
@@ -120,7 +120,8 @@
             use: What the connection is kept for.
             target: Path and query.
             wait_s: Time for which the service may hold the call, in seconds.
-            answer_s: Time for the answer besides, in seconds; by default that of the settings.
+            answer_s: Time until the answer begins besides, in seconds; by default that of the
+                settings.
 
         Raises:
             TrefoilpickError: `SOURCE_UNAVAILABLE`.
@@ -143,12 +144,11 @@
         addresses = self._settings.addresses
         address = addresses[self._next_address % len(addresses)]
         try:
-            async with curio.timeout_after(timeout_s):
-                reply = await self._call_kept(use, target)
-                if reply is not None:
-                    return reply
-                connection = await open_source_connection(address)
-                return await self._call_on(connection, use, target)
+            reply = await self._call_kept(use, target, timeout_s)
+            if reply is not None:
+                return reply
+            connection = await curio.timeout_after(timeout_s, open_source_connection, address)
+            return await self._call_on(connection, use, target, timeout_s)
         except curio.TaskTimeout as error:
             text = f'source "{address}" did not answer within {timeout_s:g} s'
             raise TrefoilpickError(ErrorKind.SOURCE_UNAVAILABLE, text) from error
@@ -156,7 +156,7 @@
             text = f'source "{address}" cannot be reached: {error}'
             raise TrefoilpickError(ErrorKind.SOURCE_UNAVAILABLE, text) from error
 
-    async def _call_kept(self, use: str, target: str) -> SourceReply | None:
+    async def _call_kept(self, use: str, target: str, timeout_s: float) -> SourceReply | None:
         # None where no connection is kept, or the service closed it while it was idle.
         connection = self._kept.pop(use, None)
         if connection is None:
@@ -166,18 +166,20 @@
             return None
         received = connection.bytes_received
         try:
-            return await self._call_on(connection, use, target)
+            return await self._call_on(connection, use, target, timeout_s)
         except (OSError, TrefoilpickError):
             if connection.bytes_received > received:
                 raise
             return None
 
-    async def _call_on(self, connection: SourceConnection, use: str, target: str) -> SourceReply:
+    async def _call_on(
+        self, connection: SourceConnection, use: str, target: str, timeout_s: float
+    ) -> SourceReply:
         received, sent = connection.bytes_received, connection.bytes_sent
         self.calls += 1
         is_kept = False
         try:
-            reply = await connection.call(target)
+            reply = await connection.call(target, answer_s=timeout_s)
             is_kept = reply.may_reuse
         finally:
             self.bytes_received += connection.bytes_received - received
