--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := .venv/bin
 
 .PHONY: install format lint types tests test demo matrix replay clean
-.PHONY: bench-convergence bench-request bench-slopes
+.PHONY: bench-convergence bench-request bench-slopes soak
 
 install: .venv/installed
 
@@ -14,12 +14,12 @@
 	touch $@
 
 format: install
-	$(BIN)/black trefoilpick tests benchmarks examples
-	$(BIN)/ruff check --fix trefoilpick tests benchmarks examples
+	$(BIN)/black trefoilpick tests benchmarks examples soak
+	$(BIN)/ruff check --fix trefoilpick tests benchmarks examples soak
 
 lint: install
-	$(BIN)/black --check --quiet trefoilpick tests benchmarks examples
-	$(BIN)/ruff check --quiet trefoilpick tests benchmarks examples
+	$(BIN)/black --check --quiet trefoilpick tests benchmarks examples soak
+	$(BIN)/ruff check --quiet trefoilpick tests benchmarks examples soak
 
 types: install
 	$(BIN)/mypy
@@ -49,3 +49,6 @@
 
 bench-slopes: install
 	$(BIN)/python -m benchmarks.slopes $(OPTIONS)
+
+soak: install
+	$(BIN)/python -m soak $(OPTIONS)
--- a/tests/fakes_fleet.py
+++ b/tests/fakes_fleet.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Container
+from dataclasses import replace
 from random import Random
 
 import curio
@@ -113,13 +114,20 @@
 class FakeFleet:
     """Nodes on one network with one source."""
 
-    def __init__(self, vms: tuple[Vm, ...], *, control: ControlSettings | None = None) -> None:
+    def __init__(
+        self,
+        vms: tuple[Vm, ...],
+        *,
+        control: ControlSettings | None = None,
+        thin: Container[str] = (),
+    ) -> None:
         self.network = LocalNetwork(Random(7))
         self.source = FakeSource()
         self.vms = vms
         self.control = control or ControlSettings(expected_vms=len(vms))
         self.nodes: dict[str, FakeNode] = {}
         self.lives = 0
+        self.thin = thin
 
     async def publish_vms(self, revision: int, vms: tuple[Vm, ...] | None = None) -> None:
         value = VmList(revision, self.vms if vms is None else vms)
@@ -129,7 +137,8 @@
         for vm in self.vms:
             if not names or vm.name in names:
                 self.lives += 1
-                node = FakeNode(vm, self.network, source or self.source, self.control, self.lives)
+                control = replace(self.control, thin_link=vm.name in self.thin)
+                node = FakeNode(vm, self.network, source or self.source, control, self.lives)
                 self.nodes[vm.name] = node
                 node.task = await curio.spawn(node.distributor.run, daemon=True)
 
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -347,3 +347,25 @@
         assert all(node.roster.find_vm(gone) is None for node in fleet.nodes.values())
 
     run_virtual(main())
+
+
+def test_nodes_with_thin_links_follow_those_with_wide_ones_and_replace_them() -> None:
+    """A large document over thin links: whoever reads it has no room for callers' requests."""
+
+    async def main() -> None:
+        vms = make_vms(2, 8)
+        wide = {"vm-0-3", "vm-1-5"}
+        fleet = FakeFleet(vms, thin={vm.name for vm in vms} - wide)
+        await fleet.publish_vms(1)
+        await fleet.source.accept(*make_version(1, MARKS))
+        await fleet.start()
+        await fleet.wait_all(1, 10)
+        await curio.sleep(10.0)
+        readers = set(fleet.list_readers())
+        assert wide <= readers
+        assert len(readers) <= 4
+        await fleet.kill(*readers)
+        await accept(fleet, 2)
+        await fleet.wait_all(2, 30)
+
+    run_virtual(main())
--- a/tests/test_overlay.py
+++ b/tests/test_overlay.py
@@ -62,3 +62,13 @@
     overlay = OVERLAYS["fingers"]
     views = [OverlayView(vm, vms, 3, small_fleet=16) for vm in vms]
     assert sum(read_share(overlay, view) for view in views) == readers
+
+
+def test_thin_links_rank_behind_all_others() -> None:
+    vms = make_vms(2, 6)
+    wide = vms[0]
+    thin = frozenset(vm.name for vm in vms if vm is not wide)
+    views = [OverlayView(vm, vms, 1, thin=thin) for vm in vms]
+    readers = [view.own for view in views if read_share(OVERLAYS["fingers"], view)]
+    assert wide in readers
+    assert len(readers) == 2
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -140,3 +140,16 @@
         if data.draw(st.booleans()):
             assert follower.adopt_change(known.tell_change(follower.revision))
             assert set(follower.list_vms()) == vms | {OWN}
+
+
+def test_of_links_that_are_not_known_thin_ones_count_on_others_and_wide_ones_do_not() -> None:
+    roster, _ = open_roster()
+    everyone = {vm.name for vm in VMS}
+    assert roster.list_thin(is_thin=False) == frozenset()
+    assert roster.list_thin(is_thin=True) == {OWN.name}
+    roster.note_link(PEER.name, is_thin=True)
+    assert roster.list_thin(is_thin=False) == everyone - {OWN.name}
+    assert roster.list_thin(is_thin=True) == {OWN.name, PEER.name}
+    for name in everyone - {OWN.name, PEER.name}:
+        roster.note_link(name, is_thin=False)
+    assert roster.list_thin(is_thin=False) == {PEER.name}
--- a/tests/test_source.py
+++ b/tests/test_source.py
@@ -2,6 +2,7 @@
 
 import curio
 import pytest
+from curio import socket
 
 from trefoilpick._standin_values import Faults
 from trefoilpick.errors import ErrorKind, TrefoilpickError
@@ -119,3 +120,25 @@
 def test_malformed_address_is_refused(address: str) -> None:
     with pytest.raises(TrefoilpickError, match="ip:port"):
         open_source(SourceSettings((address,)))
+
+
+def test_a_long_answer_over_a_thin_link_may_take_longer_than_a_short_one() -> None:
+    """Each part comes soon after the last one, all of them later than an answer may begin."""
+    body = b"x" * 40
+
+    async def drip(client: socket.socket, _address: object) -> None:
+        await client.recv(1_000)
+        await client.sendall(b"HTTP/1.1 200 OK\r\nx-revision: 7\r\ncontent-length: 40\r\n\r\n")
+        for byte in body:
+            await curio.sleep(0.01)
+            await client.sendall(bytes((byte,)))
+
+    async def run() -> None:
+        listener = curio.network.tcp_server_socket("127.0.0.1", 0)
+        port = listener.getsockname()[1]
+        server = await curio.spawn(curio.network.run_server, listener, drip, daemon=True)
+        source = open_source(SourceSettings((f"127.0.0.1:{port}",), read_timeout_ms=200))
+        assert (await source.read_value(MANIFEST_KEY)).data == body
+        await server.cancel()
+
+    curio.run(run)
