--- a/soak/breakages.py
+++ b/soak/breakages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
@@ -94,18 +95,22 @@
 
 
 def _go_back() -> None:
-    snapshots: list[Any] = []
     cell_type = node_module.SnapshotCell
     replace = cell_type.replace
 
-    def replace_and_return(self: Any, snapshot: Any) -> bool:
-        snapshots.append(snapshot)
+    def replace_and_keep(self: Any, snapshot: Any) -> bool:
+        former = self._snapshot
         is_new = replace(self, snapshot)
-        if len(snapshots) % 2 == 0:
-            self._snapshot = snapshots[-2]
+        if is_new:
+            self.former = former
         return is_new
 
-    cell_type.replace = replace_and_return  # type: ignore[method-assign]
+    def read_either(self: Any) -> Any:
+        is_odd = int(time.monotonic()) % 2
+        return getattr(self, "former", None) or self._snapshot if is_odd else self._snapshot
+
+    cell_type.replace = replace_and_keep  # type: ignore[method-assign]
+    cell_type.current = property(read_either)  # type: ignore[method-assign, assignment]
 
 
 def _crash_on_stop() -> None:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,6 +10,7 @@
 
 import curio
 
+from soak.fleet import SERVICE_TIME_S
 from soak.proxies import CALM, LinkTrouble
 from trefoilpick.standin import Faults
 
@@ -28,6 +29,9 @@
 STORM_GAP_S = 0.15
 """Time between the versions of a storm, in seconds."""
 
+RESET_GAP_S = 0.2
+"""Time between two resets of all connections, in seconds: some calls pass, some are hit."""
+
 STOP_LIMIT_S = 12.0
 """Time in which a node that was told to stop must have ended, in seconds: its notice, its limit
 and as much again on a busy machine."""
@@ -83,9 +87,10 @@
 
 @dataclass(frozen=True)
 class LinksReset:
-    """All connections of other nodes to a node are reset, and those to its worker."""
+    """All connections of other nodes to a node are reset again and again, and its worker's."""
 
     node: int
+    for_s: float
 
 
 @dataclass(frozen=True)
@@ -165,9 +170,9 @@
         lambda: NodeReloaded(node),
         lambda: ClockMoved(node, for_s, random.choice((-5_000, 5_000))),
         lambda: LinksTroubled(node, for_s, random.choice(TROUBLES)),
-        lambda: LinksReset(node),
+        lambda: LinksReset(node, for_s),
         lambda: WorkerTroubled(
-            node, for_s, random.choice((0.02, 0.4)), random.choice((CALM, *TROUBLES))
+            node, for_s, random.choice((SERVICE_TIME_S, 0.4)), random.choice((CALM, *TROUBLES))
         ),
         lambda: SourceTroubled(for_s, random.choice(SOURCE_FAULTS)),
         lambda: SourceTroubled(for_s, Faults(), node),
@@ -253,9 +258,13 @@
 @inject.register(LinksReset)
 async def _(fault: LinksReset, fleet: SoakFleet) -> None:
     node = fleet.nodes[fault.node]
-    _note_trouble(node)
-    for link in (*node.links, node.worker_link):
-        link.reset()
+    until = time.monotonic() + fault.for_s
+    while time.monotonic() < until:
+        for other in fleet.nodes:
+            _note_trouble(other)
+        for link in (*node.links, node.worker_link):
+            link.reset()
+        await curio.sleep(RESET_GAP_S)
 
 
 @inject.register(WorkerTroubled)
@@ -265,7 +274,7 @@
     node.worker.service_time_s = fault.service_time_s
     node.worker_link.trouble = fault.trouble
     await curio.sleep(fault.for_s)
-    node.worker.service_time_s = 0.02
+    node.worker.service_time_s = SERVICE_TIME_S
     node.worker_link.trouble = CALM
     _note_trouble(node)
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -34,7 +34,7 @@
 NODES_NET, LINKS_NET, WORKER_LINKS_NET, WORKERS_NET, SOURCE_LINKS_NET, SOURCE_NET = range(6)
 """Third number of the addresses of each kind of place."""
 
-SERVICE_TIME_S = 0.02
+SERVICE_TIME_S = 0.05
 """Time that a worker takes for a request, in seconds."""
 
 NOTICE_MS = 500
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -20,6 +20,7 @@
     from pathlib import Path
 
     from soak.callers import Told
+    from soak.faults import Fault
     from soak.fleet import SoakFleet
 
 LIBRARY_CALLERS = 8
@@ -38,12 +39,14 @@
         nodes: Node processes.
         seconds: Time of faults, in seconds.
         breakage: Name of a deliberate breakage in all nodes; empty for none.
+        script: Times in seconds and faults, in place of those that the seed gives.
     """
 
     seed: int
     nodes: int
     seconds: float
     breakage: str = ""
+    script: tuple[tuple[float, Fault], ...] = ()
 
 
 @dataclass(frozen=True)
@@ -123,7 +126,8 @@
     count = 0
     with (fleet.folder / "faults.txt").open("w") as lines:
         async with curio.TaskGroup() as group:
-            for at_s, fault in draw_faults(chance, seconds=plan.seconds, nodes=plan.nodes):
+            drawn = draw_faults(chance, seconds=plan.seconds, nodes=plan.nodes)
+            for at_s, fault in plan.script or drawn:
                 await curio.sleep(max(began + at_s - time.monotonic(), 0.0))
                 lines.write(f"{at_s:.3f} {fault}\n")
                 lines.flush()
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -614,3 +614,17 @@
     head = bench.fakes[0].seen[-1].head
     assert head.priority == priority
     assert head.objective_ms in objective_ms
+
+
+def test_a_worker_that_ran_out_of_time_is_not_followed_by_another() -> None:
+    """Workers slower than deadlines: a second run would have no time, and would cost a slot."""
+
+    async def run_out_of_time(fake: FakeHop, hop: Hop, head: HopRequest) -> None:
+        await fake.take_body(hop, head)
+        await hop.send(fake.encode_answer(status=504), encode_data([b"late"]), END)
+
+    async def main(bench: Bench) -> None:
+        told = await (await connect(bench)).ask("PUT", "/note", b"b", x_request_id="1")
+        assert (told.status, told.body, bench.runs["1"]) == (504, b"late", 1)
+
+    run_bench(main, FakeHop(scripts=_deque(run_out_of_time)))
--- a/trefoilpick/forwarding.py
+++ b/trefoilpick/forwarding.py
@@ -47,6 +47,9 @@
 FIRST_SERVER_ERROR = 500
 """Lowest HTTP status that counts against a worker."""
 
+OUT_OF_TIME = 504
+"""HTTP status of a worker that stopped at the deadline."""
+
 LEAVING_KINDS = frozenset({ErrorKind.DRAINING, ErrorKind.UPSTREAM_REPLACED})
 """Errors of a worker that gets no more work."""
 
@@ -410,8 +413,11 @@
 
 
 def _find_failure(answer: HopAnswer) -> TrefoilpickError | None:
-    """Return the error for an answer that tells of a worker's failure; None for any other."""
-    if answer.status < FIRST_SERVER_ERROR:
+    """Return the error for an answer that tells of a worker's failure; None for any other.
+
+    A worker that ran out of time leaves none for another one.
+    """
+    if answer.status < FIRST_SERVER_ERROR or answer.status == OUT_OF_TIME:
         return None
     text = f"worker answered with status {answer.status}"
     return TrefoilpickError(ErrorKind.UPSTREAM_FAILED, text)
