--- a/tests/test_experiments.py
+++ b/tests/test_experiments.py
@@ -5,7 +5,8 @@
 import pytest
 from typer.testing import CliRunner
 
-from trefoilpick._experiment_world import KINDS, Plain, Today
+from trefoilpick._experiment_kinds import KINDS
+from trefoilpick._experiment_nodes import Plain, Today
 from trefoilpick.cli import app
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 from trefoilpick.experiments import PATTERNS, Pattern, find_patterns, run_experiment
--- a/trefoilpick/experiments.py
+++ b/trefoilpick/experiments.py
@@ -14,15 +14,9 @@
 
 import curio
 
-from trefoilpick._experiment_world import (
-    DATA_CENTRES,
-    WORKERS,
-    Plain,
-    Policy,
-    Tally,
-    Today,
-    World,
-)
+from trefoilpick._experiment_kinds import DATA_CENTRES, WORKERS
+from trefoilpick._experiment_nodes import Plain, Today
+from trefoilpick._experiment_world import World
 from trefoilpick._virtual import run_virtual
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 
@@ -30,6 +24,9 @@
     from collections.abc import Callable, Coroutine, Iterable
     from typing import Any
 
+    from trefoilpick._experiment_kinds import Tally
+    from trefoilpick._experiment_nodes import Policy
+
 POLICIES: dict[str, Policy] = {"today": Today(), "plain": Plain()}
 """Policies by name."""
 
