--- /dev/null
+++ b/tests/test_layout.py
@@ -0,0 +1,52 @@
+"""Every module has one subject, and imports lead one way."""
+
+from __future__ import annotations
+
+import ast
+import re
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+import trefoilpick
+
+PACKAGE = Path(trefoilpick.__file__).parent
+PAGE = PACKAGE.parent / "docs" / "developers.md"
+
+FIRST_LINE = "| subject | all modules |"
+
+
+def read_subjects() -> list[list[str]]:
+    """Return the modules of each subject, the lowest subject first."""
+    table = PAGE.read_text().partition(FIRST_LINE)[2].partition("\n\n")[0]
+    rows = [line for line in table.splitlines() if line.startswith("| ") and "`" in line]
+    return [re.findall(r"`(\w+)`", row) for row in rows]
+
+
+SUBJECTS = read_subjects()
+LEVELS = {module: level for level, modules in enumerate(SUBJECTS) for module in modules}
+MODULES = sorted(path.stem for path in PACKAGE.glob("*.py"))
+
+
+def list_imports(module: str) -> Iterator[str]:
+    """Yield the modules of the package that a module imports, also those for types alone."""
+    for node in ast.walk(ast.parse((PACKAGE / f"{module}.py").read_text())):
+        if not isinstance(node, ast.ImportFrom) or node.module is None:
+            continue
+        package, _, name = node.module.partition(".")
+        if package == PACKAGE.name:
+            yield from [name] if name else [alias.name for alias in node.names]
+
+
+def test_the_page_gives_every_module_one_subject() -> None:
+    listed = [module for modules in SUBJECTS for module in modules]
+    assert sorted(listed) == MODULES
+
+
+@pytest.mark.parametrize("module", MODULES)
+def test_imports_lead_to_the_same_subject_or_a_lower_one(module: str) -> None:
+    names = [name for name in list_imports(module) if name in LEVELS]
+    higher = [name for name in names if LEVELS[name] > LEVELS[module]]
+    assert not higher
+    assert not any(name.startswith("platform") for name in list_imports(module))
