--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -4,15 +4,19 @@
 
 import random
 import shutil
+import signal
 import time
 from pathlib import Path
-from typing import Annotated
+from typing import TYPE_CHECKING, Annotated
 
 import typer
 
 from soak.runs import RunPlan, run_soak
 from soak.seeds import REGRESSIONS
 
+if TYPE_CHECKING:
+    from types import FrameType
+
 FRESH_SEEDS = 2**31
 
 
@@ -29,6 +33,7 @@
     ),
 ) -> None:
     """Run seeds one after the other; exit 1 where a promise was broken."""
+    signal.signal(signal.SIGTERM, _end)
     plans = [entry.plan for entry in REGRESSIONS] if regressions and not breakage else []
     chosen = range(first, first + seeds) if first else _draw_seeds(seeds)
     plans += [RunPlan(seed, nodes, seconds, breakage) for seed in chosen]
@@ -51,6 +56,10 @@
     raise typer.Exit(1 if failed else 0)
 
 
+def _end(_number: int, _frame: FrameType | None) -> None:
+    raise SystemExit(1)
+
+
 def _draw_seeds(count: int) -> list[int]:
     chance = random.SystemRandom()
     return [chance.randrange(1, FRESH_SEEDS) for _ in range(count)]
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -73,19 +73,16 @@
         folder: Where settings, logs and the list of faults go.
         network: Second number of all addresses: of one run at a time on this machine.
     """
-    return curio.run(partial(_run, plan, folder, network))
-
-
-async def _run(plan: RunPlan, folder: Path, network: int) -> RunReport:
     fleet = open_fleet(network, folder, breakage=plan.breakage)
     try:
-        await fleet.start(plan.nodes)
-        return await _soak(plan, fleet)
+        return curio.run(partial(_soak, plan, fleet))
     finally:
+        # Also where a signal ends this process: no node may outlive it.
         fleet.stop()
 
 
 async def _soak(plan: RunPlan, fleet: SoakFleet) -> RunReport:
+    await fleet.start(plan.nodes)
     chance = random.Random(plan.seed)
     watch = Watch(fleet)
     await watch.wait_for_recovery()
