--- a/trefoilpick/_cli_report.py
+++ b/trefoilpick/_cli_report.py
@@ -20,15 +20,18 @@
     write_span,
 )
 from trefoilpick._console import ExitCode, console, open_table, report_errors
+from trefoilpick._log_page import build_log_page
 from trefoilpick.addresses import split_address
 from trefoilpick.burn import BurnReport, build_burn
 from trefoilpick.errors import ErrorKind, TrefoilpickError
+from trefoilpick.explanation import read_logs
 from trefoilpick.fleet import ask_node, ask_nodes
+from trefoilpick.logreports import build_log_report
 from trefoilpick.reports import NodeReport
 from trefoilpick.status import FleetStatus, Standing, encode_status
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Iterable, Sequence
 
     from rich.table import Table
 
@@ -73,7 +76,7 @@
         found: BurnReport = curio.run(_collect_burn(addresses, timeout_s))
     if html is not None:
         with report_errors():
-            _write_page(html, found)
+            _write_file(html, build_page(found))
     if as_json:
         typer.echo(encode_status(found).decode())
     else:
@@ -84,6 +87,22 @@
         raise typer.Exit(ExitCode.FAULTY)
 
 
+@report.command()
+def logs(
+    paths: Annotated[list[Path], typer.Argument(help="Logs of nodes.", dir_okay=False)],
+    html: Annotated[Path, typer.Option(help="Write one HTML page to this file.", dir_okay=False)],
+) -> None:
+    """Draw load, failures by cause, latency and versions in force from the logs of nodes."""
+    with report_errors():
+        found = build_log_report(read_logs(paths))
+        _write_file(html, build_log_page(found))
+    console.print(
+        f"{found.nodes} nodes, {write_span(found.span_s)}: {found.requests:,} requests,"
+        f" {found.failed:,} failed; page in {html}",
+        highlight=False,
+    )
+
+
 async def _collect_burn(addresses: Sequence[str], timeout_s: float) -> BurnReport:
     missing: list[str] = []
     asked = list(addresses)
@@ -104,9 +123,9 @@
     return build_burn(reports, made_at=made_at, unreachable=missing)
 
 
-def _write_page(path: Path, found: BurnReport) -> None:
+def _write_file(path: Path, parts: Iterable[str]) -> None:
     try:
-        path.write_text("".join(build_page(found)), encoding="utf-8")
+        path.write_text("".join(parts), encoding="utf-8")
     except OSError as error:
         text = f'"{path}" cannot be written: {error.strerror}'
         raise TrefoilpickError(ErrorKind.FILE_UNREADABLE, text) from error
--- /dev/null
+++ b/trefoilpick/_log_page.py
@@ -0,0 +1,111 @@
+"""The report of logs as one HTML page that needs nothing else."""
+
+from __future__ import annotations
+
+from html import escape
+from typing import TYPE_CHECKING
+
+from trefoilpick._burn_page import STYLE
+from trefoilpick._burn_texts import write_ms, write_span
+from trefoilpick._plots import Bar, draw_bars, draw_distribution, draw_line
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from trefoilpick.logreports import LogReport, Spread
+
+IN_FORCE_S = 8.0
+"""Time in which a version must be in force everywhere, in seconds: the target."""
+
+QUICK_SHARE = 0.99
+"""Share of answers whose latency is marked."""
+
+MAX_SPREADS = 40
+"""Versions that are drawn, the newest."""
+
+MS_PER_S = 1_000
+
+
+def build_log_page(report: LogReport) -> Iterator[str]:
+    """Yield the parts of the page."""
+    yield '<!DOCTYPE html>\n<html lang="en">\n<head><meta charset="utf-8">'
+    yield '<meta name="viewport" content="width=device-width, initial-scale=1">'
+    yield f"<title>Logs of nodes</title><style>{STYLE}</style></head>\n<body><main>"
+    yield "<h1>Logs of nodes</h1>"
+    yield (
+        f"<p>From {escape(report.began_at.isoformat(timespec='seconds'))} on for"
+        f" {write_span(report.span_s)}: {report.nodes} nodes, {report.requests:,} requests in their"
+        f" lines, {report.failed:,} of them failed. Nodes left out {report.omitted:,} lines to"
+        " bound their logs.</p>"
+    )
+    yield from _draw_load(report)
+    yield from _draw_causes(report)
+    yield from _draw_latencies(report)
+    yield from _draw_versions(report)
+    yield "</main></body>\n</html>\n"
+
+
+def _draw_load(report: LogReport) -> Iterator[str]:
+    yield "<section><h2>Requests in the logs</h2><p>A second, by time before the end; the mark"
+    yield " is the largest number that failed.</p>"
+    yield from draw_line(
+        [(part.age_s, part.per_s) for part in report.slices],
+        title="Requests a second over time",
+        bound=max(part.failed_per_s for part in report.slices),
+        bound_text="most failures a second",
+        format_x=write_span,
+        format_y=lambda value: f"{value:.0f}",
+    )
+    yield "</section>"
+
+
+def _draw_causes(report: LogReport) -> Iterator[str]:
+    yield "<section><h2>Why requests failed</h2>"
+    if report.causes:
+        bars = [
+            Bar(cause, count / report.failed, f"{count:,}", "bad") for cause, count in report.causes
+        ]
+        yield from draw_bars(bars, title="Failed requests by cause")
+    else:
+        yield "<p>None did.</p>"
+    yield "</section>"
+
+
+def _draw_latencies(report: LogReport) -> Iterator[str]:
+    yield "<section><h2>Time of answers</h2>"
+    if report.latencies:
+        quick_ms = find_quick(report.latencies)
+        yield from draw_distribution(
+            report.latencies,
+            title="Share of answers within a time",
+            bound=quick_ms,
+            bound_text=f"{QUICK_SHARE:.0%} within {write_ms(quick_ms)}",
+            format_x=write_ms,
+        )
+    else:
+        yield "<p>No answer is in the logs.</p>"
+    yield "</section>"
+
+
+def _draw_versions(report: LogReport) -> Iterator[str]:
+    yield "<section><h2>Versions in force</h2><p>Time from the first node to the last.</p>"
+    bars = [_draw_spread(spread, report.nodes) for spread in report.spreads[-MAX_SPREADS:]]
+    yield from draw_bars(bars, title="Time from the first node to the last, by version")
+    yield "</section>"
+
+
+def _draw_spread(spread: Spread, nodes: int) -> Bar:
+    label = f"version {spread.number}, {spread.nodes} of {nodes} nodes"
+    style = "good" if spread.took_s <= IN_FORCE_S else "bad"
+    return Bar(label, spread.took_s / IN_FORCE_S, write_ms(spread.took_s * MS_PER_S), style)
+
+
+def find_quick(latencies: tuple[tuple[float, int], ...]) -> float:
+    """Return the upper end of the bucket within which most answers are, in milliseconds."""
+    total = sum(count for _, count in latencies)
+    seen = 0
+    for upper, count in latencies:
+        seen += count
+        if seen >= QUICK_SHARE * total:
+            return upper
+    return latencies[-1][0]
--- a/trefoilpick/explanation.py
+++ b/trefoilpick/explanation.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
 from trefoilpick.errors import ErrorKind, TrefoilpickError
@@ -29,6 +29,8 @@
         value: How that ended or what it is now.
         request_id: The request; empty where it tells of none.
         details: Further fields, as text.
+        took_ms: Time that the request took, in milliseconds; None where it tells none.
+        omitted: Lines that the node left out before it.
     """
 
     time: str
@@ -37,6 +39,8 @@
     value: str
     request_id: str
     details: str
+    took_ms: float | None = field(default=None, compare=False)
+    omitted: int = field(default=0, compare=False)
 
 
 def explain_request(request_id: str, lines: Iterable[LogLine]) -> tuple[LogLine, ...]:
@@ -92,4 +96,10 @@
         value=str(fields.get("value", "")),
         request_id=str(fields.get("request_id", "")),
         details=", ".join(details),
+        took_ms=_read_number(fields.get("took_ms")),
+        omitted=int(_read_number(fields.get("omitted_before")) or 0),
     )
+
+
+def _read_number(value: object) -> float | None:
+    return float(value) if isinstance(value, (int, float)) else None
