--- a/soak/breakages.py
+++ b/soak/breakages.py
@@ -36,7 +36,7 @@
     def may_run_again(call: Any, error: TrefoilpickError) -> bool:
         return call.body.is_replayable
 
-    retries.may_run_again = may_run_again  # type: ignore[assignment]
+    retries.may_run_again = may_run_again
 
 
 def _deny_runs() -> None:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -43,7 +43,7 @@
 DRAIN_LIMIT_MS = 4_000
 """Time for requests in flight to end, in milliseconds: longer than callers wait."""
 
-STATIC_SETTINGS = {
+STATIC_SETTINGS: dict[str, dict[str, object]] = {
     "control": {"exchange_ms": 500, "join_wait_ms": 1_000, "expected_vms": 50},
     "source": {"watch_ms": 2_000, "watch_gap_ms": 200, "backoff_ms": 1_000},
     "drain": {"notice_ms": NOTICE_MS, "limit_ms": DRAIN_LIMIT_MS},
