A silent watch ends in time however slow the store was, and both values are read anew after it

A watch's wait and the time for its answer add up: the answer's time doubles with each watch that fails, from 0.25 to 1 s, so that the next silent watch lasted up to 2.4 s. Besides, the reader that did not hold the failed watch asked on from the old position, where the history may be gone. Two tests fail before.

--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
 import curio
 import msgspec
@@ -15,11 +16,17 @@
     run_store,
 )
 
+from trefoilpick._clock import read_clock
 from trefoilpick._source_connection import SourceReply
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 from trefoilpick.manifest import decode_manifest
 from trefoilpick.platform.entries import HOLD_S
-from trefoilpick.platform.store import CONFIGURATION_KEY, StoreSource, open_store
+from trefoilpick.platform.store import (
+    CONFIGURATION_KEY,
+    SHORTEST_ANSWER_S,
+    StoreSource,
+    open_store,
+)
 from trefoilpick.sections import decode_section
 from trefoilpick.source import (
     MANIFEST_KEY,
@@ -225,3 +232,38 @@
         assert kept.revision < clean.revision
 
     run_scene(scene)
+
+
+def test_a_silent_watch_ends_in_time_however_slow_the_store_was() -> None:
+    """Watches fall silent while a worker leaves, after the store had been slow."""
+
+    async def scene(store: FakeStore, source: StoreSource) -> None:
+        settings = replace(source._settings, watch_ms=1_000, read_timeout_ms=1_000)
+        source.apply_settings(settings)
+        vms = await source.read_value(VMS_KEY)
+        await source.read_value(MANIFEST_KEY)
+        store.fault = Fault.SILENT
+        for _ in range(4):
+            began_at = read_clock()
+            with pytest.raises(TrefoilpickError):
+                await source._watch()
+            assert read_clock() - began_at < settings.watch_ms / 1000 + SHORTEST_ANSWER_S + 0.2
+            source._position = vms.revision
+
+    run_scene(scene)
+
+
+def test_after_a_watch_that_failed_both_values_are_read_anew() -> None:
+    async def scene(store: FakeStore, source: StoreSource) -> None:
+        vms = await source.read_value(VMS_KEY)
+        manifest = await source.read_value(MANIFEST_KEY)
+        store.fault = Fault.SILENT
+        with pytest.raises(TrefoilpickError):
+            await source.watch_value(MANIFEST_KEY, after=manifest.revision)
+        store.fault = Fault.NONE
+        del store.calls[:]
+        assert list_workers(await source.watch_value(VMS_KEY, after=vms.revision))
+        assert any("kv-range" in call for call in store.calls)
+        assert not any("kv-watch" in call for call in store.calls)
+
+    run_scene(scene)
--- a/trefoilpick/platform/store.py
+++ b/trefoilpick/platform/store.py
@@ -237,14 +237,15 @@
         )
         wait_ms = self._draw_wait()
         began_at = self._clock()
-        reply = await self._call(
-            WATCH_PATH,
-            f"{WATCH_PATH}?path-prefix=&after={self._position}&wait-ms={wait_ms}",
-            wait_s=wait_ms / 1000,
-        )
+        target = f"{WATCH_PATH}?path-prefix=&after={self._position}&wait-ms={wait_ms}"
+        try:
+            reply = await self._call(WATCH_PATH, target, wait_s=wait_ms / 1000)
+        except TrefoilpickError:
+            # A silent watch may have missed what the next one is not told either.
+            self._forget_reads()
+            raise
         if reply.status == STATUS_HISTORY_GONE:
-            self._read_at.clear()
-            self._position = None
+            self._forget_reads()
             return
         told = _decode(reply, _Events)
         if told.events:
@@ -257,8 +258,15 @@
             if key is not None and item.revision > self._read_at.get(key, 0):
                 self._changes[key].append(item)
 
+    def _forget_reads(self) -> None:
+        """Let both values be read anew."""
+        self._read_at.clear()
+        self._position = None
+
     def _draw_wait(self) -> int:
-        wait_ms = self._settings.watch_ms * self._random.uniform(SHORTEST_WAIT, 1.0)
+        # Whatever its answer may take, a silent watch ends as soon as one of a quick store.
+        longest_ms = self._settings.watch_ms - 1000 * (self._answer_s - SHORTEST_ANSWER_S)
+        wait_ms = longest_ms * self._random.uniform(SHORTEST_WAIT, 1.0)
         hold_s = self._entries.find_hold_s(self._clock())
         if hold_s is not None:
             wait_ms = min(wait_ms, hold_s * 1000)
