Keep lapsed entries only where the store was away long enough for them to lapse

A watch that was cut counted as an absence of the store, and for 2.5 s after it removals were held as if live workers would be back; the lists of that node, being later ones, went over all others'. Ruled out: late lists (83 to 107 reached every node within 60 ms); a silent watch at that moment. Change: entries are held only after an absence of 1.5 s or more; two heartbeats are 1.74 s. The tests of holding now let the store be away that long, and are as strict; a new one fails before.

--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -24,6 +24,7 @@
 from trefoilpick.platform.store import (
     CONFIGURATION_KEY,
     SHORTEST_ANSWER_S,
+    SHORTEST_LAPSE_S,
     StoreSource,
     open_store,
 )
@@ -200,6 +201,7 @@
             await source.read_value(VMS_KEY)
         store.delete("servers/i-1")
         store.delete("servers/i-2")
+        await curio.sleep(SHORTEST_LAPSE_S)
         store.fault = Fault.NONE
         held = await source.read_value(VMS_KEY)
         assert list_workers(held) == ["i-1", "i-2"]
@@ -217,6 +219,22 @@
     run_scene(scene)
 
 
+def test_a_worker_that_leaves_right_after_a_call_that_failed_is_gone_at_once() -> None:
+    """Watches are cut where the history goes; no entry of a live worker lapses in that time."""
+
+    async def scene(store: FakeStore, source: StoreSource) -> None:
+        vms = await source.read_value(VMS_KEY)
+        store.fault = Fault.RESET
+        with pytest.raises(TrefoilpickError):
+            await source.watch_value(VMS_KEY, after=vms.revision)
+        store.fault = Fault.NONE
+        assert list_workers(await source.read_value(VMS_KEY)) == ["i-1", "i-2"]
+        store.delete("servers/i-1")
+        assert list_workers(await source.watch_value(VMS_KEY, after=vms.revision)) == ["i-2"]
+
+    run_scene(scene)
+
+
 def test_a_list_with_kept_entries_never_goes_before_one_without() -> None:
     async def scene(store: FakeStore, source: StoreSource) -> None:
         await source.read_value(VMS_KEY)
@@ -226,6 +244,7 @@
         store.fault = Fault.RESET
         with pytest.raises(TrefoilpickError):
             await source.read_value(VMS_KEY)
+        await curio.sleep(SHORTEST_LAPSE_S)
         store.fault = Fault.NONE
         kept = read_list(await source.read_value(VMS_KEY))
         assert [vm.worker for vm in kept.vms] == ["i-1", "i-2"]
--- a/trefoilpick/platform/store.py
+++ b/trefoilpick/platform/store.py
@@ -62,6 +62,11 @@
 """Smallest part of the settings' wait that a watch takes: nodes that heard of one change together
 do not all ask again together."""
 
+SHORTEST_LAPSE_S = 1.5
+"""Time that the store must be away before entries of live workers lapse, in seconds: they do after
+three heartbeats without a word, one of which may have passed before, and those of the users'
+deployments are 0.87 s and more."""
+
 KEPT_SECTIONS = 3
 """Versions whose sections can be read."""
 
@@ -121,7 +126,7 @@
         self._clock = clock
         self._answer_s = SHORTEST_ANSWER_S
         self._heard_at = -math.inf
-        self._is_failing = False
+        self._failing_since: float | None = None
         self._watching = curio.Lock()
         self._position: int | None = None
         self._read_at: dict[str, int] = {}
@@ -283,15 +288,21 @@
             reply = await self._client.call(use, target, wait_s=wait_s, answer_s=answer_s)
             _check_status(reply, target)
         except TrefoilpickError:
-            self._is_failing = True
+            if self._failing_since is None:
+                self._failing_since = self._clock()
             if wait_s:
                 self._answer_s = min(2 * self._answer_s, longest_s)
             raise
-        if self._is_failing:
-            self._is_failing = False
-            self._entries.note_return(self._clock())
+        self._note_return()
         return reply
 
+    def _note_return(self) -> None:
+        """Note that the store answers; entries may have lapsed only while it was away for long."""
+        since, self._failing_since = self._failing_since, None
+        now = self._clock()
+        if since is not None and now - since >= SHORTEST_LAPSE_S:
+            self._entries.note_return(now)
+
 
 def _find_value(item: _Item) -> str | None:
     """Return the value that an item belongs to; None for one that names nothing of it."""
