A list with kept entries goes before no list of those who heard of the store meanwhile

The first to return held the entry that was removed at 21.6 s, rightly for itself; a version that came later gave its list a later number, so that all nodes took the worker back until the hold ended at 23.7 s (list 90 at 22.64 s is even). Change: a list with kept entries has the number from before the absence. The test of the hold now asks that it goes before no list from before, which is stricter; a new one fails before.

--- a/trefoilpick/platform/entries.py
+++ b/trefoilpick/platform/entries.py
@@ -78,11 +78,14 @@
         self._entries: dict[str, WorkerEntry] = {}
         self._held: dict[str, HeldEntry] = {}
         self._hold_until_s = float("-inf")
+        self._known_revision = 0
         self.revision = 0
 
     def note_return(self, now: float) -> None:
         """Note that the store answers again: what lapsed meanwhile may come back."""
         self._hold_until_s = now + HOLD_S
+        if not self._held:
+            self._known_revision = self.revision
 
     def replace_all(self, items: dict[str, tuple[bytes, int]], revision: int, now: float) -> None:
         """Take all entries as read.
@@ -128,8 +131,8 @@
     def build_list(self) -> VmList:
         """Return the list of VMs.
 
-        Its revision is odd where nothing is kept, so that it goes before the list of the same
-        moment that still has entries which lapsed.
+        Its revision is odd where nothing is kept. With entries that lapsed it is that of the moment
+        before the store was away, and even: whoever heard of the store meanwhile knows better.
         """
         newest: dict[str, WorkerEntry] = {}
         for entry in self._list_entries():
@@ -137,7 +140,9 @@
             if known is None or _rank(entry) > _rank(known):
                 newest[entry.vm.name] = entry
         vms = tuple(newest[name].vm for name in sorted(newest))
-        return VmList(2 * self.revision + (not self._held), vms)
+        if self._held:
+            return VmList(2 * self._known_revision, vms)
+        return VmList(2 * self.revision + 1, vms)
 
     def _list_entries(self) -> Iterator[WorkerEntry]:
         yield from self._entries.values()
