One piece of code where the nodes had two

Found in reading the change again: request lines had a token bucket beside budgets.Budget, each node had two request logs, means by route stood in gate and in transfers, the end of checking settings was written twice, frames of hops were received in two ways with the same errors, three header names had two definitions, and the results of answered requests three; the two HTML pages had a frame each, and the page of logs its own copy of the bound for versions. Behaviour stays, but for two corners: a mean of exactly zero is a mean now, where the gate took it for none before, and causes with equal counts stand in the order of their names on the page of logs. The tests keep their assertions; test_transfers takes the bound's name from where it stands now.

--- a/tests/test_transfers.py
+++ b/tests/test_transfers.py
@@ -1,4 +1,5 @@
-from trefoilpick.transfers import HEAVY_BYTES, MAX_ROUTES, TransferSizes
+from trefoilpick.means import MAX_NAMES
+from trefoilpick.transfers import HEAVY_BYTES, TransferSizes
 
 
 def test_a_route_is_heavy_by_what_its_requests_moved_lately() -> None:
@@ -15,7 +16,7 @@
 
 def test_memory_of_routes_is_bounded() -> None:
     sizes = TransferSizes()
-    for number in range(MAX_ROUTES + 1):
+    for number in range(MAX_NAMES + 1):
         sizes.note("team", str(number), HEAVY_BYTES)
     assert not sizes.is_heavy("team", "0")
-    assert sizes.is_heavy("team", str(MAX_ROUTES))
+    assert sizes.is_heavy("team", str(MAX_NAMES))
--- a/trefoilpick/_hop_heads.py
+++ b/trefoilpick/_hop_heads.py
@@ -5,13 +5,8 @@
 import math
 from typing import TYPE_CHECKING
 
-from trefoilpick.calls import (
-    MS_PER_S,
-    OUTCOME_HEADER,
-    OWN_HEADERS,
-    RETRY_HEADER,
-    TOKEN_HEADER,
-)
+from trefoilpick.calls import MS_PER_S, OUTCOME_HEADER, OWN_HEADERS, TOKEN_HEADER
+from trefoilpick.conventions import RETRY_HEADER
 from trefoilpick.document import Priority
 from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError
 from trefoilpick.hops import HopRequest
--- a/trefoilpick/_log_page.py
+++ b/trefoilpick/_log_page.py
@@ -5,8 +5,9 @@
 from html import escape
 from typing import TYPE_CHECKING
 
-from trefoilpick._burn_page import STYLE
+from trefoilpick._burn_fleet import CONVERGENCE_BOUND_MS
 from trefoilpick._burn_texts import write_ms, write_span
+from trefoilpick._html_page import frame_page
 from trefoilpick._plots import Bar, draw_bars, draw_distribution, draw_line
 
 if TYPE_CHECKING:
@@ -14,9 +15,6 @@
 
     from trefoilpick.logreports import LogReport, Spread
 
-IN_FORCE_S = 8.0
-"""Time in which a version must be in force everywhere, in seconds: the target."""
-
 QUICK_SHARE = 0.99
 """Share of answers whose latency is marked."""
 
@@ -28,9 +26,10 @@
 
 def build_log_page(report: LogReport) -> Iterator[str]:
     """Yield the parts of the page."""
-    yield '<!DOCTYPE html>\n<html lang="en">\n<head><meta charset="utf-8">'
-    yield '<meta name="viewport" content="width=device-width, initial-scale=1">'
-    yield f"<title>Logs of nodes</title><style>{STYLE}</style></head>\n<body><main>"
+    yield from frame_page("Logs of nodes", _build_parts(report))
+
+
+def _build_parts(report: LogReport) -> Iterator[str]:
     yield "<h1>Logs of nodes</h1>"
     yield (
         f"<p>From {escape(report.began_at.isoformat(timespec='seconds'))} on for"
@@ -42,7 +41,6 @@
     yield from _draw_causes(report)
     yield from _draw_latencies(report)
     yield from _draw_versions(report)
-    yield "</main></body>\n</html>\n"
 
 
 def _draw_load(report: LogReport) -> Iterator[str]:
@@ -96,8 +94,9 @@
 
 def _draw_spread(spread: Spread, nodes: int) -> Bar:
     label = f"version {spread.number}, {spread.nodes} of {nodes} nodes"
-    style = "good" if spread.took_s <= IN_FORCE_S else "bad"
-    return Bar(label, spread.took_s / IN_FORCE_S, write_ms(spread.took_s * MS_PER_S), style)
+    took_ms = spread.took_s * MS_PER_S
+    style = "good" if took_ms <= CONVERGENCE_BOUND_MS else "bad"
+    return Bar(label, took_ms / CONVERGENCE_BOUND_MS, write_ms(took_ms), style)
 
 
 def find_quick(latencies: tuple[tuple[float, int], ...]) -> float:
--- a/trefoilpick/_workerconnections.py
+++ b/trefoilpick/_workerconnections.py
@@ -8,7 +8,7 @@
 
 import h11
 
-from trefoilpick.conventions import OWN_CONVENTIONS, Conventions
+from trefoilpick.conventions import OWN_CONVENTIONS, RETRY_HEADER, VERSION_HEADER, Conventions
 from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError
 
 if TYPE_CHECKING:
@@ -22,12 +22,6 @@
 MAX_ANSWER_HEAD_BYTES = 65_536
 """Largest head of a worker's answer, in bytes."""
 
-VERSION_HEADER = b"x-trefoilpick-version"
-"""Request header: number of the version that admitted the request."""
-
-RETRY_HEADER = b"x-trefoilpick-retry"
-"""Request header: an earlier attempt was made."""
-
 CONNECTION_HEADERS = frozenset(
     (
         b"connection",
--- a/trefoilpick/budgets.py
+++ b/trefoilpick/budgets.py
@@ -9,6 +9,7 @@
 from trefoilpick._clock import read_clock
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from random import Random
 
 FIRST_BACKOFF_S = 0.2
@@ -31,13 +32,17 @@
     Args:
         rate: Tokens per second.
         burst: Tokens that may go at once.
+        clock: Reads the node's clock, in seconds.
     """
 
-    def __init__(self, rate: float, burst: float) -> None:
+    def __init__(
+        self, rate: float, burst: float, *, clock: Callable[[], float] = read_clock
+    ) -> None:
         self._rate = rate
         self._burst = burst
+        self._clock = clock
         self._tokens = burst
-        self._filled_s = read_clock()
+        self._filled_s = clock()
 
     def resize(self, rate: float, burst: float) -> None:
         """Change the rate and the burst; what is left of the old ones stays."""
@@ -61,7 +66,7 @@
         return True
 
     def _fill(self) -> None:
-        now = read_clock()
+        now = self._clock()
         self._tokens = min(self._burst, self._tokens + (now - self._filled_s) * self._rate)
         self._filled_s = now
 
--- a/trefoilpick/callers.py
+++ b/trefoilpick/callers.py
@@ -18,14 +18,12 @@
     EXHAUSTED_MARK,
     MS_PER_S,
     OUTCOME_HEADER,
-    RETRY_HEADER,
-    VERSION_HEADER,
     Call,
     CallBody,
     CallHead,
     read_head,
 )
-from trefoilpick.conventions import OWN_CONVENTIONS, Conventions
+from trefoilpick.conventions import OWN_CONVENTIONS, RETRY_HEADER, VERSION_HEADER, Conventions
 from trefoilpick.document import CallerLimits
 from trefoilpick.errors import ErrorKind, TrefoilpickError, find_answer
 from trefoilpick.forwarding import Forwarder
@@ -34,7 +32,7 @@
 from trefoilpick.patience import PatienceTable, advise_pause
 from trefoilpick.pipelining import Pipeline, Turn
 from trefoilpick.reaper import Reaper
-from trefoilpick.requestlogs import RequestEvent, RequestLog, open_request_log
+from trefoilpick.requestlogs import GOOD_RESULTS, RequestEvent, RequestLog, open_request_log
 from trefoilpick.retries import OVERLOADS, RetryBudgets
 from trefoilpick.sightings import ignore_version
 from trefoilpick.splitting import Splitter
@@ -75,9 +73,6 @@
 CLOSE_HEADER = (b"connection", b"close")
 """Header that ends a caller's connection after the answer."""
 
-GOOD_RESULTS = frozenset({"good", "slow"})
-"""Results of requests that a worker answered."""
-
 US_PER_S = 1_000_000
 """Microseconds in a second."""
 
--- a/trefoilpick/calls.py
+++ b/trefoilpick/calls.py
@@ -6,7 +6,13 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from trefoilpick.conventions import OWN_CONVENTIONS, Conventions
+from trefoilpick.conventions import (
+    DEADLINE_HEADER,
+    OWN_CONVENTIONS,
+    RETRY_HEADER,
+    VERSION_HEADER,
+    Conventions,
+)
 from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError
 from trefoilpick.hops import Headers
 from trefoilpick.retries import Tries
@@ -20,9 +26,6 @@
 MS_PER_S = 1_000
 """Milliseconds in a second."""
 
-VERSION_HEADER = b"x-trefoilpick-version"
-"""Header with the number of the version that admitted a request."""
-
 ERROR_HEADER = b"x-trefoilpick-error"
 """Header with the kind of the error that ended a request."""
 
@@ -32,15 +35,9 @@
 OWN_PREFIX = b"x-trefoilpick-"
 """Start of the names of the project's own headers."""
 
-DEADLINE_HEADER = b"x-trefoilpick-deadline-ms"
-"""Header with the time that a caller leaves for the answer's head, in milliseconds."""
-
 TOKEN_HEADER = b"x-trefoilpick-token"
 """Header with a token for running at most once, or the wish for one."""
 
-RETRY_HEADER = b"x-trefoilpick-retry"
-"""Header that marks a further attempt, and an answer after which a further one is no use."""
-
 TOKEN_WISH = "request"
 """Value of the token header that asks for a token."""
 
--- a/trefoilpick/client.py
+++ b/trefoilpick/client.py
@@ -16,15 +16,14 @@
 )
 from trefoilpick._client_node import ClientNode
 from trefoilpick.calls import (
-    DEADLINE_HEADER,
     EXHAUSTED_MARK,
     MS_PER_S,
     OWN_PREFIX,
-    RETRY_HEADER,
     RETRY_MARK,
     TOKEN_HEADER,
     TOKEN_WISH,
 )
+from trefoilpick.conventions import DEADLINE_HEADER, RETRY_HEADER
 from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError, find_answer
 from trefoilpick.retries import RETRIABLE
 
--- a/trefoilpick/conventions.py
+++ b/trefoilpick/conventions.py
@@ -4,6 +4,15 @@
 
 from dataclasses import dataclass
 
+VERSION_HEADER = b"x-trefoilpick-version"
+"""Header with the number of the version that admitted a request."""
+
+RETRY_HEADER = b"x-trefoilpick-retry"
+"""Header that marks a further attempt, and an answer after which a further one is no use."""
+
+DEADLINE_HEADER = b"x-trefoilpick-deadline-ms"
+"""Header with the time that a caller leaves for the answer's head, in milliseconds."""
+
 
 @dataclass(frozen=True)
 class Conventions:
@@ -24,7 +33,7 @@
     """
 
     request_id: bytes = b"x-request-id"
-    deadline: bytes = b"x-trefoilpick-deadline-ms"
+    deadline: bytes = DEADLINE_HEADER
     caller_service: bytes = b"x-trefoilpick-caller-service"
     expected_worker: bytes = b"x-trefoilpick-expected-worker"
     not_run: bytes = b"x-not-run"
--- a/trefoilpick/explanation.py
+++ b/trefoilpick/explanation.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Any
 
 from trefoilpick.errors import ErrorKind, TrefoilpickError
+from trefoilpick.requestlogs import GOOD_RESULTS, RequestEvent
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
@@ -52,7 +53,7 @@
     """Yield why callers' requests failed, and how many lines tell of each, the most first."""
     counts: dict[str, int] = {}
     for line in lines:
-        if line.event == "request" and line.value not in ("good", "slow"):
+        if line.event == RequestEvent.REQUEST.value and line.value not in GOOD_RESULTS:
             counts[line.value] = counts.get(line.value, 0) + 1
     yield from sorted(counts.items(), key=lambda entry: (-entry[1], entry[0]))
 
--- a/trefoilpick/forwarding.py
+++ b/trefoilpick/forwarding.py
@@ -325,17 +325,12 @@
             if uploader is None and left_s >= COARSE_DEADLINE_S:
                 return await self._receive_by_coarse_deadline(call, hop)
             try:
-                return await curio.timeout_after(max(left_s, 0.0), hop.receive)
+                return await curio.timeout_after(max(left_s, 0.0), _receive_frame, hop)
             except curio.TaskTimeout:
                 moved_at = _move_deadline(call, uploader)
                 if moved_at is None or moved_at <= deadline_at:
                     raise _describe_lateness(hop) from None
                 deadline_at = moved_at
-            except OSError as error:
-                _check_silence(hop, error)
-                return None
-            except TrefoilpickError:
-                return None
 
     async def _receive_by_coarse_deadline(self, call: Call, hop: ClientHop) -> Frame | None:
         """Receive a frame; the reaper breaks the hop soon after the deadline.
@@ -344,13 +339,8 @@
         """
         link = call.link
         link.deadline_at = call.deadline_at
-        frame = None
         try:
-            frame = await hop.receive()
-        except OSError as error:
-            _check_silence(hop, error)
-        except TrefoilpickError:
-            pass
+            frame = await _receive_frame(hop)
         finally:
             link.deadline_at = None
         if link.is_late:
@@ -453,15 +443,22 @@
     return began_at + allowed_s
 
 
-def _check_silence(hop: ClientHop, error: OSError) -> None:
-    """Tell a node that is cut off from one that closed its hop.
+async def _receive_frame(hop: ClientHop) -> Frame | None:
+    """Return the next frame; None where the hop broke.
 
     Raises:
-        TrefoilpickError: `UPSTREAM_SILENT`.
+        TrefoilpickError: `UPSTREAM_SILENT`, where its node is cut off.
     """
-    if error.errno == errno.ETIMEDOUT:
-        text = f'VM "{hop.vm.name}" does not acknowledge what it is sent'
-        raise TrefoilpickError(ErrorKind.UPSTREAM_SILENT, text) from error
+    try:
+        return await hop.receive()
+    except OSError as error:
+        if error.errno == errno.ETIMEDOUT:
+            text = f'VM "{hop.vm.name}" does not acknowledge what it is sent'
+            raise TrefoilpickError(ErrorKind.UPSTREAM_SILENT, text) from error
+    except TrefoilpickError:
+        # Whatever is no frame ends the hop as well; the caller's task says what that means.
+        pass
+    return None
 
 
 def _describe_loss(call: Call, hop: ClientHop, uploader: Uploader | None) -> TrefoilpickError:
--- a/trefoilpick/gate.py
+++ b/trefoilpick/gate.py
@@ -16,6 +16,7 @@
 from trefoilpick._waiting import Line, Waiter
 from trefoilpick.document import Priority
 from trefoilpick.errors import ErrorKind, TrefoilpickError
+from trefoilpick.means import MovingMeans, blend
 
 PRIORITIES = (Priority.INTERACTIVE.value, Priority.NORMAL.value, Priority.DEFERRABLE.value)
 """Values of `Priority`, the one that is served first at the start."""
@@ -31,12 +32,6 @@
 """Part of the time left that such a request waits at most: its caller does better to ask another
 node while there is time."""
 
-SERVICE_WEIGHT = 0.1
-"""Weight of the newest service time in the mean."""
-
-MAX_ROUTES = 4_096
-"""Routes whose service times are remembered: more than a document of the target's size has."""
-
 MIN_RETRY_AFTER_S = 0.05
 """Shortest advice on when to come back, in seconds."""
 
@@ -60,23 +55,21 @@
     """Mean times that a worker takes, by route.
 
     Attributes:
-        mean_s: The mean over all requests, in seconds; 0 before the first.
+        mean_s: The mean over all requests, in seconds; None before the first.
     """
 
     def __init__(self) -> None:
-        self.mean_s = 0.0
-        self._routes: dict[str, float] = {}
+        self.mean_s: float | None = None
+        self._routes: MovingMeans[str] = MovingMeans()
 
     def note(self, route: str, served_s: float) -> None:
         """Take a time into the means, in seconds."""
-        self.mean_s = _blend(self.mean_s, served_s)
-        if route not in self._routes and len(self._routes) >= MAX_ROUTES:
-            self._routes.pop(next(iter(self._routes)))
-        self._routes[route] = _blend(self._routes.get(route, 0.0), served_s)
+        self.mean_s = blend(self.mean_s, served_s)
+        self._routes.note(route, served_s)
 
     def estimate(self, route: str) -> float:
         """Return the time that a request of a route is expected to take, in seconds."""
-        return self._routes.get(route, self.mean_s)
+        return self._routes.get(route, self.mean_s or 0.0)
 
 
 class Gate:
@@ -107,7 +100,7 @@
     @property
     def service_s(self) -> float:
         """Mean time that the worker takes for a request, in seconds; 0 before any was served."""
-        return self._times.mean_s
+        return self._times.mean_s or 0.0
 
     def start_warm_up(self, now_s: float) -> None:
         """Begin with a part of the slots.
@@ -347,10 +340,6 @@
         self.queued += 1
 
 
-def _blend(mean_s: float, newest_s: float) -> float:
-    return mean_s + (SERVICE_WEIGHT if mean_s else 1.0) * (newest_s - mean_s)
-
-
 def _refuse_late() -> TrefoilpickError:
     return TrefoilpickError(ErrorKind.DEADLINE_BEFORE_RUN, "time is over before the request ran")
 
--- a/trefoilpick/hopserver.py
+++ b/trefoilpick/hopserver.py
@@ -37,6 +37,7 @@
     from trefoilpick.conventions import Conventions
     from trefoilpick.document import Upstream
     from trefoilpick.metrics import Metrics
+    from trefoilpick.requestlogs import RequestLog
     from trefoilpick.settings import Settings
     from trefoilpick.snapshots import SnapshotCell
     from trefoilpick.tokens import TokenBook
@@ -90,6 +91,7 @@
         note_version: Called with the VM, number and digest of the version that a request names.
         find_own: Returns this VM as the platform lists it; None where it does not.
         conventions: Headers of the fleet.
+        log: Where the ends of requests are told.
     """
 
     def __init__(
@@ -106,6 +108,7 @@
         note_version: Callable[[str, int, str], None],
         find_own: Callable[[], Vm | None],
         conventions: Conventions,
+        log: RequestLog,
     ) -> None:
         self.gate = gate
         self.book = book
@@ -116,9 +119,7 @@
         self._cell = cell
         self._metrics = metrics
         self._log = open_state_log(settings.vm, incarnation=incarnation, metrics=metrics)
-        self._requests = open_request_log(
-            settings.vm.name, incarnation=incarnation, metrics=metrics
-        )
+        self._requests = log
         self._is_level = is_level
         self._note_version = note_version
         self._find_own = find_own
@@ -413,6 +414,7 @@
     note_version: Callable[[str, int, str], None] = ignore_version,
     find_own: Callable[[], Vm | None] = lambda: None,
     conventions: Conventions = OWN_CONVENTIONS,
+    log: RequestLog | None = None,
 ) -> HopServer:
     """Open the hop server of a node; it listens from now on and accepts hops when run.
 
@@ -425,6 +427,7 @@
         note_version: Called with the VM, number and digest of the version that a request names.
         find_own: Returns this VM as the platform lists it; None where it does not.
         conventions: Headers of the fleet.
+        log: Where the ends of requests are told; by default a log of its own.
 
     Raises:
         TrefoilpickError: `SETTINGS_FAULTY`, where the address cannot be listened on.
@@ -455,6 +458,7 @@
         note_version=note_version,
         find_own=find_own,
         conventions=conventions,
+        log=log or open_request_log(settings.vm.name, incarnation=incarnation, metrics=metrics),
     )
 
 
--- a/trefoilpick/logreports.py
+++ b/trefoilpick/logreports.py
@@ -8,6 +8,9 @@
 from typing import TYPE_CHECKING
 
 from trefoilpick.errors import ErrorKind, TrefoilpickError
+from trefoilpick.explanation import count_causes
+from trefoilpick.logs import Event
+from trefoilpick.requestlogs import GOOD_RESULTS, RequestEvent
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
@@ -17,9 +20,6 @@
 SLICES = 60
 """Slices of the span in which requests are counted."""
 
-ANSWERED = frozenset({"good", "slow"})
-"""Ends of requests that a worker answered."""
-
 LATENCY_STEPS_MS = (1, 2, 5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 5_000, 10_000, 60_000)
 """Upper ends of the buckets of latencies, in milliseconds."""
 
@@ -96,8 +96,7 @@
     if not timed:
         raise TrefoilpickError(ErrorKind.FILE_UNREADABLE, "no line of the logs tells its time")
     began_at, ended_at = timed[0][0], timed[-1][0]
-    requests = [(at, line) for at, line in timed if line.event == "request"]
-    causes = Counter(line.value for _, line in requests if line.value not in ANSWERED)
+    requests = [(at, line) for at, line in timed if line.event == RequestEvent.REQUEST.value]
     return LogReport(
         began_at=began_at,
         span_s=(ended_at - began_at).total_seconds(),
@@ -105,7 +104,7 @@
         requests=len(requests),
         omitted=sum(line.omitted for _, line in timed),
         slices=tuple(_count_slices(requests, began_at, ended_at)),
-        causes=tuple(causes.most_common()),
+        causes=tuple(count_causes(line for _, line in requests)),
         latencies=tuple(_count_latencies(line for _, line in requests)),
         spreads=tuple(_measure_spreads(timed)),
     )
@@ -129,7 +128,7 @@
     for at, line in requests:
         index = min(int((at - began_at).total_seconds() / width_s), SLICES - 1)
         counts[index] += 1
-        failed[index] += line.value not in ANSWERED
+        failed[index] += line.value not in GOOD_RESULTS
     for index in range(SLICES):
         age_s = (SLICES - index - 0.5) * width_s
         yield Slice(age_s, counts[index] / width_s, failed[index] / width_s)
@@ -138,7 +137,7 @@
 def _count_latencies(lines: Iterable[LogLine]) -> Iterator[tuple[float, int]]:
     counts: Counter[float] = Counter()
     for line in lines:
-        if line.value in ANSWERED and line.took_ms is not None:
+        if line.value in GOOD_RESULTS and line.took_ms is not None:
             upper = (step for step in LATENCY_STEPS_MS if line.took_ms <= step)
             counts[next(upper, LATENCY_STEPS_MS[-1])] += 1
     yield from sorted(counts.items())
@@ -147,7 +146,7 @@
 def _measure_spreads(timed: Iterable[tuple[datetime, LogLine]]) -> Iterator[Spread]:
     seen: dict[int, dict[str, datetime]] = {}
     for at, line in timed:
-        if line.event == "version" and line.value.isdigit():
+        if line.event == Event.VERSION.value and line.value.isdigit():
             seen.setdefault(int(line.value), {}).setdefault(line.vm, at)
     for number, times in sorted(seen.items()):
         took_s = (max(times.values()) - min(times.values())).total_seconds()
--- a/trefoilpick/node.py
+++ b/trefoilpick/node.py
@@ -239,6 +239,7 @@
         note_version=sightings.note,
         find_own=lambda: roster.find_listed(own.name),
         conventions=conventions,
+        log=requests,
     )
     caller_server = open_caller_server(
         settings,
--- a/trefoilpick/requestlogs.py
+++ b/trefoilpick/requestlogs.py
@@ -7,10 +7,12 @@
 from __future__ import annotations
 
 import logging
+from collections import Counter
 from enum import Enum
 from typing import TYPE_CHECKING
 
 from trefoilpick._clock import read_clock
+from trefoilpick.budgets import Budget
 from trefoilpick.logs import LOGGER_NAME
 
 if TYPE_CHECKING:
@@ -28,33 +30,8 @@
     """How a request ended at the node beside the worker."""
 
 
-class LineBudget:
-    """A token bucket for lines of one kind.
-
-    Args:
-        rate_per_s: Lines per second.
-        burst: Lines that may come at once.
-        now: Time on the node's clock, in seconds.
-    """
-
-    def __init__(self, rate_per_s: float, burst: float, now: float) -> None:
-        self.omitted = 0
-        self._rate_per_s = rate_per_s
-        self._burst = burst
-        self._tokens = burst
-        self._filled_at = now
-
-    def take(self, now: float) -> bool:
-        """Tell whether a line may be written; one that may not is counted."""
-        gained = max(now - self._filled_at, 0.0) * self._rate_per_s
-        self._tokens = min(self._burst, self._tokens + gained)
-        self._filled_at = now
-        if self._tokens < 1.0:
-            self.omitted += 1
-            return False
-        self._tokens -= 1.0
-        return True
-
+GOOD_RESULTS = frozenset({"good", "slow"})
+"""Results of requests that a worker answered."""
 
 GOOD_PER_S = 2.0
 """Lines per second and event of requests that went well: a sample, at 0.01% of a core where a line
@@ -87,18 +64,19 @@
         self._metrics = metrics
         self._clock = clock
         self._logger = logging.getLogger(LOGGER_NAME)
-        self._budgets: dict[tuple[RequestEvent, bool], LineBudget] = {}
+        self._budgets: dict[tuple[RequestEvent, bool], Budget] = {}
+        self._omitted: Counter[tuple[RequestEvent, bool]] = Counter()
 
     def take(self, event: RequestEvent, *, failed: bool) -> bool:
         """Tell whether a line may be written now, before its fields are gathered."""
-        now = self._clock()
         budget = self._budgets.get((event, failed))
         if budget is None:
             rate = FAILED_PER_S if failed else GOOD_PER_S
-            budget = LineBudget(rate, rate * BURST_S, now)
+            budget = Budget(rate, rate * BURST_S, clock=self._clock)
             self._budgets[event, failed] = budget
-        if budget.take(now):
+        if budget.try_take():
             return True
+        self._omitted[event, failed] += 1
         self._metrics.count("trefoilpick_log_lines_omitted_total", event=event.value)
         return False
 
@@ -111,10 +89,9 @@
             failed: Whether it ended badly.
             fields: What decided it.
         """
-        budget = self._budgets[event, failed]
-        if budget.omitted:
-            fields["omitted_before"] = budget.omitted
-            budget.omitted = 0
+        omitted = self._omitted.pop((event, failed), 0)
+        if omitted:
+            fields["omitted_before"] = omitted
         level = logging.WARNING if failed else logging.INFO
         extra = {**self._fields, **fields, "event": event.value, "value": value}
         self._logger.log(level, f"{event.value}: {value}", extra=extra)
--- a/trefoilpick/settings.py
+++ b/trefoilpick/settings.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from itertools import islice
 from pathlib import Path
-from typing import Annotated, Any, Literal
+from typing import TYPE_CHECKING, Annotated, Any, Literal
 
 import msgspec
 from msgspec import Meta
@@ -16,6 +16,9 @@
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 from trefoilpick.vms import Host, Port
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
 NOTICE_SHARE = 0.4
 """Part of the grace in which peers and callers learn that the node leaves: a third of it, and what
 a notice may take to be heard."""
@@ -292,10 +295,7 @@
         TrefoilpickError: `SETTINGS_FAULTY`, naming the fields.
     """
     checked = check_text(text, Settings)
-    if checked.faults:
-        shown = "; ".join(map(str, checked.faults[:MAX_SHOWN_FAULTS]))
-        raise TrefoilpickError(ErrorKind.SETTINGS_FAULTY, f"{origin}: {shown}")
-    return msgspec.convert(checked.raw, Settings)
+    return _convert(checked.raw, map(str, checked.faults), origin=origin)
 
 
 def check_settings(raw: Any, *, origin: str = "settings") -> Settings:
@@ -308,10 +308,13 @@
     Raises:
         TrefoilpickError: `SETTINGS_FAULTY`, naming the fields.
     """
-    faults = list(islice(check_fields(raw, Settings), MAX_SHOWN_FAULTS))
-    if faults:
-        shown = "; ".join(f"{fault.path}: {fault.text}" for fault in faults)
-        raise TrefoilpickError(ErrorKind.SETTINGS_FAULTY, f"{origin}: {shown}")
+    faults = (f"{fault.path}: {fault.text}" for fault in check_fields(raw, Settings))
+    return _convert(raw, faults, origin=origin)
+
+
+def _convert(raw: Any, faults: Iterable[str], *, origin: str) -> Settings:
+    if shown := list(islice(faults, MAX_SHOWN_FAULTS)):
+        raise TrefoilpickError(ErrorKind.SETTINGS_FAULTY, f"{origin}: {'; '.join(shown)}")
     return msgspec.convert(raw, Settings)
 
 
