The soak, the demo and the experiments use what the project has

Publishing a version and a list of VMs is the stand-in's, for the demo, the soak and the benchmarks. Passing troubles of workers in the experiments and of nodes in the soak have one shape each.

--- a/benchmarks/_processes.py
+++ b/benchmarks/_processes.py
@@ -19,10 +19,10 @@
 from trefoilpick.errors import TrefoilpickError
 from trefoilpick.manifest import Manifest, SectionRef, compute_digest, encode_manifest
 from trefoilpick.sections import encode_section
-from trefoilpick.source import MANIFEST_KEY, VMS_KEY, name_section_key
+from trefoilpick.source import MANIFEST_KEY, name_section_key
 from trefoilpick.standin import Standin, open_standin
 from trefoilpick.status import NodeStatus, decode_status
-from trefoilpick.vms import Vm, VmList
+from trefoilpick.vms import Vm
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -81,8 +81,7 @@
         added = [self._make_vm(number) for number in range(len(self.vms), size)]
         self.vms += added
         self.revision += 1
-        vms = VmList(self.revision, tuple(sorted(self.vms, key=lambda vm: vm.name)))
-        await self.standin.put_value(VMS_KEY, msgspec.json.encode(vms))
+        await self.standin.put_vms(self.revision, self.vms)
         self.start(added)
 
     def start(self, vms: Iterable[Vm]) -> None:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -10,10 +10,11 @@
 
 from soak.callers import ARCHIVE
 from soak.fleet import OPERATOR_PORT, SERVICES
-from trefoilpick._http import fetch
+from trefoilpick._burn_fleet import CONVERGENCE_BOUND_MS
 from trefoilpick._ledger import CallEnd, total_calls
 from trefoilpick.errors import TrefoilpickError
-from trefoilpick.status import NodeStatus, decode_status
+from trefoilpick.fleet import ask_node
+from trefoilpick.status import NodeStatus
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
@@ -21,7 +22,7 @@
     from soak.callers import Told
     from soak.fleet import SoakFleet, SoakNode
 
-ENFORCED_WITHIN_S = 8.0
+ENFORCED_WITHIN_S = CONVERGENCE_BOUND_MS / 1_000
 """Time in which a version must be in force at a node without trouble, in seconds: the target."""
 
 RECOVERED_WITHIN_S = 20.0
@@ -31,6 +32,9 @@
 GOOD_SHARE = 0.98
 """Share of calls that are answered once all is well."""
 
+ANSWER_S = 0.5
+"""Time for a node's answer to one look, in seconds."""
+
 LOOK_S = 0.25
 """Time between two looks at the nodes, in seconds."""
 
@@ -97,8 +101,9 @@
 async def ask_status(node: SoakNode) -> NodeStatus | None:
     """Return a node's state; None where it does not answer."""
     try:
-        answer = await fetch(node.host, OPERATOR_PORT, "/status", timeout_s=0.5, max_bytes=500_000)
-        return decode_status(answer.body, NodeStatus)
+        return await ask_node(
+            f"{node.host}:{OPERATOR_PORT}", "/status", NodeStatus, timeout_s=ANSWER_S
+        )
     except TrefoilpickError:
         return None
 
@@ -116,8 +121,9 @@
         if count := getattr(totals, name):
             yield f"{count} calls {name.replace('_', ' ')}"
     for entry in told:
-        if entry.path == ARCHIVE and entry.service and not _may_serve(entry, fleet):
-            yield f"{entry.call.request_id} was served by {entry.service}, which lost its route"
+        call = entry.call
+        if entry.path == ARCHIVE and call.service and not _may_serve(entry, fleet):
+            yield f"{call.request_id} was served by {call.service}, which lost its route"
 
 
 def check_recovery(told: Iterable[Told], healed_at: float) -> Iterator[str]:
@@ -137,4 +143,4 @@
     allowed = {nr for nr in fleet.accepted if nr >= newest}
     # A node that is cut off may lag; the check holds for a fleet without trouble since then.
     calm = all(node.troubled_at < entry.sent_at - ENFORCED_WITHIN_S for node in fleet.nodes)
-    return not calm or entry.service in {SERVICES[(nr - 1) % len(SERVICES)] for nr in allowed}
+    return not calm or entry.call.service in {SERVICES[(nr - 1) % len(SERVICES)] for nr in allowed}
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -4,6 +4,7 @@
 
 import signal
 import time
+from contextlib import contextmanager
 from dataclasses import dataclass
 from functools import singledispatch
 from typing import TYPE_CHECKING
@@ -16,7 +17,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Iterator
+    from collections.abc import Iterable, Iterator
 
     from soak.fleet import SoakFleet, SoakNode
 
@@ -220,11 +221,10 @@
 @inject.register(NodePaused)
 async def _(fault: NodePaused, fleet: SoakFleet) -> None:
     node = fleet.nodes[fault.node]
-    _note_trouble(node)
-    fleet.signal_node(node, signal.SIGSTOP)
-    await curio.sleep(fault.for_s)
-    fleet.signal_node(node, signal.SIGCONT)
-    _note_trouble(node)
+    with _trouble([node]):
+        fleet.signal_node(node, signal.SIGSTOP)
+        await curio.sleep(fault.for_s)
+        fleet.signal_node(node, signal.SIGCONT)
 
 
 @inject.register(NodeReloaded)
@@ -244,15 +244,12 @@
 
 @inject.register(LinksTroubled)
 async def _(fault: LinksTroubled, fleet: SoakFleet) -> None:
-    for node in fleet.nodes:
-        # Requests of the others may wait for what this one does not say.
-        _note_trouble(node)
     node = fleet.nodes[fault.node]
-    node.set_links(fault.trouble)
-    await curio.sleep(fault.for_s)
-    node.set_links(CALM)
-    for other in fleet.nodes:
-        _note_trouble(other)
+    # Requests of the others may wait for what this one does not say.
+    with _trouble(fleet.nodes):
+        node.set_links(fault.trouble)
+        await curio.sleep(fault.for_s)
+        node.set_links(CALM)
 
 
 @inject.register(LinksReset)
@@ -270,32 +267,28 @@
 @inject.register(WorkerTroubled)
 async def _(fault: WorkerTroubled, fleet: SoakFleet) -> None:
     node = fleet.nodes[fault.node]
-    _note_trouble(node)
-    node.worker.service_time_s = fault.service_time_s
-    node.worker_link.trouble = fault.trouble
-    await curio.sleep(fault.for_s)
-    node.worker.service_time_s = SERVICE_TIME_S
-    node.worker_link.trouble = CALM
-    _note_trouble(node)
+    with _trouble([node]):
+        node.worker.service_time_s = fault.service_time_s
+        node.worker_link.trouble = fault.trouble
+        await curio.sleep(fault.for_s)
+        node.worker.service_time_s = SERVICE_TIME_S
+        node.worker_link.trouble = CALM
 
 
 @inject.register(SourceTroubled)
 async def _(fault: SourceTroubled, fleet: SoakFleet) -> None:
-    troubled = fleet.nodes if fault.node is None else [fleet.nodes[fault.node]]
-    for node in troubled:
-        _note_trouble(node)
     if fault.node is None:
-        await fleet.standin.set_faults(fault.faults)
-    else:
-        fleet.nodes[fault.node].source_link.trouble = LinkTrouble(refuses=True)
-        fleet.nodes[fault.node].source_link.reset()
-    await curio.sleep(fault.for_s)
-    if fault.node is None:
-        await fleet.standin.set_faults(Faults())
-    else:
-        fleet.nodes[fault.node].source_link.trouble = CALM
-    for node in troubled:
-        _note_trouble(node)
+        with _trouble(fleet.nodes):
+            await fleet.standin.set_faults(fault.faults)
+            await curio.sleep(fault.for_s)
+            await fleet.standin.set_faults(Faults())
+        return
+    node = fleet.nodes[fault.node]
+    with _trouble([node]):
+        node.source_link.trouble = LinkTrouble(refuses=True)
+        node.source_link.reset()
+        await curio.sleep(fault.for_s)
+        node.source_link.trouble = CALM
 
 
 @inject.register(VersionsAccepted)
@@ -305,5 +298,16 @@
         await curio.sleep(STORM_GAP_S)
 
 
+@contextmanager
+def _trouble(nodes: Iterable[SoakNode]) -> Iterator[None]:
+    """Note the begin and the end of what is wrong with some nodes."""
+    known = list(nodes)
+    for node in known:
+        _note_trouble(node)
+    yield
+    for node in known:
+        _note_trouble(node)
+
+
 def _note_trouble(node: SoakNode) -> None:
     node.troubled_at = time.monotonic()
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -15,12 +15,9 @@
 
 from soak.proxies import CALM, LinkTrouble, Proxy
 from trefoilpick._demo_document import build_first_version, build_moved_version
-from trefoilpick.manifest import Manifest, SectionRef, compute_digest, encode_manifest
-from trefoilpick.sections import encode_section
-from trefoilpick.source import MANIFEST_KEY, VMS_KEY, name_section_key
 from trefoilpick.standin import Standin, open_standin
 from trefoilpick.standin_worker import Worker
-from trefoilpick.vms import Vm, VmList
+from trefoilpick.vms import Vm
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -34,6 +31,8 @@
 NODES_NET, LINKS_NET, WORKER_LINKS_NET, WORKERS_NET, SOURCE_LINKS_NET, SOURCE_NET = range(6)
 """Third number of the addresses of each kind of place."""
 
+NS_PER_MS = 1_000_000
+
 SERVICE_TIME_S = 0.05
 """Time that a worker takes for a request, in seconds."""
 
@@ -129,8 +128,7 @@
         """Publish a version and the list of VMs, and start all of it."""
         await curio.spawn(self.standin.run, daemon=True)
         self.nodes = [self._build_node(number) for number in range(count)]
-        vms = VmList(1, tuple(sorted((node.vm for node in self.nodes), key=lambda vm: vm.name)))
-        await self.standin.put_value(VMS_KEY, msgspec.json.encode(vms))
+        await self.standin.put_vms(1, (node.vm for node in self.nodes))
         await self.accept()
         for node in self.nodes:
             for proxy in (*node.links, node.worker_link, node.source_link):
@@ -142,14 +140,8 @@
         """Accept the next version: the archive moves from one service to the other."""
         number = self.newest + 1
         sections = build_moved_version() if number % 2 == 0 else build_first_version()
-        refs = []
-        for section in sections:
-            data = encode_section(section)
-            digest = compute_digest(data)
-            await self.standin.put_value(name_section_key(digest), data)
-            refs.append(SectionRef(section.team, digest, len(data)))
-        manifest = Manifest(number, time.time_ns() // 1_000_000, tuple(refs))
-        await self.standin.put_value(MANIFEST_KEY, encode_manifest(manifest))
+        accepted_at_ms = time.time_ns() // NS_PER_MS
+        await self.standin.put_version(number, sections, accepted_at_ms=accepted_at_ms)
         self.accepted[number] = time.monotonic()
         return number
 
--- a/soak/launcher.py
+++ b/soak/launcher.py
@@ -9,13 +9,12 @@
 from typing import TYPE_CHECKING
 
 from soak.breakages import BREAKAGES
+from soak.fleet import NS_PER_MS
 from trefoilpick._cli_node import node
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-NS_PER_MS = 1_000_000
-
 
 def move_clock(path: Path) -> None:
     """Let the process's time of day be off by what a file says, in milliseconds."""
--- a/tests/test_gate_objectives.py
+++ b/tests/test_gate_objectives.py
@@ -59,6 +59,12 @@
                 await tasks.spawn(partial(self.call, name, priority.value, **fields))
                 await curio.sleep(1 / rate_per_s)
 
+    async def press_together(self, *kinds: tuple[str, Priority, float]) -> None:
+        """Let kinds of callers press at once for ten seconds: name, priority, rate a second."""
+        async with curio.TaskGroup() as tasks:
+            for kind in kinds:
+                await tasks.spawn(self.press, *kind, 10.0)
+
 
 def test_under_twice_the_load_those_who_are_served_are_served_in_time() -> None:
     load = Load()
@@ -72,12 +78,11 @@
 def test_urgent_requests_go_before_others_and_starve_nobody_below_capacity() -> None:
     load = Load()
 
-    async def main() -> None:
-        async with curio.TaskGroup() as tasks:
-            await tasks.spawn(load.press, "advance", Priority.INTERACTIVE, 20.0, 10.0)
-            await tasks.spawn(load.press, "archive", Priority.DEFERRABLE, 60.0, 10.0)
-
-    run_virtual(main())
+    run_virtual(
+        load.press_together(
+            ("advance", Priority.INTERACTIVE, 20.0), ("archive", Priority.DEFERRABLE, 60.0)
+        )
+    )
     assert load.in_time["advance"] >= 0.99 * 200
     assert load.in_time["archive"] >= 0.5 * 600 * (40 - 20) / 60
 
@@ -137,10 +142,9 @@
     """A worker is overloaded by audits, and other workers' runs wait for calls that it serves."""
     load = Load()
 
-    async def main() -> None:
-        async with curio.TaskGroup() as tasks:
-            await tasks.spawn(load.press, "nested", Priority.INTERACTIVE, 15.0, 10.0)
-            await tasks.spawn(load.press, "audit", Priority.DEFERRABLE, 60.0, 10.0)
-
-    run_virtual(main())
+    run_virtual(
+        load.press_together(
+            ("nested", Priority.INTERACTIVE, 15.0), ("audit", Priority.DEFERRABLE, 60.0)
+        )
+    )
     assert load.in_time["nested"] >= 0.98 * 150
--- a/trefoilpick/_calls.py
+++ b/trefoilpick/_calls.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from trefoilpick._ledger import END_BY_OUTCOME, Call, CallEnd
-from trefoilpick.client import Caller, CallerAnswer
+from trefoilpick.client import Caller
 from trefoilpick.errors import TrefoilpickError, find_answer
 from trefoilpick.standin_worker import RunReceipt
 
@@ -71,6 +71,7 @@
         """
         request_id = f"{self._name}-{number}"
         body = self._chance.randbytes(plan.body_bytes)
+        service = ""
         try:
             caller = self._single if plan.bare else self._caller
             answer = await caller.request(
@@ -82,10 +83,10 @@
                 deadline_s=deadline_s,
                 idempotent=plan.idempotent or plan.bare,
             )
-            end = _judge_answer(answer, request_id, body)
+            end, service = judge_answer(answer.status, answer.body, request_id, body)
         except TrefoilpickError as error:
             end = END_BY_OUTCOME[find_answer(error).outcome]
-        self.calls.append(Call(request_id, plan.idempotent, end))
+        self.calls.append(Call(request_id, plan.idempotent, end, service))
 
     async def close(self) -> None:
         """Close the caller's connections."""
@@ -93,13 +94,20 @@
         await self._single.close()
 
 
-def _judge_answer(answer: CallerAnswer, request_id: str, body: bytes) -> CallEnd:
-    if answer.status != HTTP_OK:
-        return CallEnd.CUT
+def judge_answer(status: int, data: bytes, request_id: str, body: bytes) -> tuple[CallEnd, str]:
+    """Return whether an answer is the worker's whole one to a request, and the worker's service.
+
+    Args:
+        status: HTTP status of the answer.
+        data: Its body.
+        request_id: Identity of the request.
+        body: The request's body.
+    """
     try:
-        receipt = msgspec.json.decode(answer.body, type=RunReceipt)
+        receipt = msgspec.json.decode(data, type=RunReceipt)
     except msgspec.MsgspecError:
-        return CallEnd.CUT
+        return CallEnd.CUT, ""
     digest = blake2b(body, digest_size=16).hexdigest()
-    whole = receipt.request_id == request_id and receipt.body_digest == digest
-    return CallEnd.ANSWERED if whole else CallEnd.CUT
+    is_whole = receipt.request_id == request_id and receipt.body_digest == digest
+    end = CallEnd.ANSWERED if status == HTTP_OK and is_whole else CallEnd.CUT
+    return end, receipt.service
--- a/trefoilpick/_demo_fleet.py
+++ b/trefoilpick/_demo_fleet.py
@@ -10,19 +10,12 @@
 from typing import TYPE_CHECKING
 
 import curio
-import msgspec
 
 from trefoilpick._ports import find_free_ports
 from trefoilpick.manifest import (
-    Manifest,
-    SectionRef,
     VersionId,
-    compute_digest,
-    encode_manifest,
-    identify_version,
 )
 from trefoilpick.node import build_own_vm, open_node
-from trefoilpick.sections import encode_section
 from trefoilpick.settings import (
     ControlSettings,
     DrainSettings,
@@ -32,9 +25,8 @@
     VmSettings,
     WorkerSettings,
 )
-from trefoilpick.source import MANIFEST_KEY, VMS_KEY, name_section_key
 from trefoilpick.standin_worker import Worker
-from trefoilpick.vms import Vm, VmList
+from trefoilpick.vms import Vm
 
 if TYPE_CHECKING:
     from curio.task import Task
@@ -109,31 +101,13 @@
 
     async def publish_vms(self) -> None:
         """Put the list of VMs on the platform."""
-        vms = tuple(sorted((entry.vm for entry in self.vms.values()), key=lambda vm: vm.name))
-        await self.standin.put_value(VMS_KEY, msgspec.json.encode(VmList(revision=1, vms=vms)))
+        await self.standin.put_vms(1, (entry.vm for entry in self.vms.values()))
 
     async def publish_version(
         self, number: int, sections: tuple[Section, ...], *, accepted_at_ms: int
     ) -> VersionId:
-        """Put a version on the platform: its sections first, the manifest last.
-
-        Args:
-            number: Version number.
-            sections: All sections, ordered by team. Unlike `accept`, nothing is checked.
-            accepted_at_ms: Time of acceptance, in milliseconds since the Unix epoch.
-
-        Returns:
-            The identity of the version.
-        """
-        refs = []
-        for section in sections:
-            data = encode_section(section)
-            digest = compute_digest(data)
-            await self.standin.put_value(name_section_key(digest), data)
-            refs.append(SectionRef(section.team, digest, len(data)))
-        manifest = Manifest(number, accepted_at_ms, tuple(refs))
-        await self.standin.put_value(MANIFEST_KEY, encode_manifest(manifest))
-        return identify_version(manifest)
+        """Put a version on the platform, unchecked, and return its identity."""
+        return await self.standin.put_version(number, sections, accepted_at_ms=accepted_at_ms)
 
 
 def build_fleet(standin: Standin, *, seed: int) -> DemoFleet:
--- a/trefoilpick/_ledger.py
+++ b/trefoilpick/_ledger.py
@@ -36,11 +36,13 @@
         request_id: Identity in the `x-request-id` header.
         idempotent: Whether it may run more than once.
         end: How it ended.
+        service: Service that answered; empty for none.
     """
 
     request_id: str
     idempotent: bool
     end: CallEnd
+    service: str = ""
 
 
 @dataclass(frozen=True)
--- a/trefoilpick/_worker_model.py
+++ b/trefoilpick/_worker_model.py
@@ -77,6 +77,10 @@
         """Change its condition."""
         self.condition = replace(self.condition, **fields)
 
+    def recover(self) -> None:
+        """Have nothing wrong with it any more."""
+        self.condition = Condition()
+
     async def run(self, work_s: float) -> float:
         """Run a request.
 
--- a/trefoilpick/experiments.py
+++ b/trefoilpick/experiments.py
@@ -26,6 +26,7 @@
 
     from trefoilpick._experiment_kinds import Tally
     from trefoilpick._experiment_nodes import Policy
+    from trefoilpick._worker_model import WorkerModel
 
 POLICIES: dict[str, Policy] = {"today": Today(), "plain": Plain()}
 """Policies by name."""
@@ -82,28 +83,25 @@
 
 
 async def _slow_one(world: World) -> None:
-    await curio.sleep(4.0)
-    worker = world.list_workers()[1]
-    worker.change(slowness=5.0)
-    await curio.sleep(8.0)
-    worker.change(slowness=1.0)
+    await _trouble(world.list_workers()[1:2], slowness=5.0)
 
 
 async def _shed_in_part(world: World) -> None:
-    await curio.sleep(4.0)
-    for worker in world.list_workers():
-        worker.change(shed_share=0.45)
-    await curio.sleep(8.0)
-    for worker in world.list_workers():
-        worker.change(shed_share=0.0)
+    await _trouble(world.list_workers(), shed_share=0.45)
 
 
 async def _fail_in_part(world: World) -> None:
+    await _trouble(world.list_workers()[2:3], fail_share=0.6)
+
+
+async def _trouble(workers: list[WorkerModel], **condition: float) -> None:
+    """Let workers be in a condition for a while."""
     await curio.sleep(4.0)
-    worker = world.list_workers()[2]
-    worker.change(fail_share=0.6)
+    for worker in workers:
+        worker.change(**condition)
     await curio.sleep(8.0)
-    worker.change(fail_share=0.0)
+    for worker in workers:
+        worker.recover()
 
 
 async def _release(world: World) -> None:
--- a/trefoilpick/standin.py
+++ b/trefoilpick/standin.py
@@ -25,11 +25,25 @@
 from trefoilpick._together import run_together
 from trefoilpick._typed_text import check_text
 from trefoilpick.errors import ErrorKind, TrefoilpickError
-from trefoilpick.source import MANIFEST_KEY, VMS_KEY, SourceValue
+from trefoilpick.manifest import (
+    Manifest,
+    SectionRef,
+    compute_digest,
+    encode_manifest,
+    identify_version,
+)
+from trefoilpick.sections import encode_section
+from trefoilpick.source import MANIFEST_KEY, VMS_KEY, SourceValue, name_section_key
+from trefoilpick.vms import VmList
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
     from types import TracebackType
 
+    from trefoilpick.document import Section
+    from trefoilpick.manifest import VersionId
+    from trefoilpick.vms import Vm
+
 POLL_S = 0.05
 """Time between looks at the folder, in seconds."""
 
@@ -94,6 +108,34 @@
         await self._wake()
         return revision
 
+    async def put_version(
+        self, number: int, sections: Iterable[Section], *, accepted_at_ms: int
+    ) -> VersionId:
+        """Publish a version: its sections first, the manifest last.
+
+        Args:
+            number: Version number.
+            sections: All sections, ordered by team. Unlike `accept`, nothing is checked.
+            accepted_at_ms: Time of acceptance, in milliseconds since the Unix epoch.
+
+        Returns:
+            The identity of the version.
+        """
+        refs = []
+        for section in sections:
+            data = encode_section(section)
+            digest = compute_digest(data)
+            await self.put_value(name_section_key(digest), data)
+            refs.append(SectionRef(section.team, digest, len(data)))
+        manifest = Manifest(number, accepted_at_ms, tuple(refs))
+        await self.put_value(MANIFEST_KEY, encode_manifest(manifest))
+        return identify_version(manifest)
+
+    async def put_vms(self, revision: int, vms: Iterable[Vm]) -> None:
+        """Publish a list of VMs, in any order."""
+        listed = VmList(revision, tuple(sorted(vms, key=lambda vm: vm.name)))
+        await self.put_value(VMS_KEY, msgspec.json.encode(listed))
+
     async def set_faults(self, faults: Faults) -> None:
         """Switch the faults from now on."""
         self._faults = faults
