Platform: keep a faulty entry of the configuration to that entry

Ruled out: refusing the version and staying on the older one, which is right where a check precedes acceptance, but here the store has already accepted it.

Change: entries are decoded one by one. Unknown kinds run at most once; unreadable optional fields get cautious values; a route that cannot be used is refused as not run (503) for its own requests only.

--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -7,6 +7,7 @@
 from fakes_store import make_entry, make_settings
 
 from trefoilpick.platform.entries import WorkerEntries
+from trefoilpick.platform.names import convert_name
 from trefoilpick.vms import Vm, VmState
 
 
@@ -42,6 +43,8 @@
         b"[]",
         {},
         make_entry("10.1.0.5"),
+        make_entry("worker.example:8080"),
+        make_entry("10.1.0.5:99999999"),
         make_entry(5),
         make_entry("10.1.0.5:8080", state="asleep"),
         make_entry("10.1.0.5:8080", service=None),
@@ -81,3 +84,10 @@
     entries.put("servers/i-0", msgspec.json.encode(make_entry()), 1, 0.0)
     entries.remove("servers/i-0", 1.0)
     assert entries.build_vm_list().vms == ()
+
+
+def test_service_and_zone_with_unusual_names_are_listed() -> None:
+    vms = read_entries(make_entry("10.1.0.4:8080", service="Encargos/2", zone="LIMA A"))
+    (vm,) = vms.values()
+    assert vm.service == convert_name("Encargos/2")
+    assert vm.data_centre == convert_name("LIMA A")
--- a/trefoilpick/document.py
+++ b/trefoilpick/document.py
@@ -15,6 +15,18 @@
 MAX_SECTION_BYTES = 1_000_000
 """The platform's size limit for one value, in bytes."""
 
+MAX_DEADLINE_MS = 3_600_000
+"""Longest deadline of a route, in milliseconds."""
+
+MAX_LATENCY_MS = 600_000
+"""Longest latency objective of a route, in milliseconds."""
+
+MAX_RETRIES = 5
+"""Largest number of further attempts that a route can allow."""
+
+MAX_WEIGHT = 1_000_000
+"""Largest weight of a share."""
+
 ANY_METHOD = "*"
 """Matches every HTTP method in a route's match."""
 
@@ -42,7 +54,7 @@
     """
 
     availability: Annotated[float, Meta(gt=0.0, lt=1.0)] = 0.999
-    latency_ms: Annotated[int, Meta(ge=1, le=600_000)] = 1_000
+    latency_ms: Annotated[int, Meta(ge=1, le=MAX_LATENCY_MS)] = 1_000
 
 
 @dataclass(frozen=True)
@@ -59,9 +71,9 @@
     """
 
     idempotent: bool
-    deadline_ms: Annotated[int, Meta(ge=1, le=3_600_000)] = 5_000
+    deadline_ms: Annotated[int, Meta(ge=1, le=MAX_DEADLINE_MS)] = 5_000
     priority: Priority = Priority.NORMAL
-    retries: Annotated[int, Meta(ge=0, le=5)] = 1
+    retries: Annotated[int, Meta(ge=0, le=MAX_RETRIES)] = 1
     body_limit_bytes: Annotated[int, Meta(ge=0, le=2**40)] = 1_048_576
     objective: Objective = Objective()
 
@@ -91,7 +103,7 @@
     """
 
     upstream: Name
-    weight: Annotated[int, Meta(ge=0, le=1_000_000)]
+    weight: Annotated[int, Meta(ge=0, le=MAX_WEIGHT)]
 
 
 @dataclass(frozen=True)
@@ -113,6 +125,23 @@
     shares: tuple[Share, ...] = ()
 
 
+@dataclass(frozen=True)
+class UnusableRoute:
+    """A route that an adapter could not convert; its requests are refused as not run.
+
+    A usable route with the same match takes precedence.
+
+    Attributes:
+        name: Name of the route.
+        match: Criteria that select its requests.
+        reason: Why it cannot be used.
+    """
+
+    name: Name
+    match: Match
+    reason: Annotated[str, Meta(max_length=1024)] = ""
+
+
 @dataclass(frozen=True)
 class Upstream:
     """A service with workers on VMs.
@@ -158,12 +187,14 @@
         upstreams: Services that the team owns.
         routes: Routes that the team owns.
         caller_limits: Limits for all callers, if this team sets them.
+        unusable_routes: Routes of the team whose requests are refused.
     """
 
     team: Name
     upstreams: tuple[Upstream, ...] = ()
     routes: tuple[Route, ...] = ()
     caller_limits: CallerLimits | None = None
+    unusable_routes: tuple[UnusableRoute, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/trefoilpick/errors.py
+++ b/trefoilpick/errors.py
@@ -44,6 +44,7 @@
     HEAD_TIMEOUT = "head_timeout"
     TOO_MANY_CONNECTIONS = "too_many_connections"
     NO_ROUTE = "no_route"
+    ROUTE_UNUSABLE = "route_unusable"
     METHOD_NOT_ALLOWED = "method_not_allowed"
     BODY_TOO_LARGE = "body_too_large"
     BODY_MALFORMED = "body_malformed"
@@ -120,6 +121,7 @@
     ErrorKind.HEAD_TIMEOUT: Answer(408, Outcome.NOT_RUN),
     ErrorKind.TOO_MANY_CONNECTIONS: Answer(503, Outcome.NOT_RUN, 1.0),
     ErrorKind.NO_ROUTE: Answer(404, Outcome.NOT_RUN),
+    ErrorKind.ROUTE_UNUSABLE: Answer(503, Outcome.NOT_RUN, 5.0),
     ErrorKind.METHOD_NOT_ALLOWED: Answer(405, Outcome.NOT_RUN),
     ErrorKind.BODY_TOO_LARGE: Answer(413, Outcome.NOT_RUN),
     ErrorKind.BODY_MALFORMED: Answer(400, Outcome.UNKNOWN),
--- a/trefoilpick/platform/configuration.py
+++ b/trefoilpick/platform/configuration.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Literal
-
-import msgspec
+from collections import Counter
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 from trefoilpick.document import (
     ANY_METHOD,
+    MAX_DEADLINE_MS,
+    MAX_LATENCY_MS,
+    MAX_RETRIES,
+    MAX_WEIGHT,
     CallerLimits,
     Contract,
     Match,
@@ -16,120 +20,230 @@
     Route,
     Section,
     Share,
+    UnusableRoute,
     Upstream,
 )
-from trefoilpick.errors import ErrorKind, TrefoilpickError
+from trefoilpick.platform.configuration_fields import (
+    AT_MOST_ONCE_KINDS,
+    IDEMPOTENT,
+    ConfigurationFault,
+    UnreadableRoute,
+)
+from trefoilpick.platform.names import convert_name
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from trefoilpick.platform.configuration_fields import (
+        Configuration,
+        PlatformLimits,
+        PlatformRoute,
+        PlatformService,
+    )
+
 PRIORITIES = (Priority.INTERACTIVE, Priority.NORMAL, Priority.DEFERRABLE)
 """Priorities by the platform's priority number; larger numbers map to the last one."""
 
-MAX_RETRIES = 5
-"""Maximum number of retries that a document can specify."""
-
 CONNECT_TIMEOUT_MS = 400
 """Timeout for connecting to a worker or its node, in milliseconds: the shortest timeout of the
 users' calls, and over a hundred round trips between data centres of one region."""
 
+WEIGHT_SCALE = 1_000
+"""Factor that converts fractional weights to integers."""
+
+MAX_CONNECTIONS = 100_000
+"""Largest number of connections that an upstream can have."""
+
+UNASSIGNED_TEAM = "unassigned"
+"""Section of unusable routes whose service is unknown."""
 
-class _Split(msgspec.Struct, frozen=True):
-    service: str
-    weight: int
+ROOT = "/"
+ANY_HOST = "*"
 
 
-class _Route(msgspec.Struct, frozen=True, rename="kebab"):
-    name: str
-    hostname: str
-    path_prefix: str
-    kind: Literal["idempotent", "non_idempotent"]
-    timeout: float
-    """Deadline of a request, in milliseconds."""
-    target_latency: float
-    """Latency objective for the complete response, in milliseconds."""
-    priority: int
-    max_attempts: int
-    """Maximum number of attempts for one request, including the first."""
-    service: str = ""
-    traffic_split: tuple[_Split, ...] = ()
+@dataclass(frozen=True)
+class ConvertedConfiguration:
+    """A configuration as sections of a document.
 
+    Attributes:
+        sections: One section per service, and one for unusable routes without a service, by name.
+        faults: Faults of the configuration.
+    """
 
-class _Service(msgspec.Struct, frozen=True, rename="kebab"):
-    name: str
-    max_connections: int
-    health_path: str = ""
+    sections: tuple[Section, ...]
+    faults: tuple[ConfigurationFault, ...]
+
+
+class _Converter:
+    """Converts one configuration."""
+
+    def __init__(self, configuration: Configuration) -> None:
+        self._configuration = configuration
+        self._services = {convert_name(service.name): service for service in configuration.services}
+        self._routes: dict[str, list[Route]] = {name: [] for name in self._services}
+        self._unusable: dict[str, dict[tuple[str, str], UnusableRoute]] = {}
+        self._route_names: set[str] = set()
+        self._faults = list(configuration.faults)
+
+    def convert(self) -> ConvertedConfiguration:
+        self._check_services()
+        match_counts = self._count_matches()
+        for route in self._configuration.routes:
+            reason = self._find_problem(route, match_counts)
+            if reason:
+                unreadable = UnreadableRoute(route.name, route.hostname, route.path_prefix, reason)
+                self._add_unusable(unreadable, _find_service(route))
+            else:
+                self._add_route(route)
+        for unreadable in self._configuration.unreadable:
+            self._add_unusable(unreadable, "")
+        return ConvertedConfiguration(tuple(self._build_sections()), tuple(self._faults))
+
+    def _count_matches(self) -> Counter[tuple[str, str]]:
+        usable, unreadable = self._configuration.routes, self._configuration.unreadable
+        counts = Counter(_get_criteria(route.hostname, route.path_prefix) for route in usable)
+        counts.update(_get_criteria(route.hostname, route.path_prefix) for route in unreadable)
+        return counts
+
+    def _check_services(self) -> None:
+        counts = Counter(convert_name(service.name) for service in self._configuration.services)
+        for name, count in counts.items():
+            if count > 1:
+                text = f"it is defined {count} times; the last definition is used"
+                self._faults.append(ConfigurationFault(f'service "{name}"', text))
+
+    def _find_problem(self, route: PlatformRoute, match_counts: Counter[tuple[str, str]]) -> str:
+        """Return why a route cannot be used; empty if it can."""
+        services = [split.service for split in route.traffic_split] or [route.service]
+        for service in services:
+            if convert_name(service) not in self._services:
+                return f'service "{service:.100}" is not defined'
+        if route.traffic_split and not any(_scale_weights(route)):
+            return "its traffic split has no positive weight"
+        if match_counts[_get_criteria(route.hostname, route.path_prefix)] > 1:
+            return "another route has the same host and path prefix"
+        return ""
+
+    def _add_route(self, route: PlatformRoute) -> None:
+        name = convert_name(route.name)
+        if name in self._route_names:
+            text = "another route has the same name; it is renamed"
+            self._faults.append(ConfigurationFault(f'route "{route.name:.100}"', text))
+            name = convert_name(f"{route.name} on {route.hostname}{route.path_prefix}")
+        self._route_names.add(name)
+        built = _build_route(name, route, self._configuration.limits.max_body_bytes)
+        self._routes[built.upstream].append(built)
+        self._report_unknown_kind(route)
+
+    def _add_unusable(self, route: UnreadableRoute, service: str) -> None:
+        name = convert_name(route.name) if route.name else "unnamed"
+        self._faults.append(
+            ConfigurationFault(f'route "{route.name:.100}"', f"{route.text}; it is unusable")
+        )
+        # Requests for a route whose host or path is unknown are among those that match no other.
+        host = route.hostname or ANY_HOST
+        prefix = route.path_prefix or ROOT
+        match = Match(prefix, (ANY_METHOD,), host)
+        team = service if service in self._services else ""
+        entries = self._unusable.setdefault(team, {})
+        entries.setdefault(
+            _get_criteria(host, prefix), UnusableRoute(name, match, route.text[:200])
+        )
 
+    def _report_unknown_kind(self, route: PlatformRoute) -> None:
+        if route.kind and route.kind != IDEMPOTENT and route.kind not in AT_MOST_ONCE_KINDS:
+            text = f'kind "{route.kind:.100}" is unknown; its requests run at most once'
+            self._faults.append(ConfigurationFault(f'route "{route.name:.100}"', text))
+
+    def _build_sections(self) -> Iterator[Section]:
+        """Yield all sections by name; the first contains the caller limits."""
+        caller_limits: CallerLimits | None = _build_caller_limits(self._configuration.limits)
+        unassigned = self._unusable.pop("", {})
+        teams = set(self._services)
+        unassigned_team = UNASSIGNED_TEAM
+        while unassigned_team in teams:
+            unassigned_team += "-"
+        if unassigned:
+            teams.add(unassigned_team)
+        for team in sorted(teams):
+            service = self._services.get(team)
+            unusable = unassigned if service is None else self._unusable.get(team, {})
+            yield Section(
+                team,
+                () if service is None else (_build_upstream(team, service),),
+                tuple(self._routes.get(team, ())),
+                caller_limits,
+                tuple(unusable.values()),
+            )
+            caller_limits = None
+
+
+def convert_configuration(configuration: Configuration) -> ConvertedConfiguration:
+    """Convert a configuration to sections of a valid document.
+
+    A section contains a service and the routes to it; a route with a traffic split belongs to the
+    service of its first share. The caller limits are in the first section.
+    """
+    return _Converter(configuration).convert()
 
-class _Limits(msgspec.Struct, frozen=True, rename="kebab"):
-    max_header_bytes: int
-    max_body_bytes: int
-    header_timeout: float
-    """Timeout for receiving a request head, in milliseconds."""
-    idle_timeout: float
-    """Idle timeout of a connection, in milliseconds."""
 
+def _build_route(name: str, platform_route: PlatformRoute, max_body_bytes: int) -> Route:
+    weights = _scale_weights(platform_route)
+    shares = tuple(
+        Share(convert_name(split.service), weight)
+        for split, weight in zip(platform_route.traffic_split, weights, strict=True)
+    )
+    contract = Contract(
+        idempotent=platform_route.kind == IDEMPOTENT,
+        deadline_ms=_clamp(round(platform_route.timeout), 1, MAX_DEADLINE_MS),
+        priority=PRIORITIES[_clamp(platform_route.priority, 0, len(PRIORITIES) - 1)],
+        retries=_clamp(platform_route.max_attempts - 1, 0, MAX_RETRIES),
+        body_limit_bytes=max_body_bytes,
+        objective=Objective(
+            latency_ms=_clamp(round(platform_route.target_latency), 1, MAX_LATENCY_MS)
+        ),
+    )
+    match = Match(platform_route.path_prefix, (ANY_METHOD,), platform_route.hostname)
+    return Route(name, match, _find_service(platform_route), contract, shares)
 
-class Configuration(msgspec.Struct, frozen=True):
-    """The operators' configuration, as stored by the platform."""
 
-    version: int
-    routes: tuple[_Route, ...]
-    services: tuple[_Service, ...]
-    limits: _Limits
+def _build_upstream(name: str, service: PlatformService) -> Upstream:
+    connections = _clamp(service.max_connections, 1, MAX_CONNECTIONS)
+    return Upstream(
+        name,
+        connections=connections,
+        queue=connections,
+        connect_timeout_ms=CONNECT_TIMEOUT_MS,
+        health_path=service.health_path,
+    )
 
 
-_DECODER = msgspec.json.Decoder(Configuration)
+def _build_caller_limits(limits: PlatformLimits) -> CallerLimits:
+    return CallerLimits(
+        _clamp(limits.max_header_bytes, 1_024, 1_048_576),
+        _clamp(round(limits.header_timeout), 10, 600_000),
+        _clamp(round(limits.idle_timeout), 10, 3_600_000),
+    )
 
 
-def decode_configuration(data: bytes) -> Configuration:
-    """Decode a configuration.
+def _find_service(route: PlatformRoute) -> str:
+    """Return the name of the service that the route belongs to."""
+    return convert_name(route.traffic_split[0].service if route.traffic_split else route.service)
 
-    Raises:
-        TrefoilpickError: `MANIFEST_FAULTY` if the data is malformed.
-    """
-    try:
-        return _DECODER.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
-        raise TrefoilpickError(ErrorKind.MANIFEST_FAULTY, f"configuration: {error}") from error
 
+def _scale_weights(route: PlatformRoute) -> list[int]:
+    """Return the weights of a route's traffic split as integers in the same proportion."""
+    weights = [split.weight for split in route.traffic_split]
+    largest = max(weights, default=0)
+    if all(weight.is_integer() for weight in map(float, weights)) and largest <= MAX_WEIGHT:
+        return [int(weight) for weight in weights]
+    scale = min(WEIGHT_SCALE, MAX_WEIGHT / largest)
+    return [round(weight * scale) for weight in weights]
 
-def list_sections(configuration: Configuration) -> Iterator[Section]:
-    """Yield one section per service, ordered by name.
 
-    A section contains the service and the routes to it; a route with a traffic split belongs to the
-    service of its first share. The caller limits are in the first section.
-    """
-    limits = configuration.limits
-    caller_limits: CallerLimits | None = CallerLimits(
-        limits.max_header_bytes, round(limits.header_timeout), round(limits.idle_timeout)
-    )
-    routes: dict[str, list[Route]] = {}
-    for platform_route in configuration.routes:
-        route = _build_route(platform_route, limits.max_body_bytes)
-        routes.setdefault(route.upstream, []).append(route)
-    for service in sorted(configuration.services, key=lambda service: service.name):
-        upstream = Upstream(
-            service.name,
-            connections=service.max_connections,
-            queue=service.max_connections,
-            connect_timeout_ms=CONNECT_TIMEOUT_MS,
-            health_path=service.health_path,
-        )
-        yield Section(service.name, (upstream,), tuple(routes.get(service.name, ())), caller_limits)
-        caller_limits = None
+def _get_criteria(host: str, path_prefix: str) -> tuple[str, str]:
+    return host.lower(), path_prefix
 
 
-def _build_route(platform_route: _Route, max_body_bytes: int) -> Route:
-    shares = tuple(Share(split.service, split.weight) for split in platform_route.traffic_split)
-    contract = Contract(
-        idempotent=platform_route.kind == "idempotent",
-        deadline_ms=round(platform_route.timeout),
-        priority=PRIORITIES[min(max(platform_route.priority, 0), len(PRIORITIES) - 1)],
-        retries=min(max(platform_route.max_attempts - 1, 0), MAX_RETRIES),
-        body_limit_bytes=max_body_bytes,
-        objective=Objective(latency_ms=round(platform_route.target_latency)),
-    )
-    match = Match(platform_route.path_prefix, (ANY_METHOD,), platform_route.hostname)
-    upstream = shares[0].upstream if shares else platform_route.service
-    return Route(platform_route.name, match, upstream, contract, shares)
+def _clamp(value: int, lowest: int, highest: int) -> int:
+    return min(max(value, lowest), highest)
--- a/trefoilpick/platform/entries.py
+++ b/trefoilpick/platform/entries.py
@@ -9,6 +9,7 @@
 
 from trefoilpick.addresses import split_address
 from trefoilpick.errors import TrefoilpickError
+from trefoilpick.platform.names import convert_name
 from trefoilpick.vms import Vm, VmList, VmState
 
 if TYPE_CHECKING:
@@ -167,9 +168,9 @@
         listen = self._settings.listen
         vm = Vm(
             name=host,
-            region=self._settings.source.regions.get(entry.zone, entry.zone),
-            data_centre=entry.zone,
-            service=entry.service,
+            region=self._settings.source.regions.get(entry.zone, convert_name(entry.zone)),
+            data_centre=convert_name(entry.zone),
+            service=convert_name(entry.service),
             host=host,
             control_port=listen.control_port,
             hop_port=listen.hop_port,
@@ -177,6 +178,10 @@
             worker=worker,
             slots=entry.slots,
         )
+        try:
+            msgspec.convert(msgspec.to_builtins(vm), Vm)
+        except msgspec.ValidationError:
+            return None
         return WorkerEntry(worker, vm, entry.born, revision)
 
 
--- a/trefoilpick/platform/store.py
+++ b/trefoilpick/platform/store.py
@@ -4,6 +4,7 @@
 
 import base64
 import binascii
+import logging
 import math
 from typing import TYPE_CHECKING, TypeVar
 from urllib.parse import quote
@@ -13,8 +14,10 @@
 
 from trefoilpick._clock import read_clock
 from trefoilpick.errors import ErrorKind, TrefoilpickError
+from trefoilpick.logs import LOGGER_NAME
 from trefoilpick.manifest import Manifest, SectionRef, compute_digest, encode_manifest
-from trefoilpick.platform.configuration import decode_configuration, list_sections
+from trefoilpick.platform.configuration import convert_configuration
+from trefoilpick.platform.configuration_fields import decode_configuration
 from trefoilpick.platform.entries import ENTRY_PREFIX, WorkerEntries
 from trefoilpick.source import (
     MANIFEST_KEY,
@@ -33,6 +36,7 @@
     from collections.abc import Callable
 
     from trefoilpick._source_connection import SourceReply
+    from trefoilpick.platform.configuration_fields import ConfigurationFault
     from trefoilpick.settings import Settings, SourceSettings
     from trefoilpick.source import SourceClient
 
@@ -71,6 +75,15 @@
 """Number of recent versions whose sections can be read."""
 
 
+MAX_LOGGED_FAULTS = 20
+"""Maximum number of faults of one configuration that are logged."""
+
+FAULT_EVENT = "configuration_fault"
+"""Event of log lines about faulty entries of a configuration."""
+
+_LOGGER = logging.getLogger(LOGGER_NAME)
+
+
 class _Item(msgspec.Struct, frozen=True):
     key: str
     revision: int
@@ -132,6 +145,7 @@
         self._read_revisions: dict[str, int] = {}
         self._pending_changes: dict[str, list[_Item]] = {MANIFEST_KEY: [], VMS_KEY: []}
         self._sections: list[dict[str, bytes]] = []
+        self._logged_version: int | None = None
 
     def apply_settings(self, settings: SourceSettings) -> None:
         """Apply changed addresses and timeouts."""
@@ -188,7 +202,9 @@
         configuration = decode_configuration(_decode_base64(item.value))
         refs: list[SectionRef] = []
         texts: dict[str, bytes] = {}
-        for section in list_sections(configuration):
+        converted = convert_configuration(configuration)
+        self._log_faults(configuration.version, converted.faults)
+        for section in converted.sections:
             text = msgspec.json.encode(section)
             digest = compute_digest(text)
             refs.append(SectionRef(section.team, digest, len(text)))
@@ -197,6 +213,26 @@
         manifest = Manifest(configuration.version, 0, tuple(refs))
         return SourceValue(encode_manifest(manifest), item.revision)
 
+    def _log_faults(self, version: int, faults: tuple[ConfigurationFault, ...]) -> None:
+        if version == self._logged_version:
+            return
+        self._logged_version = version
+        for fault in faults[:MAX_LOGGED_FAULTS]:
+            _LOGGER.warning(
+                "configuration %d: %s: %s",
+                version,
+                fault.entry,
+                fault.text,
+                extra={"event": FAULT_EVENT, "subject": fault.entry, "version": version},
+            )
+        if len(faults) > MAX_LOGGED_FAULTS:
+            _LOGGER.warning(
+                "configuration %d: %d further faults",
+                version,
+                len(faults) - MAX_LOGGED_FAULTS,
+                extra={"event": FAULT_EVENT, "version": version},
+            )
+
     async def _read_entries(self) -> SourceValue:
         items: dict[str, tuple[bytes, int]] = {}
         prefix = quote(ENTRY_PREFIX, safe="")
--- a/trefoilpick/sections.py
+++ b/trefoilpick/sections.py
@@ -23,6 +23,7 @@
     Route,
     Section,
     Share,
+    UnusableRoute,
     Upstream,
 )
 from trefoilpick.errors import ErrorKind, TrefoilpickError
@@ -81,6 +82,7 @@
 @_strip_defaults.register(Share)
 @_strip_defaults.register(Upstream)
 @_strip_defaults.register(Route)
+@_strip_defaults.register(UnusableRoute)
 @_strip_defaults.register(Match)
 @_strip_defaults.register(Contract)
 @_strip_defaults.register(Objective)
--- a/trefoilpick/snapshots.py
+++ b/trefoilpick/snapshots.py
@@ -9,7 +9,7 @@
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 
 if TYPE_CHECKING:
-    from trefoilpick.document import CallerLimits, Document, Route, Upstream
+    from trefoilpick.document import CallerLimits, Document, Route, UnusableRoute, Upstream
     from trefoilpick.manifest import Manifest, VersionId
 
 
@@ -41,6 +41,7 @@
         upstreams: Upstreams by name.
         routes: Routes by host, longest path prefix first.
         caller_limits: Limits for callers, if the document sets them.
+        unusable_routes: Unusable routes by host, longest path prefix first.
     """
 
     version: VersionId
@@ -49,6 +50,7 @@
     upstreams: dict[str, Upstream] = field(repr=False)
     routes: dict[str, tuple[TeamRoute, ...]] = field(repr=False)
     caller_limits: CallerLimits | None = None
+    unusable_routes: dict[str, tuple[UnusableRoute, ...]] = field(default_factory=dict, repr=False)
 
     def find_route(self, host: str, method: str, path: str) -> TeamRoute:
         """Return the route that matches a request.
@@ -62,22 +64,36 @@
             path: Path without the query.
 
         Raises:
-            TrefoilpickError: `NO_ROUTE` or `METHOD_NOT_ALLOWED`.
+            TrefoilpickError: `NO_ROUTE`, `ROUTE_UNUSABLE` or `METHOD_NOT_ALLOWED`.
         """
         is_path_known = False
-        for candidates in (self.routes.get(host, ()), self.routes.get("*", ())):
-            for candidate in candidates:
+        for key in (host, "*"):
+            unusable = self._find_unusable(key, path)
+            for candidate in self.routes.get(key, ()):
+                if unusable is not None and _get_prefix_length(candidate) < len(
+                    unusable.match.path_prefix
+                ):
+                    break
                 if not match_prefix(candidate.route.match.path_prefix, path):
                     continue
                 methods = candidate.route.match.methods
                 if method in methods or ANY_METHOD in methods:
                     return candidate
                 is_path_known = True
+            if unusable is not None:
+                text = f'route "{unusable.name}" cannot be used: {unusable.reason}'
+                raise TrefoilpickError(ErrorKind.ROUTE_UNUSABLE, text)
         if is_path_known:
             text = f'method "{method}" is not allowed for "{path}" on host "{host}"'
             raise TrefoilpickError(ErrorKind.METHOD_NOT_ALLOWED, text)
         raise TrefoilpickError(ErrorKind.NO_ROUTE, f'no route for "{path}" on host "{host}"')
 
+    def _find_unusable(self, host: str, path: str) -> UnusableRoute | None:
+        for route in self.unusable_routes.get(host, ()):
+            if match_prefix(route.match.path_prefix, path):
+                return route
+        return None
+
 
 class SnapshotCell:
     """Mutable holder of the snapshot that a node enforces."""
@@ -127,16 +143,25 @@
         upstream.name: upstream for section in document.sections for upstream in section.upstreams
     }
     by_host: dict[str, list[TeamRoute]] = {}
+    unusable: dict[str, list[UnusableRoute]] = {}
     for section in document.sections:
         for route in section.routes:
             team_route = _resolve_route(section.team, route, upstreams)
             by_host.setdefault(route.match.host.lower(), []).append(team_route)
+        for unusable_route in section.unusable_routes:
+            unusable.setdefault(unusable_route.match.host.lower(), []).append(unusable_route)
     routes = {
         host: tuple(sorted(team_routes, key=_get_prefix_length, reverse=True))
         for host, team_routes in by_host.items()
     }
     limits = (section.caller_limits for section in document.sections if section.caller_limits)
-    return Snapshot(version, manifest, document, upstreams, routes, next(limits, None))
+    unusable_routes = {
+        host: tuple(sorted(entries, key=lambda entry: -len(entry.match.path_prefix)))
+        for host, entries in unusable.items()
+    }
+    return Snapshot(
+        version, manifest, document, upstreams, routes, next(limits, None), unusable_routes
+    )
 
 
 def _resolve_route(team: str, route: Route, upstreams: dict[str, Upstream]) -> TeamRoute:
