Distribution: order lists by the source's era and then by its revision

Cause: when the store comes back from a copy some seconds old, its revisions go back and are given out again.

Ruled out: the era as a field beside each revision on the wire. One integer with the era in its upper bits keeps the order everywhere that revisions are compared or sent, and nodes of the former build understand it.

Change: a response of a later era makes the adapter read both values again; one of an earlier era is an error. A list of a later era is corrected for a while by what the node knew: who was leaving or has left stays so, who is missing is kept until it could register again (list_corrections). Versions never go back, as before. The stand-in, the matrix (fault RESTORED) and the soak learn the drill.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -119,6 +119,21 @@
     node: int | None = None
 
 
+@dataclass(frozen=True)
+class SourceRestored:
+    """The source is away and returns from an older copy; what it lost is written again.
+
+    Attributes:
+        for_s: Time for which the source is away, in seconds.
+        back_s: Age of the copy, in seconds.
+        rewritten_after_s: Time after the return at which it is written again, in seconds.
+    """
+
+    for_s: float
+    back_s: float
+    rewritten_after_s: float
+
+
 @dataclass(frozen=True)
 class VersionsAccepted:
     """A burst of versions is accepted."""
@@ -136,6 +151,7 @@
     | LinksReset
     | WorkerTroubled
     | SourceTroubled
+    | SourceRestored
     | VersionsAccepted
 )
 """Any fault; `node` is the index of the affected node, `for_s` the duration in seconds."""
@@ -187,6 +203,9 @@
         ),
         lambda: SourceTroubled(for_s, random.choice(SOURCE_FAULTS)),
         lambda: SourceTroubled(for_s, Faults(), node),
+        lambda: SourceRestored(
+            random.choice((0.0, for_s)), random.uniform(1.0, 8.0), random.uniform(0.1, 1.5)
+        ),
         lambda: VersionsAccepted(random.choice((1, 1, 1, 8))),
         lambda: VersionsAccepted(1),
     )
@@ -301,6 +320,15 @@
         node.source_link.trouble = NO_TROUBLE
 
 
+@inject.register(SourceRestored)
+async def _(fault: SourceRestored, fleet: SoakFleet) -> None:
+    with _record_fault_span(fleet.nodes):
+        if fault.for_s:
+            await fleet.standin.set_faults(Faults(down=True))
+            await curio.sleep(fault.for_s)
+        await fleet.restore_source(fault.back_s, rewritten_after_s=fault.rewritten_after_s)
+
+
 @inject.register(VersionsAccepted)
 async def _(fault: VersionsAccepted, fleet: SoakFleet) -> None:
     for _number in range(fault.count):
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -15,7 +15,7 @@
 
 from soak.proxies import NO_TROUBLE, LinkTrouble, Proxy
 from trefoilpick._demo_document import build_first_version, build_moved_version
-from trefoilpick.standin import Standin, open_standin
+from trefoilpick.standin import Faults, Standin, open_standin
 from trefoilpick.standin_worker import Worker
 from trefoilpick.vms import Vm
 
@@ -50,6 +50,9 @@
 """Settings common to all nodes."""
 
 
+NO_FAULTS = Faults()
+
+
 @dataclass
 class SoakNode:
     """A VM with its node process, its worker and the proxies between them and other endpoints.
@@ -112,6 +115,7 @@
     standin: Standin
     nodes: list[SoakNode] = field(default_factory=list)
     accepted: dict[int, float] = field(default_factory=dict)
+    _accepted_at_ms: dict[int, int] = field(default_factory=dict)
 
     @property
     def newest(self) -> int:
@@ -140,12 +144,30 @@
     async def accept(self) -> int:
         """Accept the next version, in which the archive's route moves to the other service."""
         number = self.newest + 1
-        sections = build_moved_version() if number % 2 == 0 else build_first_version()
-        accepted_at_ms = time.time_ns() // NS_PER_MS
-        await self.standin.put_version(number, sections, accepted_at_ms=accepted_at_ms)
+        self._accepted_at_ms[number] = time.time_ns() // NS_PER_MS
+        await self._publish(number)
         self.accepted[number] = time.monotonic()
         return number
 
+    async def _publish(self, number: int) -> None:
+        sections = build_moved_version() if number % 2 == 0 else build_first_version()
+        await self.standin.put_version(
+            number, sections, accepted_at_ms=self._accepted_at_ms[number]
+        )
+
+    async def restore_source(self, back_s: float, *, rewritten_after_s: float) -> None:
+        """Return the source to an older copy, and write later what the copy lacks.
+
+        Args:
+            back_s: Age of the copy, in seconds.
+            rewritten_after_s: Time until it is written again, in seconds.
+        """
+        await self.standin.restore(back_s)
+        await self.standin.set_faults(NO_FAULTS)
+        await curio.sleep(rewritten_after_s)
+        await self.standin.put_vms(1, (node.vm for node in self.nodes))
+        await self._publish(self.newest)
+
     def start_node(self, node: SoakNode) -> None:
         """Start a node's process."""
         settings = self.folder / f"{node.vm.name}.jsonc"
--- a/tests/fakes_fleet.py
+++ b/tests/fakes_fleet.py
@@ -57,11 +57,11 @@
 
     async def read_value(self, key: str) -> SourceValue:
         value = await super().read_value(key)
-        return SourceValue(self.corrupt(key, value.data), value.revision)
+        return replace(value, data=self.corrupt(key, value.data))
 
     async def watch_value(self, key: str, *, after: int) -> SourceValue | None:
         value = await super().watch_value(key, after=after)
-        return value and SourceValue(self.corrupt(key, value.data), value.revision)
+        return value and replace(value, data=self.corrupt(key, value.data))
 
     def copy(self) -> FakeSource:
         other = FakeSource()
@@ -73,6 +73,18 @@
         self._stale_values = values
 
 
+async def restore_for_a_while(
+    source: LocalSource, copy: dict[str, SourceValue], for_s: float
+) -> None:
+    """Return a source to an older copy; what it lost is written again after a time."""
+    newest = dict(source.values)
+    await source.restore(copy)
+    await curio.sleep(for_s)
+    for key, value in newest.items():
+        if source.values.get(key) == copy.get(key):
+            await source.put(key, value.data)
+
+
 class FakeNode:
     """A node's distributor together with its collaborators."""
 
--- a/tests/matrix_lifecycle.py
+++ b/tests/matrix_lifecycle.py
@@ -5,6 +5,7 @@
 from random import Random
 
 import curio
+from fakes_fleet import restore_for_a_while
 from matrix_table import Cell, Fault, Step
 
 from trefoilpick._call_recorder import CallPlan, CallRecorder
@@ -60,6 +61,7 @@
 
     async def run(self) -> None:
         await self._start_fleet()
+        self.first_values = dict(self.fleet.source.values)
         callers = [
             await curio.spawn(self._call, name, number) for number, name in enumerate(CALLERS)
         ]
@@ -193,6 +195,8 @@
             await self._inject_source_fault(SourceFault.DOWN)
         elif fault is Fault.STALE:
             await self._inject_source_fault(SourceFault.STALE)
+        elif fault is Fault.RESTORED:
+            await self._restore_source()
         else:
             await self._inject_network_fault(fault)
 
@@ -201,6 +205,9 @@
         await curio.sleep(FAULT_S)
         await self.fleet.source.end_fault(fault)
 
+    async def _restore_source(self) -> None:
+        await restore_for_a_while(self.fleet.source, self.first_values, FAULT_S)
+
     async def _inject_network_fault(self, fault: Fault) -> None:
         network = self.fleet.network
         if fault is Fault.SLOW:
--- a/tests/matrix_table.py
+++ b/tests/matrix_table.py
@@ -21,6 +21,8 @@
     REORDERED = "reordered"
     STALE = "stale"
     SOURCE_DOWN = "source down"
+    RESTORED = "restored"
+    """The source returns to an older copy; what was written since is written again later."""
     PARTITION = "partition"
     GARBAGE = "garbage"
 
@@ -126,7 +128,7 @@
     if step in (S.WATCH, S.READ_MANIFEST, S.READ_SECTION):
         if fault is F.DOUBLED or (fault is F.REORDERED and step is S.READ_SECTION):
             return Cell(step, fault, Expected.IMPOSSIBLE, ONE_ANSWER)
-        if fault in (F.HERD, F.SOURCE_DOWN, F.STALE):
+        if fault in (F.HERD, F.SOURCE_DOWN, F.STALE, F.RESTORED):
             return Cell(step, fault, Expected.AFTER)
         return Cell(step, fault, Expected.IN_TIME)
     return Cell(step, fault, Expected.AFTER if fault is F.HERD else Expected.IN_TIME)
@@ -135,6 +137,8 @@
 def make_request_cell(step: Step, fault: Fault) -> Cell:
     if fault in (F.DOUBLED, F.REORDERED):
         return Cell(step, fault, Expected.IMPOSSIBLE, IN_ORDER)
+    if fault is F.RESTORED:
+        return Cell(step, fault, Expected.IMPOSSIBLE, NO_SOURCE)
     if fault in (F.STALE, F.SOURCE_DOWN):
         return Cell(step, fault, Expected.ANSWERED)
     if step in (S.ADMIT, S.CHOOSE) and fault not in DEATHS | {F.PARTITION}:
@@ -156,7 +160,7 @@
 
 
 def make_lifecycle_cell(step: Step, fault: Fault) -> Cell:
-    if step is S.EXIT and fault not in DEATHS | {F.PARTITION, F.SOURCE_DOWN, F.STALE}:
+    if step is S.EXIT and fault not in DEATHS | {F.PARTITION, F.SOURCE_DOWN, F.STALE, F.RESTORED}:
         return Cell(step, fault, Expected.IMPOSSIBLE, "a stopped node has no links")
     if step is S.START and fault in (F.TRUNCATED, F.DOUBLED, F.REORDERED, F.GARBAGE, F.SLOW):
         return Cell(
@@ -172,6 +176,9 @@
     yield Cell(S.RELAY, F.GARBAGE, Expected.IN_TIME, second_fault=F.PAUSE)
     yield Cell(S.READ_SECTION, F.DEATH, Expected.AFTER, second_fault=F.SOURCE_DOWN)
     yield Cell(S.WATCH, F.HERD, Expected.AFTER, second_fault=F.STALE)
+    yield Cell(S.READ_MANIFEST, F.RESTORED, Expected.AFTER, second_fault=F.DEATH)
+    yield Cell(S.RELAY, F.RESTORED, Expected.AFTER, second_fault=F.PARTITION)
+    yield Cell(S.WATCH, F.RESTORED, Expected.AFTER, second_fault=F.HERD)
     yield Cell(S.SERVE, F.PAUSE, Expected.SERVED, second_fault=F.PARTITION)
     yield Cell(S.JOIN, F.SOURCE_DOWN, Expected.SERVED, second_fault=F.DEATH)
     yield Cell(S.DRAIN, F.SOURCE_DOWN, Expected.SERVED, second_fault=F.PARTITION)
--- a/tests/matrix_versions.py
+++ b/tests/matrix_versions.py
@@ -4,10 +4,18 @@
 
 from collections.abc import Awaitable, Callable
 from contextlib import contextmanager
+from dataclasses import replace
 from random import Random
 
 import curio
-from fakes_fleet import FakeFleet, FakeNode, FakeSource, make_version, make_vms
+from fakes_fleet import (
+    FakeFleet,
+    FakeNode,
+    FakeSource,
+    make_version,
+    make_vms,
+    restore_for_a_while,
+)
 from matrix_table import Cell, Expected, Fault, Step
 
 from trefoilpick import enforcement
@@ -263,6 +271,8 @@
             await fleet.source.serve_old_values(dict(self._list_first_values()))
             await curio.sleep(FAULT_S)
             await fleet.source.end_fault(SourceFault.STALE)
+        elif fault is Fault.RESTORED:
+            await restore_for_a_while(fleet.source, dict(self._list_first_values()), FAULT_S)
         elif fault is Fault.PARTITION:
             fleet.network.is_partitioned = (
                 lambda sender, receiver: sender.split(".")[2] != receiver.split(".")[2]
@@ -302,12 +312,12 @@
                 await curio.sleep(FAULT_S)
                 raise TrefoilpickError(ErrorKind.SOURCE_UNAVAILABLE, fault.value)
         if self._is_active(Fault.TRUNCATED):
-            return SourceValue(value.data[: len(value.data) // 2], value.revision)
+            return replace(value, data=value.data[: len(value.data) // 2])
         if self._is_active(Fault.GARBAGE):
-            return SourceValue(self.random.randbytes(len(value.data)), value.revision)
+            return replace(value, data=self.random.randbytes(len(value.data)))
         if self._is_active(Fault.REORDERED):
             old = dict(self._list_first_values())[MANIFEST_KEY]
-            self.late_value = SourceValue(old.data, value.revision)
+            self.late_value = replace(value, data=old.data)
         return value
 
     async def _intercept(
--- a/tests/platform/fakes_store.py
+++ b/tests/platform/fakes_store.py
@@ -33,6 +33,15 @@
     RESET = "reset"
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """Contents of a store at one moment."""
+
+    revision: int
+    items: dict[str, dict[str, Any]]
+    events: list[dict[str, Any]]
+
+
 @dataclass
 class FakeStore:
     """A key-value store with a revision and a history of changes.
@@ -45,6 +54,7 @@
         oldest_revision: Oldest revision from which a watch can start.
         items: Current items by key.
         events: Changes in the history, oldest first.
+        era: How often the store was restored from a copy; None if responses do not name it.
         calls: Targets (path and query) of all calls.
         address: Address of the store, as "ip:port".
     """
@@ -56,6 +66,7 @@
     oldest_revision: int = 0
     items: dict[str, dict[str, Any]] = field(default_factory=dict)
     events: list[dict[str, Any]] = field(default_factory=list)
+    era: int | None = None
     calls: list[str] = field(default_factory=list)
     address: str = ""
 
@@ -80,6 +91,17 @@
         self.oldest_revision = self.revision
         self.events.clear()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the contents, to restore later."""
+        return StoreCopy(self.revision, dict(self.items), list(self.events))
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Return to an older copy: later changes are lost and their revisions assigned again."""
+        self.revision = copy.revision
+        self.items = dict(copy.items)
+        self.events = list(copy.events)
+        self.era = (self.era or 0) + 1
+
     async def serve(self, client: Socket, _address: Any) -> None:
         """Serve one connection."""
         protocol = h11.Connection(h11.SERVER)
@@ -111,7 +133,10 @@
         if self.fault is Fault.LOSE_RESPONSE:
             await curio.sleep(60)
         data = msgspec.json.encode(body)
-        head = h11.Response(status_code=status, headers=[("content-length", str(len(data)))])
+        headers = [("content-length", str(len(data)))]
+        if self.era is not None:
+            headers.append(("Store-Era", str(self.era)))
+        head = h11.Response(status_code=status, headers=headers)
         parts = [protocol.send(head), protocol.send(h11.Data(data=data))]
         parts.append(protocol.send(h11.EndOfMessage()))
         await client.sendall(b"".join(part or b"" for part in parts))
@@ -142,7 +167,7 @@
     async def _watch(self, prefix: str, after: int, wait_s: float) -> tuple[int, Any]:
         end_s = await curio.clock() + wait_s
         while True:
-            if after < self.oldest_revision:
+            if not self.oldest_revision <= after <= self.revision:
                 return 410, {}
             matching = [
                 event
--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -32,6 +32,7 @@
         state=VmState.LEAVING,
         worker="i-0",
         slots=9,
+        started_ms=1_700_000_000_000,
     )
 
 
--- a/tests/test_standin.py
+++ b/tests/test_standin.py
@@ -56,6 +56,39 @@
     run_scenario(scenario, folder=tmp_path)
 
 
+def test_restored_values_are_read_again_in_a_new_era() -> None:
+    async def scenario(standin: Standin, source: HttpSource) -> None:
+        await standin.put_value(MANIFEST_KEY, b"one")
+        await standin.put_value(VMS_KEY, b"list")
+        await curio.sleep(0.3)
+        for text in (b"two", b"three", b"four"):
+            await standin.put_value(MANIFEST_KEY, text)
+        assert (await source.read_value(MANIFEST_KEY)).revision == 4
+        await source.read_value(VMS_KEY)
+        watch = await curio.spawn(source.watch_value(MANIFEST_KEY, after=4))
+        while standin.counts.watching == 0:
+            await curio.sleep(0.001)
+        await standin.restore(0.25)
+        assert await watch.join() == SourceValue(b"one", 1, 1)
+        assert await source.watch_value(VMS_KEY, after=1) == SourceValue(b"list", 1, 1)
+        await standin.put_value(MANIFEST_KEY, b"two")
+        assert await source.watch_value(MANIFEST_KEY, after=1) == SourceValue(b"two", 2, 1)
+
+    run_scenario(scenario)
+
+
+def test_value_of_an_earlier_era_is_rejected() -> None:
+    async def scenario(standin: Standin, source: HttpSource) -> None:
+        await standin.put_value(MANIFEST_KEY, b"one")
+        await standin.restore(0.0)
+        await source.read_value(MANIFEST_KEY)
+        standin.values.era = 0
+        with pytest.raises(TrefoilpickError, match="era"):
+            await source.read_value(MANIFEST_KEY)
+
+    run_scenario(scenario)
+
+
 def test_faults_change_the_served_values() -> None:
     async def scenario(standin: Standin, source: HttpSource) -> None:
         await standin.put_value(MANIFEST_KEY, b"one")
--- a/trefoilpick/_source_connection.py
+++ b/trefoilpick/_source_connection.py
@@ -48,13 +48,13 @@
 
     Attributes:
         status: HTTP status code.
-        revision: Revision of the value, unparsed; empty if the response has none.
+        headers: Response headers by name, in lower case.
         body: Bytes of the value.
         may_reuse: Whether the connection can be used for another call.
     """
 
     status: int
-    revision: str
+    headers: dict[str, str]
     body: bytes
     may_reuse: bool
 
@@ -116,19 +116,22 @@
         await self._sock.sendall(data)
 
     async def _receive(self) -> SourceReply:
-        status, revision = 0, ""
+        status = 0
+        headers: dict[str, str] = {}
         body = bytearray()
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 status = event.status_code
-                revision = dict(event.headers).get(b"x-revision", b"").decode("latin-1")
+                headers = {
+                    name.decode("latin-1"): value.decode("latin-1") for name, value in event.headers
+                }
             elif isinstance(event, h11.Data):
                 body += event.data
                 if len(body) > MAX_RESPONSE_BYTES:
                     raise self._make_error(f"answer is over {MAX_RESPONSE_BYTES} bytes")
             elif isinstance(event, h11.EndOfMessage):
-                return SourceReply(status, revision, bytes(body), self._prepare_next_call())
+                return SourceReply(status, headers, bytes(body), self._prepare_next_call())
             elif isinstance(event, h11.ConnectionClosed):
                 raise self._make_error("connection closed before an answer")
 
--- a/trefoilpick/_standin_values.py
+++ b/trefoilpick/_standin_values.py
@@ -2,16 +2,21 @@
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass
 from typing import Annotated
 
 from msgspec import Meta
 
+from trefoilpick._clock import read_clock
 from trefoilpick.source import SourceValue
 
 KEPT_SECONDS = 600
 """Number of seconds for which calls are counted by second."""
 
+MAX_CHANGES = 1_000
+"""Number of recent changes that can be undone by a restore."""
+
 KEY_GROUPS = ("manifest", "sections", "vms")
 """Groups of keys by which calls are counted; all other keys are counted as "other"."""
 
@@ -112,11 +117,33 @@
         )
 
 
+@dataclass(frozen=True)
+class Change:
+    """A published value.
+
+    Attributes:
+        at_s: Time of the change, by the monotonic clock, in seconds.
+        key: Key of the value.
+        before: The value that it replaced; None if there was none.
+    """
+
+    at_s: float
+    key: str
+    before: SourceValue | None
+
+
 class StandinValues:
-    """Values by key, with their revisions and their previous values."""
+    """Values by key, with their revisions and their previous values.
+
+    Attributes:
+        counts: Counts of the calls.
+        era: How often the values were restored from an older copy.
+    """
 
     def __init__(self) -> None:
         self.counts = CallCounter()
+        self.era = 0
+        self._changes: deque[Change] = deque(maxlen=MAX_CHANGES)
         self._newest: dict[str, SourceValue] = {}
         self._previous: dict[str, SourceValue] = {}
         self._frozen: dict[str, SourceValue] | None = None
@@ -132,10 +159,23 @@
             return newest.revision
         if newest is not None:
             self._previous[key] = newest
+        self._changes.append(Change(read_clock(), key, newest))
         value = SourceValue(data, 1 if newest is None else newest.revision + 1)
         self._newest[key] = value
         return value.revision
 
+    def restore(self, back_s: float) -> None:
+        """Return to the values of some seconds ago; their revisions are assigned again."""
+        since_s = read_clock() - back_s
+        while self._changes and self._changes[-1].at_s > since_s:
+            change = self._changes.pop()
+            if change.before is None:
+                del self._newest[change.key]
+            else:
+                self._newest[change.key] = change.before
+        self._previous.clear()
+        self.era += 1
+
     def get(self, key: str) -> SourceValue | None:
         """Return the value that is served; None for an unknown key."""
         values = self._newest if self._frozen is None else self._frozen
--- a/trefoilpick/distribution.py
+++ b/trefoilpick/distribution.py
@@ -32,6 +32,7 @@
 from trefoilpick.peers import PeerTable, build_peer_status, classify_standing, convert_status_answer
 from trefoilpick.ratelimits import TokenBucket
 from trefoilpick.reader_election import OTHER_BURST, ReaderElection
+from trefoilpick.revisions import format_revision
 from trefoilpick.source_reader import SourceReader
 from trefoilpick.state_exchanges import StateExchanger
 from trefoilpick.status import PeerStatus, Standing
@@ -418,7 +419,7 @@
         self.store.drop_unused(enforced=self.enforcer.enforced)
 
     async def _on_list_adopted(self) -> None:
-        self.log.report(Event.VM_LIST, self.membership.revision)
+        self.log.report(Event.VM_LIST, format_revision(self.membership.revision))
         self._peers.drop_removed()
         await self._announce()
 
--- a/trefoilpick/local_network.py
+++ b/trefoilpick/local_network.py
@@ -14,6 +14,7 @@
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 from trefoilpick.links import Traffic
 from trefoilpick.manifest import encode_manifest
+from trefoilpick.revisions import compose_revision
 from trefoilpick.source import MANIFEST_KEY, SourceValue, build_section_key
 from trefoilpick.traces import SourceFault
 
@@ -175,9 +176,11 @@
         values: Values by key.
         call_times_s: Time of each call by the curio kernel's clock, in seconds.
         faults: Current faults.
+        era: How often the values were restored from an older copy.
     """
 
     def __init__(self) -> None:
+        self.era = 0
         self.values: dict[str, SourceValue] = {}
         self.call_times_s: list[float] = []
         self.faults: set[SourceFault] = set()
@@ -197,6 +200,13 @@
             await self.put(build_section_key(digest), text)
         await self.put(MANIFEST_KEY, encode_manifest(manifest))
 
+    async def restore(self, values: Mapping[str, SourceValue]) -> None:
+        """Return to an older copy of the values, in a new era; revisions are assigned again."""
+        self.values = dict(values)
+        self._revision = max((value.revision for value in values.values()), default=0)
+        self.era += 1
+        await self._wake()
+
     async def begin_fault(self, fault: SourceFault) -> None:
         """Inject a fault until `end_fault` is called."""
         self.faults.add(fault)
@@ -224,11 +234,14 @@
         """Ignore the settings: this source has no address and no timeouts."""
 
     async def watch_value(self, key: str, *, after: int) -> SourceValue | None:
-        """Wait for a revision after the given one; return None after `WATCH_S`."""
+        """Wait for a revision after the given one; return None after `WATCH_S`.
+
+        Revisions that are returned contain the era.
+        """
         self.call_times_s.append(await curio.clock())
         self._check_available()
         async with curio.ignore_after(WATCH_S):
-            while (value := self._find(key)) is None or value.revision <= after:
+            while (value := self._find(key)) is None or self._compose(value) <= after:
                 async with self._changed:
                     await self._changed.wait()
                 self._check_available()
@@ -260,7 +273,10 @@
             data = data[: len(data) // 2]
         if SourceFault.WRONG in self.faults:
             data = data.replace(b'"', b"'", 1)
-        return SourceValue(data, value.revision)
+        return SourceValue(data, self._compose(value), self.era)
+
+    def _compose(self, value: SourceValue) -> int:
+        return compose_revision(self.era, value.revision)
 
     async def _wake(self) -> None:
         async with self._changed:
--- a/trefoilpick/membership.py
+++ b/trefoilpick/membership.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING
 
 from trefoilpick._clock import read_clock
+from trefoilpick.list_corrections import DEFAULT_EXPIRY_S, ListCorrections
+from trefoilpick.revisions import get_era
 from trefoilpick.vms import Vm, VmList, VmState
 
 if TYPE_CHECKING:
@@ -82,7 +84,12 @@
     Args:
         own: The node's own VM.
         listed_only: Whether only VMs on the platform's list get requests.
+        expiry_s: Time within which the platform removes VMs that no longer exist from its list, in
+            seconds.
         clock: Returns the monotonic time in seconds.
+
+    Attributes:
+        revision: Revision of the list, ordered by the source's era first; 0 without a list.
     """
 
     def __init__(
@@ -90,12 +97,15 @@
         own: Vm,
         *,
         listed_only: bool = False,
+        expiry_s: float = DEFAULT_EXPIRY_S,
         clock: Callable[[], float] = read_clock,
     ) -> None:
         self.own = own
         self._listed_only = listed_only
         self._clock = clock
         self._listed: dict[str, Vm] = {}
+        self._corrections = ListCorrections(expiry_s=expiry_s, clock=clock)
+        self._corrected: dict[str, Vm] = self._listed
         self._changed_at: dict[str, int] = {}
         self._removed_at: dict[str, int] = {}
         self._oldest_base = 0
@@ -114,8 +124,9 @@
 
     def list_endpoints(self, service: str) -> tuple[Vm, ...]:
         """Return the VMs of a service that accept new work."""
+        listed = self._get_corrected()
         if self._services is None:
-            usable = self._listed.values() if self._listed_only else self._iterate()
+            usable = listed.values() if self._listed_only else self._iterate()
             self._services = _group_by_service(usable)
         return tuple(
             vm
@@ -129,18 +140,18 @@
 
     def find_listed(self, name: str) -> Vm | None:
         """Return a VM's record on the platform's list, or None if it is not listed."""
-        return self._listed.get(name)
+        return self._get_corrected().get(name)
 
     def find_vm(self, name: str) -> Vm | None:
         """Return a VM's record, or None if it is unknown."""
-        return self._listed.get(name) or self._unlisted.get(name)
+        return self._get_corrected().get(name) or self._unlisted.get(name)
 
     def is_leaving(self, name: str) -> bool:
         """Return whether a VM accepts no new work, as announced by itself or stated on the list."""
         observed = self._observed.get(name)
         if observed is not None and observed.is_leaving:
             return True
-        listed = self._listed.get(name)
+        listed = self._get_corrected().get(name)
         return listed is not None and listed.state is VmState.LEAVING
 
     def is_dead(self, name: str) -> bool:
@@ -219,19 +230,25 @@
 
     def add_unlisted(self, vm: Vm) -> None:
         """Record a VM that announced itself and may be missing from the list."""
-        if vm.name != self.own.name and vm.name not in self._listed:
+        if vm.name != self.own.name and vm.name not in self._get_corrected():
             self._unlisted[vm.name] = vm
             self._services = None
 
     def adopt_list(self, vms: VmList) -> bool:
         """Adopt a complete list if it is newer than the known one.
 
+        A list of a later era comes from a source that was restored from an older copy. What was
+        known before corrects it for a while.
+
         Returns:
             Whether it was adopted.
         """
         if vms.revision <= self.revision:
             return False
         new = {vm.name: vm for vm in vms.vms}
+        if self.revision and get_era(vms.revision) > get_era(self.revision):
+            self._adopt_restored(vms.revision, new)
+            return True
         removed = tuple(name for name in self._listed if name not in new)
         changed = tuple(vm for vm in vms.vms if self._listed.get(vm.name) != vm)
         if self.revision == 0:
@@ -262,9 +279,35 @@
         removed = tuple(name for name, at in self._removed_at.items() if at > base)
         return VmsChange(self.revision, base, changed, removed)
 
+    def _adopt_restored(self, revision: int, restored: dict[str, Vm]) -> None:
+        self._corrections.begin(self._get_corrected(), restored)
+        self._listed = restored
+        self._changed_at = dict.fromkeys(restored, revision)
+        self._removed_at.clear()
+        # A peer may hold a list of the earlier era that this node never had.
+        self._oldest_base = revision
+        self.revision = revision
+        self._correct()
+        self._drop_expired()
+
+    def _get_corrected(self) -> dict[str, Vm]:
+        """Return the listed VMs by name, with the corrections in effect."""
+        if self._corrections.end_overdue():
+            self._correct()
+        return self._corrected
+
+    def _correct(self) -> None:
+        self._corrected = {vm.name: vm for vm in self._corrections.apply(self._listed)}
+        for name in self._corrected.keys() & self._unlisted.keys():
+            del self._unlisted[name]
+        self._services = None
+
     def _apply(self, change: VmsChange) -> None:
         for name in change.removed:
             vm = self._listed.pop(name, None)
+            self._corrections.release(name)
+            if vm is not None:
+                self._corrections.record_removed(vm)
             self._changed_at.pop(name, None)
             self._removed_at[name] = change.revision
             if vm is not None and self._is_recent(name):
@@ -272,6 +315,7 @@
             else:
                 self._observed.pop(name, None)
         for vm in change.changed:
+            self._corrections.release(vm.name)
             self._listed[vm.name] = vm
             self._changed_at[vm.name] = change.revision
             self._removed_at.pop(vm.name, None)
@@ -280,8 +324,8 @@
             oldest = min(self._removed_at, key=self._removed_at.__getitem__)
             self._oldest_base = max(self._oldest_base, self._removed_at.pop(oldest))
         self.revision = change.revision
+        self._correct()
         self._drop_expired()
-        self._services = None
 
     def _drop_expired(self) -> None:
         for name in [name for name in self._unlisted if not self._is_recent(name)]:
@@ -293,9 +337,10 @@
         return observed is not None and observed.received_s > self._clock() - UNLISTED_TIMEOUT_S
 
     def _iterate(self) -> Iterator[Vm]:
-        if self.own.name not in self._listed:
+        listed = self._get_corrected()
+        if self.own.name not in listed:
             yield self.own
-        yield from self._listed.values()
+        yield from listed.values()
         yield from self._unlisted.values()
 
     def _is_usable(self, name: str) -> bool:
--- a/trefoilpick/platform/entries.py
+++ b/trefoilpick/platform/entries.py
@@ -93,6 +93,17 @@
         if not self._retained:
             self._revision_before_outage = self.revision
 
+    def begin_era(self, now_s: float) -> None:
+        """Handle a store that was restored from an older copy: its revisions start anew.
+
+        What the copy lacks is corrected by the list's user; what expires shortly afterwards is
+        retained.
+        """
+        self._retained.clear()
+        self._entries.clear()
+        self.revision = 0
+        self.handle_outage_end(now_s)
+
     def replace_all(self, items: dict[str, tuple[bytes, int]], revision: int, now_s: float) -> None:
         """Replace all entries with those read from the store.
 
@@ -177,6 +188,7 @@
             state=STATES[entry.state],
             worker=worker,
             slots=entry.slots,
+            started_ms=entry.born,
         )
         try:
             msgspec.convert(msgspec.to_builtins(vm), Vm)
--- a/trefoilpick/platform/store.py
+++ b/trefoilpick/platform/store.py
@@ -28,7 +28,9 @@
     VMS_KEY,
     SourceValue,
     build_section_key,
+    make_earlier_era_error,
     open_client,
+    read_era,
 )
 
 if TYPE_CHECKING:
@@ -49,6 +51,9 @@
 RANGE_PATH = "/trefoilpick/kv-range"
 WATCH_PATH = "/trefoilpick/kv-watch"
 
+ERA_HEADER = "store-era"
+"""Header with the number of times that the store was restored from an older copy, in lower case."""
+
 STATUS_HISTORY_GONE = 410
 """HTTP status of a watch whose start revision is no longer in the store's history."""
 
@@ -81,6 +86,9 @@
 FAULT_EVENT = "configuration_fault"
 """Event of log lines about faulty entries of a configuration."""
 
+ERA_EVENT = "source_era"
+"""Event of the log line about a restored store."""
+
 _LOGGER = logging.getLogger(LOGGER_NAME)
 
 
@@ -140,6 +148,7 @@
         self._response_timeout_s = MIN_RESPONSE_TIMEOUT_S
         self._last_change_s = -math.inf
         self._failing_since_s: float | None = None
+        self._era: int | None = None
         self._watch_lock = curio.Lock()
         self._watch_revision: int | None = None
         self._read_revisions: dict[str, int] = {}
@@ -211,7 +220,7 @@
             texts[build_section_key(digest)] = text
         self._sections = [*self._sections, texts][-KEPT_VERSIONS:]
         manifest = Manifest(configuration.version, 0, tuple(refs))
-        return SourceValue(encode_manifest(manifest), item.revision)
+        return SourceValue(encode_manifest(manifest), item.revision, self._era or 0)
 
     def _log_faults(self, version: int, faults: tuple[ConfigurationFault, ...]) -> None:
         if version == self._logged_version:
@@ -240,8 +249,11 @@
         page = _decode(await self._call(READ_CONNECTION, target), _RangeResponse)
         # Pages are not read atomically: a watch from the revision of the first page reports all
         # changes made since.
-        revision = page.store_revision
+        revision, era = page.store_revision, self._era
         while True:
+            if self._era != era:
+                text = "store was restored while its entries were read"
+                raise TrefoilpickError(ErrorKind.SOURCE_UNAVAILABLE, text)
             for item in page.items:
                 items[item.key] = (_decode_base64(item.value), item.revision)
             if not page.has_more or not page.items:
@@ -270,7 +282,7 @@
 
     def _build_vms_value(self) -> SourceValue:
         vms = self._entries.build_vm_list()
-        return SourceValue(msgspec.json.encode(vms), vms.revision)
+        return SourceValue(msgspec.json.encode(vms), vms.revision, self._era or 0)
 
     def _record_read(self, key: str, revision: int) -> None:
         self._read_revisions[key] = revision
@@ -288,6 +300,7 @@
             max(self._last_change_s + self._settings.watch_gap_ms / 1000 - self._clock(), 0)
         )
         wait_ms = self._choose_wait_ms()
+        era = self._era
         began_s = self._clock()
         target = f"{WATCH_PATH}?path-prefix=&after={self._watch_revision}&wait-ms={wait_ms}"
         try:
@@ -296,7 +309,7 @@
             # A failed watch may have lost changes that the next one does not report again.
             self._invalidate_reads()
             raise
-        if reply.status == STATUS_HISTORY_GONE:
+        if reply.status == STATUS_HISTORY_GONE or self._era != era:
             self._invalidate_reads()
             return
         response = _decode(reply, _WatchResponse)
@@ -340,6 +353,7 @@
             reply = await self._client.call(
                 connection, target, wait_s=wait_s, response_timeout_s=response_timeout_s
             )
+            self._check_era(reply)
             _check_status(reply, target)
         except TrefoilpickError:
             if self._failing_since_s is None:
@@ -350,6 +364,29 @@
         self._handle_success()
         return reply
 
+    def _check_era(self, reply: SourceReply) -> None:
+        """Record the store's era; if it has risen, everything has to be read again.
+
+        Raises:
+            TrefoilpickError: `SOURCE_UNAVAILABLE` if the response is of an earlier era.
+        """
+        era = read_era(reply, ERA_HEADER)
+        if era is None or era == self._era:
+            return
+        known_era, self._era = self._era, max(era, self._era or 0)
+        if known_era is None:
+            return
+        if era < known_era:
+            raise make_earlier_era_error(era, known_era)
+        _LOGGER.warning(
+            "store was restored from an older copy",
+            extra={"event": ERA_EVENT, "era": era, "previous_era": known_era},
+        )
+        self._invalidate_reads()
+        for changes in self._pending_changes.values():
+            changes.clear()
+        self._entries.begin_era(self._clock())
+
     def _handle_success(self) -> None:
         """Handle a successful call: if it ends a long outage, entries may have expired."""
         failing_since_s, self._failing_since_s = self._failing_since_s, None
--- a/trefoilpick/source.py
+++ b/trefoilpick/source.py
@@ -36,8 +36,14 @@
 STATUS_NOT_FOUND = 404
 STATUS_RATE_LIMITED = 429
 
+REVISION_HEADER = "x-revision"
+"""Header with the revision of a value."""
+
+ERA_HEADER = "x-era"
+"""Header with the service's era."""
+
 MAX_REVISION_DIGITS = 18
-"""Maximum length of an accepted revision, in decimal digits."""
+"""Maximum length of an accepted revision or era, in decimal digits."""
 
 
 @dataclass(frozen=True)
@@ -47,10 +53,13 @@
     Attributes:
         data: Bytes of the value.
         revision: Revision assigned by the service.
+        era: How often the service was restored from an older copy; revisions of a later era are
+            newer.
     """
 
     data: bytes
     revision: int
+    era: int = 0
 
 
 class Source(Protocol):
@@ -210,6 +219,8 @@
     def __init__(self, client: SourceClient, settings: SourceSettings) -> None:
         self.client = client
         self._watch_ms = settings.watch_ms
+        self._era = 0
+        self._value_eras: dict[str, int] = {}
 
     def apply_settings(self, settings: SourceSettings) -> None:
         """Apply changed addresses and timeouts."""
@@ -223,6 +234,7 @@
             TrefoilpickError: `SOURCE_UNAVAILABLE` or `SOURCE_RATE_LIMITED`.
         """
         reply = await self.client.call(READ_CONNECTION, f"/v1/values/{key}")
+        self._value_eras[key] = self._check_era(reply)
         return _convert_reply(key, reply)
 
     async def watch_value(self, key: str, *, after: int) -> SourceValue | None:
@@ -234,12 +246,30 @@
         Raises:
             TrefoilpickError: `SOURCE_UNAVAILABLE` or `SOURCE_RATE_LIMITED`.
         """
-        target = f"/v1/values/{key}?after={after}&wait_ms={self._watch_ms}"
+        known_era = self._value_eras.get(key, self._era)
+        target = f"/v1/values/{key}?after={after}&era={known_era}&wait_ms={self._watch_ms}"
         reply = await self.client.call(key, target, wait_s=self._watch_ms / 1000)
+        if self._check_era(reply) != known_era:
+            # The revision to watch from belongs to an earlier era.
+            return await self.read_value(key)
         if reply.status == STATUS_NOT_MODIFIED:
             return None
         return _convert_reply(key, reply)
 
+    def _check_era(self, reply: SourceReply) -> int:
+        """Return the service's era.
+
+        Raises:
+            TrefoilpickError: `SOURCE_UNAVAILABLE` if the response is of an earlier era.
+        """
+        era = read_era(reply, ERA_HEADER)
+        if era is None:
+            return self._era
+        if era < self._era:
+            raise make_earlier_era_error(era, self._era)
+        self._era = era
+        return era
+
 
 def _convert_reply(key: str, reply: SourceReply) -> SourceValue:
     if reply.status == STATUS_RATE_LIMITED:
@@ -250,11 +280,27 @@
     if reply.status != STATUS_OK:
         text = f'source answered value "{key}" with status {reply.status}'
         raise TrefoilpickError(ErrorKind.SOURCE_UNAVAILABLE, text)
-    revision = reply.revision
-    if not (revision.isascii() and revision.isdigit() and len(revision) <= MAX_REVISION_DIGITS):
+    revision = reply.headers.get(REVISION_HEADER, "")
+    if not _is_number(revision):
         text = f'source sent value "{key}" without a revision'
         raise TrefoilpickError(ErrorKind.SOURCE_UNAVAILABLE, text)
-    return SourceValue(reply.body, int(revision))
+    return SourceValue(reply.body, int(revision), read_era(reply, ERA_HEADER) or 0)
+
+
+def read_era(reply: SourceReply, header: str) -> int | None:
+    """Return the era that a response names in a header; None if it names none."""
+    text = reply.headers.get(header, "")
+    return int(text) if _is_number(text) else None
+
+
+def make_earlier_era_error(era: int, known_era: int) -> TrefoilpickError:
+    """Return the error for a response from before the service was restored."""
+    text = f"source answered from era {era} after era {known_era}"
+    return TrefoilpickError(ErrorKind.SOURCE_UNAVAILABLE, text)
+
+
+def _is_number(text: str) -> bool:
+    return text.isascii() and text.isdigit() and len(text) <= MAX_REVISION_DIGITS
 
 
 def open_client(settings: SourceSettings) -> SourceClient:
--- a/trefoilpick/source_reader.py
+++ b/trefoilpick/source_reader.py
@@ -15,6 +15,7 @@
 from trefoilpick.logs import Event
 from trefoilpick.manifest import decode_manifest, identify_version
 from trefoilpick.ratelimits import Backoff, TokenBucket
+from trefoilpick.revisions import compose_revision
 from trefoilpick.source import MANIFEST_KEY, VMS_KEY, build_section_key
 from trefoilpick.vms import VmList
 
@@ -159,10 +160,10 @@
             TrefoilpickError: The source did not answer, or its value is not a list.
         """
         value = await self._read(VMS_KEY)
-        await self._handle_list(value.data)
+        await self._handle_list(value)
 
     async def _watch(
-        self, key: str, handle: Callable[[bytes], Awaitable[None]], reread_fraction: float
+        self, key: str, handle: Callable[[SourceValue], Awaitable[None]], reread_fraction: float
     ) -> None:
         backoff = Backoff(self._random, max_s=self._backoff_s)
         revision: int | None = None
@@ -172,7 +173,7 @@
                 value = await self._read_or_watch(key, revision)
                 if value is not None:
                     revision = value.revision
-                    await handle(value.data)
+                    await handle(value)
                     # Batches changes in quick succession into one read.
                     await curio.sleep(self._watch_gap_s)
                 elif self._random.random() < reread_fraction:
@@ -201,8 +202,8 @@
         self._record_answer(requested_s)
         return value
 
-    async def _handle_manifest(self, data: bytes) -> None:
-        manifest = decode_manifest(data)
+    async def _handle_manifest(self, value: SourceValue) -> None:
+        manifest = decode_manifest(value.data)
         version = identify_version(manifest)
         self.newest = version
         if self._store.newest is not None and version < self._store.newest:
@@ -234,12 +235,13 @@
     def _is_newer(self, version: VersionId) -> bool:
         return self._store.newest is None or version > self._store.newest
 
-    async def _handle_list(self, data: bytes) -> None:
+    async def _handle_list(self, value: SourceValue) -> None:
         try:
-            vms = msgspec.json.decode(data, type=VmList)
+            vms = msgspec.json.decode(value.data, type=VmList)
         except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
             raise TrefoilpickError(ErrorKind.MANIFEST_FAULTY, f"list of VMs: {error}") from error
-        if self._membership.adopt_list(vms):
+        revision = compose_revision(value.era, vms.revision)
+        if self._membership.adopt_list(VmList(revision, vms.vms)):
             await self._on_list_adopted()
 
     def _record_answer(self, requested_s: float) -> None:
--- a/trefoilpick/standin.py
+++ b/trefoilpick/standin.py
@@ -1,8 +1,10 @@
 """A stand-in for the platform's configuration service, for trials, demos and tests.
 
-It serves `GET /v1/values/<key>`; with `?after=<revision>&wait_ms=<time>` the call is a long poll
-that ends with 304 if nothing changed. It counts the calls, limits their rate, and injects faults:
-slow, failed, stale, truncated or corrupted responses, and values that go back to an older revision.
+It serves `GET /v1/values/<key>`; with `?after=<revision>&era=<era>&wait_ms=<time>` the call is a
+long poll that ends with 304 if nothing changed, or at once if that era has passed. It counts the
+calls, limits their rate, and injects faults: slow, failed, stale, truncated or corrupted responses,
+and values that go back to an older revision.
+It can be restored from an older copy, in a new era.
 """
 
 from __future__ import annotations
@@ -33,7 +35,14 @@
     identify_version,
 )
 from trefoilpick.sections import encode_section
-from trefoilpick.source import MANIFEST_KEY, VMS_KEY, SourceValue, build_section_key
+from trefoilpick.source import (
+    ERA_HEADER,
+    MANIFEST_KEY,
+    REVISION_HEADER,
+    VMS_KEY,
+    SourceValue,
+    build_section_key,
+)
 from trefoilpick.vms import VmList
 
 if TYPE_CHECKING:
@@ -142,6 +151,11 @@
         self.values.set_frozen(is_frozen=faults.stale)
         await self._wake()
 
+    async def restore(self, back_s: float) -> None:
+        """Return to the values of some seconds ago, in a new era; watches end."""
+        self.values.restore(back_s)
+        await self._wake()
+
     async def run(self) -> None:
         """Serve until cancelled."""
         loops = [self._accept]
@@ -228,19 +242,20 @@
         if delay_ms:
             await curio.sleep(delay_ms / 1000)
         value = await self._wait_for_change(key, call) if is_watch else self._find_value(key)
+        era = ((ERA_HEADER, str(self.values.era)),)
         if self._get_faults(key).down:
-            return await connection.send(503)
+            return await connection.send(503, headers=era)
         if value is None:
-            return await connection.send(304 if is_watch else 404)
+            return await connection.send(304 if is_watch else 404, headers=era)
         return await self._send_value(connection, key, value)
 
     async def _wait_for_change(self, key: str, call: Call) -> SourceValue | None:
-        after = call.read_number("after")
+        after, era = call.read_number("after"), call.read_number("era")
         wait_ms = min(call.read_number("wait_ms"), MAX_WAIT_MS)
         self.values.counts.watching += 1
         try:
             async with curio.ignore_after(wait_ms / 1000):
-                while not self._get_faults(key).down:
+                while not self._get_faults(key).down and self.values.era == era:
                     value = self._find_value(key)
                     if value is not None and value.revision > after:
                         return value
@@ -268,7 +283,10 @@
         if faults.backwards:
             value = self.values.get_previous(key) or value
         data = bytes(byte ^ 1 for byte in value.data) if faults.wrong else value.data
-        headers = (("x-revision", str(value.revision)),)
+        headers = (
+            (REVISION_HEADER, str(value.revision)),
+            (ERA_HEADER, str(self.values.era)),
+        )
         self.values.counts.bytes_sent += len(data)
         if faults.truncated:
             await connection.send_truncated(data, headers=headers)
--- a/trefoilpick/vms.py
+++ b/trefoilpick/vms.py
@@ -39,6 +39,8 @@
         state: State reported by the platform.
         worker: Identity of the worker's current incarnation; empty if the platform gives none.
         slots: Maximum concurrent requests of the worker; 0 if set by its upstream.
+        started_ms: Start of the worker's current incarnation, in milliseconds since the Unix epoch;
+            0 if the platform gives none.
     """
 
     name: Name
@@ -51,6 +53,7 @@
     state: VmState = VmState.LIVE
     worker: str = ""
     slots: int = 0
+    started_ms: int = 0
 
 
 @dataclass(frozen=True)
