Requests: begin a split route's sequence at a random request on each node

Cause: every node began smooth weighted round robin at its first request, and kept credits of earlier weights. In a fleet in which each node gets a few requests of a route, nearly all went to the upstream with the most weight (model: 195 nodes, 300 requests, 50 and 50: beyond the tolerance of 0.1), and credits of large weights lasted for tens of requests under small ones.

--- a/trefoilpick/callers.py
+++ b/trefoilpick/callers.py
@@ -103,6 +103,7 @@
         listener: The listening socket.
         cell: Snapshot of the enforced version.
         forwarder: Forwards requests to workers.
+        splitter: Divides the requests of split routes.
         monitor: Enforces timeouts and deadlines, and detects closed connections.
         metrics: Registry in which requests are counted.
         is_ready: Returns whether the node enforces a version, regardless of a drain.
@@ -118,6 +119,7 @@
         listener: socket.socket,
         cell: SnapshotCell,
         forwarder: Forwarder,
+        splitter: Splitter,
         monitor: ConnectionMonitor,
         metrics: Metrics,
         is_ready: Callable[[], bool],
@@ -136,7 +138,7 @@
         self._is_up_to_date = is_up_to_date
         self._conventions = conventions
         self._log = log
-        self._splitter = Splitter()
+        self._splitter = splitter
         self._deadline_history = DeadlineHistory()
         self._tasks: set[curio.Task] = set()
         self._is_closing = False
@@ -553,6 +555,7 @@
         listener=listener,
         cell=cell,
         forwarder=forwarder,
+        splitter=Splitter(random),
         monitor=ConnectionMonitor(requests, pool, CoarseClock(read_clock())),
         metrics=metrics,
         is_ready=is_ready,
