Admission: let delayed requests displace none, and be displaced first

Cause: the search for a victim in a full queue walked the priorities, among which the delayed queue is not: a request that would be late displaced a waiting one of any priority, and a delayed one was never displaced for others. The new test fails before (the late request is queued, an interactive one refused). Change: the search walks all queues, the delayed one first.

--- a/tests/test_admission_objectives.py
+++ b/tests/test_admission_objectives.py
@@ -66,6 +66,47 @@
                 await tasks.spawn(self.send_at_rate, *kind, 10.0)
 
 
+def test_delayed_request_displaces_none_and_is_displaced_first() -> None:
+    """A short queue under load: late requests must not push out those that can be in time."""
+
+    async def run() -> None:
+        admission = AdmissionController(AdmissionLimits(SLOTS, 100, 3))
+        refused: list[str] = []
+
+        async def call(name: str, priority: Priority, objective_s: float = 100.0) -> None:
+            now_s = read_clock()
+            try:
+                await admission.acquire(
+                    caller=name[0],
+                    priority=priority.value,
+                    deadline_s=now_s + 100.0,
+                    now_s=now_s,
+                    route="r",
+                    objective_s=now_s + objective_s,
+                )
+            except TrefoilpickError:
+                refused.append(name)
+
+        async def start(*arguments: object) -> None:
+            await curio.spawn(call, *arguments, daemon=True)
+            await curio.sleep(0.001)
+
+        for number in range(SLOTS):
+            await start(f"r{number}", Priority.NORMAL)
+        await admission.release(served_s=SERVICE_S, route="r")
+        await start("r9", Priority.NORMAL)
+        for number in range(3):
+            await start(f"i{number}", Priority.INTERACTIVE)
+        await start("late", Priority.DEFERRABLE, 0.01)
+        assert refused == ["late"]
+        await admission.release(served_s=SERVICE_S, route="r")
+        await start("late-2", Priority.DEFERRABLE, 0.01)
+        await start("i3", Priority.INTERACTIVE)
+        assert refused == ["late", "late-2"]
+
+    run_virtual(run())
+
+
 def test_under_double_load_the_served_requests_meet_their_objective() -> None:
     load = LoadGenerator()
     run_virtual(load.send_at_rate("read", Priority.NORMAL, 2 * SLOTS / SERVICE_S, 10.0))
--- a/trefoilpick/admission.py
+++ b/trefoilpick/admission.py
@@ -300,8 +300,7 @@
 
     def _find_victim(self, waiter: Waiter) -> Waiter | None:
         own_queue = self._queues[waiter.priority]
-        for priority in reversed(PRIORITIES):
-            queue = self._queues[priority]
+        for queue in reversed(self._queues.values()):
             if queue is own_queue:
                 break
             if queue:
