--- a/trefoilpick/caller_connections.py
+++ b/trefoilpick/caller_connections.py
@@ -142,11 +142,12 @@
             part = self.read_body_part()
             if part != b"":
                 return part
-            if self.http.they_are_waiting_for_100_continue:
-                await self.sock.sendall(
-                    self.http.send(h11.InformationalResponse(status_code=100, headers=[])) or b""
-                )
             try:
+                if self.http.they_are_waiting_for_100_continue:
+                    await self.sock.sendall(
+                        self.http.send(h11.InformationalResponse(status_code=100, headers=[]))
+                        or b""
+                    )
                 data = await self.sock.recv(READ_BYTES)
             except OSError as error:
                 text = "the caller's connection broke while its request body was read"
