Distribution: derive the age of a recent answer from the watch's length

Cause: a constant of 2 s, chosen for watches of 1.4 s, was shorter than the default watch of 6 s, so that nodes with default settings fetched from peers what their own watch was about to bring. The new test fails before.

--- /dev/null
+++ b/tests/test_source_reader.py
@@ -0,0 +1,31 @@
+from __future__ import annotations
+
+import curio
+from fakes_fleet import FakeFleet, make_version, make_vms
+
+from trefoilpick._virtual_time import run_virtual
+from trefoilpick.settings import SourceSettings
+
+TEAMS = {"team-1": 1}
+
+
+def test_reader_that_waits_in_a_watch_has_a_recent_answer() -> None:
+    """A fetch from a peer waits for the node's own watch, whatever the length of that watch."""
+
+    async def run() -> None:
+        fleet = FakeFleet(make_vms(1, 2))
+        await fleet.publish_vms(1)
+        await fleet.source.accept(*make_version(1, TEAMS))
+        await fleet.start()
+        await curio.sleep(5.0)
+        readers = [node.distributor.reader for node in fleet.nodes.values()]
+        assert all(reader.is_reading for reader in readers)
+        reader = max(readers, key=lambda reader: reader.answered_s)
+        watch_s = SourceSettings(("127.0.0.1:1",)).watch_ms / 1000
+        await curio.sleep(reader.answered_s + watch_s - await curio.clock())
+        assert reader.has_recent_answer()
+        await curio.sleep(1.0)
+        assert not reader.has_recent_answer()
+        await fleet.kill()
+
+    run_virtual(run())
--- a/trefoilpick/fetchers.py
+++ b/trefoilpick/fetchers.py
@@ -44,10 +44,6 @@
 """Time for which a fetch waits for the node's own watch of the source, in seconds; about the time
 for which a watch batches changes in quick succession."""
 
-RECENT_ANSWER_S = 2.0
-"""Maximum age of the source's last answer for which a fetch waits for the node's own watch, in
-seconds; longer than a watch with the deployed `watch_ms` of 1,400."""
-
 POLL_INTERVAL_S = 0.01
 """Interval between checks of what the node has read, in seconds."""
 
@@ -170,7 +166,7 @@
 
     async def _wait_for_own_read(self, version: VersionId) -> None:
         """Wait for the node's own reading, for a bounded time, to save a transfer from a peer."""
-        if self._reader.has_recent_answer(RECENT_ANSWER_S):
+        if self._reader.has_recent_answer():
             async with curio.ignore_after(WATCH_WAIT_S):
                 while self._is_newer(version) and self._reader.reading_version != version:
                     await curio.sleep(POLL_INTERVAL_S)
--- a/trefoilpick/source_reader.py
+++ b/trefoilpick/source_reader.py
@@ -44,6 +44,9 @@
 POLL_INTERVAL_S = 0.05
 """Interval between checks for a version from a peer, in seconds."""
 
+ANSWER_MARGIN_S = 0.3
+"""Time after the longest watch within which its answer arrives, in seconds."""
+
 READER_STAGGER_S = 1.5
 """Delay between consecutive readers before they read many missing sections, in seconds, so that the
 preceding reader can distribute them."""
@@ -88,8 +91,7 @@
         on_list_adopted: Callable[[], Awaitable[None]],
         settings: SourceSettings,
     ) -> None:
-        self._watch_gap_s = settings.watch_gap_ms / 1000
-        self._backoff_s = settings.backoff_ms / 1000
+        self._settings = settings
         self._source = source
         self._store = store
         self._membership = membership
@@ -109,8 +111,7 @@
 
     def apply_settings(self, settings: SourceSettings) -> None:
         """Apply changed addresses and intervals."""
-        self._watch_gap_s = settings.watch_gap_ms / 1000
-        self._backoff_s = settings.backoff_ms / 1000
+        self._settings = settings
         self._source.apply_settings(settings)
 
     @property
@@ -118,9 +119,11 @@
         """Whether the node reads the source and the source answers."""
         return self._reading.is_set() and not self.is_failing
 
-    def has_recent_answer(self, within_s: float) -> bool:
-        """Return whether the source is read and has answered within the last `within_s` seconds."""
-        return self.is_reading and read_clock() - self.answered_s < within_s
+    def has_recent_answer(self) -> bool:
+        """Return whether the source is read and has answered within the longest watch."""
+        settings = self._settings
+        longest_s = (settings.watch_ms + settings.watch_gap_ms) / 1000 + ANSWER_MARGIN_S
+        return self.is_reading and read_clock() - self.answered_s < longest_s
 
     async def start(self, read_order: int) -> None:
         """Start reading and watching.
@@ -165,7 +168,7 @@
     async def _watch(
         self, key: str, handle: Callable[[SourceValue], Awaitable[None]], reread_fraction: float
     ) -> None:
-        backoff = Backoff(self._random, max_s=self._backoff_s)
+        backoff = Backoff(self._random, max_s=self._settings.backoff_ms / 1000)
         revision: int | None = None
         while True:
             await self._reading.wait()
@@ -175,7 +178,7 @@
                     revision = value.revision
                     await handle(value)
                     # Batches changes in quick succession into one read.
-                    await curio.sleep(self._watch_gap_s)
+                    await curio.sleep(self._settings.watch_gap_ms / 1000)
                 elif self._random.random() < reread_fraction:
                     revision = None
                 backoff.reset()
