Distribution: batch announcements of lists, wait for a first configuration in a watch

Cause: at the start of a large fleet VMs register one after the other.

Ruled out: a longer gap for all announcements; versions are announced at once, and so is a single change of the list.

Change: announcements of lists are 0.1 s apart; a missing configuration is awaited by one watch; a joining node that reads leaves the manifest to its reader; the reader's role is evaluated on one view of the fleet for three.

--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,7 +1,9 @@
 from __future__ import annotations
 
+import base64
 import random
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from dataclasses import replace
 
 import curio
@@ -79,6 +81,42 @@
     run_scenario(scenario)
 
 
+def test_missing_configuration_is_awaited_without_polling() -> None:
+    """At the start of a fleet all nodes wait for the first configuration."""
+
+    async def scenario(store: FakeStore, source: StoreSource) -> None:
+        configuration = store.items.pop(CONFIGURATION_KEY)
+        store.events = [event for event in store.events if event["key"] != CONFIGURATION_KEY]
+        await source.read_value(VMS_KEY)
+        task = await curio.spawn(source.read_value(MANIFEST_KEY))
+        await curio.sleep(0.3)
+        store.put("servers/i-3", make_entry("10.1.0.3:8080"))
+        await curio.sleep(0.3)
+        store.put(CONFIGURATION_KEY, base64.b64decode(configuration["value"]))
+        with suppress(curio.TaskError):
+            await task.join()
+        value = await source.read_value(MANIFEST_KEY)
+        assert decode_manifest(value.data).number == 3
+        workers = list_workers(await source.watch_value(VMS_KEY, after=0))
+        assert sorted(workers) == ["i-1", "i-2", "i-3"]
+        assert len(store.calls) <= 5, store.calls
+
+    run_scenario(scenario)
+
+
+def test_missing_configuration_is_an_error_after_one_watch() -> None:
+    async def scenario(store: FakeStore, source: StoreSource) -> None:
+        del store.items[CONFIGURATION_KEY]
+        await source.read_value(VMS_KEY)
+        set_timeouts(source, read_timeout_ms=10_000, watch_ms=200)
+        for _ in range(2):
+            with pytest.raises(TrefoilpickError, match="no value"):
+                await source.read_value(MANIFEST_KEY)
+        assert sum("kv-watch" in call for call in store.calls) == 2
+
+    run_scenario(scenario)
+
+
 def test_watch_reports_only_changes_of_its_value() -> None:
     async def scenario(store: FakeStore, source: StoreSource) -> None:
         first = await source.read_value(MANIFEST_KEY)
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -4,6 +4,7 @@
 
 from trefoilpick._virtual_time import run_virtual
 from trefoilpick.local_network import LocalSource, SourceFault
+from trefoilpick.revisions import get_era
 from trefoilpick.settings import ControlSettings
 from trefoilpick.status import Standing
 
@@ -25,6 +26,32 @@
     await fleet.source.accept(*make_version(number, variants, broken=broken))
 
 
+def test_lists_in_quick_succession_are_announced_together() -> None:
+    """VMs register one after the other, and every reader adopts lists of its own."""
+
+    async def main() -> None:
+        fleet = await start_fleet()
+        await curio.sleep(5.0)
+        messages = fleet.network.messages
+        began_s = await curio.clock()
+        for revision in range(2, 102):
+            await fleet.publish_vms(revision)
+            await curio.sleep(0.01)
+        await fleet.wait_for(
+            lambda: all(
+                get_era(node.membership.revision) == 0 and node.membership.revision == 101
+                for node in fleet.nodes.values()
+            ),
+            2,
+        )
+        seconds = await curio.clock() - began_s
+        # Each node sends at most 5 announcements, each answered by at most one fetch of two
+        # messages, ten times a second, besides its exchanges.
+        assert fleet.network.messages - messages < 24 * (5 * 3 * 10 + 2) * seconds / 2
+
+    run_virtual(main())
+
+
 def test_only_readers_read_the_source_and_all_nodes_converge() -> None:
     async def main() -> None:
         fleet = await start_fleet()
--- a/tests/test_overlay.py
+++ b/tests/test_overlay.py
@@ -63,7 +63,7 @@
     vms = make_vms(3, each)
     overlay = OVERLAYS["fingers"]
     views = [OverlayView(vm, vms, 3, small_fleet=16) for vm in vms]
-    assert sum(is_regular_reader(overlay, view) for view in views) == readers
+    assert sum(is_regular_reader(overlay, view, find_rank(view)) for view in views) == readers
 
 
 def test_vms_on_low_bandwidth_links_rank_behind_all_others() -> None:
@@ -71,6 +71,8 @@
     high_bandwidth = vms[0]
     low_bandwidth = frozenset(vm.name for vm in vms if vm is not high_bandwidth)
     views = [OverlayView(vm, vms, 1, low_bandwidth=low_bandwidth) for vm in vms]
-    readers = [view.own for view in views if is_regular_reader(OVERLAYS["fingers"], view)]
+    readers = [
+        view.own for view in views if is_regular_reader(OVERLAYS["fingers"], view, find_rank(view))
+    ]
     assert high_bandwidth in readers
     assert len(readers) == 2
--- a/trefoilpick/distribution.py
+++ b/trefoilpick/distribution.py
@@ -56,6 +56,10 @@
 DELIVERIES_PER_S = 200.0
 """Maximum rate of deliveries to peers, in deliveries per second."""
 
+LIST_ANNOUNCEMENT_GAP_S = 0.1
+"""Shortest time between two announcements of lists, in seconds: while VMs register one after the
+other, each reader adopts a list of its own several times a second."""
+
 MAX_STATUS_REQUESTS = 16
 """Maximum number of concurrent status requests to peers."""
 
@@ -141,6 +145,7 @@
         self._join_wait_s = control.join_wait_ms / 1000
         self._deliveries = TokenBucket(DELIVERIES_PER_S, DELIVERIES_PER_S)
         self._peers = PeerTable(membership)
+        self._list_changed = curio.Event()
         self._resumed_s = float("-inf")
         self._is_leaving = False
         self._was_ready = False
@@ -233,6 +238,7 @@
             self._pauses.run,
             self._joiner.run,
             self._exchanger.run,
+            self._announce_lists,
         )
 
     def apply_source_settings(self, settings: SourceSettings) -> None:
@@ -421,7 +427,15 @@
     async def _on_list_adopted(self) -> None:
         self.log.report(Event.VM_LIST, format_revision(self.membership.revision))
         self._peers.drop_removed()
-        await self._announce()
+        await self._list_changed.set()
+
+    async def _announce_lists(self) -> None:
+        """Announce new lists until cancelled; changes in quick succession are announced as one."""
+        while True:
+            await self._list_changed.wait()
+            self._list_changed.clear()
+            await self._announce()
+            await curio.sleep(LIST_ANNOUNCEMENT_GAP_S)
 
     async def _announce(self) -> None:
         announcement = Announcement(pack_version(self.store.newest), self.membership.revision)
--- a/trefoilpick/joining.py
+++ b/trefoilpick/joining.py
@@ -94,10 +94,17 @@
                 if self._awaits_readers:
                     await curio.sleep(POLL_INTERVAL_S)
                 elif not self._has_source_answered:
-                    await node.reader.read_manifest()
+                    await self._read_manifest()
             except TrefoilpickError:
                 await backoff.wait()
 
+    async def _read_manifest(self) -> None:
+        """Read the manifest, unless the node's reader is about to report it."""
+        if self._node.reader.is_started:
+            await curio.sleep(POLL_INTERVAL_S)
+        else:
+            await self._node.reader.read_manifest()
+
     async def _ask_peers(self) -> None:
         node = self._node
         backoff = Backoff(node.random)
--- a/trefoilpick/overlay.py
+++ b/trefoilpick/overlay.py
@@ -104,13 +104,13 @@
 
 
 @singledispatch
-def is_regular_reader(overlay: Overlay, view: OverlayView) -> bool:
-    """Return whether the node reads the source when no reader has failed."""
-    return view.is_small or find_rank(view) < view.readers
+def is_regular_reader(overlay: Overlay, view: OverlayView, rank: int) -> bool:
+    """Return whether a node of the given rank reads the source when no reader has failed."""
+    return view.is_small or rank < view.readers
 
 
 @is_regular_reader.register(EveryNodeWatches)
-def _(overlay: EveryNodeWatches, view: OverlayView) -> bool:
+def _(overlay: EveryNodeWatches, view: OverlayView, rank: int) -> bool:
     return True
 
 
--- a/trefoilpick/platform/store.py
+++ b/trefoilpick/platform/store.py
@@ -117,6 +117,18 @@
     store_revision: int
 
 
+class MissingValueError(TrefoilpickError):
+    """The store has no value for a key.
+
+    Args:
+        path: Path of the call.
+    """
+
+    def __init__(self, path: str) -> None:
+        text = f"store answered {path}: it has no value"
+        super().__init__(ErrorKind.SOURCE_UNAVAILABLE, text)
+
+
 class StoreSource:
     """Source that translates the contents of the platform's store to the values that a node reads.
 
@@ -207,13 +219,32 @@
         return self._apply_entry_changes(changes)
 
     async def _read_configuration(self) -> SourceValue:
-        reply = await self._call(
-            READ_CONNECTION, f"{KEY_PATH}?key={quote(CONFIGURATION_KEY, safe='')}"
-        )
+        target = f"{KEY_PATH}?key={quote(CONFIGURATION_KEY, safe='')}"
+        try:
+            reply = await self._call(READ_CONNECTION, target)
+        except MissingValueError:
+            return await self._await_configuration()
         item = _decode(reply, _KeyResponse)
         self._record_read(MANIFEST_KEY, item.store_revision)
         return self._convert_configuration(_Item(CONFIGURATION_KEY, item.revision, item.value))
 
+    async def _await_configuration(self) -> SourceValue:
+        """Wait for the first configuration, as long as one watch lasts.
+
+        Raises:
+            TrefoilpickError: `SOURCE_UNAVAILABLE` if there is still none.
+        """
+        async with self._watch_lock:
+            if self._watch_revision is not None and not self._pending_changes[MANIFEST_KEY]:
+                # The watch starts before the read that found no value.
+                self._read_revisions.setdefault(MANIFEST_KEY, self._watch_revision)
+                await self._watch()
+            changes, self._pending_changes[MANIFEST_KEY] = self._pending_changes[MANIFEST_KEY], []
+            if not changes:
+                self._read_revisions.pop(MANIFEST_KEY, None)
+                raise MissingValueError(KEY_PATH)
+        return self._convert_configuration(changes[-1])
+
     def _convert_configuration(self, item: _Item) -> SourceValue:
         configuration = decode_configuration(_decode_base64(item.value))
         refs: list[SectionRef] = []
@@ -362,6 +393,9 @@
             )
             self._check_era(reply)
             _check_status(reply, target)
+        except MissingValueError:
+            self._handle_success()
+            raise
         except TrefoilpickError:
             if self._failing_since_s is None:
                 self._failing_since_s = self._clock()
@@ -416,8 +450,10 @@
     if reply.status == STATUS_RATE_LIMITED:
         text = f"store refused {path}: rate limit"
         raise TrefoilpickError(ErrorKind.SOURCE_RATE_LIMITED, text)
-    reason = "it has no value" if reply.status == STATUS_NOT_FOUND else f"status {reply.status}"
-    raise TrefoilpickError(ErrorKind.SOURCE_UNAVAILABLE, f"store answered {path}: {reason}")
+    if reply.status == STATUS_NOT_FOUND:
+        raise MissingValueError(path)
+    text = f"store answered {path}: status {reply.status}"
+    raise TrefoilpickError(ErrorKind.SOURCE_UNAVAILABLE, text)
 
 
 def _decode(reply: SourceReply, kind: type[BodyT]) -> BodyT:
--- a/trefoilpick/reader_election.py
+++ b/trefoilpick/reader_election.py
@@ -119,38 +119,38 @@
     async def run(self) -> None:
         """Re-evaluate the node's role periodically until cancelled."""
         while True:
-            read_order = self.find_read_order()
-            self._budget.resize(*self.compute_budget(is_reader=read_order is not None))
+            view = self._view()
+            read_order = self.find_read_order(view)
+            self._budget.resize(*self.compute_budget(view, is_reader=read_order is not None))
             if read_order is None:
                 self._reader.stop()
             else:
                 await self._reader.start(read_order)
             await curio.sleep(self._exchange_s / 4)
 
-    def find_read_order(self) -> int | None:
+    def find_read_order(self, view: OverlayView) -> int | None:
         """Return how many readers of the fleet precede this node, or None if it does not read."""
         if isinstance(self._overlay, EveryNodeWatches):
             return 0
         if self._membership.revision == 0:
             return None
-        view = self._view()
         centres = order_names(vm.data_centre for vm in view.alive)
         rank = find_rank(view)
         read_order = rank * len(centres) + centres.index(view.own.data_centre)
-        if is_regular_reader(self._overlay, view) or self._is_substitute(rank):
+        if is_regular_reader(self._overlay, view, rank) or self._is_substitute(rank):
             return read_order
         return None
 
-    def compute_budget(self, *, is_reader: bool) -> tuple[float, float]:
+    def compute_budget(self, view: OverlayView, *, is_reader: bool) -> tuple[float, float]:
         """Return the node's share of the fleet's read budget as a rate per second and a burst."""
         if isinstance(self._overlay, EveryNodeWatches):
             return UNLIMITED, UNLIMITED
         reads = float(self._control.source_reads_per_s)
-        alive = self._membership.list_alive()
+        alive = view.alive
         if is_reader:
             centres = {vm.data_centre for vm in alive}
             readers = self._control.readers * len(centres)
-            if self._view().is_small:
+            if view.is_small:
                 readers = max(readers, len(alive))
             return READER_BUDGET_FRACTION * reads / readers, READER_BURST
         has_list = self._membership.revision > 0
--- a/trefoilpick/source_reader.py
+++ b/trefoilpick/source_reader.py
@@ -114,6 +114,11 @@
         self._settings = settings
         self._source.apply_settings(settings)
 
+    @property
+    def is_started(self) -> bool:
+        """Whether the node reads the source, regardless of whether it answers."""
+        return self._reading.is_set()
+
     @property
     def is_reading(self) -> bool:
         """Whether the node reads the source and the source answers."""
