Tests: uploads to slow workers, and workers that are silent when they are full

Neither found a fault: 8 uploads of 24 MB through two nodes stay under 12 MB of memory together and run once; 120 callers at two workers of two slots leave none without an answer, since the node beside a worker sends no more than its slots.

--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -4,6 +4,7 @@
 
 import random
 import socket
+import tracemalloc
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
@@ -46,6 +47,15 @@
     port: int
     identity: str
     heads: list[dict[bytes, bytes]] = field(default_factory=list)
+    read_gap_s: float = 0.0
+    """Pause between two reads of a request, in seconds."""
+    slots: int = 0
+    """Requests that it runs at once; it never answers any beyond them. 0 for no limit."""
+    service_s: float = 0.0
+    """Service time of a request, in seconds."""
+    running: int = 0
+    unanswered: int = 0
+    """Requests that it will never answer."""
 
     async def run(self) -> None:
         listener = Socket(socket.create_server((self.host, self.port)))
@@ -62,14 +72,26 @@
                     event = protocol.next_event()
                     if event is h11.NEED_DATA:
                         protocol.receive_data(await client.recv(65_536))
+                        await curio.sleep(self.read_gap_s)
                     elif isinstance(event, h11.Request):
                         head = dict(event.headers)
                     elif isinstance(event, h11.EndOfMessage):
+                        await self._work()
                         await client.sendall(self._answer(protocol, head))
                         protocol.start_next_cycle()
                     elif isinstance(event, h11.ConnectionClosed):
                         return
 
+    async def _work(self) -> None:
+        if self.slots and self.running >= self.slots:
+            self.unanswered += 1
+            await curio.sleep(60)
+        self.running += 1
+        try:
+            await curio.sleep(self.service_s)
+        finally:
+            self.running -= 1
+
     def _answer(self, protocol: h11.Connection, head: dict[bytes, bytes]) -> bytes:
         if head.get(EXPECTED_WORKER) != self.identity.encode():
             parts = h11.Response(status_code=421, headers=[(b"content-length", b"0")]), b""
@@ -118,7 +140,8 @@
         protocol.send(h11.Request(method="GET", target="/", headers=[("host", "-")]))
         protocol.send(h11.EndOfMessage())
         async with client:
-            await client.sendall(request + b"\r\n" + body)
+            await client.sendall(request + b"\r\n")
+            await client.sendall(body)
             status, headers, parts = 0, {}, []
             while True:
                 event = protocol.next_event()
@@ -285,3 +308,79 @@
         assert not platform.nodes[0].distributor.describe().is_reader
 
     run_platform(test)
+
+
+UPLOAD_BYTES = 24_000_000
+UPLOADS = 8
+MAX_MEMORY_PER_UPLOAD = 1_500_000
+"""Memory that both nodes together may use for one upload, in bytes."""
+
+
+def test_uploads_to_a_slow_worker_use_little_memory() -> None:
+    """Many large spreads at once, shortly before a print deadline, to workers that read slowly."""
+
+    async def test(platform: Platform) -> None:
+        configuration = make_configuration(5)
+        upload = {**configuration["routes"][0], "name": "r-9", "path-prefix": "/spread/"}
+        configuration["routes"].append({**upload, "kind": "upload", "timeout": 60_000})
+        platform.store.put(CONFIGURATION_KEY, configuration)
+        head = b"PUT /spread/1 HTTP/1.1\r\nhost: ficu.example\r\ncontent-length: %d\r\n"
+        await platform.request_until(lambda answer: answer.status == 200, head % 2)
+        for worker in platform.workers:
+            worker.read_gap_s = 0.002
+        body, answers = bytes(UPLOAD_BYTES), []
+
+        async def send(number: int) -> None:
+            request = head % UPLOAD_BYTES + REQUEST_ID + b": up-%d\r\n" % number
+            answers.append(await platform.send_request(HOSTS[0], request, body))
+
+        tracemalloc.start()
+        try:
+            async with curio.TaskGroup() as tasks:
+                for number in range(UPLOADS):
+                    await tasks.spawn(send, number)
+            peak_bytes = tracemalloc.get_traced_memory()[1]
+        finally:
+            tracemalloc.stop()
+        assert [answer.status for answer in answers] == [200] * UPLOADS
+        assert peak_bytes < UPLOADS * MAX_MEMORY_PER_UPLOAD
+        runs = [head[REQUEST_ID] for worker in platform.workers for head in worker.heads]
+        assert sorted(run for run in runs if run.startswith(b"up-")) == [
+            b"up-%d" % number for number in range(UPLOADS)
+        ]
+
+    run_platform(test)
+
+
+def test_worker_that_never_answers_beyond_its_slots_gets_no_more() -> None:
+    """Many callers at once, at a service whose workers are silent when they are full."""
+
+    async def test(platform: Platform) -> None:
+        for number, worker in enumerate(platform.workers):
+            worker.slots, worker.service_s = 2, 0.05
+            platform.register(number, slots=2)
+        configuration = make_configuration(5)
+        route = {**configuration["routes"][0], "name": "r-9", "path-prefix": "/busy/"}
+        configuration["routes"].append({**route, "target-latency": 300})
+        platform.store.put(CONFIGURATION_KEY, configuration)
+        head = b"PUT /busy/1 HTTP/1.1\r\nhost: ficu.example\r\ncontent-length: 2\r\n"
+        await platform.request_until(lambda answer: answer.status == 200, head)
+        await curio.sleep(0.5)
+        answers: list[Answer] = []
+
+        async def send(number: int) -> None:
+            request = head + REQUEST_ID + b": busy-%d\r\n" % number
+            answers.append(await platform.send_request(HOSTS[number % 2], request, b"ab"))
+
+        async with curio.timeout_after(10), curio.TaskGroup() as tasks:
+            for number in range(120):
+                await tasks.spawn(send, number)
+                await curio.sleep(0.005)
+        assert [worker.unanswered for worker in platform.workers] == [0, 0]
+        statuses = [answer.status for answer in answers]
+        assert set(statuses) <= {200, 503}
+        assert statuses.count(200) > 30
+        refused = [answer for answer in answers if answer.status == 503]
+        assert all(b"retry-after" in answer.headers for answer in refused)
+
+    run_platform(test)
