--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -42,6 +42,11 @@
 from trefoilpick.settings import DrainSettings, RequestSettings
 from trefoilpick.tokens import read_claims
 
+ROUND_TRIP_S = 0.1
+UPLOAD_BYTES = 2_000_000
+MAX_UNACCEPTED_BYTES = 65_536
+"""Part of a body that may be sent with its request's head, in bytes."""
+
 LENGTH_10 = ((b"content-length", b"10"),)
 
 
@@ -659,3 +664,24 @@
         assert (answer.status, answer.body, bench.runs["1"]) == (504, b"late", 1)
 
     run_bench(main, FakeWorkerNode(scripts=queue_scripts(run_out_of_time)))
+
+
+def test_a_body_stays_with_the_caller_until_a_worker_accepts_its_request() -> None:
+    """Bodies of refused uploads must not fill a worker's link of 7 Mbit/s."""
+    received: list[int] = []
+
+    async def refuse_after_a_round_trip(fake: FakeWorkerNode, hop: Hop, head: HopRequest) -> None:
+        size = 0
+        async with curio.ignore_after(ROUND_TRIP_S):
+            while (frame := await hop.receive()) is not None:
+                size += len(frame.payload)
+        received.append(size)
+        await fail_with(ErrorKind.SHED)(fake, hop, head)
+
+    async def main(bench: Bench) -> None:
+        caller = await connect(bench)
+        await caller.send("PUT", "/spread", bytes(UPLOAD_BYTES), length=UPLOAD_BYTES)
+        assert (await caller.receive()).status == 503
+        assert max(received) <= MAX_UNACCEPTED_BYTES
+
+    run_bench(main, FakeWorkerNode(scripts=queue_scripts(refuse_after_a_round_trip)))
