Requests: send the body of an upload once the worker's node has accepted the request

Cause: the body followed its head at once, so that the bodies of refused uploads crossed the links.

Change: the worker's node sends a notice when a request with a body gets a slot or a place in the queue; the caller's node holds the body, and 100 Continue, until then, or for 1 s beside a node of the former release. Since a refused upload's body is still with the caller's node, it is tried elsewhere.

--- a/tests/fakes_hop.py
+++ b/tests/fakes_hop.py
@@ -120,6 +120,8 @@
         """Receive the body, and count a run if it is complete."""
         body = b""
         is_complete = not head.has_body
+        if not is_complete:
+            await hop.send(encode_head(FrameKind.NOTICE, self.build_load()))
         while not is_complete:
             frame = await hop.receive()
             if frame is None:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -417,7 +417,8 @@
         assert answer.status == (409 if script is answer_early else 503)
         assert answer.is_complete
 
-    run_bench(main, FakeWorkerNode(scripts=queue_scripts(script)))
+    # A refused upload is tried once more, since its body has not been sent.
+    run_bench(main, FakeWorkerNode(scripts=queue_scripts(script, script)))
 
 
 def test_a_truncated_answer_resets_an_http_1_0_connection() -> None:
@@ -684,4 +685,18 @@
         assert (await caller.receive()).status == 503
         assert max(received) <= MAX_UNACCEPTED_BYTES
 
-    run_bench(main, FakeWorkerNode(scripts=queue_scripts(refuse_after_a_round_trip)))
+    scripts = queue_scripts(refuse_after_a_round_trip, refuse_after_a_round_trip)
+    run_bench(main, FakeWorkerNode(scripts=scripts))
+
+
+def test_a_refused_upload_is_sent_whole_to_another_worker() -> None:
+    async def main(bench: Bench) -> None:
+        caller = await connect(bench)
+        await caller.send("PUT", "/spread", bytes(UPLOAD_BYTES))
+        answer = await caller.receive()
+        assert answer.status == 200
+        assert len(answer.body) == len(b"vm-1:") + UPLOAD_BYTES
+        assert sum(len(fake.received) for fake in bench.fakes) == 1
+
+    scripts = [queue_scripts(fail_with(ErrorKind.SHED)), queue_scripts()]
+    run_bench(main, *(FakeWorkerNode(f"vm-{n}", scripts=s) for n, s in enumerate(scripts, 1)))
--- a/trefoilpick/_hop_connections.py
+++ b/trefoilpick/_hop_connections.py
@@ -118,7 +118,7 @@
         Raises:
             TrefoilpickError: `DEADLINE_BEFORE_RUN`, `CALLER_GONE` or `MESSAGE_MALFORMED`.
         """
-        if self._read_buffered():
+        if self.chunks or self.read_buffered():
             return False
         try:
             async with curio.timeout_after(limit_s):
@@ -126,7 +126,7 @@
         except curio.TaskTimeout as error:
             text = "deadline passed before the request's body arrived"
             raise TrefoilpickError(ErrorKind.DEADLINE_BEFORE_RUN, text) from error
-        self._read_buffered()
+        self.read_buffered()
         return True
 
     async def forward_rest(self, connection: WorkerConnection) -> None:
@@ -147,7 +147,8 @@
                 self.error = error
             await self.hop_connection.task.cancel(blocking=False)
 
-    def _read_buffered(self) -> bool:
+    def read_buffered(self) -> bool:
+        """Take over the parts that have arrived; return whether there were any."""
         size = 0
         has_read = False
         while not self.is_received and size < READ_BYTES:
--- a/trefoilpick/_hop_exchange.py
+++ b/trefoilpick/_hop_exchange.py
@@ -117,6 +117,7 @@
         self._upload: Task | None = None
         self._first_error: TrefoilpickError | None = None
         self._sent_s = began_s
+        self._is_accepted = False
         self._is_answer_started = False
 
     @property
@@ -138,23 +139,21 @@
             TrefoilpickError: The request ended without a complete answer.
         """
         request, admission = self._request, self._context.admission
-        ready_s = self.began_s
-        if not self._body.is_received and await self._body.receive_first(
-            limit_s=self.deadline_s - ready_s
-        ):
-            ready_s = read_clock()
+        self._body.read_buffered()
         acquired_s = await admission.acquire(
             caller=request.caller,
             priority=request.priority,
             deadline_s=self.deadline_s,
-            now_s=ready_s,
+            now_s=self.began_s,
             route=request.route,
             objective_s=self._compute_objective(),
+            on_queued=self._report_accepted,
         )
         ended_s: float | None = None
         try:
-            if acquired_s > ready_s:
-                self._observe("trefoilpick_hop_queue_microseconds", acquired_s - ready_s)
+            if acquired_s > self.began_s:
+                self._observe("trefoilpick_hop_queue_microseconds", acquired_s - self.began_s)
+            acquired_s = await self._receive_first(acquired_s)
             answer = await self._call_worker(upstream, max_stored_bytes, acquired_s)
             ended_s = read_clock()
             self._observe("trefoilpick_hop_service_microseconds", ended_s - acquired_s)
@@ -166,6 +165,22 @@
                 served_s=None if ended_s is None else ended_s - acquired_s, route=request.route
             )
 
+    async def _report_accepted(self) -> None:
+        """Tell the caller's node once that the request is accepted, if its body is not complete."""
+        if not self._is_accepted and not self._body.is_received:
+            self._is_accepted = True
+            load = self._context.measure_load()
+            await self._hop_connection.send(encode_head(FrameKind.NOTICE, load))
+
+    async def _receive_first(self, now_s: float) -> float:
+        """Receive the first part of the body; return the clock reading afterwards, in seconds."""
+        if self._body.is_received:
+            return now_s
+        await self._report_accepted()
+        if await self._body.receive_first(limit_s=self.deadline_s - now_s):
+            return read_clock()
+        return now_s
+
     def _compute_objective(self) -> float:
         objective_ms = self._request.objective_ms
         return math.inf if objective_ms is None else self.began_s + objective_ms / 1000
--- a/trefoilpick/forwarding.py
+++ b/trefoilpick/forwarding.py
@@ -322,6 +322,8 @@
                 raise TrefoilpickError(ErrorKind.ANSWER_MALFORMED, text)
             load = decode_head(frame.payload, Load)
             self._balancer.record_load(record, load, read_clock())
+            if uploader is not None:
+                await uploader.accept()
 
     async def _receive_until_deadline(
         self, call: Call, hop: ClientHop, uploader: Uploader | None
--- a/trefoilpick/uploads.py
+++ b/trefoilpick/uploads.py
@@ -19,9 +19,17 @@
 """The frame that ends a body."""
 
 
+MAX_ACCEPTANCE_S = 1.0
+"""Longest time to wait for the acceptance of a request, in seconds: nodes of the former release
+report none."""
+
+
 class Uploader:
     """Sends the rest of a request's body while the answer is awaited.
 
+    It begins when the worker's node has accepted the request, so that a refused one does not occupy
+    the links with its body.
+
     Args:
         call: The request.
         hop: The hop on which the body is sent.
@@ -38,6 +46,7 @@
         self.is_sending = False
         self._call = call
         self._hop = hop
+        self._accepted = curio.Event()
         self._task: curio.Task | None = None
 
     async def start(self) -> None:
@@ -46,6 +55,10 @@
         self._call.connection.last_active_at = self._call.connection.clock.now
         self._task = await curio.spawn(self._run, daemon=True)
 
+    async def accept(self) -> None:
+        """Begin to send: the worker's node has accepted the request."""
+        await self._accepted.set()
+
     async def stop(self) -> None:
         """Stop sending; the body stays incomplete unless its END frame was sent."""
         if self._task is not None:
@@ -53,6 +66,9 @@
 
     async def _run(self) -> None:
         connection = self._call.connection
+        async with curio.ignore_after(MAX_ACCEPTANCE_S):
+            await self._accepted.wait()
+        connection.last_active_at = connection.clock.now
         try:
             while (part := await self._call.body.receive()) is not None:
                 self.is_sending = True
