Requests: ask for the body of an upload when its request has a slot

Cause: a notice to waiting requests brought all their bodies onto the worker's link at once. Change: the notice is sent with the slot, and the callback in admission goes.

Kept because nothing is sent in vain and a refused upload can go to another worker.

--- a/trefoilpick/_hop_exchange.py
+++ b/trefoilpick/_hop_exchange.py
@@ -117,7 +117,6 @@
         self._upload: Task | None = None
         self._first_error: TrefoilpickError | None = None
         self._sent_s = began_s
-        self._is_accepted = False
         self._is_answer_started = False
 
     @property
@@ -147,7 +146,6 @@
             now_s=self.began_s,
             route=request.route,
             objective_s=self._compute_objective(),
-            on_queued=self._report_accepted,
         )
         ended_s: float | None = None
         try:
@@ -165,18 +163,17 @@
                 served_s=None if ended_s is None else ended_s - acquired_s, route=request.route
             )
 
-    async def _report_accepted(self) -> None:
-        """Tell the caller's node once that the request is accepted, if its body is not complete."""
-        if not self._is_accepted and not self._body.is_received:
-            self._is_accepted = True
-            load = self._context.measure_load()
-            await self._hop_connection.send(encode_head(FrameKind.NOTICE, load))
-
     async def _receive_first(self, now_s: float) -> float:
-        """Receive the first part of the body; return the clock reading afterwards, in seconds."""
+        """Receive the first part of the body; return the clock reading afterwards, in seconds.
+
+        The caller's node sends the rest of a body once it is told that the request is accepted. It
+        is told when the request has a slot, so that the bodies of waiting requests do not occupy
+        the link of this VM.
+        """
         if self._body.is_received:
             return now_s
-        await self._report_accepted()
+        load = self._context.measure_load()
+        await self._hop_connection.send(encode_head(FrameKind.NOTICE, load))
         if await self._body.receive_first(limit_s=self.deadline_s - now_s):
             return read_clock()
         return now_s
--- a/trefoilpick/admission.py
+++ b/trefoilpick/admission.py
@@ -10,7 +10,6 @@
 
 import math
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 
 import curio
 
@@ -20,9 +19,6 @@
 from trefoilpick.document import Priority
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 
-if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
-
 PRIORITIES = (Priority.INTERACTIVE.value, Priority.NORMAL.value, Priority.DEFERRABLE.value)
 """Values of `Priority`, highest first."""
 
@@ -150,7 +146,6 @@
         now_s: float,
         route: str = "",
         objective_s: float = math.inf,
-        on_queued: Callable[[], Awaitable[None]] | None = None,
     ) -> float:
         """Acquire a slot, waiting for one if necessary.
 
@@ -165,7 +160,6 @@
             now_s: Current clock reading, in seconds.
             route: Route of the request; service times are estimated by route.
             objective_s: Clock reading after which the answer is late, in seconds.
-            on_queued: Called when the request starts to wait.
 
         Returns:
             Clock reading at which the slot was acquired, in seconds.
@@ -188,7 +182,7 @@
         )
         await self._enqueue(waiter, now_s, slots)
         await self._admit_waiting(now_s)
-        return await self._wait_for_slot(waiter, on_queued)
+        return await self._wait_for_slot(waiter)
 
     async def release(self, *, served_s: float | None = None, route: str = "") -> None:
         """Release a slot and admit the next waiting request.
@@ -224,12 +218,8 @@
                 self.queued -= 1
                 await _refuse(waiter, refusal)
 
-    async def _wait_for_slot(
-        self, waiter: Waiter, on_queued: Callable[[], Awaitable[None]] | None
-    ) -> float:
+    async def _wait_for_slot(self, waiter: Waiter) -> float:
         try:
-            if on_queued is not None:
-                await on_queued()
             async with curio.timeout_after(waiter.deadline_s - read_clock()):
                 await waiter.decided.wait()
         except BaseException as error:
