Requests: let a worker pause within the body of an upload

Cause: hops end after 500 ms of unacknowledged bytes, and Linux counts a full receive window as such. A worker that read nothing for 0.75 s of an upload lost it, with an unknown outcome.

Change: 5 s while a body is on its way. Ruled out: a longer time for all requests, which finds unresponsive VMs later.

--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -384,3 +384,25 @@
         assert all(b"retry-after" in answer.headers for answer in refused)
 
     run_platform(test)
+
+
+def test_upload_survives_a_worker_that_pauses_within_its_body() -> None:
+    """A full receive window is no sign of a dead VM."""
+
+    async def test(platform: Platform) -> None:
+        configuration = make_configuration(5)
+        upload = {**configuration["routes"][0], "name": "r-9", "path-prefix": "/spread/"}
+        configuration["routes"].append({**upload, "kind": "upload", "timeout": 60_000})
+        platform.store.put(CONFIGURATION_KEY, configuration)
+        head = b"PUT /spread/1 HTTP/1.1\r\nhost: ficu.example\r\ncontent-length: %d\r\n"
+        await platform.request_until(lambda answer: answer.status == 200, head % 2)
+        for worker in platform.workers:
+            worker.read_gap_s = 2.0
+        request = head % UPLOAD_BYTES + REQUEST_ID + b": paused\r\n"
+        task = await curio.spawn(platform.send_request, HOSTS[0], request, bytes(UPLOAD_BYTES))
+        await curio.sleep(0.5)
+        for worker in platform.workers:
+            worker.read_gap_s = 0.0
+        assert (await task.join()).status == 200
+
+    run_platform(test)
--- a/trefoilpick/hopclient.py
+++ b/trefoilpick/hopclient.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections import deque
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 import curio
@@ -32,6 +33,10 @@
 """TCP user timeout of a hop, in milliseconds: over twice the minimum retransmission timeout, so
 that a single lost packet does not break the connection."""
 
+UPLOAD_UNACKED_TIMEOUT_MS = 5_000
+"""TCP user timeout of a hop while a body is sent, in milliseconds. It also ends a connection whose
+peer stops reading, as the node of a worker that pauses within a body does."""
+
 NOTICE_TIMEOUT_S = 0.05
 """Time to receive the rest of a partly received notice, in seconds."""
 
@@ -70,6 +75,12 @@
         if sent < len(data):
             await self.sock.sendall(memoryview(data)[sent:])
 
+    def set_uploading(self, is_uploading: bool) -> None:
+        """Tolerate a peer that pauses while a body is sent, or no longer."""
+        timeout_ms = UPLOAD_UNACKED_TIMEOUT_MS if is_uploading else UNACKED_TIMEOUT_MS
+        with suppress(OSError):
+            self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+
     def has_input(self) -> bool:
         """Return whether the connection has unread input, was closed or has an error."""
         if self._buffer:
--- a/trefoilpick/uploads.py
+++ b/trefoilpick/uploads.py
@@ -63,12 +63,14 @@
         """Stop sending; the body stays incomplete unless its END frame was sent."""
         if self._task is not None:
             await self._task.cancel()
+            self._hop.set_uploading(False)
 
     async def _run(self) -> None:
         connection = self._call.connection
         async with curio.ignore_after(MAX_ACCEPTANCE_S):
             await self._accepted.wait()
         connection.last_active_at = connection.clock.now
+        self._hop.set_uploading(True)
         try:
             while (part := await self._call.body.receive()) is not None:
                 self.is_sending = True
