--- a/tests/platform/test_names.py
+++ b/tests/platform/test_names.py
@@ -24,6 +24,7 @@
     "traffic-split",
     "cold-remaining",
     "store-revision",
+    "store-era",
     "app-addr",
     "internal-port-range",
 )
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -310,28 +310,33 @@
     run_platform(test)
 
 
+UPLOAD_ROUTE_HEAD = b"PUT /spread/1 HTTP/1.1\r\nhost: ficu.example\r\ncontent-length: %d\r\n"
 UPLOAD_BYTES = 24_000_000
 UPLOADS = 8
 MAX_MEMORY_PER_UPLOAD = 1_500_000
 """Memory that both nodes together may use for one upload, in bytes."""
 
 
+async def add_upload_route(platform: Platform) -> None:
+    """Accept a configuration with a route for uploads, and wait until it is in force."""
+    configuration = make_configuration(5)
+    upload = {**configuration["routes"][0], "name": "r-9", "path-prefix": "/spread/"}
+    configuration["routes"].append({**upload, "kind": "upload", "timeout": 60_000})
+    platform.store.put(CONFIGURATION_KEY, configuration)
+    await platform.request_until(lambda answer: answer.status == 200, UPLOAD_ROUTE_HEAD % 2)
+
+
 def test_uploads_to_a_slow_worker_use_little_memory() -> None:
     """Many large spreads at once, shortly before a print deadline, to workers that read slowly."""
 
     async def test(platform: Platform) -> None:
-        configuration = make_configuration(5)
-        upload = {**configuration["routes"][0], "name": "r-9", "path-prefix": "/spread/"}
-        configuration["routes"].append({**upload, "kind": "upload", "timeout": 60_000})
-        platform.store.put(CONFIGURATION_KEY, configuration)
-        head = b"PUT /spread/1 HTTP/1.1\r\nhost: ficu.example\r\ncontent-length: %d\r\n"
-        await platform.request_until(lambda answer: answer.status == 200, head % 2)
+        await add_upload_route(platform)
         for worker in platform.workers:
             worker.read_gap_s = 0.002
         body, answers = bytes(UPLOAD_BYTES), []
 
         async def send(number: int) -> None:
-            request = head % UPLOAD_BYTES + REQUEST_ID + b": up-%d\r\n" % number
+            request = UPLOAD_ROUTE_HEAD % UPLOAD_BYTES + REQUEST_ID + b": up-%d\r\n" % number
             answers.append(await platform.send_request(HOSTS[0], request, body))
 
         tracemalloc.start()
@@ -390,15 +395,10 @@
     """A full receive window is no sign of a dead VM."""
 
     async def test(platform: Platform) -> None:
-        configuration = make_configuration(5)
-        upload = {**configuration["routes"][0], "name": "r-9", "path-prefix": "/spread/"}
-        configuration["routes"].append({**upload, "kind": "upload", "timeout": 60_000})
-        platform.store.put(CONFIGURATION_KEY, configuration)
-        head = b"PUT /spread/1 HTTP/1.1\r\nhost: ficu.example\r\ncontent-length: %d\r\n"
-        await platform.request_until(lambda answer: answer.status == 200, head % 2)
+        await add_upload_route(platform)
         for worker in platform.workers:
             worker.read_gap_s = 2.0
-        request = head % UPLOAD_BYTES + REQUEST_ID + b": paused\r\n"
+        request = UPLOAD_ROUTE_HEAD % UPLOAD_BYTES + REQUEST_ID + b": paused\r\n"
         task = await curio.spawn(platform.send_request, HOSTS[0], request, bytes(UPLOAD_BYTES))
         await curio.sleep(0.5)
         for worker in platform.workers:
