Worker statements: log and measure what a worker states in its answers

- worker_statements reads the two headers (names in the conventions; the platform's in its folder).
- Metrics: worker_requests_total counts each send to the worker, second attempts too; worker_rate_limit is what it stated last.

--- a/trefoilpick/_hop_exchange.py
+++ b/trefoilpick/_hop_exchange.py
@@ -21,6 +21,7 @@
     encode_head,
 )
 from trefoilpick.tokens import StoredAnswer
+from trefoilpick.worker_statements import NO_STATEMENT
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -36,6 +37,7 @@
     from trefoilpick.hops import HopRequest, Load
     from trefoilpick.metrics import Metrics
     from trefoilpick.upstreams import WorkerPool
+    from trefoilpick.worker_statements import WorkerStatements
 
 NOT_RUN_MARK = b"1"
 """Value of the header by which a worker states that it did not run a request."""
@@ -68,6 +70,7 @@
         measure_load: Returns the load of the worker.
         body_idle_s: Idle timeout of a body, in seconds.
         health: Failure rate of the worker's answers.
+        statements: What the worker states about itself in its answers.
         find_worker: Returns the worker's ID as the platform lists it; empty if it lists none.
         conventions: Headers of the fleet.
     """
@@ -78,6 +81,7 @@
     measure_load: Callable[[], Load]
     body_idle_s: float
     health: WorkerHealth
+    statements: WorkerStatements
     find_worker: Callable[[], str]
     conventions: Conventions
 
@@ -95,6 +99,7 @@
         deadline_s: Clock reading by which the answer's head is due, in seconds.
         was_sent: Whether sending to the worker began, so that the request may have run.
         status: Status code of the worker's answer; 0 before the answer.
+        statement: What the worker's answer states about the worker.
     """
 
     def __init__(
@@ -108,6 +113,7 @@
         self.deadline_s = began_s + request.remaining_ms / 1000
         self.was_sent = False
         self.status = 0
+        self.statement = NO_STATEMENT
         self.began_s = began_s
         self._context = context
         self._hop_connection = hop_connection
@@ -222,6 +228,7 @@
                 head = await self._attempt_with_retry(upstream)
             self.status = head.status
             self._raise_if_not_run(head)
+            self._record_statement(head, has_run=True)
             self._context.health.record_result(
                 read_clock(), failed=head.status >= FIRST_SERVER_ERROR
             )
@@ -292,6 +299,7 @@
         # Set before sending: if it is interrupted, some bytes may have been sent.
         self.was_sent = True
         self._sent_s = read_clock()
+        self._context.metrics.count("trefoilpick_worker_requests_total")
         self._hop_connection.is_cancellable = self._request.idempotent or not body_complete
         await connection.send_request(
             self._request,
@@ -360,6 +368,7 @@
             raise TrefoilpickError(ErrorKind.UPSTREAM_REPLACED, text)
         if headers.get(self._context.conventions.not_run) != NOT_RUN_MARK:
             return
+        self._record_statement(head, has_run=False)
         assert self._connection is not None
         # A short answer has already arrived completely, so its connection can be reused.
         self._connection.pop_data()
@@ -369,6 +378,11 @@
             retry_after_s=_parse_retry_after(headers.get(b"retry-after")),
         )
 
+    def _record_statement(self, head: AnswerHead, *, has_run: bool) -> None:
+        self.statement = self._context.statements.record(
+            head.headers, has_run=has_run, worker=self._context.find_worker()
+        )
+
     def _build_deadline_error(self) -> TrefoilpickError:
         if self.was_sent:
             text = "deadline passed before the worker answered"
--- a/trefoilpick/_metric_table.py
+++ b/trefoilpick/_metric_table.py
@@ -139,6 +139,18 @@
         "If it grows, look at the worker.",
         ("priority",),
     ),
+    "trefoilpick_worker_requests_total": MetricInfo(
+        MetricKind.COUNTER,
+        "requests",
+        "Requests sent to this node's worker, including second attempts on a new connection.",
+        "Compare its rate with the limit that the worker states.",
+    ),
+    "trefoilpick_worker_rate_limit": MetricInfo(
+        MetricKind.GAUGE,
+        "requests a second",
+        "Rate that this node's worker accepts, as it stated last; -1 once it no longer states one.",
+        "Find out why the worker is in need.",
+    ),
     "trefoilpick_control_links_refused_total": MetricInfo(
         MetricKind.COUNTER,
         "links",
--- a/trefoilpick/conventions.py
+++ b/trefoilpick/conventions.py
@@ -24,6 +24,9 @@
         caller_service: Request header with the service on whose VM the request originated.
         expected_worker: Request header with the identity of the worker that may run the request.
         not_run: Answer header by which a worker states that it did not run the request.
+        rate_limit: Answer header by which a worker in need states how many requests per second it
+            accepts from all nodes together.
+        leaving: Answer header by which a worker states that it is leaving.
         answer_proof: Answer header that every successful answer of a worker has; empty if workers
             send none.
         echoes_request_id: Whether every answer of a worker repeats the request's ID.
@@ -38,6 +41,8 @@
     caller_service: bytes = b"x-trefoilpick-caller-service"
     expected_worker: bytes = b"x-trefoilpick-expected-worker"
     not_run: bytes = b"x-not-run"
+    rate_limit: bytes = b"x-worker-limit"
+    leaving: bytes = b"x-worker-leaving"
     answer_proof: bytes = b""
     echoes_request_id: bool = False
     nested_separator: bytes = b""
--- a/trefoilpick/hopserver.py
+++ b/trefoilpick/hopserver.py
@@ -28,6 +28,7 @@
 from trefoilpick.upstreams import open_pool
 from trefoilpick.version_observer import ignore_version
 from trefoilpick.vms import VmState
+from trefoilpick.worker_statements import WorkerStatements
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -151,6 +152,7 @@
             measure_load=self.measure_load,
             body_idle_s=settings.hops.body_idle_ms / 1000,
             health=self._health,
+            statements=WorkerStatements(conventions, log=self._log, metrics=metrics),
             find_worker=self._find_worker,
             conventions=conventions,
         )
@@ -343,6 +345,8 @@
             worker=self._find_worker(),
             was_sent=exchange.was_sent,
             status=exchange.status,
+            rate_limit=exchange.statement.rate_limit,
+            leaving=exchange.statement.is_leaving,
             running=self.admission.in_flight,
             queued=self.admission.queued,
             slots=self.admission.limits.slots,
--- a/trefoilpick/logs.py
+++ b/trefoilpick/logs.py
@@ -41,6 +41,8 @@
     READER = "reader"
     PEER = "peer"
     WORKER = "worker"
+    WORKER_LIMIT = "worker_limit"
+    WORKER_LEAVING = "worker_leaving"
 
 
 @dataclass(frozen=True)
@@ -104,6 +106,16 @@
         ("up", "down"),
         "Restart the worker; in the meantime the node forwards requests to other VMs.",
     ),
+    Event.WORKER_LIMIT: EventInfo(
+        "The node's worker stated how many requests per second it accepts, or ceased to.",
+        ("limited", "unlimited", "unreadable"),
+        "Find out why the worker is in need; unreadable means that the worker's header is faulty.",
+    ),
+    Event.WORKER_LEAVING: EventInfo(
+        "The worker that the value names stated that it is leaving.",
+        (),
+        "None during a planned stop.",
+    ),
 }
 """Meaning of each event."""
 
--- a/trefoilpick/platform/headers.py
+++ b/trefoilpick/platform/headers.py
@@ -10,6 +10,8 @@
     caller_service=b"x-trefoilpick-caller-service",
     expected_worker=b"x-trefoilpick-expected-instance",
     not_run=b"x-trefoilpick-not-executed",
+    rate_limit=b"server-limit",
+    leaving=b"server-leaving",
     answer_proof=b"x-trefoilpick-response-signature",
     echoes_request_id=True,
     # Observed on the wire but not documented by the platform, so it is used only to order requests.
--- /dev/null
+++ b/trefoilpick/worker_statements.py
@@ -0,0 +1,117 @@
+"""What a worker states about itself in its answers: a limit on its requests, and that it leaves."""
+
+from __future__ import annotations
+
+import logging
+import re
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from trefoilpick.logs import Event
+
+if TYPE_CHECKING:
+    from trefoilpick.conventions import Conventions
+    from trefoilpick.hops import Headers
+    from trefoilpick.logs import StateLog
+    from trefoilpick.metrics import Metrics
+
+LEAVING_MARK = b"1"
+"""Value of the header by which a worker states that it is leaving."""
+
+MAX_LOGGED_CHARACTERS = 40
+"""Largest number of characters of an unreadable value that are logged."""
+
+_DECIMAL_NUMBER = re.compile(rb"\d{1,9}(\.\d{1,9})?")
+
+
+@dataclass(frozen=True)
+class WorkerStatement:
+    """What one answer states about the worker.
+
+    Attributes:
+        rate_limit: Requests per second that the worker accepts from all nodes together; None if the
+            answer names no limit.
+        is_leaving: Whether the worker is leaving.
+        unreadable: The value of a limit that is not a number; empty if there is none.
+    """
+
+    rate_limit: float | None = None
+    is_leaving: bool = False
+    unreadable: str = ""
+
+
+NO_STATEMENT = WorkerStatement()
+"""The statement of an answer without these headers."""
+
+
+class WorkerStatements:
+    """The newest statements of a node's worker; their changes are logged and measured.
+
+    Args:
+        conventions: Headers of the fleet.
+        log: Log of state changes.
+        metrics: Metrics of the node.
+
+    Attributes:
+        rate_limit: The limit in force, in requests per second; None if there is none.
+    """
+
+    def __init__(self, conventions: Conventions, *, log: StateLog, metrics: Metrics) -> None:
+        self.rate_limit: float | None = None
+        self._conventions = conventions
+        self._log = log
+        self._metrics = metrics
+
+    def record(self, headers: Headers, *, has_run: bool, worker: str) -> WorkerStatement:
+        """Read the headers of an answer.
+
+        A limit is in force until the worker answers a request that it ran without naming one.
+
+        Args:
+            headers: Headers of the answer.
+            has_run: Whether the worker ran the request.
+            worker: Identity of the worker; empty if unknown.
+        """
+        statement = read_statement(headers, self._conventions)
+        if statement.unreadable:
+            self._log.report(
+                Event.WORKER_LIMIT,
+                "unreadable",
+                level=logging.WARNING,
+                text=statement.unreadable,
+                worker=worker,
+            )
+        elif statement.rate_limit is not None:
+            self._apply_limit(statement.rate_limit, worker)
+        elif has_run and self.rate_limit is not None:
+            self._end_limit(worker)
+        if statement.is_leaving:
+            self._log.report(Event.WORKER_LEAVING, worker)
+        return statement
+
+    def _apply_limit(self, rate_limit: float, worker: str) -> None:
+        self.rate_limit = rate_limit
+        self._metrics.set_gauge("trefoilpick_worker_rate_limit", rate_limit)
+        self._log.report(Event.WORKER_LIMIT, "limited", rate_limit=rate_limit, worker=worker)
+
+    def _end_limit(self, worker: str) -> None:
+        self.rate_limit = None
+        self._metrics.set_gauge("trefoilpick_worker_rate_limit", -1)
+        self._log.report(Event.WORKER_LIMIT, "unlimited", worker=worker)
+
+
+def read_statement(headers: Headers, conventions: Conventions) -> WorkerStatement:
+    """Return what the headers of an answer state about the worker."""
+    limit: bytes | None = None
+    is_leaving = False
+    for name, value in headers:
+        if name == conventions.rate_limit:
+            limit = value
+        elif name == conventions.leaving:
+            is_leaving = value == LEAVING_MARK
+    if limit is None:
+        return WorkerStatement(is_leaving=True) if is_leaving else NO_STATEMENT
+    if _DECIMAL_NUMBER.fullmatch(limit) is None:
+        text = limit.decode("latin-1")[:MAX_LOGGED_CHARACTERS]
+        return WorkerStatement(is_leaving=is_leaving, unreadable=text or "(empty)")
+    return WorkerStatement(float(limit), is_leaving)
