KNOWN-RED: stated rate limits and stated leaving are not observed

The worker's log line says 'limited' from the first answer on while its requests go on, so the statement reaches the node and nothing reads it: hypothesis 1. The second test is the same class of fault for Server-Leaving.

--- /dev/null
+++ b/tests/test_hopserver_statements.py
@@ -0,0 +1,84 @@
+"""Workers that state a limit on their requests, or that they leave, in their answers."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+import curio
+from fakes_worker import (
+    Bench,
+    make_read,
+    make_request,
+    open_bench,
+    respond,
+    send_and_receive,
+)
+
+from trefoilpick._clock import read_clock
+from trefoilpick.vms import Vm
+
+OWN_VM = Vm("w", "lima", "lima-a", "portafolio", "127.0.0.1", 1, 2, worker="i-1", slots=8)
+
+RATE_LIMIT = 20
+"""Requests per second that the worker accepts."""
+
+WINDOW_S = 4.0
+"""Span in which requests to a limited worker are counted, in seconds."""
+
+EXCESS_FACTOR, EXCESS_REQUESTS = 1.5, 5
+"""A worker may get this many times what its limit allows, and this many more."""
+
+
+def answer(*headers: bytes) -> bytes:
+    lines = b"".join(header + b"\r\n" for header in headers)
+    return b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n" + lines + b"\r\nok"
+
+
+def run(test: Callable[[Bench], Awaitable[None]], listed: list[Vm] | None = None) -> None:
+    vms = listed if listed is not None else [OWN_VM]
+
+    async def main() -> None:
+        async with open_bench(
+            find_listed_vm=lambda: vms[0], upstream={"slots": 8, "queue": 100}
+        ) as bench:
+            await test(bench)
+
+    curio.run(main)
+
+
+async def call_until(bench: Bench, end_s: float) -> None:
+    """Send one request after the other, and after a refusal wait as long as it advises."""
+    hop = await bench.connect()
+    while read_clock() < end_s:
+        result = await send_and_receive(hop, make_read(remaining_ms=300))
+        if result.retry_after_ms is not None:
+            await curio.sleep(result.retry_after_ms / 1000)
+
+
+# Guards against passing on to a worker more requests than it states that it accepts.
+def test_a_worker_gets_no_more_requests_than_the_rate_that_it_states() -> None:
+    async def test(bench: Bench) -> None:
+        bench.worker.default = respond(answer(b"x-worker-limit: %d" % RATE_LIMIT))
+        await bench.call(make_read())
+        before = len(bench.worker.executed)
+        end_s = read_clock() + WINDOW_S
+        async with curio.TaskGroup() as group:
+            for _ in range(16):
+                await group.spawn(call_until, bench, end_s)
+        count = len(bench.worker.executed) - before
+        assert count <= EXCESS_FACTOR * RATE_LIMIT * WINDOW_S + EXCESS_REQUESTS
+        assert count >= RATE_LIMIT * WINDOW_S * 0.8
+
+    run(test)
+
+
+# Guards against passing on requests to a worker that stated in an answer that it is leaving.
+def test_a_worker_that_states_that_it_leaves_gets_no_new_requests() -> None:
+    async def test(bench: Bench) -> None:
+        bench.worker.default = respond(answer(b"x-worker-leaving: 1"))
+        assert (await bench.call(make_request())).status == 200
+        result = await bench.call(make_request())
+        assert (result.kind, result.outcome) == ("draining", "not_run")
+        assert len(bench.worker.executed) == 1
+
+    run(test)
