Admission: limit a worker's requests to the rate that it states

Cause: the statement went through as one more end-to-end header. No node read it, so the worker's slots stayed the only bound.

Change: the node beside the worker sends all of its requests, so one token bucket there (worker_rates) bounds the sum over all nodes exactly. A request needs a token besides its slot, so does a second attempt on a new connection; waits and retry-after count both. What cannot be in time is refused at once as rate_limited, goes on to other workers without using up the route's attempts, and the worker is left out until its next turn; where all are limited, upstream_limited answers at once with the earliest turn. Load reports carry the limit, so callers' nodes weigh the worker by rate x latency, and requests carry it back, so that a restarted node knows it before its first answer.

--- a/tests/test_balancing.py
+++ b/tests/test_balancing.py
@@ -6,7 +6,13 @@
 
 import pytest
 
-from trefoilpick.balancing import REFRESH_INTERVAL_S, WARM_UP_S, Balancer, WorkerRecord
+from trefoilpick.balancing import (
+    MAX_LOAD_AGE_S,
+    REFRESH_INTERVAL_S,
+    WARM_UP_S,
+    Balancer,
+    WorkerRecord,
+)
 from trefoilpick.document import Upstream
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 from trefoilpick.hops import Load
@@ -65,7 +71,7 @@
     def count_choices(self, count: int = 400) -> Counter[str]:
         return Counter(self.choose().vm.name for _ in range(count))
 
-    def report(self, name: str, **changes: int) -> None:
+    def report(self, name: str, **changes: float) -> None:
         load = Load(name, 1, 7, "d", 0, 0, 10, False)
         load = Load(*{**{f: getattr(load, f) for f in load.__struct_fields__}, **changes}.values())
         self.balancer.record_load(self.find(name), load, self.now)
@@ -250,3 +256,43 @@
         fleet.report(name, in_flight=10, queued=4)
     chosen = {fleet.balancer.choose(UPSTREAM, fleet.now, is_heavy=True).vm.name for _ in range(50)}
     assert chosen <= far
+
+
+def test_a_worker_with_a_limited_rate_gets_a_share_that_fits_it() -> None:
+    fleet = Fleet(5)
+    for vm in fleet.vms:
+        fleet.balancer.record_success(fleet.find(vm.name), 0.1, fleet.now)
+    fleet.report("vm-1", rate_limit=10.0)
+    chosen: Counter[str] = Counter()
+    for _ in range(30):
+        record = fleet.choose()
+        record.begin_request(fleet.now)
+        chosen[record.vm.name] += 1
+    # 10 requests a second at 0.1 s each are one at a time; the others have 10 slots each.
+    assert chosen["vm-1"] <= 2
+    assert min(chosen[name] for name in ("vm-2", "vm-3", "vm-4", "vm-5")) >= 5
+
+
+def test_an_old_report_of_a_limited_rate_is_ignored() -> None:
+    fleet = Fleet(2)
+    fleet.report("vm-1", rate_limit=0.1)
+    fleet.now += MAX_LOAD_AGE_S + 1
+    assert fleet.find("vm-1").estimate_cost(fleet.now, 10, 0.1) == pytest.approx(0.01)
+
+
+def test_a_worker_whose_rate_is_used_up_is_avoided_until_the_advised_time() -> None:
+    fleet = Fleet(2)
+    fleet.find("vm-1").record_rate_refusal(fleet.now, 0.5)
+    assert set(fleet.count_choices(50)) == {"vm-2"}
+    fleet.now += 0.6
+    assert set(fleet.count_choices(50)) == {"vm-1", "vm-2"}
+
+
+def test_a_request_is_refused_at_once_if_the_rate_of_every_worker_is_used_up() -> None:
+    fleet = Fleet(2)
+    fleet.find("vm-1").record_rate_refusal(fleet.now, 0.5)
+    fleet.find("vm-2").record_rate_refusal(fleet.now, 0.3)
+    with pytest.raises(TrefoilpickError) as raised:
+        fleet.choose()
+    assert raised.value.kind is ErrorKind.UPSTREAM_LIMITED
+    assert raised.value.retry_after_s == pytest.approx(0.3)
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -408,6 +408,40 @@
     raise ConnectionResetError
 
 
+def test_a_request_goes_on_to_other_workers_while_they_refuse_it_by_their_limited_rates() -> None:
+    async def main(bench: Bench) -> None:
+        caller = await connect(bench)
+        assert (await caller.request("PUT", "/spread", b"pages")).status == 200
+        assert (await caller.request("PUT", "/spread", b"pages")).status == 200
+
+    limited = fail_with(ErrorKind.RATE_LIMITED)
+    fakes = [FakeWorkerNode(name="vm-1", scripts=queue_scripts(limited))]
+    fakes += [FakeWorkerNode(name="vm-2", scripts=queue_scripts(limited))]
+    fakes += [FakeWorkerNode(name="vm-3")]
+    bench = run_bench(main, *fakes)
+    assert bench.runs.total() == 2
+
+
+def test_a_request_is_refused_with_the_advised_delay_if_all_workers_have_limited_rates() -> None:
+    async def main(bench: Bench) -> None:
+        caller = await connect(bench)
+        for _ in range(3):
+            answer = await caller.request("PUT", "/spread", b"pages")
+            assert (answer.status, answer.outcome) == (503, "not_run")
+            assert answer.error == "upstream_limited"
+            assert answer.headers["retry-after"] in ("1", "2")
+
+    fakes = [
+        FakeWorkerNode(
+            name=f"vm-{number}", scripts=queue_scripts(fail_with(ErrorKind.RATE_LIMITED))
+        )
+        for number in range(2)
+    ]
+    bench = run_bench(main, *fakes)
+    assert [len(fake.scripts) for fake in fakes] == [0, 0]
+    assert bench.runs.total() == 0
+
+
 @pytest.mark.parametrize("script", [answer_early, fail_with(ErrorKind.SHED)])
 def test_an_early_answer_reaches_a_caller_that_still_uploads(script: Script) -> None:
     async def main(bench: Bench) -> None:
--- a/tests/test_hopserver_statements.py
+++ b/tests/test_hopserver_statements.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
 import curio
 from fakes_worker import (
@@ -82,3 +83,62 @@
         assert len(bench.worker.executed) == 1
 
     run(test)
+
+
+def test_the_limit_is_reported_to_the_callers_nodes() -> None:
+    async def test(bench: Bench) -> None:
+        bench.worker.script = [respond(answer(b"x-worker-limit: 8.9")), respond(answer())]
+        result = await bench.call(make_read())
+        assert result.load is not None and result.load.rate_limit == 8.9
+        await curio.sleep(0.2)
+        result = await bench.call(make_read())
+        assert result.load is not None and result.load.rate_limit is None
+
+    run(test)
+
+
+# Guards against exceeding a worker's limit because its node was restarted and has forgotten it.
+def test_a_restarted_node_learns_the_limit_from_the_first_request() -> None:
+    async def test(bench: Bench) -> None:
+        bench.worker.default = respond(answer(b"x-worker-limit: 0.5"))
+        result = await bench.call(make_read(rate_limit=0.5, objective_ms=400))
+        assert (result.kind, result.outcome) == ("rate_limited", "not_run")
+        assert bench.worker.executed == []
+
+    run(test)
+
+
+def test_a_limit_that_a_caller_remembers_does_not_override_the_workers_own_statement() -> None:
+    async def test(bench: Bench) -> None:
+        assert (await bench.call(make_read())).status == 200
+        result = await bench.call(make_read(rate_limit=0.5, objective_ms=400))
+        assert result.status == 200
+
+    run(test)
+
+
+def test_a_new_worker_does_not_inherit_the_limit_of_the_one_that_it_replaced() -> None:
+    listed = [OWN_VM]
+
+    async def test(bench: Bench) -> None:
+        bench.worker.script = [respond(answer(b"x-worker-limit: 0.5"))]
+        assert (await bench.call(make_read())).status == 200
+        assert (await bench.call(make_read(objective_ms=400))).kind == "rate_limited"
+        listed[0] = replace(OWN_VM, started_ms=7)
+        assert (await bench.call(make_read(objective_ms=400))).status == 200
+
+    run(test, listed)
+
+
+# Guards against a second attempt on a new connection that exceeds the worker's limit.
+def test_a_second_attempt_on_a_new_connection_uses_up_the_rate() -> None:
+    async def test(bench: Bench) -> None:
+        bench.worker.default = respond(answer(b"x-worker-limit: 1"))
+        assert (await bench.call(make_read())).status == 200
+        await curio.sleep(1.1)
+        bench.worker.script = [respond(b"", then_reset=True)]
+        result = await bench.call(make_read())
+        assert (result.kind, result.outcome) == ("upstream_lost", "unknown")
+        assert len(bench.worker.executed) == 2
+
+    run(test)
--- a/tests/test_worker_statements.py
+++ b/tests/test_worker_statements.py
@@ -9,6 +9,7 @@
 from trefoilpick.metrics import Metrics
 from trefoilpick.platform.headers import PLATFORM_CONVENTIONS
 from trefoilpick.settings import VmSettings
+from trefoilpick.worker_rates import WorkerRate
 from trefoilpick.worker_statements import (
     NO_STATEMENT,
     WorkerStatement,
@@ -19,9 +20,9 @@
 LIMIT, LEAVING = DEFAULT_CONVENTIONS.rate_limit, DEFAULT_CONVENTIONS.leaving
 
 
-def open_statements(metrics: Metrics) -> WorkerStatements:
+def open_statements(rate: WorkerRate, metrics: Metrics) -> WorkerStatements:
     log = StateLog(VmSettings("vm-1", "lima", "lima-a", "encargos"), incarnation=1, metrics=metrics)
-    return WorkerStatements(DEFAULT_CONVENTIONS, log=log, metrics=metrics)
+    return WorkerStatements(DEFAULT_CONVENTIONS, rate=rate, log=log, metrics=metrics)
 
 
 @pytest.mark.parametrize(("value", "rate"), [(b"8.9", 8.9), (b"20", 20.0), (b"0", 0.0)])
@@ -50,18 +51,19 @@
 
 
 def test_a_limit_holds_until_an_answer_to_a_request_that_ran_names_none() -> None:
-    statements = open_statements(Metrics())
+    rate = WorkerRate()
+    statements = open_statements(rate, Metrics())
     statements.record([(LIMIT, b"8.9")], has_run=True, worker="i-1")
     statements.record([], has_run=False, worker="i-1")
     statements.record([(LIMIT, b"many")], has_run=True, worker="i-1")
-    assert statements.rate_limit == 8.9
+    assert rate.limit == 8.9
     statements.record([], has_run=True, worker="i-1")
-    assert statements.rate_limit is None
+    assert rate.limit is None
 
 
 def test_a_limit_that_differs_in_each_answer_is_logged_once() -> None:
     metrics = Metrics()
-    statements = open_statements(metrics)
+    statements = open_statements(WorkerRate(), metrics)
     for tenths in range(50):
         statements.record([(LIMIT, b"8.%d" % tenths)], has_run=True, worker="i-1")
     changes = metrics.get_count("trefoilpick_state_changes_total", event=Event.WORKER_LIMIT.value)
--- a/trefoilpick/_hop_exchange.py
+++ b/trefoilpick/_hop_exchange.py
@@ -275,6 +275,7 @@
             and not connection.is_fresh
             and self._request.idempotent
             and self._upload is None
+            and self._context.admission.rate.try_acquire()
         )
 
     async def _connect(self, upstream: Upstream, *, fresh: bool) -> WorkerConnection:
--- a/trefoilpick/_hop_heads.py
+++ b/trefoilpick/_hop_heads.py
@@ -22,7 +22,9 @@
 request did not run."""
 
 
-def build_request(call: Call, now: float, *, is_retry: bool, vm: str) -> HopRequest:
+def build_request(
+    call: Call, now: float, *, is_retry: bool, vm: str, rate_limit: float | None = None
+) -> HopRequest:
     """Build the head of a request on a hop.
 
     Args:
@@ -30,6 +32,7 @@
         now: Current time on the node's clock, in seconds.
         is_retry: Whether an earlier attempt was made.
         vm: Name of this node's VM.
+        rate_limit: The worker's limit as last reported, in requests per second.
 
     Raises:
         TrefoilpickError: `DEADLINE_BEFORE_RUN`, if its deadline passed.
@@ -61,6 +64,7 @@
         vm=vm,
         request_id=head.request_id,
         objective_ms=_compute_objective_ms(call, now),
+        rate_limit=rate_limit,
     )
 
 
--- a/trefoilpick/admission.py
+++ b/trefoilpick/admission.py
@@ -1,7 +1,8 @@
 """Admission to one worker: a fixed number of slots and a bounded, fair queue.
 
 A request acquires a slot before it is sent to the worker and releases it once the worker's
-connection is idle or closed. Requests without a slot wait in the queue: higher priorities are
+connection is idle or closed. While the worker states a rate, a request also waits until the rate
+allows it. Requests without a slot wait in the queue: higher priorities are
 served first, and callers of the same priority take turns. When the queue is full, requests of the
 lowest priority are shed first.
 """
@@ -18,6 +19,7 @@
 from trefoilpick.averages import MovingAverages, update_average
 from trefoilpick.document import Priority
 from trefoilpick.errors import ErrorKind, TrefoilpickError
+from trefoilpick.worker_rates import WorkerRate
 
 PRIORITIES = (Priority.INTERACTIVE.value, Priority.NORMAL.value, Priority.DEFERRABLE.value)
 """Values of `Priority`, highest first."""
@@ -33,6 +35,9 @@
 """Share of the time until its deadline that a delayed request may wait. Then it is refused, so that
 its caller has time left to retry at another node."""
 
+MIN_RATE_WAIT_S = 0.001
+"""Shortest wait for a limited rate, in seconds."""
+
 MIN_RETRY_AFTER_S = 0.05
 """Shortest delay that callers are advised to wait before a retry, in seconds."""
 
@@ -84,6 +89,7 @@
     Attributes:
         in_flight: Number of requests that have a slot.
         queued: Number of requests that wait for one.
+        rate: Rate of requests that the worker accepts.
     """
 
     def __init__(
@@ -96,6 +102,7 @@
         self.limits = limits
         self.in_flight = 0
         self.queued = 0
+        self.rate = WorkerRate()
         self._service_times = ServiceTimes()
         self._started_s = 0.0
         self._warm_up_s = warm_up_s
@@ -165,12 +172,13 @@
             Clock reading at which the slot was acquired, in seconds.
 
         Raises:
-            TrefoilpickError: `QUEUE_FULL`, `SHED` or `DEADLINE_BEFORE_RUN`; no slot was acquired.
+            TrefoilpickError: `QUEUE_FULL`, `SHED`, `RATE_LIMITED` or `DEADLINE_BEFORE_RUN`; no slot
+                was acquired.
         """
         if now_s >= deadline_s:
             raise _build_expired_error()
         slots = self.count_slots(now_s)
-        if self.in_flight < slots and not self.queued:
+        if self.in_flight < slots and not self.queued and self.rate.try_acquire():
             self.in_flight += 1
             return now_s
         waiter = Waiter(
@@ -204,11 +212,22 @@
             now_s: Current clock reading, in seconds.
         """
         slots = self.count_slots(now_s)
+        ahead = 0
         for queue in self._queues.values():
             for waiter in queue:
                 if self._is_late(waiter, now_s):
                     self._remove(waiter)
                     await self._delay_or_refuse(waiter, now_s, slots)
+                elif self._is_late(waiter, now_s + self.rate.estimate_wait(ahead + 1)):
+                    self._remove(waiter)
+                    await _refuse(waiter, self._build_refusal("limited rate is used up", slots))
+                else:
+                    ahead += 1
+
+    async def admit_waiting(self) -> None:
+        """Admit waiting requests as far as slots and the worker's rate allow."""
+        if self.queued:
+            await self._admit_waiting(read_clock())
 
     async def refuse_waiting(self, refusal: TrefoilpickError) -> None:
         """Refuse every waiting request."""
@@ -221,7 +240,7 @@
     async def _wait_for_slot(self, waiter: Waiter) -> float:
         try:
             async with curio.timeout_after(waiter.deadline_s - read_clock()):
-                await waiter.decided.wait()
+                await self._wait_for_decision(waiter)
         except BaseException as error:
             if not waiter.decided.is_set():
                 self._remove(waiter)
@@ -234,19 +253,23 @@
             raise waiter.refusal
         return read_clock()
 
+    async def _wait_for_decision(self, waiter: Waiter) -> None:
+        while self.rate.limit is not None and not waiter.decided.is_set():
+            # No other request may end when the rate allows the next one.
+            async with curio.ignore_after(max(self.rate.estimate_wait(), MIN_RATE_WAIT_S)):
+                await waiter.decided.wait()
+            await self.admit_waiting()
+        await waiter.decided.wait()
+
     async def _enqueue(self, waiter: Waiter, now_s: float, slots: int) -> None:
         start_s = now_s + self._estimate_start(waiter, slots)
         if start_s > waiter.deadline_s:
             text = f"estimated wait of {start_s - now_s:.3f} s exceeds the time left"
-            raise TrefoilpickError(
-                ErrorKind.SHED, text, retry_after_s=self._estimate_retry_after(slots)
-            )
+            raise self._build_refusal(text, slots)
         if start_s + waiter.service_s > waiter.objective_s:
             if now_s + waiter.service_s <= waiter.objective_s:
                 text = f"estimated wait of {start_s - now_s:.3f} s exceeds the objective"
-                raise TrefoilpickError(
-                    ErrorKind.SHED, text, retry_after_s=self._estimate_retry_after(slots)
-                )
+                raise self._build_refusal(text, slots)
             self._delay(waiter, now_s, slots)
         if self.queued >= self.limits.queue:
             await self._evict_for(waiter, slots)
@@ -266,19 +289,19 @@
             end_s > waiter.deadline_s
         ):
             text = "answer would miss its objective, and other requests are waiting"
-            raise TrefoilpickError(
-                ErrorKind.SHED, text, retry_after_s=self._estimate_retry_after(slots)
-            )
+            raise self._build_refusal(text, slots)
 
     def _estimate_start(self, waiter: Waiter, slots: int) -> float:
         """Return the expected time until a new request gets a slot, in seconds."""
-        work_s = self.service_s
+        work_s, ahead = self.service_s, 0
         for name, queue in self._queues.items():
             if name == waiter.priority:
                 work_s += queue.estimate_ahead(waiter.caller)
+                ahead += queue.count_ahead(waiter.caller)
                 break
             work_s += queue.work_s
-        return work_s / slots
+            ahead += len(queue)
+        return max(work_s / slots, self.rate.estimate_wait(ahead + 1))
 
     async def _evict_for(self, waiter: Waiter, slots: int) -> None:
         victim = self._find_victim(waiter)
@@ -289,10 +312,7 @@
             )
         self._remove(victim)
         text = f'displaced by a request of priority "{waiter.priority}"'
-        await _refuse(
-            victim,
-            TrefoilpickError(ErrorKind.SHED, text, retry_after_s=self._estimate_retry_after(slots)),
-        )
+        await _refuse(victim, self._build_refusal(text, slots))
 
     def _remove(self, waiter: Waiter) -> None:
         self._queues[waiter.priority].remove(waiter)
@@ -312,18 +332,31 @@
             return victim
         return None
 
+    def _build_refusal(self, text: str, slots: int) -> TrefoilpickError:
+        """Return the error for a request that would have to wait too long for its turn."""
+        is_limited = self.rate.estimate_wait(self.queued + 1) > self.estimate_wait(
+            self.queued, slots
+        )
+        kind = ErrorKind.RATE_LIMITED if is_limited else ErrorKind.SHED
+        return TrefoilpickError(kind, text, retry_after_s=self._estimate_retry_after(slots))
+
     def _estimate_retry_after(self, slots: int) -> float:
-        return max(MIN_RETRY_AFTER_S, self.estimate_wait(self.queued, slots))
+        return max(
+            MIN_RETRY_AFTER_S,
+            self.estimate_wait(self.queued, slots),
+            self.rate.estimate_wait(self.queued + 1),
+        )
 
     async def _admit_waiting(self, now_s: float) -> None:
         slots = self.count_slots(now_s)
         for queue in self._queues.values():
-            while queue and self.in_flight < slots:
+            while queue and self.in_flight < slots and not self.rate.estimate_wait():
                 waiter = queue.pop_next()
                 self.queued -= 1
                 if self._is_late(waiter, now_s):
                     await self._delay_or_refuse(waiter, now_s, slots)
                     continue
+                self.rate.try_acquire()
                 self.in_flight += 1
                 await waiter.decided.set()
 
@@ -344,10 +377,7 @@
             return
         if waiter.priority == DELAYED:
             text = "no slot became free for a delayed request"
-            refusal = TrefoilpickError(
-                ErrorKind.SHED, text, retry_after_s=self._estimate_retry_after(slots)
-            )
-            await _refuse(waiter, refusal)
+            await _refuse(waiter, self._build_refusal(text, slots))
             return
         try:
             self._delay(waiter, now_s, slots)
--- a/trefoilpick/balancing.py
+++ b/trefoilpick/balancing.py
@@ -87,6 +87,10 @@
 """Percentage of failed answers reported by a worker's own node at which the worker is ejected."""
 
 
+MIN_EFFECTIVE_SLOTS = 0.05
+"""Fewest slots that are assumed for a worker with a limited rate, so that its cost is finite."""
+
+
 class Locality(IntEnum):
     """How near a worker is to this node."""
 
@@ -126,6 +130,8 @@
         ejection: Ejection state of the worker.
         incarnation: Start of the node's process, in nanoseconds since the Unix epoch; 0 before the
             first report.
+        rate_limit: Requests per second that the worker accepts, as reported last; None without
+            limit.
     """
 
     def __init__(self, vm: Vm, now: float) -> None:
@@ -135,8 +141,10 @@
         self._measured_at = now
         self.ejection = Ejection()
         self.incarnation = 0
+        self.rate_limit: float | None = None
         self._leaving_until = now
         self._refusing_until = now
+        self.rate_limited_until = now
         self._warm_up_ends_at = now
         self._slots: int | None = None
         self._other_requests = 0.0
@@ -163,6 +171,10 @@
         """Record that the node refused a request because its worker is leaving."""
         self._refusing_until = now + LEAVING_TTL_S
 
+    def record_rate_refusal(self, now: float, retry_after_s: float) -> None:
+        """Record that the worker's limited rate is used up for a time, in seconds."""
+        self.rate_limited_until = now + min(retry_after_s, MAX_LOAD_AGE_S)
+
     def begin_warm_up(self, now: float) -> None:
         """Ramp the worker's share of requests up from that of a new worker."""
         self._warm_up_ends_at = now + WARM_UP_S
@@ -180,6 +192,7 @@
         self.incarnation = load.incarnation
         self._leaving_until = now + LEAVING_TTL_S if load.leaving else now
         self._slots = max(load.slots, 1)
+        self.rate_limit = load.rate_limit
         self._other_requests = float(max(load.in_flight + load.queued - self.in_flight, 0))
         self._reported_at = now
         return is_new
@@ -208,14 +221,25 @@
             now: Time on the node's clock, in seconds.
             slots: Slots to assume for a worker that has not reported any yet.
         """
-        return self._estimate_requests(now) / (self._slots or slots)
+        return self._estimate_requests(now) / self._estimate_slots(now, slots)
 
     def estimate_cost(self, now: float, slots: int, mean_latency_s: float | None) -> float:
         """Return the relative cost of the next request, for comparing workers."""
         latency_s = self.estimate_latency(now, mean_latency_s) or 1.0
-        requests = (self._estimate_requests(now) + 1.0) / (self._slots or slots)
+        requests = (self._estimate_requests(now) + 1.0) / self._estimate_slots(now, slots)
         return requests * latency_s / self._compute_share(now)
 
+    def _estimate_slots(self, now: float, slots: int) -> float:
+        """Return the number of requests that the worker can run at a time.
+
+        A limited rate allows as many as start within one latency (Little's law).
+        """
+        own_slots = self._slots or slots
+        if self.rate_limit is None or now - self._reported_at > MAX_LOAD_AGE_S:
+            return own_slots
+        latency_s = self._latency_s or 1.0
+        return min(own_slots, max(self.rate_limit * latency_s, MIN_EFFECTIVE_SLOTS))
+
     def _estimate_requests(self, now: float) -> float:
         if not self._other_requests:
             return self.in_flight
@@ -312,6 +336,21 @@
             blocked.sort(key=lambda record: record.ejection.ejected_at)
         return frozenset(record.vm.name for record in blocked[:limit])
 
+    def raise_if_limited(self, now: float) -> None:
+        """Raise an error if any worker accepts requests again soon by its limited rate.
+
+        Raises:
+            TrefoilpickError: `UPSTREAM_LIMITED`.
+        """
+        ends_at = [
+            r.rate_limited_until for r in self.records.values() if now < r.rate_limited_until
+        ]
+        if ends_at:
+            text = f'every worker of upstream "{self.name}" has a limited rate that is used up'
+            raise TrefoilpickError(
+                ErrorKind.UPSTREAM_LIMITED, text, retry_after_s=min(ends_at) - now
+            )
+
     def _group_by_locality(self, own: VmSettings) -> Iterator[tuple[WorkerRecord, ...]]:
         zones: dict[Locality, list[WorkerRecord]] = {}
         for record in self.records.values():
@@ -361,7 +400,7 @@
             is_heavy: Whether the request transfers many bytes.
 
         Raises:
-            TrefoilpickError: `NO_UPSTREAM`, if no worker may get a request.
+            TrefoilpickError: `NO_UPSTREAM` or `UPSTREAM_LIMITED`, if no worker may get a request.
         """
         service = self._update_service(upstream.name, now)
         mean_latency_s = service.compute_mean_latency(now)
@@ -381,6 +420,7 @@
             return best
         if avoid:
             return self.choose(upstream, now, is_heavy=is_heavy)
+        service.raise_if_limited(now)
         text = f'upstream "{upstream.name}" has no worker that accepts requests'
         raise TrefoilpickError(ErrorKind.NO_UPSTREAM, text)
 
@@ -471,4 +511,6 @@
 def _is_available(record: WorkerRecord, ejected: frozenset[str], now: float) -> bool:
     if record.vm.state is VmState.LEAVING or record.is_leaving(now):
         return False
+    if now < record.rate_limited_until:
+        return False
     return record.vm.name not in ejected
--- a/trefoilpick/callers.py
+++ b/trefoilpick/callers.py
@@ -38,7 +38,7 @@
 from trefoilpick.listeners import open_listener
 from trefoilpick.pipelining import Pipeline, PipelinedRequest
 from trefoilpick.requestlogs import SUCCESSFUL_RESULTS, RequestEvent, RequestLog, open_request_log
-from trefoilpick.retries import OVERLOAD_ERRORS, RetryBudgets
+from trefoilpick.retries import LOAD_ERRORS, RetryBudgets
 from trefoilpick.splitting import Splitter
 from trefoilpick.version_observer import ignore_version
 
@@ -379,7 +379,7 @@
             result = self._record_latency(call, await self._forwarder.forward(call, headers))
         except TrefoilpickError as error:
             result = error.kind.value
-            if error.kind in OVERLOAD_ERRORS:
+            if error.kind in LOAD_ERRORS:
                 _extend_retry_after(call, error)
             await self._answer_error(call.connection, error, call.snapshot)
         except Exception as cause:
--- a/trefoilpick/errors.py
+++ b/trefoilpick/errors.py
@@ -52,6 +52,8 @@
     NO_UPSTREAM = "no_upstream"
     QUEUE_FULL = "queue_full"
     SHED = "shed"
+    RATE_LIMITED = "rate_limited"
+    UPSTREAM_LIMITED = "upstream_limited"
     DEADLINE_BEFORE_RUN = "deadline_before_run"
     DEADLINE_AFTER_SEND = "deadline_after_send"
     UPSTREAM_REFUSED = "upstream_refused"
@@ -129,6 +131,8 @@
     ErrorKind.NO_UPSTREAM: Answer(503, Outcome.NOT_RUN, 1.0),
     ErrorKind.QUEUE_FULL: Answer(503, Outcome.NOT_RUN, 1.0),
     ErrorKind.SHED: Answer(503, Outcome.NOT_RUN, 2.0),
+    ErrorKind.RATE_LIMITED: Answer(503, Outcome.NOT_RUN, 1.0),
+    ErrorKind.UPSTREAM_LIMITED: Answer(503, Outcome.NOT_RUN, 1.0),
     ErrorKind.DEADLINE_BEFORE_RUN: Answer(503, Outcome.NOT_RUN, 1.0),
     ErrorKind.DEADLINE_AFTER_SEND: Answer(504, Outcome.UNKNOWN),
     ErrorKind.UPSTREAM_REFUSED: Answer(503, Outcome.NOT_RUN, 1.0),
--- a/trefoilpick/forwarding.py
+++ b/trefoilpick/forwarding.py
@@ -210,6 +210,8 @@
     ) -> None:
         if error.kind in LEAVING_ERRORS:
             record.record_refusal(now)
+        elif error.kind is ErrorKind.RATE_LIMITED:
+            record.record_rate_refusal(now, find_answer(error).retry_after_s or 0.0)
         elif error.kind is ErrorKind.DEADLINE_AFTER_SEND:
             # A caller's deadline of less than half the route's says nothing about the worker.
             waited_s = now - call.started_at
@@ -253,7 +255,13 @@
     ) -> Attempt:
         ready = call.body.receive_ready()
         now = read_clock()
-        request = build_request(call, now, is_retry=is_retry, vm=self._balancer.own_vm)
+        request = build_request(
+            call,
+            now,
+            is_retry=is_retry,
+            vm=self._balancer.own_vm,
+            rate_limit=record.rate_limit,
+        )
         data = encode_head(FrameKind.REQUEST, request) + encode_data(ready)
         if call.body.is_complete and request.has_body:
             data += END_FRAME
--- a/trefoilpick/hops.py
+++ b/trefoilpick/hops.py
@@ -76,6 +76,7 @@
         slots: Number of slots of the worker.
         leaving: Whether the node is draining.
         failing_percent: Percentage of failures among the worker's recent answers.
+        rate_limit: Requests per second that the worker states that it accepts; None without limit.
     """
 
     vm: str
@@ -87,6 +88,7 @@
     slots: int
     leaving: bool
     failing_percent: int = 0
+    rate_limit: float | None = None
 
 
 class HopRequest(msgspec.Struct, frozen=True, array_like=True):
@@ -113,6 +115,8 @@
         request_id: The caller's ID of this attempt; empty if not sent.
         objective_ms: Time left until the latency objective is missed, in milliseconds; negative if
             it is missed already; None if there is no objective.
+        rate_limit: The worker's limit as last reported to the sending node, in requests per second,
+            for a worker's node that has restarted since; None if it reported none.
     """
 
     number: int
@@ -134,6 +138,7 @@
     vm: str = ""
     request_id: str = ""
     objective_ms: int | None = None
+    rate_limit: float | None = None
 
 
 class HopAnswer(msgspec.Struct, frozen=True, array_like=True):
--- a/trefoilpick/hopserver.py
+++ b/trefoilpick/hopserver.py
@@ -131,6 +131,7 @@
         self._record_version = record_version
         self._find_listed_vm = find_listed_vm
         self._replaced_worker = ""
+        self._listed_worker = ("", 0)
         self._listener = listener
         self._incarnation = incarnation
         self._upstream: Upstream | None = None
@@ -152,7 +153,9 @@
             measure_load=self.measure_load,
             body_idle_s=settings.hops.body_idle_ms / 1000,
             health=self._health,
-            statements=WorkerStatements(conventions, log=self._log, metrics=metrics),
+            statements=WorkerStatements(
+                conventions, rate=admission.rate, log=self._log, metrics=metrics
+            ),
             find_worker=self._find_worker,
             conventions=conventions,
         )
@@ -180,6 +183,7 @@
             slots=self.admission.limits.slots,
             leaving=self.is_leaving,
             failing_percent=self._health.compute_failing_percent(read_clock()),
+            rate_limit=self.admission.rate.limit,
         )
 
     async def run(self) -> None:
@@ -380,6 +384,9 @@
             text = f'worker of upstream "{service}" got a request for "{request.upstream}"'
             raise TrefoilpickError(ErrorKind.NO_UPSTREAM, text, outcome=Outcome.NOT_RUN)
         own_vm = self._find_listed_vm()
+        if own_vm is not None:
+            self._handle_replacement(own_vm)
+        self._context.statements.adopt_limit(request.rate_limit)
         if own_vm is not None and self._is_worker_leaving(own_vm):
             raise TrefoilpickError(ErrorKind.DRAINING, f'worker "{own_vm.worker}" is leaving')
         slots = own_vm.slots if own_vm is not None and own_vm.slots else upstream.slots
@@ -388,6 +395,14 @@
             self.admission.limits = AdmissionLimits(slots, upstream.connections, upstream.queue)
         return upstream
 
+    def _handle_replacement(self, own_vm: Vm) -> None:
+        """Forget what an earlier worker of this VM stated."""
+        listed = (own_vm.worker, own_vm.started_ms)
+        if listed != self._listed_worker:
+            if self._listed_worker[0]:
+                self._context.statements.handle_replacement()
+            self._listed_worker = listed
+
     def _find_worker(self) -> str:
         own_vm = self._find_listed_vm()
         return own_vm.worker if own_vm is not None else ""
@@ -409,6 +424,7 @@
                 await self.admission.refuse_waiting(TrefoilpickError(ErrorKind.DRAINING, text))
             elif self.admission.queued:
                 await self.admission.refuse_late(read_clock())
+                await self.admission.admit_waiting()
             await curio.sleep(QUEUE_POLL_S)
 
     async def _notify_leaving(self, connection: HopConnection) -> None:
--- a/trefoilpick/ratelimits.py
+++ b/trefoilpick/ratelimits.py
@@ -34,16 +34,22 @@
     Args:
         rate: Tokens per second.
         burst: Largest number of tokens that the bucket holds.
+        tokens: Number of tokens at the start; by default the bucket is full.
         clock: Reads the node's clock, in seconds.
     """
 
     def __init__(
-        self, rate: float, burst: float, *, clock: Callable[[], float] = read_clock
+        self,
+        rate: float,
+        burst: float,
+        *,
+        tokens: float | None = None,
+        clock: Callable[[], float] = read_clock,
     ) -> None:
         self._rate = rate
         self._burst = burst
         self._clock = clock
-        self._tokens = burst
+        self._tokens = burst if tokens is None else tokens
         self._filled_s = clock()
 
     def resize(self, rate: float, burst: float) -> None:
@@ -71,6 +77,11 @@
         self._tokens -= 1.0
         return True
 
+    def estimate_wait(self, count: int = 1) -> float:
+        """Return the time until a number of tokens could have been consumed, in seconds."""
+        self._refill()
+        return max(count - self._tokens, 0.0) / self._rate
+
     def _refill(self) -> None:
         now = self._clock()
         self._tokens = min(self._burst, self._tokens + (now - self._filled_s) * self._rate)
--- a/trefoilpick/retries.py
+++ b/trefoilpick/retries.py
@@ -21,6 +21,7 @@
         ErrorKind.TOO_MANY_CONNECTIONS,
         ErrorKind.QUEUE_FULL,
         ErrorKind.SHED,
+        ErrorKind.RATE_LIMITED,
         ErrorKind.UPSTREAM_REFUSED,
         ErrorKind.UPSTREAM_SHED,
         ErrorKind.UPSTREAM_REPLACED,
@@ -44,6 +45,7 @@
         ErrorKind.TOO_MANY_CONNECTIONS,
         ErrorKind.QUEUE_FULL,
         ErrorKind.SHED,
+        ErrorKind.RATE_LIMITED,
         ErrorKind.UPSTREAM_REFUSED,
     }
 )
@@ -52,6 +54,9 @@
 OVERLOAD_ERRORS = frozenset({ErrorKind.QUEUE_FULL, ErrorKind.SHED})
 """Errors that are likely to recur at the next worker."""
 
+LOAD_ERRORS = OVERLOAD_ERRORS | {ErrorKind.RATE_LIMITED, ErrorKind.UPSTREAM_LIMITED}
+"""Errors after which callers are advised when to return by the load."""
+
 MAX_REDIRECTS = 4
 """Redirects to another worker before the error of a refusal is returned to the caller."""
 
--- a/trefoilpick/worker_statements.py
+++ b/trefoilpick/worker_statements.py
@@ -14,6 +14,7 @@
     from trefoilpick.hops import Headers
     from trefoilpick.logs import StateLog
     from trefoilpick.metrics import Metrics
+    from trefoilpick.worker_rates import WorkerRate
 
 LEAVING_MARK = b"1"
 """Value of the header by which a worker states that it is leaving."""
@@ -49,16 +50,17 @@
 
     Args:
         conventions: Headers of the fleet.
+        rate: Rate of requests to the worker, to which a stated limit is applied.
         log: Log of state changes.
         metrics: Metrics of the node.
-
-    Attributes:
-        rate_limit: The limit in force, in requests per second; None if there is none.
     """
 
-    def __init__(self, conventions: Conventions, *, log: StateLog, metrics: Metrics) -> None:
-        self.rate_limit: float | None = None
+    def __init__(
+        self, conventions: Conventions, *, rate: WorkerRate, log: StateLog, metrics: Metrics
+    ) -> None:
         self._conventions = conventions
+        self._rate = rate
+        self._has_answered = False
         self._log = log
         self._metrics = metrics
 
@@ -73,6 +75,7 @@
             worker: Identity of the worker; empty if unknown.
         """
         statement = read_statement(headers, self._conventions)
+        self._has_answered = True
         if statement.unreadable:
             self._log.report(
                 Event.WORKER_LIMIT,
@@ -83,19 +86,30 @@
             )
         elif statement.rate_limit is not None:
             self._apply_limit(statement.rate_limit, worker)
-        elif has_run and self.rate_limit is not None:
+        elif has_run and self._rate.limit is not None:
             self._end_limit(worker)
         if statement.is_leaving:
             self._log.report(Event.WORKER_LEAVING, worker)
         return statement
 
+    def adopt_limit(self, rate_limit: float | None) -> None:
+        """Apply a limit that another node knows, until the worker answers this process."""
+        if rate_limit is not None and not self._has_answered:
+            self._apply_limit(rate_limit, "")
+
+    def handle_replacement(self) -> None:
+        """Forget the statements of a worker that another one has replaced."""
+        self._has_answered = False
+        if self._rate.limit is not None:
+            self._end_limit("")
+
     def _apply_limit(self, rate_limit: float, worker: str) -> None:
-        self.rate_limit = rate_limit
+        self._rate.set_limit(rate_limit)
         self._metrics.set_gauge("trefoilpick_worker_rate_limit", rate_limit)
         self._log.report(Event.WORKER_LIMIT, "limited", rate_limit=rate_limit, worker=worker)
 
     def _end_limit(self, worker: str) -> None:
-        self.rate_limit = None
+        self._rate.set_limit(None)
         self._metrics.set_gauge("trefoilpick_worker_rate_limit", -1)
         self._log.report(Event.WORKER_LIMIT, "unlimited", worker=worker)
 
