Hop server: send nothing to a worker that states that it is leaving

Change: the statement belongs to one incarnation (WorkerIdentity: id and start). The worker's node refuses what arrives, what waits and what has just got a slot as draining, not run, and reports the worker in its load; callers' nodes keep that by identity, also when the worker's node restarts or the list omits and lists the VM again. A new worker on the VM, or one started again under the same id, is used at once. Without identity the state ends after 60 s, since nothing shows a replacement.

A waiting request was still admitted by the slot that the leaving answer freed; _attempt now checks the worker right before it sends (test_requests_that_wait_for_a_worker_are_refused_once_it_states_that_it_leaves failed before).

--- a/tests/test_balancing.py
+++ b/tests/test_balancing.py
@@ -17,7 +17,13 @@
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 from trefoilpick.hops import Load
 from trefoilpick.settings import VmSettings
-from trefoilpick.vms import Vm, VmState
+from trefoilpick.vms import (
+    UNIDENTIFIED_LEAVING_S,
+    UNKNOWN_WORKER,
+    Vm,
+    VmState,
+    WorkerIdentity,
+)
 
 OWN = VmSettings("vm-0", "lima", "lima-a", "portafolio")
 UPSTREAM = Upstream("encargos", slots=10)
@@ -71,7 +77,7 @@
     def count_choices(self, count: int = 400) -> Counter[str]:
         return Counter(self.choose().vm.name for _ in range(count))
 
-    def report(self, name: str, **changes: float) -> None:
+    def report(self, name: str, **changes: object) -> None:
         load = Load(name, 1, 7, "d", 0, 0, 10, False)
         load = Load(*{**{f: getattr(load, f) for f in load.__struct_fields__}, **changes}.values())
         self.balancer.record_load(self.find(name), load, self.now)
@@ -296,3 +302,46 @@
         fleet.choose()
     assert raised.value.kind is ErrorKind.UPSTREAM_LIMITED
     assert raised.value.retry_after_s == pytest.approx(0.3)
+
+
+def test_a_worker_that_stated_that_it_leaves_is_avoided_after_its_node_has_restarted() -> None:
+    fleet = Fleet(2)
+    worker = WorkerIdentity("i-1", 100)
+    leaving = replace(fleet.vms[0], worker=worker.worker, started_ms=worker.started_ms)
+    fleet.vms = (leaving, fleet.vms[1])
+    fleet.report("vm-1", leaving_worker=worker)
+    fleet.report("vm-1", incarnation=2)
+    fleet.now += 100.0
+    assert set(fleet.count_choices(50)) == {"vm-2"}
+
+
+def test_a_worker_that_left_is_avoided_although_the_list_omitted_it_for_a_while() -> None:
+    fleet = Fleet(3)
+    worker = WorkerIdentity("i-1", 100)
+    leaving = replace(fleet.vms[0], worker=worker.worker, started_ms=worker.started_ms)
+    others = fleet.vms[1:]
+    fleet.vms = (leaving, *others)
+    fleet.report("vm-1", leaving_worker=worker)
+    for vms in (others, (leaving, *others)):
+        fleet.vms = vms
+        fleet.now += REFRESH_INTERVAL_S
+        fleet.choose()
+    assert "vm-1" not in fleet.count_choices(50)
+
+
+def test_a_new_worker_on_the_vm_of_one_that_left_is_used() -> None:
+    fleet = Fleet(2)
+    leaving = replace(fleet.vms[0], worker="i-1", started_ms=100)
+    fleet.vms = (leaving, fleet.vms[1])
+    fleet.report("vm-1", leaving_worker=leaving.worker_identity)
+    fleet.vms = (replace(leaving, started_ms=200), fleet.vms[1])
+    fleet.now += REFRESH_INTERVAL_S
+    assert "vm-1" in fleet.count_choices(200)
+
+
+def test_a_leaving_worker_without_identity_is_avoided_for_a_limited_time() -> None:
+    fleet = Fleet(2)
+    fleet.report("vm-1", leaving_worker=UNKNOWN_WORKER)
+    assert set(fleet.count_choices(50)) == {"vm-2"}
+    fleet.now += UNIDENTIFIED_LEAVING_S
+    assert set(fleet.count_choices(50)) == {"vm-1", "vm-2"}
--- a/tests/test_hopserver_statements.py
+++ b/tests/test_hopserver_statements.py
@@ -8,11 +8,13 @@
 import curio
 from fakes_worker import (
     Bench,
+    PausedAnswer,
     make_read,
     make_request,
     open_bench,
     respond,
     send_and_receive,
+    wait_for,
 )
 
 from trefoilpick._clock import read_clock
@@ -142,3 +144,42 @@
         assert len(bench.worker.executed) == 2
 
     run(test)
+
+
+def test_requests_that_wait_for_a_worker_are_refused_once_it_states_that_it_leaves() -> None:
+    async def test(bench: Bench) -> None:
+        leaving = PausedAnswer(answer(b"x-worker-leaving: 1"))
+        bench.worker.default = leaving
+        tasks = [await curio.spawn(bench.call, make_request()) for _ in range(OWN_VM.slots + 2)]
+        await wait_for(lambda: bench.server.admission.queued == 2)
+        await leaving.finish.set()
+        kinds = [(await task.join()).kind for task in tasks]
+        assert sorted(kinds) == ["answered"] * OWN_VM.slots + ["draining"] * 2
+        assert len(bench.worker.executed) == OWN_VM.slots
+
+    run(test)
+
+
+def test_the_callers_nodes_are_told_which_worker_leaves() -> None:
+    async def test(bench: Bench) -> None:
+        bench.worker.default = respond(answer(b"x-worker-leaving: 1"))
+        for _ in range(2):
+            result = await bench.call(make_request())
+            assert result.load is not None
+            assert result.load.leaving_worker == OWN_VM.worker_identity
+
+    run(test)
+
+
+def test_the_worker_that_replaces_a_leaving_one_is_used_at_once() -> None:
+    listed = [OWN_VM]
+
+    async def test(bench: Bench) -> None:
+        bench.worker.script = [respond(answer(b"x-worker-leaving: 1"))]
+        assert (await bench.call(make_request())).status == 200
+        listed[0] = replace(OWN_VM, worker="i-2")
+        result = await bench.call(make_request())
+        assert result.status == 200
+        assert result.load is not None and result.load.leaving_worker is None
+
+    run(test, listed)
--- a/trefoilpick/_hop_exchange.py
+++ b/trefoilpick/_hop_exchange.py
@@ -37,6 +37,7 @@
     from trefoilpick.hops import HopRequest, Load
     from trefoilpick.metrics import Metrics
     from trefoilpick.upstreams import WorkerPool
+    from trefoilpick.vms import WorkerIdentity
     from trefoilpick.worker_statements import WorkerStatements
 
 NOT_RUN_MARK = b"1"
@@ -71,7 +72,8 @@
         body_idle_s: Idle timeout of a body, in seconds.
         health: Failure rate of the worker's answers.
         statements: What the worker states about itself in its answers.
-        find_worker: Returns the worker's ID as the platform lists it; empty if it lists none.
+        find_worker: Returns the worker as the platform lists it.
+        check_worker: Raises `DRAINING` if the worker is leaving.
         conventions: Headers of the fleet.
     """
 
@@ -82,7 +84,8 @@
     body_idle_s: float
     health: WorkerHealth
     statements: WorkerStatements
-    find_worker: Callable[[], str]
+    find_worker: Callable[[], WorkerIdentity]
+    check_worker: Callable[[], None]
     conventions: Conventions
 
 
@@ -100,6 +103,7 @@
         was_sent: Whether sending to the worker began, so that the request may have run.
         status: Status code of the worker's answer; 0 before the answer.
         statement: What the worker's answer states about the worker.
+        worker: The worker to which the request was sent, or is to be sent.
     """
 
     def __init__(
@@ -114,6 +118,7 @@
         self.was_sent = False
         self.status = 0
         self.statement = NO_STATEMENT
+        self.worker = context.find_worker()
         self.began_s = began_s
         self._context = context
         self._hop_connection = hop_connection
@@ -295,11 +300,13 @@
         if not self._hop_connection.is_open():
             text = "caller's node closed the hop before the request was sent"
             raise TrefoilpickError(ErrorKind.CALLER_GONE, text, outcome=Outcome.NOT_RUN)
+        self._context.check_worker()
         body_complete = self._body.is_received
         is_retry = self._request.is_retry or self.was_sent
         # Set before sending: if it is interrupted, some bytes may have been sent.
         self.was_sent = True
         self._sent_s = read_clock()
+        self.worker = self._context.find_worker()
         self._context.metrics.count("trefoilpick_worker_requests_total")
         self._hop_connection.is_cancellable = self._request.idempotent or not body_complete
         await connection.send_request(
@@ -308,7 +315,7 @@
             remaining_ms=max(1, int(remaining_s * 1000)),
             body_complete=body_complete,
             is_retry=is_retry,
-            expected_worker=self._context.find_worker(),
+            expected_worker=self.worker.worker,
         )
         if not body_complete:
             self._upload = await curio.spawn(self._upload_rest, connection)
@@ -381,7 +388,7 @@
 
     def _record_statement(self, head: AnswerHead, *, has_run: bool) -> None:
         self.statement = self._context.statements.record(
-            head.headers, has_run=has_run, worker=self._context.find_worker()
+            head.headers, has_run=has_run, worker=self.worker
         )
 
     def _build_deadline_error(self) -> TrefoilpickError:
--- a/trefoilpick/balancing.py
+++ b/trefoilpick/balancing.py
@@ -15,7 +15,7 @@
 from trefoilpick.ejection import Ejection
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 from trefoilpick.version_observer import ignore_version
-from trefoilpick.vms import VmState
+from trefoilpick.vms import UNIDENTIFIED_LEAVING_S, UNKNOWN_WORKER, VmState
 
 if TYPE_CHECKING:
     import random
@@ -24,7 +24,7 @@
     from trefoilpick.document import Upstream
     from trefoilpick.hops import Load
     from trefoilpick.settings import VmSettings
-    from trefoilpick.vms import Vm
+    from trefoilpick.vms import Vm, WorkerIdentity
 
 FULL_UTILISATION = 2.0
 """Requests per slot from which a worker is expected to refuse: a queue as long as the number of
@@ -145,6 +145,8 @@
         self._leaving_until = now
         self._refusing_until = now
         self.rate_limited_until = now
+        self._left_worker: WorkerIdentity | None = None
+        self._unidentified_left_until = now
         self._warm_up_ends_at = now
         self._slots: int | None = None
         self._other_requests = 0.0
@@ -163,6 +165,12 @@
         """Return whether the worker's node recently reported that it accepts no new work."""
         return now < self._leaving_until
 
+    def has_left(self, now: float) -> bool:
+        """Return whether the listed worker stated in an answer that it is leaving."""
+        if self._left_worker is None or self._left_worker != self.vm.worker_identity:
+            return False
+        return self._left_worker != UNKNOWN_WORKER or now < self._unidentified_left_until
+
     def has_refused(self, now: float) -> bool:
         """Return whether the node recently refused a request because its worker is leaving."""
         return now < self._refusing_until
@@ -193,6 +201,10 @@
         self._leaving_until = now + LEAVING_TTL_S if load.leaving else now
         self._slots = max(load.slots, 1)
         self.rate_limit = load.rate_limit
+        if load.leaving_worker is not None:
+            is_known = load.leaving_worker != UNKNOWN_WORKER
+            self._left_worker = load.leaving_worker if is_known else self.vm.worker_identity
+            self._unidentified_left_until = now + UNIDENTIFIED_LEAVING_S
         self._other_requests = float(max(load.in_flight + load.queued - self.in_flight, 0))
         self._reported_at = now
         return is_new
@@ -509,7 +521,7 @@
 
 
 def _is_available(record: WorkerRecord, ejected: frozenset[str], now: float) -> bool:
-    if record.vm.state is VmState.LEAVING or record.is_leaving(now):
+    if record.vm.state is VmState.LEAVING or record.is_leaving(now) or record.has_left(now):
         return False
     if now < record.rate_limited_until:
         return False
--- a/trefoilpick/hops.py
+++ b/trefoilpick/hops.py
@@ -18,6 +18,7 @@
 
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 from trefoilpick.head_compression import HeadCompressor, HeadDecompressor
+from trefoilpick.vms import WorkerIdentity
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -77,6 +78,7 @@
         leaving: Whether the node is draining.
         failing_percent: Percentage of failures among the worker's recent answers.
         rate_limit: Requests per second that the worker states that it accepts; None without limit.
+        leaving_worker: The worker, if it stated that it is leaving; None otherwise.
     """
 
     vm: str
@@ -89,6 +91,7 @@
     leaving: bool
     failing_percent: int = 0
     rate_limit: float | None = None
+    leaving_worker: WorkerIdentity | None = None
 
 
 class HopRequest(msgspec.Struct, frozen=True, array_like=True):
--- a/trefoilpick/hopserver.py
+++ b/trefoilpick/hopserver.py
@@ -42,7 +42,7 @@
     from trefoilpick.settings import Settings
     from trefoilpick.snapshots import SnapshotCell
     from trefoilpick.tokens import TokenStore
-    from trefoilpick.vms import Vm
+    from trefoilpick.vms import Vm, WorkerIdentity
 
 MAX_CONCURRENT_REFUSALS = 64
 """Largest number of connections over the limit that are refused with an error frame at the same
@@ -130,8 +130,6 @@
         self._is_up_to_date = is_up_to_date
         self._record_version = record_version
         self._find_listed_vm = find_listed_vm
-        self._replaced_worker = ""
-        self._listed_worker = ("", 0)
         self._listener = listener
         self._incarnation = incarnation
         self._upstream: Upstream | None = None
@@ -141,6 +139,9 @@
         self._health = WorkerHealth(read_clock())
         self._drained = curio.Event()
         self._drain_report: DrainReport | None = None
+        self._statements = WorkerStatements(
+            conventions, rate=admission.rate, log=self._log, metrics=metrics
+        )
         self._context = ExchangeContext(
             admission=admission,
             pool=open_pool(
@@ -153,10 +154,9 @@
             measure_load=self.measure_load,
             body_idle_s=settings.hops.body_idle_ms / 1000,
             health=self._health,
-            statements=WorkerStatements(
-                conventions, rate=admission.rate, log=self._log, metrics=metrics
-            ),
+            statements=self._statements,
             find_worker=self._find_worker,
+            check_worker=self._check_worker,
             conventions=conventions,
         )
 
@@ -184,6 +184,7 @@
             leaving=self.is_leaving,
             failing_percent=self._health.compute_failing_percent(read_clock()),
             rate_limit=self.admission.rate.limit,
+            leaving_worker=self._statements.worker if self._statements.has_left else None,
         )
 
     async def run(self) -> None:
@@ -203,7 +204,7 @@
     def serves_peers_while_draining(self) -> bool:
         """Whether the worker stays when the node leaves, so that peers may use it until then."""
         own_vm = self._find_listed_vm()
-        return own_vm is not None and bool(own_vm.worker) and not self._is_worker_leaving(own_vm)
+        return own_vm is not None and bool(own_vm.worker) and not self._is_worker_leaving()
 
     async def drain(self) -> DrainReport:
         """Announce to peers that the node is leaving, refuse new requests, and wait for the others.
@@ -317,8 +318,8 @@
             kind = error.kind.value
             if error.kind in WORKER_FAILURES:
                 self._health.record_result(read_clock(), failed=True)
-            if error.kind is ErrorKind.UPSTREAM_REPLACED:
-                self._replaced_worker = self._find_worker()
+            if error.kind is ErrorKind.UPSTREAM_REPLACED and self._find_worker().worker:
+                self._statements.record_left(self._find_worker())
             if error.kind is ErrorKind.UPSTREAM_REFUSED:
                 self._log.report(Event.WORKER, "down", level=logging.WARNING, text=error.text)
             if not await exchange.send_failure(error):
@@ -346,7 +347,7 @@
             route=request.route,
             version=request.number,
             sender=request.vm,
-            worker=self._find_worker(),
+            worker=exchange.worker.worker,
             was_sent=exchange.was_sent,
             status=exchange.status,
             rate_limit=exchange.statement.rate_limit,
@@ -384,33 +385,35 @@
             text = f'worker of upstream "{service}" got a request for "{request.upstream}"'
             raise TrefoilpickError(ErrorKind.NO_UPSTREAM, text, outcome=Outcome.NOT_RUN)
         own_vm = self._find_listed_vm()
-        if own_vm is not None:
-            self._handle_replacement(own_vm)
-        self._context.statements.adopt_limit(request.rate_limit)
-        if own_vm is not None and self._is_worker_leaving(own_vm):
-            raise TrefoilpickError(ErrorKind.DRAINING, f'worker "{own_vm.worker}" is leaving')
+        self._check_worker()
+        self._statements.adopt_limit(request.rate_limit)
         slots = own_vm.slots if own_vm is not None and own_vm.slots else upstream.slots
         if upstream is not self._upstream or slots != self.admission.limits.slots:
             self._upstream = upstream
             self.admission.limits = AdmissionLimits(slots, upstream.connections, upstream.queue)
         return upstream
 
-    def _handle_replacement(self, own_vm: Vm) -> None:
-        """Forget what an earlier worker of this VM stated."""
-        listed = (own_vm.worker, own_vm.started_ms)
-        if listed != self._listed_worker:
-            if self._listed_worker[0]:
-                self._context.statements.handle_replacement()
-            self._listed_worker = listed
-
-    def _find_worker(self) -> str:
+    def _find_worker(self) -> WorkerIdentity:
+        """Return the worker that the platform lists for this VM, or listed last."""
         own_vm = self._find_listed_vm()
-        return own_vm.worker if own_vm is not None else ""
+        if own_vm is not None and own_vm.worker:
+            self._statements.handle_listing(own_vm.worker_identity)
+        return self._statements.worker
 
-    def _is_worker_leaving(self, own_vm: Vm) -> bool:
-        if own_vm.state is VmState.LEAVING:
+    def _is_worker_leaving(self) -> bool:
+        own_vm = self._find_listed_vm()
+        if own_vm is not None and own_vm.state is VmState.LEAVING:
             return True
-        return bool(own_vm.worker) and own_vm.worker == self._replaced_worker
+        self._find_worker()
+        return self._statements.has_left
+
+    def _check_worker(self) -> None:
+        if self._is_worker_leaving():
+            raise self._build_leaving_error()
+
+    def _build_leaving_error(self) -> TrefoilpickError:
+        text = f'worker "{self._statements.worker.worker}" is leaving'
+        return TrefoilpickError(ErrorKind.DRAINING, text)
 
     async def _refuse_stale_waiters(self) -> None:
         """Refuse waiting requests that the worker cannot serve in time, or at all if it is leaving.
@@ -418,10 +421,8 @@
         Their callers can then retry at other nodes.
         """
         while True:
-            own_vm = self._find_listed_vm()
-            if own_vm is not None and self._is_worker_leaving(own_vm):
-                text = f'worker "{own_vm.worker}" is leaving'
-                await self.admission.refuse_waiting(TrefoilpickError(ErrorKind.DRAINING, text))
+            if self._is_worker_leaving():
+                await self.admission.refuse_waiting(self._build_leaving_error())
             elif self.admission.queued:
                 await self.admission.refuse_late(read_clock())
                 await self.admission.admit_waiting()
--- a/trefoilpick/vms.py
+++ b/trefoilpick/vms.py
@@ -24,6 +24,27 @@
     LEAVING = "leaving"
 
 
+@dataclass(frozen=True)
+class WorkerIdentity:
+    """Identity of one incarnation of a worker.
+
+    Attributes:
+        worker: Identity that the platform gives; empty if unknown.
+        started_ms: Start of the incarnation, in milliseconds since the Unix epoch; 0 if unknown.
+    """
+
+    worker: str = ""
+    started_ms: int = 0
+
+
+UNIDENTIFIED_LEAVING_S = 60.0
+"""Time for which a worker without identity is considered leaving, in seconds: nothing shows that
+another one has replaced it."""
+
+UNKNOWN_WORKER = WorkerIdentity()
+"""Identity of a worker that the platform does not list."""
+
+
 @dataclass(frozen=True)
 class Vm:
     """A VM that runs a worker and its node.
@@ -55,6 +76,11 @@
     slots: int = 0
     started_ms: int = 0
 
+    @property
+    def worker_identity(self) -> WorkerIdentity:
+        """Identity of the worker's current incarnation."""
+        return WorkerIdentity(self.worker, self.started_ms)
+
 
 @dataclass(frozen=True)
 class VmList:
--- a/trefoilpick/worker_statements.py
+++ b/trefoilpick/worker_statements.py
@@ -4,12 +4,18 @@
 
 import logging
 import re
+import time
+from collections import deque
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from trefoilpick._clock import read_clock
 from trefoilpick.logs import Event
+from trefoilpick.vms import UNIDENTIFIED_LEAVING_S, UNKNOWN_WORKER, WorkerIdentity
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from trefoilpick.conventions import Conventions
     from trefoilpick.hops import Headers
     from trefoilpick.logs import StateLog
@@ -19,6 +25,12 @@
 LEAVING_MARK = b"1"
 """Value of the header by which a worker states that it is leaving."""
 
+MAX_LEFT_WORKERS = 16
+"""Largest number of workers that left this VM and are remembered."""
+
+NS_PER_MS = 1_000_000
+"""Nanoseconds in a millisecond."""
+
 MAX_LOGGED_CHARACTERS = 40
 """Largest number of characters of an unreadable value that are logged."""
 
@@ -53,18 +65,42 @@
         rate: Rate of requests to the worker, to which a stated limit is applied.
         log: Log of state changes.
         metrics: Metrics of the node.
+        read_wall_ms: Reads the VM's wall clock, in milliseconds since the Unix epoch.
     """
 
     def __init__(
-        self, conventions: Conventions, *, rate: WorkerRate, log: StateLog, metrics: Metrics
+        self,
+        conventions: Conventions,
+        *,
+        rate: WorkerRate,
+        log: StateLog,
+        metrics: Metrics,
+        read_wall_ms: Callable[[], int] = lambda: time.time_ns() // NS_PER_MS,
     ) -> None:
         self._conventions = conventions
         self._rate = rate
-        self._has_answered = False
         self._log = log
         self._metrics = metrics
+        self._read_wall_ms = read_wall_ms
+        self._worker = UNKNOWN_WORKER
+        self._left: deque[WorkerIdentity] = deque(maxlen=MAX_LEFT_WORKERS)
+        self._unknown_left_at_ms = 0
+        self._unknown_left_until_s = 0.0
+        self._has_answered = False
+
+    @property
+    def worker(self) -> WorkerIdentity:
+        """The worker as the platform listed it last."""
+        return self._worker
 
-    def record(self, headers: Headers, *, has_run: bool, worker: str) -> WorkerStatement:
+    @property
+    def has_left(self) -> bool:
+        """Whether the current worker stated that it is leaving, or its address is another's."""
+        if self._worker == UNKNOWN_WORKER:
+            return bool(self._unknown_left_at_ms) and read_clock() < self._unknown_left_until_s
+        return self._worker in self._left
+
+    def record(self, headers: Headers, *, has_run: bool, worker: WorkerIdentity) -> WorkerStatement:
         """Read the headers of an answer.
 
         A limit is in force until the worker answers a request that it ran without naming one.
@@ -72,9 +108,13 @@
         Args:
             headers: Headers of the answer.
             has_run: Whether the worker ran the request.
-            worker: Identity of the worker; empty if unknown.
+            worker: The worker to which the request was sent.
         """
         statement = read_statement(headers, self._conventions)
+        if statement.is_leaving:
+            self.record_left(worker)
+        if worker != self._worker:
+            return statement
         self._has_answered = True
         if statement.unreadable:
             self._log.report(
@@ -82,36 +122,54 @@
                 "unreadable",
                 level=logging.WARNING,
                 text=statement.unreadable,
-                worker=worker,
+                worker=worker.worker,
             )
         elif statement.rate_limit is not None:
-            self._apply_limit(statement.rate_limit, worker)
+            self._apply_limit(statement.rate_limit)
         elif has_run and self._rate.limit is not None:
-            self._end_limit(worker)
-        if statement.is_leaving:
-            self._log.report(Event.WORKER_LEAVING, worker)
+            self._end_limit()
         return statement
 
+    def record_left(self, worker: WorkerIdentity) -> None:
+        """Record that a worker gets no more requests."""
+        if worker == UNKNOWN_WORKER:
+            self._unknown_left_at_ms = self._read_wall_ms()
+            self._unknown_left_until_s = read_clock() + UNIDENTIFIED_LEAVING_S
+        elif worker not in self._left:
+            self._left.append(worker)
+        self._log.report(Event.WORKER_LEAVING, worker.worker)
+
     def adopt_limit(self, rate_limit: float | None) -> None:
         """Apply a limit that another node knows, until the worker answers this process."""
         if rate_limit is not None and not self._has_answered:
-            self._apply_limit(rate_limit, "")
+            self._apply_limit(rate_limit)
 
-    def handle_replacement(self) -> None:
-        """Forget the statements of a worker that another one has replaced."""
-        self._has_answered = False
-        if self._rate.limit is not None:
-            self._end_limit("")
+    def handle_listing(self, worker: WorkerIdentity) -> None:
+        """Apply the identity of the worker that the platform lists for this VM.
 
-    def _apply_limit(self, rate_limit: float, worker: str) -> None:
+        What an earlier worker stated does not hold for a new one.
+        """
+        if worker == self._worker:
+            return
+        if self._worker != UNKNOWN_WORKER:
+            self._has_answered = False
+            if self._rate.limit is not None:
+                self._end_limit()
+        elif self.has_left and worker.started_ms <= self._unknown_left_at_ms:
+            self._left.append(worker)
+        self._worker = worker
+
+    def _apply_limit(self, rate_limit: float) -> None:
         self._rate.set_limit(rate_limit)
         self._metrics.set_gauge("trefoilpick_worker_rate_limit", rate_limit)
-        self._log.report(Event.WORKER_LIMIT, "limited", rate_limit=rate_limit, worker=worker)
+        self._log.report(
+            Event.WORKER_LIMIT, "limited", rate_limit=rate_limit, worker=self._worker.worker
+        )
 
-    def _end_limit(self, worker: str) -> None:
+    def _end_limit(self) -> None:
         self._rate.set_limit(None)
         self._metrics.set_gauge("trefoilpick_worker_rate_limit", -1)
-        self._log.report(Event.WORKER_LIMIT, "unlimited", worker=worker)
+        self._log.report(Event.WORKER_LIMIT, "unlimited", worker=self._worker.worker)
 
 
 def read_statement(headers: Headers, conventions: Conventions) -> WorkerStatement:
