Hop server: attribute a 421 to the worker that the request named

What callers saw: 503 draining from a healthy new worker, until the next change of the VM's entry.

Cause: a 421 marked whichever worker was listed when it arrived. If the list had changed while the request was in flight, that was the new worker. By id alone, a worker that started again under its id stayed excluded too.

Change: the request's own worker identity is recorded. Both new tests failed before (draining for 200).

--- a/tests/test_hopserver_conventions.py
+++ b/tests/test_hopserver_conventions.py
@@ -10,6 +10,7 @@
 import pytest
 from fakes_worker import (
     Bench,
+    PausedAnswer,
     ReceivedRequest,
     make_read,
     make_request,
@@ -212,3 +213,35 @@
         assert bench.worker.connections == 2
 
     run(test)
+
+
+# Guards against giving up a new worker because a request to the one before it was misdirected.
+def test_a_late_421_for_the_former_worker_does_not_exclude_the_new_one() -> None:
+    listed_vms = [OWN_VM]
+
+    async def test(bench: Bench) -> None:
+        raw = b"HTTP/1.1 421 Misdirected\r\ncontent-length: 0\r\n\r\n"
+        misdirected = PausedAnswer(raw)
+        bench.worker.script = [misdirected, respond(answer(b"8", b"ok"))]
+        task = await curio.spawn(bench.call, make_request(request_id="7"))
+        await wait_for(lambda: len(bench.worker.executed) == 1)
+        listed_vms[0] = replace(OWN_VM, worker="i-2", started_ms=9)
+        await misdirected.finish.set()
+        assert (await task.join()).kind == "upstream_replaced"
+        assert (await bench.call(make_request(request_id="8"))).status == 200
+
+    run(test, listed_vms=listed_vms)
+
+
+def test_a_worker_that_starts_again_under_its_id_is_used_again() -> None:
+    listed_vms = [OWN_VM]
+
+    async def test(bench: Bench) -> None:
+        raw = b"HTTP/1.1 421 Misdirected\r\ncontent-length: 0\r\n\r\n"
+        bench.worker.script = [respond(raw), respond(answer(b"8", b"ok"))]
+        assert (await bench.call(make_request(request_id="7"))).kind == "upstream_replaced"
+        assert (await bench.call(make_request(request_id="8"))).kind == "draining"
+        listed_vms[0] = replace(OWN_VM, started_ms=9)
+        assert (await bench.call(make_request(request_id="8"))).status == 200
+
+    run(test, listed_vms=listed_vms)
--- a/trefoilpick/hopserver.py
+++ b/trefoilpick/hopserver.py
@@ -318,8 +318,8 @@
             kind = error.kind.value
             if error.kind in WORKER_FAILURES:
                 self._health.record_result(read_clock(), failed=True)
-            if error.kind is ErrorKind.UPSTREAM_REPLACED and self._find_worker().worker:
-                self._statements.record_left(self._find_worker())
+            if error.kind is ErrorKind.UPSTREAM_REPLACED and exchange.worker.worker:
+                self._statements.record_left(exchange.worker)
             if error.kind is ErrorKind.UPSTREAM_REFUSED:
                 self._log.report(Event.WORKER, "down", level=logging.WARNING, text=error.text)
             if not await exchange.send_failure(error):
