Node: start background tasks again after an unexpected error

It could happen here: an exception other than TrefoilpickError in any loop of the node (reader, election, fetchers, exchanges, hop watch, accept loops, readiness) ended run_until_first_ends and so the process with its requests in flight; so did a control message whose handler raised one, and a socket option that fails on a connection that was just accepted.

Servers that own their sockets still stop the node with their error.

--- a/tests/test_message_endpoint.py
+++ b/tests/test_message_endpoint.py
@@ -153,3 +153,24 @@
         unpack_bytes(zlib.compress(b"abc")[:-2], 1_000)
     assert unpack_bytes(zlib.compress(b"abc"), 3) == b"abc"
     assert len(encode_envelope(Envelope("vm-1", 1, 1, 1, False, FetchVms(1)))) < 30
+
+
+# Guards against one message with an unexpected effect that takes the whole process down.
+def test_an_unexpected_error_in_the_handler_costs_only_that_message() -> None:
+    async def fail(envelope: Envelope) -> Body | None:
+        raise KeyError("an unexpected error")
+
+    async def main() -> None:
+        metrics = Metrics()
+        receiver = MessageEndpoint("b", 1, metrics)
+        receiver.set_handler(fail)
+        sender = MessageEndpoint("a", 1, Metrics())
+        for count in (1, 2):
+            data = sender.encode(EXCHANGE, request=count)
+            assert await receiver.handle_request(data) is None
+            refused = metrics.get_count(
+                "trefoilpick_control_messages_refused_total", reason="internal"
+            )
+            assert refused == count
+
+    run_virtual(main())
--- a/trefoilpick/_hop_listener.py
+++ b/trefoilpick/_hop_listener.py
@@ -42,12 +42,12 @@
     while True:
         try:
             sock, _ = await listener.accept()
+            _set_options(sock)
         except OSError:
             # Most likely out of file descriptors; pending connections stay in the backlog.
             on_error()
             await curio.sleep(ACCEPT_PAUSE_S)
             continue
-        _set_options(sock)
         yield sock
 
 
--- a/trefoilpick/_metric_table.py
+++ b/trefoilpick/_metric_table.py
@@ -151,6 +151,13 @@
         "Rate that this node's worker accepts, as it stated last; -1 once it no longer states one.",
         "Find out why the worker is in need.",
     ),
+    "trefoilpick_task_failures_total": MetricInfo(
+        MetricKind.COUNTER,
+        "failures",
+        "Unexpected errors of the node's background tasks, each started again, by task.",
+        "Report the traceback in the log.",
+        ("task",),
+    ),
     "trefoilpick_control_links_refused_total": MetricInfo(
         MetricKind.COUNTER,
         "links",
--- a/trefoilpick/callers.py
+++ b/trefoilpick/callers.py
@@ -11,6 +11,7 @@
 from curio import socket
 
 from trefoilpick._clock import read_clock
+from trefoilpick._task_groups import keep_running
 from trefoilpick.balancing import Balancer, Directory
 from trefoilpick.caller_connections import (
     CallerConnection,
@@ -156,10 +157,12 @@
 
     async def run(self) -> None:
         """Serve until cancelled."""
-        monitor = await curio.spawn(self._monitor.run, daemon=True)
+        monitor = await curio.spawn(
+            keep_running(self._monitor.run, name="monitor_connections", metrics=self._metrics),
+            daemon=True,
+        )
         try:
-            while True:
-                await self._accept()
+            await keep_running(self._accept_all, name="accept_callers", metrics=self._metrics)()
         finally:
             await monitor.cancel()
             await self._listener.close()
@@ -194,14 +197,18 @@
             if connection.state in (ConnectionState.IDLE, ConnectionState.NEW):
                 connection.expire()
 
+    async def _accept_all(self) -> None:
+        while True:
+            await self._accept()
+
     async def _accept(self) -> None:
         try:
             client, address = await self._listener.accept()
+            client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         except OSError as error:
             self._metrics.count("trefoilpick_accept_errors_total", reason=type(error).__name__)
             await curio.sleep(ACCEPT_PAUSE_S)
             return
-        client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         limits = self._find_limits()
         connection = CallerConnection(
             client, address[0], max_head_bytes=limits.head_bytes, clock=self._monitor.clock
--- a/trefoilpick/distribution.py
+++ b/trefoilpick/distribution.py
@@ -9,7 +9,7 @@
 import curio
 
 from trefoilpick._clock import read_clock
-from trefoilpick._task_groups import run_until_first_ends
+from trefoilpick._task_groups import keep_running, run_until_first_ends
 from trefoilpick.enforcement import Enforcer
 from trefoilpick.errors import TrefoilpickError
 from trefoilpick.fetchers import ListFetcher, VersionFetcher
@@ -39,8 +39,9 @@
 from trefoilpick.versions import VersionStore
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterator
+    from collections.abc import Callable, Coroutine, Iterator
     from random import Random
+    from typing import Any
 
     from trefoilpick.links import Links
     from trefoilpick.logs import StateLog
@@ -229,16 +230,19 @@
 
     async def run(self) -> None:
         """Run all tasks of the distribution until cancelled."""
+        tasks: dict[str, Callable[[], Coroutine[Any, Any, None]]] = {
+            "read_source": self.reader.run,
+            "elect_readers": self._reader_election.run,
+            "fetch_versions": self._versions.run,
+            "fetch_lists": self._lists.run,
+            "detect_pauses": self._pauses.run,
+            "join": self._joiner.run,
+            "exchange_state": self._exchanger.run,
+            "announce_lists": self._announce_lists,
+        }
         await run_until_first_ends(
             partial(self.links.run, self._handle_request),
-            self.reader.run,
-            self._reader_election.run,
-            self._versions.run,
-            self._lists.run,
-            self._pauses.run,
-            self._joiner.run,
-            self._exchanger.run,
-            self._announce_lists,
+            *(keep_running(task, name=name, metrics=self.metrics) for name, task in tasks.items()),
         )
 
     def apply_source_settings(self, settings: SourceSettings) -> None:
--- a/trefoilpick/hopserver.py
+++ b/trefoilpick/hopserver.py
@@ -6,6 +6,7 @@
 import socket
 from contextlib import suppress
 from dataclasses import dataclass
+from functools import partial
 from typing import TYPE_CHECKING
 
 import curio
@@ -16,6 +17,7 @@
 from trefoilpick._hop_exchange import ExchangeContext, HopExchange, encode_failure
 from trefoilpick._hop_listener import BACKLOG, accept_sockets
 from trefoilpick._open_hops import OpenHops
+from trefoilpick._task_groups import keep_running
 from trefoilpick.admission import AdmissionController, AdmissionLimits
 from trefoilpick.conventions import DEFAULT_CONVENTIONS
 from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError
@@ -31,7 +33,8 @@
 from trefoilpick.worker_statements import WorkerStatements
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Coroutine
+    from typing import Any
 
     from curio.io import Socket
 
@@ -191,11 +194,15 @@
         """Accept hops until cancelled."""
         self.admission.start_warm_up(read_clock())
         async with self._listener as listener, curio.TaskGroup() as group:
-            background_tasks = (
-                await group.spawn(self._hops.watch),
-                await group.spawn(self._accept_hops, listener, group),
-                await group.spawn(self._refuse_stale_waiters),
-            )
+            loops: dict[str, Callable[[], Coroutine[Any, Any, None]]] = {
+                "watch_hops": self._hops.watch,
+                "accept_hops": partial(self._accept_hops, listener, group),
+                "refuse_stale_waiters": self._refuse_stale_waiters,
+            }
+            background_tasks = [
+                await group.spawn(keep_running(loop, name=name, metrics=self._metrics))
+                for name, loop in loops.items()
+            ]
             async for task in group:
                 if task in background_tasks:
                     raise task.exception
--- a/trefoilpick/links.py
+++ b/trefoilpick/links.py
@@ -12,7 +12,7 @@
 from curio.traps import _read_wait
 
 from trefoilpick._clock import read_clock
-from trefoilpick._task_groups import run_until_first_ends
+from trefoilpick._task_groups import keep_running, run_until_first_ends
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 from trefoilpick.message_endpoint import MessageEndpoint
 from trefoilpick.messages import MAX_MESSAGE_BYTES
@@ -165,7 +165,10 @@
         """Receive messages until cancelled, then close all sockets."""
         self._message_endpoint.set_handler(handler)
         try:
-            tasks = [self._serve, self._close_idle]
+            tasks = [
+                keep_running(self._serve, name="serve_links", metrics=self._metrics),
+                keep_running(self._close_idle, name="close_idle_links", metrics=self._metrics),
+            ]
             if self._zap is not None:
                 tasks.append(partial(self._authenticate, self._zap))
             await run_until_first_ends(*tasks)
--- a/trefoilpick/message_endpoint.py
+++ b/trefoilpick/message_endpoint.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -29,6 +30,9 @@
 """Time without a message of an incarnation after which an earlier one is accepted, in seconds."""
 
 
+logger = logging.getLogger("trefoilpick")
+
+
 class ReplayWindow:
     """Detects replayed messages of one sender."""
 
@@ -164,6 +168,10 @@
                 "trefoilpick_control_messages_refused_total", reason=error.kind.value
             )
             return None
+        except Exception:
+            self._metrics.count("trefoilpick_control_messages_refused_total", reason="internal")
+            logger.exception("a message of a peer failed", extra={"vm": envelope.vm})
+            return None
         if body is None or envelope.request == 0:
             return None
         return self.encode(body, request=envelope.request, is_answer=True)
--- a/trefoilpick/node.py
+++ b/trefoilpick/node.py
@@ -15,7 +15,7 @@
 from trefoilpick._clock import read_clock
 from trefoilpick._counted_source import CountedSource
 from trefoilpick._node_status import build_fleet_status, build_node_status
-from trefoilpick._task_groups import run_until_first_ends
+from trefoilpick._task_groups import keep_running, run_until_first_ends
 from trefoilpick.callers import open_caller_server
 from trefoilpick.conventions import DEFAULT_CONVENTIONS
 from trefoilpick.distribution import open_distributor
@@ -111,9 +111,11 @@
             self.hop_server.run,
             self.caller_server.run,
             self._operator_server.run,
-            self._fetch_observed_versions,
+            keep_running(
+                self._fetch_observed_versions, name="fetch_observed_versions", metrics=self.metrics
+            ),
             self._drain_when_stopped,
-            self._report_readiness,
+            keep_running(self._report_readiness, name="report_readiness", metrics=self.metrics),
         )
         self._log.report(Event.NODE, "stopped")
 
--- a/trefoilpick/operatorserver.py
+++ b/trefoilpick/operatorserver.py
@@ -14,7 +14,7 @@
 
 from trefoilpick._http import MAX_HEAD_BYTES, HttpAnswer, receive_request, send_answer
 from trefoilpick._process_metrics import measure_process
-from trefoilpick._task_groups import run_until_first_ends
+from trefoilpick._task_groups import keep_running, run_until_first_ends
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 from trefoilpick.logs import LOGGER_NAME
 from trefoilpick.metrics import CONTENT_TYPE
@@ -103,7 +103,14 @@
         """Serve until cancelled."""
         self._windows = open_window_history(self._metrics, now_s=await curio.clock())
         async with self._sock:
-            await run_until_first_ends(partial(self._roll_windows, self._windows), self._accept)
+            await run_until_first_ends(
+                keep_running(
+                    partial(self._roll_windows, self._windows),
+                    name="roll_windows",
+                    metrics=self._metrics,
+                ),
+                self._accept,
+            )
 
     async def _roll_windows(self, windows: WindowHistory) -> None:
         while True:
@@ -112,7 +119,8 @@
 
     async def _accept(self) -> None:
         async with curio.TaskGroup(wait=None) as tasks:
-            await tasks.spawn(self._accept_into, tasks)
+            accept = partial(self._accept_into, tasks)
+            await tasks.spawn(keep_running(accept, name="accept_operators", metrics=self._metrics))
             async for task in tasks:
                 # Marks the finished task as joined; otherwise curio logs a warning.
                 task.joined = True
@@ -121,10 +129,10 @@
         while True:
             try:
                 client, _ = await self._sock.accept()
+                client.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
             except OSError:
                 await curio.sleep(ACCEPT_PAUSE_S)
                 continue
-            client.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
             if self._connections >= MAX_CONNECTIONS:
                 self._count(503)
                 await client.close()
