--- a/tests/test_hopserver_statements.py
+++ b/tests/test_hopserver_statements.py
@@ -6,6 +6,7 @@
 from dataclasses import replace
 
 import curio
+import pytest
 from fakes_worker import (
     Bench,
     PausedAnswer,
@@ -37,6 +38,11 @@
     return b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n" + lines + b"\r\nok"
 
 
+def refuse(retry_after: bytes) -> bytes:
+    head = b"HTTP/1.1 503 Busy\r\nx-not-run: 1\r\ncontent-length: 0\r\n"
+    return head + b"retry-after: " + retry_after + b"\r\n\r\n"
+
+
 def run(test: Callable[[Bench], Awaitable[None]], listed: list[Vm] | None = None) -> None:
     vms = listed if listed is not None else [OWN_VM]
 
@@ -183,3 +189,27 @@
         assert result.load is not None and result.load.leaving_worker is None
 
     run(test, listed)
+
+
+# Guards against dropping a worker's delay because it has a fraction.
+@pytest.mark.parametrize(
+    ("value", "expected_ms"),
+    [(b"0.35", 350), (b"2", 2000), (b"1.5", 1500), (b"60", 3000), (b"0", 0)],
+)
+def test_a_workers_retry_delay_may_have_a_fraction(value: bytes, expected_ms: int) -> None:
+    async def test(bench: Bench) -> None:
+        bench.worker.script = [respond(refuse(value))]
+        result = await bench.call(make_request())
+        assert (result.kind, result.retry_after_ms) == ("upstream_shed", expected_ms)
+
+    run(test)
+
+
+@pytest.mark.parametrize("value", [b"soon", b"-1", b"nan", b"", b"1e3", b"Wed, 21 Oct 2015 07:28"])
+def test_an_unreadable_retry_delay_of_a_worker_is_replaced_by_the_default(value: bytes) -> None:
+    async def test(bench: Bench) -> None:
+        bench.worker.script = [respond(refuse(value))]
+        result = await bench.call(make_request())
+        assert (result.kind, result.retry_after_ms) == ("upstream_shed", 100)
+
+    run(test)
--- a/trefoilpick/_hop_exchange.py
+++ b/trefoilpick/_hop_exchange.py
@@ -21,7 +21,7 @@
     encode_head,
 )
 from trefoilpick.tokens import StoredAnswer
-from trefoilpick.worker_statements import NO_STATEMENT
+from trefoilpick.worker_statements import NO_STATEMENT, parse_decimal
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -476,9 +476,8 @@
 
 def _parse_retry_after(value: bytes | None) -> float | None:
     """Return a worker's retry delay, in seconds; limited, since other workers may have capacity."""
-    if value is None or not value.isdigit():
-        return None
-    return min(float(value[:9]), MAX_RETRY_AFTER_S)
+    delay_s = None if value is None else parse_decimal(value)
+    return None if delay_s is None else min(delay_s, MAX_RETRY_AFTER_S)
 
 
 def _build_refused_error() -> TrefoilpickError:
--- a/trefoilpick/worker_statements.py
+++ b/trefoilpick/worker_statements.py
@@ -183,7 +183,13 @@
             is_leaving = value == LEAVING_MARK
     if limit is None:
         return WorkerStatement(is_leaving=True) if is_leaving else NO_STATEMENT
-    if _DECIMAL_NUMBER.fullmatch(limit) is None:
+    rate_limit = parse_decimal(limit)
+    if rate_limit is None:
         text = limit.decode("latin-1")[:MAX_LOGGED_CHARACTERS]
         return WorkerStatement(is_leaving=is_leaving, unreadable=text or "(empty)")
-    return WorkerStatement(float(limit), is_leaving)
+    return WorkerStatement(rate_limit, is_leaving)
+
+
+def parse_decimal(value: bytes) -> float | None:
+    """Return the number that a header states; None if it is not a decimal number."""
+    return None if _DECIMAL_NUMBER.fullmatch(value) is None else float(value)
