--- a/trefoilpick/_experiment_nodes.py
+++ b/trefoilpick/_experiment_nodes.py
@@ -58,6 +58,9 @@
     async def release(self, kind: RequestKind, served_s: float | None) -> None:
         """Release the slot; `served_s` is the service time, or None without an answer."""
 
+    def apply_rate_limit(self, rate_limit: float | None) -> None:
+        """Apply the rate that the worker states, in requests per second."""
+
     def count_requests(self) -> tuple[int, int]:
         """Return the number of running and of queued requests."""
 
@@ -84,6 +87,10 @@
         await self.controller.release(served_s=served_s, route=kind.name)
         await self.controller.refuse_late(read_clock())
 
+    def apply_rate_limit(self, rate_limit: float | None) -> None:
+        """Apply the rate that the worker states, in requests per second."""
+        self.controller.rate.set_limit(rate_limit)
+
     def count_requests(self) -> tuple[int, int]:
         """Return the number of running and of queued requests."""
         return self.controller.in_flight, self.controller.queued
@@ -98,6 +105,9 @@
     async def release(self, kind: RequestKind, served_s: float | None) -> None:
         """Do nothing, as `acquire` reserves no slot."""
 
+    def apply_rate_limit(self, rate_limit: float | None) -> None:
+        """Do nothing, as requests are not limited."""
+
     def count_requests(self) -> tuple[int, int]:
         """Return zeros, as requests are not counted."""
         return 0, 0
@@ -160,6 +170,10 @@
     def _may_retry(self, kind: RequestKind, error: TrefoilpickError, tried: list[str]) -> bool:
         if len(tried) > 1:
             return False
+        if error.kind is ErrorKind.UPSTREAM_LIMITED:
+            return False
+        if error.kind is ErrorKind.RATE_LIMITED:
+            return True
         if error.kind is ErrorKind.SHED:
             record = self.balancer.choose(self.upstream, read_clock(), avoid=tried)
             return not self.balancer.is_full(record, self.upstream, read_clock())
@@ -176,7 +190,9 @@
         try:
             await worker_node.serve(request)
         except TrefoilpickError as error:
-            if error.kind is not ErrorKind.SHED:
+            if error.kind is ErrorKind.RATE_LIMITED:
+                record.record_rate_refusal(read_clock(), error.retry_after_s or 0.0)
+            elif error.kind is not ErrorKind.SHED:
                 self.balancer.record_failure(record, read_clock())
             raise
         else:
@@ -268,7 +284,7 @@
         """Admit a request and run it on the worker.
 
         Raises:
-            TrefoilpickError: `SHED`, `UPSTREAM_SHED`, `UPSTREAM_FAILED` or
+            TrefoilpickError: `SHED`, `RATE_LIMITED`, `UPSTREAM_SHED`, `UPSTREAM_FAILED` or
                 `DEADLINE_AFTER_SEND`.
         """
         kind = request.kind
@@ -290,10 +306,21 @@
                 ErrorKind.DEADLINE_AFTER_SEND, "deadline passed while the worker ran the request"
             ) from error
         finally:
+            self.admission.apply_rate_limit(self.worker.faults.rate_limit)
             await self.admission.release(kind, served_s)
 
     def report_load(self) -> Load:
         """Return the load that the worker's node reports to other nodes."""
         in_flight, queued = self.admission.count_requests()
         vm = self.worker.vm.name
-        return Load(vm, 1, 1, "", in_flight, queued, SLOTS, self.worker.is_leaving)
+        return Load(
+            vm,
+            1,
+            1,
+            "",
+            in_flight,
+            queued,
+            SLOTS,
+            self.worker.is_leaving,
+            rate_limit=self.worker.faults.rate_limit,
+        )
--- a/trefoilpick/_worker_model.py
+++ b/trefoilpick/_worker_model.py
@@ -40,12 +40,14 @@
         slowness: Factor by which the service time is longer.
         shed_share: Share of requests that it sheds, regardless of its load.
         fail_share: Share of requests that it fails after running them.
+        rate_limit: Requests per second that it states that it accepts; None if it states none.
         is_unreachable: Whether it refuses new requests and fails those that it runs.
     """
 
     slowness: float = 1.0
     shed_share: float = 0.0
     fail_share: float = 0.0
+    rate_limit: float | None = None
     is_unreachable: bool = False
 
 
--- a/trefoilpick/experiments.py
+++ b/trefoilpick/experiments.py
@@ -17,7 +17,7 @@
 
 from trefoilpick._experiment_mesh import SimulatedMesh
 from trefoilpick._experiment_nodes import BaselinePolicy, CurrentPolicy
-from trefoilpick._experiment_workload import DATA_CENTRES, WORKERS
+from trefoilpick._experiment_workload import CAPACITY_PER_S, DATA_CENTRES, WORKERS
 from trefoilpick._virtual_time import run_virtual
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 
@@ -95,6 +95,11 @@
     await _impair(mesh.list_workers()[2:3], fail_share=0.6)
 
 
+async def _limit_rates(mesh: SimulatedMesh) -> None:
+    worker_capacity_per_s = CAPACITY_PER_S / WORKERS
+    await _impair(mesh.list_workers()[::3], slowness=5.0, rate_limit=worker_capacity_per_s / 5.0)
+
+
 async def _impair(workers: list[WorkerModel], **faults: float) -> None:
     """Inject faults into workers for 8 s, starting 4 s into the run."""
     await curio.sleep(4.0)
@@ -141,6 +146,7 @@
     ),
     Pattern("slow", "one worker is five times slower", _slow_one_worker),
     Pattern("shedding", "all workers shed a part of their requests", _shed_requests, load=0.6),
+    Pattern("limited", "a third of the workers are in need and state a limited rate", _limit_rates),
     Pattern("failing", "one worker fails more than half of its requests", _fail_requests),
     Pattern(
         "release", "one worker is removed while all others are replaced", _replace_workers, load=0.6
