--- a/trefoilpick/_experiment_mesh.py
+++ b/trefoilpick/_experiment_mesh.py
@@ -36,6 +36,7 @@
 from trefoilpick._worker_model import WorkerModel
 from trefoilpick.deadline_history import RETRY_DELAY_DIVISOR
 from trefoilpick.errors import TrefoilpickError, find_answer
+from trefoilpick.hopserver import QUEUE_POLL_S
 from trefoilpick.vms import Vm
 
 if TYPE_CHECKING:
@@ -116,11 +117,19 @@
     async def send_requests(self) -> None:
         """Send callers' requests for `DURATION_S` seconds and wait until all have ended."""
         until = read_clock() + DURATION_S
+        checks = await curio.spawn(self._check_waiting)
         async with curio.TaskGroup() as callers:
             while read_clock() < until:
                 await curio.sleep(self.random.expovariate(self.load * CAPACITY_PER_S))
                 kind = self.random.choices(REQUEST_KINDS, [kind.share for kind in REQUEST_KINDS])[0]
                 await callers.spawn(self._call, kind)
+        await checks.cancel()
+
+    async def _check_waiting(self) -> None:
+        while True:
+            for worker_node in list(self.worker_nodes.values()):
+                await worker_node.admission.check_waiting()
+            await curio.sleep(QUEUE_POLL_S)
 
     async def _call(self, kind: RequestKind) -> None:
         tally = self.tallies[kind.name]
--- a/trefoilpick/_experiment_nodes.py
+++ b/trefoilpick/_experiment_nodes.py
@@ -58,6 +58,9 @@
     async def release(self, kind: RequestKind, served_s: float | None) -> None:
         """Release the slot; `served_s` is the service time, or None without an answer."""
 
+    async def check_waiting(self) -> None:
+        """Admit or refuse waiting requests whose turn has come or who are late."""
+
     def apply_rate_limit(self, rate_limit: float | None) -> None:
         """Apply the rate that the worker states, in requests per second."""
 
@@ -85,7 +88,11 @@
     async def release(self, kind: RequestKind, served_s: float | None) -> None:
         """Release the slot; `served_s` is the service time, or None without an answer."""
         await self.controller.release(served_s=served_s, route=kind.name)
+
+    async def check_waiting(self) -> None:
+        """Admit or refuse waiting requests whose turn has come or who are late."""
         await self.controller.refuse_late(read_clock())
+        await self.controller.admit_waiting()
 
     def apply_rate_limit(self, rate_limit: float | None) -> None:
         """Apply the rate that the worker states, in requests per second."""
@@ -105,6 +112,9 @@
     async def release(self, kind: RequestKind, served_s: float | None) -> None:
         """Do nothing, as `acquire` reserves no slot."""
 
+    async def check_waiting(self) -> None:
+        """Do nothing, as no request waits."""
+
     def apply_rate_limit(self, rate_limit: float | None) -> None:
         """Do nothing, as requests are not limited."""
 
@@ -170,7 +180,7 @@
     def _may_retry(self, kind: RequestKind, error: TrefoilpickError, tried: list[str]) -> bool:
         if len(tried) > 1:
             return False
-        if error.kind is ErrorKind.UPSTREAM_LIMITED:
+        if error.kind in (ErrorKind.UPSTREAM_LIMITED, ErrorKind.DEADLINE_AFTER_SEND):
             return False
         if error.kind is ErrorKind.RATE_LIMITED:
             return True
