Soak: workers that state limited rates, that leave, and that send answers twice

Three kinds of faults, a monitor of what each worker gets against what it states, two breakages that the monitor must catch (ignore-limits, ignore-leaving; both caught), and a script in which the nodes beside limited and leaving workers are killed meanwhile. That script found that a restarted node uses a leaving worker again until the worker's first answer; the rule excuses it, and the check passes over it for 2 s.

--- a/soak/breakages.py
+++ b/soak/breakages.py
@@ -3,11 +3,21 @@
 from __future__ import annotations
 
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Any
 
 from trefoilpick import _at_most_once as at_most_once
-from trefoilpick import callers, errors, fetchers, forwarding, hopclient, retries, source_reader
+from trefoilpick import (
+    callers,
+    errors,
+    fetchers,
+    forwarding,
+    hopclient,
+    retries,
+    source_reader,
+    worker_rates,
+    worker_statements,
+)
 from trefoilpick import hopserver as hopserver_module
 from trefoilpick import node as node_module
 from trefoilpick.errors import Answer, ErrorKind, Outcome, TrefoilpickError
@@ -120,6 +130,18 @@
     node_module.Node.request_stop = exit_at_once  # type: ignore[method-assign]
 
 
+def _ignore_limits() -> None:
+    worker_rates.WorkerRate.set_limit = lambda self, limit: None  # type: ignore[method-assign]
+
+
+def _ignore_leaving() -> None:
+    def read_without_leaving(headers: Any, conventions: Any) -> Any:
+        return replace(read_statement(headers, conventions), is_leaving=False)
+
+    read_statement = worker_statements.read_statement
+    worker_statements.read_statement = read_without_leaving
+
+
 BREAKAGES = {
     "retry-without-proof": Breakage(
         "requests are retried without proof that they did not run", _retry_without_proof
@@ -134,6 +156,8 @@
     "go-back": Breakage(
         "the snapshot alternates between the current and the previous version", _alternate_snapshots
     ),
+    "ignore-limits": Breakage("a stated limit does not reduce a worker's requests", _ignore_limits),
+    "ignore-leaving": Breakage("a worker that states that it leaves is used", _ignore_leaving),
     "crash-on-stop": Breakage(
         "the node exits immediately when it is asked to stop", _crash_on_stop
     ),
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from collections import deque
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -41,6 +42,22 @@
 """Time between two status queries of a node, in seconds."""
 
 
+SAMPLE_INTERVAL_S = 0.1
+"""Time between two samples of a worker, in seconds."""
+
+STATED_AFTER_S = 3.0
+"""Time after a worker first states its limit from which the limit must hold, in seconds."""
+
+RATE_WINDOW_S = 4.0
+"""Window in which requests to a worker with a limited rate are counted, in seconds."""
+
+EXCESS_FACTOR, EXCESS_REQUESTS = 1.5, 5
+"""A worker may get this many times what its limit allows, and this many more."""
+
+DRAINED_AFTER_S = 2.0
+"""Time after which a worker that states that it leaves must get no more requests, in seconds."""
+
+
 @dataclass
 class NodeMonitor:
     """Polls the status of all nodes while the soak runs.
@@ -104,6 +121,86 @@
         return status.ready and status.version.number == self.fleet.newest
 
 
+@dataclass(frozen=True)
+class WorkerSample:
+    """What a worker stated at a moment, and how many requests it had run until then."""
+
+    at: float
+    runs: int
+    rate_limit: float | None
+    is_leaving: bool
+
+
+@dataclass
+class StatementMonitor:
+    """Checks that workers get no more requests than they state that they accept.
+
+    Attributes:
+        fleet: The fleet.
+        violations: Descriptions of violated guarantees.
+    """
+
+    fleet: SoakFleet
+    violations: list[str] = field(default_factory=list)
+    _samples: dict[str, deque[WorkerSample]] = field(default_factory=dict)
+
+    async def run(self) -> None:
+        """Sample all workers until cancelled."""
+        while True:
+            for node in self.fleet.nodes:
+                self._check(node)
+            await curio.sleep(SAMPLE_INTERVAL_S)
+
+    def _check(self, node: SoakNode) -> None:
+        worker = node.worker
+        sample = WorkerSample(
+            time.monotonic(), worker.runs.total(), worker.rate_limit, worker.is_leaving
+        )
+        samples = self._samples.setdefault(worker.vm, deque())
+        if samples and (samples[-1].rate_limit, samples[-1].is_leaving) != (
+            sample.rate_limit,
+            sample.is_leaving,
+        ):
+            samples.clear()
+        samples.append(sample)
+        if self._is_excused(node, samples[0].at):
+            samples.clear()
+        elif sample.rate_limit is not None:
+            self._check_rate(worker.vm, samples, sample.rate_limit)
+        elif sample.is_leaving:
+            self._check_leaving(worker.vm, samples)
+
+    def _is_excused(self, node: SoakNode, since: float) -> bool:
+        """Return whether all nodes that took part in a request may have forgotten a statement.
+
+        A restarted node beside the worker learns a limit from the next request of a node that knows
+        it. That the worker leaves it learns from the answer to a request of its own callers.
+        """
+        others = (other for other in self.fleet.nodes if other is not node)
+        is_known_to_others = not any(other.started_at > since for other in others)
+        return node.started_at > since and (node.worker.is_leaving or not is_known_to_others)
+
+    def _check_rate(self, vm: str, samples: deque[WorkerSample], rate_limit: float) -> None:
+        newest = samples[-1]
+        checked = [sample for sample in samples if sample.at >= samples[0].at + STATED_AFTER_S]
+        window = [sample for sample in checked if sample.at >= newest.at - RATE_WINDOW_S]
+        if not window:
+            return
+        allowed = EXCESS_FACTOR * rate_limit * RATE_WINDOW_S + EXCESS_REQUESTS
+        got = newest.runs - window[0].runs
+        if got > allowed:
+            self.violations.append(
+                f"worker of {vm} got {got} requests in {RATE_WINDOW_S:g} s; allowed {allowed:g}"
+            )
+            samples.clear()
+
+    def _check_leaving(self, vm: str, samples: deque[WorkerSample]) -> None:
+        known = [sample for sample in samples if sample.at >= samples[0].at + DRAINED_AFTER_S]
+        if known and known[-1].runs > known[0].runs:
+            self.violations.append(f"worker of {vm} got requests although it states that it leaves")
+            samples.clear()
+
+
 async def query_status(node: SoakNode) -> NodeStatus | None:
     """Return a node's status; None if it does not answer."""
     try:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -34,6 +34,13 @@
 RESET_INTERVAL_S = 0.2
 """Time between two resets of all connections, in seconds: some calls finish in between."""
 
+LIMITED_S = 9.0
+"""Time for which a worker states a limited rate, in seconds: the time after which the rate is
+checked, and more than one window of the check."""
+
+LEAVING_S = 2.5
+"""Shortest time for which a worker states that it is leaving, in seconds."""
+
 STOP_LIMIT_S = 12.0
 """Time after SIGTERM at which a node that has not exited is killed, in seconds: more than twice its
 drain notice and drain limit together, for a busy machine."""
@@ -105,6 +112,32 @@
     trouble: LinkTrouble
 
 
+@dataclass(frozen=True)
+class WorkerLimited:
+    """A worker is in need and states how many requests per second it accepts."""
+
+    node: int
+    for_s: float
+    rate_limit: float
+
+
+@dataclass(frozen=True)
+class WorkerLeft:
+    """A worker states that it is leaving, and later another one takes its place."""
+
+    node: int
+    for_s: float
+
+
+@dataclass(frozen=True)
+class AnswersCopied:
+    """A worker sends a second copy of each answer a little later."""
+
+    node: int
+    for_s: float
+    delay_s: float
+
+
 @dataclass(frozen=True)
 class SourceTroubled:
     """The source is faulty for all nodes, or unreachable for one node, for a time.
@@ -150,6 +183,9 @@
     | LinksTroubled
     | LinksReset
     | WorkerTroubled
+    | WorkerLimited
+    | WorkerLeft
+    | AnswersCopied
     | SourceTroubled
     | SourceRestored
     | VersionsAccepted
@@ -201,6 +237,9 @@
             random.choice((SERVICE_TIME_S, 0.4)),
             random.choice((NO_TROUBLE, *LINK_TROUBLES)),
         ),
+        lambda: WorkerLimited(node, LIMITED_S, random.choice((0.0, 2.5, 6.0))),
+        lambda: WorkerLeft(node, LEAVING_S + for_s),
+        lambda: AnswersCopied(node, for_s, random.choice((0.0, 0.01, 0.1))),
         lambda: SourceTroubled(for_s, random.choice(SOURCE_FAULTS)),
         lambda: SourceTroubled(for_s, Faults(), node),
         lambda: SourceRestored(
@@ -304,6 +343,35 @@
         node.worker_link.trouble = NO_TROUBLE
 
 
+@inject.register(WorkerLimited)
+async def _(fault: WorkerLimited, fleet: SoakFleet) -> None:
+    worker = fleet.nodes[fault.node].worker
+    if worker.rate_limit is not None:
+        return
+    worker.rate_limit = fault.rate_limit
+    await curio.sleep(fault.for_s)
+    worker.rate_limit = None
+
+
+@inject.register(WorkerLeft)
+async def _(fault: WorkerLeft, fleet: SoakFleet) -> None:
+    node = fleet.nodes[fault.node]
+    others = [other for other in fleet.nodes if other.worker.service == node.worker.service]
+    if any(other.worker.is_leaving for other in others):
+        return
+    node.worker.is_leaving = True
+    await curio.sleep(fault.for_s)
+    await fleet.replace_worker(node)
+
+
+@inject.register(AnswersCopied)
+async def _(fault: AnswersCopied, fleet: SoakFleet) -> None:
+    worker = fleet.nodes[fault.node].worker
+    worker.copy_delay_s = fault.delay_s
+    await curio.sleep(fault.for_s)
+    worker.copy_delay_s = None
+
+
 @inject.register(SourceTroubled)
 async def _(fault: SourceTroubled, fleet: SoakFleet) -> None:
     if fault.node is None:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -7,7 +7,7 @@
 import sys
 import time
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
 import curio
@@ -66,6 +66,7 @@
         source_link: Proxy between the node and the source.
         process: The process of the node, running or exited; None before the first start.
         incarnation: Number of times that its process was started.
+        started_at: When its process was last started, in seconds on the monotonic clock.
         clock_path: File with the offset of its wall clock, in milliseconds.
         last_fault_at: When a fault last affected it, in seconds on the monotonic clock.
         sigterm_at: When its process last received SIGTERM, in seconds on the monotonic clock.
@@ -81,6 +82,7 @@
     clock_path: Path
     process: subprocess.Popen[bytes] | None = None
     incarnation: int = 0
+    started_at: float = float("-inf")
     last_fault_at: float = float("-inf")
     sigterm_at: float = float("-inf")
     is_down: bool = False
@@ -115,6 +117,7 @@
     standin: Standin
     nodes: list[SoakNode] = field(default_factory=list)
     accepted: dict[int, float] = field(default_factory=dict)
+    _vms_revision: int = 0
     _accepted_at_ms: dict[int, int] = field(default_factory=dict)
 
     @property
@@ -133,7 +136,7 @@
         """Publish a version and the list of VMs, and start nodes, workers and proxies."""
         await curio.spawn(self.standin.run, daemon=True)
         self.nodes = [self._build_node(number) for number in range(count)]
-        await self.standin.put_vms(1, (node.vm for node in self.nodes))
+        await self.publish_vms()
         await self.accept()
         for node in self.nodes:
             for proxy in (*node.links, node.worker_link, node.source_link):
@@ -149,6 +152,17 @@
         self.accepted[number] = time.monotonic()
         return number
 
+    async def publish_vms(self) -> None:
+        """Publish the list of VMs under the next revision."""
+        self._vms_revision += 1
+        await self.standin.put_vms(self._vms_revision, (node.vm for node in self.nodes))
+
+    async def replace_worker(self, node: SoakNode) -> None:
+        """Replace a worker that is leaving by one that starts under the same name."""
+        node.worker.is_leaving = False
+        node.vm = replace(node.vm, started_ms=node.vm.started_ms + 1)
+        await self.publish_vms()
+
     async def _publish(self, number: int) -> None:
         sections = build_moved_version() if number % 2 == 0 else build_first_version()
         await self.standin.put_version(
@@ -165,7 +179,7 @@
         await self.standin.restore(back_s)
         await self.standin.set_faults(NO_FAULTS)
         await curio.sleep(rewritten_after_s)
-        await self.standin.put_vms(1, (node.vm for node in self.nodes))
+        await self.publish_vms()
         await self._publish(self.newest)
 
     def start_node(self, node: SoakNode) -> None:
@@ -179,6 +193,7 @@
             node.process = subprocess.Popen(command, stdout=log, stderr=log)
         node.incarnation += 1
         node.is_down = False
+        node.started_at = time.monotonic()
 
     def signal_node(self, node: SoakNode, number: signal.Signals) -> None:
         """Send a signal to a node's process, if it runs."""
@@ -200,6 +215,7 @@
             node.set_links(NO_TROUBLE)
             node.worker_link.trouble = node.source_link.trouble = NO_TROUBLE
             node.worker.service_time_s = SERVICE_TIME_S
+            node.worker.rate_limit = node.worker.copy_delay_s = None
             node.clock_path.write_text("0")
             self.signal_node(node, signal.SIGCONT)
             if node.process is not None and node.process.poll() is not None:
@@ -226,6 +242,8 @@
             links_host,
             CONTROL_PORT,
             HOP_PORT,
+            worker=f"worker-{number}",
+            started_ms=1,
         )
         worker_host = self._build_host(WORKERS_NET, number)
         source_host, _, source_port = self.standin.address.partition(":")
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -11,7 +11,7 @@
 import curio
 
 from soak.callers import LibraryCaller, PersistentCaller
-from soak.checks import NodeMonitor, check_calls, check_recovery
+from soak.checks import NodeMonitor, StatementMonitor, check_calls, check_recovery
 from soak.faults import draw_faults, inject
 from soak.fleet import open_fleet
 from trefoilpick._call_totals import CallResult
@@ -88,19 +88,20 @@
     await monitor.wait_for_recovery()
     callers = _build_callers(fleet, rng)
     tasks = [await curio.spawn(caller.run, daemon=True) for caller in callers]
-    monitor_task = await curio.spawn(monitor.run, daemon=True)
+    statements = StatementMonitor(fleet)
+    monitors = [await curio.spawn(run, daemon=True) for run in (monitor.run, statements.run)]
     faults = await _inject_all(plan, fleet, rng)
     fleet.undo_faults()
     await monitor.wait_for_recovery()
     recovered_at = time.monotonic()
     await curio.sleep(AFTER_RECOVERY_S)
-    await monitor_task.cancel()
-    for task in tasks:
+    for task in (*monitors, *tasks):
         # Calls in flight are cancelled and not checked.
         await task.cancel()
     finished: list[FinishedCall] = [entry for caller in callers for entry in caller.finished]
     violations = [
         *monitor.violations,
+        *statements.violations,
         *check_calls(finished, fleet),
         *check_recovery(finished, recovered_at),
         *(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,7 +7,16 @@
 
 import pytest
 
-from soak.faults import LinksReset, NodeStopped, VersionsAccepted, WorkerTroubled
+from soak.faults import (
+    AnswersCopied,
+    LinksReset,
+    NodeKilled,
+    NodeStopped,
+    VersionsAccepted,
+    WorkerLeft,
+    WorkerLimited,
+    WorkerTroubled,
+)
 from soak.proxies import NO_TROUBLE
 from soak.runs import RunPlan, run_soak
 
@@ -31,6 +40,16 @@
 )
 """Nodes are stopped one after the other while their workers take 0.4 s for a request."""
 
+NEEDS = (
+    *((0.1 + node, WorkerLimited(node, 12.0, 2.5)) for node in range(2)),
+    (8.0, NodeKilled(0, 0.3)),
+    (8.5, WorkerLeft(2, 5.0)),
+    (11.0, NodeKilled(2, 0.3)),
+    *((0.1, AnswersCopied(node, 14.0, 0.01)) for node in range(NODES)),
+)
+"""Workers state limits and that they leave, the nodes beside them are killed meanwhile, and every
+worker sends each answer twice."""
+
 EXPECTED_VIOLATIONS = {
     "retry-without-proof": (RESETS, "doubled"),
     "deny-runs": (RESETS, "not run"),
@@ -38,6 +57,8 @@
     "go-back": (RESETS, "went back"),
     "ignore-versions": ((*RESETS, (15.0, VersionsAccepted(1))), "due"),
     "leave-at-once": (STOPS, "was cut"),
+    "ignore-limits": (NEEDS, "requests in 4 s"),
+    "ignore-leaving": (NEEDS, "states that it leaves"),
 }
 """By breakage, the faults that expose it and a part of the violation that the soak reports."""
 
@@ -54,6 +75,13 @@
     assert report.answered > 0
 
 
+def test_stated_needs_hold_while_the_nodes_beside_the_workers_are_killed(tmp_path: Path) -> None:
+    plan = RunPlan(SEED, NODES, seconds=0.0, script=NEEDS)
+    report = run_soak(plan, folder=tmp_path, network=pick_network())
+    assert report.violations == ()
+    assert report.answered > 0
+
+
 @pytest.mark.parametrize("breakage", EXPECTED_VIOLATIONS)
 def test_breakage_is_detected(breakage: str, tmp_path: Path) -> None:
     script, violation = EXPECTED_VIOLATIONS[breakage]
--- a/trefoilpick/_cli_node.py
+++ b/trefoilpick/_cli_node.py
@@ -42,9 +42,15 @@
     host: Annotated[str, typer.Option(help="IP address to listen on.")] = "127.0.0.1",
     port: Annotated[int, typer.Option(help="Port to listen on.")] = 9100,
     service_time_ms: Annotated[float, typer.Option(help="Service time of a request, in ms.")] = 0.0,
+    rate_limit: Annotated[
+        float | None,
+        typer.Option(help="Requests per second that it states that it accepts.", min=0),
+    ] = None,
 ) -> None:
     """Run a stand-in for a worker of an upstream, for trials without a real one."""
-    stand_in = Worker(vm, service, host, port, service_time_s=service_time_ms / 1_000)
+    stand_in = Worker(
+        vm, service, host, port, service_time_s=service_time_ms / 1_000, rate_limit=rate_limit
+    )
     console.print(f'worker of "{service}" on {host}:{port}', highlight=False)
     curio.run(_serve_worker(stand_in))
 
