Membership: exchange with peers which workers stated that they are leaving

What operators of similar systems saw: after a restart of one of the system's processes, a server that had left was in use again. It could happen here with what a worker states itself: the soak's script that kills the node beside a leaving worker found requests at that worker until its first answer (reported as 'worker of vm-2 got requests although it states that it leaves'; the check then passed over it).

Change: the membership table keeps the leaving workers by VM and incarnation and lists them as leaving, whatever the platform's list says; heartbeats carry those that are listed (none, usually), so a node has them before it is ready. Deltas of the list still carry the platform's own records.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -174,11 +174,10 @@
         """Return whether all nodes that took part in a request may have forgotten a statement.
 
         A restarted node beside the worker learns a limit from the next request of a node that knows
-        it. That the worker leaves it learns from the answer to a request of its own callers.
+        it, and from its peers that the worker leaves.
         """
         others = (other for other in self.fleet.nodes if other is not node)
-        is_known_to_others = not any(other.started_at > since for other in others)
-        return node.started_at > since and (node.worker.is_leaving or not is_known_to_others)
+        return node.started_at > since and any(other.started_at > since for other in others)
 
     def _check_rate(self, vm: str, samples: deque[WorkerSample], rate_limit: float) -> None:
         newest = samples[-1]
--- a/tests/fakes_hop.py
+++ b/tests/fakes_hop.py
@@ -44,7 +44,7 @@
     WorkerSettings,
 )
 from trefoilpick.snapshots import SnapshotCell, build_snapshot
-from trefoilpick.vms import Vm
+from trefoilpick.vms import Vm, WorkerIdentity
 
 HOST = "127.0.0.1"
 PART_BYTES = 500_000
@@ -187,6 +187,7 @@
         self.refused: list[str] = []
         self.leaving: list[str] = []
         self.alive: list[tuple[str, int]] = []
+        self.left: list[tuple[str, WorkerIdentity]] = []
 
     def list_endpoints(self, service: str) -> tuple[Vm, ...]:
         return tuple(vm for vm in self.vms if vm.service == service)
@@ -203,6 +204,9 @@
     def record_alive(self, vm: str, incarnation: int) -> None:
         self.alive.append((vm, incarnation))
 
+    def record_worker_left(self, vm: str, worker: WorkerIdentity) -> None:
+        self.left.append((vm, worker))
+
 
 @dataclass
 class Bench:
--- a/tests/matrix_requests.py
+++ b/tests/matrix_requests.py
@@ -39,7 +39,7 @@
 )
 from trefoilpick.snapshots import SnapshotCell, build_snapshot
 from trefoilpick.standin_worker import Worker
-from trefoilpick.vms import Vm
+from trefoilpick.vms import Vm, WorkerIdentity
 
 DEADLINE_S = 8.0
 PAUSE_S = 20.0
@@ -236,6 +236,9 @@
     def record_alive(self, vm_name: str, incarnation: int) -> None:
         pass
 
+    def record_worker_left(self, vm_name: str, worker: WorkerIdentity) -> None:
+        pass
+
 
 class WorkerVm:
     """A VM with its worker and the hop server of its node."""
--- a/tests/test_balancing.py
+++ b/tests/test_balancing.py
@@ -66,6 +66,9 @@
     def record_alive(self, vm: str, incarnation: int) -> None:
         self.notified.append(("alive", vm))
 
+    def record_worker_left(self, vm: str, worker: WorkerIdentity) -> None:
+        self.notified.append(("worker left", vm))
+
     def choose(self) -> WorkerRecord:
         return self.balancer.choose(UPSTREAM, self.now)
 
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -1,3 +1,5 @@
+from dataclasses import replace
+
 import curio
 import pytest
 from fakes_fleet import FakeFleet, make_version, make_vms
@@ -398,3 +400,25 @@
         await fleet.wait_all(2, 30)
 
     run_virtual(main())
+
+
+# Guards against using a worker that has left again because the nodes that knew were restarted.
+def test_a_restarted_node_learns_from_its_peers_which_workers_have_left() -> None:
+    async def main() -> None:
+        fleet = await start_fleet()
+        name = fleet.vms[3].name
+        leaving = replace(fleet.vms[3], worker="i-1", started_ms=1)
+        vms = (*fleet.vms[:3], leaving, *fleet.vms[4:])
+        await fleet.publish_vms(2, vms)
+        nodes = fleet.nodes.values()
+        await fleet.wait_for(lambda: all(n.membership.revision == 2 for n in nodes), 10)
+        first = fleet.nodes[fleet.vms[0].name]
+        first.membership.record_worker_left(name, leaving.worker_identity)
+        await fleet.wait_for(lambda: all(n.membership.is_leaving(name) for n in nodes), 20)
+        await fleet.kill(name)
+        await fleet.start(name)
+        restarted = fleet.nodes[name]
+        await fleet.wait_for(lambda: restarted.distributor.is_ready, 20)
+        assert restarted.membership.is_leaving(name)
+
+    run_virtual(main())
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -153,3 +153,18 @@
     for name in everyone - {OWN.name, PEER.name}:
         membership.record_link(name, is_low_bandwidth=False)
     assert membership.list_low_bandwidth(is_low_bandwidth=False) == {PEER.name}
+
+
+def test_a_vm_whose_worker_left_is_no_endpoint_until_another_worker_is_listed() -> None:
+    membership, _ = open_membership()
+    first = replace(PEER, worker="i-1", started_ms=1)
+    membership.adopt_list(VmList(2, (*(vm for vm in VMS if vm != PEER), first)))
+    membership.record_worker_left(PEER.name, first.worker_identity)
+    assert PEER.name not in {vm.name for vm in membership.list_endpoints(PEER.service)}
+    assert membership.is_leaving(PEER.name)
+    # Peers get the platform's own record in a delta.
+    assert first in membership.compute_change(0).changed
+    second = replace(first, started_ms=2)
+    membership.adopt_list(VmList(3, (*(vm for vm in VMS if vm != PEER), second)))
+    assert second in membership.list_endpoints(PEER.service)
+    assert membership.list_left_workers() == ()
--- a/trefoilpick/_experiment_mesh.py
+++ b/trefoilpick/_experiment_mesh.py
@@ -42,6 +42,8 @@
 if TYPE_CHECKING:
     import random
 
+    from trefoilpick.vms import WorkerIdentity
+
 
 @dataclass
 class SimulatedMesh:
@@ -114,6 +116,9 @@
     def record_alive(self, vm: str, incarnation: int) -> None:
         """Do nothing: `list_endpoints` reads the state of the worker models directly."""
 
+    def record_worker_left(self, vm: str, worker: WorkerIdentity) -> None:
+        """Do nothing: `list_endpoints` reads the state of the worker models directly."""
+
     async def send_requests(self) -> None:
         """Send callers' requests for `DURATION_S` seconds and wait until all have ended."""
         until = read_clock() + DURATION_S
--- a/trefoilpick/balancing.py
+++ b/trefoilpick/balancing.py
@@ -117,6 +117,9 @@
     def record_alive(self, vm: str, incarnation: int) -> None:
         """Record that a VM's node answered."""
 
+    def record_worker_left(self, vm: str, worker: WorkerIdentity) -> None:
+        """Record that a VM's worker stated that it is leaving."""
+
 
 class WorkerRecord:
     """Load, latency and failures of one worker as observed by this node.
@@ -453,6 +456,8 @@
             self._directory.record_alive(load.vm, load.incarnation)
         if load.leaving and not was_leaving:
             self._directory.record_leaving(load.vm)
+        if load.leaving_worker is not None:
+            self._directory.record_worker_left(load.vm, load.leaving_worker)
         if load.failing_percent >= EJECTION_PERCENT:
             record.ejection.eject(now, self._random)
 
--- a/trefoilpick/distribution.py
+++ b/trefoilpick/distribution.py
@@ -21,6 +21,7 @@
     Announcement,
     Exchange,
     Leaving,
+    LeftWorker,
     StatusAnswer,
     StatusRequest,
     WireVersion,
@@ -37,6 +38,7 @@
 from trefoilpick.state_exchanges import StateExchanger
 from trefoilpick.status import PeerStatus, Standing
 from trefoilpick.versions import VersionStore
+from trefoilpick.vms import WorkerIdentity
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine, Iterator
@@ -327,6 +329,10 @@
             reader_age_ms=self._reader_election.get_reader_age_ms(),
             leaving=self._is_leaving,
             has_low_bandwidth_link=self._control.thin_link,
+            left_workers=tuple(
+                LeftWorker(name, worker.worker, worker.started_ms)
+                for name, worker in self.membership.list_left_workers()
+            ),
         )
 
     def build_status_answer(self) -> StatusAnswer:
@@ -403,6 +409,9 @@
                 self.membership.record_leaving(name)
             if vm.data_centre == self.own.data_centre:
                 self._reader_election.record_reader_age(state.reader_age_ms / 1000)
+        for left in state.left_workers:
+            worker = WorkerIdentity(left.worker, left.started_ms)
+            self.membership.record_worker_left(left.vm, worker)
         await self._add_offers(state.held, state.vms_revision, address)
 
     async def handle_announcement(self, announcement: Announcement, vm: Vm) -> None:
--- a/trefoilpick/membership.py
+++ b/trefoilpick/membership.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from trefoilpick._clock import read_clock
+from trefoilpick.left_workers import LeftWorkers
 from trefoilpick.list_corrections import DEFAULT_EXPIRY_S, ListCorrections
 from trefoilpick.revisions import get_era
 from trefoilpick.vms import Vm, VmList, VmState
@@ -13,6 +14,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator
 
+    from trefoilpick.vms import WorkerIdentity
+
 DEAD_AFTER_MISSES = 3
 """Consecutive missed heartbeats after which a VM is considered dead."""
 
@@ -105,6 +108,7 @@
         self._clock = clock
         self._listed: dict[str, Vm] = {}
         self._corrections = ListCorrections(expiry_s=expiry_s, clock=clock)
+        self._left_workers = LeftWorkers()
         self._corrected: dict[str, Vm] = self._listed
         self._changed_at: dict[str, int] = {}
         self._removed_at: dict[str, int] = {}
@@ -203,6 +207,15 @@
         """Record that the current incarnation of a VM accepts no new work."""
         self._ensure_observed(name).is_leaving = True
 
+    def record_worker_left(self, name: str, worker: WorkerIdentity) -> None:
+        """Record that a VM's worker stated that it is leaving."""
+        if self._left_workers.record(name, worker):
+            self._correct()
+
+    def list_left_workers(self) -> tuple[tuple[str, WorkerIdentity], ...]:
+        """Return the listed VMs whose worker stated that it is leaving, with the worker."""
+        return tuple(self._left_workers.list_listed(self._listed))
+
     def record_link(self, name: str, *, is_low_bandwidth: bool) -> None:
         """Record whether a VM has a low-bandwidth link."""
         self._ensure_observed(name).has_low_bandwidth_link = is_low_bandwidth
@@ -297,7 +310,9 @@
         return self._corrected
 
     def _correct(self) -> None:
-        self._corrected = {vm.name: vm for vm in self._corrections.apply(self._listed)}
+        self._corrected = {
+            vm.name: self._left_workers.apply(vm) for vm in self._corrections.apply(self._listed)
+        }
         for name in self._corrected.keys() & self._unlisted.keys():
             del self._unlisted[name]
         self._services = None
--- a/trefoilpick/messages.py
+++ b/trefoilpick/messages.py
@@ -10,6 +10,7 @@
 
 from trefoilpick.document import Name
 from trefoilpick.errors import ErrorKind, TrefoilpickError
+from trefoilpick.left_workers import MAX_LEFT_WORKERS
 from trefoilpick.manifest import VersionId
 from trefoilpick.vms import Vm
 
@@ -30,6 +31,20 @@
     digest: RawDigest
 
 
+class LeftWorker(msgspec.Struct, frozen=True, array_like=True):
+    """A worker that stated that it is leaving.
+
+    Attributes:
+        vm: Name of its VM.
+        worker: Its identity.
+        started_ms: Start of its incarnation, in milliseconds since the Unix epoch.
+    """
+
+    vm: Name
+    worker: Annotated[str, Meta(max_length=200)]
+    started_ms: Count
+
+
 class Exchange(msgspec.Struct, frozen=True, array_like=True, tag=1):
     """Compact state of a node: a heartbeat, and also the answer to one.
 
@@ -41,6 +56,7 @@
         leaving: Whether the node accepts no new work.
         has_low_bandwidth_link: Whether its link has too little bandwidth to read the source while
             other nodes can.
+        left_workers: Listed workers that stated that they are leaving.
     """
 
     held: WireVersion
@@ -49,6 +65,7 @@
     reader_age_ms: Count
     leaving: bool
     has_low_bandwidth_link: bool = False
+    left_workers: Annotated[tuple[LeftWorker, ...], Meta(max_length=MAX_LEFT_WORKERS)] = ()
 
 
 class Hello(msgspec.Struct, frozen=True, array_like=True, tag=2):
--- a/trefoilpick/worker_statements.py
+++ b/trefoilpick/worker_statements.py
@@ -25,7 +25,7 @@
 LEAVING_MARK = b"1"
 """Value of the header by which a worker states that it is leaving."""
 
-MAX_LEFT_WORKERS = 16
+MAX_REMEMBERED_WORKERS = 16
 """Largest number of workers that left this VM and are remembered."""
 
 NS_PER_MS = 1_000_000
@@ -83,7 +83,7 @@
         self._metrics = metrics
         self._read_wall_ms = read_wall_ms
         self._worker = UNKNOWN_WORKER
-        self._left: deque[WorkerIdentity] = deque(maxlen=MAX_LEFT_WORKERS)
+        self._left: deque[WorkerIdentity] = deque(maxlen=MAX_REMEMBERED_WORKERS)
         self._unknown_left_at_ms = 0
         self._unknown_left_until_s = 0.0
         self._has_answered = False
