--- a/trefoilpick/admission.py
+++ b/trefoilpick/admission.py
@@ -239,27 +239,36 @@
 
     async def _wait_for_slot(self, waiter: Waiter) -> float:
         try:
-            async with curio.timeout_after(waiter.deadline_s - read_clock()):
+            while not waiter.decided.is_set():
                 await self._wait_for_decision(waiter)
-        except BaseException as error:
+        except BaseException:
             if not waiter.decided.is_set():
                 self._remove(waiter)
             elif waiter.refusal is None:
                 await self.release()
-            if isinstance(error, curio.TaskTimeout):
-                raise _build_expired_error() from error
             raise
         if waiter.refusal is not None:
             raise waiter.refusal
         return read_clock()
 
     async def _wait_for_decision(self, waiter: Waiter) -> None:
-        while self.rate.limit is not None and not waiter.decided.is_set():
-            # No other request may end when the rate allows the next one.
-            async with curio.ignore_after(max(self.rate.estimate_wait(), MIN_RATE_WAIT_S)):
+        """Wait until a request is admitted or refused, or the rate may allow the next one.
+
+        No other request may end at that moment, so a waiting one has to look.
+
+        Raises:
+            TrefoilpickError: `DEADLINE_BEFORE_RUN`.
+        """
+        pause_s = waiter.deadline_s - read_clock()
+        if self.rate.limit is not None:
+            pause_s = min(pause_s, max(self.rate.estimate_wait(), MIN_RATE_WAIT_S))
+        try:
+            async with curio.timeout_after(pause_s):
                 await waiter.decided.wait()
+        except curio.TaskTimeout as error:
+            if read_clock() >= waiter.deadline_s:
+                raise _build_expired_error() from error
             await self.admit_waiting()
-        await waiter.decided.wait()
 
     async def _enqueue(self, waiter: Waiter, now_s: float, slots: int) -> None:
         start_s = now_s + self._estimate_start(waiter, slots)
