Tests: errors of background tasks fail a test, a matrix cell and a soak

Cause: since nodes start failed tasks again, an assertion of a check that runs inside a node's task was logged and no longer failed the cell; fakes_fleet's RecordingCell had become blind in the same way.

Now fakes_tasks raises the first such error at the end: in run_cell, and by an autouse fixture in every test without the mark task_errors (the tests that inject such errors, and breakages, whose cell raises). The soak reports nodes whose logs have such a line. ProcessDeathError, which simulates a death, is a cancellation, so that no task outlives it.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -19,6 +19,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
+    from pathlib import Path
 
     from soak.callers import FinishedCall
     from soak.fleet import SoakFleet, SoakNode
@@ -42,6 +43,9 @@
 """Time between two status queries of a node, in seconds."""
 
 
+TASK_FAILURE = b"a task failed and is started again"
+"""Message of the log line about an unexpected error of a background task."""
+
 SAMPLE_INTERVAL_S = 0.1
 """Time between two samples of a worker, in seconds."""
 
@@ -228,6 +232,13 @@
             yield f"{call.request_id} was served by {call.service}, which no longer has its route"
 
 
+def check_logs(folder: Path) -> Iterator[str]:
+    """Yield a violation for each node whose log has unexpected errors of background tasks."""
+    for path in sorted(folder.glob("*.log")):
+        if TASK_FAILURE in path.read_bytes():
+            yield f"a background task failed: {path.name}"
+
+
 def check_recovery(finished: Iterable[FinishedCall], recovered_at: float) -> Iterator[str]:
     """Yield a violation if too few calls were answered after the recovery."""
     after_recovery = [entry for entry in finished if entry.sent_at > recovered_at]
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -11,7 +11,7 @@
 import curio
 
 from soak.callers import LibraryCaller, PersistentCaller
-from soak.checks import NodeMonitor, StatementMonitor, check_calls, check_recovery
+from soak.checks import NodeMonitor, StatementMonitor, check_calls, check_logs, check_recovery
 from soak.faults import draw_faults, inject
 from soak.fleet import open_fleet
 from trefoilpick._call_totals import CallResult
@@ -104,6 +104,7 @@
         *statements.violations,
         *check_calls(finished, fleet),
         *check_recovery(finished, recovered_at),
+        *check_logs(fleet.folder),
         *(
             text
             for caller in callers
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,10 +1,15 @@
-"""Passes over the known failures that KNOWN-RED.txt at the root lists; any other failure counts."""
+"""Passes over the known failures that KNOWN-RED.txt at the root lists; any other failure counts.
+
+A test also fails if a background task of a node failed in it, unless it expects that.
+"""
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
+from fakes_tasks import raise_task_errors
 
 ROOT = Path(__file__).parents[1]
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
@@ -24,3 +29,13 @@
     for item in items:
         if item.nodeid in known:
             item.add_marker(pytest.mark.xfail(reason="listed in KNOWN-RED.txt", strict=True))
+
+
+@pytest.fixture(autouse=True)
+def check_task_errors(request: pytest.FixtureRequest) -> Iterator[None]:
+    """Fail a test in which a background task failed, unless it has the mark `task_errors`."""
+    if request.node.get_closest_marker("task_errors") is not None:
+        yield
+        return
+    with raise_task_errors():
+        yield
--- a/tests/matrix_cells.py
+++ b/tests/matrix_cells.py
@@ -5,6 +5,7 @@
 import logging
 from collections.abc import Callable
 
+from fakes_tasks import raise_task_errors
 from matrix_lifecycle import run_lifecycle_cell
 from matrix_requests import run_request_cell
 from matrix_table import LIFECYCLE_STEPS, VERSION_STEPS, Cell, Expected, Fault, Step, list_cells
@@ -25,7 +26,8 @@
     Raises:
         AssertionError: The expected outcome or a guarantee does not hold.
     """
-    find_runner(cell)(cell)
+    with raise_task_errors():
+        find_runner(cell)(cell)
 
 
 def render_result(cell: Cell) -> str:
--- a/tests/matrix_versions.py
+++ b/tests/matrix_versions.py
@@ -61,7 +61,7 @@
 SOURCE_STEPS = (Step.WATCH, Step.READ_MANIFEST, Step.READ_SECTION)
 
 
-class ProcessDeathError(Exception):
+class ProcessDeathError(curio.TaskCancelled):
     """Raised to end the process of a node within a step."""
 
 
--- a/tests/test_matrix.py
+++ b/tests/test_matrix.py
@@ -18,6 +18,7 @@
     run_cell(cell)
 
 
+@pytest.mark.task_errors
 @pytest.mark.parametrize("breakage", BREAKAGES, ids=lambda breakage: breakage.name)
 def test_breakage_fails_its_cell(breakage: Breakage) -> None:
     with breakage.apply(), pytest.raises(AssertionError):
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -51,6 +51,7 @@
 
 
 # Guards against an unexpected error in one background task that takes the whole process down.
+@pytest.mark.task_errors
 @pytest.mark.parametrize(
     "find_part",
     [
--- a/tests/test_task_groups.py
+++ b/tests/test_task_groups.py
@@ -26,6 +26,7 @@
         return "done"
 
 
+@pytest.mark.task_errors
 def test_a_task_runs_again_after_growing_pauses_until_it_ends() -> None:
     task, metrics = FailingTask(12), Metrics()
     assert run_virtual(keep_running(task.run, name="t", metrics=metrics)()) == "done"
