--- a/trefoilpick/admission.py
+++ b/trefoilpick/admission.py
@@ -1,10 +1,9 @@
 """Admission to one worker: a fixed number of slots and a bounded, fair queue.
 
 A request acquires a slot before it is sent to the worker and releases it once the worker's
-connection is idle or closed. While the worker states a rate, a request also waits until the rate
-allows it. Requests without a slot wait in the queue: higher priorities are
-served first, and callers of the same priority take turns. When the queue is full, requests of the
-lowest priority are shed first.
+connection is idle or closed. While the worker states a rate, it also waits until the rate allows
+it. Waiting requests are queued: higher priorities are served first, and callers of the same
+priority take turns. When the queue is full, requests of the lowest priority are shed first.
 """
 
 from __future__ import annotations
@@ -218,7 +217,9 @@
                 if self._is_late(waiter, now_s):
                     self._remove(waiter)
                     await self._delay_or_refuse(waiter, now_s, slots)
-                elif self._is_late(waiter, now_s + self.rate.estimate_wait(ahead + 1)):
+                elif self.rate.limit is not None and self._is_late(
+                    waiter, now_s + self.rate.estimate_wait(ahead + 1)
+                ):
                     self._remove(waiter)
                     await _refuse(waiter, self._build_refusal("limited rate is used up", slots))
                 else:
--- a/trefoilpick/logs.py
+++ b/trefoilpick/logs.py
@@ -112,7 +112,7 @@
         "Find out why the worker is in need; unreadable means that the worker's header is faulty.",
     ),
     Event.WORKER_LEAVING: EventInfo(
-        "The worker that the value names stated that it is leaving.",
+        "The worker that the value names stated that it is leaving, or another has its address.",
         (),
         "None during a planned stop.",
     ),
