Hop server: keep a limit through refusals of a restarted node, and not beyond its worker

Found by reading the change: a restarted node that refused at first (not ready, draining) reported no limit, so callers' nodes forgot what they were to tell it; a worker that replaced a limited one was held to the limit that callers' nodes remembered, for about 2 s, and their choice went by it for up to 8 s.

Change: the limit is adopted before any check, for the own service only, and only by a process that no worker has answered yet; a record drops it with the worker's identity.

--- a/tests/test_balancing.py
+++ b/tests/test_balancing.py
@@ -348,3 +348,13 @@
     assert set(fleet.count_choices(50)) == {"vm-2"}
     fleet.now += UNIDENTIFIED_LEAVING_S
     assert set(fleet.count_choices(50)) == {"vm-1", "vm-2"}
+
+
+def test_a_new_worker_on_a_vm_does_not_inherit_the_limit_of_the_one_before() -> None:
+    fleet = Fleet(2)
+    fleet.report("vm-1", rate_limit=0.1)
+    fleet.find("vm-1").record_rate_refusal(fleet.now, 5.0)
+    fleet.vms = (replace(fleet.vms[0], worker="i-2", started_ms=2), fleet.vms[1])
+    fleet.now += REFRESH_INTERVAL_S
+    assert fleet.find("vm-1").rate_limit is None
+    assert "vm-1" in fleet.count_choices(200)
--- a/tests/test_hopserver_statements.py
+++ b/tests/test_hopserver_statements.py
@@ -116,6 +116,30 @@
     run(test)
 
 
+# Guards against callers' nodes that forget a limit because a restarted node refused them at first.
+def test_a_node_that_is_not_ready_reports_the_limit_that_it_was_told() -> None:
+    async def test(bench: Bench) -> None:
+        bench.server.is_refusing = True
+        result = await bench.call(make_read(rate_limit=0.5))
+        assert result.kind == "draining"
+        assert result.load is not None and result.load.rate_limit == 0.5
+
+    run(test)
+
+
+def test_a_remembered_limit_does_not_concern_a_worker_that_replaced_the_limited_one() -> None:
+    listed = [OWN_VM]
+
+    async def test(bench: Bench) -> None:
+        bench.worker.script = [respond(answer(b"x-worker-limit: 0.5"))]
+        assert (await bench.call(make_read())).status == 200
+        listed[0] = replace(OWN_VM, started_ms=7)
+        result = await bench.call(make_read(rate_limit=0.5, objective_ms=400))
+        assert result.status == 200
+
+    run(test, listed)
+
+
 def test_a_limit_that_a_caller_remembers_does_not_override_the_workers_own_statement() -> None:
     async def test(bench: Bench) -> None:
         assert (await bench.call(make_read())).status == 200
--- a/trefoilpick/balancing.py
+++ b/trefoilpick/balancing.py
@@ -157,6 +157,13 @@
         self._other_requests = 0.0
         self._reported_at = now
 
+    def update_vm(self, vm: Vm, now: float) -> None:
+        """Apply the VM's newest record; another worker does not inherit a limited rate."""
+        if vm.worker_identity != self.vm.worker_identity:
+            self.rate_limit = None
+            self.rate_limited_until = now
+        self.vm = vm
+
     def begin_request(self, now: float) -> None:
         """Count a request that is about to be sent to the worker."""
         self.in_flight += 1
@@ -314,7 +321,7 @@
                 record = WorkerRecord(vm, now)
                 if not is_first:
                     record.begin_warm_up(now)
-            record.vm = vm
+            record.update_vm(vm, now)
             self.records[vm.name] = record
         self._unlisted = dict(list(known.items())[-len(endpoints) :])
         self.zones = tuple(self._group_by_locality(own))
--- a/trefoilpick/hopserver.py
+++ b/trefoilpick/hopserver.py
@@ -380,6 +380,8 @@
     def _admit(self, request: HopRequest) -> Upstream:
         """Check that the node accepts a request, and return the enforced upstream."""
         service = self._settings.vm.service
+        if request.upstream == service:
+            self._statements.adopt_limit(request.rate_limit)
         snapshot = self._cell.current
         if self.is_refusing:
             raise _build_draining_error()
@@ -392,7 +394,6 @@
             text = f'worker of upstream "{service}" got a request for "{request.upstream}"'
             raise TrefoilpickError(ErrorKind.NO_UPSTREAM, text, outcome=Outcome.NOT_RUN)
         own_vm = self._check_worker()
-        self._statements.adopt_limit(request.rate_limit)
         slots = own_vm.slots if own_vm is not None and own_vm.slots else upstream.slots
         if upstream is not self._upstream or slots != self.admission.limits.slots:
             self._upstream = upstream
--- a/trefoilpick/worker_statements.py
+++ b/trefoilpick/worker_statements.py
@@ -140,7 +140,7 @@
         self._log.report(Event.WORKER_LEAVING, worker.worker)
 
     def adopt_limit(self, rate_limit: float | None) -> None:
-        """Apply a limit that another node knows, until the worker answers this process."""
+        """Apply a limit that another node knows, until a worker has answered this process."""
         if rate_limit is not None and not self._has_answered:
             self._apply_limit(rate_limit)
 
@@ -152,7 +152,6 @@
         if worker == self._worker:
             return
         if self._worker != UNKNOWN_WORKER:
-            self._has_answered = False
             if self._rate.limit is not None:
                 self._end_limit()
         elif self.has_left and worker.started_ms <= self._unknown_left_at_ms:
