Tests: stated limits and leaving through the platform's adapter, with two nodes

The whole path with the platform's words: both nodes together keep a worker's Server-Limit, and a worker that says Server-Leaving gets nothing although the store lists it as ready.

--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -15,6 +15,7 @@
 from curio.io import Socket
 from fakes_store import FakeStore, make_configuration, make_entry, run_store
 
+from trefoilpick._clock import read_clock
 from trefoilpick._connections import open_connection
 from trefoilpick.node import Node, open_node
 from trefoilpick.platform.headers import PLATFORM_CONVENTIONS
@@ -53,6 +54,8 @@
     """Requests that it runs at once; it never answers any beyond them. 0 for no limit."""
     service_s: float = 0.0
     """Service time of a request, in seconds."""
+    statements: list[tuple[bytes, bytes]] = field(default_factory=list)
+    """Headers of its answers in which it states something about itself."""
     running: int = 0
     unanswered: int = 0
     """Requests that it will never answer."""
@@ -102,6 +105,7 @@
                 (REQUEST_ID, head[REQUEST_ID]),
                 (b"x-trefoilpick-response-signature", b"s." + head[REQUEST_ID]),
                 (b"content-length", str(len(body)).encode()),
+                *self.statements,
             ]
             parts = h11.Response(status_code=200, headers=headers), body
         sent = [protocol.send(parts[0]), protocol.send(h11.Data(data=parts[1]))]
@@ -243,6 +247,38 @@
     run_platform(test)
 
 
+async def count_arrivals(platform: Platform, for_s: float) -> int:
+    """Send requests to both nodes in turn; return how many arrive at the first worker."""
+    before, number = len(platform.workers[0].heads), 0
+    end_s = read_clock() + for_s
+    while read_clock() < end_s:
+        number += 1
+        request = UPLOAD_HEAD + REQUEST_ID + b": turn-%d\r\n" % number
+        answer = await platform.send_request(HOSTS[number % 2], request, b"ab")
+        assert answer.status == 200
+    return len(platform.workers[0].heads) - before
+
+
+# Guards against exceeding the limit that a worker names, summed over all machines.
+def test_worker_that_names_a_limit_gets_no_more_from_both_nodes_together() -> None:
+    async def test(platform: Platform) -> None:
+        platform.workers[0].statements = [(b"server-limit", b"5.0")]
+        await count_arrivals(platform, 0.5)
+        assert 0 < await count_arrivals(platform, 3.0) <= 1.5 * 5.0 * 3.0 + 5
+
+    run_platform(test)
+
+
+# Guards against using a worker that says that it leaves while the store lists it as ready.
+def test_worker_that_says_that_it_leaves_gets_nothing_although_its_entry_is_ready() -> None:
+    async def test(platform: Platform) -> None:
+        platform.workers[0].statements = [(b"server-leaving", b"1")]
+        await count_arrivals(platform, 0.5)
+        assert await count_arrivals(platform, 2.0) == 0
+
+    run_platform(test)
+
+
 def test_draining_worker_receives_no_requests() -> None:
     async def test(platform: Platform) -> None:
         platform.register(0, state="draining")
