Logs: how a version of the source compares with the one held; digest in refusals

The hypotheses could not be told apart: a version of the source that lost against another one of its number was counted nowhere (trefoilpick_source_stale_total counts lower ones only), and the line of a refused request showed the number in force but not which content. Now a reader's source_version lines show number, digest, revision (with the era) and order (newer, held, older, conflicting), and a refusal has the digest. Test: the four orders, read from the log.

--- a/tests/test_source_reader.py
+++ b/tests/test_source_reader.py
@@ -1,6 +1,9 @@
 from __future__ import annotations
 
+import logging
+
 import curio
+import pytest
 from fakes_fleet import FakeFleet, make_version, make_vms
 
 from trefoilpick._virtual_time import run_virtual
@@ -29,3 +32,26 @@
         await fleet.kill()
 
     run_virtual(run())
+
+
+def test_log_shows_how_versions_of_the_source_compare(caplog: pytest.LogCaptureFixture) -> None:
+    """Without these lines, a version that lost against another one left no trace."""
+
+    async def run() -> None:
+        fleet = FakeFleet(make_vms(1, 1))
+        await fleet.publish_vms(1)
+        for number, variant in ((2, 1), (3, 1), (3, 2), (1, 1)):
+            await fleet.source.accept(*make_version(number, {"team-1": variant}))
+            if not fleet.nodes:
+                await fleet.start()
+            await curio.sleep(5.0)
+        await fleet.kill()
+
+    with caplog.at_level(logging.INFO):
+        run_virtual(run())
+    lines = [
+        (record.value.partition("/")[0], record.order)
+        for record in caplog.records
+        if getattr(record, "event", "") == "source_version"
+    ]
+    assert lines == [("2", "newer"), ("3", "newer"), ("3", "conflicting"), ("1", "older")]
--- a/trefoilpick/callers.py
+++ b/trefoilpick/callers.py
@@ -426,6 +426,7 @@
                 failed=True,
                 request_id=connection.request_id,
                 version=snapshot.version.number if snapshot is not None else 0,
+                digest=snapshot.version.digest if snapshot is not None else "",
                 text=error.text,
             )
 
--- a/trefoilpick/logs.py
+++ b/trefoilpick/logs.py
@@ -37,6 +37,7 @@
     VERSION = "version"
     VERSION_REFUSED = "version_refused"
     SOURCE = "source"
+    SOURCE_VERSION = "source_version"
     VM_LIST = "vm_list"
     READER = "reader"
     PEER = "peer"
@@ -86,6 +87,11 @@
         ("up", "down"),
         "While it is down, the node keeps its version; restore the service.",
     ),
+    Event.SOURCE_VERSION: EventInfo(
+        "The configuration service showed this node another version, as number/digest.",
+        (),
+        "None if its order is newer or held; if it is older or conflicting, see OPERATIONS.md.",
+    ),
     Event.VM_LIST: EventInfo(
         "The node applied another revision of the list of VMs.",
         (),
--- a/trefoilpick/source_reader.py
+++ b/trefoilpick/source_reader.py
@@ -15,7 +15,7 @@
 from trefoilpick.logs import Event
 from trefoilpick.manifest import decode_manifest, identify_version
 from trefoilpick.ratelimits import Backoff, TokenBucket
-from trefoilpick.revisions import compose_revision
+from trefoilpick.revisions import compose_revision, format_revision
 from trefoilpick.source import MANIFEST_KEY, VMS_KEY, build_section_key
 from trefoilpick.vms import VmList
 
@@ -214,6 +214,7 @@
         manifest = decode_manifest(value.data)
         version = identify_version(manifest)
         self.newest = version
+        self._report_version(version, compose_revision(value.era, value.revision))
         if self._store.newest is not None and version < self._store.newest:
             self._metrics.count("trefoilpick_source_stale_total")
         if self._is_newer(version):
@@ -256,6 +257,17 @@
         if self._membership.adopt_list(VmList(revision, vms.vms)):
             await self._on_list_adopted()
 
+    def _report_version(self, version: VersionId, revision: int) -> None:
+        """Log a version that the source shows, and how it compares with the one held."""
+        held = self._store.newest
+        self._log.report(
+            Event.SOURCE_VERSION,
+            f"{version.number}/{version.digest}",
+            revision=format_revision(revision),
+            held="" if held is None else f"{held.number}/{held.digest}",
+            order=_compare_versions(version, held),
+        )
+
     def _record_answer(self, requested_s: float) -> None:
         self.answered_s = read_clock()
         self.answered_request_s = requested_s
@@ -267,3 +279,12 @@
         self.is_failing = True
         fields = {"kind": error.kind.value, "text": error.text}
         self._log.report(Event.SOURCE, "down", level=logging.WARNING, **fields)
+
+
+def _compare_versions(version: VersionId, held: VersionId | None) -> str:
+    """Return how a version of the source compares with the one that the node holds."""
+    if held is None or version.number > held.number:
+        return "newer"
+    if version.number < held.number:
+        return "older"
+    return "held" if version == held else "conflicting"
