Tests: a version confirmed again under a former number, failing (KNOWN-RED)

The store confirms a version, comes back from an older copy, and confirms that number with other content.

--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -12,6 +12,7 @@
 
 import curio
 import h11
+import pytest
 from curio.io import Socket
 from fakes_store import FakeStore, make_configuration, make_entry, run_store
 
@@ -28,6 +29,7 @@
 EXPECTED_WORKER = b"x-trefoilpick-expected-instance"
 CALLER_SERVICE = b"x-trefoilpick-caller-service"
 DEADLINE = b"x-trefoilpick-deadline-ms"
+STATUS_OK = 200
 
 
 def find_ports(count: int) -> list[int]:
@@ -130,6 +132,7 @@
     ports: list[int]
     workers: list[PlatformWorker]
     nodes: list[Node] = field(default_factory=list)
+    sent: int = 0
 
     def register(self, number: int, **fields: Any) -> None:
         """Write the entry of a worker."""
@@ -171,8 +174,20 @@
                     return answer
                 await curio.sleep(0.05)
 
+    async def wait_for_route(self, name: str) -> None:
+        """Wait until both nodes serve the route of a prefix, as long as a version may take."""
+        head = f"PUT /{name}/1 HTTP/1.1\r\nhost: ficu.example\r\ncontent-length: 2\r\n".encode()
+        async with curio.timeout_after(2.5):
+            for host in HOSTS:
+                while (await self._send_once(host, head)).status != STATUS_OK:
+                    await curio.sleep(0.05)
 
-def run_platform(test: Callable[[Platform], Awaitable[None]]) -> None:
+    async def _send_once(self, host: str, head: bytes) -> Answer:
+        self.sent += 1
+        return await self.send_request(host, head + REQUEST_ID + b": %d\r\n" % self.sent, b"ab")
+
+
+def run_platform(test: Callable[[Platform], Awaitable[None]], **store_fields: Any) -> None:
     """Run a test against two ready nodes."""
 
     async def main(store: FakeStore) -> None:
@@ -196,7 +211,7 @@
         await platform.request_until(lambda answer: answer.status == 200, UPLOAD_HEAD)
         await test(platform)
 
-    run_store(main)
+    run_store(main, **store_fields)
 
 
 def open_platform_node(platform: Platform, host: str) -> Node:
@@ -310,6 +325,32 @@
     run_platform(test)
 
 
+def add_route(configuration: dict[str, Any], name: str) -> dict[str, Any]:
+    """Return a configuration with one more route, to a prefix of the given name."""
+    route = {**configuration["routes"][0], "name": f"r-{name}", "path-prefix": f"/{name}/"}
+    return {**configuration, "routes": [*configuration["routes"], route]}
+
+
+# Guards against 404 for a route that was confirmed under a number that the nodes hold from before
+# the store was restored.
+@pytest.mark.parametrize(("lost", "confirmed"), [("one", "two"), ("two", "one")])
+def test_route_confirmed_under_a_former_number_is_served(lost: str, confirmed: str) -> None:
+    async def test(platform: Platform) -> None:
+        store = platform.store
+        store.put(CONFIGURATION_KEY, make_configuration(9))
+        await curio.sleep(0.5)
+        copy = store.copy()
+        store.put(CONFIGURATION_KEY, add_route(make_configuration(10), lost))
+        await platform.wait_for_route(lost)
+        store.restore(copy)
+        await curio.sleep(1.0)
+        await platform.wait_for_route(lost)
+        store.put(CONFIGURATION_KEY, add_route(make_configuration(10), confirmed))
+        await platform.wait_for_route(confirmed)
+
+    run_platform(test, era=3)
+
+
 def test_worker_at_a_reused_address_runs_no_requests_for_its_predecessor() -> None:
     async def test(platform: Platform) -> None:
         platform.store.delete("servers/i-1")
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -6,6 +6,7 @@
 
 from trefoilpick._virtual_time import run_virtual
 from trefoilpick.local_network import LocalSource, SourceFault
+from trefoilpick.manifest import identify_version
 from trefoilpick.revisions import get_era
 from trefoilpick.settings import ControlSettings
 from trefoilpick.status import Standing
@@ -208,6 +209,36 @@
     run_virtual(main())
 
 
+# Guards against a confirmed version that is never in force, because the fleet holds another one of
+# its number that was confirmed before the source was restored.
+@pytest.mark.parametrize(("before", "after"), [(1, 2), (2, 1)])
+def test_version_confirmed_with_a_former_number_is_in_force_on_all_nodes(
+    before: int, after: int
+) -> None:
+    async def main() -> None:
+        fleet = await start_fleet(2, 12)
+        await accept(fleet, 2)
+        await fleet.wait_all(2, 8)
+        copy = dict(fleet.source.values)
+        await fleet.source.accept(*make_version(3, VARIANTS | {"team-1": before}))
+        await fleet.wait_all(3, 8)
+        await fleet.source.restore(copy)
+        await curio.sleep(1.0)
+        confirmed = make_version(3, VARIANTS | {"team-1": after})
+        await fleet.source.accept(*confirmed)
+        version = identify_version(confirmed[0])
+
+        def is_in_force() -> bool:
+            return all(node.cell.history[-1] == version for node in fleet.nodes.values())
+
+        assert await fleet.wait_for(is_in_force, 8) < 2.5
+        await curio.sleep(60)
+        assert is_in_force()
+        assert {len(node.cell.history) for node in fleet.nodes.values()} == {4}
+
+    run_virtual(main())
+
+
 def test_data_centre_without_the_source_follows_peers_and_catches_up_after_a_partition() -> None:
     async def main() -> None:
         fleet = await start_fleet()
