Versions: order by number, then by where the source confirmed them

Cause: two contents of one number were ordered by digest alone. After the store had come back from an older copy and confirmed a number again, the content that it had lost won on every node in half of the cases. Class: an order that is decided by something other than the authority that assigns it. Change: a version carries the composed revision (era, revision) at which the source confirmed it, outside of its identity, in heartbeats, announcements and deliveries as a trailing field that former releases ignore. A value that a restored copy merely shows again keeps its place, so no node goes back to it. Numbers stay first: a lower number is older whenever it was confirmed. The checks of the soak's and the matrix's breakages apply to VersionStore.is_newer, which replaced two copies.

--- a/soak/breakages.py
+++ b/soak/breakages.py
@@ -10,11 +10,10 @@
 from trefoilpick import (
     callers,
     errors,
-    fetchers,
     forwarding,
     hopclient,
     retries,
-    source_reader,
+    versions,
     worker_rates,
     worker_statements,
 )
@@ -98,10 +97,9 @@
 
 def _ignore_versions() -> None:
     def is_newer(self: Any, version: Any) -> bool:
-        return self._store.newest is None
+        return self.newest is None
 
-    source_reader.SourceReader._is_newer = is_newer  # type: ignore[method-assign]
-    fetchers.VersionFetcher._is_newer = is_newer  # type: ignore[method-assign]
+    versions.VersionStore.is_newer = is_newer  # type: ignore[method-assign]
 
 
 def _alternate_snapshots() -> None:
--- a/tests/matrix_breakages.py
+++ b/tests/matrix_breakages.py
@@ -32,9 +32,9 @@
 def remove_version_check() -> Iterator[None]:
     add_version = VersionStore.add_version
 
-    def add_any(store: VersionStore, manifest: Any) -> bool:
+    def add_any(store: VersionStore, manifest: Any, **fields: Any) -> bool:
         enforced, store.newest = store.newest, None
-        is_newest = add_version(store, manifest)
+        is_newest = add_version(store, manifest, **fields)
         return is_newest and enforced != store.newest
 
     def replace_any(cell: SnapshotCell, snapshot: Snapshot) -> bool:
@@ -44,7 +44,7 @@
     with (
         patch.object(VersionStore, "add_version", add_any),
         patch.object(SnapshotCell, "replace", replace_any),
-        patch("trefoilpick.source_reader.SourceReader._is_newer", lambda reader, version: True),
+        patch.object(VersionStore, "is_newer", lambda store, version: True),
     ):
         yield
 
--- a/tests/matrix_versions.py
+++ b/tests/matrix_versions.py
@@ -361,12 +361,12 @@
         prepare = enforcement.prepare_snapshot
         is_after_prepare = self.cell.step is Step.PREPARE
 
-        def hooked(manifest, store, *, enforced):
+        def hooked(manifest, store, **fields):
             subject = self.fleet.nodes.get(self.subject)
             is_subject = subject is not None and subject.distributor.store is store
             if is_subject and self.cell.step is Step.CHECK:
                 self._inject_now()
-            snapshot = prepare(manifest, store, enforced=enforced)
+            snapshot = prepare(manifest, store, **fields)
             if is_subject and is_after_prepare:
                 self._inject_now()
             return snapshot
--- a/tests/test_source_reader.py
+++ b/tests/test_source_reader.py
@@ -54,4 +54,4 @@
         for record in caplog.records
         if getattr(record, "event", "") == "source_version"
     ]
-    assert lines == [("2", "newer"), ("3", "newer"), ("3", "conflicting"), ("1", "older")]
+    assert lines == [("2", "newer"), ("3", "newer"), ("3", "replacing"), ("1", "older")]
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -9,7 +9,14 @@
 
 from trefoilpick.document import Contract, Match, Route, Section, Upstream
 from trefoilpick.errors import ErrorKind, TrefoilpickError
-from trefoilpick.manifest import Manifest, SectionRef, compute_digest, identify_version
+from trefoilpick.manifest import (
+    Manifest,
+    SectionRef,
+    VersionId,
+    compute_digest,
+    identify_version,
+)
+from trefoilpick.revisions import compose_revision
 from trefoilpick.sections import encode_section
 from trefoilpick.snapshots import Snapshot
 from trefoilpick.versions import KEPT_MANIFESTS, VersionStore, prepare_snapshot
@@ -81,6 +88,54 @@
     assert not store.add_version(make_version(1, {"a": 1})[0])
 
 
+# Guards against going back to content that the source shows again only because it was restored.
+def test_later_confirmation_wins_unless_the_source_was_restored() -> None:
+    one, other = make_version(2, {"a": 1})[0], make_version(2, {"a": 2})[0]
+    store = VersionStore()
+    first = identify_version(one, confirmed_at=compose_revision(0, 30))
+    copied = identify_version(one, confirmed_at=compose_revision(1, 30))
+    second = identify_version(other, confirmed_at=compose_revision(1, 20))
+    again = identify_version(one, confirmed_at=compose_revision(1, 22))
+    add_confirmed(store, one, first)
+    assert not store.is_newer(copied)
+    store.record_confirmation(copied)
+    assert store.newest is not None and store.newest.confirmed_at == first.confirmed_at
+    assert store.is_newer(second)
+    add_confirmed(store, other, second)
+    assert not store.is_newer(first) and not store.is_newer(copied)
+    assert store.is_newer(again)
+    add_confirmed(store, one, again)
+    assert not store.is_newer(second)
+
+
+def test_version_confirmed_again_keeps_its_identity_and_supersedes_earlier_content() -> None:
+    one, other = make_version(2, {"a": 1})[0], make_version(2, {"a": 2})[0]
+    store = VersionStore()
+    add_confirmed(store, one, identify_version(one, confirmed_at=compose_revision(0, 30)))
+    again = identify_version(one, confirmed_at=compose_revision(1, 25))
+    assert not store.is_newer(again)
+    store.record_confirmation(again)
+    assert store.newest == again and store.newest.confirmed_at == again.confirmed_at
+    assert not store.is_newer(identify_version(other, confirmed_at=compose_revision(1, 24)))
+
+
+# A node of an earlier release neither sends nor reads when a version was confirmed.
+@pytest.mark.parametrize("variant", [1, 2])
+def test_offer_without_a_confirmation_never_supersedes_a_confirmed_version(variant: int) -> None:
+    one, other = make_version(2, {"a": variant})[0], make_version(2, {"a": 3 - variant})[0]
+    store = VersionStore()
+    add_confirmed(store, one, identify_version(one, confirmed_at=7))
+    assert not store.is_newer(identify_version(other))
+    assert store.is_newer(identify_version(make_version(3, {})[0]))
+
+
+def add_confirmed(store: VersionStore, manifest: Manifest, version: VersionId) -> None:
+    for ref in store.list_missing(manifest):
+        text = make_section("a", 1)
+        store.add_text(ref, text if compute_digest(text) == ref.digest else make_section("a", 2))
+    assert store.add_version(manifest, confirmed_at=version.confirmed_at)
+
+
 def test_section_listed_under_another_team_is_refused() -> None:
     text = make_section("a", 0)
     ref = SectionRef("b", compute_digest(text), len(text))
--- a/trefoilpick/enforcement.py
+++ b/trefoilpick/enforcement.py
@@ -79,7 +79,12 @@
         if version is None or manifest is None or version == self.enforced:
             return
         try:
-            snapshot = prepare_snapshot(manifest, self._store, enforced=self._cell.current)
+            snapshot = prepare_snapshot(
+                manifest,
+                self._store,
+                enforced=self._cell.current,
+                confirmed_at=version.confirmed_at,
+            )
         except TrefoilpickError as error:
             self._refuse(version, error)
             return
--- a/trefoilpick/fetchers.py
+++ b/trefoilpick/fetchers.py
@@ -18,6 +18,7 @@
     VmsDelivery,
     WireSection,
     pack_version,
+    unpack_version,
     unpack_vms,
 )
 
@@ -90,17 +91,26 @@
             version: The version.
             address: "ip:port" of the peer.
         """
-        if not self._is_newer(version):
+        if not self._store.is_newer(version):
+            self._store.record_confirmation(version)
             return
         if self.newest is None or version > self.newest:
             self.newest = version
-        offers = self._offers.setdefault(version, [])
+        offers = self._list_offering_peers(version)
         if address not in offers and len(offers) < MAX_OFFERING_PEERS:
             offers.append(address)
         while len(self._offers) > MAX_OFFERED_VERSIONS:
             del self._offers[min(self._offers)]
         await self._offered.set()
 
+    def _list_offering_peers(self, version: VersionId) -> list[str]:
+        """Return the peers that offer a version, filed under its last confirmation."""
+        for known in self._offers:
+            if known == version and known.confirmed_at < version.confirmed_at:
+                self._offers[version] = self._offers.pop(known)
+                break
+        return self._offers.setdefault(version, [])
+
     async def run(self) -> None:
         """Fetch what is offered, until cancelled."""
         while True:
@@ -113,35 +123,37 @@
         self._offers = {
             version: offers
             for version, offers in self._offers.items()
-            if offers and self._is_newer(version)
+            if offers and self._store.is_newer(version)
         }
         return max(self._offers, default=None)
 
     async def _fetch_once(self, version: VersionId) -> None:
         await self._wait_for_own_read(version)
-        if not self._is_newer(version):
+        if not self._store.is_newer(version):
             return
         address = self._offers[version].pop(0)
         try:
-            manifest = await self._fetch(version, address)
+            manifest, version = await self._fetch(version, address)
         except TrefoilpickError as error:
             self._metrics.count("trefoilpick_fetch_failures_total", kind=error.kind.value)
             return
         self._metrics.count("trefoilpick_fetches_total")
-        if self._store.add_version(manifest):
+        if self._store.add_version(manifest, confirmed_at=version.confirmed_at):
             await self._on_version_added()
 
-    async def _fetch(self, version: VersionId, address: str) -> Manifest:
+    async def _fetch(self, version: VersionId, address: str) -> tuple[Manifest, VersionId]:
+        """Fetch a version; return it with the later of the confirmations known here and there."""
         request = Fetch(pack_version(version), pack_version(self._store.newest))
         answer = await self._links.request(address, request, timeout_s=self._answer_timeout_s)
         delivery = answer.body
-        if not isinstance(delivery, Delivery) or delivery.version != request.wanted:
+        delivered = unpack_version(delivery.version) if isinstance(delivery, Delivery) else None
+        if not isinstance(delivery, Delivery) or delivered is None or delivered != version:
             raise _make_unexpected_answer_error(address, delivery)
         manifest = self._store.resolve_manifest(delivery)
         self._add_sections(manifest, delivery.sections)
         while missing := self._store.list_missing(manifest):
             await self._fetch_sections(manifest, missing, address)
-        return manifest
+        return manifest, max(version, delivered, key=lambda known: known.confirmed_at)
 
     async def _fetch_sections(
         self, manifest: Manifest, missing: tuple[SectionRef, ...], address: str
@@ -168,15 +180,12 @@
         """Wait for the node's own reading, for a bounded time, to save a transfer from a peer."""
         if self._reader.has_recent_answer():
             async with curio.ignore_after(WATCH_WAIT_S):
-                while self._is_newer(version) and self._reader.reading_version != version:
+                while self._store.is_newer(version) and self._reader.reading_version != version:
                     await curio.sleep(POLL_INTERVAL_S)
         async with curio.ignore_after(READ_WAIT_S):
             while self._reader.reading_version == version:
                 await curio.sleep(POLL_INTERVAL_S)
 
-    def _is_newer(self, version: VersionId) -> bool:
-        return self._store.newest is None or version > self._store.newest
-
 
 class ListFetcher:
     """Fetches the newest offered list of VMs as a change against the known one.
--- a/trefoilpick/logs.py
+++ b/trefoilpick/logs.py
@@ -90,7 +90,7 @@
     Event.SOURCE_VERSION: EventInfo(
         "The configuration service showed this node another version, as number/digest.",
         (),
-        "None if its order is newer or held; if it is older or conflicting, see OPERATIONS.md.",
+        "None unless its order is older or replaced: then see OPERATIONS.md.",
     ),
     Event.VM_LIST: EventInfo(
         "The node applied another revision of the list of VMs.",
--- a/trefoilpick/manifest.py
+++ b/trefoilpick/manifest.py
@@ -6,7 +6,8 @@
 from __future__ import annotations
 
 import hashlib
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from functools import total_ordering
 from typing import Annotated
 
 import msgspec
@@ -25,16 +26,31 @@
 """A BLAKE2b digest of 128 bits, in lower-case hexadecimal."""
 
 
-@dataclass(frozen=True, order=True)
+@total_ordering
+@dataclass(frozen=True)
 class VersionId:
-    """Identity of a version, ordered by number and then by manifest digest.
+    """Identity of a version, ordered by number, then by confirmation, then by manifest digest.
+
+    Of two contents with the same number, the one that the source confirmed last is newer. The
+    digest orders them where that is unknown, so that all nodes prefer the same one regardless of
+    which they receive first.
 
-    Two versions with the same number are ordered by digest, so that all nodes prefer the same
-    one regardless of which they receive first.
+    Attributes:
+        number: Version number.
+        digest: Digest of the manifest.
+        confirmed_at: Composed revision at which the source confirmed it; 0 if unknown. It does not
+            belong to the identity, since a version may be confirmed again.
     """
 
     number: int
     digest: str
+    confirmed_at: int = field(default=0, compare=False)
+
+    def __lt__(self, other: VersionId) -> bool:
+        return self != other and self._get_rank() < other._get_rank()
+
+    def _get_rank(self) -> tuple[int, int, str]:
+        return self.number, self.confirmed_at, self.digest
 
 
 @dataclass(frozen=True)
@@ -106,6 +122,12 @@
     return manifest
 
 
-def identify_version(manifest: Manifest) -> VersionId:
-    """Return the identity of the version described by a manifest."""
-    return VersionId(manifest.number, compute_digest(encode_manifest(manifest)))
+def identify_version(manifest: Manifest, *, confirmed_at: int = 0) -> VersionId:
+    """Return the identity of the version described by a manifest.
+
+    Args:
+        manifest: The manifest.
+        confirmed_at: Composed revision at which the source confirmed it; 0 if unknown.
+    """
+    digest = compute_digest(encode_manifest(manifest))
+    return VersionId(manifest.number, digest, confirmed_at)
--- a/trefoilpick/messages.py
+++ b/trefoilpick/messages.py
@@ -25,10 +25,14 @@
 
 
 class WireVersion(msgspec.Struct, frozen=True, array_like=True):
-    """Compact encoding of a `VersionId`; number 0 means no version."""
+    """Compact encoding of a `VersionId`; number 0 means no version.
+
+    Nodes of earlier releases neither send nor read `confirmed_at`.
+    """
 
     number: Annotated[int, Meta(ge=0, le=2**53 - 1)]
     digest: RawDigest
+    confirmed_at: Count = 0
 
 
 class LeftWorker(msgspec.Struct, frozen=True, array_like=True):
@@ -271,17 +275,17 @@
 
 
 def pack_version(version: VersionId | None) -> WireVersion:
-    """Return the compact encoding of a version's identity."""
+    """Return the compact encoding of a version."""
     if version is None:
         return NO_VERSION
-    return WireVersion(version.number, bytes.fromhex(version.digest))
+    return WireVersion(version.number, bytes.fromhex(version.digest), version.confirmed_at)
 
 
 def unpack_version(version: WireVersion) -> VersionId | None:
-    """Return the decoded identity of a version, or None for no version."""
+    """Return a decoded version, or None for no version."""
     if version.number == 0:
         return None
-    return VersionId(version.number, version.digest.hex())
+    return VersionId(version.number, version.digest.hex(), version.confirmed_at)
 
 
 def pack_bytes(data: bytes) -> bytes:
--- a/trefoilpick/source.py
+++ b/trefoilpick/source.py
@@ -18,6 +18,7 @@
 )
 from trefoilpick.addresses import split_address
 from trefoilpick.errors import ErrorKind, TrefoilpickError
+from trefoilpick.revisions import compose_revision, get_source_revision
 
 if TYPE_CHECKING:
     from trefoilpick.settings import SourceSettings
@@ -61,6 +62,11 @@
     revision: int
     era: int = 0
 
+    @property
+    def composed_revision(self) -> int:
+        """Revision that is ordered by era first."""
+        return compose_revision(self.era, self.revision)
+
 
 class Source(Protocol):
     """Access to the configuration service; each call counts against its rate limit."""
@@ -75,6 +81,10 @@
     async def watch_value(self, key: str, *, after: int) -> SourceValue | None:
         """Wait until a value has a revision after the given one.
 
+        Args:
+            key: Key of the value.
+            after: Composed revision.
+
         Returns:
             The value; None if the watch ended without a change.
 
@@ -247,6 +257,10 @@
     async def watch_value(self, key: str, *, after: int) -> SourceValue | None:
         """Wait until a value has a revision after the given one.
 
+        Args:
+            key: Key of the value.
+            after: Composed revision.
+
         Returns:
             The value; None if the watch ended without a change.
 
@@ -254,7 +268,8 @@
             TrefoilpickError: `SOURCE_UNAVAILABLE` or `SOURCE_RATE_LIMITED`.
         """
         known_era = self._value_eras.get(key, self._era)
-        target = f"/v1/values/{key}?after={after}&era={known_era}&wait_ms={self._watch_ms}"
+        revision = get_source_revision(after)
+        target = f"/v1/values/{key}?after={revision}&era={known_era}&wait_ms={self._watch_ms}"
         reply = await self.client.call(key, target, wait_s=self._watch_ms / 1000)
         if self._check_era(reply) != known_era:
             # The revision to watch from belongs to an earlier era.
--- a/trefoilpick/source_reader.py
+++ b/trefoilpick/source_reader.py
@@ -159,7 +159,7 @@
             TrefoilpickError: The source did not answer, or its value is not a manifest.
         """
         value = await self._read(MANIFEST_KEY)
-        self.newest = identify_version(decode_manifest(value.data))
+        self.newest = self._identify(decode_manifest(value.data), value)
 
     async def read_list(self) -> None:
         """Read the list of VMs once.
@@ -180,7 +180,7 @@
             try:
                 value = await self._read_or_watch(key, revision)
                 if value is not None:
-                    revision = value.revision
+                    revision = value.composed_revision
                     await handle(value)
                     # Batches changes in quick succession into one read.
                     await curio.sleep(self._settings.watch_gap_ms / 1000)
@@ -212,13 +212,19 @@
 
     async def _handle_manifest(self, value: SourceValue) -> None:
         manifest = decode_manifest(value.data)
-        version = identify_version(manifest)
+        version = self._identify(manifest, value)
         self.newest = version
-        self._report_version(version, compose_revision(value.era, value.revision))
+        self._report_version(version)
         if self._store.newest is not None and version < self._store.newest:
             self._metrics.count("trefoilpick_source_stale_total")
-        if self._is_newer(version):
+        if self._store.is_newer(version):
             await self._read_sections(manifest, version)
+        else:
+            self._store.record_confirmation(version)
+
+    def _identify(self, manifest: Manifest, value: SourceValue) -> VersionId:
+        version = identify_version(manifest, confirmed_at=value.composed_revision)
+        return self._store.correct_confirmation(version)
 
     async def _read_sections(self, manifest: Manifest, version: VersionId) -> None:
         for ref in self._store.list_missing(manifest):
@@ -231,23 +237,20 @@
         # A large change comes from whichever is first: a peer that holds all of it, or the source.
         self.reading_version = None if is_large else version
         try:
-            while (missing := self._store.list_missing(manifest)) and self._is_newer(version):
+            while (missing := self._store.list_missing(manifest)) and self._store.is_newer(version):
                 value = await self._read(build_section_key(missing[0].digest))
                 self._store.add_text(missing[0], value.data)
         finally:
             self.reading_version = None
-        if self._store.add_version(manifest):
+        if self._store.add_version(manifest, confirmed_at=version.confirmed_at):
             await self._on_version_added()
 
     async def _wait_for_preceding_readers(self, version: VersionId) -> None:
         """Wait for the preceding readers to read and distribute a version, for a bounded time."""
         until_s = read_clock() + (self.read_order + self._random.random() / 2) * READER_STAGGER_S
-        while read_clock() < until_s and self._is_newer(version):
+        while read_clock() < until_s and self._store.is_newer(version):
             await curio.sleep(POLL_INTERVAL_S)
 
-    def _is_newer(self, version: VersionId) -> bool:
-        return self._store.newest is None or version > self._store.newest
-
     async def _handle_list(self, value: SourceValue) -> None:
         try:
             vms = msgspec.json.decode(value.data, type=VmList)
@@ -257,13 +260,13 @@
         if self._membership.adopt_list(VmList(revision, vms.vms)):
             await self._on_list_adopted()
 
-    def _report_version(self, version: VersionId, revision: int) -> None:
+    def _report_version(self, version: VersionId) -> None:
         """Log a version that the source shows, and how it compares with the one held."""
         held = self._store.newest
         self._log.report(
             Event.SOURCE_VERSION,
             f"{version.number}/{version.digest}",
-            revision=format_revision(revision),
+            revision=format_revision(version.confirmed_at),
             held="" if held is None else f"{held.number}/{held.digest}",
             order=_compare_versions(version, held),
         )
@@ -287,4 +290,6 @@
         return "newer"
     if version.number < held.number:
         return "older"
-    return "held" if version == held else "conflicting"
+    if version == held:
+        return "held"
+    return "replacing" if version > held else "replaced"
--- a/trefoilpick/versions.py
+++ b/trefoilpick/versions.py
@@ -24,6 +24,7 @@
     unpack_bytes,
     unpack_version,
 )
+from trefoilpick.revisions import is_restored_copy
 from trefoilpick.sections import decode_section
 from trefoilpick.snapshots import Snapshot, build_snapshot
 
@@ -42,6 +43,7 @@
 
     def __init__(self) -> None:
         self._manifests: dict[VersionId, Manifest] = {}
+        self._confirmed_at: dict[VersionId, int] = {}
         self._packed: dict[str, bytes] = {}
         self.newest: VersionId | None = None
 
@@ -71,18 +73,42 @@
         _check_text(ref, unpack_bytes(packed, ref.size))
         self._packed[ref.digest] = packed
 
-    def add_version(self, manifest: Manifest) -> bool:
+    def is_newer(self, version: VersionId) -> bool:
+        """Return whether a version is newer than the newest one held."""
+        return self.newest is None or self.correct_confirmation(version) > self.newest
+
+    def correct_confirmation(self, version: VersionId) -> VersionId:
+        """Return a version as it was confirmed before, if it was only restored from a copy."""
+        original = self._confirmed_at.get(version)
+        if original is None or not is_restored_copy(version.confirmed_at, original=original):
+            return version
+        return replace(version, confirmed_at=original)
+
+    def record_confirmation(self, version: VersionId) -> None:
+        """Record that the source confirmed a version again, if the version is held."""
+        known = self._confirmed_at.get(version)
+        corrected = self.correct_confirmation(version)
+        if known is None or corrected.confirmed_at <= known:
+            return
+        self._confirmed_at[version] = corrected.confirmed_at
+        if version == self.newest:
+            self.newest = corrected
+
+    def add_version(self, manifest: Manifest, *, confirmed_at: int = 0) -> bool:
         """Add a version if all its sections are stored and it is newer than every version held.
 
+        Args:
+            manifest: Manifest of the version.
+            confirmed_at: Composed revision at which the source confirmed it; 0 if unknown.
+
         Returns:
             Whether it was added.
         """
-        version = identify_version(manifest)
-        if self.newest is not None and version <= self.newest:
-            return False
-        if self.list_missing(manifest):
+        version = identify_version(manifest, confirmed_at=confirmed_at)
+        if not self.is_newer(version) or self.list_missing(manifest):
             return False
         self._manifests[version] = manifest
+        self._confirmed_at[version] = version.confirmed_at
         self.newest = version
         return True
 
@@ -96,6 +122,7 @@
         for version in sorted(self._manifests)[:-KEPT_MANIFESTS]:
             if version != enforced:
                 del self._manifests[version]
+                del self._confirmed_at[version]
         manifests = [*self._manifests.values(), *([wanted] if wanted else [])]
         referenced = {ref.digest for manifest in manifests for ref in manifest.sections}
         for digest in self._packed.keys() - referenced:
@@ -124,7 +151,7 @@
         changed = [ref for ref in manifest.sections if before.get(ref.team) != ref]
         teams = {ref.team for ref in manifest.sections}
         return Delivery(
-            version=pack_version(wanted),
+            version=pack_version(replace(wanted, confirmed_at=self._confirmed_at[wanted])),
             base=pack_version(base if known else None),
             accepted_at_ms=manifest.accepted_at_ms,
             refs=tuple(WireRef(r.team, bytes.fromhex(r.digest), r.size) for r in changed),
@@ -169,7 +196,7 @@
 
 
 def prepare_snapshot(
-    manifest: Manifest, store: VersionStore, *, enforced: Snapshot | None
+    manifest: Manifest, store: VersionStore, *, enforced: Snapshot | None, confirmed_at: int = 0
 ) -> Snapshot:
     """Check a complete version and build its snapshot.
 
@@ -179,6 +206,7 @@
         manifest: A manifest whose sections are all stored.
         store: Contains the sections.
         enforced: The enforced snapshot.
+        confirmed_at: Composed revision at which the source confirmed it; 0 if unknown.
 
     Raises:
         TrefoilpickError: `DOCUMENT_FAULTY`, naming the first fault.
@@ -186,9 +214,8 @@
     known = _index_sections(enforced)
     sections = tuple(_read_section(ref, store, known) for ref in manifest.sections)
     _check_document(_omit_known_routes(sections, enforced))
-    return build_snapshot(
-        identify_version(manifest), manifest, Document(sections), previous=enforced
-    )
+    version = identify_version(manifest, confirmed_at=confirmed_at)
+    return build_snapshot(version, manifest, Document(sections), previous=enforced)
 
 
 def _omit_known_routes(
