Convert a body limit over 2**40 bytes to the largest that a document accepts

Cause: the limit was copied unbounded into each route, and decode_section refused every section, so the whole document. Change: clamped like the other numbers.

--- a/trefoilpick/document.py
+++ b/trefoilpick/document.py
@@ -24,6 +24,9 @@
 MAX_RETRIES = 5
 """Largest number of further attempts that a route can allow."""
 
+MAX_BODY_LIMIT_BYTES = 2**40
+"""Largest limit on the size of a request body, in bytes."""
+
 MAX_PREFIX_LENGTH = 1_024
 """Longest path prefix of a route, in characters."""
 
@@ -77,7 +80,7 @@
     deadline_ms: Annotated[int, Meta(ge=1, le=MAX_DEADLINE_MS)] = 5_000
     priority: Priority = Priority.NORMAL
     retries: Annotated[int, Meta(ge=0, le=MAX_RETRIES)] = 1
-    body_limit_bytes: Annotated[int, Meta(ge=0, le=2**40)] = 1_048_576
+    body_limit_bytes: Annotated[int, Meta(ge=0, le=MAX_BODY_LIMIT_BYTES)] = 1_048_576
     objective: Objective = Objective()
 
 
--- a/trefoilpick/platform/configuration.py
+++ b/trefoilpick/platform/configuration.py
@@ -11,6 +11,7 @@
 
 from trefoilpick.document import (
     ANY_METHOD,
+    MAX_BODY_LIMIT_BYTES,
     MAX_DEADLINE_MS,
     MAX_LATENCY_MS,
     MAX_RETRIES,
@@ -215,7 +216,7 @@
         deadline_ms=_clamp(round(platform_route.timeout), 1, MAX_DEADLINE_MS),
         priority=PRIORITIES[_clamp(platform_route.priority, 0, len(PRIORITIES) - 1)],
         retries=_clamp(platform_route.max_attempts - 1, 0, MAX_RETRIES),
-        body_limit_bytes=max_body_bytes,
+        body_limit_bytes=_clamp(max_body_bytes, 0, MAX_BODY_LIMIT_BYTES),
         objective=Objective(
             latency_ms=_clamp(round(platform_route.target_latency), 1, MAX_LATENCY_MS)
         ),
