Keep the proportion of very small weights of a split

Cause: fractions are scaled by 1,000 and rounded, so weights below 0.0005 all became 0 and the route was refused (503). Change: if the largest scaled weight is under 100, the largest becomes MAX_WEIGHT.

--- a/trefoilpick/platform/configuration.py
+++ b/trefoilpick/platform/configuration.py
@@ -55,6 +55,9 @@
 WEIGHT_SCALE = 1_000
 """Factor that converts fractional weights to integers."""
 
+MIN_SCALED_WEIGHT = 100
+"""Largest weight of a split below which rounding would distort its proportions."""
+
 MAX_CONNECTIONS = 100_000
 """Largest number of connections that an upstream can have."""
 
@@ -268,8 +271,10 @@
     largest = max(weights, default=0)
     if all(weight.is_integer() for weight in map(float, weights)) and largest <= MAX_WEIGHT:
         return [int(weight) for weight in weights]
-    scale = min(WEIGHT_SCALE, MAX_WEIGHT / largest)
-    return [round(weight * scale) for weight in weights]
+    scaled = [round(weight * min(WEIGHT_SCALE, MAX_WEIGHT / largest)) for weight in weights]
+    if max(scaled) >= MIN_SCALED_WEIGHT:
+        return scaled
+    return [round(weight / largest * MAX_WEIGHT) for weight in weights]
 
 
 def _get_criteria(host: str, path_prefix: str) -> tuple[str, str]:
