Refuse a configuration whose routes or services as a whole cannot be read

Cause: a missing or unreadable table was reported as a fault and treated as empty; the configuration was enforced and every request got 404. Change: MANIFEST_FAULTY, so that the former one stays in force, or 503 is answered if there is none; empty tables stay valid.

--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -12,6 +12,7 @@
 
 import curio
 import h11
+import msgspec
 import pytest
 from curio.io import Socket
 from fakes_store import FakeStore, make_configuration, make_entry, run_store
@@ -367,6 +368,30 @@
     run_platform(test)
 
 
+# A configuration without readable tables replaced the former one, and all requests got 404.
+def test_configuration_that_cannot_be_read_leaves_the_former_one_in_force() -> None:
+    async def test(platform: Platform) -> None:
+        whole = msgspec.json.encode(make_configuration(8))
+        items = platform.store.items
+        for number, value in enumerate((b'{"version":9}', whole[:-9], b"", b"[]")):
+            platform.store.put(CONFIGURATION_KEY, value)
+            if not value:
+                items[CONFIGURATION_KEY]["value"] = "no base64"
+            await curio.sleep(0.5)
+            request = UPLOAD_HEAD + REQUEST_ID + b": kept-%d\r\n" % number
+            answers = [await platform.send_request(host, request, b"ab") for host in HOSTS]
+            assert [answer.status for answer in answers] == [200, 200]
+        changed = make_configuration(10)
+        changed["routes"].append({**changed["routes"][0], "name": "r-9", "path-prefix": "/new/"})
+        platform.store.put(CONFIGURATION_KEY, changed)
+        new_route_head = b"PUT /new/1 HTTP/1.1\r\nhost: ficu.example\r\ncontent-length: 2\r\n"
+        began_s = read_clock()
+        await platform.request_until(lambda answer: answer.status == 200, new_route_head)
+        assert read_clock() - began_s < 2.0
+
+    run_platform(test)
+
+
 def test_node_without_access_to_the_store_gets_the_configuration_from_its_peer() -> None:
     async def test(platform: Platform) -> None:
         # The first node can no longer reach the store.
--- a/trefoilpick/platform/configuration_fields.py
+++ b/trefoilpick/platform/configuration_fields.py
@@ -1,7 +1,8 @@
 """Decoding of the operators' configuration, entry by entry.
 
 A faulty entry affects only itself. A field that has a cautious substitute is replaced by it, as
-`CAUTIOUS_VALUES` lists; a route without one of its other fields is unusable.
+`CAUTIOUS_VALUES` lists; a route without one of its other fields is unusable. A configuration whose
+routes or services as a whole cannot be read is refused, so that the former one stays in force.
 """
 
 from __future__ import annotations
@@ -153,8 +154,8 @@
 
 class _RawConfiguration(msgspec.Struct, frozen=True):
     version: Annotated[int, Meta(ge=1, lt=2**53)]
-    routes: msgspec.Raw | UnsetType = UNSET
-    services: msgspec.Raw | UnsetType = UNSET
+    routes: msgspec.Raw
+    services: msgspec.Raw
     limits: msgspec.Raw | UnsetType = UNSET
 
 
@@ -172,7 +173,7 @@
         self.faults: list[ConfigurationFault] = []
         self.unreadable: list[UnreadableRoute] = []
 
-    def read_routes(self, raw: msgspec.Raw | UnsetType) -> Iterator[PlatformRoute]:
+    def read_routes(self, raw: msgspec.Raw) -> Iterator[PlatformRoute]:
         for key, entry in self._list_entries("routes", raw):
             try:
                 yield self._read_entry(PlatformRoute, "route", key, entry)
@@ -186,7 +187,7 @@
                 )
                 self.unreadable.append(route)
 
-    def read_services(self, raw: msgspec.Raw | UnsetType) -> Iterator[PlatformService]:
+    def read_services(self, raw: msgspec.Raw) -> Iterator[PlatformService]:
         for key, entry in self._list_entries("services", raw):
             try:
                 yield self._read_entry(PlatformService, "service", key, entry)
@@ -197,17 +198,17 @@
         entry = msgspec.Raw(b"{}") if raw is UNSET else raw
         return self._read_entry(PlatformLimits, "limits", "", entry)
 
-    def _list_entries(
-        self, name: str, raw: msgspec.Raw | UnsetType
-    ) -> Iterator[tuple[str, msgspec.Raw]]:
-        """Yield the entries of a list or table, each with its key; those of a list have none."""
-        if raw is UNSET:
-            return
+    def _list_entries(self, name: str, raw: msgspec.Raw) -> Iterator[tuple[str, msgspec.Raw]]:
+        """Yield the entries of a list or table, each with its key; those of a list have none.
+
+        Raises:
+            TrefoilpickError: `MANIFEST_FAULTY` if it is neither.
+        """
         try:
             entries = _TABLE_DECODER.decode(raw)
         except _DECODING_ERRORS as error:
-            self.faults.append(ConfigurationFault(name, str(error)))
-            return
+            text = f"configuration: {name}: {error}"
+            raise TrefoilpickError(ErrorKind.MANIFEST_FAULTY, text) from error
         if isinstance(entries, dict):
             yield from entries.items()
         else:
@@ -246,7 +247,8 @@
     """Decode a configuration; faulty entries are reported and affect only themselves.
 
     Raises:
-        TrefoilpickError: `MANIFEST_FAULTY` if the data is not a configuration with a version.
+        TrefoilpickError: `MANIFEST_FAULTY` if the data is not a configuration with a version, or
+            its routes or services as a whole cannot be read.
     """
     try:
         raw = _CONFIGURATION_DECODER.decode(data)
