Divide unusable routes into parts like the others

Cause: all unusable routes of a service, or of none, were in one section, and over a megabyte of it was refused with the whole document (measured: 17,000 minimal faulty routes in a value under a megabyte). Change: they count for the parts of a service's routes.

--- a/trefoilpick/platform/configuration.py
+++ b/trefoilpick/platform/configuration.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from functools import lru_cache
 from typing import TYPE_CHECKING
 
@@ -80,7 +80,7 @@
 
     Attributes:
         sections: One section per service, further ones for the parts of its routes if there are
-            many, and one for unusable routes without a service; ordered by name.
+            many, the same for unusable routes without a service; ordered by name.
         faults: Faults of the configuration.
     """
 
@@ -88,6 +88,14 @@
     faults: tuple[ConfigurationFault, ...]
 
 
+@dataclass
+class _Part:
+    """A part of the routes of a service."""
+
+    routes: list[Route] = field(default_factory=list)
+    unusable: list[UnusableRoute] = field(default_factory=list)
+
+
 class _Converter:
     """Converts one configuration."""
 
@@ -183,19 +191,24 @@
         for team in sorted(teams):
             service = self._services.get(team)
             unusable = unassigned if service is None else self._unusable.get(team, {})
-            parts = _divide_routes(self._routes.get(team, []))
-            whole = parts.pop() if len(parts) == 1 else ()
+            parts = _divide_routes(self._routes.get(team, []), list(unusable.values()))
+            whole = parts.pop() if len(parts) == 1 else _Part()
             yield Section(
                 team,
                 () if service is None else (_build_upstream(team, service),),
-                whole,
+                tuple(whole.routes),
                 caller_limits,
-                tuple(unusable.values()),
+                tuple(whole.unusable),
             )
             caller_limits = None
-            for number, routes in enumerate(parts):
-                if routes:
-                    yield Section(name_part(team, number), routes=routes, owner=team)
+            for number, part in enumerate(parts):
+                if part.routes or part.unusable:
+                    yield Section(
+                        name_part(team, number),
+                        routes=tuple(part.routes),
+                        unusable_routes=tuple(part.unusable),
+                        owner=team,
+                    )
 
 
 def convert_configuration(configuration: Configuration) -> ConvertedConfiguration:
@@ -228,17 +241,21 @@
     return Route(name, match, _find_service(platform_route), contract, shares)
 
 
-def _divide_routes(routes: list[Route]) -> list[tuple[Route, ...]]:
+def _divide_routes(routes: list[Route], unusable: list[UnusableRoute]) -> list[_Part]:
     """Divide the routes of a service into parts, a power of two, by a hash of their names.
 
     A change then sends only the parts that it affects. The parts depend on the routes alone, so
-    that all nodes divide them alike.
+    that all nodes divide them alike. Unusable routes may lack a name of their own, so that their
+    match is part of the hash.
     """
-    count = 1 << max(0, (len(routes) - 1) // PART_ROUTES).bit_length()
-    parts: list[list[Route]] = [[] for _ in range(count)]
+    count = 1 << max(0, (len(routes) + len(unusable) - 1) // PART_ROUTES).bit_length()
+    parts = [_Part() for _ in range(count)]
     for route in routes:
-        parts[xxhash.xxh64_intdigest(route.name.encode()) % count].append(route)
-    return [tuple(part) for part in parts]
+        parts[xxhash.xxh64_intdigest(route.name.encode()) % count].routes.append(route)
+    for refused in unusable:
+        key = f"{refused.name} {refused.match.host}{refused.match.path_prefix}"
+        parts[xxhash.xxh64_intdigest(key.encode()) % count].unusable.append(refused)
+    return parts
 
 
 def _build_upstream(name: str, service: PlatformService) -> Upstream:
