Exclude a node's own delays from callers' idle times

Cause: timeouts are measured on a coarse clock that the monitor sets. After a stop or a lack of processor time, idle times contained the whole delay, and what callers had sent meanwhile was credited at the time before it. Evidence: four of six cases with a delay of 1 s and a timeout of 600 ms ended with 400 (body_timeout, not repeated by callers) or 408. Change: the monitor adds its own lateness to the last activity of all connections. Callers that stop sending are still ended.

--- a/trefoilpick/connection_monitor.py
+++ b/trefoilpick/connection_monitor.py
@@ -61,8 +61,10 @@
     async def run(self) -> None:
         """Check the connections until cancelled."""
         pool_swept_at = 0.0
+        expected_at = read_clock()
         while True:
             now = self.clock.now = read_clock()
+            self._exclude_delay(now, now - expected_at)
             for connection in list(self._find_expired(now)):
                 connection.expire()
             for connection in list(self._find_late(now)):
@@ -72,8 +74,19 @@
             if now - pool_swept_at >= POOL_SWEEP_INTERVAL_S:
                 pool_swept_at = now
                 await self._pool.sweep(now)
+            expected_at = read_clock() + CHECK_INTERVAL_S
             await curio.sleep(CHECK_INTERVAL_S)
 
+    def _exclude_delay(self, now: float, delay_s: float) -> None:
+        """Exclude from the connections' idle times a delay in which the node itself did not run.
+
+        What callers sent in that time may not have been read yet.
+        """
+        if delay_s <= 0:
+            return
+        for connection in self.connections:
+            connection.last_active_at = min(connection.last_active_at + delay_s, now)
+
     def _find_expired(self, now: float) -> Iterator[CallerConnection]:
         head_s = self.limits.head_timeout_ms / MS_PER_S
         limits_s = {
