Apply the enforced limits of callers to kept connections

Cause: a connection kept the limit on heads of the version in force when it was accepted, and the monitor took new timeouts only when a further connection was accepted. Evidence: after a raise from 32,768 to 100,000 bytes, a head of 90,000 on a kept connection got 431; after a raise of the timeouts, a kept connection was closed by the old one. Change: both are read from the enforced version; h11 gets the largest possible limit, and the current one is checked beside it.

--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -22,7 +22,7 @@
 def test_caller_that_left_before_it_could_continue_is_gone() -> None:
     async def main() -> None:
         connection = CallerConnection(
-            ResetSocket(), "127.0.0.1", max_head_bytes=10_000, clock=CoarseClock(0.0)
+            ResetSocket(), "127.0.0.1", find_max_head_bytes=lambda: 10_000, clock=CoarseClock(0.0)
         )
         assert await connection.receive_request() is not None
         with pytest.raises(TrefoilpickError) as caught:
--- a/trefoilpick/caller_connections.py
+++ b/trefoilpick/caller_connections.py
@@ -11,10 +11,11 @@
 import h11
 import msgspec
 
+from trefoilpick.document import MAX_HEAD_BYTES
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
     from curio import socket
 
@@ -63,7 +64,7 @@
     Args:
         sock: The accepted curio socket.
         caller: IP address of the caller.
-        max_head_bytes: Largest head of a request, in bytes.
+        find_max_head_bytes: Returns the current limit on the head of a request, in bytes.
         clock: Coarse clock, for timeouts of seconds.
 
     Attributes:
@@ -81,11 +82,17 @@
     """
 
     def __init__(
-        self, sock: socket.socket, caller: str, *, max_head_bytes: int, clock: CoarseClock
+        self,
+        sock: socket.socket,
+        caller: str,
+        *,
+        find_max_head_bytes: Callable[[], int],
+        clock: CoarseClock,
     ) -> None:
         self.sock = sock
         self.caller = caller
-        self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=max_head_bytes)
+        self.find_max_head_bytes = find_max_head_bytes
+        self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
         self.clock = clock
         self.state = ConnectionState.NEW
         self.last_active_at = clock.now
@@ -130,6 +137,8 @@
                 self.state = ConnectionState.HEAD
             self.http.receive_data(data)
             event = self._read_event()
+            if event is h11.NEED_DATA and self._is_buffer_full():
+                raise TrefoilpickError(ErrorKind.HEAD_TOO_LARGE, "head: it is over the limit")
         return event if isinstance(event, h11.Request) else None
 
     async def receive_body(self) -> bytes | None:
@@ -176,6 +185,8 @@
             raise TrefoilpickError(ErrorKind.BODY_MALFORMED, f"body: {error}") from error
         if isinstance(event, h11.Data):
             return bytes(event.data)
+        if event is h11.NEED_DATA and self._is_buffer_full():
+            raise TrefoilpickError(ErrorKind.BODY_MALFORMED, "body: a line is over the limit")
         return None if isinstance(event, h11.EndOfMessage) else b""
 
     def drop_body(self) -> bool:
@@ -291,6 +302,13 @@
         if self.hop is not None:
             self.hop.abort()
 
+    def _is_buffer_full(self) -> bool:
+        """Return whether an incomplete head or line of a body is over the limit.
+
+        The limit of h11 cannot be changed during a connection, so that it is the largest possible.
+        """
+        return len(self.http.trailing_data[0]) > self.find_max_head_bytes()
+
     def _check_head_timeout(self) -> None:
         if self.state is ConnectionState.HEAD:
             raise TrefoilpickError(
--- a/trefoilpick/callers.py
+++ b/trefoilpick/callers.py
@@ -32,7 +32,6 @@
 from trefoilpick.connection_monitor import ConnectionMonitor
 from trefoilpick.conventions import DEFAULT_CONVENTIONS, RETRY_HEADER, VERSION_HEADER, Conventions
 from trefoilpick.deadline_history import DeadlineHistory, compute_retry_after
-from trefoilpick.document import CallerLimits
 from trefoilpick.errors import ErrorKind, TrefoilpickError, find_answer
 from trefoilpick.forwarding import Forwarder
 from trefoilpick.hopclient import HopPool
@@ -209,25 +208,20 @@
             self._metrics.count("trefoilpick_accept_errors_total", reason=type(error).__name__)
             await curio.sleep(ACCEPT_PAUSE_S)
             return
-        limits = self._find_limits()
         connection = CallerConnection(
-            client, address[0], max_head_bytes=limits.head_bytes, clock=self._monitor.clock
+            client,
+            address[0],
+            find_max_head_bytes=self._find_max_head_bytes,
+            clock=self._monitor.clock,
         )
-        self._monitor.limits = limits
         if len(self._monitor.connections) >= self._settings.requests.max_connections:
             await self._refuse_connection(connection)
             return
         self._monitor.connections.add(connection)
         await self._spawn(self._serve_connection, connection)
 
-    def _find_limits(self) -> CallerLimits:
-        snapshot = self._cell.current
-        if snapshot is not None and snapshot.caller_limits is not None:
-            return snapshot.caller_limits
-        requests = self._settings.requests
-        return CallerLimits(
-            requests.max_head_bytes, requests.head_timeout_ms, requests.keepalive_ms
-        )
+    def _find_max_head_bytes(self) -> int:
+        return self._monitor.limits.head_bytes
 
     async def _refuse_connection(self, connection: CallerConnection) -> None:
         limit = self._settings.requests.max_connections
@@ -268,7 +262,7 @@
             await pipeline.drain()
             return False
         if pipeline.can_add(request) and not self._is_closing:
-            pipelined = await pipeline.add(max_head_bytes=self._monitor.limits.head_bytes)
+            pipelined = await pipeline.add()
             await self._spawn(self._serve_pipelined, pipelined, request, pipeline)
             return not connection.is_broken
         if not await pipeline.drain():
@@ -564,7 +558,7 @@
         cell=cell,
         forwarder=forwarder,
         splitter=Splitter(random),
-        monitor=ConnectionMonitor(requests, pool, CoarseClock(read_clock())),
+        monitor=ConnectionMonitor(requests, pool, CoarseClock(read_clock()), cell),
         metrics=metrics,
         is_ready=is_ready,
         is_up_to_date=is_up_to_date,
--- a/trefoilpick/connection_monitor.py
+++ b/trefoilpick/connection_monitor.py
@@ -22,6 +22,7 @@
     from trefoilpick.caller_connections import CallerConnection, CoarseClock
     from trefoilpick.hopclient import HopPool
     from trefoilpick.settings import RequestSettings
+    from trefoilpick.snapshots import SnapshotCell
 
 CHECK_INTERVAL_S = 0.1
 """Interval between checks, in seconds."""
@@ -43,21 +44,30 @@
         settings: Settings of requests.
         pool: Connections to other nodes.
         clock: Clock that it updates at each check.
+        cell: Snapshot of the enforced version, which may set limits of callers.
 
     Attributes:
         connections: All callers' connections.
-        limits: Current limits of callers.
     """
 
-    def __init__(self, settings: RequestSettings, pool: HopPool, clock: CoarseClock) -> None:
+    def __init__(
+        self, settings: RequestSettings, pool: HopPool, clock: CoarseClock, cell: SnapshotCell
+    ) -> None:
         self.connections: set[CallerConnection] = set()
         self.clock = clock
+        self._cell = cell
         self._pool = pool
         self._body_idle_s = settings.body_idle_ms / MS_PER_S
-        self.limits = CallerLimits(
+        self._default_limits = CallerLimits(
             settings.max_head_bytes, settings.head_timeout_ms, settings.keepalive_ms
         )
 
+    @property
+    def limits(self) -> CallerLimits:
+        """Current limits of callers."""
+        snapshot = self._cell.current
+        return (snapshot and snapshot.caller_limits) or self._default_limits
+
     async def run(self) -> None:
         """Check the connections until cancelled."""
         pool_swept_at = 0.0
@@ -88,11 +98,12 @@
             connection.last_active_at = min(connection.last_active_at + delay_s, now)
 
     def _find_expired(self, now: float) -> Iterator[CallerConnection]:
-        head_s = self.limits.head_timeout_ms / MS_PER_S
+        limits = self.limits
+        head_s = limits.head_timeout_ms / MS_PER_S
         limits_s = {
             ConnectionState.NEW: head_s,
             ConnectionState.HEAD: head_s,
-            ConnectionState.IDLE: self.limits.idle_timeout_ms / MS_PER_S,
+            ConnectionState.IDLE: limits.idle_timeout_ms / MS_PER_S,
             ConnectionState.UPLOADING: self._body_idle_s,
             ConnectionState.ANSWERING: self._body_idle_s,
         }
--- a/trefoilpick/document.py
+++ b/trefoilpick/document.py
@@ -27,6 +27,9 @@
 MAX_BODY_LIMIT_BYTES = 2**40
 """Largest limit on the size of a request body, in bytes."""
 
+MAX_HEAD_BYTES = 1_048_576
+"""Largest limit on the size of a request head, in bytes."""
+
 MAX_PREFIX_LENGTH = 1_024
 """Longest path prefix of a route, in characters."""
 
@@ -179,7 +182,7 @@
         idle_timeout_ms: Idle timeout of a connection between requests, in milliseconds.
     """
 
-    head_bytes: Annotated[int, Meta(ge=1_024, le=1_048_576)]
+    head_bytes: Annotated[int, Meta(ge=1_024, le=MAX_HEAD_BYTES)]
     head_timeout_ms: Annotated[int, Meta(ge=10, le=600_000)]
     idle_timeout_ms: Annotated[int, Meta(ge=10, le=3_600_000)]
 
--- a/trefoilpick/pipelining.py
+++ b/trefoilpick/pipelining.py
@@ -32,22 +32,22 @@
     Args:
         connection: The caller's connection.
         earlier: The previous request; None for the first.
-        max_head_bytes: Largest head of a request, in bytes.
 
     Attributes:
         connection: Connection object with which this request is answered.
         is_answered: Whether the complete answer was sent and the connection can be reused.
     """
 
-    def __init__(
-        self, connection: CallerConnection, earlier: PipelinedRequest | None, *, max_head_bytes: int
-    ) -> None:
+    def __init__(self, connection: CallerConnection, earlier: PipelinedRequest | None) -> None:
         self.is_answered = False
         self._ended = curio.Event()
         self._earlier = earlier
         self._sock = connection.sock
         self.connection = CallerConnection(
-            self, connection.caller, max_head_bytes=max_head_bytes, clock=connection.clock
+            self,
+            connection.caller,
+            find_max_head_bytes=connection.find_max_head_bytes,
+            clock=connection.clock,
         )
         self.connection.http.receive_data(PLACEHOLDER_REQUEST)
         self.connection.http.next_event()
@@ -124,12 +124,12 @@
                 return False
         return True
 
-    async def add(self, *, max_head_bytes: int) -> PipelinedRequest:
+    async def add(self) -> PipelinedRequest:
         """Add the request that was just read, and prepare for the next one."""
         while len(self._requests) >= MAX_PIPELINED:
             await self._requests[0].wait()
             self._remove_ended()
-        pipelined = PipelinedRequest(self._connection, self._last, max_head_bytes=max_head_bytes)
+        pipelined = PipelinedRequest(self._connection, self._last)
         self._last = pipelined
         self._requests.append(pipelined)
         self._connection.skip_answer()
--- a/trefoilpick/platform/configuration.py
+++ b/trefoilpick/platform/configuration.py
@@ -13,6 +13,7 @@
     ANY_METHOD,
     MAX_BODY_LIMIT_BYTES,
     MAX_DEADLINE_MS,
+    MAX_HEAD_BYTES,
     MAX_LATENCY_MS,
     MAX_RETRIES,
     MAX_WEIGHT,
@@ -271,7 +272,7 @@
 
 def _build_caller_limits(limits: PlatformLimits) -> CallerLimits:
     return CallerLimits(
-        _clamp(limits.max_header_bytes, 1_024, 1_048_576),
+        _clamp(limits.max_header_bytes, 1_024, MAX_HEAD_BYTES),
         _clamp(round(limits.header_timeout), 10, 600_000),
         _clamp(round(limits.idle_timeout), 10, 3_600_000),
     )
