Failing tests: links that are open and silent

Seen on this code: no request and no announcement on such a link arrived within the 8 s that were watched, with and without keys; of five nodes with one reader only the reader enforced a version that was accepted at the moment of the silence (after 5.5 s) or 3 s after it (after 2.5 s).

FakeNode opens its links in a method, so that a fleet may have real ones.

--- a/tests/fakes_fleet.py
+++ b/tests/fakes_fleet.py
@@ -8,9 +8,11 @@
 
 import curio
 import msgspec
+from fakes_proxy import SilencingProxy
 
 from trefoilpick.distribution import Distributor, open_distributor
 from trefoilpick.document import Contract, Match, Route, Section, Upstream
+from trefoilpick.links import Links, ZmqLinks
 from trefoilpick.local_network import LocalLinks, LocalNetwork, LocalSource, SourceFault
 from trefoilpick.logs import StateLog
 from trefoilpick.manifest import Manifest, SectionRef, VersionId, compute_digest
@@ -29,6 +31,9 @@
 from trefoilpick.source import VMS_KEY, SourceValue
 from trefoilpick.vms import Vm, VmList
 
+PROXIED_PORT = 8_092
+"""Port on which a node behind a proxy listens."""
+
 
 class RecordingCell(SnapshotCell):
     """Records enforced versions and asserts that each is newer, complete and consistent."""
@@ -101,11 +106,7 @@
         self.cell = RecordingCell()
         self.membership = MembershipTable(own)
         self.suspended_s = 0.0
-        address = f"{own.host}:{own.control_port}"
-        message_endpoint = MessageEndpoint(own.name, incarnation, self.metrics)
-        self.links = LocalLinks(
-            network, address, message_endpoint=message_endpoint, metrics=self.metrics
-        )
+        self.links = self.open_links(network, MessageEndpoint(own.name, incarnation, self.metrics))
         self.distributor: Distributor = open_distributor(
             make_settings(own, control),
             own=own,
@@ -122,14 +123,40 @@
         )
         self.task: curio.Task | None = None
 
+    async def run(self) -> None:
+        await self.distributor.run()
+
     @property
     def number(self) -> int:
         return self.cell.current.version.number if self.cell.current else 0
 
+    def open_links(self, network: LocalNetwork, message_endpoint: MessageEndpoint) -> Links:
+        address = f"{self.own.host}:{self.own.control_port}"
+        return LocalLinks(network, address, message_endpoint=message_endpoint, metrics=self.metrics)
+
+
+class ProxiedNode(FakeNode):
+    """A node with links over ZeroMQ, which its peers reach through a proxy."""
+
+    def open_links(self, network: LocalNetwork, message_endpoint: MessageEndpoint) -> Links:
+        self.proxy = SilencingProxy(
+            (self.own.host, self.own.control_port), (self.own.host, PROXIED_PORT)
+        )
+        return ZmqLinks(
+            self.own.host, PROXIED_PORT, message_endpoint=message_endpoint, metrics=self.metrics
+        )
+
+    async def run(self) -> None:
+        async with curio.TaskGroup(wait=any) as group:
+            await group.spawn(self.proxy.run)
+            await group.spawn(self.distributor.run)
+
 
 class FakeFleet:
     """Nodes that share one network and one source."""
 
+    node_class = FakeNode
+
     def __init__(
         self,
         vms: tuple[Vm, ...],
@@ -154,9 +181,11 @@
             if not names or vm.name in names:
                 self.incarnations += 1
                 control = replace(self.control, thin_link=vm.name in self.low_bandwidth)
-                node = FakeNode(vm, self.network, source or self.source, control, self.incarnations)
+                node = self.node_class(
+                    vm, self.network, source or self.source, control, self.incarnations
+                )
                 self.nodes[vm.name] = node
-                node.task = await curio.spawn(node.distributor.run, daemon=True)
+                node.task = await curio.spawn(node.run, daemon=True)
 
     async def kill(self, *names: str) -> None:
         for name in names or tuple(self.nodes):
@@ -189,6 +218,17 @@
         return {name: node.number for name, node in self.nodes.items()}
 
 
+class ProxiedFleet(FakeFleet):
+    """Nodes with links over ZeroMQ, through proxies."""
+
+    node_class = ProxiedNode
+
+    def silence_links(self) -> None:
+        """Silence all links that are open; new ones work."""
+        for node in self.nodes.values():
+            node.proxy.silence()
+
+
 def make_vms(centres: int, each: int) -> tuple[Vm, ...]:
     return tuple(
         Vm(
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -2,7 +2,7 @@
 
 import curio
 import pytest
-from fakes_fleet import FakeFleet, make_version, make_vms
+from fakes_fleet import FakeFleet, ProxiedFleet, make_version, make_vms
 
 from trefoilpick._virtual_time import run_virtual
 from trefoilpick.local_network import LocalSource, SourceFault
@@ -11,6 +11,12 @@
 from trefoilpick.settings import ControlSettings
 from trefoilpick.status import Standing
 
+TOUCH_S = 3.0
+"""Time after which nodes whose connections fell silent are in touch again, in seconds."""
+
+IN_FORCE_S = 2.5
+"""Time within which an accepted version is in force on nodes in touch, in seconds."""
+
 VARIANTS = {f"team-{number}": 0 for number in range(12)}
 
 
@@ -453,3 +459,30 @@
         assert restarted.membership.is_leaving(name)
 
     run_virtual(main())
+
+
+# Guards against nodes that never hear of a version again after their links fell silent.
+@pytest.mark.parametrize(("silent_s", "net"), [(0.0, "127.0.47"), (3.0, "127.0.48")])
+def test_version_reaches_nodes_that_do_not_read_after_their_links_fell_silent(
+    silent_s: float, net: str
+) -> None:
+    async def main() -> None:
+        control = ControlSettings(readers=1, exchange_ms=1_000, answer_ms=500, expected_vms=4)
+        vms = (replace(vm, host=f"{net}.{number}") for number, vm in enumerate(make_vms(1, 5), 1))
+        fleet = ProxiedFleet(tuple(vms), control=control)
+        await fleet.publish_vms(1)
+        await fleet.source.accept(*make_version(1, VARIANTS))
+        await fleet.start()
+        await fleet.wait_all(1, 20)
+        await fleet.wait_for(lambda: len(fleet.list_readers()) == 1, 20)
+        # Opens all links between the nodes.
+        await accept(fleet, 2)
+        await fleet.wait_all(2, 20)
+        await curio.sleep(4.0)
+        fleet.silence_links()
+        await curio.sleep(silent_s)
+        await accept(fleet, 3)
+        await fleet.wait_all(3, TOUCH_S - silent_s + IN_FORCE_S)
+        await fleet.kill()
+
+    curio.run(main())
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -1,6 +1,11 @@
+from functools import partial
+
 import curio
+import pytest
 import zmq
+from fakes_proxy import SilencingProxy
 
+from trefoilpick.errors import TrefoilpickError
 from trefoilpick.links import ZmqLinks
 from trefoilpick.message_endpoint import MessageEndpoint
 from trefoilpick.messages import Announcement, Body, Envelope, FetchVms, Refusal, WireVersion
@@ -9,6 +14,12 @@
 
 PORT = 18_471
 
+RECOVERY_S = 3.0
+"""Time limit until a link works again after its connection fell silent, in seconds."""
+
+WATCH_S = 8.0
+"""Time for which a link that does not recover is watched, in seconds."""
+
 
 def make_keys() -> KeySettings:
     public, secret = zmq.curve_keypair()
@@ -97,3 +108,68 @@
         assert other.received == [Announcement(WireVersion(499, bytes(16)), 1)]
 
     curio.run(main())
+
+
+async def wait_for_answer(one: Endpoint, address: str) -> float:
+    """Send requests until one is answered; return the elapsed time in seconds."""
+    began_s = await curio.clock()
+    while True:
+        try:
+            await one.links.request(address, FetchVms(0), timeout_s=0.5)
+        except TrefoilpickError:
+            elapsed_s = await curio.clock() - began_s
+            assert elapsed_s < WATCH_S, f"no answer within {elapsed_s:.1f} s"
+        else:
+            return await curio.clock() - began_s
+
+
+# Guards against a link whose connection is open and silent, and which is used for good.
+@pytest.mark.parametrize(("has_keys", "net"), [(False, "127.0.44"), (True, "127.0.46")])
+def test_link_works_again_after_its_connection_fell_silent(has_keys: bool, net: str) -> None:
+    async def main() -> None:
+        keys = make_keys() if has_keys else None
+        one, other = Endpoint(f"{net}.1", "vm-1", keys), Endpoint(f"{net}.2", "vm-2", keys)
+        proxy = SilencingProxy((f"{net}.3", PORT), (f"{net}.2", PORT))
+        address = f"{net}.3:{PORT}"
+        async with curio.TaskGroup(wait=any) as group:
+            for run in (proxy.run, partial(one.links.run, one.answer)):
+                await group.spawn(run)
+            await group.spawn(other.links.run, other.answer)
+            await one.links.request(address, FetchVms(0), timeout_s=30)
+            proxy.silence()
+            assert await wait_for_answer(one, address) < RECOVERY_S
+            announcement = Announcement(WireVersion(2, bytes(16)), 1)
+            await one.links.send(address, announcement)
+            async with curio.timeout_after(1.0):
+                while announcement not in other.received:
+                    await curio.sleep(0.01)
+            await group.cancel_remaining()
+
+    curio.run(main())
+
+
+# Guards against notices that are written to a silent connection for good, as nobody answers them.
+def test_announcements_arrive_again_after_the_connection_fell_silent() -> None:
+    async def main() -> None:
+        one, other = Endpoint("127.0.45.1", "vm-1", None), Endpoint("127.0.45.2", "vm-2", None)
+        proxy = SilencingProxy(("127.0.45.3", PORT), ("127.0.45.2", PORT))
+        address = f"127.0.45.3:{PORT}"
+        async with curio.TaskGroup(wait=any) as group:
+            for run in (proxy.run, partial(one.links.run, one.answer)):
+                await group.spawn(run)
+            await group.spawn(other.links.run, other.answer)
+            await one.links.send(address, Announcement(WireVersion(1, bytes(16)), 1))
+            await other.wait_received(1)
+            proxy.silence()
+            began_s = await curio.clock()
+            for number in range(2, 1_000):
+                await one.links.send(address, Announcement(WireVersion(number, bytes(16)), 1))
+                await curio.sleep(0.05)
+                elapsed_s = await curio.clock() - began_s
+                if len(other.received) > 1:
+                    break
+                assert elapsed_s < WATCH_S, f"no announcement arrived within {elapsed_s:.1f} s"
+            assert elapsed_s < RECOVERY_S
+            await group.cancel_remaining()
+
+    curio.run(main())
