Links: heartbeats replace a connection that is open and silent

What was wrong: a connection that falls silent without an end or a reset was used for good. An unanswered request left it open, each message sent counted as use, and libzmq sends no heartbeats by default. A node that does not read the store then never heard of a version again.

Change: the DEALER of a link sends ZMTP heartbeats (every 0.8 s, 1 s for anything to arrive), so that libzmq drops a silent connection and connects again within 2 s; TTL lets the peer drop its end. A peer's ROUTER answers by itself, also one of the former release, which has the same options as this one's (test added). Connecting and the handshake are limited to 2 s each, as they may meet silence too. What was written to the silent connection is lost: requests time out, and the exchanges repair announcements.

--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -173,3 +173,29 @@
             await group.cancel_remaining()
 
     curio.run(main())
+
+
+# Guards against heartbeats that a peer without heartbeats of its own would not answer.
+def test_idle_link_to_a_peer_that_sends_no_heartbeats_keeps_its_connection() -> None:
+    async def main() -> None:
+        one = Endpoint("127.0.49.1", "vm-1", None)
+        context = zmq.Context()
+        # The bound socket of the former release: without heartbeats.
+        router = context.socket(zmq.ROUTER)
+        router.bind(f"tcp://127.0.49.2:{PORT}")
+        proxy = SilencingProxy(("127.0.49.3", PORT), ("127.0.49.2", PORT))
+        async with curio.TaskGroup(wait=any) as group:
+            for run in (proxy.run, partial(one.links.run, one.answer)):
+                await group.spawn(run)
+            address = f"127.0.49.3:{PORT}"
+            await one.links.send(address, Announcement(WireVersion(1, bytes(16)), 1))
+            await curio.sleep(2 * RECOVERY_S)
+            await one.links.send(address, Announcement(WireVersion(2, bytes(16)), 1))
+            await curio.sleep(0.5)
+            await group.cancel_remaining()
+        assert router.poll(0)
+        assert len({router.recv_multipart(zmq.NOBLOCK)[0] for _ in range(2)}) == 1
+        assert len(proxy.connections) == 1
+        context.destroy(linger=0)
+
+    curio.run(main())
--- a/trefoilpick/links.py
+++ b/trefoilpick/links.py
@@ -41,6 +41,20 @@
 RECONNECT_MAX_MS = 5_000
 """Maximum delay before reconnecting, in milliseconds."""
 
+HEARTBEAT_INTERVAL_MS = 800
+"""Interval between heartbeats on a connection to a peer, in milliseconds."""
+
+HEARTBEAT_TIMEOUT_MS = 1_000
+"""Time after a heartbeat within which anything must arrive, in milliseconds; otherwise the
+connection is replaced."""
+
+HEARTBEAT_TTL_MS = 5_000
+"""Time after a heartbeat for which the peer keeps a connection on which nothing arrives, in
+milliseconds."""
+
+CONNECT_TIMEOUT_MS = 2_000
+"""Timeout of connecting and of the handshake, in milliseconds each."""
+
 GREETING_BYTES = 64
 """Size of the ZMTP greeting in each direction, in bytes."""
 
@@ -64,6 +78,9 @@
 class Traffic:
     """Counts the bytes of control messages, including ZeroMQ framing but not TCP and IP headers.
 
+    Heartbeats are not counted, as libzmq does not report them: 16 bytes for each interval and link,
+    both directions together, and 82 with keys.
+
     Args:
         metrics: Receives the counts by direction.
 
@@ -221,6 +238,12 @@
         sock.setsockopt(zmq.IMMEDIATE, 1)
         sock.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
         sock.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+        sock.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
+        sock.setsockopt(zmq.HANDSHAKE_IVL, CONNECT_TIMEOUT_MS)
+        # Only the connecting side sends heartbeats; the other side answers them by itself.
+        sock.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_INTERVAL_MS)
+        sock.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
+        sock.setsockopt(zmq.HEARTBEAT_TTL, HEARTBEAT_TTL_MS)
         self._configure(sock)
         if self._keys is not None:
             sock.curve_serverkey = self._keys.public.encode()
