--- a/tests/fakes_hop.py
+++ b/tests/fakes_hop.py
@@ -219,6 +219,7 @@
     cell: SnapshotCell
     is_ready: bool = True
     is_up_to_date: bool = True
+    may_be_behind: bool = False
 
     @property
     def runs(self) -> Counter[str]:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -371,6 +371,24 @@
     run_bench(main, FakeWorkerNode(), requests=RequestSettings(max_connections=1))
 
 
+# A node that knew of a newer version answered 404 for routes that it did not have yet.
+@pytest.mark.parametrize("method", ["GET", "PUT"])
+def test_unknown_route_is_not_refused_for_good_by_a_node_that_may_be_behind(method: str) -> None:
+    async def main(bench: Bench) -> None:
+        caller = await connect(bench)
+        path = "/new/" if method == "GET" else "/status"
+        assert (await caller.request(method, path)).status in (404, 405)
+        bench.may_be_behind = True
+        caller = await connect(bench)
+        answer = await caller.request(method, path)
+        assert (answer.status, answer.error, answer.outcome) == (503, "not_level", "not_run")
+        assert (await caller.request("GET", "/status")).status == 200
+        bench.may_be_behind = False
+        assert (await caller.request(method, path)).status in (404, 405)
+
+    run_bench(main, FakeWorkerNode())
+
+
 def test_pipelined_requests_get_their_own_answers_in_order() -> None:
     async def main(bench: Bench) -> None:
         caller = await connect(bench)
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -10,6 +10,7 @@
 from trefoilpick.revisions import get_era
 from trefoilpick.settings import ControlSettings
 from trefoilpick.status import Standing
+from trefoilpick.traces import SourceFault
 
 TOUCH_S = 3.0
 """Time after which nodes whose connections fell silent are in touch again, in seconds."""
@@ -368,6 +369,39 @@
     run_virtual(main())
 
 
+# A node that knew of a newer version, or had no answer of the source yet, answered 404.
+def test_node_may_be_behind_until_it_enforces_the_newest_version_that_it_knows() -> None:
+    async def main() -> None:
+        fleet = await start_fleet(2, 4)
+        node = fleet.nodes["vm-0-1"].distributor
+        await fleet.wait_for(lambda: not node.may_be_behind, 8)
+        await node.record_version("vm-0-2", 5, "d" * 32)
+        assert node.may_be_behind
+        assert node.is_ready and node.is_up_to_date
+        await accept(fleet, 6)
+        await fleet.wait_all(6, 8)
+        assert not node.may_be_behind
+
+    run_virtual(main())
+
+
+def test_node_that_the_source_has_not_answered_yet_may_be_behind() -> None:
+    async def main() -> None:
+        fleet = await start_fleet(2, 4)
+        await fleet.kill("vm-1-3")
+        source = fleet.source.copy()
+        await source.begin_fault(SourceFault.DOWN)
+        await fleet.start("vm-1-3", source=source)
+        node = fleet.nodes["vm-1-3"].distributor
+        await fleet.wait_for(lambda: node.is_ready, 40)
+        assert fleet.nodes["vm-1-3"].number == 1
+        assert node.may_be_behind
+        await source.end_fault(SourceFault.DOWN)
+        await fleet.wait_for(lambda: not node.may_be_behind, 40)
+
+    run_virtual(main())
+
+
 def test_leaving_node_gets_no_work_until_its_next_incarnation() -> None:
     async def main() -> None:
         fleet = await start_fleet(1, 4)
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -135,3 +135,18 @@
 
     scripts = deque([answer_after(0.3, b"first"), answer_after(0.2, b"second")])
     run_bench(main, FakeWorkerNode(scripts=scripts))
+
+
+# A request behind one that was admitted before a pause got 404 although the node had not caught up.
+def test_a_request_that_was_pipelined_before_a_pause_is_not_answered_404_after_it() -> None:
+    async def main(bench: Bench) -> None:
+        caller = await connect(bench)
+        unknown = b"GET /new HTTP/1.1\r\nhost: a\r\n\r\n"
+        await caller.sock.sendall(STATUS % 1)
+        await wait_until(lambda: bench.runs.total() == 1)
+        caller.sock._socket.send(unknown)
+        bench.is_up_to_date = False
+        received = await receive_all(caller.sock, b'not_run"}')
+        assert b" 503 " in received and b" 404 " not in received
+
+    run_bench(main, FakeWorkerNode(scripts=deque([answer_after(0.3, b"first")])))
