Answer 503 instead of 404 while a newer version may have the route

Cause: only a pause made a node answer not_level. A node that knew of a newer version that it did not enforce, or that the source had not answered since its start, answered 404 (or 405) for its routes, which callers do not repeat. Change: a missing route is not_level if the newest known version is not the enforced one, or the source has not answered yet. Routes that are there are served as before. A node whose newest version was refused answers so too until the next one.

--- a/tests/fakes_hop.py
+++ b/tests/fakes_hop.py
@@ -275,6 +275,7 @@
             metrics=metrics,
             is_ready=lambda: bench.is_ready,
             is_up_to_date=lambda: bench.is_up_to_date,
+            may_be_behind=lambda: bench.may_be_behind,
             random=random.Random(5),
             conventions=conventions,
         )
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -10,7 +10,6 @@
 from trefoilpick.revisions import get_era
 from trefoilpick.settings import ControlSettings
 from trefoilpick.status import Standing
-from trefoilpick.traces import SourceFault
 
 TOUCH_S = 3.0
 """Time after which nodes whose connections fell silent are in touch again, in seconds."""
--- a/trefoilpick/callers.py
+++ b/trefoilpick/callers.py
@@ -75,6 +75,9 @@
 DRAIN_CHECK_S = 0.05
 """Interval between checks for requests in flight during a drain, in seconds."""
 
+MISSING_ROUTE_ERRORS = frozenset((ErrorKind.NO_ROUTE, ErrorKind.METHOD_NOT_ALLOWED))
+"""Errors of a request for which a version has no route."""
+
 CLOSE_HEADER = (b"connection", b"close")
 """Header that closes a caller's connection after the answer."""
 
@@ -108,6 +111,7 @@
         metrics: Registry in which requests are counted.
         is_ready: Returns whether the node enforces a version, regardless of a drain.
         is_up_to_date: Returns whether the node enforces the newest version that it knows of.
+        may_be_behind: Returns whether there may be a version that the node does not enforce yet.
         conventions: Names of the fleet's headers.
         log: Log of finished requests.
     """
@@ -124,6 +128,7 @@
         metrics: Metrics,
         is_ready: Callable[[], bool],
         is_up_to_date: Callable[[], bool],
+        may_be_behind: Callable[[], bool],
         conventions: Conventions,
         log: RequestLog,
     ) -> None:
@@ -136,6 +141,7 @@
         self._metrics = metrics
         self._is_ready = is_ready
         self._is_up_to_date = is_up_to_date
+        self._may_be_behind = may_be_behind
         self._conventions = conventions
         self._log = log
         self._splitter = splitter
@@ -334,8 +340,7 @@
             raise TrefoilpickError(ErrorKind.NOT_READY, "the node enforces no version yet")
         if not self._is_up_to_date():
             raise TrefoilpickError(ErrorKind.NOT_LEVEL, "the node is behind the newest version")
-        matched = snapshot.find_route(head.host, head.method, head.path)
-        team_route = self._splitter.choose(matched)
+        team_route = self._splitter.choose(self._find_route(snapshot, head))
         contract = team_route.route.contract
         if head.body_length is not None and head.body_length > contract.body_limit_bytes:
             text = f"body is over the route's limit of {contract.body_limit_bytes} bytes"
@@ -359,6 +364,19 @@
             elapsed_ms,
         )
 
+    def _find_route(self, snapshot: Snapshot, head: CallHead) -> TeamRoute:
+        """Return the route of a request.
+
+        A route that is missing may be in a version that the node does not enforce yet.
+        """
+        try:
+            return snapshot.find_route(head.host, head.method, head.path)
+        except TrefoilpickError as error:
+            if error.kind not in MISSING_ROUTE_ERRORS or not self._may_be_behind():
+                raise
+            text = f"{error.text}, but the node may be behind the newest version"
+            raise TrefoilpickError(ErrorKind.NOT_LEVEL, text) from error
+
     def _find_objective(
         self, head: CallHead, team_route: TeamRoute, allowed_ms: float, now: float
     ) -> tuple[int, float]:
@@ -521,6 +539,7 @@
     is_ready: Callable[[], bool],
     is_up_to_date: Callable[[], bool],
     random: random.Random,
+    may_be_behind: Callable[[], bool] = lambda: False,
     record_version: Callable[[str, int, str], None] = ignore_version,
     conventions: Conventions = DEFAULT_CONVENTIONS,
     log: RequestLog | None = None,
@@ -534,7 +553,10 @@
         metrics: Registry in which requests are counted.
         is_ready: Returns whether the node enforces a version, regardless of a drain.
         is_up_to_date: Returns whether the node enforces the newest version that it knows of.
+        may_be_behind: Returns whether there may be a version that the node does not enforce yet.
         random: Random number generator.
+        may_be_behind: Returns whether there may be a version that the node does not enforce yet;
+            by default, there is none.
         record_version: Called with the VM, number and digest of the version in each load report.
         conventions: Names of the fleet's headers.
         log: Log of finished requests; a new one by default.
@@ -562,6 +584,7 @@
         metrics=metrics,
         is_ready=is_ready,
         is_up_to_date=is_up_to_date,
+        may_be_behind=may_be_behind,
         conventions=conventions,
         log=log or open_request_log(settings.vm.name, incarnation=0, metrics=metrics),
     )
--- a/trefoilpick/distribution.py
+++ b/trefoilpick/distribution.py
@@ -225,6 +225,15 @@
             return False
         return read_clock() > self._resumed_s + self._join_wait_s or not self._is_behind()
 
+    @property
+    def may_be_behind(self) -> bool:
+        """Whether there may be a version that the node does not enforce yet.
+
+        It knows of a newer one, or the source has not confirmed any since it joined.
+        """
+        newest = max(self._list_known_versions(), default=None)
+        return newest != self.enforcer.enforced or not self._joiner.has_source_answered
+
     @property
     def is_unconfirmed(self) -> bool:
         """Whether the node's version has not been confirmed since it joined."""
--- a/trefoilpick/joining.py
+++ b/trefoilpick/joining.py
@@ -48,10 +48,11 @@
     @property
     def is_confirmed(self) -> bool:
         """Whether the source and peers of two data centres (all if fewer exist) have answered."""
-        return self._has_source_answered and self._have_peers_answered
+        return self.has_source_answered and self._have_peers_answered
 
     @property
-    def _has_source_answered(self) -> bool:
+    def has_source_answered(self) -> bool:
+        """Whether the source has answered, or readers of its data centre rely on it."""
         return self._node.reader.newest is not None or self._node.relies_on_readers
 
     @property
@@ -79,7 +80,7 @@
         elapsed_s = read_clock() - self._started_s
         return (
             self._node.has_low_bandwidth_link
-            and not self._has_source_answered
+            and not self.has_source_answered
             and elapsed_s < READER_WAIT_S
         )
 
@@ -87,13 +88,13 @@
         node = self._node
         backoff = Backoff(node.random, max_s=node.source_backoff_s)
         await curio.sleep(node.draw_source_delay())
-        while not (self._has_source_answered and node.membership.revision):
+        while not (self.has_source_answered and node.membership.revision):
             try:
                 if not node.membership.revision:
                     await node.reader.read_list()
                 if self._awaits_readers:
                     await curio.sleep(POLL_INTERVAL_S)
-                elif not self._has_source_answered:
+                elif not self.has_source_answered:
                     await self._read_manifest()
             except TrefoilpickError:
                 await backoff.wait()
--- a/trefoilpick/node.py
+++ b/trefoilpick/node.py
@@ -259,6 +259,7 @@
         metrics=metrics,
         is_ready=lambda: distributor.is_ready,
         is_up_to_date=lambda: distributor.is_up_to_date,
+        may_be_behind=lambda: distributor.may_be_behind,
         random=rng,
         record_version=version_observer.record,
         conventions=conventions,
