Soak: connections that fall silent, versions confirmed after a restore, proper requests denied

In its fleets of six nodes all of them read the source.

Change: faults ConnectionsSilenced (one node's proxies or all) and SourceRestored with the version that is confirmed then (unchanged, same number, next number of the copy, higher); versions are ordered by confirmation, not by number; topologies by seed with one to three data centres and one or two readers each. Checks: in force within 2.5 s at a ready node without faults for 3 s, beside the former 8 s; no 3xx or 4xx for a proper request; a further version at the end of each run. The 2.5 s bound replaces the 8 s also for calls to the archive's route. Acceptance times of manifests are ordinals, so that digests of a script do not depend on the time of day.

--- a/soak/breakages.py
+++ b/soak/breakages.py
@@ -13,6 +13,7 @@
     forwarding,
     hopclient,
     retries,
+    snapshots,
     versions,
     worker_rates,
     worker_statements,
@@ -24,6 +25,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+DENIAL_PERIOD_S, DENIED_S = 2.0, 0.2
+"""Period in which routes are missing once, and for how long, in seconds."""
+
 UNSAFE_KINDS = (ErrorKind.UPSTREAM_LOST, ErrorKind.DEADLINE_AFTER_SEND, ErrorKind.ANSWER_CUT)
 """Errors after which a request may have run."""
 
@@ -128,6 +132,17 @@
     node_module.Node.request_stop = exit_at_once  # type: ignore[method-assign]
 
 
+def _deny_routes() -> None:
+    find_route = snapshots.Snapshot.find_route
+
+    def find_some(self: Any, host: str, method: str, path: str) -> Any:
+        if time.monotonic() % DENIAL_PERIOD_S < DENIED_S:
+            raise TrefoilpickError(ErrorKind.NO_ROUTE, f'no route for "{path}"')
+        return find_route(self, host, method, path)
+
+    snapshots.Snapshot.find_route = find_some  # type: ignore[method-assign]
+
+
 def _ignore_limits() -> None:
     worker_rates.WorkerRate.set_limit = lambda self, limit: None  # type: ignore[method-assign]
 
@@ -154,6 +169,7 @@
     "go-back": Breakage(
         "the snapshot alternates between the current and the previous version", _alternate_snapshots
     ),
+    "deny-routes": Breakage("routes are missing now and then", _deny_routes),
     "ignore-limits": Breakage("a stated limit does not reduce a worker's requests", _ignore_limits),
     "ignore-leaving": Breakage("a worker that states that it leaves is used", _ignore_leaving),
     "crash-on-stop": Breakage(
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -8,10 +8,11 @@
 
 import curio
 
-from trefoilpick._call_recorder import HTTP_OK, CallPlan, CallRecorder, check_answer
-from trefoilpick._call_totals import Call, CallResult
+from trefoilpick._call_recorder import HTTP_OK, CallPlan, check_answer
+from trefoilpick._call_totals import RESULT_BY_OUTCOME, Call, CallResult
 from trefoilpick._client_connection import RawAnswer, open_client_connection, read_outcome
-from trefoilpick.errors import Outcome, TrefoilpickError
+from trefoilpick.client import Caller
+from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError, find_answer
 
 if TYPE_CHECKING:
     import random
@@ -23,8 +24,8 @@
 ARCHIVE_PATH = "/archive/1998"
 """Path whose route changes between the two services with each version."""
 
-SKETCH_PATH = "/sketches/23"
-"""Path of the calls on persistent connections."""
+PERSISTENT_PATHS = ("/sketches/23", ARCHIVE_PATH)
+"""Paths of the calls on persistent connections, by turns."""
 
 MEAN_PAUSE_S = 0.03
 """Mean pause between two calls of one caller, in seconds."""
@@ -42,6 +43,12 @@
 """Time after sending a request within which a stopping node may close the connection without having
 read the request, in seconds: the request may still be in flight when the node closes."""
 
+DENIALS = range(300, 500)
+"""Statuses that a proper request must not get."""
+
+TOKEN_ANSWERS = {ErrorKind.ANSWER_NOT_KEPT, ErrorKind.TOKEN_EXPIRED, ErrorKind.TOKEN_BUSY}
+"""Errors that a repeated request with a token may get, although their statuses are denials."""
+
 CALL_PLANS = (
     CallPlan("GET", HOST, "/sketches/17", True, 0),
     CallPlan("GET", HOST, ARCHIVE_PATH, True, 0),
@@ -80,18 +87,44 @@
         addresses = [node.caller_address for node in nodes]
         random.shuffle(addresses)
         self.finished: list[FinishedCall] = []
+        self.violations: list[str] = []
+        self._name = name
         self._random = random
-        self._recorder = CallRecorder(name, addresses, random)
+        self._caller = Caller(tuple(addresses), rng=random)
+        self._single_attempt = Caller(tuple(addresses), rng=random, attempts=1)
 
     async def run(self) -> None:
         """Make calls until cancelled."""
         while True:
             plan = self._random.choice(CALL_PLANS)
             sent_at = time.monotonic()
-            await self._recorder.make_call(plan, len(self.finished), DEADLINE_S)
-            self.finished.append(FinishedCall(self._recorder.calls[-1], plan.path, sent_at))
+            call = await self._make_call(plan, f"{self._name}-{len(self.finished)}")
+            self.finished.append(FinishedCall(call, plan.path, sent_at))
             await curio.sleep(self._random.uniform(0, 2 * MEAN_PAUSE_S))
 
+    async def _make_call(self, plan: CallPlan, request_id: str) -> Call:
+        body = self._random.randbytes(plan.body_bytes)
+        caller = self._single_attempt if plan.is_single_attempt else self._caller
+        service = ""
+        try:
+            answer = await caller.request(
+                plan.method,
+                plan.host,
+                plan.path,
+                headers=[("x-request-id", request_id)],
+                body=body,
+                deadline_s=DEADLINE_S,
+                idempotent=plan.idempotent or plan.is_single_attempt,
+            )
+            result, service = check_answer(answer.status, answer.body, request_id, body)
+            self.violations += describe_denial(request_id, plan.path, answer.status)
+        except TrefoilpickError as error:
+            result = RESULT_BY_OUTCOME[find_answer(error).outcome]
+            if error.kind not in TOKEN_ANSWERS:
+                status = find_answer(error).status
+                self.violations += describe_denial(request_id, plan.path, status)
+        return Call(request_id, plan.idempotent, result, service)
+
 
 class PersistentCaller:
     """Makes calls to one node over a persistent connection.
@@ -102,12 +135,13 @@
 
     Attributes:
         finished: Finished calls, with or without an answer.
-        cut: Descriptions of requests that a stopping node read but did not answer.
+        violations: Descriptions of requests that a stopping node read but did not answer, and of
+            those that were denied.
     """
 
     def __init__(self, name: str, node: SoakNode) -> None:
         self.finished: list[FinishedCall] = []
-        self.cut: list[str] = []
+        self.violations: list[str] = []
         self._name = name
         self._node = node
 
@@ -131,38 +165,45 @@
         is_open = True
         while is_open:
             request_id = f"{self._name}-{len(self.finished)}"
+            path = PERSISTENT_PATHS[len(self.finished) % len(PERSISTENT_PATHS)]
             headers = [("host", HOST), ("x-request-id", request_id)]
             sent_at = time.monotonic()
             try:
-                answer = await connection.exchange("GET", SKETCH_PATH, headers, b"")
+                answer = await connection.exchange("GET", path, headers, b"")
             except TrefoilpickError as error:
-                self._record_failure(request_id, sent_at, error)
+                self._record_failure(request_id, path, sent_at, error)
                 return
-            self._record_answer(request_id, answer, sent_at)
+            self._record_answer(request_id, path, answer, sent_at)
             is_open = connection.prepare_reuse()
             if is_open:
                 await curio.sleep(MEAN_PAUSE_S)
 
-    def _record_answer(self, request_id: str, answer: RawAnswer, sent_at: float) -> None:
+    def _record_answer(self, request_id: str, path: str, answer: RawAnswer, sent_at: float) -> None:
         result, service = CallResult.NOT_RUN, ""
+        self.violations += describe_denial(request_id, path, answer.status)
         if answer.status == HTTP_OK:
             result, service = check_answer(answer.status, answer.body, request_id, b"")
         elif read_outcome(answer.headers) is not Outcome.NOT_RUN:
             result = CallResult.UNKNOWN
-        self.finished.append(
-            FinishedCall(Call(request_id, True, result, service), SKETCH_PATH, sent_at)
-        )
+        self.finished.append(FinishedCall(Call(request_id, True, result, service), path, sent_at))
 
-    def _record_failure(self, request_id: str, sent_at: float, error: TrefoilpickError) -> None:
+    def _record_failure(
+        self, request_id: str, path: str, sent_at: float, error: TrefoilpickError
+    ) -> None:
         now = time.monotonic()
         node = self._node
         self.finished.append(
-            FinishedCall(Call(request_id, True, CallResult.UNKNOWN), SKETCH_PATH, sent_at)
+            FinishedCall(Call(request_id, True, CallResult.UNKNOWN), path, sent_at)
         )
         # After a later fault, that fault may have cut the connection instead of the shutdown.
         is_stopping = node.last_fault_at < node.sigterm_at <= now
         if is_stopping and now - sent_at > CLOSE_RACE_S:
-            self.cut.append(
+            self.violations.append(
                 f"{request_id} was cut {now - node.sigterm_at:.3f} s after SIGTERM of "
                 f"{node.vm.name}, {now - sent_at:.3f} s after it was sent: {error.text}"
             )
+
+
+def describe_denial(request_id: str, path: str, status: int) -> list[str]:
+    """Return a violation if the status of an answer is a denial."""
+    return [f"{request_id} to {path} was denied with {status}"] if status in DENIALS else []
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -10,7 +10,7 @@
 import curio
 
 from soak.callers import ARCHIVE_PATH
-from soak.fleet import OPERATOR_PORT, SERVICES
+from soak.fleet import OPERATOR_PORT
 from trefoilpick._burn_fleet import CONVERGENCE_BOUND_MS
 from trefoilpick._call_totals import CallResult, total_calls
 from trefoilpick.errors import TrefoilpickError
@@ -28,6 +28,12 @@
 """Time within which a node without injected faults must enforce a version, in seconds: the
 convergence target."""
 
+CONTACT_S = 3.0
+"""Time without faults after which a node is in touch, in seconds."""
+
+TOUCHED_WITHIN_S = 2.5
+"""Time within which a ready node that is in touch must enforce a version, in seconds."""
+
 RECOVERED_WITHIN_S = 20.0
 """Time after the last fault within which all nodes must be ready with the newest version, in
 seconds: the convergence target of 8 s, a process start, and the time for which nodes do not contact
@@ -73,7 +79,8 @@
 
     fleet: SoakFleet
     violations: list[str] = field(default_factory=list)
-    _versions: dict[tuple[str, int], int] = field(default_factory=dict)
+    _orders: dict[tuple[str, int], int] = field(default_factory=dict)
+    _overdue: set[tuple[str, int]] = field(default_factory=set)
 
     async def run(self) -> None:
         """Poll all nodes until cancelled."""
@@ -97,32 +104,46 @@
     async def _check_status(self, node: SoakNode) -> None:
         incarnation_key = (node.vm.name, node.incarnation)
         now = time.monotonic()
-        due = self._find_required_version(node, now)
         status = await query_status(node)
         if status is None or status.version is None or incarnation_key[1] != node.incarnation:
             return
-        number = status.version.number
-        newest_seen = self._versions.get(incarnation_key, 0)
-        self._versions[incarnation_key] = max(newest_seen, number)
-        if number < newest_seen:
+        order = self.fleet.find_order(status.version)
+        if order is None:
+            # The source shows a version before it has confirmed it.
+            return
+        newest_seen = self._orders.get(incarnation_key, 0)
+        self._orders[incarnation_key] = order
+        if order < newest_seen:
             self.violations.append(
-                f"{node.vm.name} went back from version {newest_seen} to {number}"
+                f"{node.vm.name} went back from {self._describe(newest_seen)} to "
+                f"{self._describe(order)}"
             )
-        if number < due and node.last_fault_at < now - ENFORCED_WITHIN_S and not node.is_down:
-            self.violations.append(f"{node.vm.name} has version {number}, but version {due} is due")
-
-    def _find_required_version(self, node: SoakNode, now: float) -> int:
-        """Return the number of the oldest version that a node without faults may have now."""
-        latest_at = now - ENFORCED_WITHIN_S
-        return max(
-            (number for number, at in self.fleet.accepted.items() if at <= latest_at), default=0
-        )
+        due = self._find_due(node, now, is_ready=status.ready)
+        if order < due and not node.is_down and (node.vm.name, due) not in self._overdue:
+            self._overdue.add((node.vm.name, due))
+            self.violations.append(
+                f"{node.vm.name} has {self._describe(order)}, but {self._describe(due)} is due"
+            )
+
+    def _find_due(self, node: SoakNode, now: float, *, is_ready: bool) -> int:
+        """Return the place of the oldest confirmation that a node may enforce at a time."""
+        due = 0
+        if node.last_fault_at < now - ENFORCED_WITHIN_S:
+            due = find_due(self.fleet, now - ENFORCED_WITHIN_S)
+        if is_ready and node.disturbed_at < now - CONTACT_S - TOUCHED_WITHIN_S:
+            due = max(due, find_due(self.fleet, now - TOUCHED_WITHIN_S))
+        return due
+
+    def _describe(self, order: int) -> str:
+        version = self.fleet.confirmed[order].version
+        return f"version {version.number} ({version.digest[:8]}, confirmation {order})"
 
     async def _is_up_to_date(self, node: SoakNode) -> bool:
         status = await query_status(node)
         if status is None or status.version is None:
             return False
-        return status.ready and status.version.number == self.fleet.newest
+        newest = len(self.fleet.confirmed) - 1
+        return status.ready and self.fleet.find_order(status.version) == newest
 
 
 @dataclass(frozen=True)
@@ -204,6 +225,12 @@
             samples.clear()
 
 
+def find_due(fleet: SoakFleet, latest_at: float) -> int:
+    """Return the place of the last version that was confirmed until a time."""
+    orders = [order for order, entry in enumerate(fleet.confirmed) if entry.at <= latest_at]
+    return max(orders, default=0)
+
+
 async def query_status(node: SoakNode) -> NodeStatus | None:
     """Return a node's status; None if it does not answer."""
     try:
@@ -249,19 +276,9 @@
 
 def _may_serve(entry: FinishedCall, fleet: SoakFleet) -> bool:
     """Return whether the archive's route may have led to the service when a call was made."""
-    newest = max(
-        (
-            number
-            for number, at in fleet.accepted.items()
-            if at <= entry.sent_at - ENFORCED_WITHIN_S
-        ),
-        default=0,
-    )
-    allowed = {number for number in fleet.accepted if number >= newest}
     # A node that cannot be reached may lag, so calls shortly after a fault are not checked.
-    is_unaffected = all(
-        node.last_fault_at < entry.sent_at - ENFORCED_WITHIN_S for node in fleet.nodes
-    )
-    return not is_unaffected or entry.call.service in {
-        SERVICES[(number - 1) % len(SERVICES)] for number in allowed
-    }
+    disturbed_at = max(node.disturbed_at for node in fleet.nodes)
+    if disturbed_at >= entry.sent_at - CONTACT_S - TOUCHED_WITHIN_S:
+        return True
+    due = find_due(fleet, entry.sent_at - TOUCHED_WITHIN_S)
+    return entry.call.service in {confirmed.service for confirmed in fleet.confirmed[due:]}
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -11,7 +11,7 @@
 
 import curio
 
-from soak.fleet import SERVICE_TIME_S
+from soak.fleet import SERVICE_TIME_S, Rewrite
 from soak.proxies import NO_TROUBLE, LinkTrouble
 from trefoilpick.standin import Faults
 
@@ -41,6 +41,9 @@
 LEAVING_S = 2.5
 """Shortest time for which a worker states that it is leaving, in seconds."""
 
+SPREAD_S = 0.5
+"""Time between a version and the source's absence that loses it, in seconds."""
+
 STOP_LIMIT_S = 12.0
 """Time after SIGTERM at which a node that has not exited is killed, in seconds: more than twice its
 drain notice and drain limit together, for a busy machine."""
@@ -102,6 +105,17 @@
     for_s: float
 
 
+@dataclass(frozen=True)
+class ConnectionsSilenced:
+    """All open connections through the proxies of one node, or of all nodes, fall silent for good.
+
+    Attributes:
+        node: Index of the only affected node; None for all nodes.
+    """
+
+    node: int | None = None
+
+
 @dataclass(frozen=True)
 class WorkerTroubled:
     """A worker is slow or its link is impaired for a time."""
@@ -154,17 +168,19 @@
 
 @dataclass(frozen=True)
 class SourceRestored:
-    """The source is away and returns from an older copy; what it lost is written again.
+    """A version is accepted; the source returns from an older copy; a version is confirmed then.
 
     Attributes:
         for_s: Time for which the source is away, in seconds.
         back_s: Age of the copy, in seconds.
-        rewritten_after_s: Time after the return at which it is written again, in seconds.
+        rewritten_after_s: Time between the return and the confirmation, in seconds.
+        rewrite: The version that is confirmed, if the copy lacks one.
     """
 
     for_s: float
     back_s: float
     rewritten_after_s: float
+    rewrite: Rewrite = Rewrite.UNCHANGED
 
 
 @dataclass(frozen=True)
@@ -182,6 +198,7 @@
     | ClockMoved
     | LinksTroubled
     | LinksReset
+    | ConnectionsSilenced
     | WorkerTroubled
     | WorkerLimited
     | WorkerLeft
@@ -231,6 +248,8 @@
         lambda: ClockMoved(node, for_s, random.choice((-5_000, 5_000))),
         lambda: LinksTroubled(node, for_s, random.choice(LINK_TROUBLES)),
         lambda: LinksReset(node, for_s),
+        lambda: ConnectionsSilenced(random.choice((None, node))),
+        lambda: ConnectionsSilenced(),
         lambda: WorkerTroubled(
             node,
             for_s,
@@ -243,7 +262,10 @@
         lambda: SourceTroubled(for_s, random.choice(SOURCE_FAULTS)),
         lambda: SourceTroubled(for_s, Faults(), node),
         lambda: SourceRestored(
-            random.choice((0.0, for_s)), random.uniform(1.0, 8.0), random.uniform(0.1, 1.5)
+            random.choice((0.0, for_s)),
+            random.uniform(1.0, 8.0),
+            random.uniform(0.1, 1.5),
+            random.choice(tuple(Rewrite)),
         ),
         lambda: VersionsAccepted(random.choice((1, 1, 1, 8))),
         lambda: VersionsAccepted(1),
@@ -332,6 +354,15 @@
         await curio.sleep(RESET_INTERVAL_S)
 
 
+@inject.register(ConnectionsSilenced)
+async def _(fault: ConnectionsSilenced, fleet: SoakFleet) -> None:
+    # Requests at other nodes may wait for messages of this node.
+    with _record_fault_span(fleet.nodes):
+        for node in fleet.nodes if fault.node is None else (fleet.nodes[fault.node],):
+            for proxy in node.proxies:
+                proxy.silence()
+
+
 @inject.register(WorkerTroubled)
 async def _(fault: WorkerTroubled, fleet: SoakFleet) -> None:
     node = fleet.nodes[fault.node]
@@ -390,11 +421,15 @@
 
 @inject.register(SourceRestored)
 async def _(fault: SourceRestored, fleet: SoakFleet) -> None:
+    await fleet.accept()
+    await curio.sleep(SPREAD_S)
     with _record_fault_span(fleet.nodes):
         if fault.for_s:
             await fleet.standin.set_faults(Faults(down=True))
             await curio.sleep(fault.for_s)
-        await fleet.restore_source(fault.back_s, rewritten_after_s=fault.rewritten_after_s)
+        await fleet.restore_source(
+            fault.back_s, rewritten_after_s=fault.rewritten_after_s, rewrite=fault.rewrite
+        )
 
 
 @inject.register(VersionsAccepted)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -8,6 +8,7 @@
 import time
 from collections import Counter
 from dataclasses import dataclass, field, replace
+from enum import Enum
 from typing import TYPE_CHECKING
 
 import curio
@@ -15,6 +16,8 @@
 
 from soak.proxies import NO_TROUBLE, LinkTrouble, Proxy
 from trefoilpick._demo_document import build_first_version, build_moved_version
+from trefoilpick.manifest import VersionId, decode_manifest
+from trefoilpick.source import MANIFEST_KEY
 from trefoilpick.standin import Faults, Standin, open_standin
 from trefoilpick.standin_worker import Worker
 from trefoilpick.vms import Vm
@@ -22,6 +25,8 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
+    from trefoilpick.status import VersionRef
+
 DATA_CENTRES = ("lima-a", "lima-b", "lima-c")
 SERVICES = ("portafolio", "encargos")
 
@@ -53,6 +58,48 @@
 NO_FAULTS = Faults()
 
 
+@dataclass(frozen=True)
+class Topology:
+    """Number of data centres, and how many nodes of each read the source."""
+
+    centres: int
+    readers: int
+
+
+TOPOLOGIES = (Topology(3, 2), Topology(3, 1), Topology(2, 1), Topology(1, 1))
+"""Topologies of the soak; in all but the first, most nodes learn of versions from peers only."""
+
+
+@dataclass(frozen=True)
+class Confirmation:
+    """A version that the source confirmed.
+
+    Attributes:
+        version: Identity of the version.
+        service: Service of the archive's route.
+        accepted_at_ms: Time of acceptance in its manifest.
+        at: When it was confirmed, in seconds on the monotonic clock.
+    """
+
+    version: VersionId
+    service: str
+    accepted_at_ms: int
+    at: float
+
+
+class Rewrite(Enum):
+    """What the operator confirms after the source returned without the newest version."""
+
+    UNCHANGED = "unchanged"
+    """The lost version."""
+    SAME_NUMBER = "same number"
+    """Another content under the number of the lost version."""
+    NEXT = "next"
+    """Another content under the number that follows that of the copy."""
+    HIGHER = "higher"
+    """Another content under a number that was not used before."""
+
+
 @dataclass
 class SoakNode:
     """A VM with its node process, its worker and the proxies between them and other endpoints.
@@ -92,6 +139,16 @@
         """The address for callers, as "ip:port"."""
         return f"{self.host}:{CALLER_PORT}"
 
+    @property
+    def disturbed_at(self) -> float:
+        """When a fault last affected it or it was started, in seconds on the monotonic clock."""
+        return max(self.last_fault_at, self.started_at)
+
+    @property
+    def proxies(self) -> tuple[Proxy, ...]:
+        """The proxies before its ports, and those to its worker and to the source."""
+        return (*self.links, self.worker_link, self.source_link)
+
     def set_links(self, trouble: LinkTrouble) -> None:
         """Impair or restore the links from all other nodes to this node."""
         for link in self.links:
@@ -108,22 +165,25 @@
         breakage: Name of a deliberate breakage in all nodes; empty for none.
         standin: The stand-in source.
         nodes: All VMs.
-        accepted: When each version was accepted, in seconds on the monotonic clock, by number.
+        topology: Data centres and readers.
+        confirmed: Versions that the source confirmed, in this order.
     """
 
     network: int
     folder: Path
     breakage: str
     standin: Standin
+    topology: Topology
     nodes: list[SoakNode] = field(default_factory=list)
-    accepted: dict[int, float] = field(default_factory=dict)
+    confirmed: list[Confirmation] = field(default_factory=list)
     _vms_revision: int = 0
-    _accepted_at_ms: dict[int, int] = field(default_factory=dict)
+    _writing: curio.Lock = field(default_factory=curio.Lock)
 
-    @property
-    def newest(self) -> int:
-        """Number of the newest version."""
-        return max(self.accepted, default=0)
+    def find_order(self, version: VersionRef) -> int | None:
+        """Return the place of a version among those confirmed; None if it is not among them."""
+        wanted = VersionId(version.number, version.digest)
+        orders = range(len(self.confirmed) - 1, -1, -1)
+        return next((order for order in orders if self.confirmed[order].version == wanted), None)
 
     def count_runs(self) -> Counter[str]:
         """Return how often each request ran on all workers together, by request id."""
@@ -139,18 +199,15 @@
         await self.publish_vms()
         await self.accept()
         for node in self.nodes:
-            for proxy in (*node.links, node.worker_link, node.source_link):
+            for proxy in node.proxies:
                 await curio.spawn(proxy.run, daemon=True)
             await curio.spawn(node.worker.run, daemon=True)
             self.start_node(node)
 
-    async def accept(self) -> int:
+    async def accept(self) -> None:
         """Accept the next version, in which the archive's route moves to the other service."""
-        number = self.newest + 1
-        self._accepted_at_ms[number] = time.time_ns() // NS_PER_MS
-        await self._publish(number)
-        self.accepted[number] = time.monotonic()
-        return number
+        async with self._writing:
+            await self._accept(self.confirmed[-1].version.number + 1 if self.confirmed else 1)
 
     async def publish_vms(self) -> None:
         """Publish the list of VMs under the next revision."""
@@ -163,24 +220,51 @@
         node.vm = replace(node.vm, started_ms=node.vm.started_ms + 1)
         await self.publish_vms()
 
-    async def _publish(self, number: int) -> None:
-        sections = build_moved_version() if number % 2 == 0 else build_first_version()
-        await self.standin.put_version(
-            number, sections, accepted_at_ms=self._accepted_at_ms[number]
-        )
-
-    async def restore_source(self, back_s: float, *, rewritten_after_s: float) -> None:
-        """Return the source to an older copy, and write later what the copy lacks.
+    async def restore_source(
+        self, back_s: float, *, rewritten_after_s: float, rewrite: Rewrite
+    ) -> None:
+        """Return the source to an older copy, and confirm a version later if the copy lacks one.
 
         Args:
             back_s: Age of the copy, in seconds.
-            rewritten_after_s: Time until it is written again, in seconds.
+            rewritten_after_s: Time until the version is confirmed, in seconds.
+            rewrite: The version that is confirmed.
         """
-        await self.standin.restore(back_s)
-        await self.standin.set_faults(NO_FAULTS)
+        async with self._writing:
+            await self.standin.restore(back_s)
+            await self.standin.set_faults(NO_FAULTS)
+            count, copied = len(self.confirmed), self._read_number()
         await curio.sleep(rewritten_after_s)
         await self.publish_vms()
-        await self._publish(self.newest)
+        async with self._writing:
+            # Versions that are confirmed meanwhile replace the lost one.
+            if len(self.confirmed) == count:
+                await self._rewrite(rewrite, copied)
+
+    async def _rewrite(self, rewrite: Rewrite, copied: int) -> None:
+        lost = self.confirmed[-1]
+        number = lost.version.number
+        if rewrite is Rewrite.UNCHANGED or copied == number:
+            await self._confirm(number, lost.service, lost.accepted_at_ms)
+        elif rewrite is Rewrite.SAME_NUMBER:
+            await self._accept(number)
+        else:
+            await self._accept(copied + 1 if rewrite is Rewrite.NEXT else number + 1)
+
+    async def _accept(self, number: int) -> None:
+        is_first = not self.confirmed or self.confirmed[-1].service != SERVICES[0]
+        # Not the time of day, so that the digests of a script are the same in each run.
+        accepted_at_ms = len(self.confirmed)
+        await self._confirm(number, SERVICES[not is_first], accepted_at_ms)
+
+    async def _confirm(self, number: int, service: str, accepted_at_ms: int) -> None:
+        sections = build_first_version() if service == SERVICES[0] else build_moved_version()
+        version = await self.standin.put_version(number, sections, accepted_at_ms=accepted_at_ms)
+        self.confirmed.append(Confirmation(version, service, accepted_at_ms, time.monotonic()))
+
+    def _read_number(self) -> int:
+        value = self.standin.values.get(MANIFEST_KEY)
+        return 0 if value is None else decode_manifest(value.data).number
 
     def start_node(self, node: SoakNode) -> None:
         """Start a node's process."""
@@ -237,7 +321,7 @@
         vm = Vm(
             name,
             "lima",
-            DATA_CENTRES[number % len(DATA_CENTRES)],
+            DATA_CENTRES[number % self.topology.centres],
             service,
             links_host,
             CONTROL_PORT,
@@ -269,6 +353,7 @@
         vm = node.vm
         return {
             **STATIC_SETTINGS,
+            "control": {**STATIC_SETTINGS["control"], "readers": self.topology.readers},
             "source": {**STATIC_SETTINGS["source"], "addresses": [source]},
             "vm": {
                 "name": vm.name,
@@ -284,14 +369,17 @@
         return f"127.{self.network}.{net}.{number + 1}"
 
 
-def open_fleet(network: int, folder: Path, *, breakage: str = "") -> SoakFleet:
+def open_fleet(
+    network: int, folder: Path, *, breakage: str = "", topology: Topology = TOPOLOGIES[0]
+) -> SoakFleet:
     """Create a fleet without VMs, with a listening source.
 
     Args:
         network: Second octet of all addresses; concurrent runs on a machine need different ones.
         folder: Directory for settings and logs.
         breakage: Name of a deliberate breakage in all nodes; empty for none.
+        topology: Data centres and readers.
     """
     folder.mkdir(parents=True, exist_ok=True)
     standin = open_standin(f"127.{network}.{SOURCE_NET}.1", 0)
-    return SoakFleet(network, folder, breakage, standin)
+    return SoakFleet(network, folder, breakage, standin, topology)
--- a/soak/proxies.py
+++ b/soak/proxies.py
@@ -1,4 +1,4 @@
-"""A loopback proxy that can delay, stall, reset or refuse the connections through it."""
+"""A loopback proxy that can delay, stall, silence, reset or refuse the connections through it."""
 
 from __future__ import annotations
 
@@ -47,6 +47,29 @@
 NO_TROUBLE = LinkTrouble()
 
 
+@dataclass(eq=False)
+class Relay:
+    """A connection through a proxy.
+
+    Attributes:
+        proxy: The proxy.
+        client: Socket of the connecting side.
+        server: Socket of the other side.
+        is_silent: Whether it discards all that it receives, also the end of either side.
+    """
+
+    proxy: Proxy
+    client: Any
+    server: Any
+    is_silent: bool = False
+
+    def reset(self) -> None:
+        """Reset both sides, unless it is silent."""
+        if not self.is_silent:
+            _reset(self.client)
+            _reset(self.server)
+
+
 class Proxy:
     """Forwards connections from one address to another.
 
@@ -59,7 +82,7 @@
         self.trouble = NO_TROUBLE
         self._address = address
         self._target = target
-        self._pairs: set[tuple[Any, Any]] = set()
+        self._relays: set[Relay] = set()
 
     async def run(self) -> None:
         """Serve until cancelled."""
@@ -68,9 +91,13 @@
 
     def reset(self) -> None:
         """Reset all connections."""
-        for pair in list(self._pairs):
-            for sock in pair:
-                _reset(sock)
+        for relay in list(self._relays):
+            relay.reset()
+
+    def silence(self) -> None:
+        """Let all open connections carry nothing any more; neither side is told."""
+        for relay in self._relays:
+            relay.is_silent = True
 
     async def _serve(self, client: Any, _address: object) -> None:
         if self.trouble.refuses:
@@ -81,36 +108,37 @@
         except OSError:
             client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
             return
-        pair = (client, server)
-        for sock in pair:
+        relay = Relay(self, client, server)
+        for sock in (client, server):
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._pairs.add(pair)
+        self._relays.add(relay)
         try:
             async with curio.TaskGroup(wait=all) as group:
                 await group.spawn(
-                    _forward, client, server, lambda: self.trouble.holds_requests, self
+                    _forward, client, server, lambda: self.trouble.holds_requests, relay
                 )
                 await group.spawn(
-                    _forward, server, client, lambda: self.trouble.holds_answers, self
+                    _forward, server, client, lambda: self.trouble.holds_answers, relay
                 )
         finally:
-            self._pairs.discard(pair)
+            self._relays.discard(relay)
             await server.close()
 
 
-async def _forward(source: Any, sink: Any, is_held: Callable[[], bool], proxy: Proxy) -> None:
+async def _forward(source: Any, sink: Any, is_held: Callable[[], bool], relay: Relay) -> None:
     try:
         while data := await source.recv(READ_BYTES):
-            if proxy.trouble.delay_s:
-                await curio.sleep(proxy.trouble.delay_s)
-            while is_held():
+            if relay.proxy.trouble.delay_s:
+                await curio.sleep(relay.proxy.trouble.delay_s)
+            while is_held() and not relay.is_silent:
                 await curio.sleep(POLL_INTERVAL_S)
-            await sink.sendall(data)
-        await sink.shutdown(socket.SHUT_WR)
+            if not relay.is_silent:
+                await sink.sendall(data)
+        if not relay.is_silent:
+            await sink.shutdown(socket.SHUT_WR)
     except OSError:
         # If one side fails, reset both.
-        _reset(source)
-        _reset(sink)
+        relay.reset()
 
 
 def _reset(sock: Any) -> None:
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -11,9 +11,17 @@
 import curio
 
 from soak.callers import LibraryCaller, PersistentCaller
-from soak.checks import NodeMonitor, StatementMonitor, check_calls, check_logs, check_recovery
+from soak.checks import (
+    CONTACT_S,
+    TOUCHED_WITHIN_S,
+    NodeMonitor,
+    StatementMonitor,
+    check_calls,
+    check_logs,
+    check_recovery,
+)
 from soak.faults import draw_faults, inject
-from soak.fleet import open_fleet
+from soak.fleet import TOPOLOGIES, Topology, open_fleet
 from trefoilpick._call_totals import CallResult
 
 if TYPE_CHECKING:
@@ -27,7 +35,7 @@
 """Callers that use the library; each node also has one with a persistent connection."""
 
 AFTER_RECOVERY_S = 3.0
-"""Time for which callers continue after the recovery, in seconds."""
+"""Time for which callers continue after the last version must be in force, in seconds."""
 
 
 @dataclass(frozen=True)
@@ -39,6 +47,7 @@
         nodes: Number of node processes.
         seconds: Duration of fault injection, in seconds.
         breakage: Name of a deliberate breakage in all nodes; empty for none.
+        topology: Data centres and readers.
         script: Faults and their times since the start, in seconds; if empty, random faults.
     """
 
@@ -46,6 +55,7 @@
     nodes: int
     seconds: float
     breakage: str = ""
+    topology: Topology = TOPOLOGIES[0]
     script: tuple[tuple[float, Fault], ...] = ()
 
 
@@ -73,7 +83,7 @@
         folder: Directory for settings, logs and the list of faults.
         network: Second octet of all addresses; concurrent runs on a machine need different ones.
     """
-    fleet = open_fleet(network, folder, breakage=plan.breakage)
+    fleet = open_fleet(network, folder, breakage=plan.breakage, topology=plan.topology)
     try:
         return curio.run(partial(_run_plan, plan, fleet))
     finally:
@@ -81,6 +91,11 @@
         fleet.stop()
 
 
+def draw_topology(seed: int) -> Topology:
+    """Return the topology of a seed."""
+    return random.Random(seed).choice(TOPOLOGIES)
+
+
 async def _run_plan(plan: RunPlan, fleet: SoakFleet) -> RunReport:
     await fleet.start(plan.nodes)
     rng = random.Random(plan.seed)
@@ -94,7 +109,10 @@
     fleet.undo_faults()
     await monitor.wait_for_recovery()
     recovered_at = time.monotonic()
-    await curio.sleep(AFTER_RECOVERY_S)
+    disturbed_at = max(node.disturbed_at for node in fleet.nodes)
+    await curio.sleep(max(disturbed_at + CONTACT_S - recovered_at, 0.0))
+    await fleet.accept()
+    await curio.sleep(TOUCHED_WITHIN_S + AFTER_RECOVERY_S)
     for task in (*monitors, *tasks):
         # Calls in flight are cancelled and not checked.
         await task.cancel()
@@ -105,15 +123,10 @@
         *check_calls(finished, fleet),
         *check_recovery(finished, recovered_at),
         *check_logs(fleet.folder),
-        *(
-            text
-            for caller in callers
-            if isinstance(caller, PersistentCaller)
-            for text in caller.cut
-        ),
+        *(text for caller in callers for text in caller.violations),
     ]
     answered = sum(entry.call.result is CallResult.ANSWERED for entry in finished)
-    return RunReport(faults, len(fleet.accepted), len(finished), answered, tuple(violations))
+    return RunReport(faults, len(fleet.confirmed), len(finished), answered, tuple(violations))
 
 
 def _build_callers(fleet: SoakFleet, rng: random.Random) -> list[LibraryCaller | PersistentCaller]:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,14 +9,17 @@
 
 from soak.faults import (
     AnswersCopied,
+    ConnectionsSilenced,
     LinksReset,
     NodeKilled,
     NodeStopped,
+    SourceRestored,
     VersionsAccepted,
     WorkerLeft,
     WorkerLimited,
     WorkerTroubled,
 )
+from soak.fleet import Rewrite, Topology
 from soak.proxies import NO_TROUBLE
 from soak.runs import RunPlan, run_soak
 
@@ -50,6 +53,28 @@
 """Workers state limits and that they leave, the nodes beside them are killed meanwhile, and every
 worker sends each answer twice."""
 
+FOLLOWERS = Topology(centres=1, readers=1)
+"""One node reads the source; all others learn of versions from it and from each other."""
+
+SILENCE = (
+    (1.0, ConnectionsSilenced()),
+    (1.2, VersionsAccepted(1)),
+    (8.0, ConnectionsSilenced()),
+    (8.5, ConnectionsSilenced(0)),
+    (8.7, VersionsAccepted(2)),
+)
+"""All open connections fall silent for good, twice, while versions are accepted."""
+
+REWRITES = {
+    "lost version unchanged": (3, 1.0, Rewrite.UNCHANGED),
+    "same number 5": (3, 1.0, Rewrite.SAME_NUMBER),
+    "same number 6": (4, 1.0, Rewrite.SAME_NUMBER),
+    "number below those in force": (3, 3.2, Rewrite.NEXT),
+    "higher number": (3, 1.0, Rewrite.HIGHER),
+}
+"""By what the operator confirms after the source came back older: versions accepted before, age of
+the copy in seconds, and the version that is confirmed then."""
+
 EXPECTED_VIOLATIONS = {
     "retry-without-proof": (RESETS, "doubled"),
     "deny-runs": (RESETS, "not run"),
@@ -57,6 +82,7 @@
     "go-back": (RESETS, "went back"),
     "ignore-versions": ((*RESETS, (15.0, VersionsAccepted(1))), "due"),
     "leave-at-once": (STOPS, "was cut"),
+    "deny-routes": (RESETS, "was denied with 404"),
     "ignore-limits": (NEEDS, "requests in 4 s"),
     "ignore-leaving": (NEEDS, "states that it leaves"),
 }
@@ -82,6 +108,24 @@
     assert report.answered > 0
 
 
+# Nodes that learn of versions from peers alone kept an older one as long as silent links lasted.
+def test_versions_are_in_force_although_open_connections_fell_silent(tmp_path: Path) -> None:
+    plan = RunPlan(SEED, NODES, seconds=0.0, topology=FOLLOWERS, script=SILENCE)
+    report = run_soak(plan, folder=tmp_path, network=pick_network())
+    assert report.violations == ()
+
+
+# A version that was confirmed under a former number was in force only if its digest was greater.
+@pytest.mark.parametrize("case", REWRITES)
+def test_last_confirmed_version_is_in_force_after_a_restore(case: str, tmp_path: Path) -> None:
+    accepted, back_s, rewrite = REWRITES[case]
+    restored = SourceRestored(0.0, back_s, 0.3, rewrite)
+    script = ((0.5, VersionsAccepted(accepted)), (3.0, restored))
+    plan = RunPlan(SEED, NODES, seconds=0.0, topology=FOLLOWERS, script=script)
+    report = run_soak(plan, folder=tmp_path, network=pick_network())
+    assert report.violations == ()
+
+
 @pytest.mark.parametrize("breakage", EXPECTED_VIOLATIONS)
 def test_breakage_is_detected(breakage: str, tmp_path: Path) -> None:
     script, violation = EXPECTED_VIOLATIONS[breakage]
