Soak: count statements of workers from the first answer delivered; regression seeds

Cause: three seeds (306, 309, 406) reported that a worker that leaves got requests. The nodes' logs show that the node stopped using it at the first answer that stated so; before, all its links were silent, or the node was stopped and started, so that it had heard nothing for over 2 s. The check started when the worker was set to leave.

Change: limits and leaving are checked from the first answer that the worker's link delivered to its node; the times allowed after that are unchanged, and the breakages ignore-limits and ignore-leaving are still caught. Calls after the recovery, and cuts by a drain, count from 3 s after connections fell silent, since a silent connection cannot be told before.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -9,7 +9,7 @@
 
 import curio
 
-from soak.callers import ARCHIVE_PATH
+from soak.callers import ARCHIVE_PATH, CONTACT_S
 from soak.fleet import OPERATOR_PORT
 from trefoilpick._burn_fleet import CONVERGENCE_BOUND_MS
 from trefoilpick._call_totals import CallResult, total_calls
@@ -28,9 +28,6 @@
 """Time within which a node without injected faults must enforce a version, in seconds: the
 convergence target."""
 
-CONTACT_S = 3.0
-"""Time without faults after which a node is in touch, in seconds."""
-
 TOUCHED_WITHIN_S = 2.5
 """Time within which a ready node that is in touch must enforce a version, in seconds."""
 
@@ -56,7 +53,7 @@
 """Time between two samples of a worker, in seconds."""
 
 STATED_AFTER_S = 3.0
-"""Time after a worker first states its limit from which the limit must hold, in seconds."""
+"""Time after a worker's node first hears its limit from which the limit must hold, in seconds."""
 
 RATE_WINDOW_S = 4.0
 """Window in which requests to a worker with a limited rate are counted, in seconds."""
@@ -65,7 +62,8 @@
 """A worker may get this many times what its limit allows, and this many more."""
 
 DRAINED_AFTER_S = 2.0
-"""Time after which a worker that states that it leaves must get no more requests, in seconds."""
+"""Time after a worker's node first hears that it leaves from which it must get no more requests, in
+seconds."""
 
 
 @dataclass
@@ -148,10 +146,11 @@
 
 @dataclass(frozen=True)
 class WorkerSample:
-    """What a worker stated at a moment, and how many requests it had run until then."""
+    """What a worker stated at a moment, and the requests run and answers delivered until then."""
 
     at: float
     runs: int
+    delivered_bytes: int
     rate_limit: float | None
     is_leaving: bool
 
@@ -179,7 +178,11 @@
     def _check(self, node: SoakNode) -> None:
         worker = node.worker
         sample = WorkerSample(
-            time.monotonic(), worker.runs.total(), worker.rate_limit, worker.is_leaving
+            time.monotonic(),
+            worker.runs.total(),
+            node.worker_link.delivered_bytes,
+            worker.rate_limit,
+            worker.is_leaving,
         )
         samples = self._samples.setdefault(worker.vm, deque())
         if samples and (samples[-1].rate_limit, samples[-1].is_leaving) != (
@@ -206,7 +209,7 @@
 
     def _check_rate(self, vm: str, samples: deque[WorkerSample], rate_limit: float) -> None:
         newest = samples[-1]
-        checked = [sample for sample in samples if sample.at >= samples[0].at + STATED_AFTER_S]
+        checked = list_samples_after(samples, STATED_AFTER_S)
         window = [sample for sample in checked if sample.at >= newest.at - RATE_WINDOW_S]
         if not window:
             return
@@ -219,7 +222,7 @@
             samples.clear()
 
     def _check_leaving(self, vm: str, samples: deque[WorkerSample]) -> None:
-        known = [sample for sample in samples if sample.at >= samples[0].at + DRAINED_AFTER_S]
+        known = list_samples_after(samples, DRAINED_AFTER_S)
         if known and known[-1].runs > known[0].runs:
             self.violations.append(f"worker of {vm} got requests although it states that it leaves")
             samples.clear()
@@ -231,6 +234,14 @@
     return max(orders, default=0)
 
 
+def list_samples_after(samples: Iterable[WorkerSample], after_s: float) -> list[WorkerSample]:
+    """Return the samples from some seconds after the first answer with the statement arrived."""
+    samples = list(samples)
+    told = (one.at for one in samples if one.delivered_bytes > samples[0].delivered_bytes)
+    told_at = next(told, float("inf"))
+    return [sample for sample in samples if sample.at >= told_at + after_s]
+
+
 async def query_status(node: SoakNode) -> NodeStatus | None:
     """Return a node's status; None if it does not answer."""
     try:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -361,6 +361,8 @@
         for node in fleet.nodes if fault.node is None else (fleet.nodes[fault.node],):
             for proxy in node.proxies:
                 proxy.silence()
+        for node in fleet.nodes:
+            node.silenced_at = time.monotonic()
 
 
 @inject.register(WorkerTroubled)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -116,6 +116,8 @@
         started_at: When its process was last started, in seconds on the monotonic clock.
         clock_path: File with the offset of its wall clock, in milliseconds.
         last_fault_at: When a fault last affected it, in seconds on the monotonic clock.
+        silenced_at: When connections to or from it last fell silent, in seconds on the monotonic
+            clock.
         sigterm_at: When its process last received SIGTERM, in seconds on the monotonic clock.
         is_down: Whether its process was killed or stopped and not yet restarted.
     """
@@ -131,6 +133,7 @@
     incarnation: int = 0
     started_at: float = float("-inf")
     last_fault_at: float = float("-inf")
+    silenced_at: float = float("-inf")
     sigterm_at: float = float("-inf")
     is_down: bool = False
 
--- a/soak/proxies.py
+++ b/soak/proxies.py
@@ -76,10 +76,15 @@
     Args:
         address: Host and port on which it listens.
         target: Host and port to which it connects.
+
+    Attributes:
+        trouble: Impairment of the link.
+        delivered_bytes: Bytes forwarded to the connecting sides.
     """
 
     def __init__(self, address: tuple[str, int], target: tuple[str, int]) -> None:
         self.trouble = NO_TROUBLE
+        self.delivered_bytes = 0
         self._address = address
         self._target = target
         self._relays: set[Relay] = set()
@@ -134,6 +139,7 @@
                 await curio.sleep(POLL_INTERVAL_S)
             if not relay.is_silent:
                 await sink.sendall(data)
+                relay.proxy.delivered_bytes += len(data) if sink is relay.client else 0
         if not relay.is_silent:
             await sink.shutdown(socket.SHUT_WR)
     except OSError:
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -10,9 +10,8 @@
 
 import curio
 
-from soak.callers import LibraryCaller, PersistentCaller
+from soak.callers import CONTACT_S, LibraryCaller, PersistentCaller
 from soak.checks import (
-    CONTACT_S,
     TOUCHED_WITHIN_S,
     NodeMonitor,
     StatementMonitor,
@@ -109,6 +108,7 @@
     fleet.undo_faults()
     await monitor.wait_for_recovery()
     recovered_at = time.monotonic()
+    silenced_at = max(node.silenced_at for node in fleet.nodes)
     disturbed_at = max(node.disturbed_at for node in fleet.nodes)
     await curio.sleep(max(disturbed_at + CONTACT_S - recovered_at, 0.0))
     await fleet.accept()
@@ -121,7 +121,7 @@
         *monitor.violations,
         *statements.violations,
         *check_calls(finished, fleet),
-        *check_recovery(finished, recovered_at),
+        *check_recovery(finished, max(recovered_at, silenced_at + CONTACT_S)),
         *check_logs(fleet.folder),
         *(text for caller in callers for text in caller.violations),
     ]
--- a/soak/seeds.py
+++ b/soak/seeds.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from soak.runs import RunPlan
+from soak.runs import RunPlan, draw_topology
 
 
 @dataclass(frozen=True)
@@ -20,5 +20,15 @@
     cause: str
 
 
-REGRESSIONS: tuple[Regression, ...] = ()
+def _build_regression(seed: int, cause: str) -> Regression:
+    plan = RunPlan(seed, nodes=6, seconds=20.0, topology=draw_topology(seed))
+    return Regression(plan, cause)
+
+
+REGRESSIONS = (
+    _build_regression(502, "after a restore the lost content of a number won by its digest"),
+    _build_regression(505, "a node that does not read the source kept its silent links"),
+    _build_regression(506, "a node with silent links enforced no further version"),
+    _build_regression(508, "a request waited on a silent hop until the drain's limit"),
+)
 """Regression seeds, oldest first."""
