--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -7,6 +7,7 @@
 from trefoilpick._virtual_time import run_virtual
 from trefoilpick.local_network import LocalSource, SourceFault
 from trefoilpick.manifest import identify_version
+from trefoilpick.overlay import list_local
 from trefoilpick.revisions import get_era
 from trefoilpick.settings import ControlSettings
 from trefoilpick.status import Standing
@@ -519,3 +520,43 @@
         await fleet.kill()
 
     curio.run(main())
+
+
+async def share_values(fleet: FakeFleet, sources: dict[str, LocalSource]) -> None:
+    """Show the values of the fleet's source in all others."""
+    for source in sources.values():
+        source.values = dict(fleet.source.values)
+        await source._wake()
+
+
+# Guards against a version that waits for readers while the source turns them, and only them, away.
+@pytest.mark.parametrize("served_rank", [2, 4, 7, 11])
+def test_version_is_in_force_while_the_source_turns_most_nodes_away(served_rank: int) -> None:
+    async def main() -> None:
+        control = ControlSettings(exchange_ms=1_000, answer_ms=500, expected_vms=24)
+        fleet = FakeFleet(make_vms(2, 12), control=control)
+        await fleet.publish_vms(1)
+        await fleet.source.accept(*make_version(1, VARIANTS))
+        sources: dict[str, LocalSource] = {vm.name: LocalSource() for vm in fleet.vms}
+        await share_values(fleet, sources)
+        for name, source in sources.items():
+            await fleet.start(name, source=source)
+        await fleet.wait_all(1, 20)
+        await curio.sleep(20)
+        assert len(fleet.list_readers()) == 4
+        view = fleet.nodes["vm-0-0"].distributor.build_view()
+        served = list_local(view)[served_rank].name
+        for name, source in sources.items():
+            if name != served:
+                await source.begin_fault(SourceFault.DOWN)
+        # The readers' watches end at once; the version is confirmed a little later.
+        await curio.sleep(1.0)
+        await accept(fleet, 2)
+        await share_values(fleet, sources)
+        await fleet.wait_all(2, IN_FORCE_S)
+        for source in sources.values():
+            await source.end_fault(SourceFault.DOWN)
+        await curio.sleep(20)
+        assert len(fleet.list_readers()) == 4
+
+    run_virtual(main())
