Readers: others read at once when the source does not answer the readers

What callers saw: 404 for an added route 2.6 s after its confirmation, at nodes in touch, while the store turned all readers away and answered other nodes and the operator. Cause: a reader that got no answers kept its role, and the next ranks took over only ten exchange intervals after the last known read. Class: the failure of the few that act for all is inferred from silence, although they know of it themselves. Change: such a reader says so at once, by a flag of its heartbeat sent to the first 16 ranks of its data centre; as many ranks as reported so read in their place until it is answered again. Errors of a value itself do not count, nor does a node that holds no version yet.

--- a/trefoilpick/distribution.py
+++ b/trefoilpick/distribution.py
@@ -164,6 +164,7 @@
             random=random,
             on_version_added=self._on_version_added,
             on_list_adopted=self._on_list_adopted,
+            on_availability_changed=self._on_availability_changed,
             settings=source_settings,
         )
         self._reader_election = ReaderElection(
@@ -174,6 +175,7 @@
             reader=self.reader,
             budget=budget,
             random=random,
+            report_availability=self._send_state,
         )
         self._versions = VersionFetcher(
             store=self.store,
@@ -342,6 +344,7 @@
                 LeftWorker(name, worker.worker, worker.started_ms)
                 for name, worker in self.membership.list_left_workers()
             ),
+            is_source_unavailable=self.reader.is_started and self.reader.is_unavailable,
         )
 
     def build_status_answer(self) -> StatusAnswer:
@@ -418,6 +421,9 @@
                 self.membership.record_leaving(name)
             if vm.data_centre == self.own.data_centre:
                 self._reader_election.record_reader_age(state.reader_age_ms / 1000)
+                await self._reader_election.record_availability(
+                    name, is_unavailable=state.is_source_unavailable
+                )
         for left in state.left_workers:
             worker = WorkerIdentity(left.worker, left.started_ms)
             self.membership.record_worker_left(left.vm, worker)
@@ -451,6 +457,14 @@
         self._peers.drop_removed()
         await self._list_changed.set()
 
+    async def _on_availability_changed(self) -> None:
+        await self._reader_election.wake()
+
+    async def _send_state(self, vms: tuple[Vm, ...]) -> None:
+        state = self.build_state()
+        for vm in vms:
+            await self.links.send(format_control_address(vm), state)
+
     async def _announce_lists(self) -> None:
         """Announce new lists until cancelled; changes in quick succession are announced as one."""
         while True:
--- a/trefoilpick/messages.py
+++ b/trefoilpick/messages.py
@@ -61,6 +61,7 @@
         has_low_bandwidth_link: Whether its link has too little bandwidth to read the source while
             other nodes can.
         left_workers: Listed workers that stated that they are leaving.
+        is_source_unavailable: Whether it reads the source and the source does not answer it.
     """
 
     held: WireVersion
@@ -70,6 +71,7 @@
     leaving: bool
     has_low_bandwidth_link: bool = False
     left_workers: Annotated[tuple[LeftWorker, ...], Meta(max_length=MAX_LEFT_WORKERS)] = ()
+    is_source_unavailable: bool = False
 
 
 class Hello(msgspec.Struct, frozen=True, array_like=True, tag=2):
--- a/trefoilpick/reader_election.py
+++ b/trefoilpick/reader_election.py
@@ -7,11 +7,17 @@
 import curio
 
 from trefoilpick._clock import read_clock
-from trefoilpick.overlay import EveryNodeWatches, OverlayView, find_rank, is_regular_reader
+from trefoilpick.overlay import (
+    EveryNodeWatches,
+    OverlayView,
+    find_rank,
+    is_regular_reader,
+    list_local,
+)
 from trefoilpick.ranks import order_names
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
     from random import Random
 
     from trefoilpick.membership import MembershipTable
@@ -19,6 +25,7 @@
     from trefoilpick.ratelimits import TokenBucket
     from trefoilpick.settings import ControlSettings
     from trefoilpick.source_reader import SourceReader
+    from trefoilpick.vms import Vm
 
 TAKEOVER_EXCHANGES = 10
 """Exchange intervals without a known read by a reader after which the next rank takes over."""
@@ -35,6 +42,13 @@
 READER_BURST = 200.0
 """Burst size of a reader, in reads."""
 
+REPORT_LIFETIME_EXCHANGES = 3
+"""Exchange intervals for which a report that the source does not answer a peer holds."""
+
+MAX_CANDIDATES = 16
+"""Largest number of VMs of a data centre, by rank, that learn at once that the source does not
+answer a reader, and that then read in its place."""
+
 OTHER_BURST = 4.0
 """Burst size of any other node, in reads."""
 
@@ -49,7 +63,9 @@
     """Starts and stops a node's reading of the source.
 
     The first ranks of each data centre read. If no read is known for several exchange intervals,
-    the next ranks take over one after the other. Several readers at once are harmless.
+    the next ranks take over one after the other. Where readers report that the source does not
+    answer them, it may answer others: as many of the next ranks as reported so read at once.
+    Several readers at once are harmless.
 
     Args:
         control: The node's settings.
@@ -59,6 +75,7 @@
         reader: Reads the source.
         budget: Limits the reads.
         random: Random number generator.
+        report_availability: Sends the node's state to some VMs of its data centre.
     """
 
     def __init__(
@@ -71,6 +88,7 @@
         reader: SourceReader,
         budget: TokenBucket,
         random: Random,
+        report_availability: Callable[[tuple[Vm, ...]], Awaitable[None]],
     ) -> None:
         self._control = control
         self._overlay = overlay
@@ -83,6 +101,26 @@
         self._reader_seen_s = read_clock()
         self._reader_was_seen = False
         self._substitute_until_s = float("-inf")
+        self._report_availability = report_availability
+        self._unavailable_until_s: dict[str, float] = {}
+        self._was_unavailable = False
+        self._report_due_s = float("-inf")
+        self._woken = curio.Event()
+
+    async def wake(self) -> None:
+        """Re-evaluate the node's role now."""
+        await self._woken.set()
+
+    async def record_availability(self, name: str, *, is_unavailable: bool) -> None:
+        """Record whether a peer of the data centre reads the source without getting answers."""
+        if is_unavailable:
+            is_new = name not in self._list_unavailable()
+            lifetime_s = REPORT_LIFETIME_EXCHANGES * self._exchange_s
+            self._unavailable_until_s[name] = read_clock() + lifetime_s
+        else:
+            is_new = self._unavailable_until_s.pop(name, None) is not None
+        if is_new:
+            await self.wake()
 
     def record_reader_age(self, age_s: float) -> None:
         """Record the time since the last known read as reported by a peer of the data centre."""
@@ -120,13 +158,35 @@
         """Re-evaluate the node's role periodically until cancelled."""
         while True:
             view = self._view()
+            await self._report(view)
             read_order = self.find_read_order(view)
             self._budget.resize(*self.compute_budget(view, is_reader=read_order is not None))
             if read_order is None:
                 self._reader.stop()
             else:
                 await self._reader.start(read_order)
-            await curio.sleep(self._exchange_s / 4)
+            async with curio.ignore_after(self._exchange_s / 4):
+                await self._woken.wait()
+            self._woken.clear()
+
+    async def _report(self, view: OverlayView) -> None:
+        """Report that the source does not answer, repeatedly, and that it answers again, once."""
+        is_unavailable = self._reader.is_started and self._reader.is_unavailable
+        now = read_clock()
+        if is_unavailable == self._was_unavailable and (
+            not is_unavailable or now < self._report_due_s
+        ):
+            return
+        self._was_unavailable = is_unavailable
+        self._report_due_s = now + self._exchange_s
+        candidates = list_local(view)[:MAX_CANDIDATES]
+        await self._report_availability(tuple(vm for vm in candidates if vm != view.own))
+
+    def _list_unavailable(self) -> frozenset[str]:
+        now = read_clock()
+        return frozenset(
+            name for name, until_s in self._unavailable_until_s.items() if now < until_s
+        )
 
     def find_read_order(self, view: OverlayView) -> int | None:
         """Return how many readers of the fleet precede this node, or None if it does not read."""
@@ -135,9 +195,15 @@
         if self._membership.revision == 0:
             return None
         centres = order_names(vm.data_centre for vm in view.alive)
-        rank = find_rank(view)
+        alive = {vm.name for vm in view.alive}
+        unavailable = self._list_unavailable() & alive - {view.own.name}
+        rank = find_rank(view, excluded=unavailable)
         read_order = rank * len(centres) + centres.index(view.own.data_centre)
-        if is_regular_reader(self._overlay, view, rank) or self._is_substitute(rank):
+        if (
+            is_regular_reader(self._overlay, view, rank)
+            or rank < min(len(unavailable), MAX_CANDIDATES)
+            or self._is_substitute(find_rank(view))
+        ):
             return read_order
         return None
 
--- a/trefoilpick/source_reader.py
+++ b/trefoilpick/source_reader.py
@@ -44,6 +44,9 @@
 POLL_INTERVAL_S = 0.05
 """Interval between checks for a version from a peer, in seconds."""
 
+UNANSWERED_KINDS = frozenset((ErrorKind.SOURCE_UNAVAILABLE, ErrorKind.SOURCE_RATE_LIMITED))
+"""Errors of calls to which the source gave no answer."""
+
 ANSWER_MARGIN_S = 0.3
 """Time after the longest watch within which its answer arrives, in seconds."""
 
@@ -65,6 +68,7 @@
         random: Random number generator.
         on_version_added: Called after a new version has been added to the store.
         on_list_adopted: Called when a new list of VMs has been adopted.
+        on_availability_changed: Called when `is_unavailable` has changed.
         settings: Interval between watches and maximum backoff.
 
     Attributes:
@@ -73,6 +77,8 @@
         answered_request_s: Time at which the call with that answer was made, by the monotonic
             clock, in seconds.
         is_failing: Whether the last read or watch in `run` failed or returned a faulty value.
+        is_unavailable: Whether the source gave no answer to the last call in `run`, though the node
+            holds a version and so has reached the fleet's source or a peer before.
         newest: Version that the source reported last; None if it has reported none.
         reading_version: Version whose few missing sections are being read; None if there is none.
     """
@@ -89,6 +95,7 @@
         random: Random,
         on_version_added: Callable[[], Awaitable[None]],
         on_list_adopted: Callable[[], Awaitable[None]],
+        on_availability_changed: Callable[[], Awaitable[None]],
         settings: SourceSettings,
     ) -> None:
         self._settings = settings
@@ -101,11 +108,13 @@
         self._random = random
         self._on_version_added = on_version_added
         self._on_list_adopted = on_list_adopted
+        self._on_availability_changed = on_availability_changed
         self._reading = curio.Event()
         self.read_order = 0
         self.answered_s = float("-inf")
         self.answered_request_s = float("-inf")
         self.is_failing = False
+        self.is_unavailable = False
         self.newest: VersionId | None = None
         self.reading_version: VersionId | None = None
 
@@ -137,6 +146,8 @@
             read_order: Number of readers that precede this one when many sections are to be read.
         """
         self.read_order = read_order
+        if not self.is_started:
+            self.is_unavailable = False
         await self._reading.set()
         self._log.report(Event.READER, "reading")
 
@@ -189,7 +200,7 @@
                 backoff.reset()
             except TrefoilpickError as error:
                 revision = None
-                self._record_failure(error)
+                await self._record_failure(error)
                 await backoff.wait()
 
     async def _read_or_watch(self, key: str, revision: int | None) -> SourceValue | None:
@@ -199,7 +210,7 @@
         self._metrics.count("trefoilpick_source_reads_total", kind="watch")
         requested_s = read_clock()
         value = await self._source.watch_value(key, after=revision)
-        self._record_answer(requested_s)
+        await self._record_answer(requested_s)
         return value
 
     async def _read(self, key: str) -> SourceValue:
@@ -207,7 +218,7 @@
         self._metrics.count("trefoilpick_source_reads_total", kind="read")
         requested_s = read_clock()
         value = await self._source.read_value(key)
-        self._record_answer(requested_s)
+        await self._record_answer(requested_s)
         return value
 
     async def _handle_manifest(self, value: SourceValue) -> None:
@@ -271,17 +282,25 @@
             order=_compare_versions(version, held),
         )
 
-    def _record_answer(self, requested_s: float) -> None:
+    async def _record_answer(self, requested_s: float) -> None:
         self.answered_s = read_clock()
         self.answered_request_s = requested_s
         self.is_failing = False
         self._log.report(Event.SOURCE, "up")
+        await self._set_unavailable(is_unavailable=False)
 
-    def _record_failure(self, error: TrefoilpickError) -> None:
+    async def _record_failure(self, error: TrefoilpickError) -> None:
         self._metrics.count("trefoilpick_source_failures_total", kind=error.kind.value)
         self.is_failing = True
         fields = {"kind": error.kind.value, "text": error.text}
         self._log.report(Event.SOURCE, "down", level=logging.WARNING, **fields)
+        if error.kind in UNANSWERED_KINDS and self._store.newest is not None:
+            await self._set_unavailable(is_unavailable=True)
+
+    async def _set_unavailable(self, *, is_unavailable: bool) -> None:
+        if is_unavailable != self.is_unavailable:
+            self.is_unavailable = is_unavailable
+            await self._on_availability_changed()
 
 
 def _compare_versions(version: VersionId, held: VersionId | None) -> str:
