Source: after a timeout, close all idle connections to the store

What was wrong: watches and reads have a kept connection each. When both fell silent, the watch ended by its timeout, and the read that followed waited for the whole read timeout on the other silent connection and failed, before a backoff and a new connection: a version that the store confirmed meanwhile was late by that much.

Change: a timeout closes all kept connections that are idle; ones in use have their own timeout.

The proxy of the tests binds when it is built, so that nothing connects too early.

--- a/tests/fakes_proxy.py
+++ b/tests/fakes_proxy.py
@@ -47,13 +47,14 @@
 
     def __init__(self, listen: tuple[str, int], target: tuple[str, int]) -> None:
         self.connections: list[Connection] = []
-        self._listen = listen
+        self._listener = curio.network.tcp_server_socket(
+            *listen, backlog=BACKLOG, reuse_address=True
+        )
         self._target = target
 
     async def run(self) -> None:
         """Serve until cancelled."""
-        host, port = self._listen
-        await curio.tcp_server(host, port, self._serve, backlog=BACKLOG, reuse_address=True)
+        await curio.network.run_server(self._listener, self._serve)
 
     def silence(self) -> None:
         """Silence all connections that are open now; later ones are forwarded."""
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -9,6 +9,7 @@
 import curio
 import msgspec
 import pytest
+from fakes_proxy import SilencingProxy
 from fakes_store import (
     FakeStore,
     Fault,
@@ -40,9 +41,27 @@
 )
 from trefoilpick.vms import VmList, VmState
 
+PROXY_HOST = "127.0.55.1"
+
 Scenario = Callable[[FakeStore, StoreSource], Awaitable[None]]
 
 
+class SilencingScenario:
+    """A source that reaches the store through a proxy."""
+
+    def __init__(self, store: FakeStore) -> None:
+        host, port = store.address.split(":")
+        self.proxy = SilencingProxy((PROXY_HOST, int(port)), (host, int(port)))
+        settings = make_settings(f"{PROXY_HOST}:{port}", read_timeout_ms=1_000, watch_ms=1_400)
+        self.source = open_store(settings, random=random.Random(1))
+
+    async def hold_connections(self) -> None:
+        """Read both values and watch once, so that connections are kept."""
+        await self.source.read_value(MANIFEST_KEY)
+        await self.source.read_value(VMS_KEY)
+        await self.source.watch_value(MANIFEST_KEY, after=0)
+
+
 def run_scenario(scenario: Scenario, **fields: object) -> None:
     async def main(store: FakeStore) -> None:
         store.put(CONFIGURATION_KEY, make_configuration())
@@ -367,3 +386,21 @@
         assert not any("kv-watch" in call for call in store.calls)
 
     run_scenario(scenario)
+
+
+# Guards against one timeout after the other for each kept connection that fell silent.
+@pytest.mark.parametrize("key", [MANIFEST_KEY, VMS_KEY])
+def test_a_read_after_a_silent_watch_meets_no_other_silent_connection(key: str) -> None:
+    async def scenario(store: FakeStore, _source: StoreSource) -> None:
+        silencing = SilencingScenario(store)
+        proxy = await curio.spawn(silencing.proxy.run, daemon=True)
+        await silencing.hold_connections()
+        silencing.proxy.silence()
+        with pytest.raises(TrefoilpickError, match="did not answer"):
+            await silencing.source.watch_value(MANIFEST_KEY, after=0)
+        began_s = read_clock()
+        await silencing.source.read_value(key)
+        assert read_clock() - began_s < 0.5
+        await proxy.cancel()
+
+    run_scenario(scenario)
--- a/trefoilpick/source.py
+++ b/trefoilpick/source.py
@@ -102,7 +102,8 @@
 class SourceClient:
     """HTTP client of the configuration service.
 
-    Connections are kept open by name. A connection is closed after a failed call and not reused.
+    Connections are kept open by name. A connection is closed after a failed call and not reused;
+    after a timeout all idle ones are closed.
 
     Args:
         settings: Addresses and timeouts.
@@ -178,6 +179,8 @@
             connection = await curio.timeout_after(timeout_s, open_source_connection, address)
             return await self._call_on_connection(connection, connection_name, target, timeout_s)
         except curio.TaskTimeout as error:
+            # The other kept connections may have fallen silent as well.
+            await self.close()
             text = f'source "{address}" did not answer within {timeout_s:g} s'
             raise TrefoilpickError(ErrorKind.SOURCE_UNAVAILABLE, text) from error
         except OSError as error:
