Hop server: after a silent connection to the worker, close the idle ones as well

What was wrong: when the kept connections to a worker fell silent without an end or a reset, each cost one request its whole deadline, one after the other, for as long as they were not idle for too long.

Change: when a request ends without an answer 0.25 s or more after it was sent, connections that have been idle since before it was sent are closed. Nothing is repeated that was not before; the request itself ends as unknown.

--- a/tests/fakes_worker.py
+++ b/tests/fakes_worker.py
@@ -320,10 +320,12 @@
     incarnation: int = 7,
     conventions: Conventions = DEFAULT_CONVENTIONS,
     find_listed_vm: Callable[[], Vm | None] = lambda: None,
+    worker_host: str = HOST,
     **hops: Any,
 ):
     worker = FakeWorker()
     settings = build_settings(worker.port, **hops)
+    settings = replace(settings, worker=replace(settings.worker, host=worker_host))
     if drain is not None:
         settings = replace(settings, drain=drain)
     metrics = Metrics()
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -1,10 +1,12 @@
 import curio
 import pytest
+from fakes_proxy import SilencingProxy
 from fakes_worker import (
     HOST,
     OK,
     Bench,
     ReceivedRequest,
+    make_read,
     make_request,
     open_bench,
     reset_on_close,
@@ -117,3 +119,38 @@
         assert pool._find_max_idle(lost, 11.0 + SAFE_IDLE_DURATION_S) == 4.0
 
     curio.run(main)
+
+
+# Guards against idle connections that are silent and cost one request each, one after the other.
+@pytest.mark.parametrize("idempotent", [False, True])
+def test_one_request_meets_silent_connections_and_the_next_ones_are_answered(
+    idempotent: bool,
+) -> None:
+    count = 4
+
+    async def run(bench: Bench) -> None:
+        async def answer_together(request: ReceivedRequest) -> None:
+            await wait_for(lambda: bench.worker.connections == count)
+            await request.sock.sendall(OK)
+
+        bench.worker.script = [answer_together] * count
+        proxy = SilencingProxy(("127.0.57.1", bench.worker.port), (HOST, bench.worker.port))
+        task = await curio.spawn(proxy.run)
+        async with curio.TaskGroup() as group:
+            for _ in range(count):
+                await group.spawn(bench.call, make_request())
+        proxy.silence()
+        make = make_read if idempotent else make_request
+        result = await bench.call(make(remaining_ms=500))
+        assert (result.kind, result.outcome) == ("deadline_after_send", "unknown")
+        for _ in range(count):
+            assert (await bench.call(make(remaining_ms=500))).is_complete
+        assert len(bench.worker.executed) == 2 * count
+        assert len(proxy.connections) == count + 1
+        await task.cancel()
+
+    async def main() -> None:
+        async with open_bench(worker_host="127.0.57.1") as bench:
+            await run(bench)
+
+    curio.run(main)
--- a/trefoilpick/_hop_exchange.py
+++ b/trefoilpick/_hop_exchange.py
@@ -48,6 +48,10 @@
 UNKNOWN_OUTCOME_STATUSES = frozenset((429, 502, 503, 504))
 """Status codes that do not show whether the request ran."""
 
+SILENCE_S = 0.25
+"""Time without an answer after which a connection to the worker may be silent, in seconds, if its
+request ended then: idle connections on which nothing arrived either are closed."""
+
 END = encode_frame(FrameKind.END)
 """The frame that ends a body."""
 
@@ -407,12 +411,20 @@
         if connection is None:
             return
         self._connection = None
+        is_unanswered = self.was_sent and not connection.has_answer_begun
         if self._body.is_received:
             await self._context.pool.release(
                 connection, max_connections=upstream.connections, now_s=now_s
             )
         else:
             await self._context.pool.discard(connection)
+        if is_unanswered:
+            await self._drop_silent()
+
+    async def _drop_silent(self) -> None:
+        """Close idle connections to the worker if the one of the request may be silent."""
+        if read_clock() - self._sent_s >= SILENCE_S:
+            await self._context.pool.drop_idle(before_s=self._sent_s)
 
     def _observe(self, name: str, seconds: float) -> None:
         self._context.metrics.observe(name, seconds * 1e6, priority=self._request.priority)
--- a/trefoilpick/upstreams.py
+++ b/trefoilpick/upstreams.py
@@ -136,6 +136,16 @@
         self.open_count -= 1
         await connection.close()
 
+    async def drop_idle(self, *, before_s: float) -> None:
+        """Close the idle connections on which nothing arrived since a time.
+
+        Args:
+            before_s: Clock reading, in seconds; connections idle since before it are closed.
+        """
+        for connection in [c for c in self._idle if c.idle_since_s < before_s]:
+            self._idle.remove(connection)
+            await self.discard(connection)
+
     async def close(self) -> None:
         """Close all idle connections."""
         while self._idle:
