Caller server: after a silent hop, close the idle hops to that node as well

What was wrong: when the kept hops to a node fell silent without an end or a reset, and the data was still acknowledged, each cost one request its whole deadline, one after the other.

Change: when a request ends by its deadline, or unacknowledged, without any end of an answer, hops to that node that have been idle since before the request are closed. The request ends as unknown and is not repeated, as before.

--- a/tests/test_hopclient.py
+++ b/tests/test_hopclient.py
@@ -1,17 +1,34 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Coroutine
+from dataclasses import replace
 from typing import Any
 
 import curio
 import pytest
 from curio import socket
-from fakes_hop import HOST, FakeWorkerNode
+from fakes_hop import HOST, Bench, FakeWorkerNode, answer_ok, connect, run_bench
+from fakes_proxy import SilencingProxy
 
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 from trefoilpick.hopclient import HopPool
-from trefoilpick.hops import FrameKind, Load, encode_frame, encode_head
+from trefoilpick.hops import FrameKind, Hop, HopRequest, Load, encode_frame, encode_head
 from trefoilpick.settings import RequestSettings
+from trefoilpick.vms import Vm
+
+PROXY_HOST = "127.0.56.1"
+
+
+class ProxiedWorkerNode(FakeWorkerNode):
+    """A worker's node that callers' nodes reach through a proxy."""
+
+    def build_vm(self) -> Vm:
+        return replace(super().build_vm(), host=PROXY_HOST)
+
+    async def run(self, listener: socket.socket) -> None:
+        self.proxy = SilencingProxy((PROXY_HOST, self.port), (HOST, self.port))
+        await curio.spawn(self.proxy.run, daemon=True)
+        await super().run(listener)
 
 
 def run_pool(
@@ -94,3 +111,33 @@
         await full_listener.close()
 
     run_pool(main)
+
+
+# Guards against idle hops that are silent and cost one request each, one after the other.
+def test_one_request_meets_silent_hops_and_the_next_ones_are_answered() -> None:
+    count = 4
+
+    async def answer_together(fake: FakeWorkerNode, hop: Hop, head: HopRequest) -> None:
+        while fake.connections < count:
+            await curio.sleep(0.01)
+        await answer_ok(fake, hop, head)
+
+    fake = ProxiedWorkerNode()
+
+    async def main(bench: Bench) -> None:
+        fake.scripts.extend([answer_together] * count)
+        callers = [await connect(bench) for _ in range(count)]
+        async with curio.TaskGroup() as group:
+            for caller in callers:
+                await group.spawn(caller.request, "GET", "/status")
+        fake.proxy.silence()
+        # An unsafe request may have run: it is neither repeated nor called "not run".
+        answer = await callers[0].request("POST", "/short", b"")
+        assert (answer.status, answer.outcome) == (504, "unknown")
+        for _ in range(count):
+            caller = await connect(bench)
+            assert (await caller.request("POST", "/short", b"")).status == 200
+        assert sum(fake.runs.values()) == 2 * count
+        assert len(fake.proxy.connections) == count + 1
+
+    run_bench(main, fake)
--- a/trefoilpick/forwarding.py
+++ b/trefoilpick/forwarding.py
@@ -64,6 +64,10 @@
 """Errors that count as a failure of the worker."""
 
 
+SILENCE_ERRORS = frozenset({ErrorKind.DEADLINE_AFTER_SEND, ErrorKind.UPSTREAM_SILENT})
+"""Errors after which the connection to the worker's node may be open and silent."""
+
+
 @dataclass(frozen=True)
 class Attempt:
     """An attempt for which the head of the answer has arrived.
@@ -242,11 +246,16 @@
         remaining_s = call.deadline_at - read_clock()
         hop = await self._pool.acquire(record.vm, timeout_s=min(connect_s, remaining_s))
         call.connection.hop = hop
+        began_at = read_clock()
         try:
             attempt = await self._exchange_heads(call, record, hop, is_retry)
-        except BaseException:
+        except BaseException as error:
             call.connection.hop = None
             await self._pool.release(hop, read_clock())
+            is_silent = isinstance(error, TrefoilpickError) and error.kind in SILENCE_ERRORS
+            if is_silent and not hop.is_clean:
+                # Connections that were idle meanwhile may have fallen silent as well.
+                await self._pool.drop_idle(record.vm, before=began_at)
             raise
         return attempt
 
--- a/trefoilpick/hopclient.py
+++ b/trefoilpick/hopclient.py
@@ -152,6 +152,18 @@
         hop.released_at = now
         idle.append(hop)
 
+    async def drop_idle(self, vm: Vm, *, before: float) -> None:
+        """Close the idle connections to a VM's node on which nothing arrived since a time.
+
+        Args:
+            vm: The VM.
+            before: Clock reading, in seconds; connections released earlier are closed.
+        """
+        idle = self._idle.get(vm.name, deque())
+        for hop in [hop for hop in idle if hop.released_at < before]:
+            idle.remove(hop)
+            await hop.close()
+
     async def sweep(self, now: float) -> None:
         """Read notices on idle connections; close those that ended or reached the idle timeout."""
         expired_before = now - self._settings.hop_idle_ms / MS_PER_S
