--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -1,4 +1,8 @@
+import signal
+import subprocess
+import sys
 from functools import partial
+from pathlib import Path
 
 import curio
 import pytest
@@ -136,8 +140,10 @@
                 await group.spawn(run)
             await group.spawn(other.links.run, other.answer)
             await one.links.request(address, FetchVms(0), timeout_s=30)
-            proxy.silence()
-            assert await wait_for_answer(one, address) < RECOVERY_S
+            # The delay before connecting again must not grow.
+            for _ in range(3):
+                proxy.silence()
+                assert await wait_for_answer(one, address) < RECOVERY_S
             announcement = Announcement(WireVersion(2, bytes(16)), 1)
             await one.links.send(address, announcement)
             async with curio.timeout_after(1.0):
@@ -175,6 +181,38 @@
     curio.run(main())
 
 
+PEER_SCRIPT = """
+import curio
+from test_links import Endpoint
+
+endpoint = Endpoint("127.0.53.2", "vm-2", None)
+curio.run(endpoint.links.run, endpoint.answer)
+"""
+
+
+# Guards against a link that stays down after a pause of the peer's process ended.
+def test_link_works_soon_after_the_peer_was_paused() -> None:
+    async def main() -> None:
+        one, address = Endpoint("127.0.53.1", "vm-1", None), f"127.0.53.2:{PORT}"
+        async with curio.TaskGroup(wait=any) as group:
+            await group.spawn(one.links.run, one.answer)
+            await one.links.request(address, FetchVms(0), timeout_s=30)
+            for pause_s in (0.5, 4.0):
+                peer.send_signal(signal.SIGSTOP)
+                with pytest.raises(TrefoilpickError):
+                    await one.links.request(address, FetchVms(0), timeout_s=pause_s)
+                peer.send_signal(signal.SIGCONT)
+                assert await wait_for_answer(one, address) < RECOVERY_S
+            await group.cancel_remaining()
+
+    peer = subprocess.Popen([sys.executable, "-c", PEER_SCRIPT], cwd=Path(__file__).parent)
+    try:
+        curio.run(main())
+    finally:
+        peer.kill()
+        peer.wait()
+
+
 # Guards against heartbeats that a peer without heartbeats of its own would not answer.
 def test_idle_link_to_a_peer_that_sends_no_heartbeats_keeps_its_connection() -> None:
     async def main() -> None:
