Hop server: close hops that are idle for longer than their peers keep them

What was wrong: a hop that fell silent without an end, and whose data is acknowledged, was open at the worker's node for good: TCP keepalive is answered, and there was no idle timeout. Each time that connections fall silent, up to 16 a peer are left over, until the limit of open hops refuses the peers' new ones.

Change: hops that have waited for a request for twice requests.hop_idle_ms are closed; the caller's node closes its end after once that time, so that no request is on its way.

Result: the new test (a proxy silences the hop, the caller's end closes) failed: the hop was still open after 5 s with an idle timeout of 0.3 s. Now it is closed after 0.6 s, and not within the first 0.4 s.

--- a/tests/fakes_worker.py
+++ b/tests/fakes_worker.py
@@ -37,6 +37,7 @@
     DrainSettings,
     HopSettings,
     ListenSettings,
+    RequestSettings,
     Settings,
     SourceSettings,
     VmSettings,
@@ -321,6 +322,7 @@
     conventions: Conventions = DEFAULT_CONVENTIONS,
     find_listed_vm: Callable[[], Vm | None] = lambda: None,
     worker_host: str = HOST,
+    requests: RequestSettings | None = None,
     **hops: Any,
 ):
     worker = FakeWorker()
@@ -328,6 +330,8 @@
     settings = replace(settings, worker=replace(settings.worker, host=worker_host))
     if drain is not None:
         settings = replace(settings, drain=drain)
+    if requests is not None:
+        settings = replace(settings, requests=requests)
     metrics = Metrics()
     cell = build_cell(**(upstream or {}))
     server = open_hop_server(
--- a/tests/test_hopserver.py
+++ b/tests/test_hopserver.py
@@ -4,7 +4,9 @@
 
 import curio
 import pytest
+from fakes_proxy import SilencingProxy
 from fakes_worker import (
+    HOST,
     OK,
     Bench,
     HopResult,
@@ -21,8 +23,9 @@
     wait_for,
 )
 
+from trefoilpick._connections import open_connection
 from trefoilpick.hops import FrameKind, Hop, HopRequest, encode_data, encode_frame, encode_head
-from trefoilpick.settings import DrainSettings
+from trefoilpick.settings import DrainSettings, RequestSettings
 
 LONG_BODY = b"spread" * 1000
 SHED_ANSWER = b"HTTP/1.1 503 Busy\r\nx-not-run: 1\r\nretry-after: 3\r\ncontent-length: 0\r\n\r\n"
@@ -545,3 +548,26 @@
         assert (await bench.server.drain()).cut == 1
 
     run_bench(test, drain=DrainSettings(notice_ms=0, limit_ms=20))
+
+
+# Guards against hops of gone or silent peers that are open for good and use up the limit.
+def test_a_hop_idle_for_longer_than_its_peer_keeps_it_is_closed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("trefoilpick._open_hops.IDLE_CHECK_S", 0.05, raising=False)
+
+    async def main() -> None:
+        async with open_bench(requests=RequestSettings(hop_idle_ms=300)) as bench:
+            proxy = SilencingProxy(("127.0.58.1", bench.port), (HOST, bench.port))
+            task = await curio.spawn(proxy.run)
+            hop = Hop(await open_connection("127.0.58.1", bench.port))
+            assert (await send_and_receive(hop, make_request())).is_complete
+            proxy.silence()
+            await hop.close()
+            await curio.sleep(0.4)
+            # Not before the peer's own idle timeout is over: it may still send a request.
+            assert bench.server.hop_count == 1
+            await wait_for(lambda: bench.server.hop_count == 0, limit_s=5.0)
+            await task.cancel()
+
+    curio.run(main())
--- a/trefoilpick/_hop_connections.py
+++ b/trefoilpick/_hop_connections.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import select
+import socket
 from contextlib import suppress
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import curio
 
+from trefoilpick._clock import read_clock
 from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError
 from trefoilpick.hops import READ_BYTES, Frame, FrameKind
 
@@ -34,6 +36,7 @@
         is_cancellable: Whether its request is cancelled when the caller's node closes the hop.
         is_closed_by_peer: Whether the caller's node closed it or stopped reading.
         was_notified: Whether the caller's node was notified that this node is leaving.
+        idle_since_s: Clock reading when it began to wait for a request, in seconds.
     """
 
     hop: Hop
@@ -43,6 +46,7 @@
     is_cancellable: bool = True
     is_closed_by_peer: bool = False
     was_notified: bool = False
+    idle_since_s: float = field(default_factory=read_clock)
 
     def __post_init__(self) -> None:
         self._poller = select.poll()
@@ -52,6 +56,17 @@
         """Return whether the hop is still open, by the current state of its socket."""
         return not self._poller.poll(0)
 
+    def begin_idle(self) -> None:
+        """Begin to wait for a request."""
+        self.is_cancellable = True
+        self.is_idle = True
+        self.idle_since_s = read_clock()
+
+    def shut_down(self) -> None:
+        """Shut down the connection, which wakes the task that serves it."""
+        with suppress(OSError):
+            self.hop.sock._socket.shutdown(socket.SHUT_RDWR)
+
     async def send(self, *frames: bytes) -> None:
         """Send frames; drop them if the hop is already known to be closed.
 
--- a/trefoilpick/_open_hops.py
+++ b/trefoilpick/_open_hops.py
@@ -5,8 +5,11 @@
 import select
 from typing import TYPE_CHECKING
 
+import curio
 from curio.traps import _read_wait
 
+from trefoilpick._clock import read_clock
+
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
@@ -15,6 +18,10 @@
 _CLOSED_EVENTS = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR | select.EPOLLONESHOT
 
 
+IDLE_CHECK_S = 10.0
+"""Interval between checks for idle hops, in seconds."""
+
+
 class OpenHops:
     """All open hops of a node.
 
@@ -55,3 +62,19 @@
                 connection.is_closed_by_peer = True
                 if connection.is_cancellable and not connection.is_idle:
                     await connection.task.cancel(blocking=False)
+
+    async def close_idle(self, idle_timeout_s: float) -> None:
+        """Close hops that wait for a request for too long; run until cancelled.
+
+        A hop whose peer is gone may stay open and silent for good.
+
+        Args:
+            idle_timeout_s: Idle timeout, in seconds; longer than that of the peers, so that no
+                request is on its way.
+        """
+        while True:
+            await curio.sleep(IDLE_CHECK_S)
+            expired_s = read_clock() - idle_timeout_s
+            for connection in self:
+                if connection.is_idle and connection.idle_since_s < expired_s:
+                    connection.shut_down()
--- a/trefoilpick/hopserver.py
+++ b/trefoilpick/hopserver.py
@@ -57,6 +57,10 @@
 QUEUE_POLL_S = 0.1
 """Interval at which the queue is checked for requests that can no longer be served, in seconds."""
 
+HOP_IDLE_FACTOR = 2
+"""Idle timeout of a hop at the worker's node, as a multiple of that at the caller's node, which has
+the same settings and closes its hops first."""
+
 LINGER_S = 1.0
 """Time for which the rest of a body is read after a failure, in seconds."""
 
@@ -196,6 +200,7 @@
         async with self._listener as listener, curio.TaskGroup() as group:
             loops: dict[str, Callable[[], Coroutine[Any, Any, None]]] = {
                 "watch_hops": self._hops.watch,
+                "close_idle_hops": partial(self._hops.close_idle, self._find_hop_idle_timeout()),
                 "accept_hops": partial(self._accept_hops, listener, group),
                 "refuse_stale_waiters": self._refuse_stale_waiters,
             }
@@ -240,6 +245,10 @@
         await self._drained.set()
         return self._drain_report
 
+    def _find_hop_idle_timeout(self) -> float:
+        """Return the idle timeout of hops, in seconds; peers close them earlier."""
+        return HOP_IDLE_FACTOR * self._settings.requests.hop_idle_ms / 1000
+
     async def _accept_hops(self, listener: Socket, group: curio.TaskGroup) -> None:
         async for sock in accept_sockets(listener, on_error=self._count_refused):
             if len(self._hops) < self._settings.hops.max_connections:
@@ -293,8 +302,7 @@
 
     async def _serve_requests(self, connection: HopConnection) -> None:
         while not connection.is_closed_by_peer:
-            connection.is_cancellable = True
-            connection.is_idle = True
+            connection.begin_idle()
             if self.is_leaving:
                 await self._notify_leaving(connection)
             frame = await connection.hop.receive()
