Links: connect again to an absent peer within 1 s, not 5 s

What was wrong: the delay before libzmq connects again doubles up to 5 s while a peer refuses connections, so a node that was away for 7 s was out of touch for over 4 s after its return, longer than the 3 s that count.

Change: the delay grows to 1 s at most.

--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -181,6 +181,23 @@
     curio.run(main())
 
 
+# Guards against a delay before connecting that has grown while a peer was away.
+def test_link_works_soon_after_an_absent_peer_returns() -> None:
+    async def main() -> None:
+        one, address = Endpoint("127.0.54.1", "vm-1", None), f"127.0.54.2:{PORT}"
+        async with curio.TaskGroup(wait=any) as group:
+            await group.spawn(one.links.run, one.answer)
+            for _ in range(14):
+                with pytest.raises(TrefoilpickError):
+                    await one.links.request(address, FetchVms(0), timeout_s=0.5)
+            other = Endpoint("127.0.54.2", "vm-2", None)
+            await group.spawn(other.links.run, other.answer)
+            assert await wait_for_answer(one, address) < 2.0
+            await group.cancel_remaining()
+
+    curio.run(main())
+
+
 PEER_SCRIPT = """
 import curio
 from test_links import Endpoint
--- a/trefoilpick/links.py
+++ b/trefoilpick/links.py
@@ -38,7 +38,7 @@
 RECONNECT_MS = 100
 """Initial delay before reconnecting, in milliseconds."""
 
-RECONNECT_MAX_MS = 5_000
+RECONNECT_MAX_MS = 1_000
 """Maximum delay before reconnecting, in milliseconds."""
 
 HEARTBEAT_INTERVAL_MS = 800
