Give up responses of the source that do not end

Cause: only the gap between two reads was limited (1 s), and interim responses were skipped without any limit. Evidence: endless responses at 4 parts a second, interim responses and chunks of one byte held a call for over 6 s with a read timeout of 300 ms; on the watch a node hears nothing meanwhile. Change: the head must be complete 1 s after its first byte, the body must arrive at 25 kB/s on average beside that second, the whole response has at most 2 MB with its framing, and other tasks run between two reads.

--- a/trefoilpick/_source_connection.py
+++ b/trefoilpick/_source_connection.py
@@ -17,13 +17,14 @@
 import curio
 import h11
 
+from trefoilpick._clock import read_clock
 from trefoilpick._connections import open_connection
 from trefoilpick.addresses import split_address
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 
 MAX_RESPONSE_BYTES = 2_000_000
-"""Maximum size of a response, in bytes: the platform's value limit of one megabyte, plus the
-overhead of an encoding."""
+"""Maximum size of a response with its head, in bytes: the platform's value limit of one megabyte,
+plus the overhead of encodings."""
 
 KEEPALIVE_IDLE_S = 2
 """Idle time before the kernel sends the first TCP keepalive probe, in seconds."""
@@ -35,8 +36,12 @@
 """Unanswered keepalive probes after which the connection is considered broken."""
 
 RESPONSE_IDLE_TIMEOUT_S = 1.0
-"""Idle timeout of a response that has begun, in seconds. There is no limit on the total time, as a
-long response takes many times the service's own time over a low-bandwidth link."""
+"""Idle timeout of a response that has begun, in seconds, and timeout of its head."""
+
+MIN_BYTES_PER_S = 25_000
+"""Lowest mean rate at which a response's body must arrive, in bytes per second. The total time is
+not limited otherwise, as a long response takes many times the service's own time over a
+low-bandwidth link."""
 
 READ_BYTES = 65_536
 """Maximum bytes read from the socket at a time."""
@@ -79,7 +84,10 @@
         self.bytes_received = 0
         self.bytes_sent = 0
         self._sock = sock
-        self._receive_timeout_s = RESPONSE_IDLE_TIMEOUT_S
+        self._response_timeout_s = 0.0
+        self._response_began_s: float | None = None
+        self._response_bytes = 0
+        self._body_bytes = 0
         self._protocol = h11.Connection(h11.CLIENT)
 
     async def call(self, target: str, *, response_timeout_s: float) -> SourceReply:
@@ -90,12 +98,14 @@
             response_timeout_s: Timeout until the response begins, in seconds.
 
         Raises:
-            TrefoilpickError: `SOURCE_UNAVAILABLE` if the response is malformed, truncated or too
-                large.
+            TrefoilpickError: `SOURCE_UNAVAILABLE` if the response is malformed, truncated, too
+                large or too slow.
             OSError: The connection failed.
             curio.TaskTimeout: The response did not begin in time, or exceeded the idle timeout.
         """
-        self._receive_timeout_s = response_timeout_s
+        self._response_timeout_s = response_timeout_s
+        self._response_began_s = None
+        self._response_bytes = self._body_bytes = 0
         try:
             await self._send(target)
             return await self._receive()
@@ -128,8 +138,7 @@
                 }
             elif isinstance(event, h11.Data):
                 body += event.data
-                if len(body) > MAX_RESPONSE_BYTES:
-                    raise self._make_error(f"answer is over {MAX_RESPONSE_BYTES} bytes")
+                self._body_bytes = len(body)
             elif isinstance(event, h11.EndOfMessage):
                 return SourceReply(status, headers, bytes(body), self._prepare_next_call())
             elif isinstance(event, h11.ConnectionClosed):
@@ -140,10 +149,26 @@
             event = self._protocol.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            data = await curio.timeout_after(self._receive_timeout_s, self._sock.recv, READ_BYTES)
-            self._receive_timeout_s = RESPONSE_IDLE_TIMEOUT_S
+            data = await curio.timeout_after(self._find_time_left(), self._sock.recv, READ_BYTES)
+            if self._response_began_s is None:
+                self._response_began_s = read_clock()
             self.bytes_received += len(data)
+            self._response_bytes += len(data)
+            if self._response_bytes > MAX_RESPONSE_BYTES:
+                raise self._make_error(f"answer is over {MAX_RESPONSE_BYTES} bytes")
             self._protocol.receive_data(data)
+            # Lets other tasks run while a fast response is received.
+            await curio.sleep(0)
+
+    def _find_time_left(self) -> float:
+        """Return the timeout for the next part of the response, in seconds."""
+        if self._response_began_s is None:
+            return self._response_timeout_s
+        allowed_s = RESPONSE_IDLE_TIMEOUT_S + self._body_bytes / MIN_BYTES_PER_S
+        left_s = self._response_began_s + allowed_s - read_clock()
+        if left_s <= 0:
+            raise self._make_error("it arrives too slowly")
+        return min(left_s, RESPONSE_IDLE_TIMEOUT_S)
 
     def _prepare_next_call(self) -> bool:
         self.is_fresh = False
