Source: a value without an era header belongs to the era known before

Cause: the era of a reply was read twice; without the header, the check kept the known era, but the value got era 0. Its version and its list then counted as older than all of later eras. The platform's adapter already used the known era. Change: the value gets the era that the check returns.

--- a/trefoilpick/source.py
+++ b/trefoilpick/source.py
@@ -254,8 +254,9 @@
             TrefoilpickError: `SOURCE_UNAVAILABLE` or `SOURCE_RATE_LIMITED`.
         """
         reply = await self.client.call(READ_CONNECTION, f"/v1/values/{key}")
-        self._value_eras[key] = self._check_era(reply)
-        return _convert_reply(key, reply)
+        era = self._check_era(reply)
+        self._value_eras[key] = era
+        return _convert_reply(key, reply, era)
 
     async def watch_value(self, key: str, *, after: int) -> SourceValue | None:
         """Wait until a value has a revision after the given one.
@@ -274,15 +275,16 @@
         revision = get_source_revision(after)
         target = f"/v1/values/{key}?after={revision}&era={known_era}&wait_ms={self._watch_ms}"
         reply = await self.client.call(key, target, wait_s=self._watch_ms / 1000)
-        if self._check_era(reply) != known_era:
+        era = self._check_era(reply)
+        if era != known_era:
             # The revision to watch from belongs to an earlier era.
             return await self.read_value(key)
         if reply.status == STATUS_NOT_MODIFIED:
             return None
-        return _convert_reply(key, reply)
+        return _convert_reply(key, reply, era)
 
     def _check_era(self, reply: SourceReply) -> int:
-        """Return the service's era.
+        """Return the service's era; the one known before if the response names none.
 
         Raises:
             TrefoilpickError: `SOURCE_UNAVAILABLE` if the response is of an earlier era.
@@ -296,7 +298,7 @@
         return era
 
 
-def _convert_reply(key: str, reply: SourceReply) -> SourceValue:
+def _convert_reply(key: str, reply: SourceReply, era: int) -> SourceValue:
     if reply.status == STATUS_RATE_LIMITED:
         text = f'source refused value "{key}": rate limit'
         raise TrefoilpickError(ErrorKind.SOURCE_RATE_LIMITED, text)
@@ -309,7 +311,7 @@
     if not _is_number(revision):
         text = f'source sent value "{key}" without a revision'
         raise TrefoilpickError(ErrorKind.SOURCE_UNAVAILABLE, text)
-    return SourceValue(reply.body, int(revision), read_era(reply, ERA_HEADER) or 0)
+    return SourceValue(reply.body, int(revision), era)
 
 
 def read_era(reply: SourceReply, header: str) -> int | None:
