A node that refused the newest version is not behind

Cause: may_be_behind compared the newest known version with the enforced one, so that a refused one left all nodes behind until the next: unknown paths got 503 instead of 404. Change: a refused version is not awaited.

--- a/trefoilpick/distribution.py
+++ b/trefoilpick/distribution.py
@@ -231,10 +231,12 @@
     def may_be_behind(self) -> bool:
         """Whether there may be a version that the node does not enforce yet.
 
-        It knows of a newer one, or the source has not confirmed any since it joined.
+        It knows of a newer one that it has not refused, or the source has not confirmed any since
+        it joined.
         """
         newest = max(self._list_known_versions(), default=None)
-        return newest != self.enforcer.enforced or not self._joiner.has_source_answered
+        is_awaited = newest != self.enforcer.enforced and not self.enforcer.find_refusal(newest)
+        return is_awaited or not self._joiner.has_source_answered
 
     @property
     def is_unconfirmed(self) -> bool:
