A node that relied on readers once is not behind when the source is down

Cause: whether the source has answered was asked anew at each request; at a node on a low-bandwidth link that never read the source itself, an outage of 5 s made it unconfirmed, and unknown paths got 503 for as long as it lasted. Change: the joiner keeps that the node could rely on readers.

--- a/trefoilpick/joining.py
+++ b/trefoilpick/joining.py
@@ -44,6 +44,7 @@
         self._wait_s = wait_s
         self._started_s = read_clock()
         self._answered_centres: set[str] = set()
+        self._has_relied_on_readers = False
 
     @property
     def is_confirmed(self) -> bool:
@@ -52,8 +53,12 @@
 
     @property
     def has_source_answered(self) -> bool:
-        """Whether the source has answered, or readers of its data centre rely on it."""
-        return self._node.reader.newest is not None or self._node.relies_on_readers
+        """Whether the source has answered, or the node could rely on readers that it answered.
+
+        Once it has, a later outage of the source does not matter.
+        """
+        self._has_relied_on_readers = self._has_relied_on_readers or self._node.relies_on_readers
+        return self._node.reader.newest is not None or self._has_relied_on_readers
 
     @property
     def _have_peers_answered(self) -> bool:
