Links: drop messages of tasks that still send while the links close

Cause: a task of the node may send while its links are closing; opening a socket then raised ZMQError in that task. Change: such messages are dropped and counted (reason closed); a request fails as unreachable.

--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -254,3 +254,17 @@
         context.destroy(linger=0)
 
     curio.run(main())
+
+
+# Guards against an unexpected error of a task that still sends while the node's links close.
+def test_message_after_the_links_closed_is_dropped() -> None:
+    async def main() -> None:
+        one = Endpoint("127.0.50.1", "vm-1", None)
+        task = await curio.spawn(one.links.run, one.answer)
+        await curio.sleep(0.05)
+        await task.cancel()
+        await one.links.send("127.0.50.2:1", Announcement(WireVersion(1, bytes(16)), 1))
+        with pytest.raises(TrefoilpickError):
+            await one.links.request("127.0.50.2:1", FetchVms(0), timeout_s=0.05)
+
+    curio.run(main())
--- a/trefoilpick/links.py
+++ b/trefoilpick/links.py
@@ -174,6 +174,7 @@
         self._host = host
         self._peers: dict[str, Peer] = {}
         self._identities: set[bytes] = set()
+        self._is_closed = False
         self._context = _open_context()
         self._zap = self._open_zap() if keys else None
         self._router = self._open_router(port)
@@ -260,6 +261,9 @@
         sock.setsockopt(zmq.MAXMSGSIZE, 2 * MAX_MESSAGE_BYTES)
 
     async def _send(self, address: str, topic: str, data: bytes) -> None:
+        if self._is_closed:
+            self._metrics.count("trefoilpick_control_messages_dropped_total", reason="closed")
+            return
         peer = self._peers.get(address)
         if peer is None:
             peer = self._open_peer(address)
@@ -386,6 +390,7 @@
         peer.sock.close(linger=LINGER_MS)
 
     async def _close(self) -> None:
+        self._is_closed = True
         for peer in list(self._peers.values()):
             await self._close_peer(peer)
         self._router.close(linger=LINGER_MS)
