Manifest: accept up to 1.5 MB

A document with more than some 3,400 services was refused whole, since its manifest has over 256,000 bytes; the store's values may have a megabyte.

--- a/trefoilpick/manifest.py
+++ b/trefoilpick/manifest.py
@@ -19,7 +19,7 @@
 DIGEST_BYTES = 16
 """Length of a digest, in bytes."""
 
-MAX_MANIFEST_BYTES = 256_000
+MAX_MANIFEST_BYTES = 1_500_000
 """Maximum size of an encoded manifest, in bytes."""
 
 Digest = Annotated[str, Meta(pattern=r"^[0-9a-f]{32}$")]
