Readers: name the substitutes, so that nodes on low-bandwidth links agree on them

Cause: on a site on which only the readers have fast links, a node on a slow one takes peers that have not reported their link for fast ones and ranks itself behind them. Each did, so no substitute qualified: on the unchanged code none of 76 nodes read during 18 s in which the store turned the eight readers away, and by its own rank none would have read at a report. Change: the report of a reader that gets no answers names its substitutes in order; these follow that order and pass it on. In a fleet in which all read, nothing is reported. Result: the test with two fast nodes a data centre fails in its four cases before (0 of 24 nodes within 2.5 s) and passes now, as do the four with fast links everywhere.

--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -716,10 +716,15 @@
 
 # Guards against a version that waits for readers while the source turns them, and only them, away.
 @pytest.mark.parametrize("served_rank", [2, 4, 7, 11])
-def test_version_is_in_force_while_the_source_turns_most_nodes_away(served_rank: int) -> None:
+@pytest.mark.parametrize("fast_each", [12, 2])
+def test_version_is_in_force_while_the_source_turns_most_nodes_away(
+    served_rank: int, fast_each: int
+) -> None:
     async def main() -> None:
         control = ControlSettings(exchange_ms=1_000, answer_ms=500, expected_vms=24)
-        fleet = FakeFleet(make_vms(2, 12), control=control)
+        vms = make_vms(2, 12)
+        slow = {vm.name for vm in vms if int(vm.name.rpartition("-")[2]) >= fast_each}
+        fleet = FakeFleet(vms, control=control, low_bandwidth=slow)
         await fleet.publish_vms(1)
         await fleet.source.accept(*make_version(1, VARIANTS))
         sources: dict[str, LocalSource] = {vm.name: LocalSource() for vm in fleet.vms}
--- a/trefoilpick/distribution.py
+++ b/trefoilpick/distribution.py
@@ -346,7 +346,7 @@
                 LeftWorker(name, worker.worker, worker.started_ms)
                 for name, worker in self.membership.list_left_workers()
             ),
-            is_source_unavailable=self.reader.is_started and self.reader.is_unavailable,
+            substitutes=self._reader_election.list_substitutes(),
         )
 
     def build_status_answer(self) -> StatusAnswer:
@@ -423,9 +423,7 @@
                 self.membership.record_leaving(name)
             if vm.data_centre == self.own.data_centre:
                 self._reader_election.record_reader_age(state.reader_age_ms / 1000)
-                await self._reader_election.record_availability(
-                    name, is_unavailable=state.is_source_unavailable
-                )
+                await self._reader_election.record_substitutes(name, state.substitutes)
         for left in state.left_workers:
             worker = WorkerIdentity(left.worker, left.started_ms)
             self.membership.record_worker_left(left.vm, worker)
--- a/trefoilpick/messages.py
+++ b/trefoilpick/messages.py
@@ -17,6 +17,9 @@
 MAX_MESSAGE_BYTES = 1_500_000
 """Largest encoded message, in bytes."""
 
+MAX_SUBSTITUTES = 16
+"""Largest number of VMs that are named to read in the place of a reader."""
+
 Count = Annotated[int, Meta(ge=0, le=2**62)]
 """A non-negative integer that fits in eight bytes."""
 
@@ -61,7 +64,8 @@
         has_low_bandwidth_link: Whether its link has too little bandwidth to read the source while
             other nodes can.
         left_workers: Listed workers that stated that they are leaving.
-        is_source_unavailable: Whether it reads the source and the source does not answer it.
+        substitutes: VMs of its data centre that are to read in its place, first ones first, while
+            the source does not answer it; empty otherwise.
     """
 
     held: WireVersion
@@ -71,7 +75,7 @@
     leaving: bool
     has_low_bandwidth_link: bool = False
     left_workers: Annotated[tuple[LeftWorker, ...], Meta(max_length=MAX_LEFT_WORKERS)] = ()
-    is_source_unavailable: bool = False
+    substitutes: Annotated[tuple[Name, ...], Meta(max_length=MAX_SUBSTITUTES)] = ()
 
 
 class Hello(msgspec.Struct, frozen=True, array_like=True, tag=2):
--- a/trefoilpick/overlay.py
+++ b/trefoilpick/overlay.py
@@ -9,7 +9,6 @@
 from trefoilpick.ranks import list_fingers, order_names, rank_vms
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
     from random import Random
 
     from trefoilpick.vms import Vm
@@ -98,14 +97,9 @@
     )
 
 
-def find_rank(view: OverlayView, *, excluded: Collection[str] = ()) -> int:
-    """Return the node's own rank in its data centre; the first reader has rank 0.
-
-    Args:
-        view: The node's view of the fleet.
-        excluded: Names of VMs that have no rank.
-    """
-    names = [vm.name for vm in list_local(view) if vm.name not in excluded]
+def find_rank(view: OverlayView) -> int:
+    """Return the node's own rank in its data centre; the first reader has rank 0."""
+    names = [vm.name for vm in list_local(view)]
     return names.index(view.own.name) if view.own.name in names else len(names)
 
 
--- a/trefoilpick/reader_election.py
+++ b/trefoilpick/reader_election.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import itertools
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import curio
 
 from trefoilpick._clock import read_clock
+from trefoilpick.messages import MAX_SUBSTITUTES
 from trefoilpick.overlay import (
     EveryNodeWatches,
     OverlayView,
@@ -45,10 +48,6 @@
 REPORT_LIFETIME_EXCHANGES = 3
 """Exchange intervals for which a report that the source does not answer a peer holds."""
 
-MAX_CANDIDATES = 16
-"""Largest number of VMs of a data centre, by rank, that learn at once that the source does not
-answer a reader, and that then read in its place."""
-
 OTHER_BURST = 4.0
 """Burst size of any other node, in reads."""
 
@@ -59,13 +58,27 @@
 """Rate and burst if every node watches the source."""
 
 
+@dataclass(frozen=True, order=True)
+class _Report:
+    """A report of a reader that the source does not answer.
+
+    Attributes:
+        until_s: Time until which it holds, in seconds.
+        substitutes: Names of the VMs that are to read in its place, first ones first.
+    """
+
+    until_s: float
+    substitutes: tuple[str, ...]
+
+
 class ReaderElection:
     """Starts and stops a node's reading of the source.
 
     The first ranks of each data centre read. If no read is known for several exchange intervals,
-    the next ranks take over one after the other. Where readers report that the source does not
-    answer them, it may answer others: as many of the next ranks as reported so read at once.
-    Several readers at once are harmless.
+    the next ranks take over one after the other. A reader that the source does not answer names
+    substitutes at once, since the source may answer others. As many of them read as readers have
+    reported so, in the order of the first report: nodes on low-bandwidth links would not agree on
+    one of their own. Several readers at once are harmless.
 
     Args:
         control: The node's settings.
@@ -102,8 +115,9 @@
         self._reader_was_seen = False
         self._substitute_until_s = float("-inf")
         self._report_availability = report_availability
-        self._unavailable_until_s: dict[str, float] = {}
+        self._reports: dict[str, _Report] = {}
         self._was_unavailable = False
+        self._informed: tuple[str, ...] = ()
         self._report_due_s = float("-inf")
         self._woken = curio.Event()
 
@@ -111,17 +125,43 @@
         """Re-evaluate the node's role now."""
         await self._woken.set()
 
-    async def record_availability(self, name: str, *, is_unavailable: bool) -> None:
-        """Record whether a peer of the data centre reads the source without getting answers."""
-        if is_unavailable:
-            is_new = name not in self._list_unavailable()
-            lifetime_s = REPORT_LIFETIME_EXCHANGES * self._exchange_s
-            self._unavailable_until_s[name] = read_clock() + lifetime_s
-        else:
-            is_new = self._unavailable_until_s.pop(name, None) is not None
-        if is_new:
+    async def record_substitutes(self, name: str, substitutes: tuple[str, ...]) -> None:
+        """Record whether a reader of the data centre gets no answers, and who is to read instead.
+
+        Args:
+            name: The reader's VM.
+            substitutes: Names of VMs, first ones first; empty if the source answers the reader.
+        """
+        is_known = name in self._list_reports()
+        known = self._reports.pop(name, None)
+        if substitutes:
+            until_s = read_clock() + REPORT_LIFETIME_EXCHANGES * self._exchange_s
+            first = known.substitutes if known is not None and is_known else substitutes
+            self._reports[name] = _Report(until_s, first)
+        if is_known != bool(substitutes):
             await self.wake()
 
+    def list_substitutes(self) -> tuple[str, ...]:
+        """Return the names of the VMs that are to read in the node's place.
+
+        There are none if the source answers it, or if all VMs read anyway.
+        """
+        view = self._view()
+        if not self._is_unanswered or view.is_small:
+            return ()
+        reports = self._list_reports()
+        names = (
+            min(reports.values()).substitutes
+            if reports
+            else tuple(vm.name for vm in list_local(view))
+        )
+        others = (name for name in names if name != view.own.name)
+        return tuple(itertools.islice(others, MAX_SUBSTITUTES))
+
+    @property
+    def _is_unanswered(self) -> bool:
+        return self._reader.is_started and self._reader.is_unavailable
+
     def record_reader_age(self, age_s: float) -> None:
         """Record the time since the last known read as reported by a peer of the data centre."""
         seen_s = read_clock() - age_s
@@ -171,7 +211,7 @@
 
     async def _report(self, view: OverlayView) -> None:
         """Report that the source does not answer, repeatedly, and that it answers again, once."""
-        is_unavailable = self._reader.is_started and self._reader.is_unavailable
+        is_unavailable = self._is_unanswered
         now = read_clock()
         if is_unavailable == self._was_unavailable and (
             not is_unavailable or now < self._report_due_s
@@ -179,14 +219,23 @@
             return
         self._was_unavailable = is_unavailable
         self._report_due_s = now + self._exchange_s
-        candidates = list_local(view)[:MAX_CANDIDATES]
-        await self._report_availability(tuple(vm for vm in candidates if vm != view.own))
+        self._informed = self.list_substitutes() or self._informed
+        vms = tuple(vm for vm in list_local(view) if vm.name in self._informed)
+        await self._report_availability(vms)
 
-    def _list_unavailable(self) -> frozenset[str]:
+    def _list_reports(self) -> dict[str, _Report]:
         now = read_clock()
-        return frozenset(
-            name for name, until_s in self._unavailable_until_s.items() if now < until_s
-        )
+        return {name: report for name, report in self._reports.items() if now < report.until_s}
+
+    def _is_named_substitute(self, view: OverlayView) -> bool:
+        """Return whether readers that get no answers named this node among the first to read."""
+        alive = {vm.name for vm in view.alive}
+        reports = {name: one for name, one in self._list_reports().items() if name in alive}
+        for report in reports.values():
+            remaining = [name for name in report.substitutes if name in alive - reports.keys()]
+            if view.own.name in remaining[: max(view.readers, len(reports))]:
+                return True
+        return False
 
     def find_read_order(self, view: OverlayView) -> int | None:
         """Return how many readers of the fleet precede this node, or None if it does not read."""
@@ -195,14 +244,12 @@
         if self._membership.revision == 0:
             return None
         centres = order_names(vm.data_centre for vm in view.alive)
-        alive = {vm.name for vm in view.alive}
-        unavailable = self._list_unavailable() & alive - {view.own.name}
-        rank = find_rank(view, excluded=unavailable)
+        rank = find_rank(view)
         read_order = rank * len(centres) + centres.index(view.own.data_centre)
         if (
             is_regular_reader(self._overlay, view, rank)
-            or rank < min(len(unavailable), MAX_CANDIDATES)
-            or self._is_substitute(find_rank(view))
+            or self._is_named_substitute(view)
+            or self._is_substitute(rank)
         ):
             return read_order
         return None
