Tests: a watch after a revision over 40 bits; a joining node that awaits a lost version

The watch fails on this code (KNOWN-RED): it returns the known value at once, since the revision in it is cut to 40 bits while 18 digits are accepted. The test of a version known by name only recorded nothing at its joining node, which knew no VMs yet; it now waits for the list, and the limit is 10 s instead of 120 s after which a node may be behind no more. It still fails as listed.

--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -1,10 +1,12 @@
 from dataclasses import replace
+from functools import partial
 
 import curio
 import pytest
 from fakes_fleet import FakeFleet, FakeNode, ProxiedFleet, make_version, make_vms
 
 from trefoilpick._virtual_time import run_virtual
+from trefoilpick.distribution import Distributor
 from trefoilpick.local_network import LocalSource, SourceFault
 from trefoilpick.manifest import VersionId, identify_version
 from trefoilpick.overlay import list_local
@@ -445,10 +447,13 @@
         await fleet.kill("vm-1-3")
         await fleet.start("vm-1-3")
         joining = fleet.nodes["vm-1-3"].distributor
+        await fleet.wait_for(lambda: joining.membership.revision > 0, 40)
         await joining.record_version("vm-0-2", 5, "d" * 32)
+        assert not joining.is_ready
         await fleet.wait_for(lambda: joining.is_ready, 40)
-        await curio.sleep(120)
-        assert not node.distributor.may_be_behind
+        for behind in (node.distributor, joining):
+            assert behind.may_be_behind
+            await fleet.wait_for(partial(is_not_behind, behind), 10)
 
     run_virtual(main())
 
@@ -562,6 +567,10 @@
     run_virtual(main())
 
 
+def is_not_behind(distributor: Distributor) -> bool:
+    return not distributor.may_be_behind
+
+
 def omit_confirmations(node: FakeNode) -> None:
     """Cause a node to order, keep and send versions like the former release."""
     store, reader, versions = (
--- a/tests/test_source.py
+++ b/tests/test_source.py
@@ -159,3 +159,20 @@
         assert value is not None and (value.data, value.era) == (b"two", 1)
 
     run_scenario(scenario)
+
+
+# Guards against a watch that ends at once, again and again, as it asks for changes since a revision
+# that is lower than the value's.
+def test_watch_after_a_very_high_revision_waits_for_a_change(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario(standin: Standin, source: HttpSource) -> None:
+        # Milliseconds since the Unix epoch.
+        monkeypatch.setitem(
+            standin.values._newest, MANIFEST_KEY, SourceValue(b"one", 1_780_000_000_000)
+        )
+        source.apply_settings(SourceSettings((standin.address,), watch_ms=100))
+        value = await source.read_value(MANIFEST_KEY)
+        assert await source.watch_value(MANIFEST_KEY, after=value.composed_revision) is None
+
+    run_scenario(scenario)
