A node awaits a version that it knows by name only for a bounded time

Cause: a version that a restore of the source lost before it was delivered stayed the newest known one until a higher number came: is_ready and is_up_to_date are bounded by the wait of a join, but may_be_behind was not, and unknown paths got 503. Change: the same bound, from the first request that asks.

--- a/trefoilpick/distribution.py
+++ b/trefoilpick/distribution.py
@@ -152,6 +152,8 @@
         self._resumed_s = float("-inf")
         self._is_leaving = False
         self._was_ready = False
+        self._awaited: VersionId | None = None
+        self._awaited_since_s = float("-inf")
         self.enforcer = Enforcer(store=self.store, cell=cell, metrics=metrics, log=log)
         budget = TokenBucket(1.0, OTHER_BURST)
         self.reader = SourceReader(
@@ -231,12 +233,10 @@
     def may_be_behind(self) -> bool:
         """Whether there may be a version that the node does not enforce yet.
 
-        It knows of a newer one that it has not refused, or the source has not confirmed any since
-        it joined.
+        It knows of a newer one that it has not refused, for a bounded wait, as a lost version never
+        arrives; or the source has not confirmed any since it joined.
         """
-        newest = max(self._list_known_versions(), default=None)
-        is_awaited = newest != self.enforcer.enforced and not self.enforcer.find_refusal(newest)
-        return is_awaited or not self._joiner.has_source_answered
+        return self._awaits_version() or not self._joiner.has_source_answered
 
     @property
     def is_unconfirmed(self) -> bool:
@@ -491,6 +491,14 @@
         newest = max(self._list_known_versions(), default=None)
         return newest is not None and newest != self.store.newest
 
+    def _awaits_version(self) -> bool:
+        newest = max(self._list_known_versions(), default=None)
+        if newest == self.enforcer.enforced or self.enforcer.find_refusal(newest):
+            return False
+        if newest != self._awaited:
+            self._awaited, self._awaited_since_s = newest, read_clock()
+        return read_clock() <= self._awaited_since_s + self._join_wait_s
+
     def _list_known_versions(self) -> Iterator[VersionId]:
         for version in (self.store.newest, self.reader.newest, self._versions.newest):
             if version is not None:
