Soak: order versions by number, then by confirmation

Cause: the soak demanded that a number below the one in force wins if it was confirmed later. Numbers increase on the users' platform, and docs/design/distribution.md states that a lower number is older whenever it was confirmed, since lost versions may be written again one after the other. A node that followed would go back in that case.

Change: confirmations are ordered by number, then by confirmation. In place of the number below those in force, all lost versions are confirmed again in series, and no node may go back meanwhile.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -22,7 +22,7 @@
     from pathlib import Path
 
     from soak.callers import FinishedCall
-    from soak.fleet import SoakFleet, SoakNode
+    from soak.fleet import Confirmation, SoakFleet, SoakNode
 
 ENFORCED_WITHIN_S = CONVERGENCE_BOUND_MS / 1_000
 """Time within which a node without injected faults must enforce a version, in seconds: the
@@ -77,8 +77,8 @@
 
     fleet: SoakFleet
     violations: list[str] = field(default_factory=list)
-    _orders: dict[tuple[str, int], int] = field(default_factory=dict)
-    _overdue: set[tuple[str, int]] = field(default_factory=set)
+    _seen: dict[tuple[str, int], Confirmation] = field(default_factory=dict)
+    _overdue: set[tuple[str, Confirmation]] = field(default_factory=set)
 
     async def run(self) -> None:
         """Poll all nodes until cancelled."""
@@ -105,43 +105,34 @@
         status = await query_status(node)
         if status is None or status.version is None or incarnation_key[1] != node.incarnation:
             return
-        order = self.fleet.find_order(status.version)
-        if order is None:
+        enforced = self.fleet.find_confirmation(status.version)
+        if enforced is None:
             # The source shows a version before it has confirmed it.
             return
-        newest_seen = self._orders.get(incarnation_key, 0)
-        self._orders[incarnation_key] = order
-        if order < newest_seen:
-            self.violations.append(
-                f"{node.vm.name} went back from {self._describe(newest_seen)} to "
-                f"{self._describe(order)}"
-            )
+        former = self._seen.get(incarnation_key, enforced)
+        self._seen[incarnation_key] = enforced
+        if enforced.place < former.place:
+            self.violations.append(f"{node.vm.name} went back from {former} to {enforced}")
         due = self._find_due(node, now, is_ready=status.ready)
-        if order < due and not node.is_down and (node.vm.name, due) not in self._overdue:
+        is_overdue = enforced.place < due.place and not node.is_down
+        if is_overdue and (node.vm.name, due) not in self._overdue:
             self._overdue.add((node.vm.name, due))
-            self.violations.append(
-                f"{node.vm.name} has {self._describe(order)}, but {self._describe(due)} is due"
-            )
+            self.violations.append(f"{node.vm.name} has {enforced}, but {due} is due")
 
-    def _find_due(self, node: SoakNode, now: float, *, is_ready: bool) -> int:
-        """Return the place of the oldest confirmation that a node may enforce at a time."""
-        due = 0
-        if node.last_fault_at < now - ENFORCED_WITHIN_S:
-            due = find_due(self.fleet, now - ENFORCED_WITHIN_S)
+    def _find_due(self, node: SoakNode, now: float, *, is_ready: bool) -> Confirmation:
+        """Return the oldest confirmation that a node may enforce at a time."""
         if is_ready and node.disturbed_at < now - CONTACT_S - TOUCHED_WITHIN_S:
-            due = max(due, find_due(self.fleet, now - TOUCHED_WITHIN_S))
-        return due
-
-    def _describe(self, order: int) -> str:
-        version = self.fleet.confirmed[order].version
-        return f"version {version.number} ({version.digest[:8]}, confirmation {order})"
+            return self.fleet.find_newest(now - TOUCHED_WITHIN_S)
+        if node.last_fault_at < now - ENFORCED_WITHIN_S:
+            return self.fleet.find_newest(now - ENFORCED_WITHIN_S)
+        return self.fleet.confirmed[0]
 
     async def _is_up_to_date(self, node: SoakNode) -> bool:
         status = await query_status(node)
         if status is None or status.version is None:
             return False
-        newest = len(self.fleet.confirmed) - 1
-        return status.ready and self.fleet.find_order(status.version) == newest
+        enforced = self.fleet.find_confirmation(status.version)
+        return status.ready and enforced == self.fleet.find_newest()
 
 
 @dataclass(frozen=True)
@@ -228,12 +219,6 @@
             samples.clear()
 
 
-def find_due(fleet: SoakFleet, latest_at: float) -> int:
-    """Return the place of the last version that was confirmed until a time."""
-    orders = [order for order, entry in enumerate(fleet.confirmed) if entry.at <= latest_at]
-    return max(orders, default=0)
-
-
 def list_samples_after(samples: Iterable[WorkerSample], after_s: float) -> list[WorkerSample]:
     """Return the samples from some seconds after the first answer with the statement arrived."""
     samples = list(samples)
@@ -291,5 +276,6 @@
     disturbed_at = max(node.disturbed_at for node in fleet.nodes)
     if disturbed_at >= entry.sent_at - CONTACT_S - TOUCHED_WITHIN_S:
         return True
-    due = find_due(fleet, entry.sent_at - TOUCHED_WITHIN_S)
-    return entry.call.service in {confirmed.service for confirmed in fleet.confirmed[due:]}
+    due = fleet.find_newest(entry.sent_at - TOUCHED_WITHIN_S)
+    allowed = (one.service for one in fleet.confirmed if one.place >= due.place)
+    return entry.call.service in allowed
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -16,7 +16,7 @@
 
 from soak.proxies import NO_TROUBLE, LinkTrouble, Proxy
 from trefoilpick._demo_document import build_first_version, build_moved_version
-from trefoilpick.manifest import VersionId, decode_manifest
+from trefoilpick.manifest import VersionId, decode_manifest, identify_version
 from trefoilpick.source import MANIFEST_KEY
 from trefoilpick.standin import Faults, Standin, open_standin
 from trefoilpick.standin_worker import Worker
@@ -41,6 +41,9 @@
 SERVICE_TIME_S = 0.05
 """Service time of a request at a worker, in seconds."""
 
+REWRITE_INTERVAL_S = 0.05
+"""Time between two versions that are confirmed again, in seconds."""
+
 NOTICE_MS = 500
 """Time between the drain notice of a node and its first refusal, in milliseconds."""
 
@@ -75,27 +78,33 @@
     """A version that the source confirmed.
 
     Attributes:
+        place: Its place among all confirmations: its number, and how many came before it.
         version: Identity of the version.
         service: Service of the archive's route.
         accepted_at_ms: Time of acceptance in its manifest.
         at: When it was confirmed, in seconds on the monotonic clock.
     """
 
+    place: tuple[int, int]
     version: VersionId
     service: str
     accepted_at_ms: int
     at: float
 
+    def __str__(self) -> str:
+        number, before = self.place
+        return f"version {number} ({self.version.digest[:8]}, confirmation {before})"
+
 
 class Rewrite(Enum):
     """What the operator confirms after the source returned without the newest version."""
 
     UNCHANGED = "unchanged"
-    """The lost version."""
+    """The newest version."""
+    SERIES = "series"
+    """All lost versions, one after the other."""
     SAME_NUMBER = "same number"
-    """Another content under the number of the lost version."""
-    NEXT = "next"
-    """Another content under the number that follows that of the copy."""
+    """Another content under the number of the newest version."""
     HIGHER = "higher"
     """Another content under a number that was not used before."""
 
@@ -182,11 +191,16 @@
     _vms_revision: int = 0
     _writing: curio.Lock = field(default_factory=curio.Lock)
 
-    def find_order(self, version: VersionRef) -> int | None:
-        """Return the place of a version among those confirmed; None if it is not among them."""
+    def find_newest(self, latest_at: float = float("inf")) -> Confirmation:
+        """Return the newest confirmation until a time: of the highest number, the last one."""
+        known = [entry for entry in self.confirmed if entry.at <= latest_at]
+        return max(known, key=lambda entry: entry.place, default=self.confirmed[0])
+
+    def find_confirmation(self, version: VersionRef) -> Confirmation | None:
+        """Return the last confirmation of a version; None if there is none."""
         wanted = VersionId(version.number, version.digest)
-        orders = range(len(self.confirmed) - 1, -1, -1)
-        return next((order for order in orders if self.confirmed[order].version == wanted), None)
+        found = (entry for entry in reversed(self.confirmed) if entry.version == wanted)
+        return next(found, None)
 
     def count_runs(self) -> Counter[str]:
         """Return how often each request ran on all workers together, by request id."""
@@ -210,7 +224,7 @@
     async def accept(self) -> None:
         """Accept the next version, in which the archive's route moves to the other service."""
         async with self._writing:
-            await self._accept(self.confirmed[-1].version.number + 1 if self.confirmed else 1)
+            await self._accept(self.find_newest().version.number + 1 if self.confirmed else 1)
 
     async def publish_vms(self) -> None:
         """Publish the list of VMs under the next revision."""
@@ -236,26 +250,27 @@
         async with self._writing:
             await self.standin.restore(back_s)
             await self.standin.set_faults(NO_FAULTS)
-            count, copied = len(self.confirmed), self._read_number()
+            count, lost = len(self.confirmed), self._list_lost()
         await curio.sleep(rewritten_after_s)
         await self.publish_vms()
         async with self._writing:
             # Versions that are confirmed meanwhile replace the lost one.
-            if len(self.confirmed) == count:
-                await self._rewrite(rewrite, copied)
-
-    async def _rewrite(self, rewrite: Rewrite, copied: int) -> None:
-        lost = self.confirmed[-1]
-        number = lost.version.number
-        if rewrite is Rewrite.UNCHANGED or copied == number:
-            await self._confirm(number, lost.service, lost.accepted_at_ms)
-        elif rewrite is Rewrite.SAME_NUMBER:
+            if lost and len(self.confirmed) == count:
+                await self._rewrite(rewrite, lost)
+
+    async def _rewrite(self, rewrite: Rewrite, lost: list[Confirmation]) -> None:
+        number = lost[-1].version.number
+        if rewrite is Rewrite.SAME_NUMBER:
             await self._accept(number)
+        elif rewrite is Rewrite.HIGHER:
+            await self._accept(number + 1)
         else:
-            await self._accept(copied + 1 if rewrite is Rewrite.NEXT else number + 1)
+            for entry in lost if rewrite is Rewrite.SERIES else lost[-1:]:
+                await self._confirm(entry.version.number, entry.service, entry.accepted_at_ms)
+                await curio.sleep(REWRITE_INTERVAL_S)
 
     async def _accept(self, number: int) -> None:
-        is_first = not self.confirmed or self.confirmed[-1].service != SERVICES[0]
+        is_first = not self.confirmed or self.find_newest().service != SERVICES[0]
         # Not the time of day, so that the digests of a script are the same in each run.
         accepted_at_ms = len(self.confirmed)
         await self._confirm(number, SERVICES[not is_first], accepted_at_ms)
@@ -263,11 +278,20 @@
     async def _confirm(self, number: int, service: str, accepted_at_ms: int) -> None:
         sections = build_first_version() if service == SERVICES[0] else build_moved_version()
         version = await self.standin.put_version(number, sections, accepted_at_ms=accepted_at_ms)
-        self.confirmed.append(Confirmation(version, service, accepted_at_ms, time.monotonic()))
+        place = (number, len(self.confirmed))
+        entry = Confirmation(place, version, service, accepted_at_ms, time.monotonic())
+        self.confirmed.append(entry)
 
-    def _read_number(self) -> int:
+    def _list_lost(self) -> list[Confirmation]:
+        """Return the versions that are newer than the one in the source, oldest first."""
         value = self.standin.values.get(MANIFEST_KEY)
-        return 0 if value is None else decode_manifest(value.data).number
+        copied = (0, 0)
+        if value is not None:
+            version = identify_version(decode_manifest(value.data))
+            places = (one.place for one in self.confirmed if one.version == version)
+            copied = max(places, default=copied)
+        lost = {entry.version: entry for entry in self.confirmed if entry.place > copied}
+        return sorted(lost.values(), key=lambda entry: entry.place)
 
     def start_node(self, node: SoakNode) -> None:
         """Start a node's process."""
