--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -101,10 +101,10 @@
 
     UNCHANGED = "unchanged"
     """The newest version."""
-    SERIES = "series"
-    """All lost versions, one after the other."""
     SAME_NUMBER = "same number"
     """Another content under the number of the newest version."""
+    SERIES = "series"
+    """All lost versions, one after the other."""
     HIGHER = "higher"
     """Another content under a number that was not used before."""
 
