--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import os
+from functools import partial
 from pathlib import Path
 
+import curio
 import pytest
 
 from soak.faults import (
@@ -20,7 +22,7 @@
     WorkerTroubled,
 )
 from soak.fleet import Rewrite, Topology
-from soak.proxies import NO_TROUBLE
+from soak.proxies import NO_TROUBLE, Proxy
 from soak.runs import RunPlan, run_soak
 
 SEED = 1
@@ -108,6 +110,37 @@
     assert report.answered > 0
 
 
+async def echo(client: curio.socket.socket, _address: object) -> None:
+    while data := await client.recv(100):
+        await client.sendall(data)
+
+
+async def exchange(client: curio.socket.socket) -> bytes:
+    await client.sendall(b"fraga")
+    return await curio.timeout_after(0.3, client.recv, 100)
+
+
+async def check_silence(host: str) -> None:
+    proxy = Proxy((host, 9001), (host, 9002))
+    await curio.spawn(curio.tcp_server, host, 9002, echo, daemon=True)
+    await curio.spawn(proxy.run, daemon=True)
+    await curio.sleep(0.1)
+    silent = await curio.open_connection(host, 9001)
+    assert await exchange(silent) == b"fraga"
+    proxy.silence()
+    proxy.reset()
+    for _attempt in range(2):
+        with pytest.raises(curio.TaskTimeout):
+            await exchange(silent)
+    later = await curio.open_connection(host, 9001)
+    assert await exchange(later) == b"fraga"
+
+
+# A reset or an end of a silent connection would tell its ends that it carries nothing.
+def test_silent_connections_of_a_proxy_stay_open_while_new_ones_work() -> None:
+    curio.run(partial(check_silence, f"127.{pick_network()}.9.1"))
+
+
 # Nodes that learn of versions from peers alone kept an older one as long as silent links lasted.
 def test_versions_are_in_force_although_open_connections_fell_silent(tmp_path: Path) -> None:
     plan = RunPlan(SEED, NODES, seconds=0.0, topology=FOLLOWERS, script=SILENCE)
