Soak: token_foreign is no denial; callers of large fleets share a rate

Beside it: all workers and proxies run in the soak's process, so persistent callers of more than 8 nodes share the rate of 8.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -49,8 +49,14 @@
 DENIALS = range(300, 500)
 """Statuses that a proper request must not get."""
 
-TOKEN_ANSWERS = {ErrorKind.ANSWER_NOT_KEPT, ErrorKind.TOKEN_EXPIRED, ErrorKind.TOKEN_BUSY}
-"""Errors that a repeated request with a token may get, although their statuses are denials."""
+TOKEN_ANSWERS = {
+    ErrorKind.ANSWER_NOT_KEPT,
+    ErrorKind.TOKEN_BUSY,
+    ErrorKind.TOKEN_EXPIRED,
+    ErrorKind.TOKEN_FOREIGN,
+}
+"""Errors that a repeated request with a token may get, although their statuses are denials: they
+state what is known of its first run."""
 
 CALL_PLANS = (
     CallPlan("GET", HOST, "/sketches/17", True, 0),
@@ -135,6 +141,7 @@
     Args:
         name: Prefix of its request ids.
         node: The node.
+        pause_s: Pause between two calls, in seconds.
 
     Attributes:
         finished: Finished calls, with or without an answer.
@@ -142,11 +149,12 @@
             those that were denied.
     """
 
-    def __init__(self, name: str, node: SoakNode) -> None:
+    def __init__(self, name: str, node: SoakNode, *, pause_s: float = MEAN_PAUSE_S) -> None:
         self.finished: list[FinishedCall] = []
         self.violations: list[str] = []
         self._name = name
         self._node = node
+        self._pause_s = pause_s
 
     async def run(self) -> None:
         """Make calls until cancelled; open a new connection when the previous one was closed."""
@@ -179,7 +187,7 @@
             self._record_answer(request_id, path, answer, sent_at)
             is_open = connection.prepare_reuse()
             if is_open:
-                await curio.sleep(MEAN_PAUSE_S)
+                await curio.sleep(self._pause_s)
 
     def _record_answer(self, request_id: str, path: str, answer: RawAnswer, sent_at: float) -> None:
         result, service = CallResult.NOT_RUN, ""
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -10,7 +10,7 @@
 
 import curio
 
-from soak.callers import CONTACT_S, LibraryCaller, PersistentCaller
+from soak.callers import CONTACT_S, MEAN_PAUSE_S, LibraryCaller, PersistentCaller
 from soak.checks import (
     TOUCHED_WITHIN_S,
     NodeMonitor,
@@ -33,6 +33,10 @@
 LIBRARY_CALLERS = 8
 """Callers that use the library; each node also has one with a persistent connection."""
 
+FULL_RATE_NODES = 8
+"""Nodes up to which persistent callers make calls at their full rate; more share it, since this
+process runs all workers and proxies."""
+
 AFTER_RECOVERY_S = 3.0
 """Time for which callers continue after the last version must be in force, in seconds."""
 
@@ -134,7 +138,11 @@
         LibraryCaller(f"library-{number}", fleet.nodes, random.Random(rng.random()))
         for number in range(LIBRARY_CALLERS)
     ]
-    persistent = [PersistentCaller(f"persistent-{node.vm.name}", node) for node in fleet.nodes]
+    pause_s = MEAN_PAUSE_S * max(1.0, len(fleet.nodes) / FULL_RATE_NODES)
+    persistent = [
+        PersistentCaller(f"persistent-{node.vm.name}", node, pause_s=pause_s)
+        for node in fleet.nodes
+    ]
     return [*library, *persistent]
 
 
