Tests: a version confirmed below a lost number, failing (KNOWN-RED)

It stays open: an operator who numbers on from the restored copy would wait for good, so the case is listed here.

--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -716,6 +716,26 @@
     curio.run(main())
 
 
+# Open: an operator who numbers on from the restored copy confirms numbers that nodes hold already.
+def test_version_confirmed_below_a_lost_number_is_in_force() -> None:
+    async def main() -> None:
+        fleet = await start_fleet(2, 4)
+        copy = dict(fleet.source.values)
+        for number in (2, 3):
+            await accept(fleet, number)
+            await fleet.wait_all(number, 8)
+        await fleet.source.restore(copy)
+        await curio.sleep(1.0)
+        confirmed = make_version(2, VARIANTS | {"team-1": 1})
+        await fleet.source.accept(*confirmed)
+        version = identify_version(confirmed[0])
+        await fleet.wait_for(
+            lambda: all(node.cell.history[-1] == version for node in fleet.nodes.values()), 8
+        )
+
+    run_virtual(main())
+
+
 async def share_values(fleet: FakeFleet, sources: dict[str, LocalSource]) -> None:
     """Show the values of the fleet's source in all others."""
     for source in sources.values():
