Versions: within an era, order two contents of a number as the source does

What callers would see: content that the source confirmed last is never in force, for as long as no higher number comes. Cause: content that an earlier era had at the same revision counted as a mere copy, also after the source had confirmed other content of the number in between; revisions are assigned again after a restore, so both coincide easily. Change: if the newest version held was confirmed in the same era, the revisions decide, whether or not a value was restored from a copy.

--- a/trefoilpick/versions.py
+++ b/trefoilpick/versions.py
@@ -24,7 +24,7 @@
     unpack_bytes,
     unpack_version,
 )
-from trefoilpick.revisions import is_restored_copy
+from trefoilpick.revisions import get_era, is_restored_copy
 from trefoilpick.sections import decode_section
 from trefoilpick.snapshots import Snapshot, build_snapshot
 
@@ -78,10 +78,16 @@
         return self.newest is None or self.correct_confirmation(version) > self.newest
 
     def correct_confirmation(self, version: VersionId) -> VersionId:
-        """Return a version as it was confirmed before, if it was only restored from a copy."""
+        """Return a version as it was confirmed before, if it was only restored from a copy.
+
+        Within an era, the source's own order holds, also for values restored from a copy.
+        """
         original = self._confirmed_at.get(version)
         if original is None or not is_restored_copy(version.confirmed_at, original=original):
             return version
+        newest = self.newest
+        if newest is not None and get_era(newest.confirmed_at) == get_era(version.confirmed_at):
+            return version
         return replace(version, confirmed_at=original)
 
     def record_confirmation(self, version: VersionId) -> None:
