Fetchers: a fetch whose offers were dropped meanwhile ends without an error

From the review, by reading: after eight newer offers the entry is gone while the fetch waits for the node's own reading, and the lookup raised KeyError in the task.

--- a/trefoilpick/fetchers.py
+++ b/trefoilpick/fetchers.py
@@ -129,9 +129,10 @@
 
     async def _fetch_once(self, version: VersionId) -> None:
         await self._wait_for_own_read(version)
-        if not self._store.is_newer(version):
+        offers = self._offers.get(version)
+        if not offers or not self._store.is_newer(version):
             return
-        address = self._offers[version].pop(0)
+        address = offers.pop(0)
         try:
             manifest, version = await self._fetch(version, address)
         except TrefoilpickError as error:
