Soak: report a version that stays in force without ever being confirmed

The check ignored any version that the source had not confirmed, at any time, for the moment between showing and confirming. It is now ignored for a second.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -23,6 +23,10 @@
 
     from soak.callers import FinishedCall
     from soak.fleet import Confirmation, SoakFleet, SoakNode
+    from trefoilpick.status import VersionRef
+
+CONFIRMED_WITHIN_S = 1.0
+"""Time within which a version that the source shows is confirmed, in seconds."""
 
 ENFORCED_WITHIN_S = CONVERGENCE_BOUND_MS / 1_000
 """Time within which a node without injected faults must enforce a version, in seconds: the
@@ -79,6 +83,7 @@
     violations: list[str] = field(default_factory=list)
     _seen: dict[tuple[str, int], Confirmation] = field(default_factory=dict)
     _overdue: set[tuple[str, Confirmation]] = field(default_factory=set)
+    _unconfirmed_since: dict[tuple[str, str], float] = field(default_factory=dict)
 
     async def run(self) -> None:
         """Poll all nodes until cancelled."""
@@ -107,7 +112,7 @@
             return
         enforced = self.fleet.find_confirmation(status.version)
         if enforced is None:
-            # The source shows a version before it has confirmed it.
+            self._check_unconfirmed(node, status.version, now)
             return
         former = self._seen.get(incarnation_key, enforced)
         self._seen[incarnation_key] = enforced
@@ -119,6 +124,16 @@
             self._overdue.add((node.vm.name, due))
             self.violations.append(f"{node.vm.name} has {enforced}, but {due} is due")
 
+    def _check_unconfirmed(self, node: SoakNode, version: VersionRef, now: float) -> None:
+        """Check a version that the source shows, but has not confirmed yet."""
+        key = (node.vm.name, version.digest)
+        since = self._unconfirmed_since.setdefault(key, now)
+        if now - since > CONFIRMED_WITHIN_S:
+            self._unconfirmed_since[key] = float("inf")
+            self.violations.append(
+                f"{node.vm.name} has version {version.number}, which was never confirmed"
+            )
+
     def _find_due(self, node: SoakNode, now: float, *, is_ready: bool) -> Confirmation:
         """Return the oldest confirmation that a node may enforce at a time."""
         if is_ready and node.disturbed_at < now - CONTACT_S - TOUCHED_WITHIN_S:
