--- a/tests/platform/test_silent_store.py
+++ b/tests/platform/test_silent_store.py
@@ -53,6 +53,7 @@
         random=random.Random(3),
         on_version_added=ignore,
         on_list_adopted=ignore,
+        on_availability_changed=ignore,
         settings=settings.source,
     )
 
