Readers: a few substitutes at a time, which give way if they get no answers

Change: only if the source answers none of the readers of a data centre, four of those named read; one that gets no answer gives way for ten exchanges, and the next has its turn. Reports every four exchanges.

--- a/trefoilpick/reader_election.py
+++ b/trefoilpick/reader_election.py
@@ -20,7 +20,7 @@
 from trefoilpick.ranks import order_names
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Collection
     from random import Random
 
     from trefoilpick.membership import MembershipTable
@@ -45,8 +45,15 @@
 READER_BURST = 200.0
 """Burst size of a reader, in reads."""
 
-REPORT_LIFETIME_EXCHANGES = 3
-"""Exchange intervals for which a report that the source does not answer a peer holds."""
+REPORT_LIFETIME_EXCHANGES = 10
+"""Exchange intervals for which a report that the source does not answer a VM holds."""
+
+REPORT_INTERVAL_EXCHANGES = 4
+"""Exchange intervals between two reports of the same reader."""
+
+SUBSTITUTES_AT_ONCE = 4
+"""Largest number of substitutes of a data centre that read at once in the place of its readers:
+more of them would occupy low-bandwidth links once the source answers again."""
 
 OTHER_BURST = 4.0
 """Burst size of any other node, in reads."""
@@ -76,9 +83,10 @@
 
     The first ranks of each data centre read. If no read is known for several exchange intervals,
     the next ranks take over one after the other. A reader that the source does not answer names
-    substitutes at once, since the source may answer others. As many of them read as readers have
-    reported so, in the order of the first report: nodes on low-bandwidth links would not agree on
-    one of their own. Several readers at once are harmless.
+    substitutes at once, since the source may answer others. If it answers none of the readers, a
+    few substitutes read in the order of the first report: nodes on low-bandwidth links would not
+    agree on one of their own. One that gets no answer either gives way to the next. Several
+    readers at once are harmless.
 
     Args:
         control: The node's settings.
@@ -118,6 +126,7 @@
         self._reports: dict[str, _Report] = {}
         self._was_unavailable = False
         self._informed: tuple[str, ...] = ()
+        self._gave_way_until_s = float("-inf")
         self._report_due_s = float("-inf")
         self._woken = curio.Event()
 
@@ -160,7 +169,9 @@
 
     @property
     def _is_unanswered(self) -> bool:
-        return self._reader.is_started and self._reader.is_unavailable
+        """Whether the source does not answer this node, or did not when it was a substitute."""
+        is_trying = self._reader.is_started and self._reader.is_unavailable
+        return is_trying or read_clock() < self._gave_way_until_s
 
     def record_reader_age(self, age_s: float) -> None:
         """Record the time since the last known read as reported by a peer of the data centre."""
@@ -218,7 +229,7 @@
         ):
             return
         self._was_unavailable = is_unavailable
-        self._report_due_s = now + self._exchange_s
+        self._report_due_s = now + REPORT_INTERVAL_EXCHANGES * self._exchange_s
         self._informed = self.list_substitutes() or self._informed
         vms = tuple(vm for vm in list_local(view) if vm.name in self._informed)
         await self._report_availability(vms)
@@ -227,15 +238,30 @@
         now = read_clock()
         return {name: report for name, report in self._reports.items() if now < report.until_s}
 
-    def _is_named_substitute(self, view: OverlayView) -> bool:
-        """Return whether readers that get no answers named this node among the first to read."""
+    def _takes_substitute_turn(self, view: OverlayView) -> bool:
+        """Return whether this node reads now in the place of readers without answers.
+
+        If the source does not answer it either, it gives way to the next substitute for a while.
+        """
+        now = read_clock()
+        if now < self._gave_way_until_s:
+            return False
         alive = {vm.name for vm in view.alive}
         reports = {name: one for name, one in self._list_reports().items() if name in alive}
-        for report in reports.values():
-            remaining = [name for name in report.substitutes if name in alive - reports.keys()]
-            if view.own.name in remaining[: max(view.readers, len(reports))]:
-                return True
-        return False
+        if len(reports) < view.readers or not any(
+            view.own.name in self._list_remaining(report, alive - reports.keys())
+            for report in reports.values()
+        ):
+            return False
+        if self._reader.is_started and self._reader.is_unavailable:
+            self._gave_way_until_s = now + REPORT_LIFETIME_EXCHANGES * self._exchange_s
+            return False
+        return True
+
+    def _list_remaining(self, report: _Report, candidates: Collection[str]) -> list[str]:
+        """Return the names of the first substitutes of a report that are to read now."""
+        remaining = (name for name in report.substitutes if name in candidates)
+        return list(itertools.islice(remaining, SUBSTITUTES_AT_ONCE))
 
     def find_read_order(self, view: OverlayView) -> int | None:
         """Return how many readers of the fleet precede this node, or None if it does not read."""
@@ -248,7 +274,7 @@
         read_order = rank * len(centres) + centres.index(view.own.data_centre)
         if (
             is_regular_reader(self._overlay, view, rank)
-            or self._is_named_substitute(view)
+            or self._takes_substitute_turn(view)
             or self._is_substitute(rank)
         ):
             return read_order
