--- a/soak/seeds.py
+++ b/soak/seeds.py
@@ -30,5 +30,6 @@
     _build_regression(505, "a node that does not read the source kept its silent links"),
     _build_regression(506, "a node with silent links enforced no further version"),
     _build_regression(508, "a request waited on a silent hop until the drain's limit"),
+    _build_regression(611, "calls waited on silent hops of one peer, one after the other"),
 )
 """Regression seeds, oldest first."""
