--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -12,7 +12,7 @@
 from trefoilpick.overlay import list_local
 from trefoilpick.revisions import get_era
 from trefoilpick.settings import ControlSettings
-from trefoilpick.source import MANIFEST_KEY
+from trefoilpick.source import MANIFEST_KEY, SourceValue
 from trefoilpick.status import Standing
 
 TOUCH_S = 3.0
@@ -39,6 +39,30 @@
     await fleet.source.accept(*make_version(number, variants, broken=broken))
 
 
+async def lose_version(fleet: FakeFleet, variant: int) -> dict[str, SourceValue]:
+    """Put versions 2 and 3 in force, then restore the source as it was before version 3.
+
+    Returns:
+        The values before they were lost.
+    """
+    await accept(fleet, 2)
+    await fleet.wait_all(2, 8)
+    copy = dict(fleet.source.values)
+    await fleet.source.accept(*make_version(3, VARIANTS | {"team-1": variant}))
+    await fleet.wait_all(3, 8)
+    lost = dict(fleet.source.values)
+    await fleet.source.restore(copy)
+    await curio.sleep(1.0)
+    return lost
+
+
+async def confirm_variant(fleet: FakeFleet, variant: int) -> VersionId:
+    """Publish version 3 with a variant of a section."""
+    manifest, texts = make_version(3, VARIANTS | {"team-1": variant})
+    await fleet.source.accept(manifest, texts)
+    return identify_version(manifest)
+
+
 def test_lists_in_quick_succession_are_announced_together() -> None:
     """VMs register one after the other, and every reader adopts lists of its own."""
 
@@ -227,16 +251,8 @@
 ) -> None:
     async def main() -> None:
         fleet = await start_fleet(2, 12)
-        await accept(fleet, 2)
-        await fleet.wait_all(2, 8)
-        copy = dict(fleet.source.values)
-        await fleet.source.accept(*make_version(3, VARIANTS | {"team-1": before}))
-        await fleet.wait_all(3, 8)
-        await fleet.source.restore(copy)
-        await curio.sleep(1.0)
-        confirmed = make_version(3, VARIANTS | {"team-1": after})
-        await fleet.source.accept(*confirmed)
-        version = identify_version(confirmed[0])
+        await lose_version(fleet, before)
+        version = await confirm_variant(fleet, after)
 
         def is_in_force() -> bool:
             return all(node.cell.history[-1] == version for node in fleet.nodes.values())
@@ -486,15 +502,8 @@
 ) -> None:
     async def main() -> None:
         fleet = await start_fleet(2, 4)
-        await accept(fleet, 2)
-        await fleet.wait_all(2, 8)
-        copy = dict(fleet.source.values)
-        await fleet.source.accept(*make_version(3, VARIANTS | {"team-1": before}))
-        await fleet.wait_all(3, 8)
-        later_copy = dict(fleet.source.values)
-        await fleet.source.restore(copy)
-        await curio.sleep(1.0)
-        await fleet.source.accept(*make_version(3, VARIANTS | {"team-1": after}))
+        later_copy = await lose_version(fleet, before)
+        await confirm_variant(fleet, after)
         await curio.sleep(5.0)
         await fleet.kill("vm-1-3")
         await fleet.start("vm-1-3")
@@ -544,16 +553,8 @@
         former = [node for node in fleet.nodes.values() if int(node.own.name[-1]) % 2]
         for node in former:
             omit_confirmations(node)
-        await accept(fleet, 2)
-        await fleet.wait_all(2, 8)
-        copy = dict(fleet.source.values)
-        await fleet.source.accept(*make_version(3, VARIANTS | {"team-1": before}))
-        await fleet.wait_all(3, 8)
-        await fleet.source.restore(copy)
-        await curio.sleep(1.0)
-        confirmed = make_version(3, VARIANTS | {"team-1": after})
-        await fleet.source.accept(*confirmed)
-        version = identify_version(confirmed[0])
+        await lose_version(fleet, before)
+        version = await confirm_variant(fleet, after)
         present = [node for node in fleet.nodes.values() if node not in former]
         await fleet.wait_for(lambda: all(n.cell.history[-1] == version for n in present), 8)
         messages = fleet.network.messages
--- a/trefoilpick/source.py
+++ b/trefoilpick/source.py
@@ -263,7 +263,7 @@
 
         Args:
             key: Key of the value.
-            after: Composed revision.
+            after: Revision of the known value.
 
         Returns:
             The value; None if the watch ended without a change.
