--- a/trefoilpick/callers.py
+++ b/trefoilpick/callers.py
@@ -553,7 +553,6 @@
         metrics: Registry in which requests are counted.
         is_ready: Returns whether the node enforces a version, regardless of a drain.
         is_up_to_date: Returns whether the node enforces the newest version that it knows of.
-        may_be_behind: Returns whether there may be a version that the node does not enforce yet.
         random: Random number generator.
         may_be_behind: Returns whether there may be a version that the node does not enforce yet;
             by default, there is none.
