--- a/soak/callers.py
+++ b/soak/callers.py
@@ -43,8 +43,8 @@
 """Time after sending a request within which a stopping node may close the connection without having
 read the request, in seconds: the request may still be in flight when the node closes."""
 
-CONTACT_S = 3.0
-"""Time without faults after which a node is in touch, in seconds."""
+SETTLING_S = 3.0
+"""Time after a fault within which a node detects and repairs its connections, in seconds."""
 
 DENIALS = range(300, 500)
 """Statuses that a proper request must not get."""
@@ -208,8 +208,8 @@
         )
         # After a later fault, that fault may have cut the connection instead of the shutdown.
         is_stopping = node.last_fault_at < node.sigterm_at <= now
-        is_in_touch = node.silenced_at < sent_at - CONTACT_S
-        if is_stopping and is_in_touch and now - sent_at > CLOSE_RACE_S:
+        is_settled = node.silenced_at < sent_at - SETTLING_S
+        if is_stopping and is_settled and now - sent_at > CLOSE_RACE_S:
             self.violations.append(
                 f"{request_id} was cut {now - node.sigterm_at:.3f} s after SIGTERM of "
                 f"{node.vm.name}, {now - sent_at:.3f} s after it was sent: {error.text}"
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -9,7 +9,7 @@
 
 import curio
 
-from soak.callers import ARCHIVE_PATH, CONTACT_S
+from soak.callers import ARCHIVE_PATH, SETTLING_S
 from soak.fleet import OPERATOR_PORT
 from trefoilpick._burn_fleet import CONVERGENCE_BOUND_MS
 from trefoilpick._call_totals import CallResult, total_calls
@@ -32,8 +32,8 @@
 """Time within which a node without injected faults must enforce a version, in seconds: the
 convergence target."""
 
-TOUCHED_WITHIN_S = 2.5
-"""Time within which a ready node that is in touch must enforce a version, in seconds."""
+UNDISTURBED_WITHIN_S = 2.5
+"""Time within which a ready node whose faults are repaired must enforce a version, in seconds."""
 
 RECOVERED_WITHIN_S = 20.0
 """Time after the last fault within which all nodes must be ready with the newest version, in
@@ -136,8 +136,8 @@
 
     def _find_due(self, node: SoakNode, now: float, *, is_ready: bool) -> Confirmation:
         """Return the oldest confirmation that a node may enforce at a time."""
-        if is_ready and node.disturbed_at < now - CONTACT_S - TOUCHED_WITHIN_S:
-            return self.fleet.find_newest(now - TOUCHED_WITHIN_S)
+        if is_ready and node.disturbed_at < now - SETTLING_S - UNDISTURBED_WITHIN_S:
+            return self.fleet.find_newest(now - UNDISTURBED_WITHIN_S)
         if node.last_fault_at < now - ENFORCED_WITHIN_S:
             return self.fleet.find_newest(now - ENFORCED_WITHIN_S)
         return self.fleet.confirmed[0]
@@ -289,8 +289,8 @@
     """Return whether the archive's route may have led to the service when a call was made."""
     # A node that cannot be reached may lag, so calls shortly after a fault are not checked.
     disturbed_at = max(node.disturbed_at for node in fleet.nodes)
-    if disturbed_at >= entry.sent_at - CONTACT_S - TOUCHED_WITHIN_S:
+    if disturbed_at >= entry.sent_at - SETTLING_S - UNDISTURBED_WITHIN_S:
         return True
-    due = fleet.find_newest(entry.sent_at - TOUCHED_WITHIN_S)
+    due = fleet.find_newest(entry.sent_at - UNDISTURBED_WITHIN_S)
     allowed = (one.service for one in fleet.confirmed if one.place >= due.place)
     return entry.call.service in allowed
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -10,9 +10,9 @@
 
 import curio
 
-from soak.callers import CONTACT_S, MEAN_PAUSE_S, LibraryCaller, PersistentCaller
+from soak.callers import MEAN_PAUSE_S, SETTLING_S, LibraryCaller, PersistentCaller
 from soak.checks import (
-    TOUCHED_WITHIN_S,
+    UNDISTURBED_WITHIN_S,
     NodeMonitor,
     StatementMonitor,
     check_calls,
@@ -114,9 +114,9 @@
     recovered_at = time.monotonic()
     silenced_at = max(node.silenced_at for node in fleet.nodes)
     disturbed_at = max(node.disturbed_at for node in fleet.nodes)
-    await curio.sleep(max(disturbed_at + CONTACT_S - recovered_at, 0.0))
+    await curio.sleep(max(disturbed_at + SETTLING_S - recovered_at, 0.0))
     await fleet.accept()
-    await curio.sleep(TOUCHED_WITHIN_S + AFTER_RECOVERY_S)
+    await curio.sleep(UNDISTURBED_WITHIN_S + AFTER_RECOVERY_S)
     for task in (*monitors, *tasks):
         # Calls in flight are cancelled and not checked.
         await task.cancel()
@@ -125,7 +125,7 @@
         *monitor.violations,
         *statements.violations,
         *check_calls(finished, fleet),
-        *check_recovery(finished, max(recovered_at, silenced_at + CONTACT_S)),
+        *check_recovery(finished, max(recovered_at, silenced_at + SETTLING_S)),
         *check_logs(fleet.folder),
         *(text for caller in callers for text in caller.violations),
     ]
--- a/tests/platform/test_silent_store.py
+++ b/tests/platform/test_silent_store.py
@@ -26,11 +26,11 @@
 
 PROXY_HOST = "127.0.60.1"
 
-TOUCH_S = 3.0
-"""Time after which a node whose connections fell silent is in touch again, in seconds."""
+REPAIR_S = 3.0
+"""Time within which a node replaces connections that fell silent, in seconds."""
 
 IN_FORCE_S = 2.5
-"""Time within which a confirmed version is held by a reader in touch, in seconds."""
+"""Time within which a reader with sound connections holds a confirmed version, in seconds."""
 
 
 async def ignore() -> None:
@@ -59,7 +59,7 @@
 
 
 # Guards against a reader that hears of no version while its connections to the store are silent.
-@pytest.mark.parametrize("silent_s", [0.0, TOUCH_S])
+@pytest.mark.parametrize("silent_s", [0.0, REPAIR_S])
 def test_a_reader_holds_a_version_in_time_after_its_connections_fell_silent(
     silent_s: float,
 ) -> None:
@@ -79,7 +79,7 @@
             proxy.silence()
             await curio.sleep(silent_s)
             store.put(CONFIGURATION_KEY, make_configuration(4))
-            async with curio.timeout_after(TOUCH_S - silent_s + IN_FORCE_S):
+            async with curio.timeout_after(REPAIR_S - silent_s + IN_FORCE_S):
                 while versions.newest.number < 4:
                     await curio.sleep(0.01)
             await group.cancel_remaining()
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -15,11 +15,11 @@
 from trefoilpick.source import MANIFEST_KEY, SourceValue
 from trefoilpick.status import Standing
 
-TOUCH_S = 3.0
-"""Time after which nodes whose connections fell silent are in touch again, in seconds."""
+REPAIR_S = 3.0
+"""Time within which nodes replace connections that fell silent, in seconds."""
 
 IN_FORCE_S = 2.5
-"""Time within which an accepted version is in force on nodes in touch, in seconds."""
+"""Time within which an accepted version is in force on nodes with sound connections, in seconds."""
 
 VARIANTS = {f"team-{number}": 0 for number in range(12)}
 
@@ -711,7 +711,7 @@
         fleet.silence_links()
         await curio.sleep(silent_s)
         await accept(fleet, 3)
-        await fleet.wait_all(3, TOUCH_S - silent_s + IN_FORCE_S)
+        await fleet.wait_all(3, REPAIR_S - silent_s + IN_FORCE_S)
         await fleet.kill()
 
     curio.run(main())
