Workers' ends in the log: which requests a worker was running when it ended

A node now tells an end of its worker from a lost connection: the worker refuses a new connection and has closed all others, or another worker is found in its place soon. A planned end, a limit, a cut answer and silence do not count. Each request that ran then gets a worker_end line with the number of the end and the request's fingerprint, which is the same when the request comes again: method, host, path with query, body and caller. Nothing acts on it yet.

--- a/tests/fakes_worker.py
+++ b/tests/fakes_worker.py
@@ -117,18 +117,32 @@
         """Handles each connection instead of the script."""
         self.listener = open_listener(HOST, 0, name="fake worker", backlog=128)
         self.port = self.listener.getsockname()[1]
+        self._accepting: curio.Task | None = None
+        self._serving: list[curio.Task] = []
 
     async def run(self) -> None:
-        async with curio.TaskGroup() as group:
-            await group.spawn(self._accept, group)
-            async for _ in group:
-                pass
-
-    async def _accept(self, group: curio.TaskGroup) -> None:
+        self._accepting = await curio.spawn(self._accept, daemon=True)
+        try:
+            await curio.Event().wait()
+        finally:
+            await self._accepting.cancel()
+            for task in self._serving:
+                await task.cancel()
+
+    async def stop_listening(self) -> None:
+        """Refuse new connections, and leave the others as they are."""
+        await self._accepting.cancel()
+        await self.listener.close()
+
+    async def listen_again(self) -> None:
+        self.listener = open_listener(HOST, self.port, name="fake worker", backlog=128)
+        self._accepting = await curio.spawn(self._accept, daemon=True)
+
+    async def _accept(self) -> None:
         while True:
             sock, _ = await self.listener.accept()
             self.connections += 1
-            await group.spawn(self._serve, sock)
+            self._serving.append(await curio.spawn(self._serve, sock, daemon=True))
 
     async def _serve(self, sock: Socket) -> None:
         with suppress(OSError):
--- a/trefoilpick/_hop_connections.py
+++ b/trefoilpick/_hop_connections.py
@@ -11,6 +11,7 @@
 import curio
 
 from trefoilpick._clock import read_clock
+from trefoilpick._worker_connections import CLOSED_EVENTS
 from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError
 from trefoilpick.hops import READ_BYTES, Frame, FrameKind
 
@@ -21,9 +22,6 @@
     from trefoilpick.hops import Hop
 
 
-_CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
-
-
 @dataclass(eq=False)
 class HopConnection:
     """A hop that a caller's node opened, with its state.
@@ -50,7 +48,7 @@
 
     def __post_init__(self) -> None:
         self._poller = select.poll()
-        self._poller.register(self.hop.sock.fileno(), _CLOSED_EVENTS)
+        self._poller.register(self.hop.sock.fileno(), CLOSED_EVENTS)
 
     def is_open(self) -> bool:
         """Return whether the hop is still open, by the current state of its socket."""
--- a/trefoilpick/_hop_exchange.py
+++ b/trefoilpick/_hop_exchange.py
@@ -12,6 +12,7 @@
 from trefoilpick._hop_connections import RequestBody
 from trefoilpick._worker_connections import AnswerHead, NothingSentError
 from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError, find_answer
+from trefoilpick.fingerprints import compute_fingerprint
 from trefoilpick.hops import (
     FrameKind,
     HopAnswer,
@@ -21,6 +22,7 @@
     encode_head,
 )
 from trefoilpick.tokens import StoredAnswer
+from trefoilpick.worker_ends import Run
 from trefoilpick.worker_statements import NO_STATEMENT, parse_decimal
 
 if TYPE_CHECKING:
@@ -37,6 +39,7 @@
     from trefoilpick.hops import HopRequest, Load
     from trefoilpick.metrics import Metrics
     from trefoilpick.upstreams import WorkerPool
+    from trefoilpick.worker_ends import WorkerEnds
     from trefoilpick.worker_statements import WorkerStatements
 
 NOT_RUN_MARK = b"1"
@@ -62,6 +65,9 @@
 FIRST_SERVER_ERROR = 500
 """Lowest status code that counts as a failure of the worker."""
 
+LOSS_ERRORS = frozenset({ErrorKind.UPSTREAM_LOST, ErrorKind.ANSWER_CUT, ErrorKind.ANSWER_MALFORMED})
+"""Errors that an end of the worker may have caused."""
+
 
 @dataclass(frozen=True)
 class ExchangeContext:
@@ -76,6 +82,7 @@
         health: Failure rate of the worker's answers.
         statements: What the worker states about itself in its answers.
         check_worker: Raises `DRAINING` if the worker is leaving.
+        ends: Ends of the worker.
         conventions: Headers of the fleet.
     """
 
@@ -87,6 +94,7 @@
     health: WorkerHealth
     statements: WorkerStatements
     check_worker: Callable[[], object]
+    ends: WorkerEnds
     conventions: Conventions
 
 
@@ -246,11 +254,36 @@
                 raise
             raise self._body.error from error
         except TrefoilpickError as error:
+            await self._check_worker_end(error)
             if self._first_error is not None and find_answer(error).outcome is Outcome.NOT_RUN:
                 # Only the second attempt is known not to have run; the first may have.
                 raise self._first_error from error
             raise
 
+    async def _check_worker_end(self, error: TrefoilpickError) -> None:
+        """Find out whether a request was lost because the worker ended."""
+        if not self.was_sent or (self._first_error or error).kind not in LOSS_ERRORS:
+            return
+        request = self._request
+        fingerprint = compute_fingerprint(
+            request.method,
+            request.target,
+            request.headers,
+            self._body.chunks,
+            conventions=self._context.conventions,
+        )
+        await self._context.ends.check(
+            Run(
+                fingerprint,
+                request.request_id,
+                request.upstream,
+                request.route,
+                self.worker,
+                sent_s=self._sent_s,
+                lost_s=read_clock(),
+            )
+        )
+
     async def _attempt_with_retry(self, upstream: Upstream) -> AnswerHead:
         """Send the request; retry on a new connection if a reused one turns out to be closed."""
         connection = await self._connect(upstream, fresh=False)
--- a/trefoilpick/_metric_table.py
+++ b/trefoilpick/_metric_table.py
@@ -145,6 +145,12 @@
         "Requests sent to this node's worker, including second attempts on a new connection.",
         "Compare its rate with the limit that the worker states.",
     ),
+    "trefoilpick_worker_ends_total": MetricInfo(
+        MetricKind.COUNTER,
+        "ends",
+        "Unplanned ends of this node's worker while it ran requests.",
+        "The `worker_end` lines of the log name the requests.",
+    ),
     "trefoilpick_worker_rate_limit": MetricInfo(
         MetricKind.GAUGE,
         "requests a second",
--- a/trefoilpick/_worker_connections.py
+++ b/trefoilpick/_worker_connections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import select
 import socket
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
@@ -47,6 +48,9 @@
 FIRST_SUCCESS, LAST_SUCCESS = 200, 299
 """Range of the status codes of successes."""
 
+CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+"""Events of a socket whose peer has closed or reset the connection."""
+
 MAX_STRAY_ANSWERS = 4
 """Largest number of answers to earlier requests that are skipped before the expected one."""
 
@@ -197,6 +201,12 @@
                 raise _build_cut_error()
         return chunks
 
+    def is_open(self) -> bool:
+        """Return whether the worker has neither closed nor reset the connection."""
+        poller = select.poll()
+        poller.register(self._sock.fileno(), CLOSED_EVENTS)
+        return not poller.poll(0)
+
     async def receive_more(self) -> None:
         """Wait for more bytes of the answer.
 
--- a/trefoilpick/conventions.py
+++ b/trefoilpick/conventions.py
@@ -34,6 +34,8 @@
             nested call, which a worker makes while it runs a request; empty if IDs do not show
             nesting.
         fractional_retry_after: Whether callers read fractions of seconds in `Retry-After`.
+        caller_identity: Request headers that, with the caller's service, identify the caller of a
+            request that comes again.
     """
 
     request_id: bytes = b"x-request-id"
@@ -47,6 +49,7 @@
     echoes_request_id: bool = False
     nested_separator: bytes = b""
     fractional_retry_after: bool = False
+    caller_identity: frozenset[bytes] = frozenset({b"authorization", b"cookie", b"x-api-key"})
 
 
 DEFAULT_CONVENTIONS = Conventions()
--- a/trefoilpick/hopserver.py
+++ b/trefoilpick/hopserver.py
@@ -30,6 +30,7 @@
 from trefoilpick.upstreams import open_pool
 from trefoilpick.version_observer import ignore_version
 from trefoilpick.vms import VmState
+from trefoilpick.worker_ends import WorkerEnds, ignore_end
 from trefoilpick.worker_statements import WorkerStatements
 
 if TYPE_CHECKING:
@@ -150,20 +151,30 @@
         self._statements = WorkerStatements(
             conventions, rate=admission.rate, log=self._log, metrics=metrics
         )
+        pool = open_pool(
+            settings.worker.host,
+            settings.worker.port,
+            max_idle_s=settings.hops.worker_idle_ms / 1000,
+            conventions=conventions,
+        )
+        self._ends = WorkerEnds(
+            pool,
+            log=self._log,
+            metrics=metrics,
+            name=f"{settings.vm.name}/{incarnation}",
+            is_leaving=self._is_end_planned,
+            report=ignore_end,
+        )
         self._context = ExchangeContext(
             admission=admission,
-            pool=open_pool(
-                settings.worker.host,
-                settings.worker.port,
-                max_idle_s=settings.hops.worker_idle_ms / 1000,
-                conventions=conventions,
-            ),
+            pool=pool,
             metrics=metrics,
             measure_load=self.measure_load,
             body_idle_s=settings.hops.body_idle_ms / 1000,
             health=self._health,
             statements=self._statements,
             check_worker=self._check_worker,
+            ends=self._ends,
             conventions=conventions,
         )
 
@@ -334,6 +345,7 @@
             if error.kind in WORKER_FAILURES:
                 self._health.record_result(read_clock(), failed=True)
             if error.kind is ErrorKind.UPSTREAM_REPLACED and exchange.worker.worker:
+                await self._ends.handle_replacement(exchange.worker)
                 self._statements.record_left(exchange.worker)
             if error.kind is ErrorKind.UPSTREAM_REFUSED:
                 self._log.report(Event.WORKER, "down", level=logging.WARNING, text=error.text)
@@ -421,6 +433,12 @@
             return True
         return self._statements.has_left
 
+    def _is_end_planned(self) -> bool:
+        """Return whether an end of the worker was planned, or may have been."""
+        own_vm = self._find_own_vm()
+        was_removed = own_vm is None and self._own_vm is not None
+        return was_removed or self._is_worker_leaving(own_vm)
+
     def _check_worker(self) -> Vm | None:
         """Return this VM as the platform lists it; None if it is not listed.
 
@@ -441,8 +459,13 @@
 
         Their callers can then retry at other nodes.
         """
+        worker = self._statements.worker
         while True:
-            if self._is_worker_leaving(self._find_own_vm()):
+            own_vm = self._find_own_vm()
+            if self._statements.worker != worker:
+                await self._ends.handle_replacement(worker)
+                worker = self._statements.worker
+            if self._is_worker_leaving(own_vm):
                 await self.admission.refuse_waiting(self._build_leaving_error())
             elif self.admission.queued:
                 await self.admission.refuse_late(read_clock())
--- a/trefoilpick/logs.py
+++ b/trefoilpick/logs.py
@@ -44,6 +44,7 @@
     WORKER = "worker"
     WORKER_LIMIT = "worker_limit"
     WORKER_LEAVING = "worker_leaving"
+    WORKER_END = "worker_end"
 
 
 @dataclass(frozen=True)
@@ -122,6 +123,12 @@
         (),
         "None during a planned stop.",
     ),
+    Event.WORKER_END: EventInfo(
+        "The node's worker ended, as numbered in the value, while it ran the request that the"
+        " subject identifies.",
+        (),
+        "If the same subject is in the lines of several VMs, that request may end the workers.",
+    ),
 }
 """Meaning of each event."""
 
--- a/trefoilpick/upstreams.py
+++ b/trefoilpick/upstreams.py
@@ -69,6 +69,7 @@
         self._max_idle_s = max_idle_s
         self._conventions = conventions
         self._idle: deque[WorkerConnection] = deque()
+        self._open: set[WorkerConnection] = set()
         self._no_reuse_until_s = 0.0
         self._safe_idle_s = 0.0
         self._safe_until_s = 0.0
@@ -134,6 +135,7 @@
     async def discard(self, connection: WorkerConnection) -> None:
         """Close a connection that this pool opened."""
         self.open_count -= 1
+        self._open.discard(connection)
         await connection.close()
 
     async def drop_idle(self, *, before_s: float) -> None:
@@ -151,6 +153,21 @@
         while self._idle:
             await self.discard(self._idle.pop())
 
+    async def is_refused(self, timeout_s: float) -> bool:
+        """Return whether the worker refuses a new connection and has closed all of its others.
+
+        A worker at its limit refuses connections as well, but keeps those that it has.
+
+        Args:
+            timeout_s: Timeout of connecting, in seconds.
+        """
+        try:
+            await self.discard(await self._connect(timeout_s))
+        except TrefoilpickError as error:
+            is_refused = isinstance(error.__cause__, ConnectionError)
+            return is_refused and not any(connection.is_open() for connection in self._open)
+        return False
+
     def record_lost_connection(
         self, connection: WorkerConnection, *, sent_s: float, now_s: float
     ) -> None:
@@ -190,7 +207,9 @@
                 raise TrefoilpickError(ErrorKind.UPSTREAM_REFUSED, text) from error
             raise
         self.open_count += 1
-        return WorkerConnection(sock, self._authority, self._conventions)
+        connection = WorkerConnection(sock, self._authority, self._conventions)
+        self._open.add(connection)
+        return connection
 
 
 def open_pool(
