--- /dev/null
+++ b/tests/platform/test_poison_requests.py
@@ -0,0 +1,64 @@
+"""Requests that end every worker that begins to run them, behind live nodes of the platform."""
+
+from __future__ import annotations
+
+import curio
+import pytest
+from fakes_ending_workers import STATUS_OK, Call, EndingFleet, run_ending_fleet
+
+from trefoilpick._clock import read_clock
+
+CONTACT_S = 3.0
+"""Time after which nodes in touch must know a fact, in seconds."""
+MAX_ARRIVALS = 3
+"""Arrivals of a request at workers that are allowed later than `CONTACT_S` after it ended the
+third."""
+RECOVERY_S = 6.0
+"""Time after the third end from which proper requests must be served, in seconds."""
+DURATION_S = 14.0
+
+POISON_BODY = b"ends workers"
+POISONS = {
+    "idempotent": Call("/read/poison?page=1"),
+    "non_idempotent": Call("/upload/poison", POISON_BODY),
+    "chunked": Call("/upload/poison", POISON_BODY, is_chunked=True),
+}
+
+
+def is_poison(target: str, headers: dict[bytes, bytes], body: bytes) -> bool:
+    """Return whether a request ends a worker: by its path, body and caller together."""
+    return "poison" in target and b"authorization" not in headers and body in (b"", POISON_BODY)
+
+
+# Guards against a request that ends every worker that runs it being sent to one worker after the
+# other, and against turning away others that resemble it.
+@pytest.mark.parametrize("kind", POISONS)
+def test_request_that_ends_workers_soon_reaches_no_more_of_them(kind: str) -> None:
+    poison = POISONS[kind]
+
+    async def test(fleet: EndingFleet) -> None:
+        until_s = read_clock() + DURATION_S
+        calls = {
+            "ordinary": Call("/read/ordinary"),
+            "same path, another caller": Call(poison.target, poison.body, user="someone else"),
+            "same path, another body": Call(poison.target, b"harmless"),
+        }
+        tasks = [await curio.spawn(fleet.repeat, "poison", poison, 0.5, until_s, 1)]
+        tasks += [
+            await curio.spawn(fleet.repeat, name, call, 0.1 + 0.2 * index, until_s)
+            for index, (name, call) in enumerate(calls.items())
+        ]
+        for task in tasks:
+            await task.join()
+        await curio.sleep(1.0)
+        third_s = fleet.ends[2]
+        late = [at_s for at_s in fleet.lethal_arrivals if at_s > third_s + CONTACT_S]
+        assert len(late) <= MAX_ARRIVALS, f"{len(fleet.ends)} workers ended"
+        for name in calls:
+            statuses = fleet.list_statuses(name, since_s=third_s + RECOVERY_S)
+            served = statuses.count(STATUS_OK)
+            assert served >= 0.98 * len(statuses), f"{name}: {served} of {len(statuses)}"
+        refused = fleet.list_statuses("poison", since_s=third_s + RECOVERY_S)
+        assert set(refused) <= {502, 503}
+
+    run_ending_fleet(test, is_poison, subnet=51 + list(POISONS).index(kind), nodes=5)
