Quarantine of requests that end the workers that run them

Callers saw 502 and 503 for whole services while one request went from worker to worker: retries, the client's repeats and each new arrival brought it to the next one, since no state outlived an attempt and no node saw more than its own worker's end. Class: what one request does to the fleet is judged by each node on its own, so that it counts as failures of workers.

Ends of workers are reported with the requests that ran, counted by three nodes for each service, and a request under which three ended one after the other is refused by all nodes, at the caller's and beside the worker, until one worker of the fleet has tried it. Answers clear; bystanders of a suspected request are not blamed.

The body's first 4,096 bytes now arrive before the head is sent to a worker, within 50 ms.

--- a/tests/fakes_hop.py
+++ b/tests/fakes_hop.py
@@ -34,6 +34,7 @@
 )
 from trefoilpick.manifest import Manifest, VersionId
 from trefoilpick.metrics import Metrics
+from trefoilpick.quarantine_gate import QuarantineGate
 from trefoilpick.settings import (
     DrainSettings,
     ListenSettings,
@@ -258,6 +259,7 @@
     requests: RequestSettings | None = None,
     drain: DrainSettings | None = None,
     conventions: Conventions = DEFAULT_CONVENTIONS,
+    gate: QuarantineGate | None = None,
 ) -> Bench:
     """Run the main task of a test with a caller server and its fakes."""
 
@@ -278,6 +280,7 @@
             may_be_behind=lambda: bench.may_be_behind,
             random=random.Random(5),
             conventions=conventions,
+            gate=gate,
         )
         bench = Bench(server, fakes, directory, metrics, cell)
         for fake, listener in listeners:
--- a/tests/fakes_worker.py
+++ b/tests/fakes_worker.py
@@ -15,6 +15,7 @@
 from curio.io import Socket
 
 from trefoilpick._connections import open_connection
+from trefoilpick.blame import EndReport, ignore_end
 from trefoilpick.conventions import DEFAULT_CONVENTIONS, Conventions
 from trefoilpick.document import Contract, Document, Match, Route, Section, Upstream
 from trefoilpick.hops import (
@@ -33,6 +34,7 @@
 from trefoilpick.listeners import open_listener
 from trefoilpick.manifest import Manifest, VersionId
 from trefoilpick.metrics import Metrics
+from trefoilpick.quarantine_gate import QuarantineGate
 from trefoilpick.settings import (
     DrainSettings,
     HopSettings,
@@ -337,6 +339,8 @@
     find_listed_vm: Callable[[], Vm | None] = lambda: None,
     worker_host: str = HOST,
     requests: RequestSettings | None = None,
+    gate: QuarantineGate | None = None,
+    report_end: Callable[[EndReport], Awaitable[None]] = ignore_end,
     **hops: Any,
 ):
     worker = FakeWorker()
@@ -356,6 +360,8 @@
         incarnation=incarnation,
         conventions=conventions,
         find_listed_vm=find_listed_vm,
+        gate=gate,
+        report_end=report_end,
     )
     tasks = [await curio.spawn(worker.run), await curio.spawn(server.run)]
     bench = Bench(worker, server, metrics, cell, settings.listen.hop_port)
--- a/tests/platform/test_poison_requests.py
+++ b/tests/platform/test_poison_requests.py
@@ -62,3 +62,27 @@
         assert set(refused) <= {502, 503}
 
     run_ending_fleet(test, is_poison, subnet=51 + list(POISONS).index(kind), nodes=5)
+
+
+# A popular request runs on many of the workers that end by chance, and must not be blamed for it.
+def test_popular_request_is_served_while_workers_end_by_chance() -> None:
+    async def test(fleet: EndingFleet) -> None:
+        until_s = read_clock() + DURATION_S
+        popular = Call("/read/popular")
+        tasks = [
+            await curio.spawn(fleet.repeat, "popular", popular, 0.25, until_s, 1),
+            await curio.spawn(fleet.repeat, "ordinary", Call("/upload/x", b"x"), 0.1, until_s),
+        ]
+        for number in range(8):
+            await curio.sleep(1.1)
+            await fleet.workers[number % len(fleet.workers)].end()
+        for task in tasks:
+            await task.join()
+        await curio.sleep(1.0)
+        last_s = fleet.ends[-1]
+        for name in ("popular", "ordinary"):
+            statuses = fleet.list_statuses(name, since_s=last_s + CONTACT_S)
+            assert set(statuses) == {STATUS_OK}
+        assert all(node.distributor.quarantine.gate.is_open for node in fleet.nodes)
+
+    run_ending_fleet(test, lambda *_: False, subnet=54, nodes=5)
--- /dev/null
+++ b/tests/test_blame.py
@@ -0,0 +1,106 @@
+from __future__ import annotations
+
+from trefoilpick.blame import MAX_COUNTED, BlameCounter, EndReport, Suspect
+from trefoilpick.fingerprints import Fingerprint
+from trefoilpick.quarantine import EVIDENCE_S, Case, CaseState, QuarantineTable
+
+
+class Bench:
+    """A counter with a clock that the test sets."""
+
+    def __init__(self) -> None:
+        self.now_s = 100.0
+        self.table = QuarantineTable(lambda: self.now_s)
+        self.counter = BlameCounter(self.table, lambda: self.now_s)
+        self.number = 0
+
+    def end(self, *names: str, ran_s: float = 0.01, after_s: float = 1.0) -> list[Case]:
+        """Report an end of a worker that ran requests; return the changed cases."""
+        self.now_s += after_s
+        self.number += 1
+        return self.repeat(self.number, *names, ran_s=ran_s)
+
+    def repeat(self, number: int, *names: str, ran_s: float = 0.01) -> list[Case]:
+        suspects = tuple(Suspect(make_fingerprint(name), "r", ran_s) for name in names)
+        return list(self.counter.record(EndReport(number, "encargos", suspects)))
+
+    def state(self, name: str) -> CaseState | None:
+        states = [c.state for c in self.table if c.fingerprint == make_fingerprint(name)]
+        return states[0] if states else None
+
+
+def make_fingerprint(name: str) -> Fingerprint:
+    """Return the fingerprint of "content" or "content/caller"."""
+    content, _, caller = name.partition("/")
+    return Fingerprint(content.encode().ljust(8), (caller or "x").encode().ljust(8))
+
+
+def test_third_end_after_each_other_quarantines_a_request() -> None:
+    bench = Bench()
+    assert bench.end("p") == []
+    assert [case.state for case in bench.end("p")] == [CaseState.SUSPECTED]
+    (case,) = bench.end("p")
+    assert (case.state, case.ends, case.service) == (CaseState.QUARANTINED, 3, "encargos")
+    assert bench.end("p") == []
+
+
+def test_end_that_is_reported_again_counts_once() -> None:
+    bench = Bench()
+    bench.end("p")
+    for _ in range(5):
+        assert bench.repeat(bench.number, "p") == []
+    assert bench.end("p", "p")[0].ends == 2
+
+
+# Workers that end together end for another reason than what each of them was running.
+def test_ends_at_the_same_time_count_as_one() -> None:
+    bench = Bench()
+    for _ in range(20):
+        bench.end("popular", ran_s=0.2, after_s=0.001)
+    assert bench.state("popular") is None
+
+
+def test_request_that_ran_beside_a_suspected_one_is_not_blamed() -> None:
+    bench = Bench()
+    bench.end("p", "a")
+    bench.end("p", "b")
+    bench.end("p", "a", "b")
+    assert bench.state("p") is CaseState.QUARANTINED
+    bench.end("p", "a", "b")
+    bench.end("p", "a", "b")
+    assert (bench.state("a"), bench.state("b")) == (None, None)
+
+
+def test_answer_between_the_ends_clears_a_request() -> None:
+    bench = Bench()
+    for _ in range(10):
+        bench.end("popular")
+        bench.end("popular")
+        bench.counter.clear(make_fingerprint("popular"))
+        bench.table.release(make_fingerprint("popular"))
+    assert bench.state("popular") is CaseState.RELEASED
+
+
+def test_ends_far_apart_do_not_add_up() -> None:
+    bench = Bench()
+    for _ in range(5):
+        assert bench.end("p", after_s=EVIDENCE_S + 1.0) == []
+
+
+# The same content from one caller after the other would end three workers for each of them.
+def test_same_content_from_further_callers_is_quarantined_sooner_and_then_for_any() -> None:
+    bench = Bench()
+    for _ in range(3):
+        bench.end("p/first")
+    assert bench.state("p/second") is None
+    cases = bench.end("p/second")
+    assert {case.fingerprint.caller for case in cases} == {b"second".ljust(8), b""}
+    assert bench.table.find_quarantined(make_fingerprint("p/third")) is not None
+    assert bench.table.find_quarantined(make_fingerprint("q/third")) is None
+
+
+def test_counted_requests_are_bounded() -> None:
+    bench = Bench()
+    for number in range(MAX_COUNTED + 100):
+        bench.end(f"{number}")
+    assert len(bench.counter._tallies) == MAX_COUNTED
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -25,9 +25,10 @@
 from trefoilpick._clock import read_clock
 from trefoilpick._hop_heads import HOP_MARGIN_MS
 from trefoilpick.callers import ANSWER_MARGIN_MS
-from trefoilpick.conventions import Conventions
+from trefoilpick.conventions import DEFAULT_CONVENTIONS, Conventions
 from trefoilpick.document import Objective
 from trefoilpick.errors import ErrorKind, Outcome
+from trefoilpick.fingerprints import compute_fingerprint
 from trefoilpick.hopclient import ClientHop
 from trefoilpick.hops import (
     Frame,
@@ -39,6 +40,9 @@
     encode_frame,
     encode_head,
 )
+from trefoilpick.metrics import Metrics
+from trefoilpick.quarantine import TRIAL_DELAYS_S, CaseState, QuarantineTable
+from trefoilpick.quarantine_gate import QuarantineGate
 from trefoilpick.settings import DrainSettings, RequestSettings
 from trefoilpick.tokens import read_claims
 
@@ -233,6 +237,43 @@
     run_bench(main, FakeWorkerNode(scripts=queue_scripts(reset_after_run, shed, shed)))
 
 
+@pytest.mark.parametrize(("ends", "status"), [(1, 200), (2, 502)])
+def test_a_request_under_which_two_workers_ended_is_sent_to_no_third(
+    ends: int, status: int
+) -> None:
+    async def main(bench: Bench) -> None:
+        answer = await (await connect(bench)).request("PUT", "/note", b"b", x_request_id="1")
+        assert (answer.status, bench.fakes[0].connections) == (status, min(ends + 1, 2))
+
+    ended = fail_with(ErrorKind.UPSTREAM_ENDED, Outcome.UNKNOWN)
+    run_bench(main, FakeWorkerNode(scripts=queue_scripts(*ends * [ended])))
+
+
+def test_a_quarantined_request_is_refused_without_asking_a_worker() -> None:
+    table = QuarantineTable()
+    gate = QuarantineGate("vm-0", table, list_endpoints=lambda service: (), metrics=Metrics())
+
+    async def main(bench: Bench) -> None:
+        headers = [(b"host", b"encargos.quillqa")]
+        caller = await connect(bench)
+        assert (await caller.request("PUT", "/note", b"poison")).status == 200
+        # The fingerprint also covers the service of the caller's VM, which the node adds.
+        headers.append((DEFAULT_CONVENTIONS.caller_service, b"portafolio"))
+        fingerprint = compute_fingerprint(
+            "PUT", "/note", headers, [b"poison"], conventions=DEFAULT_CONVENTIONS
+        )
+        table.escalate(fingerprint, CaseState.QUARANTINED, service="encargos", route="note", ends=3)
+        connections = bench.fakes[0].connections
+        answer = await caller.request("PUT", "/note", b"poison")
+        assert (answer.status, answer.error, answer.outcome) == (503, "quarantined", "not_run")
+        assert answer.headers["x-trefoilpick-retry"] == "exhausted"
+        assert int(answer.headers["retry-after"]) <= TRIAL_DELAYS_S[0]
+        assert bench.fakes[0].connections == connections
+        assert (await caller.request("PUT", "/note", b"harmless")).status == 200
+
+    run_bench(main, FakeWorkerNode(), gate=gate)
+
+
 def test_a_request_marked_as_retry_is_not_retried() -> None:
     async def main(bench: Bench) -> None:
         caller = await connect(bench)
--- a/trefoilpick/_hop_connections.py
+++ b/trefoilpick/_hop_connections.py
@@ -142,6 +142,24 @@
         self.read_buffered()
         return True
 
+    def has_sample(self, size: int) -> bool:
+        """Return whether all of it has arrived, or at least a number of bytes."""
+        return self.is_received or sum(map(len, self.chunks)) >= size
+
+    async def receive_sample(self, size: int, *, limit_s: float) -> None:
+        """Receive parts until a number of bytes, all of the body or a time limit is reached.
+
+        Args:
+            size: Number of bytes.
+            limit_s: Longest time to wait, in seconds.
+
+        Raises:
+            TrefoilpickError: `CALLER_GONE` or `MESSAGE_MALFORMED`.
+        """
+        async with curio.ignore_after(limit_s):
+            while not self.has_sample(size):
+                self._add(await self.hop_connection.hop.receive())
+
     async def forward_rest(self, connection: WorkerConnection) -> None:
         """Forward the rest to the worker; backpressure of the worker propagates to the hop.
 
--- a/trefoilpick/_hop_exchange.py
+++ b/trefoilpick/_hop_exchange.py
@@ -12,7 +12,7 @@
 from trefoilpick._hop_connections import RequestBody
 from trefoilpick._worker_connections import AnswerHead, NothingSentError
 from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError, find_answer
-from trefoilpick.fingerprints import compute_fingerprint
+from trefoilpick.fingerprints import SAMPLE_BYTES, compute_fingerprint
 from trefoilpick.hops import (
     FrameKind,
     HopAnswer,
@@ -35,9 +35,12 @@
     from trefoilpick.admission import AdmissionController
     from trefoilpick.conventions import Conventions
     from trefoilpick.document import Upstream
+    from trefoilpick.fingerprints import Fingerprint
     from trefoilpick.health import WorkerHealth
     from trefoilpick.hops import HopRequest, Load
     from trefoilpick.metrics import Metrics
+    from trefoilpick.quarantine_gate import QuarantineGate
+    from trefoilpick.recent_answers import RecentAnswers
     from trefoilpick.upstreams import WorkerPool
     from trefoilpick.worker_ends import WorkerEnds
     from trefoilpick.worker_statements import WorkerStatements
@@ -65,6 +68,10 @@
 FIRST_SERVER_ERROR = 500
 """Lowest status code that counts as a failure of the worker."""
 
+MAX_SAMPLE_WAIT_S = 0.05
+"""Longest wait for more of a body after its first part, in seconds; what has arrived by then
+identifies the request."""
+
 LOSS_ERRORS = frozenset({ErrorKind.UPSTREAM_LOST, ErrorKind.ANSWER_CUT, ErrorKind.ANSWER_MALFORMED})
 """Errors that an end of the worker may have caused."""
 
@@ -83,6 +90,8 @@
         statements: What the worker states about itself in its answers.
         check_worker: Raises `DRAINING` if the worker is leaving.
         ends: Ends of the worker.
+        gate: Refuses quarantined requests.
+        answers: Requests that the worker answered recently.
         conventions: Headers of the fleet.
     """
 
@@ -95,6 +104,8 @@
     statements: WorkerStatements
     check_worker: Callable[[], object]
     ends: WorkerEnds
+    gate: QuarantineGate
+    answers: RecentAnswers
     conventions: Conventions
 
 
@@ -159,6 +170,8 @@
         """
         request, admission = self._request, self._context.admission
         self._body.read_buffered()
+        if not self._context.gate.is_open and self._body.has_sample(SAMPLE_BYTES):
+            self._context.gate.check_arrival(self._compute_fingerprint())
         acquired_s = await admission.acquire(
             caller=request.caller,
             priority=request.priority,
@@ -194,9 +207,11 @@
             return now_s
         load = self._context.measure_load()
         await self._hop_connection.send(encode_head(FrameKind.NOTICE, load))
-        if await self._body.receive_first(limit_s=self.deadline_s - now_s):
-            return read_clock()
-        return now_s
+        has_waited = await self._body.receive_first(limit_s=self.deadline_s - now_s)
+        if not self._body.has_sample(SAMPLE_BYTES):
+            await self._body.receive_sample(SAMPLE_BYTES, limit_s=MAX_SAMPLE_WAIT_S)
+            has_waited = True
+        return read_clock() if has_waited else now_s
 
     def _compute_objective(self) -> float:
         objective_ms = self._request.objective_ms
@@ -246,7 +261,10 @@
             self._context.health.record_result(
                 read_clock(), failed=head.status >= FIRST_SERVER_ERROR
             )
-            return await self._forward_answer(head, max_stored_bytes)
+            answer = await self._forward_answer(head, max_stored_bytes)
+            if head.status < FIRST_SERVER_ERROR:
+                await self._record_answer()
+            return answer
         except curio.TaskTimeout as error:
             raise self._build_deadline_error() from error
         except curio.TaskCancelled as error:
@@ -254,35 +272,47 @@
                 raise
             raise self._body.error from error
         except TrefoilpickError as error:
-            await self._check_worker_end(error)
+            cause = error
             if self._first_error is not None and find_answer(error).outcome is Outcome.NOT_RUN:
                 # Only the second attempt is known not to have run; the first may have.
-                raise self._first_error from error
+                cause = self._first_error
+            if self.was_sent and cause.kind in LOSS_ERRORS and await self._has_worker_ended():
+                text = "worker ended before its answer was complete"
+                raise TrefoilpickError(ErrorKind.UPSTREAM_ENDED, text) from error
+            if cause is not error:
+                raise cause from error
             raise
 
-    async def _check_worker_end(self, error: TrefoilpickError) -> None:
-        """Find out whether a request was lost because the worker ended."""
-        if not self.was_sent or (self._first_error or error).kind not in LOSS_ERRORS:
-            return
+    async def _has_worker_ended(self) -> bool:
+        """Return whether the request was lost because the worker ended."""
         request = self._request
-        fingerprint = compute_fingerprint(
+        run = Run(
+            self._compute_fingerprint(),
+            request.request_id,
+            request.upstream,
+            request.route,
+            self.worker,
+            sent_s=self._sent_s,
+            lost_s=read_clock(),
+        )
+        return await self._context.ends.check(run)
+
+    async def _record_answer(self) -> None:
+        """Record that the request did not end the worker."""
+        fingerprint = self._compute_fingerprint()
+        self._context.answers.record(fingerprint, read_clock())
+        if not self._context.gate.is_open:
+            await self._context.gate.record_answer(fingerprint)
+
+    def _compute_fingerprint(self) -> Fingerprint:
+        request = self._request
+        return compute_fingerprint(
             request.method,
             request.target,
             request.headers,
             self._body.chunks,
             conventions=self._context.conventions,
         )
-        await self._context.ends.check(
-            Run(
-                fingerprint,
-                request.request_id,
-                request.upstream,
-                request.route,
-                self.worker,
-                sent_s=self._sent_s,
-                lost_s=read_clock(),
-            )
-        )
 
     async def _attempt_with_retry(self, upstream: Upstream) -> AnswerHead:
         """Send the request; retry on a new connection if a reused one turns out to be closed."""
@@ -335,6 +365,8 @@
             text = "caller's node closed the hop before the request was sent"
             raise TrefoilpickError(ErrorKind.CALLER_GONE, text, outcome=Outcome.NOT_RUN)
         self._context.check_worker()
+        if not self._context.gate.is_open:
+            await self._context.gate.admit(self._compute_fingerprint())
         body_complete = self._body.is_received
         is_retry = self._request.is_retry or self.was_sent
         # Set before sending: if it is interrupted, some bytes may have been sent.
--- a/trefoilpick/_metric_table.py
+++ b/trefoilpick/_metric_table.py
@@ -151,6 +151,19 @@
         "Unplanned ends of this node's worker while it ran requests.",
         "The `worker_end` lines of the log name the requests.",
     ),
+    "trefoilpick_quarantine_cases": MetricInfo(
+        MetricKind.GAUGE,
+        "requests",
+        "Requests under which workers ended that this node knows, by state.",
+        "The `quarantine` lines of the log name them.",
+        ("state",),
+    ),
+    "trefoilpick_quarantine_refusals_total": MetricInfo(
+        MetricKind.COUNTER,
+        "requests",
+        "Quarantined requests that this node refused, for its callers or beside its worker.",
+        "Find out who sends them: the `request` lines of value quarantined.",
+    ),
     "trefoilpick_worker_rate_limit": MetricInfo(
         MetricKind.GAUGE,
         "requests a second",
--- a/trefoilpick/callers.py
+++ b/trefoilpick/callers.py
@@ -37,6 +37,7 @@
 from trefoilpick.hopclient import HopPool
 from trefoilpick.listeners import open_listener
 from trefoilpick.pipelining import Pipeline, PipelinedRequest
+from trefoilpick.quarantine_gate import open_local_gate
 from trefoilpick.requestlogs import SUCCESSFUL_RESULTS, RequestEvent, RequestLog, open_request_log
 from trefoilpick.retries import LOAD_ERRORS, RetryBudgets
 from trefoilpick.splitting import Splitter
@@ -50,6 +51,7 @@
 
     from trefoilpick.hops import Headers
     from trefoilpick.metrics import Metrics
+    from trefoilpick.quarantine_gate import QuarantineGate
     from trefoilpick.settings import Settings
     from trefoilpick.snapshots import Snapshot, SnapshotCell, TeamRoute
 
@@ -541,6 +543,7 @@
     random: random.Random,
     may_be_behind: Callable[[], bool] = lambda: False,
     record_version: Callable[[str, int, str], None] = ignore_version,
+    gate: QuarantineGate | None = None,
     conventions: Conventions = DEFAULT_CONVENTIONS,
     log: RequestLog | None = None,
 ) -> CallerServer:
@@ -557,6 +560,7 @@
         may_be_behind: Returns whether there may be a version that the node does not enforce yet;
             by default, there is none.
         record_version: Called with the VM, number and digest of the version in each load report.
+        gate: Refuses quarantined requests; by default none is.
         conventions: Names of the fleet's headers.
         log: Log of finished requests; a new one by default.
 
@@ -569,7 +573,15 @@
     budgets = RetryBudgets(
         requests.retry_percent, reserve=requests.retry_reserve, count_vms=directory.count_vms
     )
-    forwarder = Forwarder(balancer, pool, budgets, metrics, random)
+    forwarder = Forwarder(
+        balancer,
+        pool,
+        budgets,
+        metrics,
+        random,
+        gate=gate or open_local_gate(settings.vm.name, metrics),
+        conventions=conventions,
+    )
     listener = open_listener(
         settings.listen.host, settings.listen.caller_port, name="callers' port", backlog=BACKLOG
     )
--- a/trefoilpick/calls.py
+++ b/trefoilpick/calls.py
@@ -14,6 +14,7 @@
     Conventions,
 )
 from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError
+from trefoilpick.fingerprints import SAMPLE_BYTES
 from trefoilpick.hops import Headers
 from trefoilpick.retries import AttemptHistory
 
@@ -128,6 +129,7 @@
         received: Bytes received so far.
         was_sent: Whether an attempt began to send the body.
         parts: The buffered parts.
+        sample: The first bytes of the body, which identify it; None before they have arrived.
     """
 
     connection: CallerConnection
@@ -137,6 +139,19 @@
     received: int = 0
     was_sent: bool = False
     parts: list[bytes] = field(default_factory=list)
+    sample: bytes | None = None
+
+    def read_sample(self) -> bytes | None:
+        """Return the sample of the body, after reading what has arrived; None if more is needed."""
+        while self.sample is None:
+            if self.is_complete or self.received >= SAMPLE_BYTES:
+                self.sample = b"".join(self.parts)[:SAMPLE_BYTES]
+                break
+            part = self.connection.read_body_part()
+            if part == b"":
+                break
+            self._add_part(part)
+        return self.sample
 
     @property
     def is_replayable(self) -> bool:
--- a/trefoilpick/distribution.py
+++ b/trefoilpick/distribution.py
@@ -31,6 +31,9 @@
 from trefoilpick.overlay import OVERLAYS, OverlayView, list_targets
 from trefoilpick.pauses import PauseDetector, read_suspended_s
 from trefoilpick.peers import PeerTable, build_peer_status, classify_standing, convert_status_answer
+from trefoilpick.quarantine import QuarantineTable
+from trefoilpick.quarantine_gate import QuarantineGate
+from trefoilpick.quarantine_sync import SPREAD_GAP_S, QuarantineSync
 from trefoilpick.ratelimits import TokenBucket
 from trefoilpick.reader_election import OTHER_BURST, ReaderElection
 from trefoilpick.revisions import format_revision
@@ -152,6 +155,21 @@
         self._join_wait_s = control.join_wait_ms / 1000
         self._deliveries = TokenBucket(DELIVERIES_PER_S, DELIVERIES_PER_S)
         self._peers = PeerTable(membership)
+        self._cases_changed = curio.Event()
+        self.quarantine = QuarantineSync(
+            own.name,
+            QuarantineGate(
+                own.name,
+                QuarantineTable(),
+                list_endpoints=membership.list_endpoints,
+                metrics=metrics,
+                log=log,
+            ),
+            list_alive=membership.list_alive,
+            list_targets=self._list_targets,
+            send=self._send_to,
+            request_spread=self._cases_changed.set,
+        )
         self._list_changed = curio.Event()
         self._resumed_s = float("-inf")
         self._is_leaving = False
@@ -258,6 +276,7 @@
             "join": self._joiner.run,
             "exchange_state": self._exchanger.run,
             "announce_lists": self._announce_lists,
+            "spread_cases": self._spread_cases,
         }
         await run_until_first_ends(
             partial(self.links.run, self._handle_request),
@@ -351,6 +370,7 @@
                 for name, worker in self.membership.list_left_workers()
             ),
             substitutes=self._reader_election.list_substitutes(),
+            cases=self.quarantine.list_exchanged(),
         )
 
     def build_status_answer(self) -> StatusAnswer:
@@ -431,6 +451,8 @@
         for left in state.left_workers:
             worker = WorkerIdentity(left.worker, left.started_ms)
             self.membership.record_worker_left(left.vm, worker)
+        if vm is not None and state.cases:
+            await self.quarantine.handle_cases(state.cases, name)
         await self._add_offers(state.held, state.vms_revision, address)
 
     async def handle_announcement(self, announcement: Announcement, vm: Vm) -> None:
@@ -464,6 +486,12 @@
     async def _on_availability_changed(self) -> None:
         await self._reader_election.wake()
 
+    def _list_targets(self) -> tuple[Vm, ...]:
+        return list_targets(self.overlay, self.build_view(), self.random)
+
+    async def _send_to(self, vm: Vm, body: Body) -> None:
+        await self.links.send(format_control_address(vm), body)
+
     async def _send_state(self, vms: tuple[Vm, ...]) -> None:
         state = self.build_state()
         for vm in vms:
@@ -477,6 +505,14 @@
             await self._announce()
             await curio.sleep(LIST_ANNOUNCEMENT_GAP_S)
 
+    async def _spread_cases(self) -> None:
+        """Spread changed quarantine cases until cancelled."""
+        while True:
+            await self._cases_changed.wait()
+            self._cases_changed.clear()
+            await self.quarantine.spread()
+            await curio.sleep(SPREAD_GAP_S)
+
     async def _announce(self) -> None:
         announcement = Announcement(pack_version(self.store.newest), self.membership.revision)
         for vm in list_targets(self.overlay, self.build_view(), self.random):
--- a/trefoilpick/errors.py
+++ b/trefoilpick/errors.py
@@ -59,7 +59,9 @@
     UPSTREAM_REFUSED = "upstream_refused"
     UPSTREAM_SHED = "upstream_shed"
     UPSTREAM_REPLACED = "upstream_replaced"
+    QUARANTINED = "quarantined"
     UPSTREAM_LOST = "upstream_lost"
+    UPSTREAM_ENDED = "upstream_ended"
     UPSTREAM_SILENT = "upstream_silent"
     UPSTREAM_FAILED = "upstream_failed"
     ANSWER_MALFORMED = "answer_malformed"
@@ -138,7 +140,9 @@
     ErrorKind.UPSTREAM_REFUSED: Answer(503, Outcome.NOT_RUN, 1.0),
     ErrorKind.UPSTREAM_SHED: Answer(503, Outcome.NOT_RUN, 0.1),
     ErrorKind.UPSTREAM_REPLACED: Answer(503, Outcome.NOT_RUN, 0.1),
+    ErrorKind.QUARANTINED: Answer(503, Outcome.NOT_RUN, 5.0),
     ErrorKind.UPSTREAM_LOST: Answer(502, Outcome.UNKNOWN),
+    ErrorKind.UPSTREAM_ENDED: Answer(502, Outcome.UNKNOWN),
     ErrorKind.UPSTREAM_SILENT: Answer(502, Outcome.UNKNOWN),
     ErrorKind.UPSTREAM_FAILED: Answer(502, Outcome.RUN),
     ErrorKind.ANSWER_MALFORMED: Answer(502, Outcome.UNKNOWN),
--- a/trefoilpick/forwarding.py
+++ b/trefoilpick/forwarding.py
@@ -13,6 +13,7 @@
 from trefoilpick.caller_connections import ConnectionState
 from trefoilpick.calls import MS_PER_S
 from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError, find_answer
+from trefoilpick.fingerprints import compute_fingerprint
 from trefoilpick.hops import (
     Frame,
     FrameKind,
@@ -33,9 +34,11 @@
 
     from trefoilpick.balancing import Balancer, WorkerRecord
     from trefoilpick.calls import Call
+    from trefoilpick.conventions import Conventions
     from trefoilpick.hopclient import ClientHop, HopPool
     from trefoilpick.hops import Headers
     from trefoilpick.metrics import Metrics
+    from trefoilpick.quarantine_gate import QuarantineGate
     from trefoilpick.retries import AttemptHistory, RetryBudgets
 
 FLUSH_BYTES = 65_536
@@ -96,6 +99,8 @@
         budgets: Retry budgets.
         metrics: Registry in which attempts are counted.
         random: Random number generator for the jitter.
+        gate: Refuses quarantined requests.
+        conventions: Headers of the fleet.
     """
 
     def __init__(
@@ -105,7 +110,12 @@
         budgets: RetryBudgets,
         metrics: Metrics,
         random: random.Random,
+        *,
+        gate: QuarantineGate,
+        conventions: Conventions,
     ) -> None:
+        self._gate = gate
+        self._conventions = conventions
         self._balancer = balancer
         self._pool = pool
         self._budgets = budgets
@@ -180,7 +190,7 @@
 
     async def _attempt(self, call: Call, attempts: AttemptHistory) -> Attempt:
         now = read_clock()
-        record = self._choose(call, attempts.vms, now)
+        record = self._choose_for_trial(call, now) or self._choose(call, attempts.vms, now)
         if attempts.overload_refusals and self._balancer.is_full(
             record, call.team_route.upstream, now
         ):
@@ -223,10 +233,39 @@
                 self._balancer.record_failure(record, now)
         elif error.kind is ErrorKind.UPSTREAM_SILENT:
             self._balancer.record_unresponsive(record, now)
+        elif error.kind is ErrorKind.UPSTREAM_ENDED:
+            # It is down for a while; what ended it says nothing about the worker after it.
+            record.record_refusal(now)
         elif error.kind in WORKER_ERRORS and not call.connection.is_disconnected:
             refused = error.kind is ErrorKind.UPSTREAM_REFUSED
             self._balancer.record_failure(record, now, refused=refused)
 
+    def _choose_for_trial(self, call: Call, now: float) -> WorkerRecord | None:
+        """Return the worker that may try a quarantined request; None if it is not quarantined.
+
+        Raises:
+            TrefoilpickError: `QUARANTINED`.
+        """
+        if self._gate.is_open or call.head.wants_token:
+            return None
+        sample = call.body.read_sample()
+        if sample is None:
+            # The rest of the body is sent to the worker's node, which decides by it.
+            return None
+        head = call.head
+        fingerprint = compute_fingerprint(
+            head.method, head.target, head.headers, [sample], conventions=self._conventions
+        )
+        vm = self._gate.check(fingerprint)
+        if vm is None:
+            return None
+        call.attempts.is_trial = True
+        record = self._balancer.find(call.team_route.upstream.name, vm, now)
+        if record is None:
+            text = f'request "{fingerprint}" is quarantined, and VM "{vm}" cannot try it'
+            raise TrefoilpickError(ErrorKind.QUARANTINED, text)
+        return record
+
     def _choose(self, call: Call, tried: list[str], now: float) -> WorkerRecord:
         upstream = call.team_route.upstream
         token = call.head.token
--- a/trefoilpick/hopserver.py
+++ b/trefoilpick/hopserver.py
@@ -19,22 +19,25 @@
 from trefoilpick._open_hops import OpenHops
 from trefoilpick._task_groups import keep_running
 from trefoilpick.admission import AdmissionController, AdmissionLimits
+from trefoilpick.blame import EndReport, Suspect, ignore_end
 from trefoilpick.conventions import DEFAULT_CONVENTIONS
 from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError
 from trefoilpick.health import WorkerHealth
 from trefoilpick.hops import FrameKind, Hop, HopRequest, Load, decode_head, encode_head
 from trefoilpick.listeners import open_listener
 from trefoilpick.logs import Event, open_state_log
+from trefoilpick.quarantine_gate import open_local_gate
+from trefoilpick.recent_answers import RecentAnswers
 from trefoilpick.requestlogs import RequestEvent, open_request_log
 from trefoilpick.tokens import create_token_store
 from trefoilpick.upstreams import open_pool
 from trefoilpick.version_observer import ignore_version
 from trefoilpick.vms import VmState
-from trefoilpick.worker_ends import WorkerEnds, ignore_end
+from trefoilpick.worker_ends import WorkerEnds
 from trefoilpick.worker_statements import WorkerStatements
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Coroutine
+    from collections.abc import Awaitable, Callable, Coroutine
     from typing import Any
 
     from curio.io import Socket
@@ -42,11 +45,13 @@
     from trefoilpick.conventions import Conventions
     from trefoilpick.document import Upstream
     from trefoilpick.metrics import Metrics
+    from trefoilpick.quarantine_gate import QuarantineGate
     from trefoilpick.requestlogs import RequestLog
     from trefoilpick.settings import Settings
     from trefoilpick.snapshots import SnapshotCell
     from trefoilpick.tokens import TokenStore
     from trefoilpick.vms import Vm
+    from trefoilpick.worker_ends import WorkerEnd
 
 MAX_CONCURRENT_REFUSALS = 64
 """Largest number of connections over the limit that are refused with an error frame at the same
@@ -100,6 +105,8 @@
         listener: A listening socket.
         record_version: Called with the VM, number and digest of the version that a request names.
         find_listed_vm: Returns this VM as the platform lists it; None if it is not listed.
+        gate: Refuses quarantined requests.
+        report_end: Reports each end of the worker with the requests that it was running.
         conventions: Headers of the fleet.
         log: Log of finished requests.
 
@@ -122,6 +129,8 @@
         listener: Socket,
         record_version: Callable[[str, int, str], None],
         find_listed_vm: Callable[[], Vm | None],
+        gate: QuarantineGate,
+        report_end: Callable[[EndReport], Awaitable[None]],
         conventions: Conventions,
         log: RequestLog,
     ) -> None:
@@ -138,6 +147,7 @@
         self._is_up_to_date = is_up_to_date
         self._record_version = record_version
         self._find_listed_vm = find_listed_vm
+        self._report_to_fleet = report_end
         self._listener = listener
         self._incarnation = incarnation
         self._upstream: Upstream | None = None
@@ -157,13 +167,14 @@
             max_idle_s=settings.hops.worker_idle_ms / 1000,
             conventions=conventions,
         )
+        self._answers = RecentAnswers()
         self._ends = WorkerEnds(
             pool,
             log=self._log,
             metrics=metrics,
             name=f"{settings.vm.name}/{incarnation}",
             is_leaving=self._is_end_planned,
-            report=ignore_end,
+            report=self._report_end,
         )
         self._context = ExchangeContext(
             admission=admission,
@@ -175,6 +186,8 @@
             statements=self._statements,
             check_worker=self._check_worker,
             ends=self._ends,
+            gate=gate,
+            answers=self._answers,
             conventions=conventions,
         )
 
@@ -433,6 +446,15 @@
             return True
         return self._statements.has_left
 
+    async def _report_end(self, end: WorkerEnd) -> None:
+        suspects = (
+            Suspect(run.fingerprint, run.route, run.lost_s - run.sent_s)
+            for run in end.runs
+            if not self._answers.has_answered(run.fingerprint, run.lost_s)
+        )
+        service = self._settings.vm.service
+        await self._report_to_fleet(EndReport(end.number, service, tuple(suspects)))
+
     def _is_end_planned(self) -> bool:
         """Return whether an end of the worker was planned, or may have been."""
         own_vm = self._find_own_vm()
@@ -489,6 +511,8 @@
     incarnation: int,
     record_version: Callable[[str, int, str], None] = ignore_version,
     find_listed_vm: Callable[[], Vm | None] = lambda: None,
+    gate: QuarantineGate | None = None,
+    report_end: Callable[[EndReport], Awaitable[None]] = ignore_end,
     conventions: Conventions = DEFAULT_CONVENTIONS,
     log: RequestLog | None = None,
 ) -> HopServer:
@@ -502,6 +526,8 @@
         incarnation: Start of the process, in nanoseconds since the Unix epoch.
         record_version: Called with the VM, number and digest of the version that a request names.
         find_listed_vm: Returns this VM as the platform lists it; None if it is not listed.
+        gate: Refuses quarantined requests; by default none is.
+        report_end: Reports each end of the worker with the requests that it was running.
         conventions: Headers of the fleet.
         log: Log of finished requests; a new one by default.
 
@@ -533,6 +559,8 @@
         ),
         record_version=record_version,
         find_listed_vm=find_listed_vm,
+        gate=gate or open_local_gate(settings.vm.name, metrics),
+        report_end=report_end,
         conventions=conventions,
         log=log or open_request_log(settings.vm.name, incarnation=incarnation, metrics=metrics),
     )
--- a/trefoilpick/logs.py
+++ b/trefoilpick/logs.py
@@ -45,6 +45,7 @@
     WORKER_LIMIT = "worker_limit"
     WORKER_LEAVING = "worker_leaving"
     WORKER_END = "worker_end"
+    QUARANTINE = "quarantine"
 
 
 @dataclass(frozen=True)
@@ -129,6 +130,12 @@
         (),
         "If the same subject is in the lines of several VMs, that request may end the workers.",
     ),
+    Event.QUARANTINE: EventInfo(
+        "A request under which workers ended is suspected, quarantined, tried or released: its"
+        " state and revision.",
+        (),
+        "Find the request by its subject in the worker_end lines, and mend the worker.",
+    ),
 }
 """Meaning of each event."""
 
--- a/trefoilpick/message_handlers.py
+++ b/trefoilpick/message_handlers.py
@@ -8,6 +8,8 @@
 from trefoilpick.messages import (
     Announcement,
     Body,
+    CaseNotice,
+    EndReports,
     Exchange,
     Fetch,
     FetchSections,
@@ -70,6 +72,20 @@
     return None
 
 
+@handle_message.register(EndReports)
+async def _(body: EndReports, node: Distributor, sender: str) -> Body | None:
+    if node.membership.find_vm(sender) is not None:
+        await node.quarantine.handle_reports(body)
+    return None
+
+
+@handle_message.register(CaseNotice)
+async def _(body: CaseNotice, node: Distributor, sender: str) -> Body | None:
+    if node.membership.find_vm(sender) is not None:
+        await node.quarantine.handle_cases(body.cases, sender)
+    return None
+
+
 @handle_message.register(Fetch)
 async def _(body: Fetch, node: Distributor, sender: str) -> Body | None:
     wanted = unpack_version(body.wanted)
--- a/trefoilpick/messages.py
+++ b/trefoilpick/messages.py
@@ -17,6 +17,15 @@
 MAX_MESSAGE_BYTES = 1_500_000
 """Largest encoded message, in bytes."""
 
+MAX_END_REPORTS = 8
+"""Largest number of ends of workers in one message."""
+
+MAX_SUSPECTS = 64
+"""Largest number of requests that are reported with one end of a worker."""
+
+MAX_EXCHANGED_CASES = 8
+"""Largest number of quarantine cases in one message."""
+
 MAX_SUBSTITUTES = 16
 """Largest number of VMs that are named to read in the place of a reader."""
 
@@ -26,6 +35,12 @@
 RawDigest = Annotated[bytes, Meta(min_length=16, max_length=16)]
 """A digest as 16 raw bytes."""
 
+RawFingerprint = Annotated[bytes, Meta(max_length=8)]
+"""A part of a request's fingerprint."""
+
+RouteName = Annotated[str, Meta(max_length=200)]
+"""Name of a route, for operators."""
+
 
 class WireVersion(msgspec.Struct, frozen=True, array_like=True):
     """Compact encoding of a `VersionId`; number 0 means no version.
@@ -52,6 +67,51 @@
     started_ms: Count
 
 
+class WireCase(msgspec.Struct, frozen=True, array_like=True):
+    """A request under which workers ended; see `quarantine.Case`.
+
+    Attributes:
+        content: Fingerprint of its content.
+        caller: Fingerprint of its caller; empty for any caller.
+        service: Service of the workers.
+        route: Name of the route.
+        state: Value of `CaseState`.
+        revision: Increases with every change.
+        ends: Ends of workers that were counted.
+        trials: Trials made.
+        trial_in_ms: Time until the next trial, in milliseconds.
+        expires_in_ms: Time until the case is forgotten, in milliseconds.
+    """
+
+    content: RawFingerprint
+    caller: RawFingerprint
+    service: Name
+    route: RouteName
+    state: Annotated[int, Meta(ge=0, le=2)]
+    revision: Count
+    ends: Count
+    trials: Count
+    trial_in_ms: Annotated[int, Meta(ge=0, le=100_000_000)]
+    expires_in_ms: Annotated[int, Meta(ge=0, le=100_000_000)]
+
+
+class WireSuspect(msgspec.Struct, frozen=True, array_like=True):
+    """A request that a worker was running when it ended; see `blame.Suspect`."""
+
+    content: RawFingerprint
+    caller: RawFingerprint
+    route: RouteName
+    ran_ms: Count
+
+
+class WireEnd(msgspec.Struct, frozen=True, array_like=True):
+    """An end of a worker; see `blame.EndReport`."""
+
+    number: Count
+    service: Name
+    suspects: Annotated[tuple[WireSuspect, ...], Meta(max_length=MAX_SUSPECTS)]
+
+
 class Exchange(msgspec.Struct, frozen=True, array_like=True, tag=1):
     """Compact state of a node: a heartbeat, and also the answer to one.
 
@@ -66,6 +126,7 @@
         left_workers: Listed workers that stated that they are leaving.
         substitutes: VMs of its data centre that are to read in its place, first ones first, while
             the source does not answer it; empty otherwise.
+        cases: Some of the requests under which workers ended; all of them take turns.
     """
 
     held: WireVersion
@@ -76,6 +137,7 @@
     has_low_bandwidth_link: bool = False
     left_workers: Annotated[tuple[LeftWorker, ...], Meta(max_length=MAX_LEFT_WORKERS)] = ()
     substitutes: Annotated[tuple[Name, ...], Meta(max_length=MAX_SUBSTITUTES)] = ()
+    cases: Annotated[tuple[WireCase, ...], Meta(max_length=MAX_EXCHANGED_CASES)] = ()
 
 
 class Hello(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -215,6 +277,21 @@
     kind: str
 
 
+class EndReports(msgspec.Struct, frozen=True, array_like=True, tag=14):
+    """Reports the newest ends of the sender's worker to a node that counts them. No answer.
+
+    Nodes of earlier releases drop this message and `CaseNotice`.
+    """
+
+    ends: Annotated[tuple[WireEnd, ...], Meta(max_length=MAX_END_REPORTS)]
+
+
+class CaseNotice(msgspec.Struct, frozen=True, array_like=True, tag=15):
+    """Spreads changed cases of requests under which workers ended. No answer."""
+
+    cases: Annotated[tuple[WireCase, ...], Meta(max_length=MAX_EXCHANGED_CASES)]
+
+
 Body = (
     Exchange
     | Hello
@@ -229,6 +306,8 @@
     | StatusRequest
     | StatusAnswer
     | Refusal
+    | EndReports
+    | CaseNotice
 )
 """All messages between nodes."""
 
--- a/trefoilpick/node.py
+++ b/trefoilpick/node.py
@@ -249,6 +249,8 @@
         incarnation=incarnation,
         record_version=version_observer.record,
         find_listed_vm=lambda: membership.find_listed(own_vm.name),
+        gate=distributor.quarantine.gate,
+        report_end=distributor.quarantine.report_end,
         conventions=conventions,
         log=request_log,
     )
@@ -262,6 +264,7 @@
         may_be_behind=lambda: distributor.may_be_behind,
         random=rng,
         record_version=version_observer.record,
+        gate=distributor.quarantine.gate,
         conventions=conventions,
         log=request_log,
     )
--- a/trefoilpick/retries.py
+++ b/trefoilpick/retries.py
@@ -26,6 +26,7 @@
         ErrorKind.UPSTREAM_SHED,
         ErrorKind.UPSTREAM_REPLACED,
         ErrorKind.UPSTREAM_LOST,
+        ErrorKind.UPSTREAM_ENDED,
         ErrorKind.UPSTREAM_SILENT,
         ErrorKind.UPSTREAM_FAILED,
         ErrorKind.ANSWER_MALFORMED,
@@ -34,7 +35,9 @@
 )
 """Errors after which another worker, or the same one later, may succeed."""
 
-RETRIABLE_ON_SAME_VM = frozenset({ErrorKind.UPSTREAM_LOST, ErrorKind.ANSWER_MALFORMED})
+RETRIABLE_ON_SAME_VM = frozenset(
+    {ErrorKind.UPSTREAM_LOST, ErrorKind.UPSTREAM_ENDED, ErrorKind.ANSWER_MALFORMED}
+)
 """Errors after which a retry on the same VM may succeed."""
 
 UNSENT_ERRORS = frozenset(
@@ -47,6 +50,7 @@
         ErrorKind.SHED,
         ErrorKind.RATE_LIMITED,
         ErrorKind.UPSTREAM_REFUSED,
+        ErrorKind.QUARANTINED,
     }
 )
 """Errors raised before any worker received the request, so that no worker has spent time on it."""
@@ -57,6 +61,10 @@
 LOAD_ERRORS = OVERLOAD_ERRORS | {ErrorKind.RATE_LIMITED, ErrorKind.UPSTREAM_LIMITED}
 """Errors after which callers are advised when to return by the load."""
 
+MAX_WORKER_ENDS = 2
+"""Ends of workers under one request after which it is not sent to another one, which would end as
+well if the request is at fault."""
+
 MAX_REDIRECTS = 4
 """Redirects to another worker before the error of a refusal is returned to the caller."""
 
@@ -191,6 +199,8 @@
         max_retry_after_s: Longest retry delay advised by a node that refused, in seconds; 0 if none
             was advised.
         ends: Errors of the failed attempts, each as "VM: kind".
+        worker_ends: Attempts during which the worker ended.
+        is_trial: Whether the request is tried although it is quarantined.
     """
 
     vms: list[str] = field(default_factory=list)
@@ -198,10 +208,13 @@
     overload_refusals: int = 0
     max_retry_after_s: float = 0.0
     ends: list[str] = field(default_factory=list)
+    worker_ends: int = 0
+    is_trial: bool = False
 
     def record_failure(self, error: TrefoilpickError) -> None:
         """Record the error that ended the last attempt."""
         self.ends.append(f"{self.vms[-1] if self.vms else '-'}: {error.kind.value}")
+        self.worker_ends += error.kind is ErrorKind.UPSTREAM_ENDED
         if is_unsent(error):
             self.overload_refusals += error.kind in OVERLOAD_ERRORS
             self.max_retry_after_s = max(self.max_retry_after_s, error.retry_after_s or 0.0)
@@ -238,7 +251,11 @@
     """
     if call.connection.is_head_sent or call.connection.is_disconnected or call.head.is_retry:
         return None
-    call.connection.is_exhausted = len(attempts.vms) > 1
+    call.connection.is_exhausted = (
+        len(attempts.vms) > 1 or error.kind is ErrorKind.QUARANTINED or attempts.is_trial
+    )
+    if attempts.is_trial or attempts.worker_ends >= MAX_WORKER_ENDS:
+        return None
     if not is_retry_safe(call, error):
         return None
     if is_unsent(error):
--- a/trefoilpick/worker_ends.py
+++ b/trefoilpick/worker_ends.py
@@ -165,7 +165,3 @@
                 ran_ms=round((run.lost_s - run.sent_s) * 1000, 1),
             )
         await self._report(end)
-
-
-async def ignore_end(end: WorkerEnd) -> None:
-    """Report an end to nobody."""
