Operators: quarantined requests in status, and from a refused request to the ends of workers

`trefoilpick status` lists the requests under which workers ended, with the number of nodes that know them; `request` lines name the fingerprint, and `explain` shows with a request the worker_end and quarantine lines of its fingerprint.

--- a/tests/test_cli_operators.py
+++ b/tests/test_cli_operators.py
@@ -15,7 +15,14 @@
 from trefoilpick.operatorserver import OperatorServer, open_operator_server
 from trefoilpick.settings import KeySettings, Settings, parse_settings
 from trefoilpick.snapshots import SnapshotCell, build_snapshot
-from trefoilpick.status import FleetStatus, NodeStatus, PeerStatus, Standing, VersionRef
+from trefoilpick.status import (
+    FleetStatus,
+    NodeStatus,
+    PeerStatus,
+    QuarantineCase,
+    Standing,
+    VersionRef,
+)
 
 runner = CliRunner()
 
@@ -54,7 +61,8 @@
 
     def describe(self) -> NodeStatus:
         identity = (self.vm, "lima", "lima-a", "portafolio", 1, 1.0, True)
-        return NodeStatus(*identity, version=self.version, newest=self.version)
+        case = QuarantineCase("aa/bb", "quarantined", "encargos", "advance", 3, 1, 55.0)
+        return NodeStatus(*identity, version=self.version, newest=self.version, quarantine=(case,))
 
     async def query_fleet(self) -> FleetStatus:
         return FleetStatus(self.describe(), self.peers)
@@ -116,6 +124,8 @@
         result = runner.invoke(app, ["status", first.address])
     assert result.exit_code == 0, result.output
     assert "Version 3 (bbbbbbbb) is in force on 2 of 2 nodes" in result.output
+    assert "Requests under which workers ended" in result.output
+    assert "aa/bb" in result.output
 
 
 def test_status_lists_the_lagging_node() -> None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -10,6 +10,7 @@
     FleetStatus,
     NodeStatus,
     PeerStatus,
+    QuarantineCase,
     RefusedVersion,
     Standing,
     VersionRef,
@@ -111,3 +112,12 @@
 def test_addresses_of_both_families() -> None:
     assert split_address("127.0.0.1:80") == ("127.0.0.1", 80)
     assert split_address("[::1]:80") == ("::1", 80)
+
+
+def test_quarantined_requests_are_shown_once_with_the_nodes_that_know_them() -> None:
+    old = QuarantineCase("aa/bb", "quarantined", "encargos", "advance", 3, 0, 2.0)
+    new = replace(old, trials=1, wait_s=55.0)
+    suspected = replace(old, fingerprint="cc/dd", state="suspected")
+    fleet = FleetStatus(build_node("w1", V2, quarantine=(suspected, old)), ())
+    view = build_fleet_view(fleet, {"w2": build_node("w2", V2, quarantine=(new,))})
+    assert [(entry.case, entry.nodes) for entry in view.quarantine] == [(new, 2), (suspected, 1)]
--- a/tests/test_loglines.py
+++ b/tests/test_loglines.py
@@ -53,3 +53,20 @@
 def test_missing_log_is_named_in_the_error(tmp_path: Path) -> None:
     with pytest.raises(TrefoilpickError, match="gone.log"):
         list(read_logs([tmp_path / "gone.log"]))
+
+
+def test_refusal_of_a_quarantined_request_leads_to_the_ends_of_workers(tmp_path: Path) -> None:
+    subject = {"subject": "aa/bb"}
+    caller_log = write_log(
+        tmp_path / "a.log",
+        {"time": "5", "event": "request", "value": "quarantined", "request_id": "9", **subject},
+    )
+    worker_log = write_log(
+        tmp_path / "b.log",
+        {"time": "1", "event": "worker_end", "value": "7f", "request_id": "1", **subject},
+        {"time": "2", "event": "worker_end", "value": "8a", "subject": "cc/dd"},
+        {"time": "3", "event": "quarantine", "value": "quarantined 2", **subject},
+        {"time": "4", "event": "peer", "value": "down", **subject},
+    )
+    history = explain_request("9", read_logs([caller_log, worker_log]))
+    assert [line.event for line in history] == ["worker_end", "quarantine", "request"]
--- a/trefoilpick/_cli_status.py
+++ b/trefoilpick/_cli_status.py
@@ -65,6 +65,8 @@
         console.print(_build_node_table("Nodes with an unconfirmed version", unconfirmed))
     if view.refused:
         console.print(_build_refusal_table(view))
+    if view.quarantine:
+        console.print(_build_quarantine_table(view))
     ages = [node.source_age_s for node in view.nodes if node.source_age_s is not None]
     if ages:
         console.print(f"Last confirmed by the source: at most {max(ages):.0f} s ago.")
@@ -111,5 +113,19 @@
     return table
 
 
+def _build_quarantine_table(view: FleetView) -> Table:
+    table = create_table("Requests under which workers ended")
+    table.add_column("request", overflow="fold")
+    for heading in ("state", "service", "route"):
+        table.add_column(heading, overflow="fold")
+    for heading in ("ends", "trials", "next trial s", "nodes"):
+        table.add_column(heading, justify="right")
+    for entry in view.quarantine:
+        case = entry.case
+        numbers = (case.ends, case.trials, f"{case.wait_s:.0f}", entry.nodes)
+        table.add_row(case.fingerprint, case.state, case.service, case.route, *map(str, numbers))
+    return table
+
+
 def _format_version(version: VersionRef | None) -> str:
     return str(version) if version is not None else "none"
--- a/trefoilpick/_node_status.py
+++ b/trefoilpick/_node_status.py
@@ -15,6 +15,7 @@
     from trefoilpick.manifest import VersionId
     from trefoilpick.membership import MembershipTable
     from trefoilpick.settings import VmSettings
+    from trefoilpick.status import QuarantineCase
 
 
 def build_node_status(
@@ -24,6 +25,7 @@
     load: Load,
     uptime_s: float,
     leaving: bool,
+    quarantine: tuple[QuarantineCase, ...] = (),
 ) -> NodeStatus:
     """Return the status of one node.
 
@@ -33,6 +35,7 @@
         load: Load of its worker.
         uptime_s: Time since its start, in seconds.
         leaving: Whether it is draining.
+        quarantine: Requests that are suspected or quarantined.
     """
     reasons = tuple(_list_reasons(control, leaving))
     return NodeStatus(
@@ -56,6 +59,7 @@
         slots=load.slots,
         versions=control.enforced_versions,
         refused=control.refused,
+        quarantine=quarantine,
     )
 
 
--- a/trefoilpick/callers.py
+++ b/trefoilpick/callers.py
@@ -428,6 +428,7 @@
             ends=call.attempts.ends,
             allowed_ms=round((call.deadline_at - call.started_at) * MS_PER_S),
             took_ms=round((read_clock() - call.started_at) * MS_PER_S, 1),
+            **({"subject": call.attempts.fingerprint} if call.attempts.fingerprint else {}),
         )
 
     def _log_refusal(
--- a/trefoilpick/fleet.py
+++ b/trefoilpick/fleet.py
@@ -24,7 +24,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
-    from trefoilpick.status import EnforcedVersion, RefusedVersion
+    from trefoilpick.status import EnforcedVersion, QuarantineCase, RefusedVersion
 
 MAX_RESPONSE_BYTES = 16_000_000
 """Maximum size of a response of an operators' port, in bytes."""
@@ -109,6 +109,19 @@
     nodes: int
 
 
+@dataclass(frozen=True)
+class CaseView:
+    """A request that nodes suspect or quarantine.
+
+    Attributes:
+        case: The case as one of the nodes knows it.
+        nodes: Number of nodes that know it.
+    """
+
+    case: QuarantineCase
+    nodes: int
+
+
 @dataclass(frozen=True)
 class FleetView:
     """The data that `trefoilpick status` shows.
@@ -120,6 +133,7 @@
         nodes: All nodes, ordered by name.
         convergence: Convergence of the latest versions, newest first.
         refused: Refused versions, newest first.
+        quarantine: Requests that nodes suspect or quarantine, quarantined ones first.
     """
 
     asked: str
@@ -128,6 +142,7 @@
     nodes: tuple[NodeView, ...]
     convergence: tuple[ConvergenceView, ...]
     refused: tuple[RefusalView, ...]
+    quarantine: tuple[CaseView, ...] = ()
 
     @property
     def lagging(self) -> tuple[NodeView, ...]:
@@ -215,6 +230,7 @@
         nodes=tuple(sorted(nodes, key=lambda node: node.vm)),
         convergence=tuple(_summarize_convergence(by_vm.values())),
         refused=tuple(_count_refusals(by_vm.values())),
+        quarantine=tuple(_count_cases(by_vm.values())),
     )
 
 
@@ -296,6 +312,15 @@
         yield ConvergenceView(version, len(values), statistics.median(values), max(values))
 
 
+def _count_cases(statuses: Iterable[NodeStatus]) -> Iterator[CaseView]:
+    cases: dict[tuple[str, str], list[QuarantineCase]] = {}
+    for status in statuses:
+        for case in status.quarantine:
+            cases.setdefault((case.state, case.fingerprint), []).append(case)
+    for _, known in sorted(cases.items()):
+        yield CaseView(max(known, key=lambda case: case.trials), len(known))
+
+
 def _count_refusals(statuses: Iterable[NodeStatus]) -> Iterator[RefusalView]:
     counts: dict[tuple[VersionRef, str, str], int] = {}
     for status in statuses:
--- a/trefoilpick/forwarding.py
+++ b/trefoilpick/forwarding.py
@@ -256,6 +256,8 @@
         fingerprint = compute_fingerprint(
             head.method, head.target, head.headers, [sample], conventions=self._conventions
         )
+        if self._gate.table.find(fingerprint) is not None:
+            call.attempts.fingerprint = str(fingerprint)
         vm = self._gate.check(fingerprint)
         if vm is None:
             return None
--- a/trefoilpick/loglines.py
+++ b/trefoilpick/loglines.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Any
 
 from trefoilpick.errors import ErrorKind, TrefoilpickError
+from trefoilpick.logs import Event
 from trefoilpick.requestlogs import SUCCESSFUL_RESULTS, RequestEvent
 
 if TYPE_CHECKING:
@@ -19,6 +20,10 @@
 """Fields that are left out of the details: they are shown separately, or every line has them."""
 
 
+QUARANTINE_EVENTS = frozenset({Event.WORKER_END.value, Event.QUARANTINE.value})
+"""Events whose subject is the fingerprint of a request."""
+
+
 @dataclass(frozen=True, order=True)
 class LogLine:
     """One line of a node's log.
@@ -32,6 +37,7 @@
         details: Further fields, as text.
         took_ms: Duration of the request, in milliseconds; None if the line has none.
         omitted: Number of lines that the node omitted before it.
+        subject: What the line is about; the fingerprint of a request under which workers ended.
     """
 
     time: str
@@ -42,11 +48,21 @@
     details: str
     took_ms: float | None = field(default=None, compare=False)
     omitted: int = field(default=0, compare=False)
+    subject: str = field(default="", compare=False)
 
 
 def explain_request(request_id: str, lines: Iterable[LogLine]) -> tuple[LogLine, ...]:
-    """Return the lines of a request, in order of time."""
-    return tuple(sorted(line for line in lines if line.request_id == request_id))
+    """Return the lines of a request in order of time, with those on a quarantine of it."""
+    known = list(lines)
+    subjects = {line.subject for line in known if line.request_id == request_id} - {""}
+    return tuple(
+        sorted(
+            line
+            for line in known
+            if line.request_id == request_id
+            or (line.event in QUARANTINE_EVENTS and line.subject in subjects)
+        )
+    )
 
 
 def count_causes(lines: Iterable[LogLine]) -> Iterator[tuple[str, int]]:
@@ -99,6 +115,7 @@
         details=", ".join(details),
         took_ms=_read_number(fields.get("took_ms")),
         omitted=int(_read_number(fields.get("omitted_before")) or 0),
+        subject=str(fields.get("subject", "")),
     )
 
 
--- a/trefoilpick/node.py
+++ b/trefoilpick/node.py
@@ -138,6 +138,7 @@
             load=self.hop_server.measure_load(),
             uptime_s=read_clock() - self._started_s,
             leaving=self._is_leaving,
+            quarantine=self.distributor.quarantine.gate.describe(),
         )
 
     async def query_fleet(self) -> FleetStatus:
--- a/trefoilpick/quarantine_gate.py
+++ b/trefoilpick/quarantine_gate.py
@@ -11,6 +11,7 @@
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 from trefoilpick.logs import Event
 from trefoilpick.quarantine import Case, CaseState, QuarantineTable
+from trefoilpick.status import QuarantineCase
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -114,6 +115,23 @@
                 self.report_case(case, reason="answered")
                 await self.on_change(case)
 
+    def describe(self) -> tuple[QuarantineCase, ...]:
+        """Return the suspected and quarantined requests for operators."""
+        now_s = self._clock()
+        return tuple(
+            QuarantineCase(
+                str(case.fingerprint),
+                case.state.name.lower(),
+                case.service,
+                case.route,
+                case.ends,
+                case.trials,
+                round(case.estimate_wait(now_s), 1),
+            )
+            for case in self.table
+            if case.state is not CaseState.RELEASED
+        )
+
     def report_case(self, case: Case, *, reason: str) -> None:
         """Log and measure the newest state of a case."""
         cases = list(self.table)
--- a/trefoilpick/retries.py
+++ b/trefoilpick/retries.py
@@ -201,6 +201,7 @@
         ends: Errors of the failed attempts, each as "VM: kind".
         worker_ends: Attempts during which the worker ended.
         is_trial: Whether the request is tried although it is quarantined.
+        fingerprint: Identity of the request, if workers ended under it; empty otherwise.
     """
 
     vms: list[str] = field(default_factory=list)
@@ -210,6 +211,7 @@
     ends: list[str] = field(default_factory=list)
     worker_ends: int = 0
     is_trial: bool = False
+    fingerprint: str = ""
 
     def record_failure(self, error: TrefoilpickError) -> None:
         """Record the error that ended the last attempt."""
--- a/trefoilpick/status.py
+++ b/trefoilpick/status.py
@@ -42,6 +42,29 @@
         return f"{self.number} ({self.digest[:8]})"
 
 
+@dataclass(frozen=True)
+class QuarantineCase:
+    """A request under which workers ended.
+
+    Attributes:
+        fingerprint: Identity of the request, as in the log.
+        state: "suspected" or "quarantined".
+        service: Service of the workers.
+        route: Name of the route.
+        ends: Ends of workers that were counted.
+        trials: Trials made since it was quarantined.
+        wait_s: Time until its next trial, or until it is forgotten, in seconds.
+    """
+
+    fingerprint: str
+    state: str
+    service: str
+    route: str
+    ends: int
+    trials: int
+    wait_s: float
+
+
 @dataclass(frozen=True)
 class EnforcedVersion:
     """A version that a node enforced.
@@ -130,6 +153,7 @@
         slots: Slots of the worker.
         versions: Most recently enforced versions, newest first.
         refused: Most recently refused versions, newest first.
+        quarantine: Requests that are suspected or quarantined.
     """
 
     vm: str
@@ -152,6 +176,7 @@
     slots: int = 0
     versions: tuple[EnforcedVersion, ...] = ()
     refused: tuple[RefusedVersion, ...] = ()
+    quarantine: tuple[QuarantineCase, ...] = ()
 
 
 @dataclass(frozen=True)
