--- a/trefoilpick/forwarding.py
+++ b/trefoilpick/forwarding.py
@@ -263,7 +263,8 @@
             return None
         call.attempts.is_trial = True
         record = self._balancer.find(call.team_route.upstream.name, vm, now)
-        if record is None:
+        token = head.token
+        if record is None or (token is not None and read_claims(token).vm != vm):
             text = f'request "{fingerprint}" is quarantined, and VM "{vm}" cannot try it'
             raise TrefoilpickError(ErrorKind.QUARANTINED, text)
         return record
