Joining: a faulty value of the source is an answer once peers have given theirs

Callers of a node that started while the store's value was faulty got 503 for unknown paths until the value was mended. Cause: only a version of the source ended the wait for the source's word; a value that cannot be read was taken for silence. The newest version is then the one that peers of two data centres hold, which the node asks anyway.

--- a/trefoilpick/joining.py
+++ b/trefoilpick/joining.py
@@ -55,10 +55,13 @@
     def has_source_answered(self) -> bool:
         """Whether the source has answered, or the node could rely on readers that it answered.
 
-        Once it has, a later outage of the source does not matter.
+        Once it has, a later outage of the source does not matter. If its value is faulty, the newest
+        version is the one that peers hold.
         """
         self._has_relied_on_readers = self._has_relied_on_readers or self._node.relies_on_readers
-        return self._node.reader.newest is not None or self._has_relied_on_readers
+        reader = self._node.reader
+        is_fault_covered = reader.has_shown_fault and self._have_peers_answered
+        return reader.newest is not None or is_fault_covered or self._has_relied_on_readers
 
     @property
     def _have_peers_answered(self) -> bool:
--- a/trefoilpick/source_reader.py
+++ b/trefoilpick/source_reader.py
@@ -80,6 +80,7 @@
         is_unavailable: Whether the source gave no answer to the last call in `run`, though the node
             holds a version and so has reached the fleet's source or a peer before.
         newest: Version that the source reported last; None if it has reported none.
+        has_shown_fault: Whether the source has answered with a value that is not a version.
         reading_version: Version whose few missing sections are being read; None if there is none.
     """
 
@@ -116,6 +117,7 @@
         self.is_failing = False
         self.is_unavailable = False
         self.newest: VersionId | None = None
+        self.has_shown_fault = False
         self.reading_version: VersionId | None = None
 
     def apply_settings(self, settings: SourceSettings) -> None:
@@ -169,8 +171,12 @@
         Raises:
             TrefoilpickError: The source did not answer, or its value is not a manifest.
         """
-        value = await self._read(MANIFEST_KEY)
-        self.newest = self._identify(decode_manifest(value.data), value)
+        try:
+            value = await self._read(MANIFEST_KEY)
+            self.newest = self._identify(decode_manifest(value.data), value)
+        except TrefoilpickError as error:
+            self._record_fault(MANIFEST_KEY, error)
+            raise
 
     async def read_list(self) -> None:
         """Read the list of VMs once.
@@ -200,6 +206,7 @@
                 backoff.reset()
             except TrefoilpickError as error:
                 revision = None
+                self._record_fault(key, error)
                 await self._record_failure(error)
                 await backoff.wait()
 
@@ -289,6 +296,10 @@
         self._log.report(Event.SOURCE, "up")
         await self._set_unavailable(is_unavailable=False)
 
+    def _record_fault(self, key: str, error: TrefoilpickError) -> None:
+        if key == MANIFEST_KEY and error.kind not in UNANSWERED_KINDS:
+            self.has_shown_fault = True
+
     async def _record_failure(self, error: TrefoilpickError) -> None:
         self._metrics.count("trefoilpick_source_failures_total", kind=error.kind.value)
         self.is_failing = True
