Source: responses of tiny chunks are given up by their framing, not by the processor's speed

Cause: a chunk of one byte takes about as long to process as the lowest rate allows for it, so that a little more speed let the node read on to two megabytes of framing.

--- a/tests/test_source_connection.py
+++ b/tests/test_source_connection.py
@@ -21,6 +21,9 @@
 """Longest time that a call may take with a read timeout of 300 ms, in seconds."""
 MAX_MEMORY_BYTES = 12_000_000
 """Memory that a call may use, in bytes: several copies of the longest response."""
+MAX_TINY_CHUNKS_BYTES = 400_000
+"""Bytes that may be received of a response whose chunks have one byte each: processing them costs
+much more than their size suggests."""
 
 STARTS = {
     "header line": (b"HTTP/1.1 200 OK\r\nx-long: ", b"x"),
@@ -100,6 +103,8 @@
         assert peak < MAX_MEMORY_BYTES
         await curio.sleep(0.5 + gap_s)
         assert service.open_connections == 0
+        if kind == "chunks":
+            assert client.bytes_received < MAX_TINY_CHUNKS_BYTES
         service.is_sound = True
         assert (await client.call("read", "/value")).body == b"ok"
 
--- a/trefoilpick/_source_connection.py
+++ b/trefoilpick/_source_connection.py
@@ -26,6 +26,9 @@
 """Maximum size of a response with its head, in bytes: the platform's value limit of one megabyte,
 plus the overhead of encodings."""
 
+MAX_FRAMING_BYTES = 65_536
+"""Maximum size of a response's head and framing beyond that of its body, in bytes."""
+
 KEEPALIVE_IDLE_S = 2
 """Idle time before the kernel sends the first TCP keepalive probe, in seconds."""
 
@@ -156,6 +159,9 @@
             self._response_bytes += len(data)
             if self._response_bytes > MAX_RESPONSE_BYTES:
                 raise self._make_error(f"answer is over {MAX_RESPONSE_BYTES} bytes")
+            if self._response_bytes > MAX_FRAMING_BYTES + len(data) + 2 * self._body_bytes:
+                # Each chunk takes time, whatever its size.
+                raise self._make_error("its chunks are too small")
             self._protocol.receive_data(data)
             # Lets other tasks run while a fast response is received.
             await curio.sleep(0)
