--- a/trefoilpick/joining.py
+++ b/trefoilpick/joining.py
@@ -55,8 +55,8 @@
     def has_source_answered(self) -> bool:
         """Whether the source has answered, or the node could rely on readers that it answered.
 
-        Once it has, a later outage of the source does not matter. If its value is faulty, the newest
-        version is the one that peers hold.
+        Once it has, a later outage of the source does not matter. If its value is faulty, the
+        newest version is the one that peers hold.
         """
         self._has_relied_on_readers = self._has_relied_on_readers or self._node.relies_on_readers
         reader = self._node.reader
