Quarantine: ends add up over callers, and a connection lost just before the port closes is one

Ends were counted for each caller by itself, and a request that comes at machines of two services has two callers: each ended three workers. They now count for the content, and the case is for all callers if several are blamed; an answer to one of them takes that back. And the request at fault was taken for a lost connection, with its bystanders blamed, where the worker reset it before it closed its port: the worker is looked at again 0.1 s later, and an end explains connections lost within 1 s.

--- a/tests/test_blame.py
+++ b/tests/test_blame.py
@@ -99,6 +99,37 @@
     assert bench.table.find_quarantined(make_fingerprint("q/third")) is None
 
 
+# A request comes at any VM, so that each of its callers might end only one or two workers.
+def test_ends_under_one_content_add_up_whatever_its_callers() -> None:
+    bench = Bench()
+    for caller in ("first", "second", "third"):
+        bench.end(f"p/{caller}")
+    assert bench.table.find_quarantined(make_fingerprint("p/fourth")) is not None
+
+
+def test_caller_whose_request_was_answered_is_not_blamed_for_the_content() -> None:
+    bench = Bench()
+    bench.end("p/first", "p/second")
+    bench.counter.clear(make_fingerprint("p/second"))
+    bench.end("p/first")
+    bench.end("p/first", "p/second")
+    assert bench.table.find_quarantined(make_fingerprint("p/first")) is not None
+    assert bench.table.find_quarantined(make_fingerprint("p/second")) is None
+
+
+def test_content_that_was_answered_for_another_caller_is_not_quarantined_for_any() -> None:
+    bench = Bench()
+    for caller in ("first", "second", "first"):
+        bench.end(f"p/{caller}")
+    bench.table.release(make_fingerprint("p/second").for_any_caller)
+    bench.table.release(make_fingerprint("p/second"))
+    bench.counter.clear(make_fingerprint("p/second"))
+    for _ in range(3):
+        bench.end("p/third")
+    assert bench.table.find_quarantined(make_fingerprint("p/third")) is not None
+    assert bench.table.find_quarantined(make_fingerprint("p/second")) is None
+
+
 def test_counted_requests_are_bounded() -> None:
     bench = Bench()
     for number in range(MAX_COUNTED + 100):
--- a/tests/test_worker_ends.py
+++ b/tests/test_worker_ends.py
@@ -131,6 +131,31 @@
     await bench.call(make_request())
 
 
+# The connection of the request at fault may break shortly before the worker closes its port.
+def test_connection_that_was_lost_shortly_before_the_port_is_explained_by_the_end(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    async def test() -> None:
+        async with open_bench() as bench:
+
+            async def end_slowly(request: ReceivedRequest) -> None:
+                await curio.spawn(close_port, bench.worker, daemon=True)
+                await lose_connection(request)
+
+            bench.worker.script = [end_slowly]
+            await bench.call(make_request(request_id="at-fault"))
+            assert count_ends(bench) == 0
+            await wait_for(lambda: count_ends(bench) == 1)
+
+    async def close_port(worker: FakeWorker) -> None:
+        await curio.sleep(0.02)
+        await worker.stop_listening()
+
+    curio.run(test)
+    lines = [record for record in caplog.records if record.message.startswith("worker_end")]
+    assert [record.request_id for record in lines] == ["at-fault"]
+
+
 # A worker that restarts at once accepts connections again before anything else shows its end.
 def test_worker_replaced_soon_after_a_lost_connection_has_ended() -> None:
     async def test() -> None:
--- a/trefoilpick/blame.py
+++ b/trefoilpick/blame.py
@@ -1,18 +1,18 @@
-"""Counts the ends of workers under the same request, and decides which request is at fault."""
+"""Counts the ends of workers under the same content, and decides which requests are at fault."""
 
 from __future__ import annotations
 
 from collections import OrderedDict
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from trefoilpick._clock import read_clock
+from trefoilpick.fingerprints import ANY_CALLER, Fingerprint
 from trefoilpick.quarantine import EVIDENCE_S, CaseState
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterator
+    from collections.abc import Callable, Iterable, Iterator
 
-    from trefoilpick.fingerprints import Fingerprint
     from trefoilpick.quarantine import Case, QuarantineTable
 
 ENDS_TO_SUSPECT = 2
@@ -21,12 +21,6 @@
 ENDS_TO_QUARANTINE = 3
 """Ends of workers after which a request is quarantined."""
 
-ENDS_OF_KNOWN_CONTENT = 1
-"""Ends after which a request is quarantined whose content from another caller already is."""
-
-CALLERS_TO_QUARANTINE = 2
-"""Quarantined callers of the same content after which it is quarantined for any caller."""
-
 CONCURRENCY_TOLERANCE_S = 0.05
 """Time by which a run may have begun before the previous end and still count as later, in seconds:
 reports of ends arrive with different delays."""
@@ -67,27 +61,43 @@
 
 @dataclass
 class _Tally:
-    """Ends of workers under one request.
+    """Ends of workers under one content.
 
     Attributes:
-        ends: Numbers of the ends.
-        counted: How many of them followed each other.
-        ended_s: Clock reading when the last one was reported, in seconds.
+        callers: Callers whose requests are blamed, by number of the end; none for an end that does
+            not count.
+        ended_s: Clock reading when the last end that counts was reported, in seconds.
     """
 
-    ends: set[int]
-    counted: int = 0
+    callers: dict[int, set[bytes]] = field(default_factory=dict)
     ended_s: float = float("-inf")
 
+    @property
+    def count(self) -> int:
+        """Number of ends that count."""
+        return sum(bool(blamed) for blamed in self.callers.values())
+
+    def count_caller(self, caller: bytes) -> int:
+        """Return the number of ends for which a caller is blamed."""
+        return sum(caller in blamed for blamed in self.callers.values())
+
+    def clear_caller(self, caller: bytes) -> None:
+        """Blame a caller for no end any more."""
+        for blamed in self.callers.values():
+            blamed.discard(caller)
+
 
 class BlameCounter:
-    """Counts the ends of workers under the same request, and decides which request is at fault.
+    """Counts the ends of workers under the same content, and decides which requests are at fault.
 
     Several requests run when a worker ends, and one of them may be at fault. Two things clear the
     others. An end counts only if the run began after the previous end: workers that end together
     end for another reason. And an end under a request that is already suspected is not counted for
     the others that ran beside it.
 
+    Ends count for a content whatever its callers. If requests of several callers are blamed, it is
+    quarantined for all, otherwise for its one caller.
+
     Args:
         table: The cases that the node knows.
         clock: Reads the node's clock, in seconds.
@@ -96,65 +106,85 @@
     def __init__(self, table: QuarantineTable, clock: Callable[[], float] = read_clock) -> None:
         self._table = table
         self._clock = clock
-        self._tallies: OrderedDict[Fingerprint, _Tally] = OrderedDict()
+        self._tallies: OrderedDict[bytes, _Tally] = OrderedDict()
 
     def record(self, report: EndReport) -> Iterator[Case]:
         """Count an end, and yield the cases that it changes."""
         if any(self._table.find_quarantined(s.fingerprint) for s in report.suspects):
             return
-        most = max((self._count(s.fingerprint) for s in report.suspects), default=0)
+        contents: dict[bytes, list[Suspect]] = {}
         for suspect in report.suspects:
-            is_blamed = most < ENDS_TO_SUSPECT or self._count(suspect.fingerprint) >= most
-            if is_blamed and self._is_new(suspect, report.number):
-                yield from self._add(suspect, report)
+            contents.setdefault(suspect.fingerprint.content, []).append(suspect)
+        most = max((self._count(content) for content in contents), default=0)
+        for content, suspects in contents.items():
+            if most < ENDS_TO_SUSPECT or self._count(content) >= most:
+                yield from self._add(content, suspects, report)
 
     def clear(self, fingerprint: Fingerprint) -> None:
         """Forget the ends under a request, since a worker has answered it."""
-        self._tallies.pop(fingerprint, None)
-
-    def _is_new(self, suspect: Suspect, number: int) -> bool:
-        tally = self._tallies.get(suspect.fingerprint)
-        return tally is None or number not in tally.ends
+        tally = self._tallies.get(fingerprint.content)
+        if tally is None:
+            return
+        tally.clear_caller(fingerprint.caller)
+        if not tally.count:
+            del self._tallies[fingerprint.content]
 
-    def _count(self, fingerprint: Fingerprint) -> int:
-        tally = self._tallies.get(fingerprint)
+    def _count(self, content: bytes) -> int:
+        tally = self._tallies.get(content)
         if tally is None or tally.ended_s < self._clock() - EVIDENCE_S:
             return 0
-        return tally.counted
+        return tally.count
 
-    def _add(self, suspect: Suspect, report: EndReport) -> Iterator[Case]:
+    def _add(self, content: bytes, suspects: list[Suspect], report: EndReport) -> Iterator[Case]:
         now_s = self._clock()
-        fingerprint = suspect.fingerprint
-        if not self._count(fingerprint):
-            self._tallies.pop(fingerprint, None)
-        tally = self._tallies.setdefault(fingerprint, _Tally(set()))
-        self._tallies.move_to_end(fingerprint)
-        if len(self._tallies) > MAX_COUNTED:
-            self._tallies.popitem(last=False)
-        tally.ends.add(report.number)
-        if now_s - suspect.ran_s < tally.ended_s - CONCURRENCY_TOLERANCE_S:
+        tally = self._find_tally(content)
+        callers = _select_callers(tally, suspects)
+        if report.number in tally.callers:
+            blamed = tally.callers[report.number]
+            blamed |= callers if blamed else set()
             return
-        tally.counted += 1
+        began_s = now_s - min(suspect.ran_s for suspect in suspects)
+        if began_s < tally.ended_s - CONCURRENCY_TOLERANCE_S:
+            tally.callers[report.number] = set()
+            return
+        tally.callers[report.number] = callers
         tally.ended_s = now_s
-        yield from self._judge(suspect, report.service, tally.counted)
+        yield from self._judge(content, tally, report.service, suspects[0].route)
+
+    def _find_tally(self, content: bytes) -> _Tally:
+        if not self._count(content):
+            # Those of an expired tally, and ends that do not count, are forgotten.
+            known = self._tallies.pop(content, None)
+            is_expired = known is None or known.ended_s < self._clock() - EVIDENCE_S
+            self._tallies[content] = _Tally() if is_expired or known is None else known
+        self._tallies.move_to_end(content)
+        if len(self._tallies) > MAX_COUNTED:
+            self._tallies.popitem(last=False)
+        return self._tallies[content]
 
-    def _judge(self, suspect: Suspect, service: str, ends: int) -> Iterator[Case]:
-        content = suspect.fingerprint.content
-        callers = self._table.count_quarantined_callers(content)
-        threshold = ENDS_OF_KNOWN_CONTENT if callers else ENDS_TO_QUARANTINE
-        if ends < min(threshold, ENDS_TO_SUSPECT):
+    def _judge(self, content: bytes, tally: _Tally, service: str, route: str) -> Iterator[Case]:
+        if tally.count < ENDS_TO_SUSPECT:
             return
-        state = CaseState.QUARANTINED if ends >= threshold else CaseState.SUSPECTED
-        fingerprints = [suspect.fingerprint]
-        if state is CaseState.QUARANTINED and callers + 1 >= CALLERS_TO_QUARANTINE:
-            fingerprints.append(suspect.fingerprint.for_any_caller)
-        for fingerprint in fingerprints:
+        is_proved = tally.count >= ENDS_TO_QUARANTINE
+        state = CaseState.QUARANTINED if is_proved else CaseState.SUSPECTED
+        callers = set().union(*tally.callers.values())
+        any_caller = Fingerprint(content, ANY_CALLER)
+        if len(callers) > 1 and is_proved and not self._table.is_released(any_caller):
+            callers.add(ANY_CALLER)
+        for caller in sorted(callers):
             case = self._table.escalate(
-                fingerprint, state, service=service, route=suspect.route, ends=ends
+                Fingerprint(content, caller), state, service=service, route=route, ends=tally.count
             )
             if case is not None:
                 yield case
 
 
+def _select_callers(tally: _Tally, suspects: Iterable[Suspect]) -> set[bytes]:
+    """Return the callers to blame of those whose requests of the same content ran."""
+    counts = {s.fingerprint.caller: tally.count_caller(s.fingerprint.caller) for s in suspects}
+    most = max(counts.values())
+    return {caller for caller, count in counts.items() if most < ENDS_TO_SUSPECT or count == most}
+
+
 async def ignore_end(report: EndReport) -> None:
     """Report an end to nobody."""
--- a/trefoilpick/hopserver.py
+++ b/trefoilpick/hopserver.py
@@ -487,6 +487,7 @@
             if self._statements.worker != worker:
                 await self._ends.handle_replacement(worker)
                 worker = self._statements.worker
+            await self._ends.recheck()
             if self._is_worker_leaving(own_vm):
                 await self.admission.refuse_waiting(self._build_leaving_error())
             elif self.admission.queued:
--- a/trefoilpick/quarantine.py
+++ b/trefoilpick/quarantine.py
@@ -123,12 +123,10 @@
         case = self.find(fingerprint)
         return case if case is not None and case.state is CaseState.QUARANTINED else None
 
-    def count_quarantined_callers(self, content: bytes) -> int:
-        """Return from how many callers a content is quarantined."""
-        return sum(
-            case.state is CaseState.QUARANTINED and case.fingerprint.content == content
-            for case in self
-        )
+    def is_released(self, fingerprint: Fingerprint) -> bool:
+        """Return whether a request was released recently."""
+        case = self._find(fingerprint)
+        return case is not None and case.state is CaseState.RELEASED
 
     def escalate(
         self, fingerprint: Fingerprint, state: CaseState, *, service: str, route: str, ends: int
--- a/trefoilpick/upstreams.py
+++ b/trefoilpick/upstreams.py
@@ -165,9 +165,13 @@
             await self.discard(await self._connect(timeout_s))
         except TrefoilpickError as error:
             is_refused = isinstance(error.__cause__, ConnectionError)
-            return is_refused and not any(connection.is_open() for connection in self._open)
+            return is_refused and not self.has_open_connection()
         return False
 
+    def has_open_connection(self) -> bool:
+        """Return whether the worker has left any connection open."""
+        return any(connection.is_open() for connection in self._open)
+
     def record_lost_connection(
         self, connection: WorkerConnection, *, sent_s: float, now_s: float
     ) -> None:
--- a/trefoilpick/worker_ends.py
+++ b/trefoilpick/worker_ends.py
@@ -26,6 +26,13 @@
 CONNECT_TIMEOUT_S = 0.25
 """Timeout of the connection that shows whether the worker still listens, in seconds."""
 
+RECHECK_S = 0.1
+"""Time after a lost connection after which the worker is looked at again, in seconds: a process
+that ends may close some connections before its port."""
+
+EXPLAINED_S = 1.0
+"""Time before an end within which a connection was lost by it, in seconds."""
+
 REPLACEMENT_S = 5.0
 """Time after a lost connection within which a new worker at the address shows that the former one
 ended, in seconds: a worker that restarts at once accepts connections again before it is listed."""
@@ -111,6 +118,7 @@
         self._ended_s = float("-inf")
         self._alive_s = float("-inf")
         self._unexplained: deque[Run] = deque(maxlen=MAX_UNEXPLAINED)
+        self._recheck_at_s = float("inf")
 
     async def check(self, run: Run) -> bool:
         """Return whether a request was lost because the worker ended, and report it if so."""
@@ -122,8 +130,18 @@
             return True
         if not self._is_leaving():
             self._unexplained.append(run)
+            self._recheck_at_s = min(self._recheck_at_s, read_clock() + RECHECK_S)
         return False
 
+    async def recheck(self) -> None:
+        """Look again whether the worker has ended, some time after a connection was lost."""
+        if read_clock() < self._recheck_at_s:
+            return
+        self._recheck_at_s = float("inf")
+        if not self._pool.has_open_connection():
+            async with self._lock:
+                await self._check_worker()
+
     async def handle_replacement(self, former: WorkerIdentity) -> None:
         """Handle that a worker is no longer at its address: it has ended.
 
@@ -141,7 +159,11 @@
 
     async def _check_worker(self) -> None:
         if await self._pool.is_refused(CONNECT_TIMEOUT_S) and not self._is_leaving():
-            self._begin_end(read_clock())
+            now_s = read_clock()
+            self._begin_end(now_s)
+            explained = [r for r in self._unexplained if r.lost_s >= now_s - EXPLAINED_S]
+            self._unexplained.clear()
+            await self._add(explained)
         else:
             self._alive_s = read_clock()
 
@@ -153,6 +175,8 @@
 
     async def _add(self, runs: Iterable[Run]) -> None:
         end = WorkerEnd(self._number, tuple(runs))
+        if not end.runs:
+            return
         for run in end.runs:
             self._log.report(
                 Event.WORKER_END,
