Soak: a request that ends the workers which run it

Random runs send one request that ends its workers to random nodes; later than 3 s after the third end, three more may end beside nodes that are undisturbed. A worker's end is seen by its node as all connections reset and new ones refused. The breakage that ignores quarantines is caught, a scripted run holds.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -38,7 +38,10 @@
     signal.signal(signal.SIGTERM, _handle_sigterm)
     plans = [entry.plan for entry in REGRESSIONS] if regressions and not breakage else []
     chosen = range(first, first + seeds) if first else _draw_seeds(seeds)
-    plans += [RunPlan(seed, nodes, seconds, breakage, draw_topology(seed)) for seed in chosen]
+    plans += [
+        RunPlan(seed, nodes, seconds, breakage, draw_topology(seed), ends_workers=True)
+        for seed in chosen
+    ]
     failed = 0
     for plan in plans:
         folder = out / f"seed-{plan.seed}"
--- a/soak/breakages.py
+++ b/soak/breakages.py
@@ -12,6 +12,7 @@
     errors,
     forwarding,
     hopclient,
+    quarantine,
     retries,
     snapshots,
     versions,
@@ -155,6 +156,12 @@
     worker_statements.read_statement = read_without_leaving
 
 
+def _ignore_cases() -> None:
+    quarantine.QuarantineTable.find_quarantined = (  # type: ignore[method-assign]
+        lambda self, fingerprint: None
+    )
+
+
 BREAKAGES = {
     "retry-without-proof": Breakage(
         "requests are retried without proof that they did not run", _retry_without_proof
@@ -172,6 +179,7 @@
     "deny-routes": Breakage("routes are missing now and then", _deny_routes),
     "ignore-limits": Breakage("a stated limit does not reduce a worker's requests", _ignore_limits),
     "ignore-leaving": Breakage("a worker that states that it leaves is used", _ignore_leaving),
+    "ignore-cases": Breakage("a request that ends workers is not quarantined", _ignore_cases),
     "crash-on-stop": Breakage(
         "the node exits immediately when it is asked to stop", _crash_on_stop
     ),
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import time
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import curio
 
+from soak.fleet import LETHAL_TARGET
 from trefoilpick._call_recorder import HTTP_OK, CallPlan, check_answer
 from trefoilpick._call_totals import RESULT_BY_OUTCOME, Call, CallResult
 from trefoilpick._client_connection import RawAnswer, open_client_connection, read_outcome
@@ -36,6 +38,9 @@
 CONNECT_TIMEOUT_S = 1.0
 """Time limit for opening a connection, in seconds."""
 
+LETHAL_PAUSE_S = 0.4
+"""Pause between two requests that end workers, in seconds."""
+
 SPREAD_BYTES = 100_000
 """Size of a large body, in bytes."""
 
@@ -216,6 +221,35 @@
             )
 
 
+class LethalCaller:
+    """Sends a request that ends the workers that run it, to random nodes.
+
+    Args:
+        nodes: The nodes.
+        random: Random number generator for the nodes.
+    """
+
+    def __init__(self, nodes: list[SoakNode], random: random.Random) -> None:
+        self._nodes = nodes
+        self._random = random
+        self._count = 0
+
+    async def run(self) -> None:
+        """Send requests until cancelled; each may break its connection."""
+        while True:
+            self._count += 1
+            headers = [("host", HOST), ("x-request-id", f"lethal-{self._count}")]
+            address = self._random.choice(self._nodes).caller_address
+            with suppress(TrefoilpickError):
+                connection = await open_client_connection(address, timeout_s=CONNECT_TIMEOUT_S)
+                try:
+                    async with curio.ignore_after(DEADLINE_S):
+                        await connection.exchange("GET", LETHAL_TARGET.decode(), headers, b"")
+                finally:
+                    await connection.close()
+            await curio.sleep(LETHAL_PAUSE_S)
+
+
 def describe_denial(request_id: str, path: str, status: int) -> list[str]:
     """Return a violation if the status of an answer is a denial."""
     return [f"{request_id} to {path} was denied with {status}"] if status in DENIALS else []
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -65,6 +65,15 @@
 EXCESS_FACTOR, EXCESS_REQUESTS = 1.5, 5
 """A worker may get this many times what its limit allows, and this many more."""
 
+ENDS_TO_KNOW = 3
+"""Ends of workers under one request after which it must be known to end them."""
+
+KNOWN_WITHIN_S = 3.0
+"""Time after that within which undisturbed nodes know it, in seconds."""
+
+MAX_LATE_ENDS = 3
+"""Ends of workers under one request that are allowed after that."""
+
 DRAINED_AFTER_S = 2.0
 """Time after a worker's node first hears that it leaves from which it must get no more requests, in
 seconds."""
@@ -252,6 +261,21 @@
         return None
 
 
+def check_worker_ends(nodes: Iterable[SoakNode]) -> Iterator[str]:
+    """Yield a violation if a request that ended workers reached too many of them afterwards.
+
+    Ends at a node that was disturbed shortly before do not count as later ones: the node beside the
+    worker is the last that can refuse the request.
+    """
+    ends = sorted(end for node in nodes for end in node.worker_ends)
+    if len(ends) < ENDS_TO_KNOW:
+        return
+    known_at = ends[ENDS_TO_KNOW - 1][0] + KNOWN_WITHIN_S
+    late = [at for at, disturbed_at in ends if at > max(known_at, disturbed_at + KNOWN_WITHIN_S)]
+    if len(late) > MAX_LATE_ENDS:
+        yield f"a request ended {len(ends)} workers, {len(late)} of them too late"
+
+
 def check_calls(finished: Iterable[FinishedCall], fleet: SoakFleet) -> Iterator[str]:
     """Yield descriptions of violated guarantees of calls.
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -9,6 +9,7 @@
 from collections import Counter
 from dataclasses import dataclass, field, replace
 from enum import Enum
+from functools import partial
 from typing import TYPE_CHECKING
 
 import curio
@@ -58,6 +59,12 @@
 """Settings common to all nodes."""
 
 
+LETHAL_TARGET = b"/sketches/lethal"
+"""Target of the requests under which workers end."""
+
+WORKER_DOWN_S = 2.0
+"""Time for which a worker that ended is down, in seconds."""
+
 NO_FAULTS = Faults()
 
 
@@ -129,6 +136,11 @@
             clock.
         sigterm_at: When its process last received SIGTERM, in seconds on the monotonic clock.
         is_down: Whether its process was killed or stopped and not yet restarted.
+        worker_serving: The task that accepts connections to the worker.
+        worker_back_at: When its worker was last back after an end, in seconds on the monotonic
+            clock.
+        worker_ends: When its worker ended under a request, and when its node had last been
+            disturbed then, in seconds on the monotonic clock.
     """
 
     vm: Vm
@@ -145,6 +157,9 @@
     silenced_at: float = float("-inf")
     sigterm_at: float = float("-inf")
     is_down: bool = False
+    worker_serving: curio.Task | None = None
+    worker_back_at: float = float("-inf")
+    worker_ends: list[tuple[float, float]] = field(default_factory=list)
 
     @property
     def caller_address(self) -> str:
@@ -216,8 +231,11 @@
         await self.publish_vms()
         await self.accept()
         for node in self.nodes:
-            for proxy in node.proxies:
+            for proxy in (*node.links, node.source_link):
                 await curio.spawn(proxy.run, daemon=True)
+            node.worker_serving = await curio.spawn(node.worker_link.run, daemon=True)
+            node.worker.lethal_target = LETHAL_TARGET
+            node.worker.end = partial(self._end_worker, node)
             await curio.spawn(node.worker.run, daemon=True)
             self.start_node(node)
 
@@ -237,6 +255,20 @@
         node.vm = replace(node.vm, started_ms=node.vm.started_ms + 1)
         await self.publish_vms()
 
+    async def _end_worker(self, node: SoakNode) -> None:
+        """End a worker as its node sees it: all connections break, and new ones are refused."""
+        node.worker_ends.append((time.monotonic(), node.disturbed_at))
+        await curio.spawn(self._restart_worker, node, daemon=True)
+
+    async def _restart_worker(self, node: SoakNode) -> None:
+        assert node.worker_serving is not None
+        await node.worker_serving.cancel()
+        node.worker_link.reset()
+        node.worker_back_at = time.monotonic() + WORKER_DOWN_S
+        await curio.sleep(WORKER_DOWN_S)
+        if node.worker_serving.terminated:
+            node.worker_serving = await curio.spawn(node.worker_link.run, daemon=True)
+
     async def restore_source(
         self, back_s: float, *, rewritten_after_s: float, rewrite: Rewrite
     ) -> None:
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -10,7 +10,13 @@
 
 import curio
 
-from soak.callers import MEAN_PAUSE_S, SETTLING_S, LibraryCaller, PersistentCaller
+from soak.callers import (
+    MEAN_PAUSE_S,
+    SETTLING_S,
+    LethalCaller,
+    LibraryCaller,
+    PersistentCaller,
+)
 from soak.checks import (
     UNDISTURBED_WITHIN_S,
     NodeMonitor,
@@ -18,6 +24,7 @@
     check_calls,
     check_logs,
     check_recovery,
+    check_worker_ends,
 )
 from soak.faults import draw_faults, inject
 from soak.fleet import TOPOLOGIES, Topology, open_fleet
@@ -51,6 +58,7 @@
         seconds: Duration of fault injection, in seconds.
         breakage: Name of a deliberate breakage in all nodes; empty for none.
         topology: Data centres and readers.
+        ends_workers: Whether a request is sent that ends the workers which run it.
         script: Faults and their times since the start, in seconds; if empty, random faults.
     """
 
@@ -59,6 +67,7 @@
     seconds: float
     breakage: str = ""
     topology: Topology = TOPOLOGIES[0]
+    ends_workers: bool = False
     script: tuple[tuple[float, Fault], ...] = ()
 
 
@@ -105,15 +114,20 @@
     monitor = NodeMonitor(fleet)
     await monitor.wait_for_recovery()
     callers = _build_callers(fleet, rng)
+    lethal = LethalCaller(fleet.nodes, random.Random(f"lethal/{plan.seed}"))
+    ending = await curio.spawn(lethal.run, daemon=True) if plan.ends_workers else None
     tasks = [await curio.spawn(caller.run, daemon=True) for caller in callers]
     statements = StatementMonitor(fleet)
     monitors = [await curio.spawn(run, daemon=True) for run in (monitor.run, statements.run)]
     faults = await _inject_all(plan, fleet, rng)
+    if ending is not None:
+        await ending.cancel()
     fleet.undo_faults()
     await monitor.wait_for_recovery()
     recovered_at = time.monotonic()
+    worker_back_at = max(node.worker_back_at for node in fleet.nodes)
     silenced_at = max(node.silenced_at for node in fleet.nodes)
-    disturbed_at = max(node.disturbed_at for node in fleet.nodes)
+    disturbed_at = max(max(node.disturbed_at, node.worker_back_at) for node in fleet.nodes)
     await curio.sleep(max(disturbed_at + SETTLING_S - recovered_at, 0.0))
     await fleet.accept()
     await curio.sleep(UNDISTURBED_WITHIN_S + AFTER_RECOVERY_S)
@@ -125,8 +139,9 @@
         *monitor.violations,
         *statements.violations,
         *check_calls(finished, fleet),
-        *check_recovery(finished, max(recovered_at, silenced_at + SETTLING_S)),
+        *check_recovery(finished, max(recovered_at, silenced_at + SETTLING_S, worker_back_at)),
         *check_logs(fleet.folder),
+        *check_worker_ends(fleet.nodes),
         *(text for caller in callers for text in caller.violations),
     ]
     answered = sum(entry.call.result is CallResult.ANSWERED for entry in finished)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -55,6 +55,9 @@
 """Workers state limits and that they leave, the nodes beside them are killed meanwhile, and every
 worker sends each answer twice."""
 
+ENDS = tuple((4.0 * number, VersionsAccepted(1)) for number in range(5))
+"""Versions are accepted while a request ends the workers that run it, as in every run."""
+
 FOLLOWERS = Topology(centres=1, readers=1)
 """One node reads the source; all others learn of versions from it and from each other."""
 
@@ -87,6 +90,7 @@
     "deny-routes": (RESETS, "was denied with 404"),
     "ignore-limits": (NEEDS, "requests in 4 s"),
     "ignore-leaving": (NEEDS, "states that it leaves"),
+    "ignore-cases": (ENDS, "too late"),
 }
 """By breakage, the faults that expose it and a part of the violation that the soak reports."""
 
@@ -137,6 +141,13 @@
 
 
 # A reset or an end of a silent connection would tell its ends that it carries nothing.
+# Guards against a request that ends the workers which run it, one after the other.
+def test_request_that_ends_workers_reaches_few_of_them(tmp_path: Path) -> None:
+    plan = RunPlan(SEED, NODES, seconds=0.0, ends_workers=True, script=ENDS)
+    report = run_soak(plan, folder=tmp_path, network=pick_network())
+    assert report.violations == ()
+
+
 def test_silent_connections_of_a_proxy_stay_open_while_new_ones_work() -> None:
     curio.run(partial(check_silence, f"127.{pick_network()}.9.1"))
 
@@ -162,6 +173,13 @@
 @pytest.mark.parametrize("breakage", EXPECTED_VIOLATIONS)
 def test_breakage_is_detected(breakage: str, tmp_path: Path) -> None:
     script, violation = EXPECTED_VIOLATIONS[breakage]
-    plan = RunPlan(SEED, NODES, seconds=0.0, breakage=breakage, script=script)
+    plan = RunPlan(
+        SEED,
+        NODES,
+        seconds=0.0,
+        breakage=breakage,
+        ends_workers=script is ENDS,
+        script=script,
+    )
     report = run_soak(plan, folder=tmp_path, network=pick_network())
     assert any(violation in text for text in report.violations), report
--- a/trefoilpick/standin_worker.py
+++ b/trefoilpick/standin_worker.py
@@ -21,7 +21,7 @@
 from trefoilpick.worker_statements import LEAVING_MARK
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Awaitable, Callable, Iterator
 
 REQUEST_ID_HEADER = b"x-request-id"
 """Request header with the ID by which runs are counted."""
@@ -102,6 +102,8 @@
         is_leaving: Whether it states that it is leaving.
         copy_delay_s: Delay after which it sends a second copy of each answer, in seconds; None for
             no copies.
+        lethal_target: Path and query of the requests under which it ends; empty for none.
+        end: Ends it, when it begins to run such a request.
     """
 
     def __init__(
@@ -122,6 +124,8 @@
         self.rate_limit = rate_limit
         self.is_leaving = False
         self.copy_delay_s: float | None = None
+        self.lethal_target = b""
+        self.end: Callable[[], Awaitable[None]] | None = None
         self._counters = _Counters()
 
     @property
@@ -179,6 +183,9 @@
         headers = dict(request.headers)
         request_id = headers.get(REQUEST_ID_HEADER, b"").decode("latin-1")
         self._counters.runs[request_id] += 1
+        if self.end is not None and request.target == self.lethal_target:
+            await self.end()
+            raise ConnectionResetError("the worker ended")
         if connection.they_are_waiting_for_100_continue:
             await client.sendall(
                 connection.send(h11.InformationalResponse(status_code=100, headers=[]))
