--- a/tests/platform/fakes_ending_workers.py
+++ b/tests/platform/fakes_ending_workers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 import socket
 import struct
 import time
@@ -15,14 +14,12 @@
 import h11
 from curio.io import Socket
 from fakes_store import FakeStore, make_configuration, make_entry, run_store
-from test_path import EXPECTED_WORKER, REQUEST_ID, find_ports
+from test_path import EXPECTED_WORKER, REQUEST_ID, find_ports, open_node_at
 
 from trefoilpick._clock import read_clock
 from trefoilpick._connections import open_connection
-from trefoilpick.node import Node, open_node
-from trefoilpick.platform.headers import PLATFORM_CONVENTIONS
-from trefoilpick.platform.settings import build_settings
-from trefoilpick.platform.store import CONFIGURATION_KEY, open_store
+from trefoilpick.node import Node
+from trefoilpick.platform.store import CONFIGURATION_KEY
 
 DOWN_S = 2.0
 """Time until a worker that ended is back under another identity, in seconds."""
@@ -277,7 +274,8 @@
         store.put(CONFIGURATION_KEY, build_configuration())
         for host in hosts:
             fleet.workers.append(EndingWorker(host, fleet.ports[4], store, is_lethal))
-            fleet.nodes.append(open_ending_node(fleet, store, host))
+            zone = find_zone(host)
+            fleet.nodes.append(open_node_at(host, store, fleet.ports, zone=zone, vms=nodes))
         async with curio.TaskGroup(wait=any) as tasks:
             for part in (*fleet.workers, *fleet.nodes):
                 await tasks.spawn(part.run)
@@ -298,40 +296,3 @@
     once, read = configuration["routes"]
     read = {key: value for key, value in read.items() if key != "traffic-split"}
     return {**configuration, "routes": [once, {**read, "service": "encargos"}]}
-
-
-def open_ending_node(fleet: EndingFleet, store: FakeStore, host: str) -> Node:
-    """Open the node of a VM."""
-    facts = {
-        "ip": host,
-        "zone": find_zone(host),
-        "region": "lima",
-        "zones": {"lima-a": "lima", "lima-b": "lima"},
-        "service": "encargos",
-        "app-addr": f"{host}:{fleet.ports[4]}",
-        "listen": {
-            "outbound": f"{host}:{fleet.ports[2]}",
-            "ready": f"{host}:{fleet.ports[3]}",
-        },
-        "internal-port-range": [fleet.ports[0], fleet.ports[0] + 15],
-        "provider": {"address": store.address, "reads-per-s": 2_000},
-        "bounds": {"grace": 6, "retry-budget-ratio": 0.2, "retry-budget-slack": 60},
-    }
-    node_settings = {
-        "source": {"watch_ms": 200, "read_timeout_ms": 500, "backoff_ms": 100},
-        "control": {
-            "listed_only": True,
-            "join_wait_ms": 200,
-            "expected_vms": len(fleet.hosts),
-            "readers": 4,
-        },
-        "hops": {"warm_up_ms": 0},
-    }
-    settings = build_settings({"platform": facts, **node_settings}, origin="test")
-    rng = random.Random(host)
-    return open_node(
-        settings,
-        source=open_store(settings, random=rng),
-        rng=rng,
-        conventions=PLATFORM_CONVENTIONS,
-    )
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -216,24 +216,27 @@
 
 
 def open_platform_node(platform: Platform, host: str) -> Node:
+    zone = "lima-a" if host == HOSTS[0] else "lima-b"
+    return open_node_at(host, platform.store, platform.ports, zone=zone, vms=len(HOSTS))
+
+
+def open_node_at(host: str, store: FakeStore, ports: list[int], *, zone: str, vms: int) -> Node:
+    """Open a node of the platform that listens on an address."""
     facts = {
         "ip": host,
-        "zone": "lima-a" if host == HOSTS[0] else "lima-b",
+        "zone": zone,
         "region": "lima",
         "zones": {"lima-a": "lima", "lima-b": "lima"},
         "service": "encargos",
-        "app-addr": f"{host}:{platform.ports[4]}",
-        "listen": {
-            "outbound": f"{host}:{platform.ports[2]}",
-            "ready": f"{host}:{platform.ports[3]}",
-        },
-        "internal-port-range": [platform.ports[0], platform.ports[0] + 15],
-        "provider": {"address": platform.store.address, "reads-per-s": 2_000},
+        "app-addr": f"{host}:{ports[4]}",
+        "listen": {"outbound": f"{host}:{ports[2]}", "ready": f"{host}:{ports[3]}"},
+        "internal-port-range": [ports[0], ports[0] + 15],
+        "provider": {"address": store.address, "reads-per-s": 2_000},
         "bounds": {"grace": 6, "retry-budget-ratio": 0.2, "retry-budget-slack": 60},
     }
     node_settings = {
         "source": {"watch_ms": 200, "read_timeout_ms": 500, "backoff_ms": 100},
-        "control": {"listed_only": True, "join_wait_ms": 200, "expected_vms": 2, "readers": 4},
+        "control": {"listed_only": True, "join_wait_ms": 200, "expected_vms": vms, "readers": 4},
         "hops": {"warm_up_ms": 0},
     }
     settings = build_settings({"platform": facts, **node_settings}, origin="test")
