--- a/tests/fakes_quarantine.py
+++ b/tests/fakes_quarantine.py
@@ -49,12 +49,16 @@
         service: Service that runs it.
         ends_worker: Whether it ends the worker that runs it, after a part of its service time.
         retries: Repeats of the client after a failure.
+        service_s: Its service time, in seconds.
+        service_share: Range of the part of it after which a run ends.
     """
 
     name: str
     service: str = "s-0"
     ends_worker: bool = False
     retries: int = 1
+    service_s: float = SERVICE_S
+    service_share: tuple[float, float] = (0.05, 2.0)
 
     @property
     def fingerprint(self) -> Fingerprint:
@@ -348,7 +352,8 @@
         self._count += 1
         number = self._count
         worker.runs[number] = (request, self.now_s, finish)
-        service_s = SERVICE_S * self.random.uniform(0.05, 1.0 if request.ends_worker else 2.0)
+        shortest, longest = request.service_share
+        service_s = request.service_s * self.random.uniform(shortest, longest)
         self.at(service_s, lambda: self._complete(worker, number))
 
     def _complete(self, worker: ModelNode, number: int) -> None:
--- a/tests/test_poison_request_load.py
+++ b/tests/test_poison_request_load.py
@@ -18,7 +18,7 @@
 """Control bytes that a node may send per second."""
 DURATION_S = sum(TRIAL_DELAYS_S) + 35.0
 """Time for which a poison request comes, in seconds: longer than all of its trials take."""
-POISON = Request("poison", ends_worker=True)
+POISON = Request("poison", ends_worker=True, service_share=(0.05, 1.0))
 POPULAR = Request("popular")
 SITES = {
     6: {"services": 2, "centres": 3},
@@ -55,6 +55,19 @@
     assert len(late) <= MAX_LATE_ARRIVALS
 
 
+# Many runs of a request that ends its workers late begin before the first of them has ended.
+@pytest.mark.parametrize("size", [6, 76, 195])
+@pytest.mark.parametrize("per_s", [2.0, 20.0])
+def test_poison_request_that_ends_its_workers_late_is_found_as_soon(
+    size: int, per_s: float
+) -> None:
+    fleet = open_fleet(size, 10)
+    poison = Request("poison", ends_worker=True, service_s=2.5, service_share=(0.95, 1.0))
+    fleet.repeat(poison, per_s=per_s, until_s=DURATION_S)
+    fleet.run_until(DURATION_S)
+    assert len(list(list_late_arrivals(fleet, poison, CONTACT_S))) <= MAX_LATE_ARRIVALS
+
+
 @pytest.mark.parametrize("size", SITES)
 def test_quarantine_is_known_to_every_node_within_contact(size: int) -> None:
     fleet = open_fleet(size, 5)
@@ -67,7 +80,10 @@
 
 def test_spread_stays_within_the_control_bytes_of_the_target() -> None:
     fleet = open_fleet(1_100, 6)
-    poisons = [Request(f"poison-{i}", f"s-{i}", ends_worker=True) for i in range(3)]
+    poisons = [
+        Request(f"poison-{i}", f"s-{i}", ends_worker=True, service_share=(0.05, 1.0))
+        for i in range(3)
+    ]
     for poison in poisons:
         fleet.repeat(poison, per_s=2.0, until_s=30.0)
     send_ordinary(fleet, per_s=50.0, until_s=30.0)
