Workers' ends: an end that explains an earlier loss is counted once

Found on reading the change again: the second look after a lost connection counted an end that had been found meanwhile a second time, under another number (trefoilpick_worker_ends_total 2 for one end; the new test fails before). A straggler of the end could have counted as another end of a worker. And a tally is looked up plainly.

--- a/tests/test_worker_ends.py
+++ b/tests/test_worker_ends.py
@@ -156,6 +156,23 @@
     assert [record.request_id for record in lines] == ["at-fault"]
 
 
+def test_end_that_explains_an_earlier_loss_is_counted_once() -> None:
+    async def test() -> None:
+        async with open_bench() as bench:
+            process = EndingProcess(bench.worker)
+            bench.worker.script = [process.hold, lose_connection]
+            held = await curio.spawn(bench.call, make_request(target="/held"))
+            await wait_for(lambda: bool(bench.worker.executed))
+            await bench.call(make_request())
+            bench.worker.script = [process]
+            await bench.call(make_request(target="/other"))
+            await held.join()
+            await curio.sleep(0.4)
+            assert count_ends(bench) == 1
+
+    curio.run(test)
+
+
 # A worker that restarts at once accepts connections again before anything else shows its end.
 def test_worker_replaced_soon_after_a_lost_connection_has_ended() -> None:
     async def test() -> None:
--- a/trefoilpick/blame.py
+++ b/trefoilpick/blame.py
@@ -152,11 +152,9 @@
         yield from self._judge(content, tally, report.service, suspects[0].route)
 
     def _find_tally(self, content: bytes) -> _Tally:
-        if not self._count(content):
-            # Those of an expired tally, and ends that do not count, are forgotten.
-            known = self._tallies.pop(content, None)
-            is_expired = known is None or known.ended_s < self._clock() - EVIDENCE_S
-            self._tallies[content] = _Tally() if is_expired or known is None else known
+        tally = self._tallies.get(content)
+        if tally is None or tally.ended_s < self._clock() - EVIDENCE_S:
+            self._tallies[content] = _Tally()
         self._tallies.move_to_end(content)
         if len(self._tallies) > MAX_COUNTED:
             self._tallies.popitem(last=False)
--- a/trefoilpick/worker_ends.py
+++ b/trefoilpick/worker_ends.py
@@ -135,10 +135,12 @@
 
     async def recheck(self) -> None:
         """Look again whether the worker has ended, some time after a connection was lost."""
-        if read_clock() < self._recheck_at_s:
+        now_s = read_clock()
+        if now_s < self._recheck_at_s:
             return
         self._recheck_at_s = float("inf")
-        if not self._pool.has_open_connection():
+        has_recent = any(run.lost_s >= now_s - EXPLAINED_S for run in self._unexplained)
+        if has_recent and not self._pool.has_open_connection():
             async with self._lock:
                 await self._check_worker()
 
