Quarantine: rank VMs by rank_vms, look up a case once

Read again: the VM of a trial and the counting nodes were chosen by a rendezvous hash written anew, the same as ranks.rank_vms computes; check_arrival looked a case up a second time to refuse it, as admit does; escalate checked for None twice.

--- a/tests/test_quarantine_sync.py
+++ b/tests/test_quarantine_sync.py
@@ -84,7 +84,7 @@
         fleet = await start_fleet(12)
         names = list(fleet.nodes)
         sync = fleet.nodes[names[0]].distributor.quarantine
-        counting = {vm.name for vm in sync._list_counting_nodes("encargos")}
+        counting = {vm.name for vm in sync.list_counting_nodes("encargos")}
         cut = fleet.nodes[next(name for name in names if name not in counting)]
         merge = cut.distributor.quarantine.gate.table.merge
         cut.distributor.quarantine.gate.table.merge = lambda cases: ()  # type: ignore
--- a/trefoilpick/quarantine.py
+++ b/trefoilpick/quarantine.py
@@ -133,8 +133,7 @@
     ) -> Case | None:
         """Suspect or quarantine a request; return the new case, None if nothing changes."""
         known = self._find(fingerprint)
-        is_open = known is not None and known.state is not CaseState.RELEASED
-        if is_open and known is not None and known.state >= state:
+        if known is not None and state <= known.state < CaseState.RELEASED:
             return None
         now_s = self._clock()
         keep_s = QUARANTINE_S if state is CaseState.QUARANTINED else EVIDENCE_S
--- a/trefoilpick/quarantine_gate.py
+++ b/trefoilpick/quarantine_gate.py
@@ -5,12 +5,11 @@
 import logging
 from typing import TYPE_CHECKING
 
-import xxhash
-
 from trefoilpick._clock import read_clock
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 from trefoilpick.logs import Event
 from trefoilpick.quarantine import Case, CaseState, QuarantineTable
+from trefoilpick.ranks import rank_vms
 from trefoilpick.status import QuarantineCase
 
 if TYPE_CHECKING:
@@ -87,10 +86,8 @@
         Raises:
             TrefoilpickError: `QUARANTINED`.
         """
-        if self.check(fingerprint) not in (None, self._own_vm):
-            case = self.table.find_quarantined(fingerprint)
-            assert case is not None
-            raise self._refuse(case)
+        self.check(fingerprint)
+        self._find_own_trial(fingerprint)
 
     async def admit(self, fingerprint: Fingerprint) -> None:
         """Admit a request that is about to be sent to this node's worker.
@@ -98,11 +95,9 @@
         Raises:
             TrefoilpickError: `QUARANTINED`.
         """
-        case = self.table.find_quarantined(fingerprint)
+        case = self._find_own_trial(fingerprint)
         if case is None:
             return
-        if self._find_trial_host(case) != self._own_vm:
-            raise self._refuse(case)
         tried = self.table.begin_trial(case)
         self.report_case(tried, reason="trial")
         await self.on_change(tried)
@@ -153,15 +148,23 @@
             route=case.route,
         )
 
+    def _find_own_trial(self, fingerprint: Fingerprint) -> Case | None:
+        """Return the case that this node's worker may try; None if the request needs no trial.
+
+        Raises:
+            TrefoilpickError: `QUARANTINED`.
+        """
+        case = self.table.find_quarantined(fingerprint)
+        if case is not None and self._find_trial_host(case) != self._own_vm:
+            raise self._refuse(case)
+        return case
+
     def _find_trial_host(self, case: Case) -> str | None:
         """Return the VM whose worker may get a trial now; None if no trial is due."""
         if not case.may_try(self._clock()):
             return None
-        names = [vm.name for vm in self._list_endpoints(case.service)]
-        key = case.fingerprint.content.hex()
-        return min(
-            names, key=lambda name: xxhash.xxh64_intdigest(f"{key}/{name}".encode()), default=None
-        )
+        ranked = rank_vms(self._list_endpoints(case.service), case.fingerprint.content.hex())
+        return ranked[0].name if ranked else None
 
     def _refuse(self, case: Case) -> TrefoilpickError:
         self._metrics.count("trefoilpick_quarantine_refusals_total")
--- a/trefoilpick/quarantine_sync.py
+++ b/trefoilpick/quarantine_sync.py
@@ -5,8 +5,6 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
-import xxhash
-
 from trefoilpick._clock import read_clock
 from trefoilpick.blame import BlameCounter, EndReport, Suspect
 from trefoilpick.fingerprints import Fingerprint
@@ -21,6 +19,7 @@
     WireSuspect,
 )
 from trefoilpick.quarantine import Case, CaseState
+from trefoilpick.ranks import rank_vms
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterable
@@ -90,7 +89,7 @@
         self._reports.append((now_s, report))
         recent = [r for at_s, r in self._reports if at_s >= now_s - RECENT_S]
         message = EndReports(tuple(_pack_end(r) for r in recent))
-        for vm in self._list_counting_nodes(report.service):
+        for vm in self.list_counting_nodes(report.service):
             if vm.name != self._own_vm:
                 await self._send(vm, message)
             else:
@@ -151,12 +150,9 @@
         self._changes.update((case.fingerprint, (case, sender)) for case in changed)
         await self._request_spread()
 
-    def _list_counting_nodes(self, service: str) -> list[Vm]:
-        ranked = sorted(
-            self._list_alive(),
-            key=lambda vm: xxhash.xxh64_intdigest(f"{service}/{vm.name}".encode()),
-        )
-        return ranked[:COUNTING_NODES]
+    def list_counting_nodes(self, service: str) -> tuple[Vm, ...]:
+        """Return the VMs whose nodes count the ends of a service's workers."""
+        return rank_vms(self._list_alive(), service)[:COUNTING_NODES]
 
 
 def _pack_end(report: EndReport) -> WireEnd:
