Workers' ends: one type for a report, and a request's fingerprint computed once

Read again: WorkerEnds built a WorkerEnd that the hop server only turned into an EndReport, and each run carried a service that nobody read. It now reports the EndReport itself; one without a request to blame, which no node counted, is no longer sent. The fingerprint of a request, up to three digests for each, is computed once: the part of the body that identifies it does not change after its first use.

--- a/trefoilpick/_hop_exchange.py
+++ b/trefoilpick/_hop_exchange.py
@@ -4,6 +4,7 @@
 
 import math
 from dataclasses import dataclass
+from functools import cached_property
 from typing import TYPE_CHECKING
 
 import curio
@@ -171,7 +172,7 @@
         request, admission = self._request, self._context.admission
         self._body.read_buffered()
         if not self._context.gate.is_open and self._body.has_sample(SAMPLE_BYTES):
-            self._context.gate.check_arrival(self._compute_fingerprint())
+            self._context.gate.check_arrival(self._fingerprint)
         acquired_s = await admission.acquire(
             caller=request.caller,
             priority=request.priority,
@@ -287,9 +288,8 @@
         """Return whether the request was lost because the worker ended."""
         request = self._request
         run = Run(
-            self._compute_fingerprint(),
+            self._fingerprint,
             request.request_id,
-            request.upstream,
             request.route,
             self.worker,
             sent_s=self._sent_s,
@@ -299,12 +299,13 @@
 
     async def _record_answer(self) -> None:
         """Record that the request did not end the worker."""
-        fingerprint = self._compute_fingerprint()
-        self._context.answers.record(fingerprint, read_clock())
+        self._context.answers.record(self._fingerprint, read_clock())
         if not self._context.gate.is_open:
-            await self._context.gate.record_answer(fingerprint)
+            await self._context.gate.record_answer(self._fingerprint)
 
-    def _compute_fingerprint(self) -> Fingerprint:
+    @cached_property
+    def _fingerprint(self) -> Fingerprint:
+        """Identity of the request; read once the part of its body that identifies it is there."""
         request = self._request
         return compute_fingerprint(
             request.method,
@@ -366,7 +367,7 @@
             raise TrefoilpickError(ErrorKind.CALLER_GONE, text, outcome=Outcome.NOT_RUN)
         self._context.check_worker()
         if not self._context.gate.is_open:
-            await self._context.gate.admit(self._compute_fingerprint())
+            await self._context.gate.admit(self._fingerprint)
         body_complete = self._body.is_received
         is_retry = self._request.is_retry or self.was_sent
         # Set before sending: if it is interrupted, some bytes may have been sent.
--- a/trefoilpick/hopserver.py
+++ b/trefoilpick/hopserver.py
@@ -19,7 +19,7 @@
 from trefoilpick._open_hops import OpenHops
 from trefoilpick._task_groups import keep_running
 from trefoilpick.admission import AdmissionController, AdmissionLimits
-from trefoilpick.blame import EndReport, Suspect, ignore_end
+from trefoilpick.blame import ignore_end
 from trefoilpick.conventions import DEFAULT_CONVENTIONS
 from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError
 from trefoilpick.health import WorkerHealth
@@ -42,6 +42,7 @@
 
     from curio.io import Socket
 
+    from trefoilpick.blame import EndReport
     from trefoilpick.conventions import Conventions
     from trefoilpick.document import Upstream
     from trefoilpick.metrics import Metrics
@@ -51,7 +52,6 @@
     from trefoilpick.snapshots import SnapshotCell
     from trefoilpick.tokens import TokenStore
     from trefoilpick.vms import Vm
-    from trefoilpick.worker_ends import WorkerEnd
 
 MAX_CONCURRENT_REFUSALS = 64
 """Largest number of connections over the limit that are refused with an error frame at the same
@@ -147,7 +147,6 @@
         self._is_up_to_date = is_up_to_date
         self._record_version = record_version
         self._find_listed_vm = find_listed_vm
-        self._report_to_fleet = report_end
         self._listener = listener
         self._incarnation = incarnation
         self._upstream: Upstream | None = None
@@ -170,11 +169,13 @@
         self._answers = RecentAnswers()
         self._ends = WorkerEnds(
             pool,
+            answers=self._answers,
             log=self._log,
             metrics=metrics,
             name=f"{settings.vm.name}/{incarnation}",
+            service=settings.vm.service,
             is_leaving=self._is_end_planned,
-            report=self._report_end,
+            report=report_end,
         )
         self._context = ExchangeContext(
             admission=admission,
@@ -446,15 +447,6 @@
             return True
         return self._statements.has_left
 
-    async def _report_end(self, end: WorkerEnd) -> None:
-        suspects = (
-            Suspect(run.fingerprint, run.route, run.lost_s - run.sent_s)
-            for run in end.runs
-            if not self._answers.has_answered(run.fingerprint, run.lost_s)
-        )
-        service = self._settings.vm.service
-        await self._report_to_fleet(EndReport(end.number, service, tuple(suspects)))
-
     def _is_end_planned(self) -> bool:
         """Return whether an end of the worker was planned, or may have been."""
         own_vm = self._find_own_vm()
@@ -479,7 +471,7 @@
     async def _refuse_stale_waiters(self) -> None:
         """Refuse waiting requests that the worker cannot serve in time, or at all if it is leaving.
 
-        Their callers can then retry at other nodes.
+        Their callers can then retry at other nodes. Also notices that the worker has ended.
         """
         worker = self._statements.worker
         while True:
--- a/trefoilpick/worker_ends.py
+++ b/trefoilpick/worker_ends.py
@@ -11,6 +11,7 @@
 import xxhash
 
 from trefoilpick._clock import read_clock
+from trefoilpick.blame import EndReport, Suspect
 from trefoilpick.logs import Event
 from trefoilpick.vms import UNKNOWN_WORKER
 
@@ -20,6 +21,7 @@
     from trefoilpick.fingerprints import Fingerprint
     from trefoilpick.logs import StateLog
     from trefoilpick.metrics import Metrics
+    from trefoilpick.recent_answers import RecentAnswers
     from trefoilpick.upstreams import WorkerPool
     from trefoilpick.vms import WorkerIdentity
 
@@ -51,7 +53,6 @@
     Attributes:
         fingerprint: Identity of the request if it comes again.
         request_id: The caller's ID of the attempt.
-        service: Service of the worker.
         route: Name of the route.
         worker: The worker to which it was sent.
         sent_s: Clock reading when it was sent, in seconds.
@@ -60,26 +61,12 @@
 
     fingerprint: Fingerprint
     request_id: str
-    service: str
     route: str
     worker: WorkerIdentity
     sent_s: float
     lost_s: float
 
 
-@dataclass(frozen=True)
-class WorkerEnd:
-    """An end of the worker, with requests that it was running.
-
-    Attributes:
-        number: Identifies the end in the fleet.
-        runs: The requests.
-    """
-
-    number: int
-    runs: tuple[Run, ...]
-
-
 class WorkerEnds:
     """Tells an end of the worker from a lost connection.
 
@@ -89,9 +76,11 @@
 
     Args:
         pool: Connections to the worker.
+        answers: Requests that the worker answered recently; they are not blamed.
         log: Log of state changes.
         metrics: Metrics of the node.
         name: Name of the node's process, unique in the fleet.
+        service: Service of the worker.
         is_leaving: Returns whether the worker is known to be leaving.
         report: Called with each end, and again with requests that turn out to have been lost in it.
     """
@@ -100,16 +89,20 @@
         self,
         pool: WorkerPool,
         *,
+        answers: RecentAnswers,
         log: StateLog,
         metrics: Metrics,
         name: str,
+        service: str,
         is_leaving: Callable[[], bool],
-        report: Callable[[WorkerEnd], Awaitable[None]],
+        report: Callable[[EndReport], Awaitable[None]],
     ) -> None:
         self._pool = pool
+        self._answers = answers
         self._log = log
         self._metrics = metrics
         self._name = name
+        self._service = service
         self._count = 0
         self._is_leaving = is_leaving
         self._report = report
@@ -176,10 +169,8 @@
         self._metrics.count("trefoilpick_worker_ends_total")
 
     async def _add(self, runs: Iterable[Run]) -> None:
-        end = WorkerEnd(self._number, tuple(runs))
-        if not end.runs:
-            return
-        for run in end.runs:
+        suspects = []
+        for run in runs:
             self._log.report(
                 Event.WORKER_END,
                 f"{self._number:x}",
@@ -190,4 +181,7 @@
                 worker=run.worker.worker,
                 ran_ms=round((run.lost_s - run.sent_s) * 1000, 1),
             )
-        await self._report(end)
+            if not self._answers.has_answered(run.fingerprint, run.lost_s):
+                suspects.append(Suspect(run.fingerprint, run.route, run.lost_s - run.sent_s))
+        if suspects:
+            await self._report(EndReport(self._number, self._service, tuple(suspects)))
