Worker pool: the number of open connections is the size of their set

Read again: the quarantine added the set of open connections beside a counter of them, kept by hand.

--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -75,7 +75,7 @@
         connection.idle_since_s = since_s
         connection.is_reusable = lambda: True
         pool._idle.append(connection)
-        pool.open_count += 1
+        pool._open.add(connection)
         added.append(connection)
     return added
 
--- a/trefoilpick/upstreams.py
+++ b/trefoilpick/upstreams.py
@@ -49,9 +49,6 @@
         max_idle_s: Idle time after which a connection is not reused, in seconds, if the worker
             states none.
         conventions: Headers of the fleet.
-
-    Attributes:
-        open_count: Number of open connections, idle or in use.
     """
 
     def __init__(
@@ -62,7 +59,6 @@
         max_idle_s: float,
         conventions: Conventions = DEFAULT_CONVENTIONS,
     ) -> None:
-        self.open_count = 0
         self._address = (host, port)
         self._authority = f"{host}:{port}".encode()
         self._family = socket.AF_INET6 if ":" in host else socket.AF_INET
@@ -74,6 +70,11 @@
         self._safe_idle_s = 0.0
         self._safe_until_s = 0.0
 
+    @property
+    def open_count(self) -> int:
+        """Number of open connections, idle or in use."""
+        return len(self._open)
+
     @property
     def idle_count(self) -> int:
         """Number of idle connections."""
@@ -134,7 +135,6 @@
 
     async def discard(self, connection: WorkerConnection) -> None:
         """Close a connection that this pool opened."""
-        self.open_count -= 1
         self._open.discard(connection)
         await connection.close()
 
@@ -210,7 +210,6 @@
                 text = f"worker at {self._authority.decode()} does not accept a connection"
                 raise TrefoilpickError(ErrorKind.UPSTREAM_REFUSED, text) from error
             raise
-        self.open_count += 1
         connection = WorkerConnection(sock, self._authority, self._conventions)
         self._open.add(connection)
         return connection
