--- a/trefoilpick/calls.py
+++ b/trefoilpick/calls.py
@@ -143,14 +143,10 @@
 
     def read_sample(self) -> bytes | None:
         """Return the sample of the body, after reading what has arrived; None if more is needed."""
-        while self.sample is None:
+        if self.sample is None:
+            self._read_arrived(SAMPLE_BYTES)
             if self.is_complete or self.received >= SAMPLE_BYTES:
                 self.sample = b"".join(self.parts)[:SAMPLE_BYTES]
-                break
-            part = self.connection.read_body_part()
-            if part == b"":
-                break
-            self._add_part(part)
         return self.sample
 
     @property
@@ -160,11 +156,7 @@
 
     def receive_ready(self) -> list[bytes]:
         """Return the buffered parts of the body, after reading those that have already arrived."""
-        while not self.is_complete and self.received <= self.buffer_limit:
-            part = self.connection.read_body_part()
-            if part == b"":
-                break
-            self._add_part(part)
+        self._read_arrived(self.buffer_limit + 1)
         parts = self.parts
         if self.received > self.buffer_limit:
             self.parts = []
@@ -178,6 +170,14 @@
         self._add_part(part)
         return part
 
+    def _read_arrived(self, size: int) -> None:
+        """Read the parts that have already arrived, until a number of bytes was received."""
+        while not self.is_complete and self.received < size:
+            part = self.connection.read_body_part()
+            if part == b"":
+                break
+            self._add_part(part)
+
     def _add_part(self, part: bytes | None) -> None:
         if part is None:
             self.is_complete = True
