--- a/trefoilpick/loglines.py
+++ b/trefoilpick/loglines.py
@@ -53,15 +53,12 @@
 
 def explain_request(request_id: str, lines: Iterable[LogLine]) -> tuple[LogLine, ...]:
     """Return the lines of a request in order of time, with those on a quarantine of it."""
-    known = list(lines)
+    known = [
+        line for line in lines if line.request_id == request_id or line.event in QUARANTINE_EVENTS
+    ]
     subjects = {line.subject for line in known if line.request_id == request_id} - {""}
     return tuple(
-        sorted(
-            line
-            for line in known
-            if line.request_id == request_id
-            or (line.event in QUARANTINE_EVENTS and line.subject in subjects)
-        )
+        sorted(line for line in known if line.request_id == request_id or line.subject in subjects)
     )
 
 
