--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -63,6 +63,7 @@
         lambda node: (node.distributor._joiner, "run"),
         lambda node: (node.distributor._exchanger, "run"),
         lambda node: (node.distributor, "_announce_lists"),
+        lambda node: (node.distributor, "_spread_cases"),
         lambda node: (node.distributor.links, "_serve"),
         lambda node: (node.distributor.links, "_close_idle"),
         lambda node: (node.hop_server._hops, "watch"),
--- a/trefoilpick/distribution.py
+++ b/trefoilpick/distribution.py
@@ -44,7 +44,7 @@
 from trefoilpick.vms import WorkerIdentity
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Coroutine, Iterator
+    from collections.abc import Awaitable, Callable, Coroutine, Iterator
     from random import Random
     from typing import Any
 
@@ -290,8 +290,8 @@
     async def announce_leaving(self) -> None:
         """Announce to peers that this node accepts no new work from now on."""
         self._is_leaving = True
-        for vm in list_targets(self.overlay, self.build_view(), self.random):
-            await self.links.send(format_control_address(vm), Leaving())
+        for vm in self._list_targets():
+            await self._send_to(vm, Leaving())
 
     async def record_version(self, vm_name: str, number: int, digest: str) -> None:
         """Record the version named in a peer's request or answer, and fetch it if it is newer.
@@ -495,31 +495,21 @@
     async def _send_state(self, vms: tuple[Vm, ...]) -> None:
         state = self.build_state()
         for vm in vms:
-            await self.links.send(format_control_address(vm), state)
+            await self._send_to(vm, state)
 
     async def _announce_lists(self) -> None:
-        """Announce new lists until cancelled; changes in quick succession are announced as one."""
-        while True:
-            await self._list_changed.wait()
-            self._list_changed.clear()
-            await self._announce()
-            await curio.sleep(LIST_ANNOUNCEMENT_GAP_S)
+        await _act_on_changes(self._list_changed, self._announce, gap_s=LIST_ANNOUNCEMENT_GAP_S)
 
     async def _spread_cases(self) -> None:
-        """Spread changed quarantine cases until cancelled."""
-        while True:
-            await self._cases_changed.wait()
-            self._cases_changed.clear()
-            await self.quarantine.spread()
-            await curio.sleep(SPREAD_GAP_S)
+        await _act_on_changes(self._cases_changed, self.quarantine.spread, gap_s=SPREAD_GAP_S)
 
     async def _announce(self) -> None:
         announcement = Announcement(pack_version(self.store.newest), self.membership.revision)
-        for vm in list_targets(self.overlay, self.build_view(), self.random):
+        for vm in self._list_targets():
             if not self._peers.is_known_to_hold(
                 vm.name, announcement.held, announcement.vms_revision
             ):
-                await self.links.send(format_control_address(vm), announcement)
+                await self._send_to(vm, announcement)
 
     async def _on_pause(self, pause_s: float) -> None:
         self._resumed_s = read_clock()
@@ -557,6 +547,23 @@
         return build_peer_status(vm, classify_standing(None, newest), reason="sent no status")
 
 
+async def _act_on_changes(
+    changed: curio.Event, act: Callable[[], Awaitable[None]], *, gap_s: float
+) -> None:
+    """Act on changes until cancelled; those in quick succession are treated as one.
+
+    Args:
+        changed: Set when there is a change.
+        act: Called after a change.
+        gap_s: Shortest time between two calls, in seconds.
+    """
+    while True:
+        await changed.wait()
+        changed.clear()
+        await act()
+        await curio.sleep(gap_s)
+
+
 def open_distributor(
     settings: Settings,
     *,
