Soak: calls through the library are made by the call recorder

Read again: the soak had a copy of CallRecorder.make_call to see the status of answers and the kind of errors; the recorder now reports them.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -10,10 +10,9 @@
 import curio
 
 from soak.fleet import LETHAL_TARGET
-from trefoilpick._call_recorder import HTTP_OK, CallPlan, check_answer
-from trefoilpick._call_totals import RESULT_BY_OUTCOME, Call, CallResult
+from trefoilpick._call_recorder import HTTP_OK, CallPlan, CallRecorder, check_answer
+from trefoilpick._call_totals import Call, CallResult
 from trefoilpick._client_connection import RawAnswer, open_client_connection, read_outcome
-from trefoilpick.client import Caller
 from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError, find_answer
 
 if TYPE_CHECKING:
@@ -102,42 +101,24 @@
         random.shuffle(addresses)
         self.finished: list[FinishedCall] = []
         self.violations: list[str] = []
-        self._name = name
         self._random = random
-        self._caller = Caller(tuple(addresses), rng=random)
-        self._single_attempt = Caller(tuple(addresses), rng=random, attempts=1)
+        self._recorder = CallRecorder(name, addresses, random, observe=self._check_end)
 
     async def run(self) -> None:
         """Make calls until cancelled."""
         while True:
             plan = self._random.choice(CALL_PLANS)
             sent_at = time.monotonic()
-            call = await self._make_call(plan, f"{self._name}-{len(self.finished)}")
-            self.finished.append(FinishedCall(call, plan.path, sent_at))
+            await self._recorder.make_call(plan, len(self.finished), DEADLINE_S)
+            self.finished.append(FinishedCall(self._recorder.calls[-1], plan.path, sent_at))
             await curio.sleep(self._random.uniform(0, 2 * MEAN_PAUSE_S))
 
-    async def _make_call(self, plan: CallPlan, request_id: str) -> Call:
-        body = self._random.randbytes(plan.body_bytes)
-        caller = self._single_attempt if plan.is_single_attempt else self._caller
-        service = ""
-        try:
-            answer = await caller.request(
-                plan.method,
-                plan.host,
-                plan.path,
-                headers=[("x-request-id", request_id)],
-                body=body,
-                deadline_s=DEADLINE_S,
-                idempotent=plan.idempotent or plan.is_single_attempt,
-            )
-            result, service = check_answer(answer.status, answer.body, request_id, body)
-            self.violations += describe_denial(request_id, plan.path, answer.status)
-        except TrefoilpickError as error:
-            result = RESULT_BY_OUTCOME[find_answer(error).outcome]
-            if error.kind not in TOKEN_ANSWERS:
-                status = find_answer(error).status
-                self.violations += describe_denial(request_id, plan.path, status)
-        return Call(request_id, plan.idempotent, result, service)
+    def _check_end(self, request_id: str, plan: CallPlan, end: int | TrefoilpickError) -> None:
+        if isinstance(end, TrefoilpickError):
+            if end.kind in TOKEN_ANSWERS:
+                return
+            end = find_answer(end).status
+        self.violations += describe_denial(request_id, plan.path, end)
 
 
 class PersistentCaller:
--- a/trefoilpick/_call_recorder.py
+++ b/trefoilpick/_call_recorder.py
@@ -15,7 +15,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
 HTTP_OK = 200
 """HTTP status of a stand-in worker's answer."""
@@ -42,6 +42,10 @@
     is_single_attempt: bool = False
 
 
+def _ignore_end(request_id: str, plan: CallPlan, end: int | TrefoilpickError) -> None:
+    """Observe nothing."""
+
+
 class CallRecorder:
     """Makes calls and records their results.
 
@@ -49,13 +53,23 @@
         name: Name of the caller, unique among all callers; request IDs begin with it.
         addresses: Addresses of nodes for callers, as "ip:port", the preferred one first.
         rng: Random number generator for request bodies and jitter.
+        observe: Called with the ID and plan of each call that ended, and with the status of its
+            answer or its error.
 
     Attributes:
         calls: Calls that ended.
     """
 
-    def __init__(self, name: str, addresses: Sequence[str], rng: random.Random) -> None:
+    def __init__(
+        self,
+        name: str,
+        addresses: Sequence[str],
+        rng: random.Random,
+        *,
+        observe: Callable[[str, CallPlan, int | TrefoilpickError], None] = _ignore_end,
+    ) -> None:
         self.calls: list[Call] = []
+        self._observe = observe
         self._name = name
         self._caller = Caller(tuple(addresses), rng=rng)
         self._single_attempt = Caller(tuple(addresses), rng=rng, attempts=1)
@@ -84,8 +98,10 @@
                 idempotent=plan.idempotent or plan.is_single_attempt,
             )
             result, service = check_answer(answer.status, answer.body, request_id, body)
+            self._observe(request_id, plan, answer.status)
         except TrefoilpickError as error:
             result = RESULT_BY_OUTCOME[find_answer(error).outcome]
+            self._observe(request_id, plan, error)
         self.calls.append(Call(request_id, plan.idempotent, result, service))
 
     async def close(self) -> None:
