--- a/tests/test_quarantine_sync.py
+++ b/tests/test_quarantine_sync.py
@@ -63,12 +63,18 @@
     run_virtual(test)
 
 
+async def start_quarantining_fleet() -> tuple[FakeFleet, list[str]]:
+    """Return a fleet whose nodes all have the request quarantined, and their names."""
+    fleet = await start_fleet(12)
+    names = list(fleet.nodes)
+    await end_workers(fleet, names[:3], POISON)
+    await curio.sleep(CONTACT_S)
+    return fleet, names
+
+
 def test_node_that_restarts_knows_the_cases_before_it_is_ready() -> None:
     async def test() -> None:
-        fleet = await start_fleet(12)
-        names = list(fleet.nodes)
-        await end_workers(fleet, names[:3], POISON)
-        await curio.sleep(CONTACT_S)
+        fleet, names = await start_quarantining_fleet()
         await fleet.kill(names[5])
         await fleet.start(names[5])
         node = fleet.nodes[names[5]]
@@ -100,10 +106,7 @@
 
 def test_answer_at_any_node_releases_the_request_everywhere() -> None:
     async def test() -> None:
-        fleet = await start_fleet(12)
-        names = list(fleet.nodes)
-        await end_workers(fleet, names[:3], POISON)
-        await curio.sleep(CONTACT_S)
+        fleet, names = await start_quarantining_fleet()
         await fleet.nodes[names[7]].distributor.quarantine.gate.record_answer(POISON)
         await curio.sleep(CONTACT_S)
         assert count_quarantined(list(fleet.nodes.values())) == 0
