Eligibility: one place that says why a worker gets no request; fields for the next parts

Each reason (leaving, limited rate, ejected) was asked in a different place, and evacuated data centres and cold workers would have been asked in all of them. find_exclusion has the closed list of reasons and is used by the choice and by the gate beside the worker.

Load, HopRequest, Vm, Upstream, Contract and Settings get the fields that the parts of docs/uneven-load.md exchange, all with defaults. Sections omit the newer fields where they are unused, so that nodes of the former release read them; routes of kind download are idempotent.

--- a/tests/test_sections.py
+++ b/tests/test_sections.py
@@ -8,7 +8,7 @@
 from trefoilpick.document import Contract, Match, Priority, Route, Section, Upstream
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 from trefoilpick.manifest import MAX_MANIFEST_BYTES, decode_manifest
-from trefoilpick.sections import decode_section, encode_section
+from trefoilpick.sections import decode_section, encode_complete, encode_section
 
 PLAIN = Section(
     "encargos",
@@ -119,3 +119,18 @@
         decode_manifest(text.encode())
     with pytest.raises(TrefoilpickError, match="over"):
         decode_manifest(b" " * (MAX_MANIFEST_BYTES + 1))
+
+
+# Guards against nodes of the former release refusing a section that uses none of the newer fields,
+# and against a newer field being lost where it is used.
+def test_unused_newer_fields_are_omitted() -> None:
+    text = encode_complete(PLAIN)
+    assert not any(
+        name in text for name in (b"large_answers", b"cold_start_ms", b"cold_rate_per_s")
+    )
+    assert decode_section(text) == PLAIN
+    upstream = Upstream("encargos", cold_start_ms=3_000, cold_rate_per_s=3.15)
+    contract = Contract(idempotent=True, large_answers=True)
+    route = Route("list", Match("/list", ("GET",)), "encargos", contract)
+    used = Section("encargos", (upstream,), (route,))
+    assert decode_section(encode_complete(used)) == used
--- a/trefoilpick/balancing.py
+++ b/trefoilpick/balancing.py
@@ -13,9 +13,10 @@
 from typing import TYPE_CHECKING, Protocol
 
 from trefoilpick.ejection import Ejection
+from trefoilpick.eligibility import Exclusion, find_exclusion
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 from trefoilpick.version_observer import ignore_version
-from trefoilpick.vms import UNIDENTIFIED_LEAVING_S, UNKNOWN_WORKER, VmState
+from trefoilpick.vms import UNIDENTIFIED_LEAVING_S, UNKNOWN_WORKER
 
 if TYPE_CHECKING:
     import random
@@ -195,6 +196,21 @@
         """Record that the worker's limited rate is used up for a time, in seconds."""
         self.rate_limited_until = now + min(retry_after_s, MAX_LOAD_AGE_S)
 
+    def find_exclusion(self, ejected: frozenset[str], now: float) -> Exclusion | None:
+        """Return why the worker may not get a request; None if it may.
+
+        Args:
+            ejected: Names of the VMs whose workers are ejected.
+            now: Time on the node's clock, in seconds.
+        """
+        return find_exclusion(
+            self.vm,
+            is_leaving=self.is_leaving(now) or self.has_left(now),
+            rate_wait_s=self.rate_limited_until - now,
+            is_ejected=self.vm.name in ejected,
+            has_refused=self.has_refused(now),
+        )
+
     def begin_warm_up(self, now: float) -> None:
         """Ramp the worker's share of requests up from that of a new worker."""
         self._warm_up_ends_at = now + WARM_UP_S
@@ -332,13 +348,17 @@
         has_accepting = False
         refusing: list[tuple[WorkerRecord, ...]] = []
         for zone in self.zones:
-            available = tuple(record for record in zone if _is_available(record, ejected, now))
-            accepting = tuple(record for record in available if not record.has_refused(now))
+            exclusions = [(record, record.find_exclusion(ejected, now)) for record in zone]
+            accepting = tuple(record for record, exclusion in exclusions if exclusion is None)
             if accepting:
                 has_accepting = True
                 yield accepting
-            elif available:
-                refusing.append(available)
+                continue
+            refused = tuple(
+                record for record, exclusion in exclusions if exclusion is Exclusion.REFUSED
+            )
+            if refused:
+                refusing.append(refused)
         if not has_accepting:
             # All available workers refused recently, and may accept requests again by now.
             yield from refusing
@@ -532,11 +552,3 @@
     if vm.data_centre != own.data_centre:
         return Locality.REGION
     return Locality.DATA_CENTRE
-
-
-def _is_available(record: WorkerRecord, ejected: frozenset[str], now: float) -> bool:
-    if record.vm.state is VmState.LEAVING or record.is_leaving(now):
-        return False
-    if now < record.rate_limited_until or (record.left_worker and record.has_left(now)):
-        return False
-    return record.vm.name not in ejected
--- a/trefoilpick/document.py
+++ b/trefoilpick/document.py
@@ -77,6 +77,8 @@
         retries: Additional attempts allowed for one request.
         body_limit_bytes: Maximum size of a request body, in bytes.
         objective: Service-level objective.
+        large_answers: Whether answers may be large; their bytes then yield to small messages on the
+            links of VMs.
     """
 
     idempotent: bool
@@ -85,6 +87,7 @@
     retries: Annotated[int, Meta(ge=0, le=MAX_RETRIES)] = 1
     body_limit_bytes: Annotated[int, Meta(ge=0, le=MAX_BODY_LIMIT_BYTES)] = 1_048_576
     objective: Objective = Objective()
+    large_answers: bool = False
 
 
 @dataclass(frozen=True)
@@ -162,6 +165,9 @@
         queue: Maximum requests queued for a slot per worker.
         connect_timeout_ms: Timeout for connecting to a worker, in milliseconds.
         health_path: Path at which a worker reports its health and identity; empty for none.
+        cold_start_ms: Time for which a worker is cold after its start, in milliseconds.
+        cold_rate_per_s: Requests per second that a cold worker tolerates; 0 if the upstream has no
+            cold workers.
     """
 
     name: Name
@@ -170,6 +176,8 @@
     queue: Annotated[int, Meta(ge=0, le=100_000)] = 50
     connect_timeout_ms: Annotated[int, Meta(ge=1, le=60_000)] = 1_000
     health_path: Annotated[str, Meta(max_length=1024)] = ""
+    cold_start_ms: Annotated[int, Meta(ge=0, le=3_600_000)] = 0
+    cold_rate_per_s: Annotated[float, Meta(ge=0.0, le=1_000_000.0)] = 0.0
 
 
 @dataclass(frozen=True)
--- a/trefoilpick/hops.py
+++ b/trefoilpick/hops.py
@@ -79,6 +79,11 @@
         failing_percent: Percentage of failures among the worker's recent answers.
         rate_limit: Requests per second that the worker states that it accepts; None without limit.
         leaving_worker: The worker, if it stated that it is leaving; None otherwise.
+        cold_rate: Requests per second that the worker tolerates while it is cold; None while it is
+            warm.
+        work_s: Expected time until the worker has finished all running and waiting requests, in
+            seconds; None if unknown.
+        speed: Speed of the worker; 1 is the mean of its service, None if unknown.
     """
 
     vm: str
@@ -92,6 +97,9 @@
     failing_percent: int = 0
     rate_limit: float | None = None
     leaving_worker: WorkerIdentity | None = None
+    cold_rate: float | None = None
+    work_s: float | None = None
+    speed: float | None = None
 
 
 class HopRequest(msgspec.Struct, frozen=True, array_like=True):
@@ -120,6 +128,7 @@
             it is missed already; None if there is no objective.
         rate_limit: The worker's limit as last reported to the sending node, in requests per second,
             for a worker's node that has restarted since; None if it reported none.
+        nested: Whether it is a call that a running request of the caller's worker made.
     """
 
     number: int
@@ -142,6 +151,7 @@
     request_id: str = ""
     objective_ms: int | None = None
     rate_limit: float | None = None
+    nested: bool = False
 
 
 class HopAnswer(msgspec.Struct, frozen=True, array_like=True):
--- a/trefoilpick/hopserver.py
+++ b/trefoilpick/hopserver.py
@@ -21,6 +21,7 @@
 from trefoilpick.admission import AdmissionController, AdmissionLimits
 from trefoilpick.blame import ignore_end
 from trefoilpick.conventions import DEFAULT_CONVENTIONS
+from trefoilpick.eligibility import find_exclusion
 from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError
 from trefoilpick.health import WorkerHealth
 from trefoilpick.hops import FrameKind, Hop, HopRequest, Load, decode_head, encode_head
@@ -32,7 +33,6 @@
 from trefoilpick.tokens import create_token_store
 from trefoilpick.upstreams import open_pool
 from trefoilpick.version_observer import ignore_version
-from trefoilpick.vms import VmState
 from trefoilpick.worker_ends import WorkerEnds
 from trefoilpick.worker_statements import WorkerStatements
 
@@ -45,6 +45,7 @@
     from trefoilpick.blame import EndReport
     from trefoilpick.conventions import Conventions
     from trefoilpick.document import Upstream
+    from trefoilpick.eligibility import Exclusion
     from trefoilpick.metrics import Metrics
     from trefoilpick.quarantine_gate import QuarantineGate
     from trefoilpick.requestlogs import RequestLog
@@ -443,9 +444,10 @@
         return own_vm
 
     def _is_worker_leaving(self, own_vm: Vm | None) -> bool:
-        if own_vm is not None and own_vm.state is VmState.LEAVING:
-            return True
-        return self._statements.has_left
+        return self._find_exclusion(own_vm) is not None
+
+    def _find_exclusion(self, own_vm: Vm | None) -> Exclusion | None:
+        return find_exclusion(own_vm, is_leaving=self._statements.has_left)
 
     def _is_end_planned(self) -> bool:
         """Return whether an end of the worker was planned, or may have been."""
--- a/trefoilpick/platform/configuration.py
+++ b/trefoilpick/platform/configuration.py
@@ -30,6 +30,7 @@
 )
 from trefoilpick.platform.configuration_fields import (
     AT_MOST_ONCE_KINDS,
+    DOWNLOAD,
     IDEMPOTENT,
     ConfigurationFault,
     UnreadableRoute,
@@ -68,6 +69,17 @@
 PART_ROUTES = 24
 """Largest mean number of routes in a part of a service's routes."""
 
+MS_PER_S = 1_000
+
+MAX_COLD_START_MS = 3_600_000
+"""Longest cold start of an upstream, in milliseconds."""
+
+MAX_COLD_RATE_PER_S = 1_000_000.0
+"""Highest rate that an upstream's cold workers can tolerate, in requests per second."""
+
+IDEMPOTENT_KINDS = frozenset((IDEMPOTENT, DOWNLOAD))
+"""Kinds of routes whose requests may run more than once."""
+
 UNASSIGNED_TEAM = "unassigned"
 """Section of unusable routes whose service is unknown."""
 
@@ -175,7 +187,7 @@
         )
 
     def _report_unknown_kind(self, route: PlatformRoute) -> None:
-        if route.kind and route.kind != IDEMPOTENT and route.kind not in AT_MOST_ONCE_KINDS:
+        if route.kind and route.kind not in IDEMPOTENT_KINDS | AT_MOST_ONCE_KINDS:
             text = f'kind "{route.kind:.100}" is unknown; its requests run at most once'
             self._faults.append(ConfigurationFault(f'route "{route.name:.100}"', text))
 
@@ -229,7 +241,7 @@
         for split, weight in zip(platform_route.traffic_split, weights, strict=True)
     )
     contract = Contract(
-        idempotent=platform_route.kind == IDEMPOTENT,
+        idempotent=platform_route.kind in IDEMPOTENT_KINDS,
         deadline_ms=_clamp(round(platform_route.timeout), 1, MAX_DEADLINE_MS),
         priority=PRIORITIES[_clamp(platform_route.priority, 0, len(PRIORITIES) - 1)],
         retries=_clamp(platform_route.max_attempts - 1, 0, MAX_RETRIES),
@@ -237,6 +249,7 @@
         objective=Objective(
             latency_ms=_clamp(round(platform_route.target_latency), 1, MAX_LATENCY_MS)
         ),
+        large_answers=platform_route.kind == DOWNLOAD,
     )
     match = Match(platform_route.path_prefix, (ANY_METHOD,), platform_route.hostname)
     return Route(name, match, _find_service(platform_route), contract, shares)
@@ -267,6 +280,8 @@
         queue=connections,
         connect_timeout_ms=CONNECT_TIMEOUT_MS,
         health_path=service.health_path,
+        cold_start_ms=_clamp(round(service.cold_start * MS_PER_S), 0, MAX_COLD_START_MS),
+        cold_rate_per_s=min(service.cold_per_s, MAX_COLD_RATE_PER_S),
     )
 
 
--- a/trefoilpick/platform/configuration_fields.py
+++ b/trefoilpick/platform/configuration_fields.py
@@ -23,6 +23,9 @@
 
 IDEMPOTENT = "idempotent"
 
+DOWNLOAD = "download"
+"""Kind of idempotent requests with large answers."""
+
 AT_MOST_ONCE_KINDS = frozenset(("non_idempotent", "upload"))
 """Kinds of routes whose requests run at most once."""
 
@@ -68,6 +71,10 @@
     name: Annotated[str, Meta(min_length=1)]
     max_connections: Annotated[int, Meta(ge=1)]
     health_path: Annotated[str, Meta(max_length=1024)] = ""
+    cold_start: Annotated[float, Meta(ge=0)] = 0.0
+    """Time for which a worker is cold after its start, in seconds."""
+    cold_per_s: Annotated[float, Meta(ge=0)] = 0.0
+    """Requests per second that a cold worker tolerates."""
 
 
 class PlatformLimits(msgspec.Struct, frozen=True, rename="kebab"):
--- a/trefoilpick/platform/settings.py
+++ b/trefoilpick/platform/settings.py
@@ -61,6 +61,12 @@
     """Retries allowed per request to a service."""
     retry_budget_slack: float
     """Additional retries allowed per service and window."""
+    cold_overage: float = 1.0
+    """Factor by which a cold worker's tolerated rate may be exceeded."""
+    cold_slack: float = 0.0
+    """Requests that a cold worker may get in a second in addition."""
+    evacuation: float | None = None
+    """Time within which an evacuation must be in force, in milliseconds; None if there are none."""
 
 
 class MachineFacts(msgspec.Struct, frozen=True, rename="kebab"):
@@ -135,7 +141,11 @@
             "operator_port": split_address(facts.listen.ready)[1],
         },
         "worker": {"host": worker_host, "port": worker_port},
-        "source": {"addresses": [facts.provider.address], "regions": facts.zones},
+        "source": {
+            "addresses": [facts.provider.address],
+            "regions": facts.zones,
+            "evacuations": bounds.evacuation is not None,
+        },
         "control": {
             "source_reads_per_s": max(int(facts.provider.reads_per_s) // READ_RATE_DIVISOR, 1),
             "thin_link": facts.limits.link_mbps < LOW_BANDWIDTH_LINK_MBPS,
@@ -145,4 +155,6 @@
             "retry_reserve": int(RETRY_BUDGET_FRACTION * bounds.retry_budget_slack),
         },
         "drain": {"grace_ms": int(MS_PER_S * bounds.grace)},
+        "hops": {"cold_overage": bounds.cold_overage, "cold_slack": bounds.cold_slack},
+        "link": {"mbps": facts.limits.link_mbps if math.isfinite(facts.limits.link_mbps) else 0.0},
     }
--- a/trefoilpick/platform/store.py
+++ b/trefoilpick/platform/store.py
@@ -19,6 +19,7 @@
 from trefoilpick.platform.configuration import convert_configuration
 from trefoilpick.platform.configuration_fields import decode_configuration
 from trefoilpick.platform.entries import ENTRY_PREFIX, WorkerEntries
+from trefoilpick.sections import encode_complete
 from trefoilpick.source import (
     MANIFEST_KEY,
     READ_CONNECTION,
@@ -252,7 +253,7 @@
         converted = convert_configuration(configuration)
         self._log_faults(configuration.version, converted.faults)
         for section in converted.sections:
-            text = msgspec.json.encode(section)
+            text = encode_complete(section)
             digest = compute_digest(text)
             refs.append(SectionRef(section.team, digest, len(text)))
             texts[build_section_key(digest)] = text
--- a/trefoilpick/sections.py
+++ b/trefoilpick/sections.py
@@ -28,6 +28,14 @@
 )
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 
+NEWER_FIELD_DEFAULTS = (
+    b',"large_answers":false',
+    b',"cold_start_ms":0',
+    b',"cold_rate_per_s":0.0',
+)
+"""Encoded default values of fields that nodes of the former release refuse as unknown. Quotes are
+escaped inside a JSON string, so none of these can be part of a string."""
+
 _DECODER = msgspec.json.Decoder(Section)
 
 
@@ -36,6 +44,17 @@
     return msgspec.json.encode(_strip_defaults(section))
 
 
+def encode_complete(section: Section) -> bytes:
+    """Return the JSON of a section with its default values, except those of newer fields.
+
+    It is faster to encode and to check than the canonical form.
+    """
+    text = msgspec.json.encode(section)
+    for default in NEWER_FIELD_DEFAULTS:
+        text = text.replace(default, b"")
+    return text
+
+
 def decode_section(data: bytes) -> Section:
     """Decode and validate one section as stored by the platform.
 
@@ -50,7 +69,7 @@
         raise TrefoilpickError(ErrorKind.DOCUMENT_FAULTY, text)
     try:
         section = _DECODER.decode(data)
-        if msgspec.json.encode(section) == data:
+        if encode_complete(section) == data:
             # Re-encoding reproduced the input, so it has no unknown fields.
             return section
         unknown = tuple(list_unknown_fields(msgspec.json.decode(data), Section))
--- a/trefoilpick/settings.py
+++ b/trefoilpick/settings.py
@@ -87,6 +87,9 @@
     regions: Annotated[
         dict[str, str], _describe("Region by data centre, where the list of VMs names none")
     ] = field(default_factory=dict)
+    evacuations: Annotated[
+        bool, _describe("Whether the source also holds the evacuations of data centres")
+    ] = False
 
 
 @dataclass(frozen=True)
@@ -187,6 +190,9 @@
         Meta(ge=0, le=1_000_000),
         _describe("Additional retries that all nodes may make to an upstream in 10 s"),
     ] = 0
+    balance_by_work: Annotated[
+        bool, _describe("Whether workers are compared by their expected work, not by requests")
+    ] = False
 
 
 @dataclass(frozen=True)
@@ -228,6 +234,16 @@
         Meta(ge=0, le=2**30),
         _describe("Maximum total size of the answers kept for tokens", "bytes"),
     ] = 8_388_608
+    cold_overage: Annotated[
+        float,
+        Meta(ge=1.0, le=1_000.0),
+        _describe("Factor by which a worker may exceed the rate that it tolerates while cold"),
+    ] = 1.0
+    cold_slack: Annotated[
+        float,
+        Meta(ge=0.0, le=1_000_000.0),
+        _describe("Requests that a cold worker may get in a second in addition to its rate"),
+    ] = 0.0
 
 
 @dataclass(frozen=True)
@@ -272,6 +288,17 @@
         return min(self.limit_ms, self.grace_ms * ABORT_GRACE_FRACTION - self.bounded_notice_ms)
 
 
+@dataclass(frozen=True)
+class LinkSettings:
+    """The network link of this VM."""
+
+    mbps: Annotated[
+        float,
+        Meta(ge=0.0, le=1_000_000.0),
+        _describe("Bandwidth of the link; 0 if it does not limit answers", "Mbit/s"),
+    ] = 0.0
+
+
 @dataclass(frozen=True)
 class KeySettings:
     """CURVE keys of the fleet's control links, in Z85."""
@@ -292,6 +319,7 @@
     requests: RequestSettings = field(default_factory=RequestSettings)
     hops: HopSettings = field(default_factory=HopSettings)
     drain: DrainSettings = field(default_factory=DrainSettings)
+    link: LinkSettings = field(default_factory=LinkSettings)
     keys: KeySettings | None = None
 
 
--- a/trefoilpick/vms.py
+++ b/trefoilpick/vms.py
@@ -62,6 +62,9 @@
         slots: Maximum concurrent requests of the worker; 0 if set by its upstream.
         started_ms: Start of the worker's current incarnation, in milliseconds since the Unix epoch;
             0 if the platform gives none.
+        evacuated: Whether its data centre is evacuated, so that its worker gets no requests. Its
+            state is then `LEAVING`, which nodes of the former release respect.
+        cold_ms: Time for which the worker stayed cold when the record was written, in milliseconds.
     """
 
     name: Name
@@ -75,6 +78,8 @@
     worker: str = ""
     slots: int = 0
     started_ms: int = 0
+    evacuated: bool = False
+    cold_ms: int = 0
 
     @property
     def worker_identity(self) -> WorkerIdentity:
