--- a/trefoilpick/snapshots.py
+++ b/trefoilpick/snapshots.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from functools import cached_property
 from typing import TYPE_CHECKING
 
 from trefoilpick.document import ANY_METHOD
@@ -62,6 +63,24 @@
     caller_limits: CallerLimits | None = None
     unusable_routes: dict[tuple[str, str], UnusableRoute] = field(default_factory=dict, repr=False)
 
+    @cached_property
+    def has_large_answers(self) -> bool:
+        """Whether any route declares large answers."""
+        return any(
+            team_route.route.contract.large_answers
+            for team_routes in self.section_routes.values()
+            for team_route in team_routes
+        )
+
+    @cached_property
+    def has_uneven_load(self) -> bool:
+        """Whether the document declares cold workers or large answers.
+
+        The settings for uneven load take effect only then.
+        """
+        has_cold_workers = any(upstream.cold_rate_per_s for upstream in self.upstreams.values())
+        return has_cold_workers or self.has_large_answers
+
     def find_route(self, host: str, method: str, path: str) -> TeamRoute:
         """Return the route that matches a request.
 
