where: show where a node would send a request now, and why, without sending it

Operators had no way to ask a node for its choice. The operators' port answers /where from the same records, costs and exclusions that the balancer uses; workers that the directory leaves out are shown with the reason (new: unreachable).

--- a/tests/test_eligibility.py
+++ b/tests/test_eligibility.py
@@ -25,17 +25,20 @@
     [
         (Exclusion.EVACUATED, {"state": VmState.LEAVING, "evacuated": True}),
         (Exclusion.LEAVING, {"state": VmState.LEAVING}),
-        (Exclusion.RATE_LIMITED, {}),
+        (Exclusion.UNREACHABLE, {}),
     ],
 )
 def test_first_reason_excludes(expected: Exclusion, changes: dict[str, object]) -> None:
     vm = replace(LIVE, **changes)
-    excluded = find_exclusion(vm, rate_wait_s=0.1, is_ejected=True, has_refused=True)
+    excluded = find_exclusion(
+        vm, is_unreachable=True, rate_wait_s=0.1, is_ejected=True, has_refused=True
+    )
     assert excluded is expected
 
 
 # Guards against a worker that states that it is leaving, or is ejected, being chosen.
 def test_observed_reasons_exclude() -> None:
     assert find_exclusion(LIVE, is_leaving=True, is_ejected=True) is Exclusion.LEAVING
+    assert find_exclusion(LIVE, rate_wait_s=0.1, is_ejected=True) is Exclusion.RATE_LIMITED
     assert find_exclusion(LIVE, is_ejected=True, has_refused=True) is Exclusion.EJECTED
     assert find_exclusion(LIVE, has_refused=True) is Exclusion.REFUSED
--- a/trefoilpick/balancing.py
+++ b/trefoilpick/balancing.py
@@ -473,6 +473,10 @@
         """Name of the VM of this node."""
         return self._own.name
 
+    def get_service(self, name: str, now: float) -> Service:
+        """Return the workers of a service as known now."""
+        return self._update_service(name, now)
+
     def find(self, service_name: str, vm: str, now: float) -> WorkerRecord | None:
         """Return the record of a named VM; None if the VM has no worker of the service."""
         return self._update_service(service_name, now).records.get(vm)
--- a/trefoilpick/callers.py
+++ b/trefoilpick/callers.py
@@ -152,6 +152,11 @@
         self._is_closing = False
         self._is_refusing = False
 
+    @property
+    def balancer(self) -> Balancer:
+        """Chooses the workers for callers' requests."""
+        return self._forwarder.balancer
+
     @property
     def port(self) -> int:
         """The port that it listens on."""
--- a/trefoilpick/cli.py
+++ b/trefoilpick/cli.py
@@ -15,6 +15,7 @@
 from trefoilpick._cli_settings import settings
 from trefoilpick._cli_standin import standin
 from trefoilpick._cli_status import status
+from trefoilpick._cli_where import where
 
 app = typer.Typer(
     name="trefoilpick",
@@ -32,6 +33,7 @@
 
 app.command()(node)
 app.command()(status)
+app.command()(where)
 app.command()(check)
 app.command()(diff)
 app.command()(accept)
--- a/trefoilpick/eligibility.py
+++ b/trefoilpick/eligibility.py
@@ -20,6 +20,8 @@
     """The worker or its node accepts no new work."""
     RATE_LIMITED = "rate_limited"
     """Its rate is used up: it states a limit, or it is cold."""
+    UNREACHABLE = "unreachable"
+    """Its node does not answer or refuses connections."""
     EJECTED = "ejected"
     """It failed too many requests."""
     REFUSED = "refused"
@@ -30,6 +32,7 @@
     vm: Vm | None,
     *,
     is_leaving: bool = False,
+    is_unreachable: bool = False,
     rate_wait_s: float = 0.0,
     is_ejected: bool = False,
     has_refused: bool = False,
@@ -39,6 +42,7 @@
     Args:
         vm: The worker's VM as listed; None if it is not on the list.
         is_leaving: Whether the worker or its node stated that it is leaving.
+        is_unreachable: Whether its node does not answer.
         rate_wait_s: Time until the worker's rate allows the next request, in seconds.
         is_ejected: Whether the worker is ejected.
         has_refused: Whether its node recently refused a request as leaving.
@@ -47,6 +51,8 @@
         return Exclusion.EVACUATED
     if is_leaving or (vm is not None and vm.state is VmState.LEAVING):
         return Exclusion.LEAVING
+    if is_unreachable:
+        return Exclusion.UNREACHABLE
     if rate_wait_s > 0:
         return Exclusion.RATE_LIMITED
     if is_ejected:
--- a/trefoilpick/forwarding.py
+++ b/trefoilpick/forwarding.py
@@ -123,6 +123,11 @@
         self._random = random
         self._sizes = TransferSizes()
 
+    @property
+    def balancer(self) -> Balancer:
+        """Chooses the workers."""
+        return self._balancer
+
     async def forward(self, call: Call, own_headers: Headers) -> float:
         """Forward a request to a worker and relay its answer to the caller.
 
--- a/trefoilpick/node.py
+++ b/trefoilpick/node.py
@@ -17,8 +17,10 @@
 from trefoilpick._node_status import build_fleet_status, build_node_status
 from trefoilpick._task_groups import keep_running, run_until_first_ends
 from trefoilpick.callers import open_caller_server
+from trefoilpick.choices import explain_choice
 from trefoilpick.conventions import DEFAULT_CONVENTIONS
 from trefoilpick.distribution import open_distributor
+from trefoilpick.errors import TrefoilpickError
 from trefoilpick.hopserver import open_hop_server
 from trefoilpick.links import open_links
 from trefoilpick.logs import Event, open_state_log
@@ -29,6 +31,7 @@
 from trefoilpick.requestlogs import open_request_log
 from trefoilpick.snapshots import SnapshotCell
 from trefoilpick.source import open_source
+from trefoilpick.status import Choice, VersionRef
 from trefoilpick.version_observer import POLL_INTERVAL_S, VersionObserver
 from trefoilpick.vms import Vm
 
@@ -88,6 +91,7 @@
             describe=self.describe,
             cell=cell,
             query_fleet=self.query_fleet,
+            explain=self.explain_choice,
         )
         self._stop_requested = curio.Event()
         self._is_leaving = False
@@ -141,6 +145,26 @@
             quarantine=self.distributor.quarantine.gate.describe(),
         )
 
+    def explain_choice(self, host: str, method: str, path: str) -> Choice:
+        """Return where a request would go now, and why, without sending it."""
+        vm, snapshot = self.settings.vm.name, self.cell.current
+        if snapshot is None:
+            return Choice(vm, refusal="the node does not enforce a version yet")
+        balancer = self.caller_server.balancer
+        try:
+            return explain_choice(
+                balancer,
+                snapshot,
+                self.membership.list_vms(),
+                host=host,
+                method=method,
+                path=path,
+                now=read_clock(),
+            )
+        except TrefoilpickError as error:
+            version = VersionRef(snapshot.version.number, snapshot.version.digest)
+            return Choice(vm, version, refusal=f"{error.kind.value}: {error.text}")
+
     async def query_fleet(self) -> FleetStatus:
         """Query all other nodes for their state."""
         began_s = read_clock()
--- a/trefoilpick/operatorserver.py
+++ b/trefoilpick/operatorserver.py
@@ -7,6 +7,7 @@
 from functools import partial
 from socket import IPPROTO_TCP, TCP_NODELAY
 from typing import TYPE_CHECKING, TypeVar
+from urllib.parse import parse_qs
 
 import curio
 import h11
@@ -30,7 +31,7 @@
     from trefoilpick.metrics import Metrics
     from trefoilpick.settings import Settings
     from trefoilpick.snapshots import SnapshotCell
-    from trefoilpick.status import FleetStatus, NodeStatus
+    from trefoilpick.status import Choice, FleetStatus, NodeStatus
     from trefoilpick.windows import WindowHistory
 
 PartT = TypeVar("PartT")
@@ -69,6 +70,8 @@
         describe: Returns the node's status.
         cell: Holds the enforced snapshot.
         query_fleet: Queries all other nodes for their status; without it `/fleet` answers 404.
+        explain: Returns where a request with a host, a method and a path would go; without it
+            `/where` answers 404.
     """
 
     def __init__(
@@ -80,6 +83,7 @@
         describe: Callable[[], NodeStatus],
         cell: SnapshotCell,
         query_fleet: Callable[[], Awaitable[FleetStatus]] | None,
+        explain: Callable[[str, str, str], Choice] | None = None,
     ) -> None:
         self._settings = settings
         self._sock = sock
@@ -87,6 +91,7 @@
         self._describe = describe
         self._cell = cell
         self._query_fleet = query_fleet
+        self._explain = explain
         self._connections = 0
         self._windows: WindowHistory | None = None
         self._query_lock = curio.Lock()
@@ -170,19 +175,19 @@
             return _answer_error(408, ErrorKind.HEAD_TIMEOUT, text)
         if request is None:
             return None
-        path = request.target.split(b"?", 1)[0].decode("ascii", "replace")
+        path, _, query = request.target.decode("ascii", "replace").partition("?")
         if request.method != b"GET":
             text = f'method "{request.method.decode("ascii")}" is not allowed for "{path}"'
             return _answer_error(405, ErrorKind.METHOD_NOT_ALLOWED, text, ("allow", "GET"))
         try:
-            return await self._answer(path)
+            return await self._answer(path, query)
         except TrefoilpickError as error:
             return _answer_error(503, error.kind, error.text)
         except Exception as error:
             logger.exception("a page of the operators' port failed", extra={"path": path})
             return _answer_error(500, ErrorKind.INTERNAL, f"the node failed: {error!r}")
 
-    async def _answer(self, path: str) -> HttpAnswer:
+    async def _answer(self, path: str, query: str) -> HttpAnswer:
         if path == "/metrics":
             return await self._answer_metrics()
         if path == "/health":
@@ -195,6 +200,8 @@
             return await self._answer_report()
         if path == "/fleet" and self._query_fleet is not None:
             return HttpAnswer(200, await self._answer_fleet(self._query_fleet))
+        if path == "/where" and self._explain is not None:
+            return HttpAnswer(200, encode_status(self._explain(*_parse_request(query))))
         return _answer_error(404, ErrorKind.NO_ROUTE, f'"{path}" is not a page of this port')
 
     async def _answer_fleet(self, query_fleet: Callable[[], Awaitable[FleetStatus]]) -> bytes:
@@ -242,6 +249,7 @@
     describe: Callable[[], NodeStatus],
     cell: SnapshotCell,
     query_fleet: Callable[[], Awaitable[FleetStatus]] | None = None,
+    explain: Callable[[str, str, str], Choice] | None = None,
     port: int | None = None,
 ) -> OperatorServer:
     """Open a server that listens on the operators' port.
@@ -252,6 +260,8 @@
         describe: Returns the node's status.
         cell: Holds the enforced snapshot.
         query_fleet: Queries all other nodes for their status; without it `/fleet` answers 404.
+        explain: Returns where a request with a host, a method and a path would go; without it
+            `/where` answers 404.
         port: Overrides the port in the settings; 0 for any free port.
 
     Raises:
@@ -265,7 +275,13 @@
         text = f'operators\' port "{host}:{port}" cannot be listened on: {error.strerror}'
         raise TrefoilpickError(ErrorKind.SETTINGS_FAULTY, text) from error
     return OperatorServer(
-        settings, sock=sock, metrics=metrics, describe=describe, cell=cell, query_fleet=query_fleet
+        settings,
+        sock=sock,
+        metrics=metrics,
+        describe=describe,
+        cell=cell,
+        query_fleet=query_fleet,
+        explain=explain,
     )
 
 
@@ -278,5 +294,12 @@
     return gathered
 
 
+def _parse_request(query: str) -> tuple[str, str, str]:
+    """Return host, method and path of the request that a query string describes."""
+    fields = parse_qs(query)
+    host, method, path = (fields.get(name, [""])[-1] for name in ("host", "method", "path"))
+    return host or "*", method or "GET", path.partition("?")[0] or "/"
+
+
 def _answer_error(status: int, kind: ErrorKind, text: str, *headers: tuple[str, str]) -> HttpAnswer:
     return HttpAnswer(status, encode_status(ErrorResponse(kind.value, text)), headers=headers)
--- a/trefoilpick/status.py
+++ b/trefoilpick/status.py
@@ -194,6 +194,74 @@
     took_s: float = 0.0
 
 
+@dataclass(frozen=True)
+class Candidate:
+    """A worker to which a request may be sent.
+
+    Attributes:
+        vm: Name of its VM.
+        data_centre: Data centre of the VM.
+        distance: 0 for the nearest group of workers, increasing with distance.
+        excluded: Why it may not get the request, a value of `Exclusion`; empty if it may.
+        utilisation: Requests at the worker divided by its slots.
+        cost: Relative cost by which workers of one distance are compared; the lower one is chosen.
+        rate_limit: Requests per second that it accepts; None without limit.
+    """
+
+    vm: str
+    data_centre: str
+    distance: int
+    excluded: str
+    utilisation: float
+    cost: float
+    rate_limit: float | None = None
+
+
+@dataclass(frozen=True)
+class UpstreamChoice:
+    """An upstream that may receive a request.
+
+    Attributes:
+        upstream: Name of the upstream.
+        weight: Its weight in the route's traffic split.
+        candidates: Its workers, nearest first, and of these the cheapest first.
+    """
+
+    upstream: str
+    weight: int
+    candidates: tuple[Candidate, ...]
+
+
+@dataclass(frozen=True)
+class Choice:
+    """Where a node would send a request now.
+
+    Attributes:
+        vm: Name of the node's VM.
+        version: Version by which it routes; None if it enforces none.
+        team: Team of the route.
+        route: Name of the route.
+        upstreams: Upstreams that the route sends requests to.
+        refusal: Why no route applies; empty if one does.
+    """
+
+    vm: str
+    version: VersionRef | None = None
+    team: str = ""
+    route: str = ""
+    upstreams: tuple[UpstreamChoice, ...] = ()
+    refusal: str = ""
+
+    @property
+    def has_available(self) -> bool:
+        """Whether any worker may get the request."""
+        return any(
+            not candidate.excluded
+            for upstream in self.upstreams
+            for candidate in upstream.candidates
+        )
+
+
 @dataclass(frozen=True)
 class ErrorResponse:
     """An error response of the operators' port.
