Evacuations: the list of VMs carries what operators request in the store

Cause: the readers ignored the keys op/evacuate/ZONE, so an evacuated data centre kept its traffic. Change: with source.evacuations, a reader reads these keys with the entries and follows their events; the VMs of an evacuated data centre are listed as leaving and evacuated. A list is built only if both reads are complete in one era. After a restore, each node keeps the evacuations that the copy lacks for 30 s, unless they are listed again.

--- a/trefoilpick/list_corrections.py
+++ b/trefoilpick/list_corrections.py
@@ -2,18 +2,19 @@
 
 The copy may list VMs that have left since, list a leaving VM as live, and lack VMs that were added
 since. What a node knew before takes precedence until the platform has had time to repair its list.
+Evacuations of data centres that the copy lacks are kept for longer, as operators repair them.
 """
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 from trefoilpick._clock import read_clock
 from trefoilpick.vms import VmState
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterator, Mapping
+    from collections.abc import Callable, Iterable, Iterator, Mapping
 
     from trefoilpick.vms import Vm
 
@@ -23,6 +24,10 @@
 DEFAULT_EXPIRY_S = 6.0
 """Default time within which the platform removes VMs that no longer exist, in seconds."""
 
+EVACUATION_RETENTION_S = 30.0
+"""Time for which an evacuation that the copy lacks is kept, in seconds, unless it is listed again:
+operators write its key again, which takes longer than the repair of a worker's entry."""
+
 MAX_REMOVED = 4_096
 """Maximum number of removed VMs that are remembered."""
 
@@ -55,6 +60,7 @@
         self._clock = clock
         self._removed: dict[str, Vm] = {}
         self._corrections: dict[str, Correction] = {}
+        self._kept_evacuations: dict[str, float] = {}
         self._next_end_s = float("inf")
 
     def record_removed(self, vm: Vm) -> None:
@@ -78,8 +84,16 @@
             for name in names
             if (correction := self._correct(known.get(name), restored.get(name), now_s)) is not None
         }
+        lacking = find_evacuated(known.values()) - find_evacuated(restored.values())
+        until_s = now_s + EVACUATION_RETENTION_S
+        self._kept_evacuations = dict.fromkeys(lacking, until_s)
         self._find_next_end()
 
+    def release_evacuation(self, data_centre: str) -> None:
+        """Cease to keep an evacuation, because the platform lists it again."""
+        if self._kept_evacuations.pop(data_centre, None) is not None:
+            self._find_next_end()
+
     def release(self, name: str) -> None:
         """End the correction of a VM, because the platform changed its record."""
         self._removed.pop(name, None)
@@ -96,11 +110,21 @@
             for name, correction in self._corrections.items()
             if correction.until_s > now_s
         }
+        self._kept_evacuations = {
+            data_centre: until_s
+            for data_centre, until_s in self._kept_evacuations.items()
+            if until_s > now_s
+        }
         self._find_next_end()
         return True
 
     def apply(self, listed: Mapping[str, Vm]) -> Iterator[Vm]:
         """Yield the VMs of a list with the corrections in effect."""
+        evacuated = find_evacuated(listed.values()) | self._kept_evacuations.keys()
+        for vm in self._apply_records(listed):
+            yield mark_evacuated(vm) if vm.data_centre in evacuated else vm
+
+    def _apply_records(self, listed: Mapping[str, Vm]) -> Iterator[Vm]:
         for name, vm in listed.items():
             if name not in self._corrections:
                 yield vm
@@ -125,5 +149,15 @@
         return None
 
     def _find_next_end(self) -> None:
-        ends = (correction.until_s for correction in self._corrections.values())
-        self._next_end_s = min(ends, default=float("inf"))
+        ends = [correction.until_s for correction in self._corrections.values()]
+        self._next_end_s = min([*ends, *self._kept_evacuations.values()], default=float("inf"))
+
+
+def find_evacuated(vms: Iterable[Vm]) -> frozenset[str]:
+    """Return the evacuated data centres of a list."""
+    return frozenset(vm.data_centre for vm in vms if vm.evacuated)
+
+
+def mark_evacuated(vm: Vm) -> Vm:
+    """Return a VM's record as that of an evacuated data centre."""
+    return vm if vm.evacuated else replace(vm, state=VmState.LEAVING, evacuated=True)
--- a/trefoilpick/membership.py
+++ b/trefoilpick/membership.py
@@ -7,7 +7,7 @@
 
 from trefoilpick._clock import read_clock
 from trefoilpick.left_workers import LeftWorkers
-from trefoilpick.list_corrections import DEFAULT_EXPIRY_S, ListCorrections
+from trefoilpick.list_corrections import DEFAULT_EXPIRY_S, ListCorrections, find_evacuated
 from trefoilpick.revisions import get_era
 from trefoilpick.vms import Vm, VmList, VmState
 
@@ -110,6 +110,7 @@
         self._corrections = ListCorrections(expiry_s=expiry_s, clock=clock)
         self._left_workers = LeftWorkers()
         self._corrected: dict[str, Vm] = self._listed
+        self._evacuated: frozenset[str] = frozenset()
         self._changed_at: dict[str, int] = {}
         self._removed_at: dict[str, int] = {}
         self._oldest_base = 0
@@ -156,7 +157,15 @@
         if observed is not None and observed.is_leaving:
             return True
         listed = self._get_corrected().get(name)
-        return listed is not None and listed.state is VmState.LEAVING
+        if listed is not None:
+            return listed.state is VmState.LEAVING
+        unlisted = self._unlisted.get(name)
+        return unlisted is not None and unlisted.data_centre in self._evacuated
+
+    def list_evacuated(self) -> tuple[str, ...]:
+        """Return the evacuated data centres, in order."""
+        self._get_corrected()
+        return tuple(sorted(self._evacuated))
 
     def is_dead(self, name: str) -> bool:
         """Return whether a VM has missed so many heartbeats that it is considered dead."""
@@ -313,6 +322,7 @@
         self._corrected = {
             vm.name: self._left_workers.apply(vm) for vm in self._corrections.apply(self._listed)
         }
+        self._evacuated = find_evacuated(self._corrected.values())
         for name in self._corrected.keys() & self._unlisted.keys():
             del self._unlisted[name]
         self._services = None
@@ -331,6 +341,8 @@
                 self._observed.pop(name, None)
         for vm in change.changed:
             self._corrections.release(vm.name)
+            if vm.evacuated:
+                self._corrections.release_evacuation(vm.data_centre)
             self._listed[vm.name] = vm
             self._changed_at[vm.name] = change.revision
             self._removed_at.pop(vm.name, None)
--- a/trefoilpick/platform/entries.py
+++ b/trefoilpick/platform/entries.py
@@ -9,6 +9,7 @@
 
 from trefoilpick.addresses import split_address
 from trefoilpick.errors import TrefoilpickError
+from trefoilpick.platform.evacuations import Evacuations
 from trefoilpick.platform.names import convert_name
 from trefoilpick.vms import Vm, VmList, VmState
 
@@ -77,6 +78,10 @@
 
     Args:
         settings: Settings of the node; its ports apply to the nodes of all VMs.
+
+    Attributes:
+        evacuations: Evacuated data centres, whose workers are listed as leaving.
+        revision: Revision of the newest change.
     """
 
     def __init__(self, settings: Settings) -> None:
@@ -85,6 +90,7 @@
         self._retained: dict[str, RetainedEntry] = {}
         self._retain_until_s = float("-inf")
         self._revision_before_outage = 0
+        self.evacuations = Evacuations()
         self.revision = 0
 
     def handle_outage_end(self, now_s: float) -> None:
@@ -101,6 +107,7 @@
         """
         self._retained.clear()
         self._entries.clear()
+        self.evacuations.clear()
         self.revision = 0
         self.handle_outage_end(now_s)
 
@@ -158,7 +165,7 @@
             current = newest.get(entry.vm.name)
             if current is None or _get_recency(entry) > _get_recency(current):
                 newest[entry.vm.name] = entry
-        vms = tuple(newest[name].vm for name in sorted(newest))
+        vms = tuple(self.evacuations.mark(newest[name].vm) for name in sorted(newest))
         if self._retained:
             return VmList(2 * self._revision_before_outage, vms)
         return VmList(2 * self.revision + 1, vms)
--- a/trefoilpick/platform/store.py
+++ b/trefoilpick/platform/store.py
@@ -6,6 +6,7 @@
 import binascii
 import logging
 import math
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, TypeVar
 from urllib.parse import quote
 
@@ -19,6 +20,7 @@
 from trefoilpick.platform.configuration import convert_configuration
 from trefoilpick.platform.configuration_fields import decode_configuration
 from trefoilpick.platform.entries import ENTRY_PREFIX, WorkerEntries
+from trefoilpick.platform.evacuations import EVACUATION_PREFIX
 from trefoilpick.sections import encode_complete
 from trefoilpick.source import (
     MANIFEST_KEY,
@@ -118,6 +120,22 @@
     store_revision: int
 
 
+@dataclass(frozen=True)
+class _Range:
+    """Items of a prefix, read page by page.
+
+    Attributes:
+        items: The items.
+        revision: Revision of the store at the first page. Pages are not read atomically: a watch
+            from this revision reports all changes made since.
+        is_complete: Whether the last page was read.
+    """
+
+    items: tuple[_Item, ...]
+    revision: int
+    is_complete: bool
+
+
 class MissingValueError(TrefoilpickError):
     """The store has no value for a key.
 
@@ -172,6 +190,9 @@
     def apply_settings(self, settings: SourceSettings) -> None:
         """Apply changed addresses and timeouts."""
         self._client.apply_settings(settings)
+        if settings.evacuations is not self._settings.evacuations:
+            self._entries.evacuations.clear()
+            self._invalidate_reads()
         self._settings = settings
 
     async def read_value(self, key: str) -> SourceValue:
@@ -282,35 +303,73 @@
             )
 
     async def _read_entries(self) -> SourceValue:
-        items: dict[str, tuple[bytes, int]] = {}
-        prefix = quote(ENTRY_PREFIX, safe="")
-        target = f"{RANGE_PATH}?path-prefix={prefix}"
+        # No list is built from entries and evacuations unless both reads are complete.
+        read = await self._read_range(ENTRY_PREFIX)
+        era = self._era
+        evacuations = await self._read_evacuations()
+        self._check_era_unchanged(era)
+        now_s = self._clock()
+        items = {item.key: (_decode_base64(item.value), item.revision) for item in read.items}
+        self._entries.replace_all(items, read.revision, now_s)
+        self._entries.remove_overdue(now_s)
+        if evacuations is not None:
+            keys = (item.key for item in evacuations.items)
+            self._entries.evacuations.replace_all(keys, evacuations.revision)
+        self._record_read(VMS_KEY, read.revision)
+        return self._build_vms_value()
+
+    async def _read_evacuations(self) -> _Range | None:
+        """Read the keys of all evacuations; return None if the source holds none by its settings.
+
+        Raises:
+            TrefoilpickError: `SOURCE_UNAVAILABLE` if the store did not return all of them.
+        """
+        if not self._settings.evacuations:
+            return None
+        read = await self._read_range(EVACUATION_PREFIX)
+        if not read.is_complete:
+            text = "store returned only a part of the evacuations"
+            raise TrefoilpickError(ErrorKind.SOURCE_UNAVAILABLE, text)
+        return read
+
+    async def _read_range(self, prefix: str) -> _Range:
+        """Read all items of a prefix.
+
+        Raises:
+            TrefoilpickError: `SOURCE_UNAVAILABLE` or `SOURCE_RATE_LIMITED`.
+        """
+        items: list[_Item] = []
+        target = f"{RANGE_PATH}?path-prefix={quote(prefix, safe='')}"
         page = _decode(await self._call(READ_CONNECTION, target), _RangeResponse)
-        # Pages are not read atomically: a watch from the revision of the first page reports all
-        # changes made since.
         revision, era = page.store_revision, self._era
         while True:
-            if self._era != era:
-                text = "store was restored while its entries were read"
-                raise TrefoilpickError(ErrorKind.SOURCE_UNAVAILABLE, text)
-            for item in page.items:
-                items[item.key] = (_decode_base64(item.value), item.revision)
+            self._check_era_unchanged(era)
+            items += page.items
             if not page.has_more or not page.items:
-                break
+                return _Range(tuple(items), revision, is_complete=not page.has_more)
             after = quote(page.items[-1].key, safe="")
             page = _decode(
                 await self._call(READ_CONNECTION, f"{target}&after={after}"), _RangeResponse
             )
-        now_s = self._clock()
-        self._entries.replace_all(items, revision, now_s)
-        self._entries.remove_overdue(now_s)
-        self._record_read(VMS_KEY, revision)
-        return self._build_vms_value()
+
+    def _check_era_unchanged(self, era: int | None) -> None:
+        """Check that the store was not restored since a read began.
+
+        Raises:
+            TrefoilpickError: `SOURCE_UNAVAILABLE` if it was.
+        """
+        if self._era != era:
+            text = "store was restored while its entries were read"
+            raise TrefoilpickError(ErrorKind.SOURCE_UNAVAILABLE, text)
 
     def _apply_entry_changes(self, changes: list[_Item]) -> SourceValue | None:
         now_s = self._clock()
         for item in changes:
-            if item.deleted:
+            if item.key.startswith(EVACUATION_PREFIX):
+                self._entries.evacuations.apply_change(
+                    item.key, item.revision, deleted=item.deleted
+                )
+            elif item.deleted:
                 self._entries.remove(item.key, now_s)
             else:
                 self._entries.put(item.key, _decode_base64(item.value), item.revision, now_s)
@@ -358,10 +417,17 @@
             self._record_response_time(self._clock() - began_s - wait_ms / 1000)
         self._watch_revision = max(self._watch_revision or 0, response.store_revision)
         for item in response.events:
-            key = _find_value_key(item)
+            key = self._find_value_key(item)
             if key is not None and item.revision > self._read_revisions.get(key, 0):
                 self._pending_changes[key].append(item)
 
+    def _find_value_key(self, item: _Item) -> str | None:
+        """Return the key of the value that an item belongs to; None if it belongs to none."""
+        if item.key == CONFIGURATION_KEY:
+            return None if item.deleted else MANIFEST_KEY
+        is_evacuation = item.key.startswith(EVACUATION_PREFIX) and self._settings.evacuations
+        return VMS_KEY if is_evacuation or item.key.startswith(ENTRY_PREFIX) else None
+
     def _invalidate_reads(self) -> None:
         """Cause both values to be read again."""
         self._read_revisions.clear()
@@ -437,13 +503,6 @@
             self._entries.handle_outage_end(now_s)
 
 
-def _find_value_key(item: _Item) -> str | None:
-    """Return the key of the value that an item belongs to; None if it belongs to none."""
-    if item.key == CONFIGURATION_KEY:
-        return None if item.deleted else MANIFEST_KEY
-    return VMS_KEY if item.key.startswith(ENTRY_PREFIX) else None
-
-
 def _check_status(reply: SourceReply, target: str) -> None:
     if reply.status in (STATUS_OK, STATUS_HISTORY_GONE):
         return
