--- a/tests/fakes_worker.py
+++ b/tests/fakes_worker.py
@@ -203,6 +203,7 @@
     retry_after_ms: int | None = None
     load: Load | None = None
     notices: int = 0
+    text: str = ""
 
 
 REQUEST = HopRequest(
@@ -256,6 +257,7 @@
         elif frame.kind is FrameKind.FAILURE:
             failure = decode_head(frame.payload, HopFailure)
             result.kind, result.outcome = failure.kind, failure.outcome
+            result.text = failure.text
             result.retry_after_ms, result.load = failure.retry_after_ms, failure.load
             return result
         elif frame.kind is FrameKind.ANSWER:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -121,3 +121,10 @@
     fleet = FleetStatus(build_node("w1", V2, quarantine=(suspected, old)), ())
     view = build_fleet_view(fleet, {"w2": build_node("w2", V2, quarantine=(new,))})
     assert [(entry.case, entry.nodes) for entry in view.quarantine] == [(new, 2), (suspected, 1)]
+
+
+def test_evacuated_data_centres_are_shown_with_the_nodes_that_know_them() -> None:
+    fleet = FleetStatus(build_node("w1", V2, evacuated=("lima-a", "lima-b")), ())
+    view = build_fleet_view(fleet, {"w2": build_node("w2", V2, evacuated=("lima-b",))})
+    counts = [(entry.data_centre, entry.nodes) for entry in view.evacuated]
+    assert counts == [("lima-a", 1), ("lima-b", 2)]
--- a/tests/test_hopserver_statements.py
+++ b/tests/test_hopserver_statements.py
@@ -19,7 +19,7 @@
 )
 
 from trefoilpick._clock import read_clock
-from trefoilpick.vms import Vm
+from trefoilpick.vms import Vm, VmState
 
 OWN_VM = Vm("w", "lima", "lima-a", "portafolio", "127.0.0.1", 1, 2, worker="i-1", slots=8)
 
@@ -237,3 +237,34 @@
         assert (result.kind, result.retry_after_ms) == ("upstream_shed", 100)
 
     run(test)
+
+
+def evacuate(vm: Vm) -> Vm:
+    return replace(vm, state=VmState.LEAVING, evacuated=True)
+
+
+# Guards against requests that reach a worker, from callers' nodes with an older list or from the
+# queue, after the evacuation of its data centre began; what runs is finished.
+def test_an_evacuated_worker_gets_no_requests_until_the_evacuation_ends() -> None:
+    listed = [replace(OWN_VM, slots=1)]
+
+    async def test(bench: Bench) -> None:
+        paused = PausedAnswer(answer())
+        bench.worker.script = [paused]
+        running = await curio.spawn(bench.call, make_read())
+        await wait_for(lambda: len(bench.worker.executed) == 1)
+        waiting = await curio.spawn(bench.call, make_read())
+        await wait_for(lambda: bench.server.admission.queued == 1)
+        listed[0] = evacuate(listed[0])
+        for result in (await waiting.join(), await bench.call(make_read())):
+            assert (result.kind, result.outcome) == ("draining", "not_run")
+            assert "is evacuated" in result.text
+        await paused.finish.set()
+        assert (await running.join()).status == 200
+        assert len(bench.worker.executed) == 1
+        assert bench.metrics.get_count("trefoilpick_evacuation_refusals_total") == 2
+        assert not bench.server.serves_peers_while_draining
+        listed[0] = OWN_VM
+        assert (await bench.call(make_read())).status == 200
+
+    run(test, listed)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -168,3 +168,19 @@
     membership.adopt_list(VmList(3, (*(vm for vm in VMS if vm != PEER), second)))
     assert second in membership.list_endpoints(PEER.service)
     assert membership.list_left_workers() == ()
+
+
+# Guards against requests to a VM of an evacuated data centre that the list does not show yet.
+def test_unlisted_vm_of_an_evacuated_data_centre_gets_no_requests() -> None:
+    membership, _ = open_membership()
+    new = replace(PEER, name="vm-new", host="127.1.9.9")
+    membership.add_unlisted(new)
+    membership.record_alive(new.name, 1)
+    assert new in membership.list_endpoints(PEER.service)
+    evacuated = tuple(replace(vm, state=VmState.LEAVING, evacuated=True) for vm in VMS)
+    membership.adopt_list(VmList(2, evacuated))
+    assert membership.list_evacuated() == (PEER.data_centre,)
+    assert membership.list_endpoints(PEER.service) == ()
+    assert PEER.name in {vm.name for vm in membership.list_alive()}
+    membership.adopt_list(VmList(3, VMS))
+    assert new in membership.list_endpoints(PEER.service) and has_endpoint(membership)
--- a/tests/test_worker_ends.py
+++ b/tests/test_worker_ends.py
@@ -119,6 +119,19 @@
     curio.run(test)
 
 
+# An evacuated worker is listed as leaving, but it stays: its end was not planned.
+def test_end_of_an_evacuated_worker_is_counted() -> None:
+    async def test() -> None:
+        listed = [LISTED]
+        async with open_bench(find_listed_vm=lambda: listed[-1]) as bench:
+            bench.worker.script = [EndingProcess(bench.worker)]
+            evacuated = replace(LISTED, state=VmState.LEAVING, evacuated=True)
+            await send_then(bench, lambda: listed.append(evacuated))
+            assert count_ends(bench) == 1
+
+    curio.run(test)
+
+
 async def send_then(bench: Bench, change: Callable[[], object]) -> None:
     """Change the list while the worker runs the request under which it ends."""
     process = bench.worker.script[0]
--- a/trefoilpick/_cli_status.py
+++ b/trefoilpick/_cli_status.py
@@ -57,6 +57,13 @@
         f" as seen from {view.asked}.",
         highlight=False,
     )
+    for entry in view.evacuated:
+        console.print(
+            f'Data centre "{entry.data_centre}" is evacuated, as {entry.nodes} of'
+            f" {len(view.nodes)} nodes know.",
+            highlight=False,
+            markup=False,
+        )
     console.print(_build_version_table(view))
     if view.lagging:
         console.print(_build_node_table("Nodes that lag", view.lagging))
--- a/trefoilpick/_metric_table.py
+++ b/trefoilpick/_metric_table.py
@@ -280,6 +280,18 @@
         "Versions that the node refused.",
         "`trefoilpick status` shows the reason; accept a version without the fault.",
     ),
+    "trefoilpick_evacuated_data_centres": MetricInfo(
+        MetricKind.GAUGE,
+        "data centres",
+        "Evacuated data centres that the node knows.",
+        "It must be the same on all nodes; compare it with the operators' keys in the source.",
+    ),
+    "trefoilpick_evacuation_refusals_total": MetricInfo(
+        MetricKind.COUNTER,
+        "requests",
+        "Requests that this node turned away because its data centre is evacuated.",
+        "If it grows for more than 5 s, look for nodes with an older list of VMs.",
+    ),
     "trefoilpick_state_changes_total": MetricInfo(
         MetricKind.COUNTER,
         "changes",
--- a/trefoilpick/_node_status.py
+++ b/trefoilpick/_node_status.py
@@ -26,6 +26,7 @@
     uptime_s: float,
     leaving: bool,
     quarantine: tuple[QuarantineCase, ...] = (),
+    evacuated: tuple[str, ...] = (),
 ) -> NodeStatus:
     """Return the status of one node.
 
@@ -36,6 +37,7 @@
         uptime_s: Time since its start, in seconds.
         leaving: Whether it is draining.
         quarantine: Requests that are suspected or quarantined.
+        evacuated: Evacuated data centres that it knows.
     """
     reasons = tuple(_list_reasons(control, leaving))
     return NodeStatus(
@@ -60,6 +62,7 @@
         versions=control.enforced_versions,
         refused=control.refused,
         quarantine=quarantine,
+        evacuated=evacuated,
     )
 
 
--- a/trefoilpick/fleet.py
+++ b/trefoilpick/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import statistics
+from collections import Counter
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -122,6 +123,19 @@
     nodes: int
 
 
+@dataclass(frozen=True)
+class EvacuationView:
+    """An evacuated data centre.
+
+    Attributes:
+        data_centre: Its name.
+        nodes: Number of nodes that know of its evacuation.
+    """
+
+    data_centre: str
+    nodes: int
+
+
 @dataclass(frozen=True)
 class FleetView:
     """The data that `trefoilpick status` shows.
@@ -134,6 +148,7 @@
         convergence: Convergence of the latest versions, newest first.
         refused: Refused versions, newest first.
         quarantine: Requests that nodes suspect or quarantine, quarantined ones first.
+        evacuated: Evacuated data centres, in order.
     """
 
     asked: str
@@ -143,6 +158,7 @@
     convergence: tuple[ConvergenceView, ...]
     refused: tuple[RefusalView, ...]
     quarantine: tuple[CaseView, ...] = ()
+    evacuated: tuple[EvacuationView, ...] = ()
 
     @property
     def lagging(self) -> tuple[NodeView, ...]:
@@ -231,6 +247,7 @@
         convergence=tuple(_summarize_convergence(by_vm.values())),
         refused=tuple(_count_refusals(by_vm.values())),
         quarantine=tuple(_count_cases(by_vm.values())),
+        evacuated=tuple(_count_evacuations(by_vm.values())),
     )
 
 
@@ -321,6 +338,12 @@
         yield CaseView(max(known, key=lambda case: case.trials), len(known))
 
 
+def _count_evacuations(statuses: Iterable[NodeStatus]) -> Iterator[EvacuationView]:
+    counts = Counter(name for status in statuses for name in status.evacuated)
+    for data_centre in sorted(counts):
+        yield EvacuationView(data_centre, counts[data_centre])
+
+
 def _count_refusals(statuses: Iterable[NodeStatus]) -> Iterator[RefusalView]:
     counts: dict[tuple[VersionRef, str, str], int] = {}
     for status in statuses:
--- a/trefoilpick/hopserver.py
+++ b/trefoilpick/hopserver.py
@@ -21,7 +21,7 @@
 from trefoilpick.admission import AdmissionController, AdmissionLimits
 from trefoilpick.blame import ignore_end
 from trefoilpick.conventions import DEFAULT_CONVENTIONS
-from trefoilpick.eligibility import find_exclusion
+from trefoilpick.eligibility import Exclusion, find_exclusion
 from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError
 from trefoilpick.health import WorkerHealth
 from trefoilpick.hops import FrameKind, Hop, HopRequest, Load, decode_head, encode_head
@@ -45,7 +45,6 @@
     from trefoilpick.blame import EndReport
     from trefoilpick.conventions import Conventions
     from trefoilpick.document import Upstream
-    from trefoilpick.eligibility import Exclusion
     from trefoilpick.metrics import Metrics
     from trefoilpick.quarantine_gate import QuarantineGate
     from trefoilpick.requestlogs import RequestLog
@@ -359,6 +358,8 @@
             kind = error.kind.value
             if error.kind in WORKER_FAILURES:
                 self._health.record_result(read_clock(), failed=True)
+            if error.kind is ErrorKind.DRAINING and self._is_evacuated():
+                self._metrics.count("trefoilpick_evacuation_refusals_total")
             if error.kind is ErrorKind.UPSTREAM_REPLACED and exchange.worker.worker:
                 await self._ends.handle_replacement(exchange.worker)
                 self._statements.record_left(exchange.worker)
@@ -449,11 +450,16 @@
     def _find_exclusion(self, own_vm: Vm | None) -> Exclusion | None:
         return find_exclusion(own_vm, is_leaving=self._statements.has_left)
 
+    def _is_evacuated(self) -> bool:
+        return self._find_exclusion(self._find_own_vm()) is Exclusion.EVACUATED
+
     def _is_end_planned(self) -> bool:
         """Return whether an end of the worker was planned, or may have been."""
         own_vm = self._find_own_vm()
         was_removed = own_vm is None and self._own_vm is not None
-        return was_removed or self._is_worker_leaving(own_vm)
+        # An evacuated worker stays: what it runs when it ends was lost unplanned.
+        is_leaving = self._find_exclusion(own_vm) is Exclusion.LEAVING
+        return was_removed or is_leaving or self._statements.has_left
 
     def _check_worker(self) -> Vm | None:
         """Return this VM as the platform lists it; None if it is not listed.
@@ -467,7 +473,8 @@
         return own_vm
 
     def _build_leaving_error(self) -> TrefoilpickError:
-        text = f'worker "{self._statements.worker.worker}" is leaving'
+        reason = "is evacuated" if self._is_evacuated() else "is leaving"
+        text = f'worker "{self._statements.worker.worker}" {reason}'
         return TrefoilpickError(ErrorKind.DRAINING, text)
 
     async def _refuse_stale_waiters(self) -> None:
--- a/trefoilpick/logs.py
+++ b/trefoilpick/logs.py
@@ -46,6 +46,7 @@
     WORKER_LEAVING = "worker_leaving"
     WORKER_END = "worker_end"
     QUARANTINE = "quarantine"
+    EVACUATION = "evacuation"
 
 
 @dataclass(frozen=True)
@@ -136,6 +137,11 @@
         (),
         "Find the request by its subject in the worker_end lines, and mend the worker.",
     ),
+    Event.EVACUATION: EventInfo(
+        "The evacuation of the data centre that the subject names began or ended at this node.",
+        ("begun", "ended"),
+        "None if an operator asked for it; otherwise look at the keys in the source.",
+    ),
 }
 """Meaning of each event."""
 
--- a/trefoilpick/node.py
+++ b/trefoilpick/node.py
@@ -47,6 +47,10 @@
 READINESS_INTERVAL_S = 0.5
 """Time between checks for a change of readiness, in seconds."""
 
+EVACUATION_INTERVAL_S = 0.5
+"""Time between checks for a change of the evacuated data centres, in seconds: an evacuation may
+also end without another list of VMs."""
+
 
 class Node:
     """One node: distribution of versions, and the request path.
@@ -116,6 +120,7 @@
             ),
             self._drain_when_stopped,
             keep_running(self._report_readiness, name="report_readiness", metrics=self.metrics),
+            keep_running(self._report_evacuations, name="report_evacuations", metrics=self.metrics),
         )
         self._log.report(Event.NODE, "stopped")
 
@@ -139,6 +144,7 @@
             uptime_s=read_clock() - self._started_s,
             leaving=self._is_leaving,
             quarantine=self.distributor.quarantine.gate.describe(),
+            evacuated=self.membership.list_evacuated(),
         )
 
     async def query_fleet(self) -> FleetStatus:
@@ -165,6 +171,17 @@
                 was_ready = is_ready
             await curio.sleep(READINESS_INTERVAL_S)
 
+    async def _report_evacuations(self) -> None:
+        known: frozenset[str] = frozenset()
+        while True:
+            evacuated = frozenset(self.membership.list_evacuated())
+            for data_centre in sorted(known ^ evacuated):
+                value = "begun" if data_centre in evacuated else "ended"
+                self._log.report(Event.EVACUATION, value, subject=data_centre)
+            self.metrics.set_gauge("trefoilpick_evacuated_data_centres", len(evacuated))
+            known = evacuated
+            await curio.sleep(EVACUATION_INTERVAL_S)
+
     async def _fetch_observed_versions(self) -> None:
         while True:
             await curio.sleep(POLL_INTERVAL_S)
--- a/trefoilpick/status.py
+++ b/trefoilpick/status.py
@@ -154,6 +154,7 @@
         versions: Most recently enforced versions, newest first.
         refused: Most recently refused versions, newest first.
         quarantine: Requests that are suspected or quarantined.
+        evacuated: Evacuated data centres that it knows.
     """
 
     vm: str
@@ -177,6 +178,7 @@
     versions: tuple[EnforcedVersion, ...] = ()
     refused: tuple[RefusedVersion, ...] = ()
     quarantine: tuple[QuarantineCase, ...] = ()
+    evacuated: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
