Stand-in: an operator can evacuate data centres

Cause: without the platform there was no way to evacuate a data centre in a trial. Evidence: tests/test_standin.py passes, with a test of begin, a new list meanwhile, and the end.

--- a/tests/test_standin.py
+++ b/tests/test_standin.py
@@ -5,13 +5,16 @@
 from pathlib import Path
 
 import curio
+import msgspec
 import pytest
+from fakes_fleet import make_vms
 
 from trefoilpick._standin_values import Faults
 from trefoilpick.errors import TrefoilpickError
 from trefoilpick.settings import SourceSettings
 from trefoilpick.source import MANIFEST_KEY, VMS_KEY, HttpSource, SourceValue, open_source
 from trefoilpick.standin import Standin, open_standin
+from trefoilpick.vms import VmList, VmState
 
 DIGEST = "0123456789abcdef0123456789abcdef"
 
@@ -144,6 +147,38 @@
     run_scenario(scenario)
 
 
+def test_evacuated_data_centres_are_listed_until_an_operator_ends_the_evacuation() -> None:
+    """Guards against an evacuation that a new list ends, or whose list nodes ignore as old."""
+
+    async def scenario(standin: Standin, source: HttpSource) -> None:
+        url = f"http://{standin.address}/standin/evacuations"
+        vms = make_vms(2, 1)
+        await standin.put_vms(5, vms)
+        seen = [await read_list(source, 0)]
+        assert (await fetch(url, b'["centre-1"]'))[0] == 200
+        seen.append(await read_list(source, 1))
+        await standin.put_vms(6, vms)
+        seen.append(await read_list(source, 2))
+        for body in (b"{}", b'["Centre 1"]', b"\xff", b"[" * 5_000):
+            assert (await fetch(url, body))[0] == 400
+        assert (await fetch(url, b"[]"))[0] == 200
+        seen.append(await read_list(source, 3))
+        assert [names for _, names in seen] == [[], ["vm-1-0"], ["vm-1-0"], []]
+        revisions = [revision for revision, _ in seen]
+        assert revisions == sorted(set(revisions))
+
+    run_scenario(scenario)
+
+
+async def read_list(source: HttpSource, after: int) -> tuple[int, list[str]]:
+    """Wait for a list of VMs; return its revision and the names of evacuated VMs."""
+    value = await source.watch_value(VMS_KEY, after=after)
+    assert value is not None
+    vms = msgspec.json.decode(value.data, type=VmList)
+    evacuated = [vm.name for vm in vms.vms if vm.evacuated and vm.state is VmState.LEAVING]
+    return vms.revision, evacuated
+
+
 def test_address_in_use_is_reported() -> None:
     async def run() -> None:
         async with open_standin() as standin:
--- a/trefoilpick/_cli_standin.py
+++ b/trefoilpick/_cli_standin.py
@@ -31,7 +31,8 @@
     """Run a stand-in for the platform's configuration service, for trials.
 
     It serves the current content of the folder. GET /standin/counts shows its calls; POST
-    /standin/faults makes it slow, down, stale, truncated or wrong.
+    /standin/faults makes it slow, down, stale, truncated or wrong. POST /standin/evacuations with a
+    JSON array of data centres evacuates these.
 
     Example: trefoilpick standin --port 9000 --folder published
     """
--- a/trefoilpick/_standin_values.py
+++ b/trefoilpick/_standin_values.py
@@ -6,10 +6,14 @@
 from dataclasses import dataclass
 from typing import Annotated
 
+import msgspec
 from msgspec import Meta
 
 from trefoilpick._clock import read_clock
-from trefoilpick.source import SourceValue
+from trefoilpick.document import Name
+from trefoilpick.list_corrections import mark_evacuated
+from trefoilpick.source import VMS_KEY, SourceValue
+from trefoilpick.vms import VmList
 
 KEPT_SECONDS = 600
 """Number of seconds for which calls are counted by second."""
@@ -17,6 +21,10 @@
 MAX_CHANGES = 1_000
 """Number of recent changes that can be undone by a restore."""
 
+EVACUATIONS_KEY = "evacuations"
+"""Key of the evacuated data centres, as a JSON array. It is not served: the list of VMs shows
+them."""
+
 KEY_GROUPS = ("manifest", "sections", "vms")
 """Groups of keys by which calls are counted; all other keys are counted as "other"."""
 
@@ -179,7 +187,10 @@
     def get(self, key: str) -> SourceValue | None:
         """Return the value that is served; None for an unknown key."""
         values = self._newest if self._frozen is None else self._frozen
-        return values.get(key)
+        value, evacuations = values.get(key), values.get(EVACUATIONS_KEY)
+        if key != VMS_KEY or value is None or evacuations is None:
+            return value
+        return _mark_evacuations(value, evacuations)
 
     def get_previous(self, key: str) -> SourceValue | None:
         """Return the previous value; None if there was none."""
@@ -191,3 +202,24 @@
             self._frozen = None
         elif self._frozen is None:
             self._frozen = dict(self._newest)
+
+
+def decode_evacuations(data: bytes) -> tuple[str, ...]:
+    """Decode the names of evacuated data centres.
+
+    Raises:
+        msgspec.MsgspecError: It is not a JSON array of names.
+    """
+    return msgspec.json.decode(data, type=tuple[Name, ...])
+
+
+def _mark_evacuations(value: SourceValue, evacuations: SourceValue) -> SourceValue:
+    """Return a list of VMs with its evacuated ones; its revision rises with the evacuations'."""
+    try:
+        listed = msgspec.json.decode(value.data, type=VmList)
+    except msgspec.MsgspecError:
+        return value
+    names = decode_evacuations(evacuations.data)
+    vms = tuple(mark_evacuated(vm) if vm.data_centre in names else vm for vm in listed.vms)
+    data = msgspec.json.encode(VmList(listed.revision + evacuations.revision, vms))
+    return SourceValue(data, value.revision + evacuations.revision)
--- a/trefoilpick/standin.py
+++ b/trefoilpick/standin.py
@@ -4,7 +4,8 @@
 long poll that ends with 304 if nothing changed, or at once if that era has passed. It counts the
 calls, limits their rate, and injects faults: slow, failed, stale, truncated or corrupted responses,
 and values that go back to an older revision.
-It can be restored from an older copy, in a new era.
+It can be restored from an older copy, in a new era. `POST /standin/evacuations` with a JSON array
+of data centres evacuates these and no others.
 """
 
 from __future__ import annotations
@@ -23,7 +24,13 @@
 from curio.network import tcp_server_socket
 
 from trefoilpick._standin_http import Call, CallConnection
-from trefoilpick._standin_values import Faults, StandinCounts, StandinValues
+from trefoilpick._standin_values import (
+    EVACUATIONS_KEY,
+    Faults,
+    StandinCounts,
+    StandinValues,
+    decode_evacuations,
+)
 from trefoilpick._task_groups import run_until_first_ends
 from trefoilpick._text_validation import validate_text
 from trefoilpick.errors import ErrorKind, TrefoilpickError
@@ -68,6 +75,7 @@
 VALUES_PATH = "/v1/values/"
 FAULTS_PATH = "/standin/faults"
 COUNTS_PATH = "/standin/counts"
+EVACUATIONS_PATH = "/standin/evacuations"
 
 _KEY_PATTERN = re.compile(r"manifest|vms|sections/[0-9a-f]{32}")
 
@@ -151,6 +159,10 @@
         self.values.set_frozen(is_frozen=faults.stale)
         await self._wake()
 
+    async def evacuate(self, data_centres: Iterable[str]) -> None:
+        """Evacuate these data centres, and end the evacuations of all others."""
+        await self.put_value(EVACUATIONS_KEY, msgspec.json.encode(sorted(set(data_centres))))
+
     async def restore(self, back_s: float) -> None:
         """Return to the values of some seconds ago, in a new era; watches end."""
         self.values.restore(back_s)
@@ -218,6 +230,8 @@
             return await connection.send(200, msgspec.json.encode(self.counts))
         if call.path == FAULTS_PATH:
             return await self._change_faults(connection, call.body)
+        if call.path == EVACUATIONS_PATH:
+            return await self._change_evacuations(connection, call.body)
         if call.method != "GET" or not call.path.startswith(VALUES_PATH):
             return await connection.send(404)
         return await self._answer_value(connection, call)
@@ -231,6 +245,14 @@
         await self.set_faults(faults)
         return await connection.send(200, msgspec.json.encode(asdict(faults)))
 
+    async def _change_evacuations(self, connection: CallConnection, body: bytes) -> bool:
+        try:
+            data_centres = decode_evacuations(body)
+        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+            return await connection.send(400, str(error).encode())
+        await self.evacuate(data_centres)
+        return await connection.send(200, msgspec.json.encode(data_centres))
+
     async def _answer_value(self, connection: CallConnection, call: Call) -> bool:
         key = call.path.removeprefix(VALUES_PATH)
         is_watch = "after" in call.query
