--- a/trefoilpick/_hop_exchange.py
+++ b/trefoilpick/_hop_exchange.py
@@ -12,6 +12,7 @@
 from trefoilpick._clock import read_clock
 from trefoilpick._hop_connections import RequestBody
 from trefoilpick._worker_connections import AnswerHead, NothingSentError
+from trefoilpick.admission import MIN_RATE_WAIT_S
 from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError, find_answer
 from trefoilpick.fingerprints import SAMPLE_BYTES, compute_fingerprint
 from trefoilpick.hops import (
@@ -358,16 +359,14 @@
         return self._connection
 
     async def _attempt(self, connection: WorkerConnection) -> AnswerHead:
-        # Checked again, since the process may have been suspended after the request arrived.
-        remaining_s = self.deadline_s - read_clock()
-        if remaining_s <= 0:
-            raise self._build_deadline_error()
-        if not self._hop_connection.is_open():
-            text = "caller's node closed the hop before the request was sent"
-            raise TrefoilpickError(ErrorKind.CALLER_GONE, text, outcome=Outcome.NOT_RUN)
-        self._context.check_worker()
+        remaining_s = self._check_before_sending()
         if not self._context.gate.is_open:
             await self._context.gate.admit(self._fingerprint)
+        rate = self._context.admission.rate
+        # Counted here, since the body and the connection may have come long after the token.
+        while not rate.try_send():
+            await curio.sleep(max(rate.estimate_turn(), MIN_RATE_WAIT_S))
+            remaining_s = self._check_before_sending()
         body_complete = self._body.is_received
         is_retry = self._request.is_retry or self.was_sent
         # Set before sending: if it is interrupted, some bytes may have been sent.
@@ -388,6 +387,23 @@
             self._upload = await curio.spawn(self._upload_rest, connection)
         return await connection.receive_head()
 
+    def _check_before_sending(self) -> float:
+        """Return the time left, in seconds.
+
+        The process may have been suspended, or the request have waited, since it was admitted.
+
+        Raises:
+            TrefoilpickError: The request must not be sent.
+        """
+        remaining_s = self.deadline_s - read_clock()
+        if remaining_s <= 0:
+            raise self._build_deadline_error()
+        if not self._hop_connection.is_open():
+            text = "caller's node closed the hop before the request was sent"
+            raise TrefoilpickError(ErrorKind.CALLER_GONE, text, outcome=Outcome.NOT_RUN)
+        self._context.check_worker()
+        return remaining_s
+
     async def _upload_rest(self, connection: WorkerConnection) -> None:
         await self._body.forward_rest(connection)
         if self._body.is_received:
--- a/trefoilpick/admission.py
+++ b/trefoilpick/admission.py
@@ -217,7 +217,7 @@
                 if self._is_late(waiter, now_s):
                     self._remove(waiter)
                     await self._delay_or_refuse(waiter, now_s, slots)
-                elif self.rate.limit is not None and self._is_late(
+                elif self.rate.is_limited and self._is_late(
                     waiter, now_s + self.rate.estimate_wait(ahead + 1)
                 ):
                     self._remove(waiter)
@@ -261,7 +261,7 @@
             TrefoilpickError: `DEADLINE_BEFORE_RUN`.
         """
         pause_s = waiter.deadline_s - read_clock()
-        if self.rate.limit is not None:
+        if self.rate.is_limited:
             pause_s = min(pause_s, max(self.rate.estimate_wait(), MIN_RATE_WAIT_S))
         try:
             async with curio.timeout_after(pause_s):
