Cold starts: a node limits the requests to its worker while it may be cold

Cause: a worker that has started tolerates only a few requests a second, and the node beside it did not know when that is.

Change: cold_starts assumes a cold worker after the start of the node, a new worker or start in the list, a refused connection or an end, and the end of an evacuation, and asks it once by a GET of the health path. The remaining time of the entry (cold-remaining, rounded up to 500 ms) is carried in the list and prolongs it. A worker that refused connections is cold until cold_start_ms after its first answer, since it may start at any time. hopserver applies it, Load.cold_rate reports the rate, and the balancer weighs a cold worker by it. A log line (worker_cold), a gauge and a counter. Without a cold_rate_per_s nothing of this runs.

--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -92,3 +92,32 @@
     (vm,) = vms.values()
     assert vm.service == convert_name("Encargos/2")
     assert vm.data_centre == convert_name("LIMA A")
+
+
+# Guards against dropping a worker for a field that only slows it down.
+@pytest.mark.parametrize(
+    ("value", "cold_ms"),
+    [
+        (0, 0),
+        (1, 500),
+        (500, 500),
+        (2_300.5, 2_500),
+        (1e30, 3_600_000),
+        (-5, 0),
+        ("soon", 0),
+        (None, 0),
+        (True, 0),
+        ([3_000], 0),
+    ],
+)
+def test_remaining_cold_time_is_rounded_up_and_0_if_unreadable(value: Any, cold_ms: int) -> None:
+    vms = read_entries(make_entry(**{"cold-remaining": value}))
+    assert vms["i-0"].cold_ms == cold_ms
+
+
+def test_entry_without_or_with_an_excessive_cold_time_is_usable() -> None:
+    entry = make_entry()
+    del entry["cold-remaining"]
+    huge = msgspec.json.encode({**entry, "address": "10.1.0.9:8080"})[:-1]
+    vms = read_entries(entry, huge + b',"cold-remaining":1e999}')
+    assert [vm.cold_ms for vm in vms.values()] == [0, 0]
--- a/trefoilpick/_hop_exchange.py
+++ b/trefoilpick/_hop_exchange.py
@@ -126,6 +126,7 @@
         status: Status code of the worker's answer; 0 before the answer.
         statement: What the worker's answer states about the worker.
         worker: The worker to which the request was sent, or is to be sent.
+        sent_s: Clock reading when it was sent last, in seconds.
     """
 
     def __init__(
@@ -149,7 +150,7 @@
         self._connection: WorkerConnection | None = None
         self._upload: Task | None = None
         self._first_error: TrefoilpickError | None = None
-        self._sent_s = began_s
+        self.sent_s = began_s
         self._is_answer_started = False
 
     @property
@@ -293,7 +294,7 @@
             request.request_id,
             request.route,
             self.worker,
-            sent_s=self._sent_s,
+            sent_s=self.sent_s,
             lost_s=read_clock(),
         )
         return await self._context.ends.check(run)
@@ -328,7 +329,7 @@
         except TrefoilpickError as error:
             if error.kind is ErrorKind.UPSTREAM_LOST:
                 self._context.pool.record_lost_connection(
-                    connection, sent_s=self._sent_s, now_s=read_clock()
+                    connection, sent_s=self.sent_s, now_s=read_clock()
                 )
             if not self._may_retry(connection, error):
                 raise
@@ -371,7 +372,7 @@
         is_retry = self._request.is_retry or self.was_sent
         # Set before sending: if it is interrupted, some bytes may have been sent.
         self.was_sent = True
-        self._sent_s = read_clock()
+        self.sent_s = read_clock()
         self.worker = self._context.statements.worker
         self._context.metrics.count("trefoilpick_worker_requests_total")
         self._hop_connection.is_cancellable = self._request.idempotent or not body_complete
@@ -505,8 +506,8 @@
 
     async def _drop_silent(self) -> None:
         """Close idle connections to the worker if the one of the request may be silent."""
-        if read_clock() - self._sent_s >= SILENCE_S:
-            await self._context.pool.drop_idle(before_s=self._sent_s)
+        if read_clock() - self.sent_s >= SILENCE_S:
+            await self._context.pool.drop_idle(before_s=self.sent_s)
 
     def _observe(self, name: str, seconds: float) -> None:
         self._context.metrics.observe(name, seconds * 1e6, priority=self._request.priority)
--- a/trefoilpick/_metric_table.py
+++ b/trefoilpick/_metric_table.py
@@ -170,6 +170,19 @@
         "Rate that this node's worker accepts, as it stated last; -1 once it no longer states one.",
         "Find out why the worker is in need.",
     ),
+    "trefoilpick_worker_cold_rate": MetricInfo(
+        MetricKind.GAUGE,
+        "requests a second",
+        "Rate to which this node limits requests to its cold worker; -1 once it is warm.",
+        "The `worker_cold` lines of the log name the source.",
+    ),
+    "trefoilpick_cold_probes_total": MetricInfo(
+        MetricKind.COUNTER,
+        "probes",
+        "Requests by which this node asked its worker for how long it stays cold, by result.",
+        "If most are unknown, see whether the worker's health answers have the header.",
+        ("result",),
+    ),
     "trefoilpick_task_failures_total": MetricInfo(
         MetricKind.COUNTER,
         "failures",
--- a/trefoilpick/balancing.py
+++ b/trefoilpick/balancing.py
@@ -136,6 +136,8 @@
             first report.
         rate_limit: Requests per second that the worker accepts, as reported last; None without
             limit.
+        cold_rate: Requests per second that the worker may get while it is cold, as reported last;
+            None while it is warm.
         rate_limited_until: When the worker's limited rate allows the next request, in seconds.
         left_worker: The worker that stated last that it is leaving; None if none did.
     """
@@ -148,6 +150,7 @@
         self.ejection = Ejection()
         self.incarnation = 0
         self.rate_limit: float | None = None
+        self.cold_rate: float | None = None
         self._leaving_until = now
         self._refusing_until = now
         self.rate_limited_until = now
@@ -229,6 +232,7 @@
         self._leaving_until = now + LEAVING_TTL_S if load.leaving else now
         self._slots = max(load.slots, 1)
         self.rate_limit = load.rate_limit
+        self.cold_rate = load.cold_rate
         if load.leaving_worker is not None:
             is_known = load.leaving_worker != UNKNOWN_WORKER
             self.left_worker = load.leaving_worker if is_known else self.vm.worker_identity
@@ -275,10 +279,11 @@
         A limited rate allows as many as start within one latency (Little's law).
         """
         own_slots = self._slots or slots
-        if self.rate_limit is None or now - self._reported_at > MAX_LOAD_AGE_S:
+        rates = [rate for rate in (self.rate_limit, self.cold_rate) if rate is not None]
+        if not rates or now - self._reported_at > MAX_LOAD_AGE_S:
             return own_slots
         latency_s = self._latency_s or 1.0
-        return min(own_slots, max(self.rate_limit * latency_s, MIN_EFFECTIVE_SLOTS))
+        return min(own_slots, max(min(rates) * latency_s, MIN_EFFECTIVE_SLOTS))
 
     def _estimate_requests(self, now: float) -> float:
         if not self._other_requests:
--- a/trefoilpick/conventions.py
+++ b/trefoilpick/conventions.py
@@ -27,6 +27,8 @@
         rate_limit: Answer header by which a worker in need states how many requests per second it
             accepts from all nodes together.
         leaving: Answer header by which a worker states that it is leaving.
+        cold_start_ms: Answer header of the health path by which a worker states for how many
+            milliseconds it stays cold; 0 if it is warm.
         answer_proof: Answer header that every successful answer of a worker has; empty if workers
             send none.
         echoes_request_id: Whether every answer of a worker repeats the request's ID.
@@ -45,6 +47,7 @@
     not_run: bytes = b"x-not-run"
     rate_limit: bytes = b"x-worker-limit"
     leaving: bytes = b"x-worker-leaving"
+    cold_start_ms: bytes = b"x-worker-cold-start-ms"
     answer_proof: bytes = b""
     echoes_request_id: bool = False
     nested_separator: bytes = b""
--- a/trefoilpick/hops.py
+++ b/trefoilpick/hops.py
@@ -79,7 +79,7 @@
         failing_percent: Percentage of failures among the worker's recent answers.
         rate_limit: Requests per second that the worker states that it accepts; None without limit.
         leaving_worker: The worker, if it stated that it is leaving; None otherwise.
-        cold_rate: Requests per second that the worker tolerates while it is cold; None while it is
+        cold_rate: Requests per second that the worker may get while it is cold; None while it is
             warm.
         work_s: Expected time until the worker has finished all running and waiting requests, in
             seconds; None if unknown.
--- a/trefoilpick/hopserver.py
+++ b/trefoilpick/hopserver.py
@@ -5,7 +5,7 @@
 import logging
 import socket
 from contextlib import suppress
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -20,6 +20,7 @@
 from trefoilpick._task_groups import keep_running
 from trefoilpick.admission import AdmissionController, AdmissionLimits
 from trefoilpick.blame import ignore_end
+from trefoilpick.cold_starts import ColdStarts
 from trefoilpick.conventions import DEFAULT_CONVENTIONS
 from trefoilpick.eligibility import find_exclusion
 from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError
@@ -168,6 +169,17 @@
             conventions=conventions,
         )
         self._answers = RecentAnswers()
+        self._cold_starts = ColdStarts(
+            admission.rate, settings.hops, log=self._log, metrics=metrics
+        )
+        # An answer to a probe need not have what proves that a request ran.
+        self._cold_header = conventions.cold_start_ms
+        self._probe_pool = open_pool(
+            settings.worker.host,
+            settings.worker.port,
+            max_idle_s=0.0,
+            conventions=replace(conventions, answer_proof=b""),
+        )
         self._ends = WorkerEnds(
             pool,
             answers=self._answers,
@@ -218,6 +230,7 @@
             failing_percent=self._health.compute_failing_percent(read_clock()),
             rate_limit=self.admission.rate.limit,
             leaving_worker=self._statements.worker if self._statements.has_left else None,
+            cold_rate=self.admission.rate.cold_rate,
         )
 
     async def run(self) -> None:
@@ -229,6 +242,7 @@
                 "close_idle_hops": partial(self._hops.close_idle, self._find_hop_idle_timeout()),
                 "accept_hops": partial(self._accept_hops, listener, group),
                 "refuse_stale_waiters": self._refuse_stale_waiters,
+                "probe_cold_worker": self._probe_cold_worker,
             }
             background_tasks = [
                 await group.spawn(keep_running(loop, name=name, metrics=self._metrics))
@@ -353,10 +367,15 @@
         exchange = HopExchange(self._context, connection, request, began_s=read_clock())
         try:
             await self._answer(exchange, request)
+            if exchange.was_sent:
+                self._cold_starts.handle_answer(exchange.sent_s)
             if not request.wants_token:
                 self._log.report(Event.WORKER, "up")
         except TrefoilpickError as error:
             kind = error.kind.value
+            self._cold_starts.handle_ends(self._ends.count)
+            if error.kind is ErrorKind.UPSTREAM_REFUSED:
+                self._cold_starts.handle_refusal()
             if error.kind in WORKER_FAILURES:
                 self._health.record_result(read_clock(), failed=True)
             if error.kind is ErrorKind.UPSTREAM_REPLACED and exchange.worker.worker:
@@ -428,6 +447,7 @@
         if upstream is None or request.upstream != service:
             text = f'worker of upstream "{service}" got a request for "{request.upstream}"'
             raise TrefoilpickError(ErrorKind.NO_UPSTREAM, text, outcome=Outcome.NOT_RUN)
+        self._cold_starts.apply_upstream(upstream)
         own_vm = self._check_worker()
         slots = own_vm.slots if own_vm is not None and own_vm.slots else upstream.slots
         if upstream is not self._upstream or slots != self.admission.limits.slots:
@@ -438,6 +458,7 @@
     def _find_own_vm(self) -> Vm | None:
         """Return this VM as the platform lists it, and apply the identity of its worker."""
         own_vm = self._find_listed_vm()
+        self._cold_starts.handle_listing(own_vm)
         if own_vm is not None and own_vm is not self._own_vm and own_vm.worker:
             self._own_vm = own_vm
             self._statements.handle_listing(own_vm.worker_identity)
@@ -482,6 +503,7 @@
                 await self._ends.handle_replacement(worker)
                 worker = self._statements.worker
             await self._ends.recheck()
+            self._refresh_cold_start()
             if self._is_worker_leaving(own_vm):
                 await self.admission.refuse_waiting(self._build_leaving_error())
             elif self.admission.queued:
@@ -489,6 +511,28 @@
                 await self.admission.admit_waiting()
             await curio.sleep(QUEUE_POLL_S)
 
+    def _refresh_cold_start(self) -> None:
+        snapshot = self._cell.current
+        service = self._settings.vm.service
+        if snapshot is not None and (upstream := snapshot.upstreams.get(service)) is not None:
+            self._cold_starts.apply_upstream(upstream)
+        self._cold_starts.handle_ends(self._ends.count)
+        self._cold_starts.refresh()
+
+    async def _probe_cold_worker(self) -> None:
+        """Ask the worker for how long it stays cold where the node does not know.
+
+        A worker that may get no requests is not asked, and neither is one that is not listed: its
+        data centre may be evacuated.
+        """
+        while True:
+            own_vm = self._find_own_vm()
+            if own_vm is not None and not self._is_worker_leaving(own_vm):
+                await self._cold_starts.probe(
+                    self._probe_pool, worker=own_vm.worker, header=self._cold_header
+                )
+            await curio.sleep(QUEUE_POLL_S)
+
     async def _notify_leaving(self, connection: HopConnection) -> None:
         if not connection.is_idle or connection.was_notified:
             return
--- a/trefoilpick/logs.py
+++ b/trefoilpick/logs.py
@@ -45,6 +45,7 @@
     WORKER_LIMIT = "worker_limit"
     WORKER_LEAVING = "worker_leaving"
     WORKER_END = "worker_end"
+    WORKER_COLD = "worker_cold"
     QUARANTINE = "quarantine"
 
 
@@ -130,6 +131,12 @@
         (),
         "If the same subject is in the lines of several VMs, that request may end the workers.",
     ),
+    Event.WORKER_COLD: EventInfo(
+        "The node assumes that its worker is cold and limits its requests, or no longer does; the"
+        " source says why.",
+        ("cold", "warm"),
+        "None after a start. If it recurs, find out why the worker restarts.",
+    ),
     Event.QUARANTINE: EventInfo(
         "A request under which workers ended is suspected, quarantined, tried or released: its"
         " state and revision.",
--- a/trefoilpick/platform/entries.py
+++ b/trefoilpick/platform/entries.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Literal
 
@@ -24,6 +25,13 @@
 """Time for which expired entries are retained after an outage of the store, in seconds: live
 workers register again within two seconds of its end."""
 
+COLD_STEP_MS = 500
+"""Step to which a worker's remaining cold time is rounded up, in milliseconds: it changes with each
+heartbeat, and each change of the list is announced to all nodes."""
+
+MAX_COLD_MS = 3_600_000
+"""Longest remaining cold time that is listed, in milliseconds."""
+
 STATES = {"ready": VmState.LIVE, "draining": VmState.LEAVING}
 """VM states by entry state."""
 
@@ -37,6 +45,8 @@
     sequence: int
     born: int
     """Start time of the worker's incarnation, in milliseconds since the Unix epoch."""
+    cold_remaining: msgspec.Raw = msgspec.Raw(b"0")
+    """Time for which the worker stays cold, in milliseconds; decoded apart, as it may be faulty."""
 
 
 _DECODER = msgspec.json.Decoder(_Entry)
@@ -189,6 +199,7 @@
             worker=worker,
             slots=entry.slots,
             started_ms=entry.born,
+            cold_ms=_decode_cold_ms(entry.cold_remaining),
         )
         try:
             msgspec.convert(msgspec.to_builtins(vm), Vm)
@@ -197,5 +208,16 @@
         return WorkerEntry(worker, vm, entry.born, revision)
 
 
+def _decode_cold_ms(value: msgspec.Raw) -> int:
+    """Return a remaining cold time, rounded up to a step; 0 if it is unreadable."""
+    try:
+        cold_ms = msgspec.json.decode(value, type=float)
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return 0
+    if not 0 < cold_ms < math.inf:
+        return 0
+    return min(math.ceil(cold_ms / COLD_STEP_MS) * COLD_STEP_MS, MAX_COLD_MS)
+
+
 def _get_recency(entry: WorkerEntry) -> tuple[int, int]:
     return entry.started_ms, entry.revision
--- a/trefoilpick/platform/headers.py
+++ b/trefoilpick/platform/headers.py
@@ -12,6 +12,7 @@
     not_run=b"x-trefoilpick-not-executed",
     rate_limit=b"server-limit",
     leaving=b"server-leaving",
+    cold_start_ms=b"x-trefoilpick-cold-start-ms",
     answer_proof=b"x-trefoilpick-response-signature",
     echoes_request_id=True,
     # Observed on the wire but not documented by the platform, so it is used only to order requests.
--- a/trefoilpick/worker_ends.py
+++ b/trefoilpick/worker_ends.py
@@ -113,6 +113,11 @@
         self._unexplained: deque[Run] = deque(maxlen=MAX_UNEXPLAINED)
         self._recheck_at_s = float("inf")
 
+    @property
+    def count(self) -> int:
+        """Number of ends that were found."""
+        return self._count
+
     async def check(self, run: Run) -> bool:
         """Return whether a request was lost because the worker ended, and report it if so."""
         async with self._lock:
