--- a/trefoilpick/_hop_exchange.py
+++ b/trefoilpick/_hop_exchange.py
@@ -12,6 +12,7 @@
 from trefoilpick._clock import read_clock
 from trefoilpick._hop_connections import RequestBody
 from trefoilpick._worker_connections import AnswerHead, NothingSentError
+from trefoilpick.admission import MIN_RATE_WAIT_S
 from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError, find_answer
 from trefoilpick.fingerprints import SAMPLE_BYTES, compute_fingerprint
 from trefoilpick.hops import (
@@ -125,6 +126,7 @@
         status: Status code of the worker's answer; 0 before the answer.
         statement: What the worker's answer states about the worker.
         worker: The worker to which the request was sent, or is to be sent.
+        sent_s: Clock reading when it was sent last, in seconds.
     """
 
     def __init__(
@@ -148,7 +150,7 @@
         self._connection: WorkerConnection | None = None
         self._upload: Task | None = None
         self._first_error: TrefoilpickError | None = None
-        self._sent_s = began_s
+        self.sent_s = began_s
         self._is_answer_started = False
 
     @property
@@ -292,7 +294,7 @@
             request.request_id,
             request.route,
             self.worker,
-            sent_s=self._sent_s,
+            sent_s=self.sent_s,
             lost_s=read_clock(),
         )
         return await self._context.ends.check(run)
@@ -327,7 +329,7 @@
         except TrefoilpickError as error:
             if error.kind is ErrorKind.UPSTREAM_LOST:
                 self._context.pool.record_lost_connection(
-                    connection, sent_s=self._sent_s, now_s=read_clock()
+                    connection, sent_s=self.sent_s, now_s=read_clock()
                 )
             if not self._may_retry(connection, error):
                 raise
@@ -358,21 +360,19 @@
         return self._connection
 
     async def _attempt(self, connection: WorkerConnection) -> AnswerHead:
-        # Checked again, since the process may have been suspended after the request arrived.
-        remaining_s = self.deadline_s - read_clock()
-        if remaining_s <= 0:
-            raise self._build_deadline_error()
-        if not self._hop_connection.is_open():
-            text = "caller's node closed the hop before the request was sent"
-            raise TrefoilpickError(ErrorKind.CALLER_GONE, text, outcome=Outcome.NOT_RUN)
-        self._context.check_worker()
+        remaining_s = self._check_before_sending()
         if not self._context.gate.is_open:
             await self._context.gate.admit(self._fingerprint)
+        rate = self._context.admission.rate
+        # Counted here, since the body and the connection may have come long after the token.
+        while not rate.try_send():
+            await curio.sleep(max(rate.estimate_turn(), MIN_RATE_WAIT_S))
+            remaining_s = self._check_before_sending()
         body_complete = self._body.is_received
         is_retry = self._request.is_retry or self.was_sent
         # Set before sending: if it is interrupted, some bytes may have been sent.
         self.was_sent = True
-        self._sent_s = read_clock()
+        self.sent_s = read_clock()
         self.worker = self._context.statements.worker
         self._context.metrics.count("trefoilpick_worker_requests_total")
         self._hop_connection.is_cancellable = self._request.idempotent or not body_complete
@@ -388,6 +388,23 @@
             self._upload = await curio.spawn(self._upload_rest, connection)
         return await connection.receive_head()
 
+    def _check_before_sending(self) -> float:
+        """Return the time left, in seconds.
+
+        The process may have been suspended, or the request have waited, since it was admitted.
+
+        Raises:
+            TrefoilpickError: The request must not be sent.
+        """
+        remaining_s = self.deadline_s - read_clock()
+        if remaining_s <= 0:
+            raise self._build_deadline_error()
+        if not self._hop_connection.is_open():
+            text = "caller's node closed the hop before the request was sent"
+            raise TrefoilpickError(ErrorKind.CALLER_GONE, text, outcome=Outcome.NOT_RUN)
+        self._context.check_worker()
+        return remaining_s
+
     async def _upload_rest(self, connection: WorkerConnection) -> None:
         await self._body.forward_rest(connection)
         if self._body.is_received:
@@ -489,8 +506,8 @@
 
     async def _drop_silent(self) -> None:
         """Close idle connections to the worker if the one of the request may be silent."""
-        if read_clock() - self._sent_s >= SILENCE_S:
-            await self._context.pool.drop_idle(before_s=self._sent_s)
+        if read_clock() - self.sent_s >= SILENCE_S:
+            await self._context.pool.drop_idle(before_s=self.sent_s)
 
     def _observe(self, name: str, seconds: float) -> None:
         self._context.metrics.observe(name, seconds * 1e6, priority=self._request.priority)
