--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -188,7 +188,9 @@
         return await self.send_request(host, head + REQUEST_ID + b": %d\r\n" % self.sent, b"ab")
 
 
-def run_platform(test: Callable[[Platform], Awaitable[None]], **store_fields: Any) -> None:
+def run_platform(
+    test: Callable[[Platform], Awaitable[None]], *, evacuations: bool = False, **store_fields: Any
+) -> None:
     """Run a test against two ready nodes."""
 
     async def main(store: FakeStore) -> None:
@@ -198,7 +200,9 @@
         ]
         platform = Platform(store, ports, workers)
         store.put(CONFIGURATION_KEY, make_configuration())
-        platform.nodes += [open_platform_node(platform, host) for host in HOSTS]
+        platform.nodes += [
+            open_platform_node(platform, host, evacuations=evacuations) for host in HOSTS
+        ]
         async with curio.TaskGroup(wait=any) as tasks:
             for part in (*workers, *platform.nodes):
                 await tasks.spawn(part.run)
@@ -215,13 +219,26 @@
     run_store(main, **store_fields)
 
 
-def open_platform_node(platform: Platform, host: str) -> Node:
+def open_platform_node(platform: Platform, host: str, *, evacuations: bool = False) -> Node:
     zone = "lima-a" if host == HOSTS[0] else "lima-b"
-    return open_node_at(host, platform.store, platform.ports, zone=zone, vms=len(HOSTS))
+    return open_node_at(
+        host, platform.store, platform.ports, zone=zone, vms=len(HOSTS), evacuations=evacuations
+    )
 
 
-def open_node_at(host: str, store: FakeStore, ports: list[int], *, zone: str, vms: int) -> Node:
+def open_node_at(
+    host: str,
+    store: FakeStore,
+    ports: list[int],
+    *,
+    zone: str,
+    vms: int,
+    evacuations: bool = False,
+) -> Node:
     """Open a node of the platform that listens on an address."""
+    bounds = {"grace": 6, "retry-budget-ratio": 0.2, "retry-budget-slack": 60}
+    if evacuations:
+        bounds["evacuation"] = 5_000
     facts = {
         "ip": host,
         "zone": zone,
@@ -232,7 +249,7 @@
         "listen": {"outbound": f"{host}:{ports[2]}", "ready": f"{host}:{ports[3]}"},
         "internal-port-range": [ports[0], ports[0] + 15],
         "provider": {"address": store.address, "reads-per-s": 2_000},
-        "bounds": {"grace": 6, "retry-budget-ratio": 0.2, "retry-budget-slack": 60},
+        "bounds": bounds,
     }
     node_settings = {
         "source": {"watch_ms": 200, "read_timeout_ms": 500, "backoff_ms": 100},
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -7,6 +7,7 @@
 
 from trefoilpick._virtual_time import run_virtual
 from trefoilpick.distribution import Distributor
+from trefoilpick.list_corrections import mark_evacuated
 from trefoilpick.local_network import LocalSource, SourceFault
 from trefoilpick.manifest import VersionId, identify_version
 from trefoilpick.overlay import list_local
@@ -717,6 +718,76 @@
     curio.run(main())
 
 
+EVACUATION_S = 2.0
+"""Time within which all connected nodes know of an evacuation, in seconds."""
+
+
+class ChangingList:
+    """The platform's list, which changes with each heartbeat of a worker."""
+
+    def __init__(self, fleet: FakeFleet) -> None:
+        self.evacuated = ""
+        self._fleet = fleet
+        self._revision = 1
+
+    async def run(self) -> None:
+        while True:
+            await self.publish()
+            await curio.sleep(0.1)
+
+    async def publish(self) -> None:
+        self._revision += 1
+        vms = (
+            mark_evacuated(vm) if vm.data_centre == self.evacuated else vm for vm in self._fleet.vms
+        )
+        await self._fleet.publish_vms(self._revision, tuple(vms))
+
+    async def evacuate(self, data_centre: str, *names: str) -> float:
+        """Change the evacuated data centre; return the time until the named nodes know."""
+        self.evacuated = data_centre
+        await self.publish()
+        return await self.wait_for(*names)
+
+    async def wait_for(self, *names: str) -> float:
+        """Return the time until the named nodes know the evacuated data centre, in seconds."""
+        expected = (self.evacuated,) if self.evacuated else ()
+        nodes = [self._fleet.nodes[name].membership for name in names]
+        return await self._fleet.wait_for(
+            lambda: all(node.list_evacuated() == expected for node in nodes), EVACUATION_S
+        )
+
+
+# Guards against traffic to an evacuated data centre from nodes that do not read the source, cannot
+# reach it, or slept meanwhile, and against nodes that never learn of the end.
+def test_evacuation_and_its_end_reach_all_connected_nodes_in_time() -> None:
+    async def main() -> None:
+        fleet = await start_fleet()
+        down = LocalSource()
+        await down.begin_fault(SourceFault.DOWN)
+        for node in fleet.nodes.values():
+            if node.own.data_centre == "centre-2":
+                node.distributor.reader._source = down
+        await curio.sleep(40)
+        vms = ChangingList(fleet)
+        await curio.spawn(vms.run, daemon=True)
+        await curio.sleep(5)
+        sleeping = "vm-0-1"
+        awake = [name for name in fleet.nodes if name != sleeping]
+        for begin, end in (("centre-1", ""), ("centre-0", "centre-1")):
+            fleet.network.is_suspended = lambda address: "127.1.0.2" in address
+            await vms.evacuate(begin, *awake)
+            assert fleet.nodes[sleeping].membership.list_evacuated() == ()
+            fleet.network.is_suspended = lambda address: False
+            await vms.wait_for(sleeping)
+            fleet.network.is_suspended = lambda address: "127.1.0.2" in address
+            await vms.evacuate(end, *awake)
+            fleet.network.is_suspended = lambda address: False
+            await vms.wait_for(sleeping)
+            await vms.evacuate("", *fleet.nodes)
+
+    run_virtual(main())
+
+
 # Open: an operator who numbers on from the restored copy confirms numbers that nodes hold already.
 def test_version_confirmed_below_a_lost_number_is_in_force() -> None:
     async def main() -> None:
