Nested calls go before new requests of their priority where a setting asks for it

A nested call that is refused fails a request that already ran elsewhere. Admission did not tell it from new requests of its priority, and any request whose ID had a dot got the highest priority.

With hops.nested_first (off by default), a call is nested only if its ID names a request that the node's own worker runs now; other calls have the order of new requests. HopRequest.nested tells the worker's node. A nested call that was refused for overload is tried elsewhere although that worker looks full.

--- a/tests/fakes_hop.py
+++ b/tests/fakes_hop.py
@@ -35,8 +35,10 @@
 from trefoilpick.manifest import Manifest, VersionId
 from trefoilpick.metrics import Metrics
 from trefoilpick.quarantine_gate import QuarantineGate
+from trefoilpick.running_requests import RunningRequests
 from trefoilpick.settings import (
     DrainSettings,
+    HopSettings,
     ListenSettings,
     RequestSettings,
     Settings,
@@ -242,7 +244,9 @@
     return Document((Section("quillqa", (upstream,), routes),))
 
 
-def build_settings(requests: RequestSettings, drain: DrainSettings) -> Settings:
+def build_settings(
+    requests: RequestSettings, drain: DrainSettings, hops: HopSettings | None = None
+) -> Settings:
     return Settings(
         VmSettings("vm-0", "lima", "lima-a", "portafolio"),
         ListenSettings(HOST, caller_port=0),
@@ -250,6 +254,7 @@
         SourceSettings((f"{HOST}:1",)),
         requests=requests,
         drain=drain,
+        hops=hops or HopSettings(),
     )
 
 
@@ -260,6 +265,8 @@
     drain: DrainSettings | None = None,
     conventions: Conventions = DEFAULT_CONVENTIONS,
     gate: QuarantineGate | None = None,
+    hops: HopSettings | None = None,
+    running: RunningRequests | None = None,
 ) -> Bench:
     """Run the main task of a test with a caller server and its fakes."""
 
@@ -271,7 +278,7 @@
         version = VersionId(7, "d")
         cell.replace(build_snapshot(version, Manifest(7, 1, ()), build_document()))
         server = open_caller_server(
-            build_settings(requests or RequestSettings(), drain or DrainSettings(0, 5_000)),
+            build_settings(requests or RequestSettings(), drain or DrainSettings(0, 5_000), hops),
             cell=cell,
             directory=directory,
             metrics=metrics,
@@ -281,6 +288,7 @@
             random=random.Random(5),
             conventions=conventions,
             gate=gate,
+            running=running,
         )
         bench = Bench(server, fakes, directory, metrics, cell)
         for fake, listener in listeners:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -43,7 +43,8 @@
 from trefoilpick.metrics import Metrics
 from trefoilpick.quarantine import TRIAL_DELAYS_S, CaseState, QuarantineTable
 from trefoilpick.quarantine_gate import QuarantineGate
-from trefoilpick.settings import DrainSettings, RequestSettings
+from trefoilpick.running_requests import RunningRequests
+from trefoilpick.settings import DrainSettings, HopSettings, RequestSettings
 from trefoilpick.tokens import read_claims
 
 ROUND_TRIP_S = 0.1
@@ -746,6 +747,36 @@
     run_bench(main, FakeWorkerNode(), conventions=Conventions(nested_separator=b"."))
 
 
+@pytest.mark.parametrize(
+    ("request_id", "nested_first", "expected"),
+    [
+        ("7a.1", True, ("interactive", True)),
+        ("7b.1", True, ("normal", False)),
+        ("7b.1", False, ("interactive", False)),
+    ],
+    ids=["worker runs the parent", "only the form of the ID", "setting is off"],
+)
+def test_nested_call_goes_first_only_if_the_worker_runs_its_parent(
+    request_id: str, nested_first: bool, expected: tuple[str, bool]
+) -> None:
+    """Guards against clients that gain by a dot in an ID; without the setting nothing changes."""
+    running = RunningRequests()
+
+    async def main(bench: Bench) -> None:
+        with running.track("7a"):
+            await (await connect(bench)).request("PUT", "/note", b"b", x_request_id=request_id)
+        head = bench.fakes[0].received[-1].head
+        assert (head.priority, head.nested) == expected
+
+    run_bench(
+        main,
+        FakeWorkerNode(),
+        conventions=Conventions(nested_separator=b"."),
+        hops=HopSettings(nested_first=nested_first),
+        running=running,
+    )
+
+
 def test_a_worker_timeout_is_not_retried() -> None:
     """After a worker's 504 no time is left, and another run would only occupy a slot."""
 
--- a/trefoilpick/_fair_queue.py
+++ b/trefoilpick/_fair_queue.py
@@ -21,7 +21,7 @@
 
     Attributes:
         caller: Identity of the caller, for fairness.
-        priority: Value of `Priority`.
+        priority: Name of its queue: a value of `Priority`, or another queue of admission.
         deadline_s: Clock reading at which the request expires, in seconds.
         objective_s: Clock reading after which its answer is late, in seconds.
         service_s: Expected service time, in seconds.
--- a/trefoilpick/_hop_exchange.py
+++ b/trefoilpick/_hop_exchange.py
@@ -42,6 +42,7 @@
     from trefoilpick.metrics import Metrics
     from trefoilpick.quarantine_gate import QuarantineGate
     from trefoilpick.recent_answers import RecentAnswers
+    from trefoilpick.running_requests import RunningRequests
     from trefoilpick.upstreams import WorkerPool
     from trefoilpick.worker_ends import WorkerEnds
     from trefoilpick.worker_statements import WorkerStatements
@@ -94,6 +95,7 @@
         gate: Refuses quarantined requests.
         answers: Requests that the worker answered recently.
         conventions: Headers of the fleet.
+        running: Requests that the worker runs now.
     """
 
     admission: AdmissionController
@@ -108,6 +110,7 @@
     gate: QuarantineGate
     answers: RecentAnswers
     conventions: Conventions
+    running: RunningRequests
 
 
 class HopExchange:
@@ -180,13 +183,15 @@
             now_s=self.began_s,
             route=request.route,
             objective_s=self._compute_objective(),
+            nested=request.nested,
         )
         ended_s: float | None = None
         try:
             if acquired_s > self.began_s:
                 self._observe("trefoilpick_hop_queue_microseconds", acquired_s - self.began_s)
             acquired_s = await self._receive_first(acquired_s)
-            answer = await self._call_worker(upstream, max_stored_bytes, acquired_s)
+            with self._context.running.track(request.request_id):
+                answer = await self._call_worker(upstream, max_stored_bytes, acquired_s)
             ended_s = read_clock()
             self._observe("trefoilpick_hop_service_microseconds", ended_s - acquired_s)
             return answer
--- a/trefoilpick/_hop_heads.py
+++ b/trefoilpick/_hop_heads.py
@@ -65,6 +65,7 @@
         request_id=head.request_id,
         objective_ms=_compute_objective_ms(call, now),
         rate_limit=rate_limit,
+        nested=head.is_nested_first,
     )
 
 
--- a/trefoilpick/_metric_table.py
+++ b/trefoilpick/_metric_table.py
@@ -125,6 +125,13 @@
         "Kind message_malformed indicates an unknown program or another version on the port.",
         ("kind",),
     ),
+    "trefoilpick_hop_nested_calls_total": MetricInfo(
+        MetricKind.COUNTER,
+        "requests",
+        "Calls of running requests that other nodes forwarded to this node's worker, by result.",
+        "If many end with shed or queue_full, add VMs to the service.",
+        ("kind",),
+    ),
     "trefoilpick_hop_queue_microseconds": MetricInfo(
         MetricKind.HISTOGRAM,
         "microseconds",
--- a/trefoilpick/admission.py
+++ b/trefoilpick/admission.py
@@ -3,7 +3,8 @@
 A request acquires a slot before it is sent to the worker and releases it once the worker's
 connection is idle or closed. While the worker states a rate, it also waits until the rate allows
 it. Waiting requests are queued: higher priorities are served first, and callers of the same
-priority take turns. When the queue is full, requests of the lowest priority are shed first.
+priority take turns. When the queue is full, requests of the lowest priority are shed first. Where
+the settings ask for it, nested calls go before new requests of their priority (`_nested_turns`).
 """
 
 from __future__ import annotations
@@ -15,14 +16,17 @@
 
 from trefoilpick._clock import read_clock
 from trefoilpick._fair_queue import FairQueue, Waiter
+from trefoilpick._nested_turns import (
+    NESTED_NAMES,
+    NESTED_QUEUES,
+    PRIORITIES,
+    QUEUE_NAMES,
+    NestedTurns,
+)
 from trefoilpick.averages import MovingAverages, update_average
-from trefoilpick.document import Priority
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 from trefoilpick.worker_rates import WorkerRate
 
-PRIORITIES = (Priority.INTERACTIVE.value, Priority.NORMAL.value, Priority.DEFERRABLE.value)
-"""Values of `Priority`, highest first."""
-
 DELAYED = "delayed"
 """Queue of the requests that cannot be answered within their objective."""
 
@@ -84,6 +88,7 @@
         limits: Capacity of the worker and of its queue.
         warm_up_s: Time over which the number of slots grows to its limit, in seconds.
         warm_up_share: Share of the slots that is available at the start.
+        nested_first: Whether nested calls go before new requests of their priority.
 
     Attributes:
         in_flight: Number of requests that have a slot.
@@ -97,6 +102,7 @@
         *,
         warm_up_s: float = 0.0,
         warm_up_share: float = 1.0,
+        nested_first: bool = False,
     ) -> None:
         self.limits = limits
         self.in_flight = 0
@@ -106,7 +112,9 @@
         self._started_s = 0.0
         self._warm_up_s = warm_up_s
         self._warm_up_share = warm_up_share
-        self._queues = {name: FairQueue() for name in (*PRIORITIES, DELAYED)}
+        self._nested_first = nested_first
+        self._queues = {name: FairQueue() for name in (*QUEUE_NAMES, DELAYED)}
+        self._turns = NestedTurns(self._queues)
 
     @property
     def service_s(self) -> float:
@@ -152,6 +160,7 @@
         now_s: float,
         route: str = "",
         objective_s: float = math.inf,
+        nested: bool = False,
     ) -> float:
         """Acquire a slot, waiting for one if necessary.
 
@@ -166,6 +175,8 @@
             now_s: Current clock reading, in seconds.
             route: Route of the request; service times are estimated by route.
             objective_s: Clock reading after which the answer is late, in seconds.
+            nested: Whether a request that runs elsewhere waits for it. While such calls are few,
+                they are queued if they are expected to meet their deadline.
 
         Returns:
             Clock reading at which the slot was acquired, in seconds.
@@ -182,7 +193,7 @@
             return now_s
         waiter = Waiter(
             caller,
-            priority if priority in self._queues else PRIORITIES[1],
+            self._find_queue_name(priority, nested=nested),
             deadline_s,
             objective_s,
             self._service_times.estimate(route),
@@ -271,7 +282,14 @@
                 raise _build_expired_error() from error
             await self.admit_waiting()
 
+    def _find_queue_name(self, priority: str, *, nested: bool) -> str:
+        if priority not in PRIORITIES:
+            priority = PRIORITIES[1]
+        return NESTED_QUEUES[priority] if nested and self._nested_first else priority
+
     async def _enqueue(self, waiter: Waiter, now_s: float, slots: int) -> None:
+        if waiter.priority in NESTED_NAMES and self._turns.are_nested_few(slots):
+            waiter.objective_s = max(waiter.objective_s, waiter.deadline_s)
         start_s = now_s + self._estimate_start(waiter, slots)
         if start_s > waiter.deadline_s:
             text = f"estimated wait of {start_s - now_s:.3f} s exceeds the time left"
@@ -281,7 +299,7 @@
                 text = f"estimated wait of {start_s - now_s:.3f} s exceeds the objective"
                 raise self._build_refusal(text, slots)
             self._delay(waiter, now_s, slots)
-        if self.queued >= self.limits.queue:
+        if self.queued >= self.limits.queue or self._is_nested_share_used_up(waiter):
             await self._evict_for(waiter, slots)
         self._queues[waiter.priority].append(waiter)
         self.queued += 1
@@ -303,15 +321,8 @@
 
     def _estimate_start(self, waiter: Waiter, slots: int) -> float:
         """Return the expected time until a new request gets a slot, in seconds."""
-        work_s, ahead = self.service_s, 0
-        for name, queue in self._queues.items():
-            if name == waiter.priority:
-                work_s += queue.estimate_ahead(waiter.caller)
-                ahead += queue.count_ahead(waiter.caller)
-                break
-            work_s += queue.work_s
-            ahead += len(queue)
-        return max(work_s / slots, self.rate.estimate_wait(ahead + 1))
+        ahead, ahead_s = self._turns.estimate_ahead(waiter.priority, waiter.caller)
+        return max((self.service_s + ahead_s) / slots, self.rate.estimate_wait(ahead + 1))
 
     async def _evict_for(self, waiter: Waiter, slots: int) -> None:
         victim = self._find_victim(waiter)
@@ -328,12 +339,17 @@
         self._queues[waiter.priority].remove(waiter)
         self.queued -= 1
 
+    def _is_nested_share_used_up(self, waiter: Waiter) -> bool:
+        """Return whether a request is a nested call and these have all of their places."""
+        return waiter.priority in NESTED_NAMES and not self._turns.has_place(self.limits.queue)
+
     def _find_victim(self, waiter: Waiter) -> Waiter | None:
         own_queue = self._queues[waiter.priority]
-        for queue in reversed(self._queues.values()):
+        keeps_new = self._is_nested_share_used_up(waiter)
+        for name, queue in reversed(self._queues.items()):
             if queue is own_queue:
                 break
-            if queue:
+            if queue and (name in NESTED_NAMES or not keeps_new):
                 return queue.find_newest_of_longest()
         if not own_queue:
             return None
@@ -359,16 +375,19 @@
 
     async def _admit_waiting(self, now_s: float) -> None:
         slots = self.count_slots(now_s)
-        for queue in self._queues.values():
-            while queue and self.in_flight < slots and not self.rate.estimate_wait():
-                waiter = queue.pop_next()
-                self.queued -= 1
-                if self._is_late(waiter, now_s):
-                    await self._delay_or_refuse(waiter, now_s, slots)
-                    continue
-                self.rate.try_acquire()
-                self.in_flight += 1
-                await waiter.decided.set()
+        while self.in_flight < slots and not self.rate.estimate_wait():
+            queue = self._turns.choose_queue()
+            if queue is None:
+                return
+            waiter = queue.pop_next()
+            self.queued -= 1
+            if self._is_late(waiter, now_s):
+                await self._delay_or_refuse(waiter, now_s, slots)
+                continue
+            self._turns.record_turn(waiter.priority)
+            self.rate.try_acquire()
+            self.in_flight += 1
+            await waiter.decided.set()
 
     def _is_late(self, waiter: Waiter, now_s: float) -> bool:
         """Return whether a waiting request can no longer be answered in time.
--- a/trefoilpick/callers.py
+++ b/trefoilpick/callers.py
@@ -4,7 +4,7 @@
 
 import logging
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 import curio
@@ -52,6 +52,7 @@
     from trefoilpick.hops import Headers
     from trefoilpick.metrics import Metrics
     from trefoilpick.quarantine_gate import QuarantineGate
+    from trefoilpick.running_requests import RunningRequests
     from trefoilpick.settings import Settings
     from trefoilpick.snapshots import Snapshot, SnapshotCell, TeamRoute
 
@@ -116,6 +117,7 @@
         may_be_behind: Returns whether there may be a version that the node does not enforce yet.
         conventions: Names of the fleet's headers.
         log: Log of finished requests.
+        running: Requests that the worker of this VM runs, if nested calls go first.
     """
 
     def __init__(
@@ -133,6 +135,7 @@
         may_be_behind: Callable[[], bool],
         conventions: Conventions,
         log: RequestLog,
+        running: RunningRequests | None = None,
     ) -> None:
         self.drain_settings = settings.drain
         self._settings = settings
@@ -146,6 +149,7 @@
         self._may_be_behind = may_be_behind
         self._conventions = conventions
         self._log = log
+        self._running = running
         self._splitter = splitter
         self._deadline_history = DeadlineHistory()
         self._tasks: set[curio.Task] = set()
@@ -334,7 +338,7 @@
         snapshot: Snapshot | None,
         now: float,
     ) -> Call:
-        head = parse_head(request, self._conventions, service=self._settings.vm.service)
+        head = self._parse_head(request)
         connection.request_id = head.request_id
         if self._is_refusing:
             raise TrefoilpickError(ErrorKind.DRAINING, "the node is leaving")
@@ -366,6 +370,19 @@
             elapsed_ms,
         )
 
+    def _parse_head(self, request: h11.Request) -> CallHead:
+        """Parse a request's head, and recognise a nested call if these go first.
+
+        Without that setting, the form of the ID suffices. A call that goes first must belong to a
+        request that the worker of this VM runs, so that clients gain nothing by the form of an ID.
+        """
+        head = parse_head(request, self._conventions, service=self._settings.vm.service)
+        if self._running is None or not head.is_nested:
+            return head
+        separator = self._conventions.nested_separator.decode("latin-1")
+        is_nested = self._running.is_nested(head.request_id, separator)
+        return replace(head, is_nested=is_nested, is_nested_first=is_nested)
+
     def _find_route(self, snapshot: Snapshot, head: CallHead) -> TeamRoute:
         """Return the route of a request.
 
@@ -547,6 +564,7 @@
     gate: QuarantineGate | None = None,
     conventions: Conventions = DEFAULT_CONVENTIONS,
     log: RequestLog | None = None,
+    running: RunningRequests | None = None,
 ) -> CallerServer:
     """Open the server for callers; it listens at once and accepts connections when run.
 
@@ -564,6 +582,7 @@
         gate: Refuses quarantined requests; by default none is.
         conventions: Names of the fleet's headers.
         log: Log of finished requests; a new one by default.
+        running: Requests that the worker of this VM runs; used where nested calls go first.
 
     Raises:
         TrefoilpickError: `SETTINGS_FAULTY`, if listening on the address fails.
@@ -599,4 +618,5 @@
         may_be_behind=may_be_behind,
         conventions=conventions,
         log=log or open_request_log(settings.vm.name, incarnation=0, metrics=metrics),
+        running=running if settings.hops.nested_first else None,
     )
--- a/trefoilpick/calls.py
+++ b/trefoilpick/calls.py
@@ -101,6 +101,7 @@
         body_length: Length of the body, in bytes; None if not declared.
         request_id: The caller's id of this attempt; empty if not sent.
         is_nested: Whether a worker sent it while processing another request.
+        is_nested_first: Whether it also goes before new requests of its priority.
     """
 
     method: str
@@ -115,6 +116,7 @@
     body_length: int | None
     request_id: str = ""
     is_nested: bool = False
+    is_nested_first: bool = False
 
 
 @dataclass
--- a/trefoilpick/forwarding.py
+++ b/trefoilpick/forwarding.py
@@ -191,8 +191,11 @@
     async def _attempt(self, call: Call, attempts: AttemptHistory) -> Attempt:
         now = read_clock()
         record = self._choose_for_trial(call, now) or self._choose(call, attempts.vms, now)
-        if attempts.overload_refusals and self._balancer.is_full(
-            record, call.team_route.upstream, now
+        # A nested call that goes first may find a place where new requests find none.
+        if (
+            attempts.overload_refusals
+            and not call.head.is_nested_first
+            and self._balancer.is_full(record, call.team_route.upstream, now)
         ):
             text = f'every worker of upstream "{record.vm.service}" is full'
             raise TrefoilpickError(
--- a/trefoilpick/hopserver.py
+++ b/trefoilpick/hopserver.py
@@ -30,6 +30,7 @@
 from trefoilpick.quarantine_gate import open_local_gate
 from trefoilpick.recent_answers import RecentAnswers
 from trefoilpick.requestlogs import RequestEvent, open_request_log
+from trefoilpick.running_requests import RunningRequests
 from trefoilpick.tokens import create_token_store
 from trefoilpick.upstreams import open_pool
 from trefoilpick.version_observer import ignore_version
@@ -115,6 +116,7 @@
         is_leaving: Whether a drain has started.
         is_refusing: Whether the notice period of a drain is over, so that requests are refused.
         drain_settings: Settings of the next drain.
+        running_requests: Requests that the worker runs now.
     """
 
     def __init__(
@@ -140,6 +142,7 @@
         self.is_leaving = False
         self.is_refusing = False
         self.drain_settings = settings.drain
+        self.running_requests = RunningRequests()
         self._settings = settings
         self._cell = cell
         self._metrics = metrics
@@ -191,6 +194,7 @@
             gate=gate,
             answers=self._answers,
             conventions=conventions,
+            running=self.running_requests,
         )
 
     @property
@@ -370,6 +374,8 @@
             self._metrics.count(
                 "trefoilpick_hop_requests_total", team=request.team, route=request.route, kind=kind
             )
+            if request.nested:
+                self._metrics.count("trefoilpick_hop_nested_calls_total", kind=kind)
             self._log_request(exchange, request, kind)
         if exchange.is_hop_reusable:
             return True
@@ -533,6 +539,7 @@
         AdmissionLimits(slots=1, connections=1, queue=0),
         warm_up_s=settings.hops.warm_up_ms / 1000,
         warm_up_share=settings.hops.warm_up_percent / 100,
+        nested_first=settings.hops.nested_first,
     )
     return HopServer(
         settings,
--- a/trefoilpick/node.py
+++ b/trefoilpick/node.py
@@ -268,6 +268,7 @@
         gate=distributor.quarantine.gate,
         conventions=conventions,
         log=request_log,
+        running=hop_server.running_requests,
     )
     return Node(
         settings,
--- a/trefoilpick/settings.py
+++ b/trefoilpick/settings.py
@@ -244,6 +244,9 @@
         Meta(ge=0.0, le=1_000_000.0),
         _describe("Requests that a cold worker may get in a second in addition to its rate"),
     ] = 0.0
+    nested_first: Annotated[
+        bool, _describe("Whether calls of running requests go before new ones of their priority")
+    ] = False
 
 
 @dataclass(frozen=True)
