Link scheduler: parts of large bodies yield to small messages

Cause: small answers wait behind downloads in socket buffers, where they cannot be ordered.

LinkQueue decides without I/O when parts of large bodies may be sent, and in which order. Small messages are only counted, without a task or a timer. LinkScheduler is its asynchronous side. It is not in use yet.

Tests: test_link_scheduler, test_layout and test_metrics pass.

--- a/tests/fakes_worker.py
+++ b/tests/fakes_worker.py
@@ -280,9 +280,10 @@
         return int(sock.getsockname()[1])
 
 
-def build_cell(**fields: Any) -> SnapshotCell:
+def build_cell(*, large_answers: bool = False, **fields: Any) -> SnapshotCell:
     upstream = Upstream("encargos", **fields)
-    route = Route("advance", Match("/", ("GET", "POST")), "encargos", Contract(idempotent=False))
+    contract = Contract(idempotent=False, large_answers=large_answers)
+    route = Route("advance", Match("/", ("GET", "POST")), "encargos", contract)
     cell = SnapshotCell()
     cell.replace(
         build_snapshot(
--- a/trefoilpick/_metric_table.py
+++ b/trefoilpick/_metric_table.py
@@ -139,6 +139,12 @@
         "If it grows, look at the worker.",
         ("priority",),
     ),
+    "trefoilpick_link_wait_microseconds": MetricInfo(
+        MetricKind.HISTOGRAM,
+        "microseconds",
+        "Time that a part of a large body waited for its turn on this VM's link.",
+        "If it stays high, large bodies need more than the link: compare `link.mbps` with the VM.",
+    ),
     "trefoilpick_worker_requests_total": MetricInfo(
         MetricKind.COUNTER,
         "requests",
