Link scheduler: in use for answers and uploads; a slot is free once its answer is buffered

Cause: large answers filled socket buffers ahead of small ones, and a worker's slot stayed taken until the last byte of its answer was accepted by the hop.

Change: large answers on hops, answers to callers on other hosts, and uploads are sent in parts that take turns. On hops, a large answer is read from the worker into a buffer (8 MB for all answers of a node, back-pressure beyond it) while a task sends it; the slot and the connection to the worker are released when the answer is complete there. The end of the body is sent only after the worker's. The request counts as running until its last byte is sent, so a drain waits for it. Without link.mbps or a route with large answers, the code path is the former one.

Evidence: the slot is free while 540 kB are still being sent, and held without scheduling (test_answer_buffers).

Tests: test_answer_buffers, test_link_scheduler, test_hopserver*, test_callers, test_caller_connections, test_pipelining, test_node, test_hopclient, test_tokens, test_matrix, test_layout and test_metrics pass.

--- a/tests/fakes_worker.py
+++ b/tests/fakes_worker.py
@@ -38,6 +38,7 @@
 from trefoilpick.settings import (
     DrainSettings,
     HopSettings,
+    LinkSettings,
     ListenSettings,
     RequestSettings,
     Settings,
@@ -342,17 +343,20 @@
     requests: RequestSettings | None = None,
     gate: QuarantineGate | None = None,
     report_end: Callable[[EndReport], Awaitable[None]] = ignore_end,
+    link_mbps: float = 0.0,
+    large_answers: bool = False,
     **hops: Any,
 ):
     worker = FakeWorker()
     settings = build_settings(worker.port, **hops)
     settings = replace(settings, worker=replace(settings.worker, host=worker_host))
+    settings = replace(settings, link=LinkSettings(link_mbps))
     if drain is not None:
         settings = replace(settings, drain=drain)
     if requests is not None:
         settings = replace(settings, requests=requests)
     metrics = Metrics()
-    cell = build_cell(**(upstream or {}))
+    cell = build_cell(large_answers=large_answers, **(upstream or {}))
     server = open_hop_server(
         settings,
         cell=cell,
--- a/trefoilpick/_hop_exchange.py
+++ b/trefoilpick/_hop_exchange.py
@@ -9,6 +9,7 @@
 
 import curio
 
+from trefoilpick._answer_buffers import END, AnswerSender
 from trefoilpick._clock import read_clock
 from trefoilpick._hop_connections import RequestBody
 from trefoilpick._worker_connections import AnswerHead, NothingSentError
@@ -19,9 +20,9 @@
     HopAnswer,
     HopFailure,
     encode_data,
-    encode_frame,
     encode_head,
 )
+from trefoilpick.link_scheduler import SMALL_BYTES
 from trefoilpick.tokens import StoredAnswer
 from trefoilpick.worker_ends import Run
 from trefoilpick.worker_statements import NO_STATEMENT, parse_decimal
@@ -31,6 +32,7 @@
 
     from curio.task import Task
 
+    from trefoilpick._answer_buffers import BufferLimit
     from trefoilpick._hop_connections import HopConnection
     from trefoilpick._worker_connections import WorkerConnection
     from trefoilpick.admission import AdmissionController
@@ -39,6 +41,7 @@
     from trefoilpick.fingerprints import Fingerprint
     from trefoilpick.health import WorkerHealth
     from trefoilpick.hops import HopRequest, Load
+    from trefoilpick.link_scheduler import LinkScheduler
     from trefoilpick.metrics import Metrics
     from trefoilpick.quarantine_gate import QuarantineGate
     from trefoilpick.recent_answers import RecentAnswers
@@ -59,9 +62,6 @@
 """Time without an answer after which a connection to the worker may be silent, in seconds, if its
 request ended then: idle connections on which nothing arrived either are closed."""
 
-END = encode_frame(FrameKind.END)
-"""The frame that ends a body."""
-
 MAX_RETRY_AFTER_S = 3.0
 """Longest retry delay of a worker that is passed on to callers, in seconds: by then the list of VMs
 shows whether the worker is leaving."""
@@ -94,6 +94,8 @@
         gate: Refuses quarantined requests.
         answers: Requests that the worker answered recently.
         conventions: Headers of the fleet.
+        link: Scheduler of this VM's link.
+        buffer_limit: Size of all buffered answers.
     """
 
     admission: AdmissionController
@@ -108,6 +110,8 @@
     gate: QuarantineGate
     answers: RecentAnswers
     conventions: Conventions
+    link: LinkScheduler
+    buffer_limit: BufferLimit
 
 
 class HopExchange:
@@ -147,6 +151,7 @@
         self._body = RequestBody(hop_connection, is_received=not request.has_body)
         self._connection: WorkerConnection | None = None
         self._upload: Task | None = None
+        self._sender: AnswerSender | None = None
         self._first_error: TrefoilpickError | None = None
         self._sent_s = began_s
         self._is_answer_started = False
@@ -169,6 +174,17 @@
         Raises:
             TrefoilpickError: The request ended without a complete answer.
         """
+        try:
+            answer = await self._run_in_slot(upstream, max_stored_bytes)
+            if self._sender is not None:
+                await self._sender.wait_until_sent()
+            return answer
+        finally:
+            if self._sender is not None:
+                await self._sender.stop()
+
+    async def _run_in_slot(self, upstream: Upstream, max_stored_bytes: int) -> StoredAnswer | None:
+        """Run the request; return once its answer is sent or completely in the sender's buffer."""
         request, admission = self._request, self._context.admission
         self._body.read_buffered()
         if not self._context.gate.is_open and self._body.has_sample(SAMPLE_BYTES):
@@ -398,21 +414,62 @@
         assert connection is not None
         collector = AnswerCollector(head, max_stored_bytes)
         frames = [self._encode_answer(head)]
+        chunks = connection.pop_data()
+        if self._context.link.is_active and not _is_small(head, connection, chunks):
+            await self._forward_large(connection, frames[0], chunks, collector)
+            return collector.build()
         while True:
-            chunks = connection.pop_data()
             collector.add(chunks)
             frames.append(encode_data(chunks))
             if connection.is_answer_complete:
                 break
-            self._is_answer_started = True
-            await self._hop_connection.send(*frames)
+            await self._send_answer(frames)
             frames.clear()
             await self._receive_more(connection)
-        self._is_answer_started = True
+            chunks = connection.pop_data()
         frames.append(END)
-        await self._hop_connection.send(*frames)
+        await self._send_answer(frames)
         return collector.build()
 
+    async def _send_answer(self, frames: list[bytes]) -> None:
+        self._is_answer_started = True
+        self._context.link.count(sum(map(len, frames)))
+        await self._hop_connection.send(*frames)
+
+    async def _forward_large(
+        self,
+        connection: WorkerConnection,
+        head: bytes,
+        chunks: list[bytes],
+        collector: AnswerCollector,
+    ) -> None:
+        """Send the head, and read the body into the buffer of a task that sends it.
+
+        Args:
+            connection: The connection to the worker.
+            head: The encoded head.
+            chunks: The chunks of the body that have arrived.
+            collector: Collects the body.
+        """
+        await self._send_answer([head])
+        context = self._context
+        sender = self._sender = AnswerSender(
+            self._hop_connection,
+            link=context.link,
+            limit=context.buffer_limit,
+            priority=self._request.priority,
+        )
+        await sender.start()
+        while True:
+            collector.add(chunks)
+            await sender.add(chunks)
+            if connection.is_answer_complete:
+                break
+            await sender.wait_for_room()
+            await self._receive_more(connection)
+            chunks = connection.pop_data()
+        await sender.finish()
+
     async def _receive_more(self, connection: WorkerConnection) -> None:
         try:
             async with curio.timeout_after(self._context.body_idle_s):
@@ -545,6 +602,20 @@
     return encode_head(FrameKind.FAILURE, failure)
 
 
+def _is_small(head: AnswerHead, connection: WorkerConnection, chunks: list[bytes]) -> bool:
+    """Return whether the body of an answer is known to be small.
+
+    Args:
+        head: Head of the answer.
+        connection: The connection to the worker.
+        chunks: The chunks of the body that have arrived.
+    """
+    if connection.is_answer_complete:
+        return sum(map(len, chunks)) <= SMALL_BYTES
+    length = dict(head.headers).get(b"content-length")
+    return length is not None and int(length) <= SMALL_BYTES
+
+
 def _find_outcome(status: int) -> Outcome:
     return Outcome.UNKNOWN if status in UNKNOWN_OUTCOME_STATUSES else Outcome.RUN
 
--- a/trefoilpick/_hop_heads.py
+++ b/trefoilpick/_hop_heads.py
@@ -54,7 +54,7 @@
         target=head.target,
         headers=head.headers,
         remaining_ms=max(int(remaining_s * MS_PER_S) - HOP_MARGIN_MS, 1),
-        priority=_find_priority(call).value,
+        priority=find_priority(call).value,
         idempotent=route.contract.idempotent,
         caller=call.connection.caller,
         token=head.token,
@@ -68,8 +68,8 @@
     )
 
 
-def _find_priority(call: Call) -> Priority:
-    """Return the priority at the worker; nested calls get the highest.
+def find_priority(call: Call) -> Priority:
+    """Return the priority at the worker and on the link; nested calls get the highest.
 
     If a nested call fails, the work that its parent request has done is wasted.
     """
--- a/trefoilpick/_metric_table.py
+++ b/trefoilpick/_metric_table.py
@@ -139,6 +139,12 @@
         "If it grows, look at the worker.",
         ("priority",),
     ),
+    "trefoilpick_link_buffered_bytes": MetricInfo(
+        MetricKind.GAUGE,
+        "bytes",
+        "Bytes of workers' answers that this node has read and not sent yet.",
+        "Near 8 MB, workers wait for the link: look for slow readers and compare `link.mbps`.",
+    ),
     "trefoilpick_link_wait_microseconds": MetricInfo(
         MetricKind.HISTOGRAM,
         "microseconds",
--- a/trefoilpick/caller_connections.py
+++ b/trefoilpick/caller_connections.py
@@ -116,6 +116,11 @@
         """Whether a request is in flight, including one that is still being received."""
         return self.state not in (ConnectionState.NEW, ConnectionState.IDLE)
 
+    @property
+    def is_local(self) -> bool:
+        """Whether the caller runs on this VM, so that its answers do not use the VM's link."""
+        return bool(self.sock._socket.getsockname()[0] == self.caller)
+
     async def receive_request(self) -> h11.Request | None:
         """Return the next request's head; None if the caller closed between requests.
 
--- a/trefoilpick/callers.py
+++ b/trefoilpick/callers.py
@@ -35,6 +35,7 @@
 from trefoilpick.errors import ErrorKind, TrefoilpickError, find_answer
 from trefoilpick.forwarding import Forwarder
 from trefoilpick.hopclient import HopPool
+from trefoilpick.link_scheduler import LinkScheduler
 from trefoilpick.listeners import open_listener
 from trefoilpick.pipelining import Pipeline, PipelinedRequest
 from trefoilpick.quarantine_gate import open_local_gate
@@ -547,6 +548,7 @@
     gate: QuarantineGate | None = None,
     conventions: Conventions = DEFAULT_CONVENTIONS,
     log: RequestLog | None = None,
+    link: LinkScheduler | None = None,
 ) -> CallerServer:
     """Open the server for callers; it listens at once and accepts connections when run.
 
@@ -564,6 +566,7 @@
         gate: Refuses quarantined requests; by default none is.
         conventions: Names of the fleet's headers.
         log: Log of finished requests; a new one by default.
+        link: Scheduler of this VM's link; a new one by default.
 
     Raises:
         TrefoilpickError: `SETTINGS_FAULTY`, if listening on the address fails.
@@ -582,6 +585,7 @@
         random,
         gate=gate or open_local_gate(settings.vm.name, metrics),
         conventions=conventions,
+        link=link or LinkScheduler(settings.link.mbps, cell=cell, metrics=metrics),
     )
     listener = open_listener(
         settings.listen.host, settings.listen.caller_port, name="callers' port", backlog=BACKLOG
--- a/trefoilpick/forwarding.py
+++ b/trefoilpick/forwarding.py
@@ -9,7 +9,12 @@
 import curio
 
 from trefoilpick._clock import read_clock
-from trefoilpick._hop_heads import build_answer_headers, build_request, rebuild_error
+from trefoilpick._hop_heads import (
+    build_answer_headers,
+    build_request,
+    find_priority,
+    rebuild_error,
+)
 from trefoilpick.caller_connections import ConnectionState
 from trefoilpick.calls import MS_PER_S
 from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError, find_answer
@@ -24,6 +29,7 @@
     encode_data,
     encode_head,
 )
+from trefoilpick.link_scheduler import SMALL_BYTES
 from trefoilpick.retries import plan_retry
 from trefoilpick.tokens import read_claims
 from trefoilpick.transfer_sizes import TransferSizes
@@ -37,6 +43,7 @@
     from trefoilpick.conventions import Conventions
     from trefoilpick.hopclient import ClientHop, HopPool
     from trefoilpick.hops import Headers
+    from trefoilpick.link_scheduler import LinkScheduler
     from trefoilpick.metrics import Metrics
     from trefoilpick.quarantine_gate import QuarantineGate
     from trefoilpick.retries import AttemptHistory, RetryBudgets
@@ -101,6 +108,7 @@
         random: Random number generator for the jitter.
         gate: Refuses quarantined requests.
         conventions: Headers of the fleet.
+        link: Scheduler of this VM's link.
     """
 
     def __init__(
@@ -113,8 +121,10 @@
         *,
         gate: QuarantineGate,
         conventions: Conventions,
+        link: LinkScheduler,
     ) -> None:
         self._gate = gate
+        self._link = link
         self._conventions = conventions
         self._balancer = balancer
         self._pool = pool
@@ -317,10 +327,11 @@
         if call.body.is_complete and request.has_body:
             data += END_FRAME
         call.body.was_sent = True
+        self._link.count(len(data))
         await self._send_first(call, hop, data)
         uploader = None
         if not call.body.is_complete:
-            uploader = Uploader(call, hop)
+            uploader = Uploader(call, hop, self._link)
             await uploader.start()
         try:
             answer = await self._receive_head(call, record, hop, uploader)
@@ -431,13 +442,27 @@
                 data = connection.encode_answer(
                     answer.status, headers, parts, is_complete=is_complete
                 )
+                is_small = is_complete and len(data) <= SMALL_BYTES
                 is_head_pending = False
             else:
                 data = connection.encode_parts(parts, is_complete=is_complete)
             if data:
-                await connection.send(data)
+                await self._send_to_caller(call, data, is_small=is_small)
         self._sizes.record(call.team_route.team, call.team_route.route.name, size)
 
+    async def _send_to_caller(self, call: Call, data: bytes, *, is_small: bool) -> None:
+        """Send a part of an answer; parts of large answers take turns on the link."""
+        connection, link = call.connection, self._link
+        if not link.is_active or connection.is_local:
+            await connection.send(data)
+        elif is_small:
+            link.count(len(data))
+            await connection.send(data)
+        else:
+            for part in link.split([data]):
+                await link.acquire(len(part), priority=find_priority(call).value)
+                await connection.send(part)
+
     async def _receive_parts(
         self, call: Call, attempt: Attempt, *, wait: bool
     ) -> tuple[list[bytes], bool]:
--- a/trefoilpick/hopserver.py
+++ b/trefoilpick/hopserver.py
@@ -11,6 +11,7 @@
 
 import curio
 
+from trefoilpick._answer_buffers import BufferLimit
 from trefoilpick._at_most_once import run_at_most_once
 from trefoilpick._clock import read_clock
 from trefoilpick._hop_connections import HopConnection
@@ -25,6 +26,7 @@
 from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError
 from trefoilpick.health import WorkerHealth
 from trefoilpick.hops import FrameKind, Hop, HopRequest, Load, decode_head, encode_head
+from trefoilpick.link_scheduler import LinkScheduler
 from trefoilpick.listeners import open_listener
 from trefoilpick.logs import Event, open_state_log
 from trefoilpick.quarantine_gate import open_local_gate
@@ -110,6 +112,7 @@
         report_end: Reports each end of the worker with the requests that it was running.
         conventions: Headers of the fleet.
         log: Log of finished requests.
+        link: Scheduler of this VM's link.
 
     Attributes:
         is_leaving: Whether a drain has started.
@@ -134,6 +137,7 @@
         report_end: Callable[[EndReport], Awaitable[None]],
         conventions: Conventions,
         log: RequestLog,
+        link: LinkScheduler,
     ) -> None:
         self.admission = admission
         self.token_store = token_store
@@ -191,6 +195,8 @@
             gate=gate,
             answers=self._answers,
             conventions=conventions,
+            link=link,
+            buffer_limit=BufferLimit(metrics),
         )
 
     @property
@@ -510,6 +516,7 @@
     report_end: Callable[[EndReport], Awaitable[None]] = ignore_end,
     conventions: Conventions = DEFAULT_CONVENTIONS,
     log: RequestLog | None = None,
+    link: LinkScheduler | None = None,
 ) -> HopServer:
     """Open the hop server of a node. It listens at once, and accepts hops once it runs.
 
@@ -525,6 +532,7 @@
         report_end: Reports each end of the worker with the requests that it was running.
         conventions: Headers of the fleet.
         log: Log of finished requests; a new one by default.
+        link: Scheduler of this VM's link; a new one by default.
 
     Raises:
         TrefoilpickError: `SETTINGS_FAULTY`, if the address cannot be listened on.
@@ -558,6 +566,7 @@
         report_end=report_end,
         conventions=conventions,
         log=log or open_request_log(settings.vm.name, incarnation=incarnation, metrics=metrics),
+        link=link or LinkScheduler(settings.link.mbps, cell=cell, metrics=metrics),
     )
 
 
--- a/trefoilpick/node.py
+++ b/trefoilpick/node.py
@@ -20,6 +20,7 @@
 from trefoilpick.conventions import DEFAULT_CONVENTIONS
 from trefoilpick.distribution import open_distributor
 from trefoilpick.hopserver import open_hop_server
+from trefoilpick.link_scheduler import LinkScheduler
 from trefoilpick.links import open_links
 from trefoilpick.logs import Event, open_state_log
 from trefoilpick.membership import MembershipTable
@@ -242,6 +243,7 @@
     )
     version_observer = VersionObserver(cell, metrics)
     request_log = open_request_log(settings.vm.name, incarnation=incarnation, metrics=metrics)
+    link = LinkScheduler(settings.link.mbps, cell=cell, metrics=metrics)
     hop_server = open_hop_server(
         settings,
         cell=cell,
@@ -254,6 +256,7 @@
         report_end=distributor.quarantine.report_end,
         conventions=conventions,
         log=request_log,
+        link=link,
     )
     caller_server = open_caller_server(
         settings,
@@ -268,6 +271,7 @@
         gate=distributor.quarantine.gate,
         conventions=conventions,
         log=request_log,
+        link=link,
     )
     return Node(
         settings,
--- a/trefoilpick/uploads.py
+++ b/trefoilpick/uploads.py
@@ -7,6 +7,7 @@
 import curio
 
 from trefoilpick._clock import read_clock
+from trefoilpick._hop_heads import find_priority
 from trefoilpick.caller_connections import ConnectionState
 from trefoilpick.errors import TrefoilpickError
 from trefoilpick.hops import FrameKind, encode_data, encode_frame
@@ -14,6 +15,7 @@
 if TYPE_CHECKING:
     from trefoilpick.calls import Call
     from trefoilpick.hopclient import ClientHop
+    from trefoilpick.link_scheduler import LinkScheduler
 
 END_FRAME = encode_frame(FrameKind.END)
 """The frame that ends a body."""
@@ -33,19 +35,21 @@
     Args:
         call: The request.
         hop: The hop on which the body is sent.
+        link: Scheduler of this VM's link.
 
     Attributes:
         error: Why the body could not be received from the caller.
         ended_at: Time at which all of the body was sent, in seconds on the node's clock.
-        is_sending: Whether it waits for the hop to accept a part.
+        is_sending: Whether it waits for the link or for the hop to accept a part.
     """
 
-    def __init__(self, call: Call, hop: ClientHop) -> None:
+    def __init__(self, call: Call, hop: ClientHop, link: LinkScheduler) -> None:
         self.error: TrefoilpickError | None = None
         self.ended_at: float | None = None
         self.is_sending = False
         self._call = call
         self._hop = hop
+        self._link = link
         self._accepted = curio.Event()
         self._task: curio.Task | None = None
 
@@ -72,11 +76,9 @@
         connection.last_active_at = connection.clock.now
         self._hop.set_uploading(True)
         try:
-            while (part := await self._call.body.receive()) is not None:
-                self.is_sending = True
-                await self._hop.send(encode_data([part]))
-                self.is_sending = False
-                connection.last_active_at = connection.clock.now
+            while (chunk := await self._call.body.receive()) is not None:
+                for part in self._link.split([chunk]):
+                    await self._send(part)
             await self._hop.send(END_FRAME)
         except TrefoilpickError as error:
             self.error = error
@@ -88,3 +90,11 @@
             connection.state = (
                 ConnectionState.ANSWERING if connection.is_head_sent else ConnectionState.RUNNING
             )
+
+    async def _send(self, part: bytes) -> None:
+        connection = self._call.connection
+        self.is_sending = True
+        await self._link.acquire(len(part), priority=find_priority(self._call).value)
+        await self._hop.send(encode_data([part]))
+        self.is_sending = False
+        connection.last_active_at = connection.clock.now
