Tests: uploads and answers to callers take turns; a cancelled grant frees the link

Cause: these paths were covered only by a trial with scheduling forced on. Removing the return of a granted turn from LinkQueue.cancel was noticed by no test; one now fails on it.

Tests: test_link_scheduler, test_transfers_on_links, test_pipelining and test_caller_connections pass.

--- a/tests/fakes_hop.py
+++ b/tests/fakes_hop.py
@@ -32,6 +32,7 @@
     encode_frame,
     encode_head,
 )
+from trefoilpick.link_scheduler import LinkScheduler
 from trefoilpick.manifest import Manifest, VersionId
 from trefoilpick.metrics import Metrics
 from trefoilpick.quarantine_gate import QuarantineGate
@@ -227,12 +228,16 @@
         return sum((fake.runs for fake in self.fakes), Counter())
 
 
-def build_document() -> Document:
+def build_document(*, large_answers: bool = False) -> Document:
     def route(name: str, methods: tuple[str, ...], contract: Contract) -> Route:
         return Route(name, Match(f"/{name}", methods), "encargos", contract)
 
     routes = (
-        route("status", ("GET", "HEAD"), Contract(True, 2_000, retries=2)),
+        route(
+            "status",
+            ("GET", "HEAD"),
+            Contract(True, 2_000, retries=2, large_answers=large_answers),
+        ),
         route("advance", ("POST",), Contract(False, 800, retries=2, body_limit_bytes=100_000)),
         route("spread", ("PUT",), Contract(False, 2_000, body_limit_bytes=2**32)),
         route("note", ("PUT",), Contract(True, 800, retries=2, body_limit_bytes=2**20)),
@@ -260,6 +265,8 @@
     drain: DrainSettings | None = None,
     conventions: Conventions = DEFAULT_CONVENTIONS,
     gate: QuarantineGate | None = None,
+    link_mbps: float = 0.0,
+    large_answers: bool = False,
 ) -> Bench:
     """Run the main task of a test with a caller server and its fakes."""
 
@@ -269,7 +276,8 @@
         metrics = Metrics()
         cell = SnapshotCell()
         version = VersionId(7, "d")
-        cell.replace(build_snapshot(version, Manifest(7, 1, ()), build_document()))
+        document = build_document(large_answers=large_answers)
+        cell.replace(build_snapshot(version, Manifest(7, 1, ()), document))
         server = open_caller_server(
             build_settings(requests or RequestSettings(), drain or DrainSettings(0, 5_000)),
             cell=cell,
@@ -281,6 +289,7 @@
             random=random.Random(5),
             conventions=conventions,
             gate=gate,
+            link=LinkScheduler(link_mbps, cell=cell, metrics=metrics),
         )
         bench = Bench(server, fakes, directory, metrics, cell)
         for fake, listener in listeners:
--- a/tests/test_link_scheduler.py
+++ b/tests/test_link_scheduler.py
@@ -7,7 +7,7 @@
 
 from trefoilpick._clock import read_clock
 from trefoilpick._virtual_time import run_virtual
-from trefoilpick.link_scheduler import LinkScheduler
+from trefoilpick.link_scheduler import LinkQueue, LinkScheduler, Turn
 from trefoilpick.metrics import Metrics
 
 MBPS = 20.0
@@ -135,6 +135,16 @@
     run_test(test)
 
 
+def test_a_turn_that_is_cancelled_after_its_grant_frees_the_link() -> None:
+    """A task may be cancelled between the grant of its turn and its next step."""
+    queue, turn = LinkQueue(LINK_BYTES_PER_S), Turn(25_000, 0, 10.0)
+    queue.add(turn)
+    assert list(queue.grant(10.0)) == [turn]
+    assert queue.compute_delay(10.0) > 0.004
+    queue.cancel(turn)
+    assert queue.compute_delay(10.0) == 0.0
+
+
 def test_small_messages_use_the_rate_before_large_bodies() -> None:
     """Without counting them, both together would exceed the link and queue in socket buffers."""
 
