--- a/trefoilpick/callers.py
+++ b/trefoilpick/callers.py
@@ -35,6 +35,7 @@
 from trefoilpick.errors import ErrorKind, TrefoilpickError, find_answer
 from trefoilpick.forwarding import Forwarder
 from trefoilpick.hopclient import HopPool
+from trefoilpick.link_scheduler import LinkScheduler
 from trefoilpick.listeners import open_listener
 from trefoilpick.pipelining import Pipeline, PipelinedRequest
 from trefoilpick.quarantine_gate import open_local_gate
@@ -570,6 +571,7 @@
     conventions: Conventions = DEFAULT_CONVENTIONS,
     log: RequestLog | None = None,
     running: RunningRequests | None = None,
+    link: LinkScheduler | None = None,
 ) -> CallerServer:
     """Open the server for callers; it listens at once and accepts connections when run.
 
@@ -588,6 +590,7 @@
         conventions: Names of the fleet's headers.
         log: Log of finished requests; a new one by default.
         running: Requests that the worker of this VM runs; used where nested calls go first.
+        link: Scheduler of this VM's link; a new one by default.
 
     Raises:
         TrefoilpickError: `SETTINGS_FAULTY`, if listening on the address fails.
@@ -606,6 +609,7 @@
         random,
         gate=gate or open_local_gate(settings.vm.name, metrics),
         conventions=conventions,
+        link=link or LinkScheduler(settings.link.mbps, cell=cell, metrics=metrics),
     )
     listener = open_listener(
         settings.listen.host, settings.listen.caller_port, name="callers' port", backlog=BACKLOG
--- a/trefoilpick/node.py
+++ b/trefoilpick/node.py
@@ -22,6 +22,7 @@
 from trefoilpick.distribution import open_distributor
 from trefoilpick.errors import TrefoilpickError
 from trefoilpick.hopserver import open_hop_server
+from trefoilpick.link_scheduler import LinkScheduler
 from trefoilpick.links import open_links
 from trefoilpick.logs import Event, open_state_log
 from trefoilpick.membership import MembershipTable
@@ -283,6 +284,7 @@
     )
     version_observer = VersionObserver(cell, metrics)
     request_log = open_request_log(settings.vm.name, incarnation=incarnation, metrics=metrics)
+    link = LinkScheduler(settings.link.mbps, cell=cell, metrics=metrics)
     hop_server = open_hop_server(
         settings,
         cell=cell,
@@ -295,6 +297,7 @@
         report_end=distributor.quarantine.report_end,
         conventions=conventions,
         log=request_log,
+        link=link,
     )
     caller_server = open_caller_server(
         settings,
@@ -310,6 +313,7 @@
         conventions=conventions,
         log=request_log,
         running=hop_server.running_requests,
+        link=link,
     )
     return Node(
         settings,
