--- a/tests/test_balancing.py
+++ b/tests/test_balancing.py
@@ -282,6 +282,20 @@
     assert min(chosen[name] for name in ("vm-2", "vm-3", "vm-4", "vm-5")) >= 5
 
 
+# Guards against sending a cold worker what its node refuses, and carrying back the cold rate.
+def test_a_cold_worker_is_weighed_by_the_lower_of_both_rates() -> None:
+    fleet = Fleet(2)
+    fleet.report("vm-1", rate_limit=100.0, cold_rate=4.0)
+    fleet.report("vm-2", rate_limit=4.0)
+    costs = [fleet.find(vm).estimate_cost(fleet.now, 10, 0.1) for vm in ("vm-1", "vm-2")]
+    assert costs[0] == costs[1]
+    fleet.report("vm-1", cold_rate=4.0)
+    assert fleet.find("vm-1").rate_limit is None
+    assert fleet.find("vm-1").estimate_cost(fleet.now, 10, 0.1) == costs[0]
+    fleet.report("vm-1")
+    assert fleet.find("vm-1").estimate_cost(fleet.now, 10, 0.1) < costs[0]
+
+
 def test_an_old_report_of_a_limited_rate_is_ignored() -> None:
     fleet = Fleet(2)
     fleet.report("vm-1", rate_limit=0.1)
