--- a/trefoilpick/admission.py
+++ b/trefoilpick/admission.py
@@ -15,7 +15,7 @@
 
 from trefoilpick._clock import read_clock
 from trefoilpick._fair_queue import FairQueue, Waiter
-from trefoilpick.averages import MovingAverages, update_average
+from trefoilpick.averages import ServiceTimes
 from trefoilpick.document import Priority
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 from trefoilpick.worker_rates import WorkerRate
@@ -56,27 +56,6 @@
     queue: int
 
 
-class ServiceTimes:
-    """Mean service times of a worker, by route.
-
-    Attributes:
-        mean_s: Mean over all requests, in seconds; None before the first.
-    """
-
-    def __init__(self) -> None:
-        self.mean_s: float | None = None
-        self._route_means: MovingAverages[str] = MovingAverages()
-
-    def record(self, route: str, served_s: float) -> None:
-        """Record the service time of a request, in seconds."""
-        self.mean_s = update_average(self.mean_s, served_s)
-        self._route_means.add(route, served_s)
-
-    def estimate(self, route: str) -> float:
-        """Return the expected service time of a request of a route, in seconds."""
-        return self._route_means.get(route, self.mean_s or 0.0)
-
-
 class AdmissionController:
     """Controls the admission of requests to one worker.
 
--- a/trefoilpick/averages.py
+++ b/trefoilpick/averages.py
@@ -31,6 +31,29 @@
         return self._averages.get(name, default)
 
 
-def update_average(average: float | None, newest: float) -> float:
+class ServiceTimes:
+    """Mean service times of requests, by route.
+
+    Attributes:
+        mean_s: Mean over all requests, in seconds; None before the first.
+    """
+
+    def __init__(self) -> None:
+        self.mean_s: float | None = None
+        self._route_means: MovingAverages[str] = MovingAverages()
+
+    def record(self, route: str, served_s: float) -> None:
+        """Record the service time of a request, in seconds."""
+        self.mean_s = update_average(self.mean_s, served_s)
+        self._route_means.add(route, served_s)
+
+    def estimate(self, route: str) -> float:
+        """Return the expected service time of a request of a route, in seconds."""
+        return self._route_means.get(route, self.mean_s or 0.0)
+
+
+def update_average(
+    average: float | None, newest: float, *, weight: float = SMOOTHING_FACTOR
+) -> float:
     """Return an average updated with the newest value; `average` is None before the first value."""
-    return newest if average is None else average + SMOOTHING_FACTOR * (newest - average)
+    return newest if average is None else average + weight * (newest - average)
