Worker's node: report expected work and the worker's speed

A sender that compares counts cannot tell a worker with three long requests from one with three short ones, nor a fast worker from a slow one. With `requests.balance_by_work`, the node beside the worker tracks the expected time of running and waiting requests and reports their sum as `Load.work_s`. `Load.speed` is the time that senders expect on an average worker (trailing field `HopRequest.expected_s`) over the observed one; answers carry the observed time in the trailing field `HopAnswer.served_s`, from which senders learn the expected one. Answers with a server error teach nothing. Two histograms show the expected time and the error.

Without the setting, both fields of the report stay None. Evidence: tests/test_hopserver.py runs both cases.

--- a/tests/fakes_worker.py
+++ b/tests/fakes_worker.py
@@ -202,6 +202,7 @@
     headers: dict[bytes, bytes] = field(default_factory=dict)
     retry_after_ms: int | None = None
     load: Load | None = None
+    served_s: float | None = None
     notices: int = 0
 
 
@@ -262,6 +263,7 @@
             answer = decode_head(frame.payload, HopAnswer)
             result.status, result.outcome = answer.status, answer.outcome
             result.token, result.load = answer.token, answer.load
+            result.served_s = answer.served_s
             result.headers = dict(answer.headers)
         elif frame.kind is FrameKind.DATA:
             result.body += frame.payload
--- a/tests/test_hopserver.py
+++ b/tests/test_hopserver.py
@@ -26,6 +26,7 @@
 from trefoilpick._connections import open_connection
 from trefoilpick.hops import FrameKind, Hop, HopRequest, encode_data, encode_frame, encode_head
 from trefoilpick.settings import DrainSettings, RequestSettings
+from trefoilpick.work_estimates import MIN_SAMPLES
 
 LONG_BODY = b"spread" * 1000
 SHED_ANSWER = b"HTTP/1.1 503 Busy\r\nx-not-run: 1\r\nretry-after: 3\r\ncontent-length: 0\r\n\r\n"
@@ -573,3 +574,25 @@
             await task.cancel()
 
     curio.run(main())
+
+
+@pytest.mark.parametrize("is_on", [True, False])
+def test_expected_work_is_reported_only_with_its_setting(is_on: bool) -> None:
+    """Callers' nodes must fall back to counts while a worker's node does not estimate its work."""
+
+    async def test(bench: Bench) -> None:
+        hop = await bench.connect()
+        for _ in range(MIN_SAMPLES):
+            result = await send_and_receive(hop, make_read(expected_s=0.5))
+            assert (result.served_s is not None) is is_on
+        load = bench.server.measure_load()
+        assert load.work_s == (0.0 if is_on else None)
+        assert (load.speed is not None) is is_on
+        paused = bench.worker.default = PausedAnswer()
+        await send_request(hop, make_read())
+        await wait_for(lambda: bench.server.admission.in_flight == 1)
+        assert bool(bench.server.measure_load().work_s) is is_on
+        await paused.finish.set()
+        await receive_result(hop)
+
+    run_bench(test, requests=RequestSettings(balance_by_work=is_on))
--- a/trefoilpick/_hop_exchange.py
+++ b/trefoilpick/_hop_exchange.py
@@ -23,6 +23,7 @@
     encode_head,
 )
 from trefoilpick.tokens import StoredAnswer
+from trefoilpick.work_estimates import RequestMarks
 from trefoilpick.worker_ends import Run
 from trefoilpick.worker_statements import NO_STATEMENT, parse_decimal
 
@@ -94,6 +95,7 @@
         gate: Refuses quarantined requests.
         answers: Requests that the worker answered recently.
         conventions: Headers of the fleet.
+        tracks_work: Whether the expected work of requests is learned and reported.
     """
 
     admission: AdmissionController
@@ -108,6 +110,7 @@
     gate: QuarantineGate
     answers: RecentAnswers
     conventions: Conventions
+    tracks_work: bool = False
 
 
 class HopExchange:
@@ -150,6 +153,8 @@
         self._first_error: TrefoilpickError | None = None
         self._sent_s = began_s
         self._is_answer_started = False
+        self._marks = _find_marks(request) if context.tracks_work else None
+        self._served_s: float | None = None
 
     @property
     def is_hop_reusable(self) -> bool:
@@ -180,6 +185,7 @@
             now_s=self.began_s,
             route=request.route,
             objective_s=self._compute_objective(),
+            marks=self._marks,
         )
         ended_s: float | None = None
         try:
@@ -193,9 +199,8 @@
         finally:
             await self._stop_upload()
             await self._return_connection(upstream, ended_s)
-            await admission.release(
-                served_s=None if ended_s is None else ended_s - acquired_s, route=request.route
-            )
+            served_s = None if ended_s is None else ended_s - acquired_s
+            await admission.release(served_s=served_s, route=request.route, marks=self._marks)
 
     async def _receive_first(self, now_s: float) -> float:
         """Receive the first part of the body; return the clock reading afterwards, in seconds.
@@ -258,6 +263,7 @@
                 head = await self._attempt_with_retry(upstream)
             self.status = head.status
             self._raise_if_not_run(head)
+            self._finish_work(head.status)
             self._record_statement(head, has_run=True)
             self._context.health.record_result(
                 read_clock(), failed=head.status >= FIRST_SERVER_ERROR
@@ -284,6 +290,22 @@
                 raise cause from error
             raise
 
+    def _finish_work(self, status: int) -> None:
+        """Record the service time; a request whose answer has begun has no expected work left.
+
+        Errors of the worker say nothing about its speed: they are often quick.
+        """
+        if self._marks is None:
+            return
+        now_s = read_clock()
+        if status < FIRST_SERVER_ERROR:
+            self._served_s = now_s - self._sent_s
+        estimate = self._context.admission.work.finish(self._marks, self._served_s, now_s)
+        if estimate is not None and self._served_s is not None:
+            error_s = abs(estimate.mean_s - self._served_s)
+            self._observe("trefoilpick_hop_expected_microseconds", estimate.mean_s)
+            self._observe("trefoilpick_hop_estimate_error_microseconds", error_s)
+
     async def _has_worker_ended(self) -> bool:
         """Return whether the request was lost because the worker ended."""
         request = self._request
@@ -428,6 +450,7 @@
             load=self._context.measure_load(),
             outcome=_find_outcome(head.status).value,
             token=token,
+            served_s=self._served_s,
         )
         return encode_head(FrameKind.ANSWER, answer)
 
@@ -545,6 +568,19 @@
     return encode_head(FrameKind.FAILURE, failure)
 
 
+def _find_marks(request: HopRequest) -> RequestMarks:
+    """Return what tells the work of a request apart from others of its route."""
+    size = dict(request.headers).get(b"content-length", b"")
+    return RequestMarks(
+        request.route,
+        request.method,
+        request.target.partition("?")[0],
+        request.caller,
+        int(size) if size.isdigit() else 0,
+        request.expected_s,
+    )
+
+
 def _find_outcome(status: int) -> Outcome:
     return Outcome.UNKNOWN if status in UNKNOWN_OUTCOME_STATUSES else Outcome.RUN
 
--- a/trefoilpick/_metric_table.py
+++ b/trefoilpick/_metric_table.py
@@ -139,6 +139,20 @@
         "If it grows, look at the worker.",
         ("priority",),
     ),
+    "trefoilpick_hop_expected_microseconds": MetricInfo(
+        MetricKind.HISTOGRAM,
+        "microseconds",
+        "Time that the node expected the worker to take for a request, by priority.",
+        "Its mean follows `trefoilpick_hop_service_microseconds`, except for large answers.",
+        ("priority",),
+    ),
+    "trefoilpick_hop_estimate_error_microseconds": MetricInfo(
+        MetricKind.HISTOGRAM,
+        "microseconds",
+        "Difference between the expected and the observed time of a request, by priority.",
+        "If it is as large as the time itself, requests of one route differ in unknown ways.",
+        ("priority",),
+    ),
     "trefoilpick_worker_requests_total": MetricInfo(
         MetricKind.COUNTER,
         "requests",
--- a/trefoilpick/admission.py
+++ b/trefoilpick/admission.py
@@ -18,6 +18,7 @@
 from trefoilpick.averages import ServiceTimes
 from trefoilpick.document import Priority
 from trefoilpick.errors import ErrorKind, TrefoilpickError
+from trefoilpick.work_estimates import RequestMarks, WorkLedger
 from trefoilpick.worker_rates import WorkerRate
 
 PRIORITIES = (Priority.INTERACTIVE.value, Priority.NORMAL.value, Priority.DEFERRABLE.value)
@@ -68,6 +69,7 @@
         in_flight: Number of requests that have a slot.
         queued: Number of requests that wait for one.
         rate: Rate of requests that the worker accepts.
+        work: Expected work of the requests that are admitted with their marks.
     """
 
     def __init__(
@@ -81,6 +83,7 @@
         self.in_flight = 0
         self.queued = 0
         self.rate = WorkerRate()
+        self.work = WorkLedger()
         self._service_times = ServiceTimes()
         self._started_s = 0.0
         self._warm_up_s = warm_up_s
@@ -131,6 +134,7 @@
         now_s: float,
         route: str = "",
         objective_s: float = math.inf,
+        marks: RequestMarks | None = None,
     ) -> float:
         """Acquire a slot, waiting for one if necessary.
 
@@ -145,6 +149,7 @@
             now_s: Current clock reading, in seconds.
             route: Route of the request; service times are estimated by route.
             objective_s: Clock reading after which the answer is late, in seconds.
+            marks: What tells the work of the request; None if its work is not tracked.
 
         Returns:
             Clock reading at which the slot was acquired, in seconds.
@@ -158,6 +163,7 @@
         slots = self.count_slots(now_s)
         if self.in_flight < slots and not self.queued and self.rate.try_acquire():
             self.in_flight += 1
+            self.work.start(marks, now_s)
             return now_s
         waiter = Waiter(
             caller,
@@ -166,18 +172,29 @@
             objective_s,
             self._service_times.estimate(route),
         )
-        await self._enqueue(waiter, now_s, slots)
-        await self._admit_waiting(now_s)
-        return await self._wait_for_slot(waiter)
-
-    async def release(self, *, served_s: float | None = None, route: str = "") -> None:
+        with self.work.track_waiting(marks, now_s):
+            await self._enqueue(waiter, now_s, slots)
+            await self._admit_waiting(now_s)
+            acquired_s = await self._wait_for_slot(waiter)
+        self.work.start(marks, acquired_s)
+        return acquired_s
+
+    async def release(
+        self,
+        *,
+        served_s: float | None = None,
+        route: str = "",
+        marks: RequestMarks | None = None,
+    ) -> None:
         """Release a slot and admit the next waiting request.
 
         Args:
             served_s: Service time of the request, in seconds; None if the worker did not answer.
             route: Route of the request.
+            marks: The marks with which the slot was acquired.
         """
         self.in_flight -= 1
+        self.work.finish(marks, served_s, read_clock())
         if served_s is not None:
             self._service_times.record(route, served_s)
         if self.queued:
--- a/trefoilpick/hops.py
+++ b/trefoilpick/hops.py
@@ -129,6 +129,8 @@
         rate_limit: The worker's limit as last reported to the sending node, in requests per second,
             for a worker's node that has restarted since; None if it reported none.
         nested: Whether it is a call that a running request of the caller's worker made.
+        expected_s: Service time that the sending node expects on an average worker of the service,
+            in seconds; None if unknown.
     """
 
     number: int
@@ -152,6 +154,7 @@
     objective_ms: int | None = None
     rate_limit: float | None = None
     nested: bool = False
+    expected_s: float | None = None
 
 
 class HopAnswer(msgspec.Struct, frozen=True, array_like=True):
@@ -163,6 +166,7 @@
         load: Load of the worker.
         outcome: Value of `Outcome`.
         token: The requested token; None if none was requested.
+        served_s: Time that the worker took until its answer began, in seconds; None if unknown.
     """
 
     status: int
@@ -170,6 +174,7 @@
     load: Load
     outcome: str
     token: str | None
+    served_s: float | None = None
 
 
 class HopFailure(msgspec.Struct, frozen=True, array_like=True):
--- a/trefoilpick/hopserver.py
+++ b/trefoilpick/hopserver.py
@@ -191,6 +191,7 @@
             gate=gate,
             answers=self._answers,
             conventions=conventions,
+            tracks_work=settings.requests.balance_by_work,
         )
 
     @property
@@ -206,6 +207,7 @@
     def measure_load(self) -> Load:
         """Return the current load of the worker."""
         snapshot = self._cell.current
+        now_s = read_clock()
         return Load(
             vm=self._settings.vm.name,
             incarnation=self._incarnation,
@@ -215,9 +217,11 @@
             queued=self.admission.queued,
             slots=self.admission.limits.slots,
             leaving=self.is_leaving,
-            failing_percent=self._health.compute_failing_percent(read_clock()),
+            failing_percent=self._health.compute_failing_percent(now_s),
             rate_limit=self.admission.rate.limit,
             leaving_worker=self._statements.worker if self._statements.has_left else None,
+            work_s=self.admission.work.estimate_remaining(now_s),
+            speed=self.admission.work.speed.speed,
         )
 
     async def run(self) -> None:
--- a/trefoilpick/work_estimates.py
+++ b/trefoilpick/work_estimates.py
@@ -319,22 +319,27 @@
         if marks is not None:
             self._running[marks] = (self.estimator.estimate(marks, now), now)
 
-    def finish(self, marks: RequestMarks | None, served_s: float | None, now: float) -> None:
-        """Count a request as finished.
+    def finish(
+        self, marks: RequestMarks | None, served_s: float | None, now: float
+    ) -> Estimate | None:
+        """Count a request as finished; further calls for the same request do nothing.
 
         Args:
             marks: The request; None if it is not tracked.
             served_s: Its service time, in seconds; None if the worker did not answer.
             now: Current clock reading, in seconds.
+
+        Returns:
+            The service time that was expected when the request began; None if it was unknown.
         """
-        if marks is None:
-            return
-        self._running.pop(marks, None)
-        if served_s is None:
-            return
-        self.estimator.record(marks, served_s, now)
-        if marks.expected_s is not None:
-            self.speed.record(marks.expected_s, served_s)
+        if marks is None or marks not in self._running:
+            return None
+        estimate, _ = self._running.pop(marks)
+        if served_s is not None:
+            self.estimator.record(marks, served_s, now)
+            if marks.expected_s is not None:
+                self.speed.record(marks.expected_s, served_s)
+        return estimate
 
     def estimate_remaining(self, now: float) -> float | None:
         """Return the expected work of all requests, in seconds of this worker; None if unknown."""
