Balancing: compare a few workers by expected time to the answer

A sender compares requests per slot times a latency that mixes all routes, so a worker with few long requests looks as good as one with few short ones. With `requests.balance_by_work`, it samples three workers of a zone and compares reported work per slot (less the time since the report, tending to the mean of the service, plus what this node sent since) plus the time of the request at a worker of that speed. Without a usable report of any sampled worker, it compares all sampled ones as before. Choices are made from an overview of the service that is at most 0.1 s old, and the chosen worker is checked again, so that the cost of a choice does not grow with the number of workers.

Evidence: tests/test_balancing.py.

--- a/tests/test_balancing.py
+++ b/tests/test_balancing.py
@@ -7,7 +7,6 @@
 import pytest
 
 from trefoilpick.balancing import (
-    MAX_LOAD_AGE_S,
     REFRESH_INTERVAL_S,
     WARM_UP_S,
     Balancer,
@@ -16,6 +15,7 @@
 from trefoilpick.document import Upstream
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 from trefoilpick.hops import Load
+from trefoilpick.reported_work import MAX_LOAD_AGE_S
 from trefoilpick.settings import VmSettings
 from trefoilpick.vms import (
     UNIDENTIFIED_LEAVING_S,
@@ -32,7 +32,9 @@
 class Fleet:
     """Fake directory with a balancer and a clock."""
 
-    def __init__(self, count: int, *, data_centres: tuple[str, ...] = ("lima-a",)) -> None:
+    def __init__(
+        self, count: int, *, data_centres: tuple[str, ...] = ("lima-a",), by_work: bool = False
+    ) -> None:
         self.now = 100.0
         self.vms = tuple(
             Vm(
@@ -48,7 +50,7 @@
         )
         self.notified: list[tuple[str, str]] = []
         self.reads = 0
-        self.balancer = Balancer(OWN, self, random.Random(3))
+        self.balancer = Balancer(OWN, self, random.Random(3), by_work=by_work)
 
     def list_endpoints(self, service: str) -> tuple[Vm, ...]:
         self.reads += 1
@@ -358,3 +360,74 @@
     fleet.now += REFRESH_INTERVAL_S
     assert fleet.find("vm-1").rate_limit is None
     assert "vm-1" in fleet.count_choices(200)
+
+
+def open_work_fleet(count: int, *, by_work: bool = True, service_s: float = 0.1) -> Fleet:
+    """Return a fleet whose service times are known."""
+    fleet = Fleet(count, by_work=by_work)
+    fleet.balancer.record_success(fleet.find("vm-1"), service_s, fleet.now, served_s=service_s)
+    return fleet
+
+
+def test_workers_are_compared_by_work_only_with_the_setting() -> None:
+    """Three short requests are less work than a long one; without the setting, counts decide."""
+    for by_work, best in ((True, "vm-2"), (False, "vm-1")):
+        fleet = open_work_fleet(2, by_work=by_work)
+        fleet.report("vm-1", in_flight=1, slots=3, work_s=3.0, speed=1.0)
+        fleet.report("vm-2", in_flight=3, slots=3, work_s=0.3, speed=1.0)
+        assert fleet.count_choices(20) == {best: 20}
+
+
+def test_faster_worker_gets_the_request_while_it_answers_first() -> None:
+    """A worker of thrice the speed answers first until its own queue outweighs that."""
+    fleet = open_work_fleet(2)
+    fleet.report("vm-1", slots=1, work_s=0.0, speed=0.5)
+    fleet.report("vm-2", slots=1, work_s=0.0, speed=1.5)
+    chosen = []
+    for _ in range(4):
+        chosen.append(fleet.choose())
+        chosen[-1].begin_request(fleet.now, expected_s=0.1)
+    assert [record.vm.name for record in chosen] == ["vm-2", "vm-2", "vm-1", "vm-2"]
+
+
+@pytest.mark.parametrize("fault", ["former release", "old report", "no service time"])
+def test_unknown_work_falls_back_to_counts(fault: str) -> None:
+    """A worker without usable work must neither attract all requests nor get none."""
+    fleet = open_work_fleet(2, service_s=0.0 if fault == "no service time" else 0.1)
+    old = 50.0
+    fleet.report("vm-2", slots=3, work_s=None if fault == "former release" else old, speed=1.0)
+    if fault == "old report":
+        fleet.now += MAX_LOAD_AGE_S + 1
+    fleet.report("vm-1", in_flight=2, slots=3, work_s=0.0, speed=1.0)
+    assert fleet.count_choices(20) == {"vm-2": 20}
+
+
+def test_worker_that_leaves_is_not_chosen_from_an_older_overview() -> None:
+    """The overview of a service saves time, and must not delay an exclusion."""
+    fleet = open_work_fleet(3)
+    assert len(fleet.count_choices()) == 3
+    fleet.report("vm-1", leaving=True)
+    fleet.find("vm-2").record_refusal(fleet.now)
+    assert fleet.count_choices() == {"vm-3": 400}
+    fleet.fail("vm-3", 20)
+    assert fleet.choose().vm.name == "vm-2"
+
+
+def test_cost_of_a_choice_does_not_grow_with_the_number_of_workers(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Walking all workers for each request uses up a node's share of the processor."""
+    checks: list[str] = []
+    find_exclusion = WorkerRecord.find_exclusion
+
+    def count_check(record: WorkerRecord, ejected: frozenset[str], now: float) -> object:
+        checks.append(record.vm.name)
+        return find_exclusion(record, ejected, now)
+
+    monkeypatch.setattr(WorkerRecord, "find_exclusion", count_check)
+    for count in (10, 200):
+        fleet = open_work_fleet(count)
+        fleet.choose()
+        checks.clear()
+        fleet.count_choices(100)
+        assert len(checks) == 100
--- a/trefoilpick/_hop_heads.py
+++ b/trefoilpick/_hop_heads.py
@@ -23,7 +23,13 @@
 
 
 def build_request(
-    call: Call, now: float, *, is_retry: bool, vm: str, rate_limit: float | None = None
+    call: Call,
+    now: float,
+    *,
+    is_retry: bool,
+    vm: str,
+    rate_limit: float | None = None,
+    expected_s: float | None = None,
 ) -> HopRequest:
     """Build the head of a request on a hop.
 
@@ -33,6 +39,7 @@
         is_retry: Whether an earlier attempt was made.
         vm: Name of this node's VM.
         rate_limit: The worker's limit as last reported, in requests per second.
+        expected_s: Expected time on an average worker, in seconds; None if unknown.
 
     Raises:
         TrefoilpickError: `DEADLINE_BEFORE_RUN`, if its deadline passed.
@@ -65,6 +72,7 @@
         request_id=head.request_id,
         objective_ms=_compute_objective_ms(call, now),
         rate_limit=rate_limit,
+        expected_s=expected_s,
     )
 
 
--- a/trefoilpick/balancing.py
+++ b/trefoilpick/balancing.py
@@ -4,23 +4,29 @@
 requests in flight and by the latencies that it measures; workers' health and load endpoints are not
 used. The balancer picks the less loaded of two random workers in the nearest zone (power of two
 choices), and a zone that is nearly full spills over to the next one.
+
+With the setting `requests.balance_by_work`, it picks the one of a few random workers that is
+expected to answer first, by the work and speed that their nodes report.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 from enum import IntEnum
+from functools import partial
 from typing import TYPE_CHECKING, Protocol
 
+from trefoilpick.averages import ServiceTimes
 from trefoilpick.ejection import Ejection
 from trefoilpick.eligibility import Exclusion, find_exclusion
 from trefoilpick.errors import ErrorKind, TrefoilpickError
+from trefoilpick.reported_work import MAX_LOAD_AGE_S, ReportedWork
 from trefoilpick.version_observer import ignore_version
 from trefoilpick.vms import UNIDENTIFIED_LEAVING_S, UNKNOWN_WORKER
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable, Collection, Iterator
+    from collections.abc import Callable, Collection, Iterable, Iterator
 
     from trefoilpick.document import Upstream
     from trefoilpick.hops import Load
@@ -56,9 +62,6 @@
 LOAD_HALF_LIFE_S = 1.0
 """Half-life of the weight of a reported load, in seconds."""
 
-MAX_LOAD_AGE_S = 8.0
-"""Age at which a reported load is ignored, in seconds."""
-
 LATENCY_HALF_LIFE_S = 5.0
 """Half-life of the weight of a measured latency, in seconds."""
 
@@ -87,6 +90,12 @@
 EJECTION_PERCENT = 50
 """Percentage of failed answers reported by a worker's own node at which the worker is ejected."""
 
+SAMPLE_SIZE = 3
+"""Number of workers of a zone that are compared by expected time."""
+
+OVERVIEW_TTL_S = 0.1
+"""Time for which the overview of a service is used, in seconds. Its cost grows with the number of
+workers; that of a choice from it does not."""
 
 MIN_EFFECTIVE_SLOTS = 0.05
 """Fewest slots that are assumed for a worker with a limited rate, so that its cost is finite."""
@@ -138,6 +147,7 @@
             limit.
         rate_limited_until: When the worker's limited rate allows the next request, in seconds.
         left_worker: The worker that stated last that it is leaving; None if none did.
+        work: Expected work of the worker.
     """
 
     def __init__(self, vm: Vm, now: float) -> None:
@@ -157,6 +167,7 @@
         self._slots: int | None = None
         self._other_requests = 0.0
         self._reported_at = now
+        self.work = ReportedWork()
 
     def update_vm(self, vm: Vm, now: float) -> None:
         """Apply the VM's newest record; another worker does not inherit a limited rate."""
@@ -165,9 +176,15 @@
             self.rate_limited_until = now
         self.vm = vm
 
-    def begin_request(self, now: float) -> None:
-        """Count a request that is about to be sent to the worker."""
+    def begin_request(self, now: float, *, expected_s: float | None = None) -> None:
+        """Count a request that is about to be sent to the worker.
+
+        Args:
+            now: Time on the node's clock, in seconds.
+            expected_s: Its expected time on an average worker, in seconds; None if unknown.
+        """
         self.in_flight += 1
+        self.work.add_sent(expected_s or 0.0)
         self.ejection.record_request(now)
 
     def end_request(self) -> None:
@@ -225,6 +242,8 @@
         if is_new and self.incarnation:
             self.begin_warm_up(now)
             self._latency_s = None
+            self.work = ReportedWork()
+        self.work.record(load, now)
         self.incarnation = load.incarnation
         self._leaving_until = now + LEAVING_TTL_S if load.leaving else now
         self._slots = max(load.slots, 1)
@@ -269,6 +288,24 @@
         requests = (self._estimate_requests(now) + 1.0) / self._estimate_slots(now, slots)
         return requests * latency_s / self._compute_share(now)
 
+    def estimate_time(
+        self, now: float, slots: int, expected_s: float, mean_wait_s: float
+    ) -> float | None:
+        """Return the expected time to the answer of the next request; None if it is unknown.
+
+        Args:
+            now: Time on the node's clock, in seconds.
+            slots: Slots to assume for a worker that has not reported any yet.
+            expected_s: Expected time of the request on an average worker, in seconds.
+            mean_wait_s: Mean reported work per slot over the service's workers, in seconds.
+        """
+        wait_s = self.work.estimate_wait(now, mean_wait_s)
+        if wait_s is None:
+            return None
+        # A limited rate leaves fewer slots than those that share the reported work.
+        wait_s *= (self._slots or slots) / self._estimate_slots(now, slots)
+        return (wait_s + self.work.estimate_service(expected_s)) / self._compute_share(now)
+
     def _estimate_slots(self, now: float, slots: int) -> float:
         """Return the number of requests that the worker can run at a time.
 
@@ -295,6 +332,30 @@
         return max(INITIAL_SHARE, 1.0 - remaining_s / WARM_UP_S)
 
 
+@dataclass(frozen=True)
+class Overview:
+    """What choices need to know of all workers of a service.
+
+    Attributes:
+        zones: Workers of each zone that may get a request, nearest zone first.
+        ejected: Names of the VMs whose workers are ejected.
+        mean_latency_s: Mean latency of the workers, in seconds; None before any was measured.
+        mean_wait_s: Mean reported work per slot, in seconds.
+        built_at: When it was built, in seconds on the node's clock.
+    """
+
+    zones: tuple[tuple[WorkerRecord, ...], ...]
+    ejected: frozenset[str]
+    mean_latency_s: float | None
+    mean_wait_s: float
+    built_at: float
+
+    def covers(self, record: WorkerRecord, now: float) -> bool:
+        """Return whether a worker may still get a request."""
+        exclusion = record.find_exclusion(self.ejected, now)
+        return exclusion is None and not record.ejection.is_blocked(now)
+
+
 class Service:
     """Workers of one service, grouped into zones by distance.
 
@@ -305,9 +366,12 @@
     Attributes:
         records: Listed workers by the name of their VM.
         zones: The same workers grouped by locality, nearest zone first.
+        service_times: Service times at the workers, as their nodes report them, by route.
     """
 
     def __init__(self, name: str, now: float) -> None:
+        self.service_times = ServiceTimes()
+        self._overview: Overview | None = None
         self.name = name
         self.records: dict[str, WorkerRecord] = {}
         self.zones: tuple[tuple[WorkerRecord, ...], ...] = ()
@@ -327,6 +391,7 @@
         self._refreshed_at = now
         if endpoints == self._endpoints:
             return
+        self._overview = None
         known = self._unlisted | self.records
         is_first = not self._endpoints
         self._endpoints = endpoints
@@ -342,6 +407,29 @@
         self._unlisted = dict(list(known.items())[-len(endpoints) :])
         self.zones = tuple(self._group_by_locality(own))
 
+    def find_overview(self, now: float) -> Overview:
+        """Return an overview that is at most `OVERVIEW_TTL_S` old."""
+        overview = self._overview
+        if overview is None or now - overview.built_at > OVERVIEW_TTL_S:
+            overview = self.rebuild_overview(now)
+        return overview
+
+    def rebuild_overview(self, now: float) -> Overview:
+        """Return a new overview."""
+        waits_s = [
+            wait_s
+            for record in self.records.values()
+            if (wait_s := record.work.get_wait(now)) is not None
+        ]
+        self._overview = Overview(
+            tuple(self.list_available(now)),
+            self.list_ejected(now),
+            self.compute_mean_latency(now),
+            sum(waits_s) / len(waits_s) if waits_s else 0.0,
+            now,
+        )
+        return self._overview
+
     def list_available(self, now: float) -> Iterator[tuple[WorkerRecord, ...]]:
         """Yield the workers of each zone that may get a request, nearest zone first."""
         ejected = self.list_ejected(now)
@@ -411,6 +499,7 @@
         directory: The fleet's VMs, and where observed states are reported.
         random: Random number generator.
         record_version: Called with the VM, number and digest of the version in each load report.
+        by_work: Whether workers are compared by their expected work.
     """
 
     def __init__(
@@ -420,8 +509,10 @@
         random: random.Random,
         *,
         record_version: Callable[[str, int, str], None] = ignore_version,
+        by_work: bool = False,
     ) -> None:
         self._own = own
+        self._by_work = by_work
         self._record_version = record_version
         self._directory = directory
         self._random = random
@@ -434,6 +525,7 @@
         *,
         avoid: Collection[str] = (),
         is_heavy: bool = False,
+        route: str = "",
     ) -> WorkerRecord:
         """Choose a worker for the next request.
 
@@ -442,32 +534,70 @@
             now: Time on the node's clock, in seconds.
             avoid: Names of VMs to use only if no other is available.
             is_heavy: Whether the request transfers many bytes.
+            route: Name of the request's route.
 
         Raises:
             TrefoilpickError: `NO_UPSTREAM` or `UPSTREAM_LIMITED`, if no worker may get a request.
         """
         service = self._update_service(upstream.name, now)
-        mean_latency_s = service.compute_mean_latency(now)
         spillover = HEAVY_SPILLOVER if is_heavy else LIGHT_SPILLOVER
-        best: WorkerRecord | None = None
-        best_utilisation = 0.0
-        for zone in service.list_available(now):
-            record = self._choose_of_two(zone, upstream, now, mean_latency_s, avoid)
-            if record is None:
-                continue
-            utilisation = record.estimate_utilisation(now, upstream.slots)
-            if utilisation < spillover.utilisation:
-                return record
-            if best is None or utilisation < best_utilisation - spillover.gain:
-                best, best_utilisation = record, utilisation
+        if self._by_work:
+            expected_s = self.estimate_service(upstream.name, route)
+            best = self._choose_by_work(service, upstream, now, expected_s, avoid, spillover)
+        else:
+            choose = partial(
+                self._choose_of_two,
+                upstream=upstream,
+                now=now,
+                mean_latency_s=service.compute_mean_latency(now),
+                avoid=avoid,
+            )
+            best = _choose_zone(service.list_available(now), choose, spillover, upstream, now)
         if best is not None:
             return best
         if avoid:
-            return self.choose(upstream, now, is_heavy=is_heavy)
+            return self.choose(upstream, now, is_heavy=is_heavy, route=route)
         service.raise_if_limited(now)
         text = f'upstream "{upstream.name}" has no worker that accepts requests'
         raise TrefoilpickError(ErrorKind.NO_UPSTREAM, text)
 
+    def estimate_service(self, service_name: str, route: str) -> float | None:
+        """Return the expected time of a request on an average worker, in seconds.
+
+        Returns:
+            None while it is unknown, or if workers are not compared by work.
+        """
+        service = self._services.get(service_name)
+        if not self._by_work or service is None:
+            return None
+        return service.service_times.estimate(route) or None
+
+    def _choose_by_work(
+        self,
+        service: Service,
+        upstream: Upstream,
+        now: float,
+        expected_s: float | None,
+        avoid: Collection[str],
+        spillover: SpilloverThresholds,
+    ) -> WorkerRecord | None:
+        """Choose from an overview; from a new one if a worker has changed since the last one."""
+        overview = service.find_overview(now)
+        for _ in range(2):
+            choose = partial(
+                self._choose_of_few,
+                upstream=upstream,
+                now=now,
+                overview=overview,
+                expected_s=expected_s,
+                avoid=avoid,
+            )
+            best = _choose_zone(overview.zones, choose, spillover, upstream, now)
+            if best is not None and overview.covers(best, now):
+                break
+            overview = service.rebuild_overview(now)
+        return best
+
     @property
     def own_vm(self) -> str:
         """Name of the VM of this node."""
@@ -501,9 +631,28 @@
         if record is not None:
             self.record_load(record, load, now)
 
-    def record_success(self, record: WorkerRecord, latency_s: float, now: float) -> None:
-        """Record a worker's answer and its latency, in seconds."""
+    def record_success(
+        self,
+        record: WorkerRecord,
+        latency_s: float,
+        now: float,
+        *,
+        route: str = "",
+        served_s: float | None = None,
+    ) -> None:
+        """Record a worker's answer.
+
+        Args:
+            record: The worker.
+            latency_s: Latency of the answer, in seconds.
+            now: Time on the node's clock, in seconds.
+            route: Name of the request's route.
+            served_s: Time that the worker took, in seconds; None if unknown.
+        """
         record.record_latency(latency_s, now)
+        service = self._services.get(record.vm.service)
+        if self._by_work and served_s is not None and service is not None:
+            service.service_times.record(route, served_s)
         if record.ejection.is_ejected:
             self._directory.record_alive(record.vm.name, record.incarnation)
         record.ejection.record_success()
@@ -531,6 +680,7 @@
     def _choose_of_two(
         self,
         zone: tuple[WorkerRecord, ...],
+        *,
         upstream: Upstream,
         now: float,
         mean_latency_s: float | None,
@@ -545,6 +695,58 @@
         second_cost = second.estimate_cost(now, upstream.slots, mean_latency_s)
         return first if first_cost <= second_cost else second
 
+    def _choose_of_few(
+        self,
+        zone: tuple[WorkerRecord, ...],
+        *,
+        upstream: Upstream,
+        now: float,
+        overview: Overview,
+        expected_s: float | None,
+        avoid: Collection[str],
+    ) -> WorkerRecord | None:
+        """Choose by expected time; by requests if the time of any sampled worker is unknown."""
+        if avoid:
+            zone = tuple(record for record in zone if record.vm.name not in avoid)
+        sampled = self._random.sample(zone, min(SAMPLE_SIZE, len(zone)))
+        times_s = [
+            (
+                None
+                if expected_s is None
+                else record.estimate_time(now, upstream.slots, expected_s, overview.mean_wait_s)
+            )
+            for record in sampled
+        ]
+        costs = [time_s for time_s in times_s if time_s is not None]
+        if len(costs) < len(sampled):
+            costs = [
+                record.estimate_cost(now, upstream.slots, overview.mean_latency_s)
+                for record in sampled
+            ]
+        return sampled[costs.index(min(costs))] if sampled else None
+
+
+def _choose_zone(
+    zones: Iterable[tuple[WorkerRecord, ...]],
+    choose: Callable[[tuple[WorkerRecord, ...]], WorkerRecord | None],
+    spillover: SpilloverThresholds,
+    upstream: Upstream,
+    now: float,
+) -> WorkerRecord | None:
+    """Return the chosen worker of the nearest zone with capacity; None if there is no worker."""
+    best: WorkerRecord | None = None
+    best_utilisation = 0.0
+    for zone in zones:
+        record = choose(zone)
+        if record is None:
+            continue
+        utilisation = record.estimate_utilisation(now, upstream.slots)
+        if utilisation < spillover.utilisation:
+            return record
+        if best is None or utilisation < best_utilisation - spillover.gain:
+            best, best_utilisation = record, utilisation
+    return best
+
 
 def _find_locality(vm: Vm, own: VmSettings) -> Locality:
     if vm.region != own.region:
--- a/trefoilpick/callers.py
+++ b/trefoilpick/callers.py
@@ -569,7 +569,13 @@
         TrefoilpickError: `SETTINGS_FAULTY`, if listening on the address fails.
     """
     requests = settings.requests
-    balancer = Balancer(settings.vm, directory, random, record_version=record_version)
+    balancer = Balancer(
+        settings.vm,
+        directory,
+        random,
+        record_version=record_version,
+        by_work=requests.balance_by_work,
+    )
     pool = HopPool(requests, balancer.record_load_notice, data_centre=settings.vm.data_centre)
     budgets = RetryBudgets(
         requests.retry_percent, reserve=requests.retry_reserve, count_vms=directory.count_vms
--- a/trefoilpick/forwarding.py
+++ b/trefoilpick/forwarding.py
@@ -199,7 +199,7 @@
                 ErrorKind.SHED, text, retry_after_s=call.attempts.max_retry_after_s or None
             )
         attempts.vms.append(record.vm.name)
-        record.begin_request(now)
+        record.begin_request(now, expected_s=self._estimate_service(call))
         try:
             return await self._attempt_at(call, record, is_retry=attempts.sent > 0)
         except TrefoilpickError as error:
@@ -275,7 +275,7 @@
         if token is None:
             team, route = call.team_route.team, call.team_route.route.name
             is_heavy = self._sizes.is_heavy(team, route)
-            return self._balancer.choose(upstream, now, avoid=tried, is_heavy=is_heavy)
+            return self._balancer.choose(upstream, now, avoid=tried, is_heavy=is_heavy, route=route)
         vm = read_claims(token).vm
         record = self._balancer.find(upstream.name, vm, now)
         if record is None:
@@ -312,6 +312,7 @@
             is_retry=is_retry,
             vm=self._balancer.own_vm,
             rate_limit=record.rate_limit,
+            expected_s=self._estimate_service(call),
         )
         data = encode_head(FrameKind.REQUEST, request) + encode_data(ready)
         if call.body.is_complete and request.has_body:
@@ -332,17 +333,24 @@
             raise
         answered_at = read_clock()
         self._record_answer(
-            record, answer, answered_at, answered_at - _find_wait_start(uploader, now)
+            call, record, answer, answered_at, answered_at - _find_wait_start(uploader, now)
         )
         return Attempt(record, hop, answer, uploader, answered_at)
 
+    def _estimate_service(self, call: Call) -> float | None:
+        team_route = call.team_route
+        return self._balancer.estimate_service(team_route.upstream.name, team_route.route.name)
+
     def _record_answer(
-        self, record: WorkerRecord, answer: HopAnswer, now: float, latency_s: float
+        self, call: Call, record: WorkerRecord, answer: HopAnswer, now: float, latency_s: float
     ) -> None:
         self._count_attempt(record, "answered")
         self._balancer.record_load(record, answer.load, now)
         if answer.status < FIRST_SERVER_ERROR:
-            self._balancer.record_success(record, latency_s, now)
+            route = call.team_route.route.name
+            self._balancer.record_success(
+                record, latency_s, now, route=route, served_s=answer.served_s
+            )
         else:
             self._balancer.record_failure(record, now)
 
