Experiments: policies `work` and `perfect`, and options for size and load

The worth of balancing by expected work could not be measured: the command had one size and no reference. It gains the policy `work`, a reference that knows each worker's count and speed, a pattern without faults, and options for workers, slots, speeds, load and policies.

--- a/tests/test_experiments.py
+++ b/tests/test_experiments.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import json
+
 import pytest
 from typer.testing import CliRunner
 
-from trefoilpick._experiment_nodes import BaselinePolicy, CurrentPolicy
-from trefoilpick._experiment_workload import REQUEST_KINDS
+from trefoilpick._experiment_nodes import BaselinePolicy, CurrentPolicy, PerfectPolicy
+from trefoilpick._experiment_workload import DURATION_S, MEAN_WORK_S, REQUEST_KINDS
 from trefoilpick.cli import app
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 from trefoilpick.experiments import PATTERNS, Pattern, find_patterns, run_experiment
@@ -71,3 +73,22 @@
     assert result.exit_code == 0
     assert "today" in result.output
     assert "plain" in result.output
+
+
+def test_options_choose_size_load_and_policies() -> None:
+    """Guards against options that are accepted and have no effect."""
+    options = "steady --policy perfect --workers 3 --slots 2 --speed 1 --speed 2 --load 0.5 --json"
+    result = CliRunner().invoke(app, ["experiment", *options.split()])
+    assert result.exit_code == 0, result.output
+    (line,) = map(json.loads, result.output.splitlines())
+    assert line["policy"] == "perfect"
+    capacity_per_s = (1 + 2 + 1) * 2 / MEAN_WORK_S
+    asked = sum(kind["asked"] for kind in line["kinds"].values())
+    assert asked == pytest.approx(0.5 * capacity_per_s * DURATION_S, rel=0.15)
+
+
+def test_perfect_policy_earns_more_than_the_current_one() -> None:
+    """Guards against a reference that does not bound what a policy can earn."""
+    (steady,) = find_patterns(["steady"])
+    perfect = run_experiment(steady, PerfectPolicy(), seed=SEED)
+    assert perfect.earned_share > run_experiment(steady, CurrentPolicy(), seed=SEED).earned_share
--- a/trefoilpick/_cli_experiment.py
+++ b/trefoilpick/_cli_experiment.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING, Annotated
 
 import msgspec
 import typer
 
 from trefoilpick._console import console, create_table, report_errors
+from trefoilpick._experiment_workload import SLOTS, SPEEDS, WORKERS, MeshShape
 
 if TYPE_CHECKING:
     from trefoilpick.experiments import ExperimentResult, Pattern
@@ -22,19 +24,35 @@
         list[str] | None, typer.Argument(help="Names of patterns; all patterns if omitted.")
     ] = None,
     seed: Annotated[int, typer.Option(help="Seed of all random choices.")] = DEFAULT_SEED,
+    policies: Annotated[
+        list[str] | None, typer.Option("--policy", help="Names of policies; all if omitted.")
+    ] = None,
+    load: Annotated[
+        float | None, typer.Option(min=0.01, help="Load, as a share of the capacity.")
+    ] = None,
+    workers: Annotated[int, typer.Option(min=1, help="Number of workers and nodes.")] = WORKERS,
+    slots: Annotated[int, typer.Option(min=1, help="Slots of a worker.")] = SLOTS,
+    speeds: Annotated[
+        list[float] | None,
+        typer.Option("--speed", min=0.01, help="Speeds of workers, assigned in turn."),
+    ] = None,
     as_json: Annotated[
         bool, typer.Option("--json", help="Print one JSON line per pattern and policy.")
     ] = False,
 ) -> None:
-    """Simulate patterns of load and faults under the current and the baseline policies."""
+    """Simulate patterns of load and faults under several policies."""
     # Imported here so that a node does not load the experiments into its memory.
-    from trefoilpick.experiments import POLICIES, find_patterns, run_experiment
+    from trefoilpick.experiments import find_patterns, find_policies, run_experiment
 
     with report_errors():
         chosen = find_patterns(patterns or ())
+        chosen_policies = find_policies(policies or ())
+    shape = MeshShape(workers, slots, tuple(speeds or SPEEDS))
     for pattern in chosen:
+        pattern = pattern if load is None else replace(pattern, load=load)
         results = {
-            name: run_experiment(pattern, policy, seed=seed) for name, policy in POLICIES.items()
+            name: run_experiment(pattern, policy, seed=seed, shape=shape)
+            for name, policy in chosen_policies.items()
         }
         if as_json:
             for name, result in results.items():
--- a/trefoilpick/_experiment_mesh.py
+++ b/trefoilpick/_experiment_mesh.py
@@ -20,16 +20,12 @@
 )
 from trefoilpick._experiment_workload import (
     ADVISED_RETRY_ATTEMPTS,
-    CAPACITY_PER_S,
     DATA_CENTRES,
-    DURATION_S,
     IMMEDIATE_RETRY_ATTEMPTS,
     REFUSED_STATUS,
     REQUEST_KINDS,
     SERVICE,
-    SLOTS,
-    SPEEDS,
-    WORKERS,
+    MeshShape,
     RequestKind,
     Tally,
 )
@@ -57,6 +53,7 @@
             immediately.
         first_data_centre_share: Share of callers that use nodes of the first data centre; the
             others spread evenly over the nodes of all other data centres.
+        shape: Size of the mesh.
         worker_nodes: Workers and their nodes, by name of the VM.
         nodes: Nodes that receive callers' requests.
         tallies: Results by kind of request.
@@ -67,6 +64,7 @@
     load: float = 0.7
     immediate_retry_share: float = 0.0
     first_data_centre_share: float = 1 / len(DATA_CENTRES)
+    shape: MeshShape = MeshShape()
     worker_nodes: dict[str, WorkerNode] = field(default_factory=dict)
     nodes: list[CurrentNode | BaselineNode] = field(default_factory=list)
     tallies: dict[str, Tally] = field(
@@ -85,14 +83,17 @@
             1,
             2,
         )
-        speed = SPEEDS[number % len(SPEEDS)]
-        worker = WorkerModel(vm, slots=SLOTS, speed=speed, random=self.random, is_cold=is_cold)
-        self.worker_nodes[vm.name] = WorkerNode(worker, build_admission(self.policy))
+        shape = self.shape
+        speed = shape.speeds[number % len(shape.speeds)]
+        worker = WorkerModel(
+            vm, slots=shape.slots, speed=speed, random=self.random, is_cold=is_cold
+        )
+        self.worker_nodes[vm.name] = WorkerNode(worker, build_admission(self.policy, shape.slots))
         return worker
 
     def start_nodes(self) -> None:
         """Start all nodes; nodes that run already are replaced by new ones without state."""
-        self.nodes = [build_node(self.policy, self, number) for number in range(WORKERS)]
+        self.nodes = [build_node(self.policy, self, number) for number in range(self.shape.workers)]
 
     def list_workers(self) -> list[WorkerModel]:
         """Return the reachable workers, the oldest first."""
@@ -105,7 +106,7 @@
 
     def count_vms(self) -> int:
         """Return the number of VMs in the fleet."""
-        return WORKERS
+        return self.shape.workers
 
     def record_connection_refused(self, vm: str) -> None:
         """Do nothing: `list_endpoints` reads the state of the worker models directly."""
@@ -120,12 +121,12 @@
         """Do nothing: `list_endpoints` reads the state of the worker models directly."""
 
     async def send_requests(self) -> None:
-        """Send callers' requests for `DURATION_S` seconds and wait until all have ended."""
-        until = read_clock() + DURATION_S
+        """Send callers' requests for a time and wait until all have ended."""
+        until = read_clock() + self.shape.duration_s
         checks = await curio.spawn(self._check_waiting)
         async with curio.TaskGroup() as callers:
             while read_clock() < until:
-                await curio.sleep(self.random.expovariate(self.load * CAPACITY_PER_S))
+                await curio.sleep(self.random.expovariate(self.load * self.shape.capacity_per_s))
                 kind = self.random.choices(REQUEST_KINDS, [kind.share for kind in REQUEST_KINDS])[0]
                 await callers.spawn(self._call, kind)
         await checks.cancel()
@@ -138,7 +139,8 @@
 
     async def _call(self, kind: RequestKind) -> None:
         tally = self.tallies[kind.name]
-        work_s = self.random.lognormvariate(math.log(kind.work_s) - 0.08, 0.4)
+        sigma = self.shape.work_sigma
+        work_s = self.random.lognormvariate(math.log(kind.work_s) - sigma**2 / 2, sigma)
         request = SimulatedRequest(kind, work_s, read_clock())
         retries_immediately = self.random.random() < self.immediate_retry_share
         attempts = IMMEDIATE_RETRY_ATTEMPTS if retries_immediately else ADVISED_RETRY_ATTEMPTS
--- a/trefoilpick/_experiment_workload.py
+++ b/trefoilpick/_experiment_workload.py
@@ -68,8 +68,35 @@
 """All kinds of requests, modelled on the routes of both companies in the mesh."""
 
 MEAN_WORK_S = sum(kind.share * kind.work_s for kind in REQUEST_KINDS)
-CAPACITY_PER_S = WORKERS * SLOTS * sum(SPEEDS) / len(SPEEDS) / MEAN_WORK_S
-"""Highest rate that all workers together can serve, in requests per second."""
+"""Mean service time of a request on a worker of speed 1, in seconds."""
+
+WORK_SIGMA = 0.4
+"""Spread of the work of requests of one kind: the standard deviation of its logarithm."""
+
+
+@dataclass(frozen=True)
+class MeshShape:
+    """Size of a simulated mesh.
+
+    Attributes:
+        workers: Number of workers, and of nodes that receive callers' requests.
+        slots: Number of requests that a worker runs concurrently.
+        speeds: Relative speeds of workers, assigned in turn.
+        duration_s: Time for which callers send requests, in seconds.
+        work_sigma: Standard deviation of the logarithm of the work of requests of one kind.
+    """
+
+    workers: int = WORKERS
+    slots: int = SLOTS
+    speeds: tuple[float, ...] = SPEEDS
+    duration_s: float = DURATION_S
+    work_sigma: float = WORK_SIGMA
+
+    @property
+    def capacity_per_s(self) -> float:
+        """Highest rate that all workers together can serve, in requests per second."""
+        speed = sum(self.speeds[n % len(self.speeds)] for n in range(self.workers))
+        return speed * self.slots / MEAN_WORK_S
 
 
 @dataclass
--- a/trefoilpick/_worker_model.py
+++ b/trefoilpick/_worker_model.py
@@ -83,6 +83,10 @@
         """Clear all faults."""
         self.faults = WorkerFaults()
 
+    def compute_speed(self) -> float:
+        """Return the present speed, relative to other workers without faults."""
+        return 1.0 / self._compute_slowdown(read_clock())
+
     async def run(self, work_s: float) -> float:
         """Queue and run a request.
 
--- a/trefoilpick/balancing.py
+++ b/trefoilpick/balancing.py
@@ -288,18 +288,15 @@
         requests = (self._estimate_requests(now) + 1.0) / self._estimate_slots(now, slots)
         return requests * latency_s / self._compute_share(now)
 
-    def estimate_time(
-        self, now: float, slots: int, expected_s: float, mean_wait_s: float
-    ) -> float | None:
+    def estimate_time(self, now: float, slots: int, expected_s: float) -> float | None:
         """Return the expected time to the answer of the next request; None if it is unknown.
 
         Args:
             now: Time on the node's clock, in seconds.
             slots: Slots to assume for a worker that has not reported any yet.
             expected_s: Expected time of the request on an average worker, in seconds.
-            mean_wait_s: Mean reported work per slot over the service's workers, in seconds.
         """
-        wait_s = self.work.estimate_wait(now, mean_wait_s)
+        wait_s = self.work.estimate_wait(now)
         if wait_s is None:
             return None
         # A limited rate leaves fewer slots than those that share the reported work.
@@ -340,14 +337,12 @@
         zones: Workers of each zone that may get a request, nearest zone first.
         ejected: Names of the VMs whose workers are ejected.
         mean_latency_s: Mean latency of the workers, in seconds; None before any was measured.
-        mean_wait_s: Mean reported work per slot, in seconds.
         built_at: When it was built, in seconds on the node's clock.
     """
 
     zones: tuple[tuple[WorkerRecord, ...], ...]
     ejected: frozenset[str]
     mean_latency_s: float | None
-    mean_wait_s: float
     built_at: float
 
     def covers(self, record: WorkerRecord, now: float) -> bool:
@@ -416,16 +411,10 @@
 
     def rebuild_overview(self, now: float) -> Overview:
         """Return a new overview."""
-        waits_s = [
-            wait_s
-            for record in self.records.values()
-            if (wait_s := record.work.get_wait(now)) is not None
-        ]
         self._overview = Overview(
             tuple(self.list_available(now)),
             self.list_ejected(now),
             self.compute_mean_latency(now),
-            sum(waits_s) / len(waits_s) if waits_s else 0.0,
             now,
         )
         return self._overview
@@ -710,18 +699,15 @@
             zone = tuple(record for record in zone if record.vm.name not in avoid)
         sampled = self._random.sample(zone, min(SAMPLE_SIZE, len(zone)))
         times_s = [
-            (
-                None
-                if expected_s is None
-                else record.estimate_time(now, upstream.slots, expected_s, overview.mean_wait_s)
-            )
+            (None if expected_s is None else record.estimate_time(now, upstream.slots, expected_s))
             for record in sampled
         ]
         costs = [time_s for time_s in times_s if time_s is not None]
         if len(costs) < len(sampled):
+            # As many as without reports: more choices by old counts send to the same workers.
             costs = [
                 record.estimate_cost(now, upstream.slots, overview.mean_latency_s)
-                for record in sampled
+                for record in sampled[:2]
             ]
         return sampled[costs.index(min(costs))] if sampled else None
 
--- a/trefoilpick/experiments.py
+++ b/trefoilpick/experiments.py
@@ -1,6 +1,8 @@
 """Load experiments: patterns of load and faults under the current and the baseline policies.
 
 The current policy is the nodes' own code for balancing, admission, retry budgets and retry advice.
+With the policy `work`, it balances by expected work; with `perfect`, each choice knows the true
+count and speed of every worker.
 The baseline policy chooses a random worker, which queues requests in order of arrival and sheds
 them when its queue is full. Both run against models of workers on a virtual clock, without a
 network. The same seed gives the same result.
@@ -11,13 +13,18 @@
 import random
 from dataclasses import dataclass
 from functools import partial
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 import curio
 
 from trefoilpick._experiment_mesh import SimulatedMesh
-from trefoilpick._experiment_nodes import BaselinePolicy, CurrentPolicy
-from trefoilpick._experiment_workload import CAPACITY_PER_S, DATA_CENTRES, WORKERS
+from trefoilpick._experiment_nodes import (
+    BaselinePolicy,
+    CurrentPolicy,
+    PerfectPolicy,
+    WorkPolicy,
+)
+from trefoilpick._experiment_workload import DATA_CENTRES, MeshShape
 from trefoilpick._virtual_time import run_virtual
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 
@@ -29,10 +36,20 @@
     from trefoilpick._experiment_workload import Tally
     from trefoilpick._worker_model import WorkerModel
 
-POLICIES: dict[str, Policy] = {"today": CurrentPolicy(), "plain": BaselinePolicy()}
+ItemT = TypeVar("ItemT")
+
+POLICIES: dict[str, Policy] = {
+    "today": CurrentPolicy(),
+    "plain": BaselinePolicy(),
+    "work": WorkPolicy(),
+    "perfect": PerfectPolicy(),
+}
 """Policies by name in the output of the command."""
 
 
+DEFAULT_SHAPE = MeshShape()
+
+
 @dataclass(frozen=True)
 class ExperimentResult:
     """Result of a pattern under one policy: tallies by name of the kind of request."""
@@ -96,7 +113,7 @@
 
 
 async def _limit_rates(mesh: SimulatedMesh) -> None:
-    worker_capacity_per_s = CAPACITY_PER_S / WORKERS
+    worker_capacity_per_s = mesh.shape.capacity_per_s / mesh.shape.workers
     await _impair(mesh.list_workers()[::3], slowness=5.0, rate_limit=worker_capacity_per_s / 5.0)
 
 
@@ -133,6 +150,10 @@
     mesh.first_data_centre_share = 1 / len(DATA_CENTRES)
 
 
+async def _do_nothing(mesh: SimulatedMesh) -> None:
+    """Inject no fault."""
+
+
 PATTERNS = (
     Pattern(
         "burst", "load times 1.7 for a while on a service near its capacity", _raise_load, load=0.9
@@ -153,24 +174,28 @@
     ),
     Pattern("herd", "all nodes restart under load", _restart_nodes, load=0.9),
     Pattern("moving", "callers move to one data centre", _move_callers),
+    Pattern("steady", "a steady load without faults", _do_nothing),
 )
 """All patterns, in the order in which the command runs them."""
 
 
-def run_experiment(pattern: Pattern, policy: Policy, *, seed: int) -> ExperimentResult:
+def run_experiment(
+    pattern: Pattern, policy: Policy, *, seed: int, shape: MeshShape = DEFAULT_SHAPE
+) -> ExperimentResult:
     """Run a pattern under a policy.
 
     Args:
         pattern: The pattern of load and faults.
         policy: How nodes choose workers and admit requests.
         seed: Seed of all random choices.
+        shape: Size of the mesh.
     """
-    return run_virtual(_run(pattern, policy, seed))
+    return run_virtual(_run(pattern, policy, seed, shape))
 
 
-async def _run(pattern: Pattern, policy: Policy, seed: int) -> ExperimentResult:
-    mesh = SimulatedMesh(policy, random.Random(seed), load=pattern.load)
-    for _ in range(WORKERS):
+async def _run(pattern: Pattern, policy: Policy, seed: int, shape: MeshShape) -> ExperimentResult:
+    mesh = SimulatedMesh(policy, random.Random(seed), load=pattern.load, shape=shape)
+    for _ in range(shape.workers):
         mesh.add_worker()
     mesh.start_nodes()
     faults = await curio.spawn(partial(pattern.inject_faults, mesh))
@@ -185,10 +210,22 @@
     Raises:
         TrefoilpickError: `SETTINGS_FAULTY` if a name is unknown.
     """
-    known = {pattern.name: pattern for pattern in PATTERNS}
+    return tuple(_find("pattern", {pattern.name: pattern for pattern in PATTERNS}, names).values())
+
+
+def find_policies(names: Iterable[str]) -> dict[str, Policy]:
+    """Return the policies with the given names; all of them if no name is given.
+
+    Raises:
+        TrefoilpickError: `SETTINGS_FAULTY` if a name is unknown.
+    """
+    return _find("policy", POLICIES, names)
+
+
+def _find(kind: str, known: dict[str, ItemT], names: Iterable[str]) -> dict[str, ItemT]:
     chosen = tuple(names)
     for name in chosen:
         if name not in known:
-            text = f'unknown pattern "{name}"; the patterns are {", ".join(known)}'
+            text = f'unknown {kind} "{name}"; the known ones are {", ".join(known)}'
             raise TrefoilpickError(ErrorKind.SETTINGS_FAULTY, text)
-    return tuple(known[name] for name in chosen) or PATTERNS
+    return {name: known[name] for name in chosen} or known
--- a/trefoilpick/reported_work.py
+++ b/trefoilpick/reported_work.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from trefoilpick.averages import update_average
+
 if TYPE_CHECKING:
     from trefoilpick.hops import Load
 
@@ -13,6 +15,9 @@
 WORK_HALF_LIFE_S = 1.0
 """Half-life of the weight of reported work, in seconds; then other senders have replaced it."""
 
+AVERAGE_WEIGHT = 0.2
+"""Weight of the newest report in a worker's average work."""
+
 
 class ReportedWork:
     """Work reported last, and work that this node has sent since.
@@ -24,6 +29,7 @@
     def __init__(self) -> None:
         self.speed = 1.0
         self._wait_s: float | None = None
+        self._average_s = 0.0
         self._slots = 1
         self._sent_s = 0.0
         self._reported_at = 0.0
@@ -32,6 +38,9 @@
         """Apply a report of the worker's node."""
         self._slots = max(load.slots, 1)
         self._wait_s = None if load.work_s is None else max(load.work_s, 0.0) / self._slots
+        if self._wait_s is not None:
+            average_s = self._average_s or None
+            self._average_s = update_average(average_s, self._wait_s, weight=AVERAGE_WEIGHT)
         self._sent_s = 0.0
         self._reported_at = now
         if load.speed is not None and load.speed > 0.0:
@@ -45,27 +54,18 @@
         """
         self._sent_s += expected_s / self.speed
 
-    def get_wait(self, now: float) -> float | None:
-        """Return the reported work per slot, in seconds; None if it is unknown or outdated."""
-        return None if now - self._reported_at > MAX_LOAD_AGE_S else self._wait_s
-
-    def estimate_wait(self, now: float, mean_wait_s: float) -> float | None:
+    def estimate_wait(self, now: float) -> float | None:
         """Return the expected work per slot now, in seconds; None if it is unknown or outdated.
 
-        The worker has worked since the report, and other senders have sent to it. Their part is
-        expected to tend to the mean of the service.
-
-        Args:
-            now: Time on the node's clock, in seconds.
-            mean_wait_s: Mean reported work per slot over the workers of the service, in seconds.
+        The worker has worked since the report, and other senders have sent to it, so that an old
+        report tells less than the average of the worker's reports.
         """
-        wait_s = self.get_wait(now)
-        if wait_s is None:
-            return None
         age_s = now - self._reported_at
+        if self._wait_s is None or age_s > MAX_LOAD_AGE_S:
+            return None
         weight = 0.5 ** (age_s / WORK_HALF_LIFE_S)
-        rest_s = max(wait_s - age_s, 0.0)
-        return weight * rest_s + (1 - weight) * mean_wait_s + self._sent_s / self._slots
+        rest_s = max(self._wait_s - age_s, 0.0)
+        return weight * rest_s + (1 - weight) * self._average_s + self._sent_s / self._slots
 
     def estimate_service(self, expected_s: float) -> float:
         """Return the expected time of a request at this worker, in seconds.
--- a/trefoilpick/work_estimates.py
+++ b/trefoilpick/work_estimates.py
@@ -59,9 +59,13 @@
 QUICK_WEIGHT = 0.2
 """Weight of the newest request in the quick average of the speed."""
 
-SLOWDOWN_RATIO = 0.5
-"""Ratio of the quick to the steady average of the speed below which the worker has become slow.
-About ten requests with a spread of half their mean move the quick average by a sixth."""
+MIN_SLOWDOWN = 0.4
+"""Smallest fall of the logarithm of the speed, from the steady to the quick average, that is taken
+for a slowdown: the worker takes half as long again."""
+
+SLOWDOWN_SPREADS = 1.0
+"""The same in standard deviations of that logarithm for one request. The quick average of about
+nine requests moves by a third of this deviation."""
 
 ValueT = TypeVar("ValueT")
 
@@ -130,15 +134,19 @@
 class ServiceTime:
     """Moving mean and variance of service times.
 
+    Args:
+        weight: Weight of the newest one once there are many.
+
     Attributes:
         count: Number of service times.
         mean_s: Mean, in seconds.
         updated_at: Time of the newest one, in seconds.
     """
 
-    __slots__ = ("_variance", "count", "mean_s", "updated_at")
+    __slots__ = ("_variance", "_weight", "count", "mean_s", "updated_at")
 
-    def __init__(self) -> None:
+    def __init__(self, weight: float = TIME_WEIGHT) -> None:
+        self._weight = weight
         self.count = 0
         self.mean_s = 0.0
         self.updated_at = 0.0
@@ -150,7 +158,7 @@
             self.count = 0
         self.count += 1
         self.updated_at = now
-        weight = max(1 / self.count, TIME_WEIGHT)
+        weight = max(1 / self.count, self._weight)
         change = served_s - self.mean_s
         self.mean_s += weight * change
         self._variance = (1 - weight) * (self._variance + weight * change * change)
@@ -159,7 +167,12 @@
         """Return the expected service time; None if it is unknown."""
         if self.count < MIN_SAMPLES or now - self.updated_at > MAX_AGE_S:
             return None
-        return Estimate(self.mean_s, math.sqrt(self._variance))
+        return Estimate(self.mean_s, self.spread_s)
+
+    @property
+    def spread_s(self) -> float:
+        """Standard deviation, in seconds."""
+        return math.sqrt(self._variance)
 
 
 class MarkTimes:
@@ -270,6 +283,8 @@
         self._count = 0
         self._steady = (0.0, 0.0)
         self._quick = (0.0, 0.0)
+        self._steady_log = ServiceTime(weight=STEADY_WEIGHT)
+        self._quick_log = 0.0
 
     @property
     def speed(self) -> float | None:
@@ -279,12 +294,20 @@
 
     def record(self, expected_s: float, served_s: float) -> None:
         """Add the expected and the observed time of a request, in seconds."""
+        if expected_s <= 0.0 or served_s <= 0.0:
+            return
         self._count += 1
         pair = (expected_s, served_s)
-        self._quick = _average_pair(self._quick, pair, max(1 / self._count, QUICK_WEIGHT))
+        quick_weight = max(1 / self._count, QUICK_WEIGHT)
+        self._quick = _average_pair(self._quick, pair, quick_weight)
         self._steady = _average_pair(self._steady, pair, max(1 / self._count, STEADY_WEIGHT))
-        if self._quick[0] * self._steady[1] < SLOWDOWN_RATIO * self._steady[0] * self._quick[1]:
+        slowness = math.log(served_s / expected_s)
+        self._quick_log = update_average(self._quick_log, slowness, weight=quick_weight)
+        self._steady_log.record(slowness, 0.0)
+        fall = self._quick_log - self._steady_log.mean_s
+        if fall > max(MIN_SLOWDOWN, SLOWDOWN_SPREADS * self._steady_log.spread_s):
             self._steady = self._quick
+            self._steady_log.mean_s = self._quick_log
 
 
 class WorkLedger:
