--- a/trefoilpick/settings.py
+++ b/trefoilpick/settings.py
@@ -191,7 +191,7 @@
         _describe("Additional retries that all nodes may make to an upstream in 10 s"),
     ] = 0
     balance_by_work: Annotated[
-        bool, _describe("Whether workers are compared by their expected work, not by requests")
+        bool, _describe("Whether workers are compared by reported work and speed, not by requests")
     ] = False
 
 
