--- a/trefoilpick/_metric_table.py
+++ b/trefoilpick/_metric_table.py
@@ -158,6 +158,20 @@
         "Time that a part of a large body waited for its turn on this VM's link.",
         "If it stays high, large bodies need more than the link: compare `link.mbps` with the VM.",
     ),
+    "trefoilpick_hop_expected_microseconds": MetricInfo(
+        MetricKind.HISTOGRAM,
+        "microseconds",
+        "Time that the node expected the worker to take for a request, by priority.",
+        "Its mean follows `trefoilpick_hop_service_microseconds`, except for large answers.",
+        ("priority",),
+    ),
+    "trefoilpick_hop_estimate_error_microseconds": MetricInfo(
+        MetricKind.HISTOGRAM,
+        "microseconds",
+        "Difference between the expected and the observed time of a request, by priority.",
+        "If it is as large as the time itself, requests of one route differ in unknown ways.",
+        ("priority",),
+    ),
     "trefoilpick_worker_requests_total": MetricInfo(
         MetricKind.COUNTER,
         "requests",
--- a/trefoilpick/admission.py
+++ b/trefoilpick/admission.py
@@ -23,8 +23,9 @@
     QUEUE_NAMES,
     NestedTurns,
 )
-from trefoilpick.averages import MovingAverages, update_average
+from trefoilpick.averages import ServiceTimes
 from trefoilpick.errors import ErrorKind, TrefoilpickError
+from trefoilpick.work_estimates import RequestMarks, WorkLedger
 from trefoilpick.worker_rates import WorkerRate
 
 DELAYED = "delayed"
@@ -60,27 +61,6 @@
     queue: int
 
 
-class ServiceTimes:
-    """Mean service times of a worker, by route.
-
-    Attributes:
-        mean_s: Mean over all requests, in seconds; None before the first.
-    """
-
-    def __init__(self) -> None:
-        self.mean_s: float | None = None
-        self._route_means: MovingAverages[str] = MovingAverages()
-
-    def record(self, route: str, served_s: float) -> None:
-        """Record the service time of a request, in seconds."""
-        self.mean_s = update_average(self.mean_s, served_s)
-        self._route_means.add(route, served_s)
-
-    def estimate(self, route: str) -> float:
-        """Return the expected service time of a request of a route, in seconds."""
-        return self._route_means.get(route, self.mean_s or 0.0)
-
-
 class AdmissionController:
     """Controls the admission of requests to one worker.
 
@@ -94,6 +74,7 @@
         in_flight: Number of requests that have a slot.
         queued: Number of requests that wait for one.
         rate: Rate of requests that the worker accepts.
+        work: Expected work of the requests that are admitted with their marks.
     """
 
     def __init__(
@@ -108,6 +89,7 @@
         self.in_flight = 0
         self.queued = 0
         self.rate = WorkerRate()
+        self.work = WorkLedger()
         self._service_times = ServiceTimes()
         self._started_s = 0.0
         self._warm_up_s = warm_up_s
@@ -161,6 +143,7 @@
         route: str = "",
         objective_s: float = math.inf,
         nested: bool = False,
+        marks: RequestMarks | None = None,
     ) -> float:
         """Acquire a slot, waiting for one if necessary.
 
@@ -177,6 +160,7 @@
             objective_s: Clock reading after which the answer is late, in seconds.
             nested: Whether a request that runs elsewhere waits for it. While such calls are few,
                 they are queued if they are expected to meet their deadline.
+            marks: What tells the work of the request; None if its work is not tracked.
 
         Returns:
             Clock reading at which the slot was acquired, in seconds.
@@ -190,6 +174,7 @@
         slots = self.count_slots(now_s)
         if self.in_flight < slots and not self.queued and self.rate.try_acquire():
             self.in_flight += 1
+            self.work.start(marks, now_s)
             return now_s
         waiter = Waiter(
             caller,
@@ -198,18 +183,29 @@
             objective_s,
             self._service_times.estimate(route),
         )
-        await self._enqueue(waiter, now_s, slots)
-        await self._admit_waiting(now_s)
-        return await self._wait_for_slot(waiter)
-
-    async def release(self, *, served_s: float | None = None, route: str = "") -> None:
+        with self.work.track_waiting(marks, now_s):
+            await self._enqueue(waiter, now_s, slots)
+            await self._admit_waiting(now_s)
+            acquired_s = await self._wait_for_slot(waiter)
+        self.work.start(marks, acquired_s)
+        return acquired_s
+
+    async def release(
+        self,
+        *,
+        served_s: float | None = None,
+        route: str = "",
+        marks: RequestMarks | None = None,
+    ) -> None:
         """Release a slot and admit the next waiting request.
 
         Args:
             served_s: Service time of the request, in seconds; None if the worker did not answer.
             route: Route of the request.
+            marks: The marks with which the slot was acquired.
         """
         self.in_flight -= 1
+        self.work.finish(marks, served_s, read_clock())
         if served_s is not None:
             self._service_times.record(route, served_s)
         if self.queued:
--- a/trefoilpick/hopserver.py
+++ b/trefoilpick/hopserver.py
@@ -212,6 +212,7 @@
             running=self.running_requests,
             link=link,
             buffer_limit=BufferLimit(metrics),
+            tracks_work=settings.requests.balance_by_work,
         )
 
     @property
@@ -227,6 +228,7 @@
     def measure_load(self) -> Load:
         """Return the current load of the worker."""
         snapshot = self._cell.current
+        now_s = read_clock()
         return Load(
             vm=self._settings.vm.name,
             incarnation=self._incarnation,
@@ -236,10 +238,12 @@
             queued=self.admission.queued,
             slots=self.admission.limits.slots,
             leaving=self.is_leaving,
-            failing_percent=self._health.compute_failing_percent(read_clock()),
+            failing_percent=self._health.compute_failing_percent(now_s),
             rate_limit=self.admission.rate.limit,
             leaving_worker=self._statements.worker if self._statements.has_left else None,
             cold_rate=self.admission.rate.cold_rate,
+            work_s=self.admission.work.estimate_remaining(now_s),
+            speed=self.admission.work.speed.speed,
         )
 
     async def run(self) -> None:
