Uneven load: nested calls first where the document asks for it; answers wait in a short buffer

Buffered answers now take at most 0.25 s of the link; beyond that they keep their slots.

The tests of nested calls declare it now, and a new case checks that nothing changes without it.

--- a/tests/test_answer_buffers.py
+++ b/tests/test_answer_buffers.py
@@ -1,5 +1,4 @@
 from collections.abc import Awaitable, Callable
-from functools import partial
 from typing import Any
 
 import curio
@@ -17,8 +16,6 @@
     wait_for,
 )
 
-from trefoilpick._answer_buffers import BufferLimit
-
 DOWNLOAD = bytes(540_000)
 HUGE = bytes(8_000_000)
 FAST_MBPS = 10_000.0
@@ -132,8 +129,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Slow readers must not fill the node's memory."""
-    limited = partial(BufferLimit, max_bytes=200_000)
-    monkeypatch.setattr("trefoilpick.hopserver.BufferLimit", limited)
+    monkeypatch.setattr("trefoilpick.link_scheduler.MAX_BUFFERED_BYTES", 200_000)
 
     async def test(bench: Bench) -> None:
         bench.worker.script = [respond(encode_answer(DOWNLOAD + DOWNLOAD))]
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -748,16 +748,22 @@
 
 
 @pytest.mark.parametrize(
-    ("request_id", "nested_first", "expected"),
+    ("request_id", "nested_first", "is_uneven", "expected"),
     [
-        ("7a.1", True, ("interactive", True)),
-        ("7b.1", True, ("normal", False)),
-        ("7b.1", False, ("interactive", False)),
+        ("7a.1", True, True, ("interactive", True)),
+        ("7b.1", True, True, ("normal", False)),
+        ("7b.1", False, True, ("interactive", False)),
+        ("7a.1", True, False, ("interactive", False)),
+    ],
+    ids=[
+        "worker runs the parent",
+        "only the form of the ID",
+        "setting is off",
+        "document declares no uneven load",
     ],
-    ids=["worker runs the parent", "only the form of the ID", "setting is off"],
 )
 def test_nested_call_goes_first_only_if_the_worker_runs_its_parent(
-    request_id: str, nested_first: bool, expected: tuple[str, bool]
+    request_id: str, nested_first: bool, is_uneven: bool, expected: tuple[str, bool]
 ) -> None:
     """Guards against clients that gain by a dot in an ID; without the setting nothing changes."""
     running = RunningRequests()
@@ -774,6 +780,7 @@
         conventions=Conventions(nested_separator=b"."),
         hops=HopSettings(nested_first=nested_first),
         running=running,
+        large_answers=is_uneven,
     )
 
 
--- a/tests/test_nested_calls.py
+++ b/tests/test_nested_calls.py
@@ -104,6 +104,7 @@
         Priority.INTERACTIVE,
         retries=0,
         objective=Objective(latency_ms=DEADLINE_MS),
+        large_answers=True,
     )
     return Section(
         "grid",
--- a/trefoilpick/_answer_buffers.py
+++ b/trefoilpick/_answer_buffers.py
@@ -18,10 +18,6 @@
     from trefoilpick.link_scheduler import LinkScheduler
     from trefoilpick.metrics import Metrics
 
-MAX_BUFFERED_BYTES = 8_388_608
-"""Largest size of all buffered answers of a node, in bytes. Beyond it, each answer holds at most
-what is read from the worker at a time."""
-
 END = encode_frame(FrameKind.END)
 """The frame that ends a body."""
 
@@ -31,13 +27,14 @@
 
     Args:
         metrics: Metrics in which the size is shown.
-        max_bytes: Size at which workers are read no faster than their answers are sent, in bytes.
+        max_bytes: Size at which the worker is read no faster than its answers are sent, in bytes;
+            each answer then holds at most what is read at a time.
 
     Attributes:
         used_bytes: Current size, in bytes.
     """
 
-    def __init__(self, metrics: Metrics, *, max_bytes: int = MAX_BUFFERED_BYTES) -> None:
+    def __init__(self, metrics: Metrics, *, max_bytes: int) -> None:
         self.used_bytes = 0
         self._metrics = metrics
         self._max_bytes = max_bytes
--- a/trefoilpick/_metric_table.py
+++ b/trefoilpick/_metric_table.py
@@ -150,7 +150,8 @@
         MetricKind.GAUGE,
         "bytes",
         "Bytes of workers' answers that this node has read and not sent yet.",
-        "Near 8 MB, workers wait for the link: look for slow readers and compare `link.mbps`.",
+        "At a quarter of a second of the link, workers wait for it: look for slow readers and "
+        "compare `link.mbps`.",
     ),
     "trefoilpick_link_wait_microseconds": MetricInfo(
         MetricKind.HISTOGRAM,
--- a/trefoilpick/callers.py
+++ b/trefoilpick/callers.py
@@ -379,11 +379,14 @@
     def _parse_head(self, request: h11.Request) -> CallHead:
         """Parse a request's head, and recognise a nested call if these go first.
 
-        Without that setting, the form of the ID suffices. A call that goes first must belong to a
+        They do where the setting asks for it and the document declares an uneven load. Elsewhere
+        the form of the ID suffices. A call that goes first must belong to a
         request that the worker of this VM runs, so that clients gain nothing by the form of an ID.
         """
         head = parse_head(request, self._conventions, service=self._settings.vm.service)
-        if self._running is None or not head.is_nested:
+        snapshot = self._cell.current
+        is_enabled = snapshot is not None and snapshot.has_uneven_load
+        if self._running is None or not head.is_nested or not is_enabled:
             return head
         separator = self._conventions.nested_separator.decode("latin-1")
         is_nested = self._running.is_nested(head.request_id, separator)
--- a/trefoilpick/hopserver.py
+++ b/trefoilpick/hopserver.py
@@ -211,7 +211,7 @@
             conventions=conventions,
             running=self.running_requests,
             link=link,
-            buffer_limit=BufferLimit(metrics),
+            buffer_limit=BufferLimit(metrics, max_bytes=link.buffer_bytes),
             tracks_work=settings.requests.balance_by_work,
         )
 
--- a/trefoilpick/link_scheduler.py
+++ b/trefoilpick/link_scheduler.py
@@ -50,6 +50,14 @@
 """Longest time that small messages may delay large bodies, in seconds, so that a rate that is set
 too low slows large bodies but does not stop them."""
 
+BUFFER_S = 0.25
+"""Time on the link that buffered answers may take, in seconds. Beyond it they keep their slots, by
+which callers' nodes see that the link is full; with 8 MB for any link, 15 % of the downloads of a
+calm day missed their deadline."""
+
+MAX_BUFFERED_BYTES = 8_388_608
+"""Largest size of all buffered answers of a node on any link, in bytes."""
+
 MAX_RANK_WAIT_S = 1.0
 """Longest time that a part yields to higher priorities, in seconds; shorter than any idle timeout
 of a body."""
@@ -158,6 +166,7 @@
 
     Attributes:
         part_bytes: Largest size of a part, in bytes.
+        buffer_bytes: Largest size of all buffered answers, in bytes.
     """
 
     def __init__(
@@ -170,6 +179,7 @@
     ) -> None:
         bytes_per_s = mbps * BYTES_PER_MBIT * LINK_SHARE
         self.part_bytes = min(max(int(bytes_per_s * PART_S), MIN_PART_BYTES), MAX_PART_BYTES)
+        self.buffer_bytes = min(int(bytes_per_s * BUFFER_S), MAX_BUFFERED_BYTES)
         self._queue = LinkQueue(bytes_per_s) if bytes_per_s else None
         self._cell = cell
         self._metrics = metrics
