--- a/tests/test_cold_start_load.py
+++ b/tests/test_cold_start_load.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, replace
 
 import curio
+import msgspec
 import pytest
 
 from trefoilpick._clock import read_clock
@@ -100,10 +101,7 @@
     def report_load(self) -> Load:
         load = super().report_load()
         assert isinstance(self.worker, ColdWorker)
-        return Load(
-            *(getattr(load, name) for name in load.__struct_fields__[:11]),
-            cold_rate=self.worker.rate.cold_rate,
-        )
+        return msgspec.structs.replace(load, cold_rate=self.worker.rate.cold_rate)
 
 
 @dataclass
@@ -124,7 +122,7 @@
             vm = Vm(
                 f"vm-{number}", "lima", centre, SERVICE, "127.0.0.1", 1, 2, worker=f"i-{number}"
             )
-            admission = NodeAdmission()
+            admission = NodeAdmission(SLOTS)
             worker = ColdWorker(
                 vm, admission, speed=SPEEDS[(number + number // 3) % 3], rng=self.random
             )
