Cold starts: an answer to the probe without the header is that of a warm worker

The log shows the cause: warm workers answer the probe without the header, which counted as unknown, so all 11 limits of one data centre ended by the lapse of time.

--- a/tests/test_hopserver_cold.py
+++ b/tests/test_hopserver_cold.py
@@ -39,7 +39,7 @@
 class ColdWorker:
     """The behaviour of a worker that states its remaining cold time and records requests."""
 
-    def __init__(self, remaining_ms: bytes = b"0") -> None:
+    def __init__(self, remaining_ms: bytes | None = b"0") -> None:
         self.remaining_ms = remaining_ms
         self.arrived_s: list[float] = []
         self.probes = 0
@@ -49,8 +49,9 @@
         head = OK
         if request.target == "/health":
             self.probes += 1
-            stated = b"x-worker-cold-start-ms: " + self.remaining_ms
-            head = OK.replace(b"\r\n\r\n", b"\r\n" + stated + b"\r\n\r\n")
+            if self.remaining_ms is not None:
+                stated = b"x-worker-cold-start-ms: " + self.remaining_ms
+                head = OK.replace(b"\r\n\r\n", b"\r\n" + stated + b"\r\n\r\n")
         await request.sock.sendall(head)
 
     def count_most(self, *, since_s: float) -> int:
@@ -62,7 +63,7 @@
     test: Callable[[Bench, ColdWorker], Awaitable[None]],
     *,
     listed: list[Vm] | None = None,
-    remaining_ms: bytes = b"0",
+    remaining_ms: bytes | None = b"0",
     **upstream: Any,
 ) -> None:
     vms = listed if listed is not None else [OWN_VM]
@@ -97,6 +98,20 @@
             await group.spawn(call_until, bench, read_clock() + duration_s)
 
 
+# Guards against a node that restarts beside a warm worker and limits it for the whole cold start: a
+# warm worker omits the header. A value that cannot be read says nothing.
+@pytest.mark.parametrize(("remaining_ms", "is_warm"), [(None, True), (b"soon", False)])
+def test_a_warm_worker_is_not_limited_after_the_probe(
+    remaining_ms: bytes | None, is_warm: bool
+) -> None:
+    async def test(bench: Bench, worker: ColdWorker) -> None:
+        await wait_for(lambda: worker.probes == 1)
+        await curio.sleep(0.4)
+        assert (bench.server.measure_load().cold_rate is None) is is_warm
+
+    run(test, remaining_ms=remaining_ms)
+
+
 # Guards against crashing a worker that starts with its node.
 def test_a_worker_stays_within_the_bound_until_its_cold_start_is_over() -> None:
     async def test(bench: Bench, worker: ColdWorker) -> None:
--- a/trefoilpick/cold_starts.py
+++ b/trefoilpick/cold_starts.py
@@ -342,7 +342,8 @@
         await pool.discard(connection)
     if head.status != PROBE_STATUS:
         return ProbeAnswer()
-    remaining_ms = parse_decimal(dict(head.headers).get(header, b""))
+    # A warm worker omits the header; a value that cannot be read says nothing.
+    remaining_ms = parse_decimal(dict(head.headers).get(header, b"0"))
     return ProbeAnswer(None if remaining_ms is None else min(remaining_ms, MAX_COLD_MS))
 
 
