Uploads: a VM's slow link takes one large body after the other, before its request has a slot

Cause: at 80 VMs with links of 3.5 Mbit/s, bodies of 60 kB from many senders queue in front of the receiving links, and nested calls behind them.

Change: contract field large_bodies (kind upload); the receiving node reserves its link, sends the notice by which a body is accepted, and receives the body before the request asks for a slot. What would come too late is refused before its body is sent. Senders withhold the body until then and keep the rate. Uploads leave a data centre whose links are full.

--- a/tests/fakes_hop.py
+++ b/tests/fakes_hop.py
@@ -83,10 +83,21 @@
     service: str = "encargos"
     data_centre: str = "lima-a"
     region: str = "lima"
+    body_kbps: int = 0
     hops: list[Hop] = field(default_factory=list)
 
     def build_load(self) -> Load:
-        return Load(self.name, self.incarnation, 7, "d", 0, 0, 10, self.leaving)
+        return Load(
+            self.name,
+            self.incarnation,
+            7,
+            "d",
+            0,
+            0,
+            10,
+            self.leaving,
+            body_kbps=self.body_kbps,
+        )
 
     def build_vm(self) -> Vm:
         return Vm(
@@ -230,7 +241,7 @@
         return sum((fake.runs for fake in self.fakes), Counter())
 
 
-def build_document(*, large_answers: bool = False) -> Document:
+def build_document(*, large_answers: bool = False, large_bodies: bool = False) -> Document:
     def route(name: str, methods: tuple[str, ...], contract: Contract) -> Route:
         return Route(name, Match(f"/{name}", methods), "encargos", contract)
 
@@ -241,7 +252,11 @@
             Contract(True, 2_000, retries=2, large_answers=large_answers),
         ),
         route("advance", ("POST",), Contract(False, 800, retries=2, body_limit_bytes=100_000)),
-        route("spread", ("PUT",), Contract(False, 2_000, body_limit_bytes=2**32)),
+        route(
+            "spread",
+            ("PUT",),
+            Contract(False, 2_000, body_limit_bytes=2**32, large_bodies=large_bodies),
+        ),
         route("note", ("PUT",), Contract(True, 800, retries=2, body_limit_bytes=2**20)),
         route("short", ("GET", "POST"), Contract(False, 300, retries=2)),
     )
@@ -274,6 +289,7 @@
     running: RunningRequests | None = None,
     link_mbps: float = 0.0,
     large_answers: bool = False,
+    large_bodies: bool = False,
 ) -> Bench:
     """Run the main task of a test with a caller server and its fakes."""
 
@@ -283,7 +299,7 @@
         metrics = Metrics()
         cell = SnapshotCell()
         version = VersionId(7, "d")
-        document = build_document(large_answers=large_answers)
+        document = build_document(large_answers=large_answers, large_bodies=large_bodies)
         cell.replace(build_snapshot(version, Manifest(7, 1, ()), document))
         server = open_caller_server(
             build_settings(requests or RequestSettings(), drain or DrainSettings(0, 5_000), hops),
--- a/tests/fakes_worker.py
+++ b/tests/fakes_worker.py
@@ -285,9 +285,11 @@
         return int(sock.getsockname()[1])
 
 
-def build_cell(*, large_answers: bool = False, **fields: Any) -> SnapshotCell:
+def build_cell(
+    *, large_answers: bool = False, large_bodies: bool = False, **fields: Any
+) -> SnapshotCell:
     upstream = Upstream("encargos", **fields)
-    contract = Contract(idempotent=False, large_answers=large_answers)
+    contract = Contract(idempotent=False, large_answers=large_answers, large_bodies=large_bodies)
     route = Route("advance", Match("/", ("GET", "POST")), "encargos", contract)
     cell = SnapshotCell()
     cell.replace(
@@ -349,6 +351,7 @@
     report_end: Callable[[EndReport], Awaitable[None]] = ignore_end,
     link_mbps: float = 0.0,
     large_answers: bool = False,
+    large_bodies: bool = False,
     **hops: Any,
 ):
     worker = FakeWorker()
@@ -360,7 +363,7 @@
     if requests is not None:
         settings = replace(settings, requests=requests)
     metrics = Metrics()
-    cell = build_cell(large_answers=large_answers, **(upstream or {}))
+    cell = build_cell(large_answers=large_answers, large_bodies=large_bodies, **(upstream or {}))
     server = open_hop_server(
         settings,
         cell=cell,
--- a/tests/test_balancing.py
+++ b/tests/test_balancing.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from dataclasses import replace
 
+import msgspec
 import pytest
 
 from trefoilpick.balancing import (
@@ -445,3 +446,30 @@
         checks.clear()
         fleet.count_choices(100)
         assert len(checks) == 100
+
+
+@pytest.mark.parametrize(
+    ("near_wait_ms", "near_share"), [(0, 1.0), (150, 1.0), (300, 0.0), (900, 0.0)]
+)
+def test_large_bodies_leave_a_data_centre_whose_links_are_full(
+    near_wait_ms: int, near_share: float
+) -> None:
+    """One data centre sent all its uploads to its own worker, over a link of two thirds their rate.
+
+    Bodies between data centres are costly, so that a shorter wait is no reason to send them there.
+    """
+    fleet = Fleet(4, data_centres=("lima-a", "lima-b"))
+    for vm in fleet.vms:
+        is_near = vm.data_centre == "lima-a"
+        load = Load(vm.name, 1, 1, "d", 0, 0, 10, False, body_kbps=3_000)
+        load = msgspec.structs.replace(load, body_wait_ms=near_wait_ms if is_near else 0)
+        fleet.balancer.get_service("encargos", fleet.now)
+        record = fleet.balancer.find("encargos", vm.name, fleet.now)
+        assert record is not None
+        fleet.balancer.record_load(record, load, fleet.now)
+    chosen = [
+        fleet.balancer.choose(UPSTREAM, fleet.now, is_heavy=True, body_objective_s=0.8)
+        for _ in range(50)
+    ]
+    near = sum(record.vm.data_centre == "lima-a" for record in chosen)
+    assert near / len(chosen) == near_share
--- a/tests/test_sections.py
+++ b/tests/test_sections.py
@@ -126,11 +126,12 @@
 def test_unused_newer_fields_are_omitted() -> None:
     text = encode_complete(PLAIN)
     assert not any(
-        name in text for name in (b"large_answers", b"cold_start_ms", b"cold_rate_per_s")
+        name in text
+        for name in (b"large_answers", b"large_bodies", b"cold_start_ms", b"cold_rate_per_s")
     )
     assert decode_section(text) == PLAIN
     upstream = Upstream("encargos", cold_start_ms=3_000, cold_rate_per_s=3.15)
-    contract = Contract(idempotent=True, large_answers=True)
+    contract = Contract(idempotent=True, large_answers=True, large_bodies=True)
     route = Route("list", Match("/list", ("GET",)), "encargos", contract)
     used = Section("encargos", (upstream,), (route,))
     assert decode_section(encode_complete(used)) == used
--- a/trefoilpick/_hop_connections.py
+++ b/trefoilpick/_hop_connections.py
@@ -111,12 +111,14 @@
         hop_connection: The hop.
         is_received: Whether all of it has arrived.
         chunks: Its parts that arrived before the request was sent to the worker.
+        has_waited: Whether all of it was awaited before its request has a slot.
         error: Why it could not be forwarded.
     """
 
     hop_connection: HopConnection
     is_received: bool
     chunks: list[bytes] = field(default_factory=list)
+    has_waited: bool = False
     error: TrefoilpickError | None = None
 
     async def receive_first(self, *, limit_s: float) -> bool:
@@ -142,6 +144,24 @@
         self.read_buffered()
         return True
 
+    async def receive_rest(self, *, limit_s: float) -> None:
+        """Receive all of the body that has not arrived yet.
+
+        Args:
+            limit_s: Longest time to wait, in seconds.
+
+        Raises:
+            TrefoilpickError: `DEADLINE_BEFORE_RUN`, `CALLER_GONE` or `MESSAGE_MALFORMED`.
+        """
+        self.has_waited = True
+        try:
+            async with curio.timeout_after(limit_s):
+                while not self.is_received:
+                    self._add(await self.hop_connection.hop.receive())
+        except curio.TaskTimeout as error:
+            text = "deadline passed before the request's body arrived"
+            raise TrefoilpickError(ErrorKind.DEADLINE_BEFORE_RUN, text) from error
+
     def has_sample(self, size: int) -> bool:
         """Return whether all of it has arrived, or at least a number of bytes."""
         return self.is_received or sum(map(len, self.chunks)) >= size
--- a/trefoilpick/_hop_exchange.py
+++ b/trefoilpick/_hop_exchange.py
@@ -43,6 +43,7 @@
     from trefoilpick.fingerprints import Fingerprint
     from trefoilpick.health import WorkerHealth
     from trefoilpick.hops import HopRequest, Load
+    from trefoilpick.incoming_bodies import IncomingBodies
     from trefoilpick.link_scheduler import LinkScheduler
     from trefoilpick.metrics import Metrics
     from trefoilpick.quarantine_gate import QuarantineGate
@@ -99,6 +100,7 @@
         conventions: Headers of the fleet.
         running: Requests that the worker runs now.
         link: Scheduler of this VM's link.
+        incoming: Large bodies on the receiving side of this VM's link.
         buffer_limit: Size of all buffered answers.
         tracks_work: Whether the expected work of requests is learned and reported.
     """
@@ -117,6 +119,7 @@
     conventions: Conventions
     running: RunningRequests
     link: LinkScheduler
+    incoming: IncomingBodies
     buffer_limit: BufferLimit
     tracks_work: bool = False
 
@@ -195,15 +198,74 @@
 
     async def _run_in_slot(self, upstream: Upstream, max_stored_bytes: int) -> StoredAnswer | None:
         """Run the request; return once its answer is sent or completely in the sender's buffer."""
-        request, admission = self._request, self._context.admission
         self._body.read_buffered()
+        size = self._find_awaited_bytes()
+        if not size:
+            return await self._acquire_and_run(upstream, max_stored_bytes)
+        with self._context.incoming.hold(size):
+            await self._receive_body(size)
+            return await self._acquire_and_run(upstream, max_stored_bytes)
+
+    def _find_awaited_bytes(self) -> int:
+        """Return the size of a large body that is received before the request has a slot.
+
+        Returns:
+            Its size, in bytes; 0 if it is received with the slot, or has been received.
+        """
+        incoming = self._context.incoming
+        if self._body.is_received or self._body.chunks or not incoming.is_active:
+            return 0
+        size = _find_body_bytes(self._request)
+        return size if incoming.can_hold(size) else 0
+
+    async def _receive_body(self, size: int) -> None:
+        """Receive the body when this VM's link is free for it.
+
+        A request that would come too late is refused before its body is sent.
+
+        Args:
+            size: Size of the body, in bytes.
+
+        Raises:
+            TrefoilpickError: `SHED`, `QUEUE_FULL`, `DEADLINE_BEFORE_RUN` or `CALLER_GONE`.
+        """
+        request, incoming = self._request, self._context.incoming
+        self._context.admission.check_arrival(
+            caller=request.caller,
+            priority=request.priority,
+            now_s=self.began_s,
+            arrives_s=self.began_s + incoming.estimate_arrival(size),
+            deadline_s=self.deadline_s,
+            objective_s=self._compute_objective(),
+            route=request.route,
+        )
+        await self._acquire_link(size)
+        load = self._context.measure_load()
+        await self._hop_connection.send(encode_head(FrameKind.NOTICE, load))
+        await self._body.receive_rest(limit_s=self.deadline_s - read_clock())
+
+    async def _acquire_link(self, size: int) -> None:
+        try:
+            async with curio.timeout_after(self.deadline_s - read_clock()):
+                await self._context.incoming.acquire(size, priority=self._request.priority)
+        except curio.TaskTimeout as error:
+            raise self._build_deadline_error() from error
+        if not self._hop_connection.is_open():
+            text = "caller's node closed the hop before its body was sent"
+            raise TrefoilpickError(ErrorKind.CALLER_GONE, text, outcome=Outcome.NOT_RUN)
+
+    async def _acquire_and_run(
+        self, upstream: Upstream, max_stored_bytes: int
+    ) -> StoredAnswer | None:
+        request, admission = self._request, self._context.admission
+        now_s = read_clock() if self._body.has_waited else self.began_s
         if not self._context.gate.is_open and self._body.has_sample(SAMPLE_BYTES):
             self._context.gate.check_arrival(self._fingerprint)
         acquired_s = await admission.acquire(
             caller=request.caller,
             priority=request.priority,
             deadline_s=self.deadline_s,
-            now_s=self.began_s,
+            now_s=now_s,
             route=request.route,
             objective_s=self._compute_objective(),
             nested=request.nested,
@@ -211,8 +273,8 @@
         )
         ended_s: float | None = None
         try:
-            if acquired_s > self.began_s:
-                self._observe("trefoilpick_hop_queue_microseconds", acquired_s - self.began_s)
+            if acquired_s > now_s:
+                self._observe("trefoilpick_hop_queue_microseconds", acquired_s - now_s)
             acquired_s = await self._receive_first(acquired_s)
             with self._context.running.track(request.request_id):
                 answer = await self._call_worker(upstream, max_stored_bytes, acquired_s)
@@ -663,17 +725,22 @@
 
 def _find_marks(request: HopRequest) -> RequestMarks:
     """Return what tells the work of a request apart from others of its route."""
-    size = dict(request.headers).get(b"content-length", b"")
     return RequestMarks(
         request.route,
         request.method,
         request.target.partition("?")[0],
         request.caller,
-        int(size) if size.isdigit() else 0,
+        _find_body_bytes(request),
         request.expected_s,
     )
 
 
+def _find_body_bytes(request: HopRequest) -> int:
+    """Return the size of a request's body, in bytes; 0 if it is not stated."""
+    size = dict(request.headers).get(b"content-length", b"")
+    return int(size) if size.isdigit() else 0
+
+
 def _find_outcome(status: int) -> Outcome:
     return Outcome.UNKNOWN if status in UNKNOWN_OUTCOME_STATUSES else Outcome.RUN
 
--- a/trefoilpick/_metric_table.py
+++ b/trefoilpick/_metric_table.py
@@ -159,6 +159,13 @@
         "Time that a part of a large body waited for its turn on this VM's link.",
         "If it stays high, large bodies need more than the link: compare `link.mbps` with the VM.",
     ),
+    "trefoilpick_body_wait_microseconds": MetricInfo(
+        MetricKind.HISTOGRAM,
+        "microseconds",
+        "Time that the large body of a request waited until this VM's link was free for it.",
+        "If it stays high, uploads need more than the link: compare the number of workers of the "
+        "service and `link.mbps` with the bytes that callers upload.",
+    ),
     "trefoilpick_hop_expected_microseconds": MetricInfo(
         MetricKind.HISTOGRAM,
         "microseconds",
--- a/trefoilpick/admission.py
+++ b/trefoilpick/admission.py
@@ -190,6 +190,46 @@
         self.work.start(marks, acquired_s)
         return acquired_s
 
+    def check_arrival(
+        self,
+        *,
+        caller: str,
+        priority: str,
+        now_s: float,
+        arrives_s: float,
+        deadline_s: float,
+        objective_s: float,
+        route: str,
+    ) -> None:
+        """Check that a request whose body is still to be sent is likely to be served.
+
+        Args:
+            caller: Identity of the caller.
+            priority: Value of `Priority`.
+            now_s: Current clock reading, in seconds.
+            arrives_s: Clock reading at which its body will have arrived, in seconds.
+            deadline_s: Clock reading at which the request expires, in seconds.
+            objective_s: Clock reading after which the answer is late, in seconds; once it cannot be
+                met even by a free worker, only the deadline counts.
+            route: Route of the request.
+
+        Raises:
+            TrefoilpickError: `SHED`, `RATE_LIMITED` or `QUEUE_FULL`.
+        """
+        slots = self.count_slots(now_s)
+        service_s = self._service_times.estimate(route)
+        waiter = Waiter(caller, self._find_queue_name(priority, nested=False), deadline_s)
+        is_idle = self.in_flight < slots and not self.queued
+        start_s = now_s if is_idle else now_s + self._estimate_start(waiter, slots)
+        latest_s = objective_s if now_s + service_s <= objective_s else deadline_s
+        if max(start_s, arrives_s) + service_s > latest_s:
+            text = f"body would arrive in {arrives_s - now_s:.3f} s, too late to be served in time"
+            error = self._build_refusal(text, slots)
+            error.retry_after_s = max(error.retry_after_s or 0.0, arrives_s - now_s)
+            raise error
+        if self.queued >= self.limits.queue:
+            raise self._build_full_error(slots)
+
     async def release(
         self,
         *,
@@ -323,10 +363,7 @@
     async def _evict_for(self, waiter: Waiter, slots: int) -> None:
         victim = self._find_victim(waiter)
         if victim is None:
-            text = f"queue is full: {self.queued} requests are waiting"
-            raise TrefoilpickError(
-                ErrorKind.QUEUE_FULL, text, retry_after_s=self._estimate_retry_after(slots)
-            )
+            raise self._build_full_error(slots)
         self._remove(victim)
         text = f'displaced by a request of priority "{waiter.priority}"'
         await _refuse(victim, self._build_refusal(text, slots))
@@ -362,6 +399,12 @@
         kind = ErrorKind.RATE_LIMITED if is_limited else ErrorKind.SHED
         return TrefoilpickError(kind, text, retry_after_s=self._estimate_retry_after(slots))
 
+    def _build_full_error(self, slots: int) -> TrefoilpickError:
+        text = f"queue is full: {self.queued} requests are waiting"
+        return TrefoilpickError(
+            ErrorKind.QUEUE_FULL, text, retry_after_s=self._estimate_retry_after(slots)
+        )
+
     def _estimate_retry_after(self, slots: int) -> float:
         return max(
             MIN_RETRY_AFTER_S,
--- a/trefoilpick/balancing.py
+++ b/trefoilpick/balancing.py
@@ -59,6 +59,10 @@
 """For requests that transfer many bytes, which are costly between data centres: light requests
 spill over first, and heavy ones only when it saves most of a service time."""
 
+BODY_GAIN_SHARE = 0.25
+"""Share of the latency objective by which a farther worker must be expected to answer earlier to
+get a large body, whose bytes between data centres are costly."""
+
 LOAD_HALF_LIFE_S = 1.0
 """Half-life of the weight of a reported load, in seconds."""
 
@@ -90,6 +94,11 @@
 EJECTION_PERCENT = 50
 """Percentage of failed answers reported by a worker's own node at which the worker is ejected."""
 
+BODY_SAMPLE_SIZE = 2
+"""Number of workers of a zone that are compared for a request with a large body."""
+
+MS_PER_S = 1_000
+
 SAMPLE_SIZE = 3
 """Number of workers of a zone that are compared by expected time."""
 
@@ -150,6 +159,7 @@
         rate_limited_until: When the worker's limited rate allows the next request, in seconds.
         left_worker: The worker that stated last that it is leaving; None if none did.
         work: Expected work of the worker.
+        limits_bodies: Whether the VM asks for the large bodies of requests when its link is free.
     """
 
     def __init__(self, vm: Vm, now: float) -> None:
@@ -171,6 +181,8 @@
         self._other_requests = 0.0
         self._reported_at = now
         self.work = ReportedWork()
+        self.limits_bodies = False
+        self._body_wait_s = 0.0
 
     def update_vm(self, vm: Vm, now: float) -> None:
         """Apply the VM's newest record; another worker does not inherit a limited rate."""
@@ -252,6 +264,8 @@
         self._slots = max(load.slots, 1)
         self.rate_limit = load.rate_limit
         self.cold_rate = load.cold_rate
+        self.limits_bodies = load.body_kbps > 0
+        self._body_wait_s = load.body_wait_ms / MS_PER_S
         if load.leaving_worker is not None:
             is_known = load.leaving_worker != UNKNOWN_WORKER
             self.left_worker = load.leaving_worker if is_known else self.vm.worker_identity
@@ -292,6 +306,17 @@
         requests = (self._estimate_requests(now) + 1.0) / self._estimate_slots(now, slots)
         return requests * latency_s / self._compute_share(now)
 
+    def estimate_body_wait(self, now: float) -> float:
+        """Return the time for which a large body is expected to wait for the VM's link.
+
+        Args:
+            now: Time on the node's clock, in seconds.
+
+        Returns:
+            The time, in seconds; 0 if the last report is outdated.
+        """
+        return self._body_wait_s if now - self._reported_at <= MAX_LOAD_AGE_S else 0.0
+
     def estimate_time(self, now: float, slots: int, expected_s: float) -> float | None:
         """Return the expected time to the answer of the next request; None if it is unknown.
 
@@ -407,6 +432,11 @@
         self._unlisted = dict(list(known.items())[-len(endpoints) :])
         self.zones = tuple(self._group_by_locality(own))
 
+    @property
+    def limits_bodies(self) -> bool:
+        """Whether the link of any worker's VM limits the large bodies of requests."""
+        return any(record.limits_bodies for record in self.records.values())
+
     def find_overview(self, now: float) -> Overview:
         """Return an overview that is at most `OVERVIEW_TTL_S` old."""
         overview = self._overview
@@ -520,6 +550,7 @@
         avoid: Collection[str] = (),
         is_heavy: bool = False,
         route: str = "",
+        body_objective_s: float | None = None,
     ) -> WorkerRecord:
         """Choose a worker for the next request.
 
@@ -529,13 +560,18 @@
             avoid: Names of VMs to use only if no other is available.
             is_heavy: Whether the request transfers many bytes.
             route: Name of the request's route.
+            body_objective_s: Latency objective of a request with a large body, in seconds; None for
+                any other request.
 
         Raises:
             TrefoilpickError: `NO_UPSTREAM` or `UPSTREAM_LIMITED`, if no worker may get a request.
         """
         service = self._update_service(upstream.name, now)
         spillover = HEAVY_SPILLOVER if is_heavy else LIGHT_SPILLOVER
-        if self._by_work:
+        if body_objective_s is not None and service.limits_bodies:
+            gain_s = BODY_GAIN_SHARE * body_objective_s
+            best = self._choose_for_body(service, upstream, now, avoid, gain_s)
+        elif self._by_work:
             expected_s = self.estimate_service(upstream.name, route)
             best = self._choose_by_work(service, upstream, now, expected_s, avoid, spillover)
         else:
@@ -550,7 +586,9 @@
         if best is not None:
             return best
         if avoid:
-            return self.choose(upstream, now, is_heavy=is_heavy, route=route)
+            return self.choose(
+                upstream, now, is_heavy=is_heavy, route=route, body_objective_s=body_objective_s
+            )
         service.raise_if_limited(now)
         text = f'upstream "{upstream.name}" has no worker that accepts requests'
         raise TrefoilpickError(ErrorKind.NO_UPSTREAM, text)
@@ -566,6 +604,32 @@
             return None
         return service.service_times.estimate(route) or None
 
+    def _choose_for_body(
+        self,
+        service: Service,
+        upstream: Upstream,
+        now: float,
+        avoid: Collection[str],
+        gain_s: float,
+    ) -> WorkerRecord | None:
+        """Choose by the expected wait for the link and for a slot.
+
+        A worker of a farther zone must be expected to answer earlier by `gain_s`, in seconds.
+        """
+        mean_latency_s = service.compute_mean_latency(now)
+        best: WorkerRecord | None = None
+        best_s = 0.0
+        for zone in service.list_available(now):
+            candidates = [record for record in zone if record.vm.name not in avoid]
+            sampled = self._random.sample(candidates, min(BODY_SAMPLE_SIZE, len(candidates)))
+            for record in sampled:
+                cost_s = record.estimate_cost(now, upstream.slots, mean_latency_s)
+                time_s = cost_s + record.estimate_body_wait(now)
+                is_near = best is None or best in zone
+                if best is None or time_s < best_s - (0.0 if is_near else gain_s):
+                    best, best_s = record, time_s
+        return best
+
     def _choose_by_work(
         self,
         service: Service,
--- a/trefoilpick/document.py
+++ b/trefoilpick/document.py
@@ -79,6 +79,8 @@
         objective: Service-level objective.
         large_answers: Whether answers may be large; their bytes then yield to small messages on the
             links of VMs.
+        large_bodies: Whether bodies of requests may be large; they are then sent to a VM in turn,
+            at the rate of its link.
     """
 
     idempotent: bool
@@ -88,6 +90,7 @@
     body_limit_bytes: Annotated[int, Meta(ge=0, le=MAX_BODY_LIMIT_BYTES)] = 1_048_576
     objective: Objective = Objective()
     large_answers: bool = False
+    large_bodies: bool = False
 
 
 @dataclass(frozen=True)
--- a/trefoilpick/forwarding.py
+++ b/trefoilpick/forwarding.py
@@ -293,7 +293,16 @@
         if token is None:
             team, route = call.team_route.team, call.team_route.route.name
             is_heavy = self._sizes.is_heavy(team, route)
-            return self._balancer.choose(upstream, now, avoid=tried, is_heavy=is_heavy, route=route)
+            contract = call.team_route.route.contract
+            objective_s = contract.objective.latency_ms / MS_PER_S
+            return self._balancer.choose(
+                upstream,
+                now,
+                avoid=tried,
+                is_heavy=is_heavy,
+                route=route,
+                body_objective_s=objective_s if contract.large_bodies else None,
+            )
         vm = read_claims(token).vm
         record = self._balancer.find(upstream.name, vm, now)
         if record is None:
@@ -323,6 +332,10 @@
         self, call: Call, record: WorkerRecord, hop: ClientHop, is_retry: bool
     ) -> Attempt:
         ready = call.body.receive_ready()
+        withheld: list[bytes] | None = None
+        if record.limits_bodies and call.team_route.route.contract.large_bodies:
+            # The worker's node asks for the body when its link is free.
+            ready, withheld = [], ready
         now = read_clock()
         request = build_request(
             call,
@@ -333,14 +346,14 @@
             expected_s=self._estimate_service(call),
         )
         data = encode_head(FrameKind.REQUEST, request) + encode_data(ready)
-        if call.body.is_complete and request.has_body:
+        if call.body.is_complete and request.has_body and not withheld:
             data += END_FRAME
         call.body.was_sent = True
         self._link.count(len(data))
         await self._send_first(call, hop, data)
         uploader = None
-        if not call.body.is_complete:
-            uploader = Uploader(call, hop, self._link)
+        if withheld or not call.body.is_complete:
+            uploader = Uploader(call, hop, self._link, withheld=withheld)
             await uploader.start()
         try:
             answer = await self._receive_head(call, record, hop, uploader)
@@ -409,7 +422,7 @@
             load = decode_head(frame.payload, Load)
             self._balancer.record_load(record, load, read_clock())
             if uploader is not None:
-                await uploader.accept()
+                await uploader.accept(load.body_kbps)
 
     async def _receive_until_deadline(
         self, call: Call, hop: ClientHop, uploader: Uploader | None
--- a/trefoilpick/hops.py
+++ b/trefoilpick/hops.py
@@ -84,6 +84,9 @@
         work_s: Expected time until the worker has finished all running and waiting requests, in
             seconds; None if unknown.
         speed: Speed of the worker; 1 is the mean of its service, None if unknown.
+        body_kbps: Rate at which the large body of a request is to be sent to the VM, in kbit/s; 0
+            if its link does not limit it.
+        body_wait_ms: Mean time for which large bodies wait for the VM's link, in milliseconds.
     """
 
     vm: str
@@ -100,6 +103,8 @@
     cold_rate: float | None = None
     work_s: float | None = None
     speed: float | None = None
+    body_kbps: int = 0
+    body_wait_ms: int = 0
 
 
 class HopRequest(msgspec.Struct, frozen=True, array_like=True):
--- a/trefoilpick/hopserver.py
+++ b/trefoilpick/hopserver.py
@@ -27,6 +27,7 @@
 from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError
 from trefoilpick.health import WorkerHealth
 from trefoilpick.hops import FrameKind, Hop, HopRequest, Load, decode_head, encode_head
+from trefoilpick.incoming_bodies import IncomingBodies
 from trefoilpick.link_scheduler import LinkScheduler
 from trefoilpick.listeners import open_listener
 from trefoilpick.logs import Event, open_state_log
@@ -114,6 +115,7 @@
         conventions: Headers of the fleet.
         log: Log of finished requests.
         link: Scheduler of this VM's link.
+        incoming: Large bodies on the receiving side of this VM's link.
 
     Attributes:
         is_leaving: Whether a drain has started.
@@ -140,6 +142,7 @@
         conventions: Conventions,
         log: RequestLog,
         link: LinkScheduler,
+        incoming: IncomingBodies,
     ) -> None:
         self.admission = admission
         self.token_store = token_store
@@ -174,6 +177,7 @@
             max_idle_s=settings.hops.worker_idle_ms / 1000,
             conventions=conventions,
         )
+        self._incoming = incoming
         self._answers = RecentAnswers()
         self._cold_starts = ColdStarts(
             admission.rate, settings.hops, log=self._log, metrics=metrics
@@ -211,6 +215,7 @@
             conventions=conventions,
             running=self.running_requests,
             link=link,
+            incoming=incoming,
             buffer_limit=BufferLimit(metrics, max_bytes=link.buffer_bytes),
             tracks_work=settings.requests.balance_by_work,
         )
@@ -244,6 +249,8 @@
             cold_rate=self.admission.rate.cold_rate,
             work_s=self.admission.work.estimate_remaining(now_s),
             speed=self.admission.work.speed.speed,
+            body_kbps=self._incoming.body_kbps,
+            body_wait_ms=self._incoming.measure_wait_ms(),
         )
 
     async def run(self) -> None:
@@ -629,6 +636,7 @@
         conventions=conventions,
         log=log or open_request_log(settings.vm.name, incarnation=incarnation, metrics=metrics),
         link=link or LinkScheduler(settings.link.mbps, cell=cell, metrics=metrics),
+        incoming=IncomingBodies(settings.link.mbps, cell=cell, metrics=metrics),
     )
 
 
--- a/trefoilpick/link_scheduler.py
+++ b/trefoilpick/link_scheduler.py
@@ -151,6 +151,11 @@
         """Return the time until the link is free, in seconds."""
         return max(self._free_s - now_s, 0.0)
 
+    def estimate_wait(self, now_s: float) -> float:
+        """Return the time until all turns that wait now have been sent, in seconds."""
+        waiting = sum(turn.size for turns in self._waiting for turn in turns)
+        return self.compute_delay(now_s) + waiting / self._bytes_per_s
+
     def _occupy(self, size: int, now_s: float) -> None:
         self._free_s = max(self._free_s, now_s - CREDIT_S) + size / self._bytes_per_s
 
@@ -163,6 +168,7 @@
         cell: Holder of the enforced version, which shows whether answers may be large.
         metrics: Metrics in which waiting is recorded.
         clock: Returns the current time, in seconds.
+        wait_metric: Histogram of the time for which turns wait, in microseconds.
 
     Attributes:
         part_bytes: Largest size of a part, in bytes.
@@ -176,6 +182,7 @@
         cell: SnapshotCell,
         metrics: Metrics,
         clock: Callable[[], float] = read_clock,
+        wait_metric: str = "trefoilpick_link_wait_microseconds",
     ) -> None:
         bytes_per_s = mbps * BYTES_PER_MBIT * LINK_SHARE
         self.part_bytes = min(max(int(bytes_per_s * PART_S), MIN_PART_BYTES), MAX_PART_BYTES)
@@ -184,6 +191,7 @@
         self._cell = cell
         self._metrics = metrics
         self._clock = clock
+        self._wait_metric = wait_metric
         self._has_timekeeper = False
 
     @property
@@ -194,23 +202,42 @@
         snapshot = self._cell.current
         return snapshot is not None and snapshot.has_large_answers
 
+    @property
+    def orders_bodies(self) -> bool:
+        """Whether a route of the enforced version has large bodies, and the link delays them.
+
+        A link that sends a part of the largest size within `PART_S` delays nothing noticeably.
+        """
+        if self._queue is None or self.part_bytes == MAX_PART_BYTES:
+            return False
+        snapshot = self._cell.current
+        return snapshot is not None and snapshot.has_large_bodies
+
+    @property
+    def _is_in_use(self) -> bool:
+        return self.is_active or self.orders_bodies
+
     def count(self, size: int) -> None:
         """Count a small message, which is sent at once.
 
         Args:
             size: Size of the message, in bytes.
         """
-        if self._queue is not None and self.is_active:
+        if self._queue is not None and self._is_in_use:
             self._queue.count(size, self._clock())
 
     def split(self, chunks: Iterable[bytes]) -> Iterator[bytes]:
         """Split chunks of a body into parts; yield them unchanged while scheduling is off."""
         size = self.part_bytes
         for chunk in chunks:
-            if len(chunk) <= size or not self.is_active:
+            if len(chunk) <= size or not self._is_in_use:
                 yield chunk
                 continue
-            yield from (chunk[start : start + size] for start in range(0, len(chunk), size))
+            yield from split_chunk(chunk, size)
+
+    def estimate_wait(self) -> float:
+        """Return the time until all bodies that wait now have been sent, in seconds."""
+        return 0.0 if self._queue is None else self._queue.estimate_wait(self._clock())
 
     async def acquire(self, size: int, *, priority: str) -> None:
         """Wait until a part of a large body may be sent; return at once while scheduling is off.
@@ -220,7 +247,7 @@
             priority: Value of `Priority`.
         """
         queue = self._queue
-        if queue is None or not self.is_active:
+        if queue is None or not self._is_in_use:
             return
         began_s = self._clock()
         if queue.try_take(size, began_s):
@@ -235,7 +262,7 @@
         finally:
             await self._wake_timekeeper(queue)
         waited_s = self._clock() - began_s
-        self._metrics.observe("trefoilpick_link_wait_microseconds", waited_s * 1e6)
+        self._metrics.observe(self._wait_metric, waited_s * 1e6)
 
     async def _wait(self, queue: LinkQueue, turn: Turn) -> None:
         """Wait for a turn. One of the waiting tasks keeps the time and grants the turns."""
@@ -257,3 +284,8 @@
         following = None if self._has_timekeeper else queue.find_next(self._clock())
         if following is not None:
             await following.changed.set()
+
+
+def split_chunk(chunk: bytes, size: int) -> Iterator[bytes]:
+    """Split a chunk of a body into parts of at most `size` bytes."""
+    yield from (chunk[start : start + size] for start in range(0, len(chunk), size))
--- a/trefoilpick/platform/configuration.py
+++ b/trefoilpick/platform/configuration.py
@@ -32,6 +32,7 @@
     AT_MOST_ONCE_KINDS,
     DOWNLOAD,
     IDEMPOTENT,
+    UPLOAD,
     ConfigurationFault,
     UnreadableRoute,
 )
@@ -250,6 +251,7 @@
             latency_ms=_clamp(round(platform_route.target_latency), 1, MAX_LATENCY_MS)
         ),
         large_answers=platform_route.kind == DOWNLOAD,
+        large_bodies=platform_route.kind == UPLOAD,
     )
     match = Match(platform_route.path_prefix, (ANY_METHOD,), platform_route.hostname)
     return Route(name, match, _find_service(platform_route), contract, shares)
--- a/trefoilpick/platform/configuration_fields.py
+++ b/trefoilpick/platform/configuration_fields.py
@@ -26,7 +26,10 @@
 DOWNLOAD = "download"
 """Kind of idempotent requests with large answers."""
 
-AT_MOST_ONCE_KINDS = frozenset(("non_idempotent", "upload"))
+UPLOAD = "upload"
+"""Kind of requests with large bodies, which run at most once."""
+
+AT_MOST_ONCE_KINDS = frozenset(("non_idempotent", UPLOAD))
 """Kinds of routes whose requests run at most once."""
 
 MAX_KEPT_ENTRIES = 20_000
--- a/trefoilpick/sections.py
+++ b/trefoilpick/sections.py
@@ -30,6 +30,7 @@
 
 NEWER_FIELD_DEFAULTS = (
     b',"large_answers":false',
+    b',"large_bodies":false',
     b',"cold_start_ms":0',
     b',"cold_rate_per_s":0.0',
 )
--- a/trefoilpick/snapshots.py
+++ b/trefoilpick/snapshots.py
@@ -72,6 +72,15 @@
             for team_route in team_routes
         )
 
+    @cached_property
+    def has_large_bodies(self) -> bool:
+        """Whether any route declares large bodies of requests."""
+        return any(
+            team_route.route.contract.large_bodies
+            for team_routes in self.section_routes.values()
+            for team_route in team_routes
+        )
+
     @cached_property
     def has_uneven_load(self) -> bool:
         """Whether the document declares cold workers or large answers.
--- a/trefoilpick/uploads.py
+++ b/trefoilpick/uploads.py
@@ -11,8 +11,11 @@
 from trefoilpick.caller_connections import ConnectionState
 from trefoilpick.errors import TrefoilpickError
 from trefoilpick.hops import FrameKind, encode_data, encode_frame
+from trefoilpick.link_scheduler import MIN_PART_BYTES, PART_S, split_chunk
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from trefoilpick.calls import Call
     from trefoilpick.hopclient import ClientHop
     from trefoilpick.link_scheduler import LinkScheduler
@@ -25,6 +28,9 @@
 """Longest time to wait for the acceptance of a request, in seconds: nodes of the former release
 report none."""
 
+BYTES_PER_KBIT = 125
+"""Bytes in a kilobit."""
+
 
 class Uploader:
     """Sends the rest of a request's body while the answer is awaited.
@@ -36,6 +42,8 @@
         call: The request.
         hop: The hop on which the body is sent.
         link: Scheduler of this VM's link.
+        withheld: Parts of the body that have been received and are to be sent first; None if the
+            worker's node may be one of the former release, which reports no acceptance.
 
     Attributes:
         error: Why the body could not be received from the caller.
@@ -43,13 +51,22 @@
         is_sending: Whether it waits for the link or for the hop to accept a part.
     """
 
-    def __init__(self, call: Call, hop: ClientHop, link: LinkScheduler) -> None:
+    def __init__(
+        self,
+        call: Call,
+        hop: ClientHop,
+        link: LinkScheduler,
+        *,
+        withheld: Iterable[bytes] | None = None,
+    ) -> None:
         self.error: TrefoilpickError | None = None
         self.ended_at: float | None = None
         self.is_sending = False
         self._call = call
         self._hop = hop
         self._link = link
+        self._withheld = withheld
+        self._bytes_per_s = 0.0
         self._accepted = curio.Event()
         self._task: curio.Task | None = None
 
@@ -59,8 +76,13 @@
         self._call.connection.last_active_at = self._call.connection.clock.now
         self._task = await curio.spawn(self._run, daemon=True)
 
-    async def accept(self) -> None:
-        """Begin to send: the worker's node has accepted the request."""
+    async def accept(self, body_kbps: int = 0) -> None:
+        """Begin to send: the worker's node has accepted the request.
+
+        Args:
+            body_kbps: Rate at which to send, in kbit/s; 0 for no limit.
+        """
+        self._bytes_per_s = body_kbps * BYTES_PER_KBIT
         await self._accepted.set()
 
     async def stop(self) -> None:
@@ -71,14 +93,14 @@
 
     async def _run(self) -> None:
         connection = self._call.connection
-        async with curio.ignore_after(MAX_ACCEPTANCE_S):
-            await self._accepted.wait()
+        await self._wait_for_acceptance()
         connection.last_active_at = connection.clock.now
         self._hop.set_uploading(True)
         try:
+            for withheld in self._withheld or ():
+                await self._send_chunk(withheld)
             while (chunk := await self._call.body.receive()) is not None:
-                for part in self._link.split([chunk]):
-                    await self._send(part)
+                await self._send_chunk(chunk)
             await self._hop.send(END_FRAME)
         except TrefoilpickError as error:
             self.error = error
@@ -91,6 +113,26 @@
                 ConnectionState.ANSWERING if connection.is_head_sent else ConnectionState.RUNNING
             )
 
+    async def _wait_for_acceptance(self) -> None:
+        if self._withheld is not None:
+            await self._accepted.wait()
+            return
+        async with curio.ignore_after(MAX_ACCEPTANCE_S):
+            await self._accepted.wait()
+
+    async def _send_chunk(self, chunk: bytes) -> None:
+        if not self._bytes_per_s:
+            for part in self._link.split([chunk]):
+                await self._send(part)
+            return
+        size = min(self._link.part_bytes, max(MIN_PART_BYTES, int(self._bytes_per_s * PART_S)))
+        for part in split_chunk(chunk, size):
+            began_s = read_clock()
+            await self._send(part)
+            rest_s = began_s + len(part) / self._bytes_per_s - read_clock()
+            if rest_s > 0:
+                await curio.sleep(rest_s)
+
     async def _send(self, part: bytes) -> None:
         connection = self._call.connection
         self.is_sending = True
