Uploads: a body that is late even over a free link counts against its deadline

Found when reading the change: a body of 300 kB needs 0.8 s over 3.5 Mbit/s, so that with an objective of 1 s it was refused on every link, though its caller takes a late answer. Now only the time for which it would wait is weighed against the objective.

--- a/trefoilpick/admission.py
+++ b/trefoilpick/admission.py
@@ -196,7 +196,8 @@
         caller: str,
         priority: str,
         now_s: float,
-        arrives_s: float,
+        link_wait_s: float,
+        transfer_s: float,
         deadline_s: float,
         objective_s: float,
         route: str,
@@ -207,10 +208,11 @@
             caller: Identity of the caller.
             priority: Value of `Priority`.
             now_s: Current clock reading, in seconds.
-            arrives_s: Clock reading at which its body will have arrived, in seconds.
+            link_wait_s: Time until the link is free for its body, in seconds.
+            transfer_s: Time that its body takes on the link, in seconds.
             deadline_s: Clock reading at which the request expires, in seconds.
-            objective_s: Clock reading after which the answer is late, in seconds; once it cannot be
-                met even by a free worker, only the deadline counts.
+            objective_s: Clock reading after which the answer is late, in seconds; if it cannot be
+                met even over a free link by a free worker, only the deadline counts.
             route: Route of the request.
 
         Raises:
@@ -221,11 +223,15 @@
         waiter = Waiter(caller, self._find_queue_name(priority, nested=False), deadline_s)
         is_idle = self.in_flight < slots and not self.queued
         start_s = now_s if is_idle else now_s + self._estimate_start(waiter, slots)
-        latest_s = objective_s if now_s + service_s <= objective_s else deadline_s
-        if max(start_s, arrives_s) + service_s > latest_s:
-            text = f"body would arrive in {arrives_s - now_s:.3f} s, too late to be served in time"
+        can_meet_objective = now_s + transfer_s + service_s <= objective_s
+        latest_s = objective_s if can_meet_objective else deadline_s
+        arrival_s = now_s + link_wait_s + transfer_s
+        if max(start_s, arrival_s) + service_s > latest_s:
+            text = (
+                f"body would wait {link_wait_s:.3f} s for the link, too long to be served in time"
+            )
             error = self._build_refusal(text, slots)
-            error.retry_after_s = max(error.retry_after_s or 0.0, arrives_s - now_s)
+            error.retry_after_s = max(error.retry_after_s or 0.0, link_wait_s)
             raise error
         if self.queued >= self.limits.queue:
             raise self._build_full_error(slots)
--- a/trefoilpick/incoming_bodies.py
+++ b/trefoilpick/incoming_bodies.py
@@ -110,13 +110,17 @@
         finally:
             self._held_bytes -= size
 
-    def estimate_arrival(self, size: int) -> float:
-        """Return the time until a further body has arrived, in seconds.
+    def estimate_wait(self) -> float:
+        """Return the time until the link is free for a further body, in seconds."""
+        return self._link.estimate_wait()
+
+    def estimate_transfer(self, size: int) -> float:
+        """Return the time that a body takes on the link, in seconds.
 
         Args:
             size: Size of the body, in bytes.
         """
-        return self._link.estimate_wait() + size / self._bytes_per_s
+        return size / self._bytes_per_s
 
     async def acquire(self, size: int, *, priority: str) -> None:
         """Wait until the body may be sent, and occupy the link for its transfer.
