review: order the cases by gravity

The order is now CONFIG (1), LOST behind a slow answer (2), DRAIN of an unannounced leaving (3), DRAIN by a number (4), LOST after SIGTERM (5).

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,78 +1,69 @@
-"""A node gets SIGTERM while a client has two requests in flight on one connection."""
+"""An entry of another writer holds a number that is no worker's; then a worker drains and leaves."""
 
 import asyncio
-import os
-import signal
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common"))
-from standins import Client, make_configuration, make_route, play, read_body, read_head  # noqa: E402
+from standins import Client, make_configuration, make_route, play  # noqa: E402
 
-PAIRS = 4
-LIMIT_MS = 8000
-
-
-async def send_pair(fleet, machine):
-    """Send two requests on a kept connection; return their ids and what was answered to each."""
-    record, ids = fleet.record, [os.urandom(8).hex() for _ in range(2)]
-    reader, writer = await asyncio.open_connection(machine.host, fleet.ports[2])
-    heads = [
-        f"GET {path} HTTP/1.1\r\nHost: ficu.example\r\nX-Trefoilpick-Attempt-Id: {attempt}\r\n"
-        f"X-Trefoilpick-Deadline-Ms: {LIMIT_MS}\r\n\r\n"
-        for path, attempt in zip(("/portfolio/1", "/archive/1"), ids, strict=True)
-    ]
-    writer.write("".join(heads).encode())
-    record.write(f"client on {machine.name}: sends GET /portfolio/1 {ids[0]}, GET /archive/1 {ids[1]}")
-    answers = []
-    try:
-        async with asyncio.timeout(LIMIT_MS / 1000):
-            while len(answers) < 2 and (head := await read_head(reader)) is not None:
-                await read_body(reader, head[1])
-                answers.append(int(head[0][1]))
-                closes = head[1].get("connection", "")
-                record.write(f"client on {machine.name}: {ids[len(answers) - 1]} got {answers[-1]} {closes}")
-    except (TimeoutError, OSError, asyncio.IncompleteReadError) as error:
-        record.write(f"client on {machine.name}: {error!r}")
-    if len(answers) < 2:
-        record.write(f"client on {machine.name}: connection ended, {ids[1]} got no answer")
-    writer.close()
-    return ids, answers, record.now()
+DRAIN_S = 2.0
+STAYS_S = 4.0  # `drain` "and a little longer (at times many seconds)"
+FOREIGN = {
+    "service": "encargos", "address": "127.0.0.1:9", "zone": "lima-a", "version": "v1",
+    "slots": 10**20, "state": "ready", "cold-remaining": 0, "sequence": 1, "born": 1700000000000,
+}
 
 
 async def case(fleet, is_disturbed):
-    services = ["portafolio", "encargos", "encargos"]
-    fleet.lay_out(services, ["lima-a", "lima-b", "lima-c"], slots=4, work_s=lambda path: 4.0 if path == "/portfolio/0" else 2.5)
-    routes = [
-        make_route("r-portfolio", "/portfolio/", "portafolio", "idempotent", timeout=8000, aim=400),
-        make_route("r-archive", "/archive/", "encargos", "idempotent", timeout=8000, aim=3000),
-    ]
-    await fleet.start(make_configuration(3, routes, ["portafolio", "encargos"]))
-    machine = fleet.machines[2]
-    client = Client(fleet, fleet.machines[1])
-
-    # The portfolio service is busy, so that further requests wait and are then refused.
-    await asyncio.gather(*(client.send("/portfolio/0", limit_ms=LIMIT_MS) for _ in range(4)))
-    busy = [asyncio.ensure_future(client.send("/portfolio/0", limit_ms=LIMIT_MS)) for _ in range(4)]
-    await asyncio.sleep(0.1)
-    pairs = [asyncio.ensure_future(send_pair(fleet, machine)) for _ in range(PAIRS)]
-    await asyncio.sleep(0.15)
+    services = ["encargos", "portafolio"] * 9
+    fleet.lay_out(services, ["lima-a", "lima-b", "lima-c"] * 6, slots=9, work_s=0.16)
+    route = make_route("r-advance", "/advance/", "encargos", "non_idempotent", aim=500)
+    await fleet.start(make_configuration(3, [route], ["encargos", "portafolio"]))
+    clients = [Client(fleet, machine) for machine in fleet.machines]
+    leaving = [fleet.workers[number] for number in (0, 4, 2, 6, 10)]
     if is_disturbed:
-        machine.signal(signal.SIGTERM)
-    results = await asyncio.gather(*pairs)
-    await asyncio.gather(*busy)
-    await asyncio.sleep(1.0)
-    events = {}
-    for worker in fleet.workers:
-        for at, event, attempt in worker.log:
-            events.setdefault(attempt, []).append((event, at))
+        await fleet.store.put("servers/other-writer", FOREIGN)
+        fleet.record.write(f"store: another writer's entry {FOREIGN}")
+    await asyncio.sleep(4.0)
+
+    # The workers drain: they report so, serve on for `drain` and a little longer, and end.
+    acknowledged = {}
+    for worker in leaving:
+        acknowledged[worker.identity] = await fleet.store.put(worker.key, worker.entry("draining"))
+        fleet.record.write(f"store: {worker.identity} is draining, acknowledged")
+    async def end_workers():
+        await asyncio.sleep(STAYS_S)
+        for worker in leaving:
+            await worker.end()
+            await fleet.store.delete(worker.key)
+            fleet.record.write(f"worker {worker.identity} has ended, its entry is removed")
+
+    ending = asyncio.ensure_future(end_workers())
+    sent = []
+    for _ in range(30):
+        for client in clients:
+            job = client.send("/advance/1", method="POST", body=b"x" * 300, limit_ms=2500)
+            sent.append(asyncio.ensure_future(job))
+            await asyncio.sleep(0.2 / len(clients))
+    await ending
+    answers = await asyncio.gather(*sent)
+    fleet.record.write(f"answers: {sorted(answer.status for answer in answers)}")
+    statuses = {key: one.status for client in clients for key, one in client.answers.items()}
     breaches = []
-    for (_, second), answers, ended in results:
-        seen = dict(events.get(second, []))
-        if len(answers) < 2 and "arrive" in seen and seen["arrive"] < ended:
+    for worker in leaving:
+        since = acknowledged[worker.identity]
+        late = [
+            (at - since, attempt)
+            for at, event, attempt in worker.log
+            if event == "arrive" and at > since + DRAIN_S
+        ]
+        if late:
+            lost = [attempt for _, attempt in late if statuses[attempt] != 200]
             breaches.append(
-                f"LOST: {second} was passed on to a worker, which was at work on it; its connection "
-                f"ended without an answer after the answer {answers} to the request before it"
+                f"DRAIN: {len(late)} requests reached {worker.identity} later than {DRAIN_S} s "
+                f"after the store acknowledged that it is draining, the last one "
+                f"{late[-1][0]:.3f} s after it; {len(lost)} of them got no answer of the worker"
             )
     return breaches
 
