--- a/trefoilpick/_client_connection.py
+++ b/trefoilpick/_client_connection.py
@@ -9,6 +9,7 @@
 import h11
 from curio import socket
 
+from trefoilpick._time_slices import yield_if_due
 from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError
 
 if TYPE_CHECKING:
@@ -157,9 +158,11 @@
                 raise self._build_loss_error(head)
 
     async def _receive_event(self, head: h11.Response | None) -> object:
+        await yield_if_due()
         try:
             while (event := self._http.next_event()) is h11.NEED_DATA:
                 self._http.receive_data(await self._sock.recv(READ_BYTES))
+                await yield_if_due()
         except OSError as error:
             raise self._build_loss_error(head) from error
         except h11.RemoteProtocolError as error:
--- a/trefoilpick/_hop_connections.py
+++ b/trefoilpick/_hop_connections.py
@@ -24,6 +24,10 @@
     from trefoilpick.hops import Hop
 
 
+MAX_READY_FRAMES = 256
+"""Largest number of frames that are read without letting other tasks run."""
+
+
 @dataclass(eq=False)
 class HopConnection:
     """A hop that a caller's node opened, with its state.
@@ -187,10 +191,12 @@
             await self.hop_connection.task.cancel(blocking=False)
 
     def read_buffered(self) -> bool:
-        """Take over the parts that have arrived; return whether there were any."""
+        """Take over parts that have arrived; return whether there were any."""
         size = 0
         has_read = False
-        while not self.is_received and size < READ_BYTES:
+        for _ in range(MAX_READY_FRAMES):
+            if self.is_received or size >= READ_BYTES:
+                break
             frame = self.hop_connection.hop.pop_frame()
             if frame is None:
                 break
--- a/trefoilpick/_hop_listener.py
+++ b/trefoilpick/_hop_listener.py
@@ -8,6 +8,8 @@
 import curio
 from curio.io import Socket
 
+from trefoilpick._time_slices import yield_if_due
+
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
 
@@ -40,6 +42,7 @@
         Connected sockets.
     """
     while True:
+        await yield_if_due()
         try:
             sock, _ = await listener.accept()
             _set_options(sock)
--- a/trefoilpick/_http.py
+++ b/trefoilpick/_http.py
@@ -11,6 +11,7 @@
 import h11
 
 from trefoilpick._connections import open_connection
+from trefoilpick._time_slices import yield_if_due
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 
 if TYPE_CHECKING:
@@ -59,6 +60,7 @@
             return event
         if event is not h11.NEED_DATA:
             return None
+        await yield_if_due()
         protocol.receive_data(await sock.recv(READ_BYTES))
 
 
@@ -123,6 +125,7 @@
     has_received = False
     body = bytearray()
     while True:
+        await yield_if_due()
         event = protocol.next_event()
         if event is h11.NEED_DATA:
             data = await sock.recv(READ_BYTES)
--- a/trefoilpick/_source_connection.py
+++ b/trefoilpick/_source_connection.py
@@ -19,6 +19,7 @@
 
 from trefoilpick._clock import read_clock
 from trefoilpick._connections import open_connection
+from trefoilpick._time_slices import yield_if_due
 from trefoilpick.addresses import split_address
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 
@@ -149,6 +150,7 @@
 
     async def _next_event(self) -> Any:
         while True:
+            await yield_if_due()
             event = self._protocol.next_event()
             if event is not h11.NEED_DATA:
                 return event
@@ -163,8 +165,6 @@
                 # Each chunk takes time, whatever its size.
                 raise self._make_error("its chunks are too small")
             self._protocol.receive_data(data)
-            # Lets other tasks run while a fast response is received.
-            await curio.sleep(0)
 
     def _find_time_left(self) -> float:
         """Return the timeout for the next part of the response, in seconds."""
--- a/trefoilpick/_worker_connections.py
+++ b/trefoilpick/_worker_connections.py
@@ -9,6 +9,7 @@
 
 import h11
 
+from trefoilpick._time_slices import yield_if_due
 from trefoilpick.conventions import DEFAULT_CONVENTIONS, RETRY_HEADER, VERSION_HEADER, Conventions
 from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError
 
@@ -54,6 +55,13 @@
 MAX_STRAY_ANSWERS = 4
 """Largest number of answers to earlier requests that are skipped before the expected one."""
 
+MAX_SKIPPED_PARTS = 1_024
+"""Largest number of interim answers and parts of stray ones that are skipped before the expected
+answer. Each takes time, whatever its size, and a faulty worker may send them without end."""
+
+MAX_POPPED_PARTS = 64
+"""Largest number of parts of a body that are parsed without letting other tasks run."""
+
 
 @dataclass(frozen=True)
 class AnswerHead:
@@ -103,6 +111,8 @@
         self._method = ""
         self._request_id = b""
         self._stray_answers = 0
+        self._skipped_parts = 0
+        self._has_unparsed_parts = False
         # Without that convention, a worker may still prove to echo the IDs.
         self._echoes_request_id = conventions.echoes_request_id
         self.keep_alive_s: float | None = None
@@ -171,24 +181,29 @@
             TrefoilpickError: `UPSTREAM_LOST` or `ANSWER_MALFORMED`.
         """
         while True:
-            event = self._next_event()
-            if event is h11.NEED_DATA:
-                await self.receive_more()
-            elif isinstance(event, h11.Response):
+            event = await self._receive_event()
+            if isinstance(event, h11.Response):
                 if not self._is_stray(event):
                     return self._begin_answer(event)
                 await self._skip_stray()
-            elif not isinstance(event, h11.InformationalResponse):
+            elif isinstance(event, h11.InformationalResponse):
+                self._count_skipped_part()
+            else:
                 raise _build_lost_error("worker closed the connection before its answer")
 
     def pop_data(self) -> list[bytes]:
-        """Return the received parts of the answer's body, and update `is_answer_complete`.
+        """Return received parts of the answer's body, and update `is_answer_complete`.
+
+        Parts beyond `MAX_POPPED_PARTS` are left for the next call after `receive_more`.
 
         Raises:
             TrefoilpickError: `ANSWER_CUT`.
         """
         chunks: list[bytes] = []
         while not self.is_answer_complete:
+            if len(chunks) == MAX_POPPED_PARTS:
+                self._has_unparsed_parts = True
+                break
             event = self._next_event()
             if isinstance(event, h11.Data):
                 chunks.append(bytes(event.data))
@@ -199,7 +214,7 @@
                 break
             else:
                 raise _build_cut_error()
-        return chunks
+        return [b"".join(chunks)] if len(chunks) > 1 else chunks
 
     def is_open(self) -> bool:
         """Return whether the worker has neither closed nor reset the connection."""
@@ -208,11 +223,15 @@
         return not poller.poll(0)
 
     async def receive_more(self) -> None:
-        """Wait for more bytes of the answer.
+        """Wait for more bytes of the answer, unless `pop_data` left some.
 
         Raises:
             TrefoilpickError: `UPSTREAM_LOST` or `ANSWER_CUT`, if the connection broke.
         """
+        await yield_if_due()
+        if self._has_unparsed_parts:
+            self._has_unparsed_parts = False
+            return
         try:
             data = await self._sock.recv(READ_BYTES)
         except OSError as error:
@@ -240,6 +259,7 @@
             return False
         self.is_fresh = False
         self.has_answer_begun = self.is_answer_complete = False
+        self._skipped_parts = 0
         return True
 
     def is_reusable(self) -> bool:
@@ -301,6 +321,19 @@
             # The worker may have answered before it closed the connection; the next read shows it.
             self._is_send_broken = True
 
+    def _count_skipped_part(self) -> None:
+        self._skipped_parts += 1
+        if self._skipped_parts > MAX_SKIPPED_PARTS:
+            text = "worker sent too much before its answer"
+            raise TrefoilpickError(ErrorKind.ANSWER_MALFORMED, text)
+
+    async def _receive_event(self) -> Any:
+        """Return the next event; wait for it if necessary."""
+        await yield_if_due()
+        while (event := self._next_event()) is h11.NEED_DATA:
+            await self.receive_more()
+        return event
+
     def _next_event(self) -> Any:
         try:
             return self._http.next_event()
@@ -348,15 +381,12 @@
         if self._stray_answers > MAX_STRAY_ANSWERS or self._http.our_state is h11.SEND_BODY:
             text = "worker sent the answer to another request"
             raise TrefoilpickError(ErrorKind.ANSWER_MALFORMED, text)
-        event = self._next_event()
-        while not isinstance(event, h11.EndOfMessage):
-            if event is h11.NEED_DATA:
-                await self.receive_more()
-            elif not isinstance(event, h11.Data):
+        while not isinstance(event := await self._receive_event(), h11.EndOfMessage):
+            if not isinstance(event, h11.Data):
                 raise _build_lost_error(
                     "worker closed the connection during the answer to another request"
                 )
-            event = self._next_event()
+            self._count_skipped_part()
         rest, is_closed = self._http.trailing_data
         self._http = _open_protocol()
         # Repeats the method of the request that was sent: it determines how the answer is framed.
--- a/trefoilpick/caller_connections.py
+++ b/trefoilpick/caller_connections.py
@@ -11,6 +11,7 @@
 import h11
 import msgspec
 
+from trefoilpick._time_slices import yield_if_due
 from trefoilpick.document import MAX_HEAD_BYTES
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 
@@ -25,6 +26,9 @@
 READ_BYTES = 65_536
 """Bytes to read from a caller's socket at a time."""
 
+MAX_READY_PARTS = 64
+"""Largest number of parts of a body that are parsed without letting other tasks run."""
+
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """Value of SO_LINGER that resets the connection on close."""
 
@@ -128,6 +132,7 @@
             TrefoilpickError: `HEAD_MALFORMED`, `HEAD_TOO_LARGE` or `HEAD_TIMEOUT`.
             OSError: The connection broke.
         """
+        await yield_if_due()
         event = self._read_event()
         while event is h11.NEED_DATA:
             data = await self.sock.recv(READ_BYTES)
@@ -141,6 +146,7 @@
                     self.last_active_at = self.clock.now
                 self.state = ConnectionState.HEAD
             self.http.receive_data(data)
+            await yield_if_due()
             event = self._read_event()
             if event is h11.NEED_DATA and self._is_buffer_full():
                 raise TrefoilpickError(ErrorKind.HEAD_TOO_LARGE, "head: it is over the limit")
@@ -153,6 +159,7 @@
             TrefoilpickError: `BODY_MALFORMED`, `BODY_TIMEOUT` or `CALLER_GONE`.
         """
         while True:
+            await yield_if_due()
             part = self.read_body_part()
             if part != b"":
                 return part
@@ -195,11 +202,14 @@
         return None if isinstance(event, h11.EndOfMessage) else b""
 
     def drop_body(self) -> bool:
-        """Drop the received rest of the request's body; return whether the body is complete."""
+        """Drop the received rest of the request's body; return whether the body is complete.
+
+        At most `MAX_READY_PARTS` are dropped.
+        """
         try:
-            while self.http.their_state is h11.SEND_BODY:
-                if self.read_body_part() == b"":
-                    return False
+            for _ in range(MAX_READY_PARTS):
+                if self.http.their_state is not h11.SEND_BODY or self.read_body_part() == b"":
+                    break
         except TrefoilpickError:
             return False
         return self.http.their_state is h11.DONE
--- a/trefoilpick/callers.py
+++ b/trefoilpick/callers.py
@@ -12,6 +12,7 @@
 
 from trefoilpick._clock import read_clock
 from trefoilpick._task_groups import keep_running
+from trefoilpick._time_slices import yield_if_due
 from trefoilpick.balancing import Balancer, Directory
 from trefoilpick.caller_connections import (
     CallerConnection,
@@ -216,6 +217,7 @@
 
     async def _accept_all(self) -> None:
         while True:
+            await yield_if_due()
             await self._accept()
 
     async def _accept(self) -> None:
--- a/trefoilpick/calls.py
+++ b/trefoilpick/calls.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from trefoilpick.caller_connections import MAX_READY_PARTS
 from trefoilpick.conventions import (
     DEADLINE_HEADER,
     DEFAULT_CONVENTIONS,
@@ -173,8 +174,10 @@
         return part
 
     def _read_arrived(self, size: int) -> None:
-        """Read the parts that have already arrived, until a number of bytes was received."""
-        while not self.is_complete and self.received < size:
+        """Read parts that have already arrived, until a number of bytes or parts was received."""
+        for _ in range(MAX_READY_PARTS):
+            if self.is_complete or self.received >= size:
+                break
             part = self.connection.read_body_part()
             if part == b"":
                 break
--- a/trefoilpick/forwarding.py
+++ b/trefoilpick/forwarding.py
@@ -51,6 +51,9 @@
 FLUSH_BYTES = 65_536
 """Size at which the received parts of an answer are sent to the caller, in bytes."""
 
+FLUSH_PARTS = 256
+"""Number of received parts of an answer that are sent to the caller together at most."""
+
 COARSE_DEADLINE_S = 5.0
 """Time left above which the connection monitor, not a timer, enforces a deadline, in seconds."""
 
@@ -506,7 +509,7 @@
         parts: list[bytes] = []
         size = 0
         hop = attempt.hop
-        while size < FLUSH_BYTES:
+        while size < FLUSH_BYTES and len(parts) < FLUSH_PARTS:
             try:
                 frame = hop.pop_frame()
                 if frame is None:
--- a/trefoilpick/hopclient.py
+++ b/trefoilpick/hopclient.py
@@ -41,6 +41,11 @@
 """Time to receive the rest of a partly received notice, in seconds."""
 
 
+MAX_NOTICES = 64
+"""Largest number of notices that are read on an idle connection; a peer that sends more is faulty:
+it sends one when it begins to leave."""
+
+
 class ClientHop(Hop):
     """Connection to a worker's node.
 
@@ -192,7 +197,9 @@
     async def _read_notices(self, hop: ClientHop) -> bool:
         """Read received notices; return whether the connection can still be used."""
         try:
-            while hop.has_input():
+            for _ in range(MAX_NOTICES):
+                if not hop.has_input():
+                    return True
                 frame = await curio.timeout_after(NOTICE_TIMEOUT_S, hop.receive)
                 if frame is None or frame.kind is not FrameKind.NOTICE:
                     return False
@@ -202,7 +209,7 @@
                     return False
         except (OSError, TrefoilpickError, curio.TaskTimeout):
             return False
-        return True
+        return False
 
 
 async def open_hop(vm: Vm, *, timeout_s: float) -> ClientHop:
--- a/trefoilpick/hops.py
+++ b/trefoilpick/hops.py
@@ -16,6 +16,7 @@
 
 import msgspec
 
+from trefoilpick._time_slices import yield_if_due
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 from trefoilpick.head_compression import HeadCompressor, HeadDecompressor
 from trefoilpick.vms import WorkerIdentity
@@ -276,6 +277,7 @@
             TrefoilpickError: `MESSAGE_MALFORMED` or `MESSAGE_TOO_LARGE`.
             OSError: The connection broke.
         """
+        await yield_if_due()
         while True:
             frame = self.pop_frame()
             if frame is not None:
@@ -283,6 +285,7 @@
             data = await self.sock.recv(READ_BYTES)
             if data:
                 self._buffer += data
+                await yield_if_due()
             elif self._buffer:
                 raise TrefoilpickError(ErrorKind.MESSAGE_MALFORMED, "hop ended within a frame")
             else:
--- a/trefoilpick/links.py
+++ b/trefoilpick/links.py
@@ -13,6 +13,7 @@
 
 from trefoilpick._clock import read_clock
 from trefoilpick._task_groups import keep_running, run_until_first_ends
+from trefoilpick._time_slices import yield_if_due
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 from trefoilpick.message_endpoint import MessageEndpoint
 from trefoilpick.messages import MAX_MESSAGE_BYTES
@@ -296,6 +297,7 @@
                     has_progress = self._send_next(peer)
                 if events & zmq.POLLIN:
                     has_progress = await self._receive_answer(peer) or has_progress
+                await yield_if_due()
 
     def _send_next(self, peer: Peer) -> bool:
         topic, data = next(iter(peer.queue.items()))
@@ -322,6 +324,7 @@
         while True:
             while _read_events(self._router) & zmq.POLLIN:
                 await self._receive_request()
+                await yield_if_due()
             await _read_wait(descriptor)
 
     async def _receive_request(self) -> None:
@@ -374,6 +377,7 @@
         while True:
             while _read_events(zap) & zmq.POLLIN:
                 zap.send_multipart(self._check_key(zap.recv_multipart()))
+                await yield_if_due()
             await _read_wait(descriptor)
 
     def _check_key(self, request: list[bytes]) -> list[bytes]:
--- a/trefoilpick/operatorserver.py
+++ b/trefoilpick/operatorserver.py
@@ -16,6 +16,7 @@
 from trefoilpick._http import MAX_HEAD_BYTES, HttpAnswer, receive_request, send_answer
 from trefoilpick._process_metrics import measure_process
 from trefoilpick._task_groups import keep_running, run_until_first_ends
+from trefoilpick._time_slices import yield_if_due
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 from trefoilpick.logs import LOGGER_NAME
 from trefoilpick.metrics import CONTENT_TYPE
@@ -132,6 +133,7 @@
 
     async def _accept_into(self, tasks: curio.TaskGroup) -> None:
         while True:
+            await yield_if_due()
             try:
                 client, _ = await self._sock.accept()
                 client.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
