--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -5,6 +5,7 @@
 from collections import deque
 
 import curio
+import pytest
 from fakes_hop import (
     HOST,
     Bench,
@@ -18,6 +19,7 @@
 from trefoilpick._clock import read_clock
 from trefoilpick._connections import open_connection
 from trefoilpick.hops import Hop, HopRequest, encode_data
+from trefoilpick.settings import DrainSettings, RequestSettings
 
 STATUS = b"GET /status HTTP/1.1\r\nhost: a\r\nx-request-id: %d\r\n\r\n"
 SHORT = b"GET /short HTTP/1.1\r\nhost: a\r\nx-request-id: %d\r\n\r\n"
@@ -150,3 +152,125 @@
         assert b" 503 " in received and b" 404 " not in received
 
     run_bench(main, FakeWorkerNode(scripts=deque([answer_after(0.3, b"first")])))
+
+
+TIMEOUTS = RequestSettings(head_timeout_ms=200, keepalive_ms=10_000, body_idle_ms=10_000)
+"""Settings with a timeout of heads that is shorter than the first answer takes."""
+FIRST_ANSWER_S = 0.6
+FIELDS = b" HTTP/1.1\r\nhost: a\r\nx-request-id: next\r\n"
+LATER = {
+    "another method": b"PUT /note" + FIELDS + b"\r\n",
+    "a body": b"PUT /note" + FIELDS + b"content-length: 2\r\n\r\nab",
+    "a chunked body": b"PUT /note"
+    + FIELDS
+    + b"transfer-encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+    "close": b"GET /status" + FIELDS + b"connection: close\r\n\r\n",
+    "not idempotent": b"POST /advance" + FIELDS + b"content-length: 0\r\n\r\n",
+    "an unknown route": b"POST /absent" + FIELDS + b"content-length: 0\r\n\r\n",
+    "many": STATUS % 2 * 11,
+}
+
+
+async def receive_heads(sock: curio.io.Socket, count: int) -> list[int]:
+    """Return the statuses of the answers that arrive, up to a number of them."""
+    received = b""
+    while received.count(b"HTTP/1.1 ") < count or not received.endswith(
+        (b"}", b"ok", b"vm-1:", b"vm-1:ab")
+    ):
+        data = await sock.recv(65_536)
+        if not data:
+            break
+        received += data
+    return [int(part[:3]) for part in received.split(b"HTTP/1.1 ")[1:]]
+
+
+# Guards against the timeout of heads ending requests that wait for earlier answers (review/4).
+@pytest.mark.parametrize("kind", LATER)
+def test_a_request_that_waits_for_a_slow_answer_ends_none(kind: str) -> None:
+    async def main(bench: Bench) -> None:
+        caller = await connect(bench)
+        await caller.sock.sendall(STATUS % 0)
+        await curio.sleep(0.05)
+        await caller.sock.sendall(STATUS % 1)
+        await curio.sleep(0.05)
+        await caller.sock.sendall(LATER[kind])
+        count = 2 + LATER[kind].count(b"x-request-id")
+        last = 404 if kind == "an unknown route" else 200
+        async with curio.timeout_after(5):
+            statuses = await receive_heads(caller.sock, count)
+        assert statuses == [200] * (count - 1) + [last]
+
+    scripts = deque([answer_after(FIRST_ANSWER_S, b"ok")])
+    run_bench(main, FakeWorkerNode(scripts=scripts), requests=TIMEOUTS)
+
+
+# Guards against a later head that is malformed or stays incomplete cancelling earlier requests.
+@pytest.mark.parametrize(
+    ("rest", "status"), [(b"GET /status HTTP/1.1\r\nho", 408), (b"GET\r\n\r\n", 400)]
+)
+@pytest.mark.parametrize("is_apart", [True, False])
+def test_a_faulty_head_is_refused_after_the_earlier_answers(
+    rest: bytes, status: int, is_apart: bool
+) -> None:
+    async def main(bench: Bench) -> None:
+        caller = await connect(bench)
+        await caller.sock.sendall(STATUS % 0 + STATUS % 1)
+        await curio.sleep(0.05 if is_apart else 0)
+        await caller.sock.sendall(rest)
+        async with curio.timeout_after(5):
+            assert await receive_heads(caller.sock, 4) == [200, 200, status]
+
+    scripts = deque([answer_after(FIRST_ANSWER_S, b"ok")])
+    run_bench(main, FakeWorkerNode(scripts=scripts), requests=TIMEOUTS)
+
+
+# Guards against a drain that begins while a request waits for an earlier answer ending both.
+def test_a_drain_serves_a_request_that_waits_for_a_slow_answer() -> None:
+    async def main(bench: Bench) -> None:
+        caller = await connect(bench)
+        await caller.sock.sendall(STATUS % 0)
+        await curio.sleep(0.05)
+        await caller.sock.sendall(LATER["another method"])
+        await curio.sleep(0.05)
+        draining = await curio.spawn(bench.server.drain)
+        async with curio.timeout_after(5):
+            assert await receive_heads(caller.sock, 2) == [200, 200]
+        assert (await draining.join()).cut == 0
+
+    scripts = deque([answer_after(FIRST_ANSWER_S, b"ok")])
+    drain = DrainSettings(notice_ms=2_000, limit_ms=5_000)
+    run_bench(main, FakeWorkerNode(scripts=scripts), requests=TIMEOUTS, drain=drain)
+
+
+# Guards against a caller's leaving going unnoticed while a request waits.
+def test_a_caller_that_leaves_while_a_request_waits_cancels_the_earlier_one() -> None:
+    async def main(bench: Bench) -> None:
+        caller = await connect(bench)
+        await caller.sock.sendall(STATUS % 0 + LATER["another method"])
+        await wait_until(lambda: len(bench.fakes[0].received) == 1)
+        await curio.sleep(0.1)
+        await caller.sock.close()
+        await wait_until(lambda: bench.fakes[0].cancelled == 1)
+        await wait_until(lambda: bench.server.in_flight == 0)
+        assert len(bench.fakes[0].received) == 1
+
+    async def never_answer(fake: FakeWorkerNode, hop: Hop, head: HopRequest) -> None:
+        await fake.receive_body(hop, head)
+        if await hop.receive() is None:
+            raise ConnectionResetError
+
+    run_bench(main, FakeWorkerNode(scripts=deque([never_answer])), requests=TIMEOUTS)
+
+
+# Guards against a waiting request passing on more time than its caller has left.
+def test_the_deadline_of_a_request_that_waits_runs_from_its_arrival() -> None:
+    async def main(bench: Bench) -> None:
+        caller = await connect(bench)
+        later = LATER["a body"].replace(b"content", b"x-trefoilpick-deadline-ms: 790\r\ncontent")
+        await caller.sock.sendall(STATUS % 0 + later)
+        async with curio.timeout_after(5):
+            assert await receive_heads(caller.sock, 2) == [200, 200]
+        assert bench.fakes[0].received[1].head.remaining_ms < 790 - FIRST_ANSWER_S * 1000
+
+    scripts = deque([answer_after(FIRST_ANSWER_S, b"ok")])
+    run_bench(main, FakeWorkerNode(scripts=scripts), requests=TIMEOUTS)
--- a/trefoilpick/caller_connections.py
+++ b/trefoilpick/caller_connections.py
@@ -53,6 +53,8 @@
     """Streaming an answer."""
     PIPELINING = "pipelining"
     """Waiting for the next request while earlier ones are in flight."""
+    QUEUED = "queued"
+    """Waiting with a received head until earlier requests have been answered."""
 
 
 @dataclass
@@ -70,6 +72,8 @@
         caller: IP address of the caller.
         find_max_head_bytes: Returns the current limit on the head of a request, in bytes.
         clock: Coarse clock, for timeouts of seconds.
+        reader: The connection that reads from the socket, if this one only answers a pipelined
+            request.
 
     Attributes:
         last_active_at: When data was last sent or received, in seconds on the coarse clock.
@@ -92,6 +96,7 @@
         *,
         find_max_head_bytes: Callable[[], int],
         clock: CoarseClock,
+        reader: CallerConnection | None = None,
     ) -> None:
         self.sock = sock
         self.caller = caller
@@ -100,6 +105,7 @@
         self.clock = clock
         self.state = ConnectionState.NEW
         self.last_active_at = clock.now
+        self._reader = reader or self
         self.is_expired = False
         self.is_disconnected = False
         self.is_past_deadline = False
@@ -120,6 +126,11 @@
         """Whether a request is in flight, including one that is still being received."""
         return self.state not in (ConnectionState.NEW, ConnectionState.IDLE)
 
+    @property
+    def is_input_shut_down(self) -> bool:
+        """Whether a timeout has shut down the reading side, as a caller does that leaves."""
+        return self._reader.is_expired
+
     @property
     def is_local(self) -> bool:
         """Whether the caller runs on this VM, so that its answers do not use the VM's link."""
@@ -134,6 +145,9 @@
         """
         await yield_if_due()
         event = self._read_event()
+        if event is h11.NEED_DATA and self.http.trailing_data[0]:
+            # The head's first part arrived together with the request before it.
+            self._begin_head()
         while event is h11.NEED_DATA:
             data = await self.sock.recv(READ_BYTES)
             if self.is_expired and (not data or self.state is ConnectionState.HEAD):
@@ -142,9 +156,7 @@
             if self.state is not ConnectionState.HEAD:
                 if not data:
                     return None
-                if self.state in (ConnectionState.IDLE, ConnectionState.PIPELINING):
-                    self.last_active_at = self.clock.now
-                self.state = ConnectionState.HEAD
+                self._begin_head()
             self.http.receive_data(data)
             await yield_if_due()
             event = self._read_event()
@@ -317,6 +329,10 @@
         if self.hop is not None:
             self.hop.abort()
 
+    def _begin_head(self) -> None:
+        self.last_active_at = self.clock.now
+        self.state = ConnectionState.HEAD
+
     def _is_buffer_full(self) -> bool:
         """Return whether an incomplete head or line of a body is over the limit.
 
--- a/trefoilpick/callers.py
+++ b/trefoilpick/callers.py
@@ -274,6 +274,7 @@
         try:
             request = await connection.receive_request()
         except TrefoilpickError as error:
+            connection.state = ConnectionState.QUEUED
             if await pipeline.drain():
                 await self._refuse(connection, error, self._cell.current)
             return await self._end_request(connection)
@@ -281,22 +282,29 @@
             pipeline.handle_disconnect()
             await pipeline.drain()
             return False
+        arrived_at = read_clock()
+        # The timeout of heads does not apply to the wait for earlier answers.
+        connection.state = ConnectionState.QUEUED
         if pipeline.can_add(request) and not self._is_closing:
             pipelined = await pipeline.add()
-            await self._spawn(self._serve_pipelined, pipelined, request, pipeline)
+            await self._spawn(self._serve_pipelined, pipelined, request, arrived_at, pipeline)
             return not connection.is_broken
         if not await pipeline.drain():
             return False
         connection.state = ConnectionState.RUNNING
-        await self._run_request(connection, request)
+        await self._run_request(connection, request, arrived_at)
         return await self._end_request(connection)
 
     async def _serve_pipelined(
-        self, pipelined: PipelinedRequest, request: h11.Request, pipeline: Pipeline
+        self,
+        pipelined: PipelinedRequest,
+        request: h11.Request,
+        arrived_at: float,
+        pipeline: Pipeline,
     ) -> None:
         self._monitor.connections.add(pipelined.connection)
         try:
-            await self._run_request(pipelined.connection, request, pipelined)
+            await self._run_request(pipelined.connection, request, arrived_at, pipelined)
         finally:
             self._monitor.connections.discard(pipelined.connection)
             self._tasks.discard(await curio.current_task())
@@ -307,11 +315,12 @@
         self,
         connection: CallerConnection,
         request: h11.Request,
+        arrived_at: float,
         pipelined: PipelinedRequest | None = None,
     ) -> None:
         snapshot = self._cell.current
         try:
-            call = self._admit(connection, request, snapshot, read_clock())
+            call = self._admit(connection, request, snapshot, arrived_at)
             if pipelined is not None and not call.team_route.route.contract.idempotent:
                 await pipelined.wait_for_earlier()
         except TrefoilpickError as error:
--- a/trefoilpick/connection_monitor.py
+++ b/trefoilpick/connection_monitor.py
@@ -33,6 +33,9 @@
 CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 """Poll events of a connection that its caller has closed."""
 
+RESET_EVENTS = select.POLLHUP | select.POLLERR
+"""Poll events of a connection that can no longer be written to."""
+
 POLLED_STATES = (ConnectionState.RUNNING, ConnectionState.ANSWERING)
 """States in which nothing reads from the caller, so that only polling shows a closed connection."""
 
@@ -135,5 +138,7 @@
         poller = select.poll()
         for descriptor in watched:
             poller.register(descriptor, CLOSED_EVENTS)
-        for descriptor, _events in poller.poll(0):
-            yield from watched[descriptor]
+        for descriptor, events in poller.poll(0):
+            for connection in watched[descriptor]:
+                if events & RESET_EVENTS or not connection.is_input_shut_down:
+                    yield connection
--- a/trefoilpick/pipelining.py
+++ b/trefoilpick/pipelining.py
@@ -48,6 +48,7 @@
             connection.caller,
             find_max_head_bytes=connection.find_max_head_bytes,
             clock=connection.clock,
+            reader=connection,
         )
         self.connection.http.receive_data(PLACEHOLDER_REQUEST)
         self.connection.http.next_event()
