--- a/tests/test_hopserver_conventions.py
+++ b/tests/test_hopserver_conventions.py
@@ -281,3 +281,99 @@
             assert bench.worker.connections == 1
 
     curio.run(main)
+
+
+def make_named(request_id: str) -> HopRequest:
+    """Return a request whose headers also name its ID."""
+    headers = [(b"host", b"a"), (b"x-id", request_id.encode())]
+    return make_request(request_id=request_id, headers=headers)
+
+
+def refuse(status: bytes, *, request_id: bytes = b"") -> bytes:
+    name = b"x-id: %s\r\n" % request_id if request_id else b""
+    return b"HTTP/1.1 %s\r\nx-refused: 1\r\n%scontent-length: 0\r\n\r\n" % (status, name)
+
+
+class RepeatingWorker:
+    """Refuses the first request, and sends that refusal again before its next answers.
+
+    Args:
+        refusal: The refusal.
+        times: How often it is sent again.
+        gap_s: Time between it and the next answer, in seconds.
+    """
+
+    def __init__(self, refusal: bytes, *, times: int, gap_s: float) -> None:
+        self.refusal, self.times, self.gap_s = refusal, times, gap_s
+        self.refused_on: Any = None
+        self.ran: list[bytes] = []
+
+    async def __call__(self, request: ReceivedRequest) -> None:
+        if self.refused_on is None:
+            self.refused_on = request.sock
+            await request.sock.sendall(self.refusal)
+            return
+        request_id = request.headers[b"x-id"]
+        self.ran.append(request_id)
+        if request.sock is self.refused_on:
+            await request.sock.sendall(self.refusal * self.times)
+            await curio.sleep(self.gap_s)
+        await request.sock.sendall(answer(request_id, b"run " + request_id))
+
+
+# Guards against a refusal, sent again, being taken for that of a request that runs (review/2).
+@pytest.mark.parametrize("gap_s", [0.0, 0.1])
+@pytest.mark.parametrize("times", [1, 2])
+@pytest.mark.parametrize("next_id", ["8", "7"], ids=["other request", "same request"])
+@pytest.mark.parametrize(
+    "refusal",
+    [
+        refuse(b"503 Full"),
+        refuse(b"429 Many"),
+        refuse(b"400 No Name"),
+        refuse(b"503 Full", request_id=b"7"),
+        refuse(b"429 Many", request_id=b"7"),
+    ],
+    ids=["503", "429", "400", "503 with ID", "429 with ID"],
+)
+def test_a_repeated_refusal_is_not_that_of_the_next_request(
+    refusal: bytes, next_id: str, times: int, gap_s: float
+) -> None:
+    async def test(bench: Bench) -> None:
+        worker = RepeatingWorker(refusal, times=times, gap_s=gap_s)
+        bench.worker.default = worker
+        hop = await bench.connect()
+        result = await send_and_receive(hop, make_named("7"))
+        assert result.outcome == "not_run"
+        for request_id in (next_id, "9"):
+            result = await send_and_receive(hop, make_named(request_id))
+            assert (result.status, result.outcome) == (200, "run")
+            assert bytes(result.body) == b"run " + request_id.encode()
+        assert worker.ran == [next_id.encode(), b"9"]
+
+    run(test)
+
+
+# Guards against an answer without an ID, sent again, being taken for that of the next request.
+def test_a_repeated_failure_without_an_id_is_not_the_answer_to_the_next_request() -> None:
+    async def test(bench: Bench) -> None:
+        failure = b"HTTP/1.1 500 Failed\r\ncontent-length: 0\r\n\r\n"
+        bench.worker.default = RepeatingWorker(failure, times=1, gap_s=0.0)
+        assert (await bench.call(make_named("7"))).status == 500
+        assert (await bench.call(make_named("8"))).status == 200
+
+    run(test)
+
+
+# Guards against connections that are not reused although each answer names its request.
+def test_a_refusal_with_an_id_keeps_its_connection() -> None:
+    async def test(bench: Bench) -> None:
+        bench.worker.script = [
+            respond(refuse(b"503 Full", request_id=b"7")),
+            respond(answer(b"8", b"ok")),
+        ]
+        assert (await bench.call(make_named("7"))).outcome == "not_run"
+        assert (await bench.call(make_named("8"))).status == 200
+        assert bench.worker.connections == 1
+
+    run(test)
--- a/trefoilpick/_hop_exchange.py
+++ b/trefoilpick/_hop_exchange.py
@@ -462,6 +462,7 @@
             now_s=read_clock(),
             must_be_new=fresh,
             prefer_most_recent=not self._request.idempotent,
+            request_id=self._request.request_id,
         )
         return self._connection
 
@@ -610,6 +611,7 @@
             return
         self._record_statement(head, has_run=False)
         assert self._connection is not None
+        self._connection.record_refusal()
         # A short answer has already arrived completely, so its connection can be reused.
         self._connection.pop_data()
         raise TrefoilpickError(
--- a/trefoilpick/_worker_connections.py
+++ b/trefoilpick/_worker_connections.py
@@ -4,6 +4,7 @@
 
 import select
 import socket
+from collections import deque
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
@@ -59,6 +60,9 @@
 """Largest number of interim answers and parts of stray ones that are skipped before the expected
 answer. Each takes time, whatever its size, and a faulty worker may send them without end."""
 
+MAX_REFUSED_IDS = 32
+"""Number of refused requests that a connection remembers."""
+
 MAX_POPPED_PARTS = 64
 """Largest number of parts of a body that are parsed without letting other tasks run."""
 
@@ -117,6 +121,8 @@
         self._echoes_request_id = conventions.echoes_request_id
         self.keep_alive_s: float | None = None
         self._is_send_broken = False
+        self._is_unidentified = False
+        self._refused_ids: deque[bytes] = deque(maxlen=MAX_REFUSED_IDS)
         self.has_surplus_bytes = False
 
     async def send_request(
@@ -243,11 +249,15 @@
     def prepare_reuse(self) -> bool:
         """Reset the connection's state for the next request.
 
+        An answer without a request ID ends the connection if the worker echoes IDs: sent once more,
+        it could not be told from the answer to the next request.
+
         Returns:
             Whether the connection may be reused.
         """
         if (
             self.has_surplus_bytes
+            or self._is_unidentified
             or self._stray_answers
             or self._is_send_broken
             or not self.is_answer_complete
@@ -262,6 +272,14 @@
         self._skipped_parts = 0
         return True
 
+    def record_refusal(self) -> None:
+        """Record that the worker refused the request: its answer may be sent once more."""
+        self._refused_ids.append(self._request_id)
+
+    def has_refused(self, request_id: str) -> bool:
+        """Return whether the worker refused a request with this ID on the connection."""
+        return bool(request_id) and request_id.encode("latin-1") in self._refused_ids
+
     def is_reusable(self) -> bool:
         """Return whether the idle connection is open and has no unread input."""
         try:
@@ -351,6 +369,8 @@
             text = f"worker's answer {event.status_code} lacks the header that proves a success"
             raise TrefoilpickError(ErrorKind.ANSWER_MALFORMED, text)
         self.has_answer_begun = True
+        is_named = self._conventions.request_id in names or not self._request_id
+        self._is_unidentified = self._echoes_request_id and not is_named
         if not names.isdisjoint(CONNECTION_HEADERS):
             self.keep_alive_s = _read_keep_alive(headers)
             headers = [pair for pair in headers if pair[0] not in CONNECTION_HEADERS]
--- a/trefoilpick/upstreams.py
+++ b/trefoilpick/upstreams.py
@@ -37,7 +37,8 @@
     If a worker sends surplus bytes after an answer, they could be mistaken for the answer to the
     next request. So for a while no connection to it is reused, unless its answers carry request
     IDs. The least recently used connection is reused first for the same reason: late bytes become
-    visible before the next use.
+    visible before the next use. Where answers carry IDs, only a connection with an answer that has
+    none, or that refuses the request of the same ID, is not reused.
 
     A worker may drop a connection without closing it. The next request on it is then reset, which
     does not prove that the request did not run. So once a reset was observed, connections are
@@ -87,6 +88,7 @@
         now_s: float,
         must_be_new: bool = False,
         prefer_most_recent: bool = False,
+        request_id: str = "",
     ) -> WorkerConnection:
         """Return an idle connection that is open and has no unread input, or a new one.
 
@@ -96,6 +98,8 @@
             must_be_new: Whether a new connection is required.
             prefer_most_recent: Whether to prefer the most recently used connection, which is the
                 least likely to have been dropped.
+            request_id: ID of the request; a connection on which the worker refused it before is
+                not reused, as that refusal may arrive once more.
 
         Raises:
             TrefoilpickError: `UPSTREAM_REFUSED`; nothing was sent.
@@ -106,7 +110,8 @@
             if connection.has_surplus_bytes:
                 self._suspend_reuse(now_s)
             is_recent = now_s - connection.idle_since_s <= self._find_max_idle(connection, now_s)
-            if is_reusable and is_recent and not must_be_new and now_s >= self._no_reuse_until_s:
+            is_safe = not must_be_new and now_s >= self._no_reuse_until_s
+            if is_reusable and is_recent and is_safe and not connection.has_refused(request_id):
                 return connection
             await self.discard(connection)
         return await self._connect(connect_timeout_s)
