--- a/tests/test_hopserver_conventions.py
+++ b/tests/test_hopserver_conventions.py
@@ -377,3 +377,45 @@
         assert bench.worker.connections == 1
 
     run(test)
+
+
+# Guards against requests that waited reaching a worker after its entry was removed (review/5).
+def test_a_worker_that_is_removed_from_the_list_gets_no_more_requests() -> None:
+    listed_vms: list[Any] = [replace(OWN_VM, slots=1)]
+
+    async def finish(request: ReceivedRequest) -> None:
+        await curio.sleep(0.4)
+        await request.sock.sendall(answer(b"1", b"ok"))
+
+    async def test(bench: Bench) -> None:
+        bench.worker.script = [finish]
+        results: dict[str, Any] = {}
+
+        async def send_request(name: str) -> None:
+            results[name] = await bench.call(make_named(name))
+
+        async with curio.TaskGroup() as tasks:
+            await tasks.spawn(send_request, "1")
+            await wait_for(lambda: bench.server.admission.in_flight == 1)
+            await tasks.spawn(send_request, "2")
+            await wait_for(lambda: bench.server.admission.queued == 1)
+            listed_vms[0] = None
+            await tasks.spawn(send_request, "3")
+        assert (results["1"].body, results["1"].is_complete) == (b"ok", True)
+        for name in ("2", "3"):
+            assert (results[name].kind, results[name].outcome) == ("draining", "not_run")
+        assert len(bench.worker.executed) == 1
+        listed_vms[0] = replace(OWN_VM, worker="i-2")
+        bench.worker.script = [respond(answer(b"4", b"ok"))]
+        assert (await bench.call(make_named("4"))).is_complete
+
+    run(test, listed_vms=listed_vms)
+
+
+# Guards against a worker that is not on the list yet being taken for a removed one.
+def test_a_worker_that_was_never_listed_gets_requests() -> None:
+    async def test(bench: Bench) -> None:
+        bench.worker.script = [respond(answer(b"7", b"ok"))]
+        assert (await bench.call(make_named("7"))).is_complete
+
+    run(test, listed_vms=[None])
--- a/trefoilpick/hopserver.py
+++ b/trefoilpick/hopserver.py
@@ -492,7 +492,12 @@
         return self._find_exclusion(own_vm) is not None
 
     def _find_exclusion(self, own_vm: Vm | None) -> Exclusion | None:
-        return find_exclusion(own_vm, is_leaving=self._statements.has_left)
+        is_leaving = self._statements.has_left or self._was_removed(own_vm)
+        return find_exclusion(own_vm, is_leaving=is_leaving)
+
+    def _was_removed(self, own_vm: Vm | None) -> bool:
+        """Return whether the worker was on the list and is not any more, so that it is leaving."""
+        return own_vm is None and self._own_vm is not None
 
     def _is_evacuated(self) -> bool:
         return self._find_exclusion(self._find_own_vm()) is Exclusion.EVACUATED
@@ -500,10 +505,9 @@
     def _is_end_planned(self) -> bool:
         """Return whether an end of the worker was planned, or may have been."""
         own_vm = self._find_own_vm()
-        was_removed = own_vm is None and self._own_vm is not None
         # An evacuated worker stays: what it runs when it ends was lost unplanned.
         is_leaving = self._find_exclusion(own_vm) is Exclusion.LEAVING
-        return was_removed or is_leaving or self._statements.has_left
+        return is_leaving or self._statements.has_left
 
     def _check_worker(self) -> Vm | None:
         """Return this VM as the platform lists it; None if it is not listed.
