Drain: a failure no longer closes the connection under later pipelined requests

Cause: a drain added the header to any failure, also with later answers due.

Change: a drain closes a connection with the last answer that is due on it, for failures and successes.

Result: the test fails before with one and with three later requests, and passes now.

--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -274,3 +274,28 @@
 
     scripts = deque([answer_after(FIRST_ANSWER_S, b"ok")])
     run_bench(main, FakeWorkerNode(scripts=scripts), requests=TIMEOUTS)
+
+
+# Guards against a failure that a drain answers closing the connection under a later request.
+@pytest.mark.parametrize("count", [1, 3])
+def test_a_failure_during_a_drain_leaves_the_connection_to_later_requests(count: int) -> None:
+    async def main(bench: Bench) -> None:
+        caller = await connect(bench)
+        await caller.sock.sendall(SHORT % 0)
+        await curio.sleep(0.05)
+        await caller.sock.sendall(b"".join(STATUS % number for number in range(count)))
+        await wait_until(lambda: len(bench.fakes[0].received) == 1 + count)
+        draining = await curio.spawn(bench.server.drain)
+        async with curio.timeout_after(5):
+            statuses = await receive_heads(caller.sock, 2 + count)
+        assert statuses == [502] + [200] * count
+        assert (await draining.join()).cut == 0
+
+    async def lose(fake: FakeWorkerNode, hop: Hop, head: HopRequest) -> None:
+        await fake.receive_body(hop, head)
+        await curio.sleep(0.15)
+        raise ConnectionResetError
+
+    scripts = deque([lose, *(answer_after(0.4, b"ok") for _ in range(count))])
+    drain = DrainSettings(notice_ms=0, limit_ms=5_000)
+    run_bench(main, FakeWorkerNode(scripts=scripts), drain=drain)
--- a/trefoilpick/caller_connections.py
+++ b/trefoilpick/caller_connections.py
@@ -87,6 +87,7 @@
         is_broken: Whether it must be closed instead of reading another request.
         is_exhausted: Whether the caller should not retry the request.
         is_head_sent: Whether any part of the answer was sent.
+        is_followed: Whether a later pipelined request is to be answered on the connection.
     """
 
     def __init__(
@@ -113,6 +114,7 @@
         self.is_broken = False
         self.is_exhausted = False
         self.is_head_sent = False
+        self.is_followed = False
         self.hop: ClientHop | None = None
         self.request_id = ""
 
--- a/trefoilpick/callers.py
+++ b/trefoilpick/callers.py
@@ -432,7 +432,7 @@
     async def _run_call(self, call: Call) -> None:
         try:
             headers = self._list_own_headers(call.snapshot)
-            if self._is_closing:
+            if self._is_ending(call.connection):
                 headers.append(CLOSE_HEADER)
             result = self._record_latency(call, await self._forwarder.forward(call, headers))
         except TrefoilpickError as error:
@@ -506,13 +506,17 @@
             connection.abort_answer()
             return
         is_malformed = error.kind is ErrorKind.HEAD_MALFORMED
-        close = self._is_closing or is_malformed or not connection.drop_body()
+        close = self._is_ending(connection) or is_malformed or not connection.drop_body()
         data = self._encode_error(connection, error, snapshot, close=close)
         try:
             await connection.send(data)
         except TrefoilpickError:
             connection.abort_answer()
 
+    def _is_ending(self, connection: CallerConnection) -> bool:
+        """Return whether a drain closes a connection after its next answer, the last that is due."""
+        return self._is_closing and not connection.is_followed
+
     def _encode_error(
         self,
         connection: CallerConnection,
--- a/trefoilpick/pipelining.py
+++ b/trefoilpick/pipelining.py
@@ -130,6 +130,8 @@
         while len(self._requests) >= MAX_PIPELINED:
             await self._requests[0].wait()
             self._remove_ended()
+        if self._last is not None:
+            self._last.connection.is_followed = True
         pipelined = PipelinedRequest(self._connection, self._last)
         self._last = pipelined
         self._requests.append(pipelined)
