--- a/trefoilpick/callers.py
+++ b/trefoilpick/callers.py
@@ -514,7 +514,7 @@
             connection.abort_answer()
 
     def _is_ending(self, connection: CallerConnection) -> bool:
-        """Return whether a drain closes a connection after its next answer, the last that is due."""
+        """Return whether a drain closes a connection after the answer that is due."""
         return self._is_closing and not connection.is_followed
 
     def _encode_error(
