Source: several values of the largest size no longer keep the list from being read

Cause: a response was limited to 2 MB, and four values of 1 MB are 5.6 MB in base64: each read and watch of the list failed. One such value fits. A page of the store may also hold a megabyte and one more value.

Change: the limit is 8 MB.

Result: test_worker_drains_beside_values_of_the_largest_size fails before (the draining worker isn't known within 2 s) and passes now.

--- a/tests/platform/test_foreign_entries.py
+++ b/tests/platform/test_foreign_entries.py
@@ -8,12 +8,16 @@
 import msgspec
 import pytest
 from fakes_store import FakeStore, make_configuration, make_entry, make_settings
-from test_path import UPLOAD_HEAD, Platform, add_route, run_platform
+from test_path import HOSTS, UPLOAD_HEAD, Platform, add_route, run_platform
 
 from trefoilpick.messages import NO_VERSION, Exchange, LeftWorker, pack_vms, unpack_vms
+from trefoilpick.node import Node
 from trefoilpick.platform.entries import WorkerEntries
 from trefoilpick.platform.store import CONFIGURATION_KEY
-from trefoilpick.vms import VmList
+from trefoilpick.vms import VmList, VmState
+
+DRAIN_S = 2.0
+"""Time within which a draining worker must be known, in seconds."""
 
 ADDRESSES = [
     "127.0.0.9\n:8080",
@@ -123,6 +127,23 @@
     run_platform(test)
 
 
+# Guards against large values, written together, that keep nodes from reading the list of workers.
+def test_worker_drains_beside_values_of_the_largest_size() -> None:
+    def is_leaving(node: Node) -> bool:
+        vm = node.membership.find_listed(HOSTS[0])
+        return vm is not None and vm.state is VmState.LEAVING
+
+    async def test(platform: Platform) -> None:
+        for number in range(4):
+            platform.store.put(f"servers/foreign-{number}", b"x" * 1_048_576)
+        platform.register(0, state="draining")
+        async with curio.timeout_after(DRAIN_S):
+            while not all(is_leaving(node) for node in platform.nodes):
+                await curio.sleep(0.02)
+
+    run_platform(test)
+
+
 # Guards against an odd entry that was there before the nodes started.
 def test_nodes_become_ready_beside_an_odd_entry() -> None:
     async def test(platform: Platform) -> None:
--- a/trefoilpick/_source_connection.py
+++ b/trefoilpick/_source_connection.py
@@ -23,9 +23,9 @@
 from trefoilpick.addresses import split_address
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 
-MAX_RESPONSE_BYTES = 2_000_000
-"""Maximum size of a response with its head, in bytes: the platform's value limit of one megabyte,
-plus the overhead of encodings."""
+MAX_RESPONSE_BYTES = 8_000_000
+"""Maximum size of a response with its head, in bytes: several values at the platform's limit of one
+megabyte, with the overhead of encodings, as other writers may put among those that are read."""
 
 MAX_FRAMING_BYTES = 65_536
 """Maximum size of a response's head and framing beyond that of its body, in bytes."""
