--- a/tests/platform/test_foreign_entries.py
+++ b/tests/platform/test_foreign_entries.py
@@ -10,7 +10,14 @@
 from fakes_store import FakeStore, make_configuration, make_entry, make_settings
 from test_path import HOSTS, UPLOAD_HEAD, Platform, add_route, run_platform
 
-from trefoilpick.messages import NO_VERSION, Exchange, LeftWorker, pack_vms, unpack_vms
+from trefoilpick.messages import (
+    NO_VERSION,
+    Exchange,
+    LeftWorker,
+    pack_bytes,
+    pack_vms,
+    unpack_vms,
+)
 from trefoilpick.node import Node
 from trefoilpick.platform.entries import WorkerEntries
 from trefoilpick.platform.store import CONFIGURATION_KEY
@@ -152,3 +159,12 @@
     store = FakeStore()
     store.put("servers/foreign", make_entry("127.0.0.9\n:8080"))
     run_platform(test, items=store.items, revision=store.revision)
+
+
+# Guards against one invalid record of a peer's list making the node refuse the whole list.
+def test_an_invalid_record_of_a_peer_is_left_out() -> None:
+    vms = put_entry(make_entry("10.1.0.9:8080")).vms
+    raw = msgspec.msgpack.decode(msgspec.msgpack.encode(vms))
+    raw[0]["host"] = "127.0.0.1\n"
+    raw.append({**raw[1], "slots": 2**63})
+    assert unpack_vms(pack_bytes(msgspec.msgpack.encode(raw))) == vms[1:]
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -3,8 +3,17 @@
 import logging
 from pathlib import Path
 
+import pytest
+
 from trefoilpick import logs
-from trefoilpick.logs import EVENTS, Event, open_log, open_state_log
+from trefoilpick.logs import (
+    EVENTS,
+    MAX_WARNED_SUBJECTS,
+    Event,
+    SubjectWarnings,
+    open_log,
+    open_state_log,
+)
 from trefoilpick.metrics import Metrics
 from trefoilpick.settings import VmSettings
 
@@ -77,3 +86,18 @@
     for event, info in EVENTS.items():
         assert f"| `{event.value}` |" in page
         assert f"| {info.meaning} | {info.advice} |" in page
+
+
+# Guards against a log line for each of many reads of the same faulty text.
+def test_a_subject_is_warned_of_once_until_it_is_forgotten(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    warnings = SubjectWarnings("unreadable_entry")
+    for subject in ("a", "b", "a"):
+        warnings.warn(subject, f"entry {subject} is faulty")
+    warnings.forget("a")
+    warnings.warn("a", "entry a is faulty")
+    assert [record.subject for record in caplog.records] == ["a", "b", "a"]
+    for number in range(2 * MAX_WARNED_SUBJECTS):
+        warnings.warn(str(number), "faulty")
+    assert len(warnings._subjects) <= MAX_WARNED_SUBJECTS
--- a/trefoilpick/links.py
+++ b/trefoilpick/links.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 from dataclasses import dataclass, field
 from functools import partial
 from typing import TYPE_CHECKING, Protocol
@@ -16,6 +15,7 @@
 from trefoilpick._task_groups import keep_running, run_until_first_ends
 from trefoilpick._time_slices import yield_if_due
 from trefoilpick.errors import ErrorKind, TrefoilpickError
+from trefoilpick.logs import SubjectWarnings
 from trefoilpick.message_endpoint import MessageEndpoint
 from trefoilpick.messages import MAX_MESSAGE_BYTES
 
@@ -69,8 +69,8 @@
 CURVE_MESSAGE_BYTES = 33
 """Overhead of encryption per message, in bytes."""
 
-MAX_LOGGED_ADDRESSES = 256
-"""Number of addresses that are remembered, so that each one without a link is logged once."""
+LINK_EVENT = "link_failed"
+"""Event of log lines about addresses that take no link."""
 
 ZAP_ADDRESS = "inproc://zeromq.zap.01"
 """Address at which libzmq requests the authentication of a client's key (ZAP)."""
@@ -78,8 +78,6 @@
 CONTROL_BYTES = "trefoilpick_control_bytes_total"
 """Name of the counter of control bytes by direction."""
 
-logger = logging.getLogger("trefoilpick")
-
 
 @dataclass
 class Traffic:
@@ -181,7 +179,7 @@
         self._host = host
         self._peers: dict[str, Peer] = {}
         self._identities: set[bytes] = set()
-        self._logged_addresses: set[str] = set()
+        self._warnings = SubjectWarnings(LINK_EVENT)
         self._is_closed = False
         self._context = _open_context()
         self._zap = self._open_zap() if keys else None
@@ -207,7 +205,7 @@
             await self._send(address, type(body).__name__, self._message_endpoint.encode(body))
         except TrefoilpickError as error:
             self._metrics.count("trefoilpick_control_messages_dropped_total", reason="address")
-            self._log_failure(address, error)
+            self._warnings.warn(address, error.text)
 
     async def request(self, address: str, body: Body, *, timeout_s: float) -> Envelope:
         """Send a request and wait for its answer."""
@@ -219,7 +217,7 @@
                 await self._send(address, topic, data)
             except TrefoilpickError as error:
                 self._message_endpoint.drop_request(pending)
-                self._log_failure(address, error)
+                self._warnings.warn(address, error.text)
                 raise
             return await self._message_endpoint.wait_for_answer(pending, timeout_s)
         finally:
@@ -227,14 +225,6 @@
             if peer is not None:
                 peer.queue.pop(topic, None)
 
-    def _log_failure(self, address: str, error: TrefoilpickError) -> None:
-        if address in self._logged_addresses:
-            return
-        if len(self._logged_addresses) >= MAX_LOGGED_ADDRESSES:
-            self._logged_addresses.clear()
-        self._logged_addresses.add(address)
-        logger.warning("%s", error.text, extra={"event": "link_failed", "subject": address})
-
     def _open_router(self, port: int) -> zmq.Socket:
         router = self._context.socket(zmq.ROUTER)
         router.setsockopt(zmq.ROUTER_MANDATORY, 1)
--- a/trefoilpick/logs.py
+++ b/trefoilpick/logs.py
@@ -25,6 +25,9 @@
 LOGGER_NAME = "trefoilpick"
 """Name of the package's logger."""
 
+MAX_WARNED_SUBJECTS = 256
+"""Largest number of subjects that one `SubjectWarnings` remembers."""
+
 MAX_SUBJECTS = 10_000
 """Largest number of states whose last values one `StateLog` keeps."""
 
@@ -211,6 +214,32 @@
         self._values.pop((event, subject), None)
 
 
+class SubjectWarnings:
+    """Warnings about subjects that are faulty from outside; each subject is logged once.
+
+    Args:
+        event: Event of the log lines.
+    """
+
+    def __init__(self, event: str) -> None:
+        self._event = event
+        self._subjects: set[str] = set()
+
+    def warn(self, subject: str, text: str) -> None:
+        """Log a warning about a subject, unless it was the subject of one."""
+        if subject in self._subjects:
+            return
+        if len(self._subjects) >= MAX_WARNED_SUBJECTS:
+            self._subjects.clear()
+        self._subjects.add(subject)
+        fields = {"event": self._event, "subject": subject}
+        logging.getLogger(LOGGER_NAME).warning("%s", text, extra=fields)
+
+    def forget(self, subject: str) -> None:
+        """Log the next warning about a subject again."""
+        self._subjects.discard(subject)
+
+
 class _LineFormatter(JsonFormatter):
     def __init__(self, defaults: Mapping[str, object]) -> None:
         super().__init__(
--- a/trefoilpick/messages.py
+++ b/trefoilpick/messages.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 import zlib
 from contextlib import suppress
 from typing import TYPE_CHECKING, Annotated
@@ -13,6 +12,7 @@
 from trefoilpick.document import Name
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 from trefoilpick.left_workers import MAX_LEFT_WORKERS
+from trefoilpick.logs import SubjectWarnings
 from trefoilpick.manifest import VersionId
 from trefoilpick.vms import Vm
 
@@ -348,7 +348,10 @@
 DECODE_ERRORS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
 """Errors of bytes that cannot be decoded."""
 
-logger = logging.getLogger("trefoilpick")
+RECORD_EVENT = "invalid_record"
+"""Event of log lines about peers' lists of VMs with an invalid record."""
+
+_warnings = SubjectWarnings(RECORD_EVENT)
 
 
 def encode_envelope(envelope: Envelope) -> bytes:
@@ -429,7 +432,7 @@
     try:
         return _vms_decoder.decode(data)
     except msgspec.ValidationError as error:
-        logger.warning("a list of VMs has an invalid record: %.200s", error)
+        _warnings.warn(str(error), f"a list of VMs has an invalid record: {error!s:.200}")
         return tuple(_decode_valid_vms(data))
     except DECODE_ERRORS as error:
         raise TrefoilpickError(ErrorKind.MESSAGE_MALFORMED, f"VM records: {error}") from error
--- a/trefoilpick/platform/entries.py
+++ b/trefoilpick/platform/entries.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Literal
@@ -11,7 +10,7 @@
 
 from trefoilpick.addresses import split_address
 from trefoilpick.errors import TrefoilpickError
-from trefoilpick.logs import LOGGER_NAME
+from trefoilpick.logs import SubjectWarnings
 from trefoilpick.platform.evacuations import Evacuations
 from trefoilpick.platform.names import convert_name
 from trefoilpick.vms import Vm, VmList, VmState
@@ -35,17 +34,12 @@
 MAX_COLD_MS = 3_600_000
 """Longest remaining cold time that is listed, in milliseconds."""
 
-MAX_LOGGED_ENTRIES = 256
-"""Number of unreadable entries that are remembered, so that each is logged once."""
-
 ENTRY_EVENT = "unreadable_entry"
 """Event of log lines about entries that cannot be decoded."""
 
 UNREADABLE_ENTRY_ERRORS = (msgspec.MsgspecError, ValueError, RecursionError, TrefoilpickError)
 """Errors of an entry that cannot be decoded; `ValueError` includes those of Unicode."""
 
-_LOGGER = logging.getLogger(LOGGER_NAME)
-
 STATES = {"ready": VmState.LIVE, "draining": VmState.LEAVING}
 """VM states by entry state."""
 
@@ -113,7 +107,7 @@
         self._retained: dict[str, RetainedEntry] = {}
         self._retain_until_s = float("-inf")
         self._revision_before_outage = 0
-        self._unreadable: set[str] = set()
+        self._warnings = SubjectWarnings(ENTRY_EVENT)
         self.evacuations = Evacuations()
         self.revision = 0
 
@@ -155,10 +149,10 @@
         try:
             entry = self._decode(key.removeprefix(ENTRY_PREFIX), value, revision)
         except UNREADABLE_ENTRY_ERRORS as error:
-            self._log_unreadable(key, error)
+            self._warnings.warn(key, f"entry {key!r} names no worker: {error!s:.200}")
             self.remove(key, now_s)
             return
-        self._unreadable.discard(key)
+        self._warnings.forget(key)
         self._entries[key] = entry
         self._retained.pop(key, None)
 
@@ -202,19 +196,6 @@
         for retained in self._retained.values():
             yield retained.entry
 
-    def _log_unreadable(self, key: str, error: Exception) -> None:
-        if key in self._unreadable:
-            return
-        if len(self._unreadable) >= MAX_LOGGED_ENTRIES:
-            self._unreadable.clear()
-        self._unreadable.add(key)
-        _LOGGER.warning(
-            "entry %r names no worker: %.200s",
-            key,
-            error,
-            extra={"event": ENTRY_EVENT, "subject": key},
-        )
-
     def _decode(self, worker: str, value: bytes, revision: int) -> WorkerEntry:
         """Decode an entry.
 
