--- a/trefoilpick/links.py
+++ b/trefoilpick/links.py
@@ -213,12 +213,12 @@
         topic = f"request {pending.request}"
         data = self._message_endpoint.encode(body, request=pending.request)
         try:
-            try:
-                await self._send(address, topic, data)
-            except TrefoilpickError as error:
-                self._message_endpoint.drop_request(pending)
-                self._warnings.warn(address, error.text)
-                raise
+            await self._send(address, topic, data)
+        except TrefoilpickError as error:
+            self._message_endpoint.drop_request(pending)
+            self._warnings.warn(address, error.text)
+            raise
+        try:
             return await self._message_endpoint.wait_for_answer(pending, timeout_s)
         finally:
             peer = self._peers.get(address)
