Tests: two that failed once beside load, traced

Now the node that is asked first refuses, whichever it is; one request shows it, and the body must be whole at the other node and only there.

The ports were probed on another address than the node listens on; they are now probed on the same.

--- a/tests/test_incoming_bodies_live.py
+++ b/tests/test_incoming_bodies_live.py
@@ -4,7 +4,7 @@
 
 import curio
 import pytest
-from fakes_hop import HOST, FakeWorkerNode, fail_with, run_bench
+from fakes_hop import HOST, FakeWorkerNode, answer_ok, fail_with, run_bench
 from fakes_hop import Bench as CallerBench
 from fakes_worker import Bench, make_request, open_bench, receive_result, wait_for
 from test_transfers_on_links import connect
@@ -136,14 +136,25 @@
         answer = await (await connect(bench, HOST)).request("PUT", "/spread", BODY)
         assert answer.status == 503
         assert not any(fake.scripts for fake in fakes)
-        fakes[0].scripts.append(fail_with(ErrorKind.DRAINING))
-        while fakes[0].scripts:
-            answer = await (await connect(bench, HOST)).request("PUT", "/spread", BODY)
-            assert answer.status == 200
-            served.append(BODY)
+        for fake in fakes:
+            fake.scripts.append(refuse_once)
+        answer = await (await connect(bench, HOST)).request("PUT", "/spread", BODY)
+        assert answer.status == 200
+        assert not any(fake.scripts for fake in fakes)
+
+    refused: list[str] = []
+
+    async def refuse_once(fake: FakeWorkerNode, hop: Any, head: Any) -> None:
+        """Refuse the request at the node that is chosen first, and answer it at the next."""
+        if refused:
+            await answer_ok(fake, hop, head)
+            return
+        refused.append(fake.name)
+        await fail_with(ErrorKind.DRAINING)(fake, hop, head)
 
-    served: list[bytes] = []
     run_bench(main, *fakes, large_bodies=True)
-    assert [
-        received.body for fake in fakes for received in fake.received if received.body
-    ] == served
+    bodies = [
+        (fake.name, received.body) for fake in fakes for received in fake.received if received.body
+    ]
+    (next_name,) = {fake.name for fake in fakes} - set(refused)
+    assert bodies == [(next_name, BODY)]
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -7,6 +7,7 @@
 import pytest
 
 from trefoilpick._demo_fleet import build_fleet
+from trefoilpick._ports import find_free_ports
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 from trefoilpick.node import Node, open_node
 from trefoilpick.settings import Settings
@@ -19,7 +20,9 @@
     """Return settings of a node with free ports on `HOST`."""
     async with open_standin() as standin:
         built = build_fleet(standin, seed=1).vms["encargos-lima-a"].settings
-    return replace(built, listen=replace(built.listen, host=HOST))
+    names = ("caller_port", "hop_port", "control_port", "operator_port")
+    ports = dict(zip(names, find_free_ports(HOST, len(names)), strict=True))
+    return replace(built, listen=replace(built.listen, host=HOST, **ports))
 
 
 @pytest.mark.parametrize("port", ["caller_port", "hop_port", "control_port", "operator_port"])
