--- a/tests/test_hopserver_conventions.py
+++ b/tests/test_hopserver_conventions.py
@@ -152,37 +152,6 @@
     run(test, listed_vms=listed_vms)
 
 
-def test_a_leaving_worker_gets_no_new_requests_and_its_queue_is_refused() -> None:
-    listed_vms = [replace(OWN_VM, slots=1)]
-
-    async def finish(request: ReceivedRequest) -> None:
-        await curio.sleep(0.4)
-        await request.sock.sendall(answer(b"1", b"ok"))
-
-    async def test(bench: Bench) -> None:
-        bench.worker.script = [finish]
-        results: dict[str, Any] = {}
-
-        async def send_request(name: str) -> None:
-            results[name] = await send_and_receive(
-                await bench.connect(), make_request(request_id=name)
-            )
-
-        async with curio.TaskGroup() as tasks:
-            await tasks.spawn(send_request, "1")
-            await wait_for(lambda: bench.server.admission.in_flight == 1)
-            await tasks.spawn(send_request, "2")
-            await wait_for(lambda: bench.server.admission.queued == 1)
-            listed_vms[0] = replace(listed_vms[0], state=VmState.LEAVING)
-            await tasks.spawn(send_request, "3")
-        assert (results["1"].body, results["1"].is_complete) == (b"ok", True)
-        for name in ("2", "3"):
-            assert (results[name].kind, results[name].outcome) == ("draining", "not_run")
-        assert len(bench.worker.executed) == 1
-
-    run(test, listed_vms=listed_vms)
-
-
 def test_a_node_serves_peers_until_its_drain_ends_only_if_its_worker_stays() -> None:
     listed_vms: list[Any] = [OWN_VM]
 
@@ -379,8 +348,13 @@
     run(test)
 
 
-# Guards against requests that waited reaching a worker after its entry was removed (review/5).
-def test_a_worker_that_is_removed_from_the_list_gets_no_more_requests() -> None:
+# Guards against requests that waited reaching a worker that leaves or that was removed (review/5).
+@pytest.mark.parametrize(
+    "entry",
+    [replace(OWN_VM, slots=1, state=VmState.LEAVING), None],
+    ids=["leaving", "removed"],
+)
+def test_a_worker_that_is_taken_away_gets_no_more_requests(entry: Vm | None) -> None:
     listed_vms: list[Any] = [replace(OWN_VM, slots=1)]
 
     async def finish(request: ReceivedRequest) -> None:
@@ -399,7 +373,7 @@
             await wait_for(lambda: bench.server.admission.in_flight == 1)
             await tasks.spawn(send_request, "2")
             await wait_for(lambda: bench.server.admission.queued == 1)
-            listed_vms[0] = None
+            listed_vms[0] = entry
             await tasks.spawn(send_request, "3")
         assert (results["1"].body, results["1"].is_complete) == (b"ok", True)
         for name in ("2", "3"):
