Quarantine: the requests of one end of a worker are judged together

Callers saw: a request was quarantined for one caller. Its trial, 5 s later, ended a worker that was running another caller's request with the same path and body, which ends nothing. That caller got 503 for its further ones until one that was still running was answered, or a trial was.

Cause: each request is reported when its connection is lost, so the requests of one end come in several reports of one number. BlameCounter judged each report by itself: the trial's was passed over, and the other caller's counted as an end of its own. Content that is quarantined already needs only one.

Change: the requests of an end are judged again together with each further report, in any order; a verdict that rested on a part of them is taken back. Ends and requests are bounded.

The model of the unit tests had sent one report an end.

--- a/tests/test_blame.py
+++ b/tests/test_blame.py
@@ -1,6 +1,8 @@
 from __future__ import annotations
 
-from trefoilpick.blame import MAX_COUNTED, BlameCounter, EndReport, Suspect
+import pytest
+
+from trefoilpick.blame import MAX_COUNTED, MAX_ENDS, MAX_RUNS, BlameCounter, EndReport, Suspect
 from trefoilpick.fingerprints import Fingerprint
 from trefoilpick.quarantine import EVIDENCE_S, Case, CaseState, QuarantineTable
 
@@ -130,8 +132,71 @@
     assert bench.table.find_quarantined(make_fingerprint("p/second")) is None
 
 
+# The requests of one end are lost one after the other, so that they come in reports of their own.
+# Guards against a caller being blamed for an end under a request that was already at fault.
+@pytest.mark.parametrize("names", [("p/first", "p/other"), ("p/other", "p/first")])
+def test_request_beside_a_trial_is_not_blamed_by_a_report_of_its_own(
+    names: tuple[str, str],
+) -> None:
+    bench = Bench()
+    for _ in range(3):
+        bench.end("p/first")
+    bench.end(names[0])
+    bench.repeat(bench.number, names[1])
+    bench.repeat(bench.number, *names)
+    assert bench.table.find_quarantined(make_fingerprint("p/first")) is not None
+    assert bench.table.find_quarantined(make_fingerprint("p/other")) is None
+
+
+# Guards against the third end quarantining a caller that ran beside the one under which two ended.
+@pytest.mark.parametrize("names", [("p/first", "p/other"), ("p/other", "p/first")])
+def test_caller_beside_a_suspected_one_is_not_blamed_by_a_report_of_its_own(
+    names: tuple[str, str],
+) -> None:
+    bench = Bench()
+    bench.end("p/first")
+    bench.end("p/first")
+    bench.end(names[0])
+    bench.repeat(bench.number, names[1])
+    if bench.table.find_quarantined(make_fingerprint("p/first")) is None:
+        bench.end("p/first")
+    assert bench.table.find_quarantined(make_fingerprint("p/first")) is not None
+    assert bench.table.find_quarantined(make_fingerprint("p/other")) is None
+
+
+# Guards against requests that run beside a poison request adding up to a quarantine of their own.
+@pytest.mark.parametrize("names", [("p", "a"), ("a", "p")])
+def test_other_requests_of_an_end_are_not_blamed_by_reports_of_their_own(
+    names: tuple[str, str],
+) -> None:
+    bench = Bench()
+    bench.end("p")
+    bench.end("p")
+    for _ in range(3):
+        bench.end(names[0])
+        bench.repeat(bench.number, names[1])
+    assert bench.state("p") is CaseState.QUARANTINED
+    assert bench.state("a") is None
+
+
+# Guards against a verdict being taken back by a later report of the end that led to it.
+def test_verdict_stays_when_further_requests_of_the_same_end_are_reported() -> None:
+    bench = Bench()
+    for _ in range(3):
+        bench.end("p")
+    for name in ("a", "b", "p/other"):
+        assert bench.repeat(bench.number, name) == []
+    assert bench.state("p") is CaseState.QUARANTINED
+    bench.end("p")
+    assert bench.state("p") is CaseState.QUARANTINED
+
+
 def test_counted_requests_are_bounded() -> None:
     bench = Bench()
     for number in range(MAX_COUNTED + 100):
         bench.end(f"{number}")
     assert len(bench.counter._tallies) == MAX_COUNTED
+    assert len(bench.counter._ends) == MAX_ENDS
+    for number in range(MAX_RUNS + 100):
+        bench.repeat(bench.number, f"{number}")
+    assert len(bench.counter._ends[bench.number]) == MAX_RUNS
--- a/trefoilpick/blame.py
+++ b/trefoilpick/blame.py
@@ -28,6 +28,12 @@
 MAX_COUNTED = 2_048
 """Largest number of requests whose ends a node counts."""
 
+MAX_ENDS = 256
+"""Largest number of ends to which further requests may be added."""
+
+MAX_RUNS = 256
+"""Largest number of requests of one end that are judged."""
+
 
 @dataclass(frozen=True)
 class Suspect:
@@ -67,24 +73,36 @@
         callers: Callers whose requests are blamed, by number of the end; none for an end that does
             not count.
         ended_s: Clock reading when the last end that counts was reported, in seconds.
+        verdicts: Number of the end that led to a quarantine, by caller.
     """
 
     callers: dict[int, set[bytes]] = field(default_factory=dict)
     ended_s: float = float("-inf")
+    verdicts: dict[bytes, int] = field(default_factory=dict)
 
     @property
     def count(self) -> int:
         """Number of ends that count."""
         return sum(bool(blamed) for blamed in self.callers.values())
 
-    def count_caller(self, caller: bytes) -> int:
-        """Return the number of ends for which a caller is blamed."""
-        return sum(caller in blamed for blamed in self.callers.values())
+    @property
+    def blamed(self) -> set[bytes]:
+        """Callers that are blamed for any end."""
+        return set().union(*self.callers.values())
+
+    def count_others(self, number: int) -> int:
+        """Return the number of ends that count, without one of them."""
+        return sum(bool(blamed) for end, blamed in self.callers.items() if end != number)
+
+    def count_caller(self, caller: bytes, number: int) -> int:
+        """Return the number of ends for which a caller is blamed, without one of them."""
+        return sum(caller in blamed for end, blamed in self.callers.items() if end != number)
 
     def clear_caller(self, caller: bytes) -> None:
         """Blame a caller for no end any more."""
         for blamed in self.callers.values():
             blamed.discard(caller)
+        self.verdicts.pop(caller, None)
 
 
 class BlameCounter:
@@ -95,6 +113,9 @@
     end for another reason. And an end under a request that is already suspected is not counted for
     the others that ran beside it.
 
+    The requests of one end may come in several reports, as each of them was lost by itself. They
+    are judged together each time, and a verdict that turns out to be wrong is taken back.
+
     Ends count for a content whatever its callers. If requests of several callers are blamed, it is
     quarantined for all, otherwise for its one caller.
 
@@ -107,18 +128,24 @@
         self._table = table
         self._clock = clock
         self._tallies: OrderedDict[bytes, _Tally] = OrderedDict()
+        self._ends: OrderedDict[int, dict[Fingerprint, Suspect]] = OrderedDict()
 
     def record(self, report: EndReport) -> Iterator[Case]:
-        """Count an end, and yield the cases that it changes."""
-        if any(self._table.find_quarantined(s.fingerprint) for s in report.suspects):
+        """Count an end, or add requests to it, and yield the cases that this changes."""
+        suspects = self._add_suspects(report)
+        if suspects is None:
             return
         contents: dict[bytes, list[Suspect]] = {}
-        for suspect in report.suspects:
+        for suspect in suspects:
             contents.setdefault(suspect.fingerprint.content, []).append(suspect)
-        most = max((self._count(content) for content in contents), default=0)
-        for content, suspects in contents.items():
-            if most < ENDS_TO_SUSPECT or self._count(content) >= most:
-                yield from self._add(content, suspects, report)
+        counts = {content: self._count(content, report.number) for content in contents}
+        most = max(counts.values(), default=0)
+        is_explained = any(self._is_quarantined(s.fingerprint, report.number) for s in suspects)
+        for content, of_content in contents.items():
+            if is_explained or counts[content] < most >= ENDS_TO_SUSPECT:
+                yield from self._blame(content, report.number, set())
+            else:
+                yield from self._add(content, of_content, report)
 
     def clear(self, fingerprint: Fingerprint) -> None:
         """Forget the ends under a request, since a worker has answered it."""
@@ -129,19 +156,38 @@
         if not tally.count:
             del self._tallies[fingerprint.content]
 
-    def _count(self, content: bytes) -> int:
+    def _add_suspects(self, report: EndReport) -> tuple[Suspect, ...] | None:
+        """Return all requests of an end that are known now; None if none of them is new."""
+        suspects = self._ends.setdefault(report.number, {})
+        known = len(suspects)
+        for suspect in report.suspects[: MAX_RUNS - known]:
+            suspects.setdefault(suspect.fingerprint, suspect)
+        if len(self._ends) > MAX_ENDS:
+            self._ends.popitem(last=False)
+        return tuple(suspects.values()) if len(suspects) > known else None
+
+    def _is_quarantined(self, fingerprint: Fingerprint, number: int) -> bool:
+        """Return whether a request was quarantined for other ends than one."""
+        tally = self._tallies.get(fingerprint.content)
+        verdicts = tally.verdicts if tally is not None else {}
+        return any(
+            self._table.is_quarantined(known) and verdicts.get(known.caller) != number
+            for known in (fingerprint, fingerprint.for_any_caller)
+        )
+
+    def _count(self, content: bytes, number: int) -> int:
+        """Return the number of ends that count for a content, without one of them."""
         tally = self._tallies.get(content)
         if tally is None or tally.ended_s < self._clock() - EVIDENCE_S:
             return 0
-        return tally.count
+        return tally.count_others(number)
 
     def _add(self, content: bytes, suspects: list[Suspect], report: EndReport) -> Iterator[Case]:
         now_s = self._clock()
         tally = self._find_tally(content)
-        callers = _select_callers(tally, suspects)
+        callers = _select_callers(tally, suspects, report.number)
         if report.number in tally.callers:
-            blamed = tally.callers[report.number]
-            blamed |= callers if blamed else set()
+            yield from self._blame(content, report.number, callers)
             return
         began_s = now_s - min(suspect.ran_s for suspect in suspects)
         if began_s < tally.ended_s - CONCURRENCY_TOLERANCE_S:
@@ -149,7 +195,23 @@
             return
         tally.callers[report.number] = callers
         tally.ended_s = now_s
-        yield from self._judge(content, tally, report.service, suspects[0].route)
+        yield from self._judge(content, tally, report, suspects[0].route)
+
+    def _blame(self, content: bytes, number: int, callers: set[bytes]) -> Iterator[Case]:
+        """Blame other callers for an end that counts; take back verdicts that no longer hold."""
+        tally = self._tallies.get(content)
+        if tally is None or not tally.callers.get(number):
+            return
+        tally.callers[number] = callers
+        blamed = tally.blamed
+        is_proved = tally.count >= ENDS_TO_QUARANTINE
+        for caller, end in tuple(tally.verdicts.items()):
+            is_blamed = len(blamed) > 1 if caller == ANY_CALLER else caller in blamed
+            if end == number and not (is_proved and is_blamed):
+                del tally.verdicts[caller]
+                case = self._table.release(Fingerprint(content, caller))
+                if case is not None:
+                    yield case
 
     def _find_tally(self, content: bytes) -> _Tally:
         tally = self._tallies.get(content)
@@ -160,26 +222,35 @@
             self._tallies.popitem(last=False)
         return self._tallies[content]
 
-    def _judge(self, content: bytes, tally: _Tally, service: str, route: str) -> Iterator[Case]:
+    def _judge(
+        self, content: bytes, tally: _Tally, report: EndReport, route: str
+    ) -> Iterator[Case]:
         if tally.count < ENDS_TO_SUSPECT:
             return
         is_proved = tally.count >= ENDS_TO_QUARANTINE
         state = CaseState.QUARANTINED if is_proved else CaseState.SUSPECTED
-        callers = set().union(*tally.callers.values())
+        callers = tally.blamed
         any_caller = Fingerprint(content, ANY_CALLER)
         if len(callers) > 1 and is_proved and not self._table.is_released(any_caller):
             callers.add(ANY_CALLER)
         for caller in sorted(callers):
             case = self._table.escalate(
-                Fingerprint(content, caller), state, service=service, route=route, ends=tally.count
+                Fingerprint(content, caller),
+                state,
+                service=report.service,
+                route=route,
+                ends=tally.count,
             )
+            if is_proved and (case is not None or caller not in tally.verdicts):
+                tally.verdicts[caller] = report.number
             if case is not None:
                 yield case
 
 
-def _select_callers(tally: _Tally, suspects: Iterable[Suspect]) -> set[bytes]:
-    """Return the callers to blame of those whose requests of the same content ran."""
-    counts = {s.fingerprint.caller: tally.count_caller(s.fingerprint.caller) for s in suspects}
+def _select_callers(tally: _Tally, suspects: Iterable[Suspect], number: int) -> set[bytes]:
+    """Return the callers to blame for an end, of those whose requests of the same content ran."""
+    callers = {suspect.fingerprint.caller for suspect in suspects}
+    counts = {caller: tally.count_caller(caller, number) for caller in callers}
     most = max(counts.values())
     return {caller for caller, count in counts.items() if most < ENDS_TO_SUSPECT or count == most}
 
--- a/trefoilpick/quarantine.py
+++ b/trefoilpick/quarantine.py
@@ -123,6 +123,11 @@
         case = self.find(fingerprint)
         return case if case is not None and case.state is CaseState.QUARANTINED else None
 
+    def is_quarantined(self, fingerprint: Fingerprint) -> bool:
+        """Return whether a request is quarantined for just this caller, or for just any caller."""
+        case = self._find(fingerprint)
+        return case is not None and case.state is CaseState.QUARANTINED
+
     def is_released(self, fingerprint: Fingerprint) -> bool:
         """Return whether a request was released recently."""
         case = self._find(fingerprint)
--- a/trefoilpick/quarantine_sync.py
+++ b/trefoilpick/quarantine_sync.py
@@ -136,7 +136,9 @@
 
     async def _count(self, report: EndReport) -> None:
         for case in tuple(self.counter.record(report)):
-            self.gate.report_case(case, reason=f"{case.ends} workers ended")
+            is_released = case.state is CaseState.RELEASED
+            reason = "another request was at fault" if is_released else f"{case.ends} workers ended"
+            self.gate.report_case(case, reason=reason)
             await self._add_changes((case,), "")
 
     async def _handle_own_change(self, case: Case) -> None:
