--- a/trefoilpick/_task_groups.py
+++ b/trefoilpick/_task_groups.py
@@ -7,6 +7,8 @@
 
 import curio
 
+from trefoilpick.logs import LOGGER_NAME
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
 
@@ -21,7 +23,7 @@
 MAX_RESTART_PAUSE_S = 5.0
 """Longest pause before a failed task runs again, in seconds."""
 
-logger = logging.getLogger("trefoilpick")
+logger = logging.getLogger(LOGGER_NAME)
 
 
 async def run_until_first_ends(*parts: Part) -> None:
--- a/trefoilpick/callers.py
+++ b/trefoilpick/callers.py
@@ -38,6 +38,7 @@
 from trefoilpick.hopclient import HopPool
 from trefoilpick.link_scheduler import LinkScheduler
 from trefoilpick.listeners import open_listener
+from trefoilpick.logs import LOGGER_NAME
 from trefoilpick.pipelining import Pipeline, PipelinedRequest
 from trefoilpick.quarantine_gate import open_local_gate
 from trefoilpick.requestlogs import SUCCESSFUL_RESULTS, RequestEvent, RequestLog, open_request_log
@@ -89,7 +90,7 @@
 US_PER_S = 1_000_000
 """Microseconds in a second."""
 
-logger = logging.getLogger("trefoilpick")
+logger = logging.getLogger(LOGGER_NAME)
 
 
 @dataclass(frozen=True)
--- a/trefoilpick/connection_monitor.py
+++ b/trefoilpick/connection_monitor.py
@@ -30,12 +30,12 @@
 POOL_SWEEP_INTERVAL_S = 1.0
 """Interval between checks for unused connections to other nodes, in seconds."""
 
-CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
-"""Poll events of a connection that its caller has closed."""
-
 RESET_EVENTS = select.POLLHUP | select.POLLERR
 """Poll events of a connection that can no longer be written to."""
 
+CLOSED_EVENTS = select.POLLRDHUP | RESET_EVENTS
+"""Poll events of a connection that its caller has closed."""
+
 POLLED_STATES = (ConnectionState.RUNNING, ConnectionState.ANSWERING)
 """States in which nothing reads from the caller, so that only polling shows a closed connection."""
 
--- a/trefoilpick/hopserver.py
+++ b/trefoilpick/hopserver.py
@@ -30,7 +30,7 @@
 from trefoilpick.incoming_bodies import IncomingBodies
 from trefoilpick.link_scheduler import LinkScheduler
 from trefoilpick.listeners import open_listener
-from trefoilpick.logs import Event, open_state_log
+from trefoilpick.logs import LOGGER_NAME, Event, open_state_log
 from trefoilpick.quarantine_gate import open_local_gate
 from trefoilpick.recent_answers import RecentAnswers
 from trefoilpick.requestlogs import RequestEvent, open_request_log
@@ -75,7 +75,7 @@
 LINGER_S = 1.0
 """Time for which the rest of a body is read after a failure, in seconds."""
 
-logger = logging.getLogger("trefoilpick")
+logger = logging.getLogger(LOGGER_NAME)
 
 WORKER_FAILURES = frozenset(
     {ErrorKind.UPSTREAM_REFUSED, ErrorKind.UPSTREAM_LOST, ErrorKind.ANSWER_MALFORMED}
--- a/trefoilpick/message_endpoint.py
+++ b/trefoilpick/message_endpoint.py
@@ -10,6 +10,7 @@
 
 from trefoilpick._clock import read_clock
 from trefoilpick.errors import ErrorKind, TrefoilpickError
+from trefoilpick.logs import LOGGER_NAME
 from trefoilpick.messages import Body, Envelope, decode_envelope, encode_envelope
 
 if TYPE_CHECKING:
@@ -30,7 +31,7 @@
 """Time without a message of an incarnation after which an earlier one is accepted, in seconds."""
 
 
-logger = logging.getLogger("trefoilpick")
+logger = logging.getLogger(LOGGER_NAME)
 
 
 class ReplayWindow:
@@ -132,7 +133,7 @@
         return pending
 
     def drop_request(self, pending: PendingRequest) -> None:
-        """Forget a request that was not sent."""
+        """Forget a request for whose answer nobody waits."""
         self._pending.pop(pending.request, None)
 
     async def wait_for_answer(self, pending: PendingRequest, timeout_s: float) -> Envelope:
@@ -148,7 +149,7 @@
             text = f'peer "{pending.address}" did not answer within {timeout_s:g} s'
             raise TrefoilpickError(ErrorKind.PEER_UNREACHABLE, text) from error
         finally:
-            self._pending.pop(pending.request, None)
+            self.drop_request(pending)
         if pending.answer is None:
             raise TrefoilpickError(ErrorKind.INTERNAL, "answer arrived without content")
         return pending.answer
--- a/trefoilpick/node.py
+++ b/trefoilpick/node.py
@@ -25,7 +25,7 @@
 from trefoilpick.hopserver import open_hop_server
 from trefoilpick.link_scheduler import LinkScheduler
 from trefoilpick.links import open_links
-from trefoilpick.logs import Event, open_state_log
+from trefoilpick.logs import LOGGER_NAME, Event, open_state_log
 from trefoilpick.membership import MembershipTable
 from trefoilpick.metrics import Metrics
 from trefoilpick.operatorserver import open_operator_server
@@ -56,7 +56,7 @@
 """Time between checks for a change of the evacuated data centres, in seconds: an evacuation may
 also end without another list of VMs."""
 
-logger = logging.getLogger("trefoilpick")
+logger = logging.getLogger(LOGGER_NAME)
 
 
 class Node:
