Quarantine: late reports of earlier ends neither lift a verdict nor blame what was answered

Both are judged by whether the end itself is evidence.

Tests: two cases that failed before; 500 drawn series of ends have the same verdicts whether an end is reported at once or in parts.

--- a/tests/test_blame.py
+++ b/tests/test_blame.py
@@ -1,10 +1,12 @@
 from __future__ import annotations
 
+from random import Random
+
 import pytest
 
 from trefoilpick.blame import MAX_COUNTED, MAX_ENDS, MAX_RUNS, BlameCounter, EndReport, Suspect
 from trefoilpick.fingerprints import Fingerprint
-from trefoilpick.quarantine import EVIDENCE_S, Case, CaseState, QuarantineTable
+from trefoilpick.quarantine import EVIDENCE_S, RELEASED_S, Case, CaseState, QuarantineTable
 
 
 class Bench:
@@ -26,6 +28,9 @@
         suspects = tuple(Suspect(make_fingerprint(name), "r", ran_s) for name in names)
         return list(self.counter.record(EndReport(number, "encargos", suspects)))
 
+    def list_quarantined(self) -> set[Fingerprint]:
+        return {case.fingerprint for case in self.table if case.state is CaseState.QUARANTINED}
+
     def state(self, name: str) -> CaseState | None:
         states = [c.state for c in self.table if c.fingerprint == make_fingerprint(name)]
         return states[0] if states else None
@@ -158,8 +163,6 @@
     bench.end("p/first")
     bench.end(names[0])
     bench.repeat(bench.number, names[1])
-    if bench.table.find_quarantined(make_fingerprint("p/first")) is None:
-        bench.end("p/first")
     assert bench.table.find_quarantined(make_fingerprint("p/first")) is not None
     assert bench.table.find_quarantined(make_fingerprint("p/other")) is None
 
@@ -191,6 +194,43 @@
     assert bench.state("p") is CaseState.QUARANTINED
 
 
+# Guards against a late report of an earlier end lifting the quarantine that rests on it.
+def test_verdict_stays_when_further_requests_of_earlier_ends_are_reported() -> None:
+    bench = Bench()
+    for _ in range(3):
+        bench.end("p")
+    for number in (1, 3, 2, 3):
+        assert bench.repeat(number, f"late-{number}-{bench.now_s}") == []
+        bench.now_s += 0.001
+    assert bench.state("p") is CaseState.QUARANTINED
+
+
+# Guards against a request that was answered being blamed again with the rest of the same end.
+def test_answered_request_stays_cleared_when_further_requests_of_its_end_are_reported() -> None:
+    bench = Bench()
+    bench.end("p")
+    bench.counter.clear(make_fingerprint("p"))
+    bench.repeat(bench.number, "a", "p")
+    bench.end("p")
+    bench.end("p")
+    assert bench.state("p") is CaseState.SUSPECTED
+
+
+# Guards against a verdict that depends on how the requests of an end are spread over reports.
+def test_verdicts_do_not_depend_on_how_ends_are_reported() -> None:
+    names = ["p/first", "p/other", "q/first", "a", "b"]
+    for seed in range(500):
+        random = Random(seed)
+        whole, split = Bench(), Bench()
+        for _ in range(random.randrange(2, 8)):
+            ran = random.sample(names, random.randrange(1, 4))
+            whole.end(*ran, after_s=RELEASED_S + 1.0)
+            split.end(ran[0], after_s=RELEASED_S + 1.0)
+            for count in range(1, len(ran)):
+                split.repeat(split.number, *ran[random.choice((0, count)) : count + 1])
+            assert split.list_quarantined() == whole.list_quarantined(), f"seed {seed}"
+
+
 def test_counted_requests_are_bounded() -> None:
     bench = Bench()
     for number in range(MAX_COUNTED + 100):
--- a/trefoilpick/blame.py
+++ b/trefoilpick/blame.py
@@ -128,7 +128,8 @@
         self._table = table
         self._clock = clock
         self._tallies: OrderedDict[bytes, _Tally] = OrderedDict()
-        self._ends: OrderedDict[int, dict[Fingerprint, Suspect]] = OrderedDict()
+        # Requests by number of the end; None for one that was answered since.
+        self._ends: OrderedDict[int, dict[Fingerprint, Suspect | None]] = OrderedDict()
 
     def record(self, report: EndReport) -> Iterator[Case]:
         """Count an end, or add requests to it, and yield the cases that this changes."""
@@ -140,7 +141,7 @@
             contents.setdefault(suspect.fingerprint.content, []).append(suspect)
         counts = {content: self._count(content, report.number) for content in contents}
         most = max(counts.values(), default=0)
-        is_explained = any(self._is_quarantined(s.fingerprint, report.number) for s in suspects)
+        is_explained = any(self._was_quarantined(s.fingerprint, report.number) for s in suspects)
         for content, of_content in contents.items():
             if is_explained or counts[content] < most >= ENDS_TO_SUSPECT:
                 yield from self._blame(content, report.number, set())
@@ -149,6 +150,9 @@
 
     def clear(self, fingerprint: Fingerprint) -> None:
         """Forget the ends under a request, since a worker has answered it."""
+        for suspects in self._ends.values():
+            if fingerprint in suspects:
+                suspects[fingerprint] = None
         tally = self._tallies.get(fingerprint.content)
         if tally is None:
             return
@@ -164,14 +168,17 @@
             suspects.setdefault(suspect.fingerprint, suspect)
         if len(self._ends) > MAX_ENDS:
             self._ends.popitem(last=False)
-        return tuple(suspects.values()) if len(suspects) > known else None
-
-    def _is_quarantined(self, fingerprint: Fingerprint, number: int) -> bool:
-        """Return whether a request was quarantined for other ends than one."""
-        tally = self._tallies.get(fingerprint.content)
-        verdicts = tally.verdicts if tally is not None else {}
+        if len(suspects) == known:
+            return None
+        return tuple(suspect for suspect in suspects.values() if suspect is not None)
+
+    def _was_quarantined(self, fingerprint: Fingerprint, number: int) -> bool:
+        """Return whether a request was quarantined before an end, not because of it."""
+        tally = self._tallies.get(fingerprint.content, _Tally())
+        if fingerprint.caller in tally.callers.get(number, ()):
+            return False
         return any(
-            self._table.is_quarantined(known) and verdicts.get(known.caller) != number
+            self._table.is_quarantined(known) and tally.verdicts.get(known.caller) != number
             for known in (fingerprint, fingerprint.for_any_caller)
         )
 
