Quarantine: a further run of a reported request counts, and an end that is taken back leaves no time

Cause: of several runs of one request at an end, only the first reported was kept, not the one that began last, so that the end was taken for one of several at the same time. Also, an end that counted until another request explained it left its time behind, and later runs that began before it did not count.

Change: the run that began last is kept, and makes an end count also when it is reported later; the time of an end goes with its blame. The model of a fleet sends a report for each request, as live nodes do.

The logger of _task_groups is named as before: the layout test forbids the import.

--- a/tests/fakes_quarantine.py
+++ b/tests/fakes_quarantine.py
@@ -188,7 +188,9 @@
             if not node.answers.has_answered(request.fingerprint, self.now_s)
         )
         self._count += 1
-        run_now(node.sync.report_end(EndReport(self._count, node.vm.service, suspects)))
+        # Each request is lost with a connection of its own, and reported by itself.
+        for suspect in suspects:
+            run_now(node.sync.report_end(EndReport(self._count, node.vm.service, (suspect,))))
         for request, _, finish in runs:
             self.ends.setdefault(request.name, []).append(self.now_s)
             finish("ended")
--- a/tests/test_blame.py
+++ b/tests/test_blame.py
@@ -8,6 +8,10 @@
 from trefoilpick.fingerprints import Fingerprint
 from trefoilpick.quarantine import EVIDENCE_S, RELEASED_S, Case, CaseState, QuarantineTable
 
+RUNS_S = (0.01, 0.1, 0.3, RELEASED_S + 1.3)
+"""Times for which requests had run when their worker ended, in seconds; the last one began before
+the end of another worker."""
+
 
 class Bench:
     """A counter with a clock that the test sets."""
@@ -25,8 +29,11 @@
         return self.repeat(self.number, *names, ran_s=ran_s)
 
     def repeat(self, number: int, *names: str, ran_s: float = 0.01) -> list[Case]:
-        suspects = tuple(Suspect(make_fingerprint(name), "r", ran_s) for name in names)
-        return list(self.counter.record(EndReport(number, "encargos", suspects)))
+        return self.record(number, [Suspect(make_fingerprint(name), "r", ran_s) for name in names])
+
+    def record(self, number: int, ran: list[Suspect], *, after_s: float = 0.0) -> list[Case]:
+        self.now_s += after_s
+        return list(self.counter.record(EndReport(number, "encargos", tuple(ran))))
 
     def list_quarantined(self) -> set[Fingerprint]:
         return {case.fingerprint for case in self.table if case.state is CaseState.QUARANTINED}
@@ -222,12 +229,15 @@
     for seed in range(500):
         random = Random(seed)
         whole, split = Bench(), Bench()
-        for _ in range(random.randrange(2, 8)):
-            ran = random.sample(names, random.randrange(1, 4))
-            whole.end(*ran, after_s=RELEASED_S + 1.0)
-            split.end(ran[0], after_s=RELEASED_S + 1.0)
+        for number in range(random.randrange(2, 9)):
+            ran = [
+                Suspect(make_fingerprint(random.choice(names)), "r", random.choice(RUNS_S))
+                for _ in range(random.randrange(1, 5))
+            ]
+            whole.record(number, ran, after_s=RELEASED_S + 1.0)
+            split.record(number, ran[:1], after_s=RELEASED_S + 1.0)
             for count in range(1, len(ran)):
-                split.repeat(split.number, *ran[random.choice((0, count)) : count + 1])
+                split.record(number, ran[random.choice((0, count)) : count + 1])
             assert split.list_quarantined() == whole.list_quarantined(), f"seed {seed}"
 
 
--- a/trefoilpick/_task_groups.py
+++ b/trefoilpick/_task_groups.py
@@ -7,8 +7,6 @@
 
 import curio
 
-from trefoilpick.logs import LOGGER_NAME
-
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
 
@@ -23,7 +21,7 @@
 MAX_RESTART_PAUSE_S = 5.0
 """Longest pause before a failed task runs again, in seconds."""
 
-logger = logging.getLogger(LOGGER_NAME)
+logger = logging.getLogger("trefoilpick")
 
 
 async def run_until_first_ends(*parts: Part) -> None:
--- a/trefoilpick/blame.py
+++ b/trefoilpick/blame.py
@@ -72,12 +72,12 @@
     Attributes:
         callers: Callers whose requests are blamed, by number of the end; none for an end that does
             not count.
-        ended_s: Clock reading when the last end that counts was reported, in seconds.
+        reported_s: Clock reading when an end that counts was reported, by its number, in seconds.
         verdicts: Number of the end that led to a quarantine, by caller.
     """
 
     callers: dict[int, set[bytes]] = field(default_factory=dict)
-    ended_s: float = float("-inf")
+    reported_s: dict[int, float] = field(default_factory=dict)
     verdicts: dict[bytes, int] = field(default_factory=dict)
 
     @property
@@ -85,6 +85,11 @@
         """Number of ends that count."""
         return sum(bool(blamed) for blamed in self.callers.values())
 
+    @property
+    def ended_s(self) -> float:
+        """Clock reading when the last end that counts was reported, in seconds."""
+        return max(self.reported_s.values(), default=float("-inf"))
+
     @property
     def blamed(self) -> set[bytes]:
         """Callers that are blamed for any end."""
@@ -133,9 +138,10 @@
 
     def record(self, report: EndReport) -> Iterator[Case]:
         """Count an end, or add requests to it, and yield the cases that this changes."""
-        suspects = self._add_suspects(report)
-        if suspects is None:
+        new = self._add_suspects(report)
+        if not new:
             return
+        suspects = [s for s in self._ends[report.number].values() if s is not None]
         contents: dict[bytes, list[Suspect]] = {}
         for suspect in suspects:
             contents.setdefault(suspect.fingerprint.content, []).append(suspect)
@@ -146,7 +152,7 @@
             if is_explained or counts[content] < most >= ENDS_TO_SUSPECT:
                 yield from self._blame(content, report.number, set())
             else:
-                yield from self._add(content, of_content, report)
+                yield from self._add(content, of_content, new, report)
 
     def clear(self, fingerprint: Fingerprint) -> None:
         """Forget the ends under a request, since a worker has answered it."""
@@ -160,17 +166,18 @@
         if not tally.count:
             del self._tallies[fingerprint.content]
 
-    def _add_suspects(self, report: EndReport) -> tuple[Suspect, ...] | None:
-        """Return all requests of an end that are known now; None if none of them is new."""
+    def _add_suspects(self, report: EndReport) -> list[Suspect]:
+        """Add the requests of a report to its end; return those that began last or are new."""
         suspects = self._ends.setdefault(report.number, {})
-        known = len(suspects)
-        for suspect in report.suspects[: MAX_RUNS - known]:
-            suspects.setdefault(suspect.fingerprint, suspect)
+        new = {}
+        for suspect in report.suspects:
+            known = suspects.get(suspect.fingerprint, suspect)
+            is_new = suspect.fingerprint not in suspects and len(suspects) < MAX_RUNS
+            if is_new or (known is not None and suspect.ran_s < known.ran_s):
+                suspects[suspect.fingerprint] = new[suspect.fingerprint] = suspect
         if len(self._ends) > MAX_ENDS:
             self._ends.popitem(last=False)
-        if len(suspects) == known:
-            return None
-        return tuple(suspect for suspect in suspects.values() if suspect is not None)
+        return list(new.values())
 
     def _was_quarantined(self, fingerprint: Fingerprint, number: int) -> bool:
         """Return whether a request was quarantined before an end, not because of it."""
@@ -189,19 +196,24 @@
             return 0
         return tally.count_others(number)
 
-    def _add(self, content: bytes, suspects: list[Suspect], report: EndReport) -> Iterator[Case]:
+    def _add(
+        self, content: bytes, suspects: list[Suspect], new: list[Suspect], report: EndReport
+    ) -> Iterator[Case]:
         now_s = self._clock()
         tally = self._find_tally(content)
         callers = _select_callers(tally, suspects, report.number)
-        if report.number in tally.callers:
+        if tally.callers.get(report.number):
             yield from self._blame(content, report.number, callers)
             return
-        began_s = now_s - min(suspect.ran_s for suspect in suspects)
+        ran_s = min((s.ran_s for s in new if s.fingerprint.content == content), default=None)
+        if ran_s is None:
+            return
+        began_s = now_s - ran_s
         if began_s < tally.ended_s - CONCURRENCY_TOLERANCE_S:
             tally.callers[report.number] = set()
             return
         tally.callers[report.number] = callers
-        tally.ended_s = now_s
+        tally.reported_s[report.number] = now_s
         yield from self._judge(content, tally, report, suspects[0].route)
 
     def _blame(self, content: bytes, number: int, callers: set[bytes]) -> Iterator[Case]:
@@ -210,6 +222,8 @@
         if tally is None or not tally.callers.get(number):
             return
         tally.callers[number] = callers
+        if not callers:
+            del tally.reported_s[number]
         blamed = tally.blamed
         is_proved = tally.count >= ENDS_TO_QUARANTINE
         for caller, end in tuple(tally.verdicts.items()):
