Tests: a recorder's trace has version 1 before version 2 is published

Trace: the recorder polls once a second, and records the version in force at a poll; both versions and three requests fell between two polls. The expected versions are unchanged.

--- a/tests/test_recorder.py
+++ b/tests/test_recorder.py
@@ -35,6 +35,9 @@
             for _ in range(3):
                 await caller.request("GET", "q", "/sketches/1", idempotent=True)
             await caller.close()
+            # The recorder polls: of two versions within one interval it records the second only.
+            while b'"number":1' not in out.getvalue():
+                await curio.sleep(0.05)
             await fleet.publish_version(2, build_moved_version(), accepted_at_ms=2)
             while b'"number":2' not in out.getvalue():
                 await curio.sleep(0.05)
