--- a/tests/test_blame.py
+++ b/tests/test_blame.py
@@ -145,13 +145,15 @@
 
 
 # The requests of one end are lost one after the other, so that they come in reports of their own.
-# Guards against a caller being blamed for an end under a request that was already at fault.
+# Guards against a caller being blamed for an end, the third one or that of a trial, under a request
+# that was already at fault.
+@pytest.mark.parametrize("earlier", [2, 3], ids=["third end", "trial"])
 @pytest.mark.parametrize("names", [("p/first", "p/other"), ("p/other", "p/first")])
-def test_request_beside_a_trial_is_not_blamed_by_a_report_of_its_own(
-    names: tuple[str, str],
+def test_caller_beside_another_is_not_blamed_by_a_report_of_its_own(
+    names: tuple[str, str], earlier: int
 ) -> None:
     bench = Bench()
-    for _ in range(3):
+    for _ in range(earlier):
         bench.end("p/first")
     bench.end(names[0])
     bench.repeat(bench.number, names[1])
@@ -160,20 +162,6 @@
     assert bench.table.find_quarantined(make_fingerprint("p/other")) is None
 
 
-# Guards against the third end quarantining a caller that ran beside the one under which two ended.
-@pytest.mark.parametrize("names", [("p/first", "p/other"), ("p/other", "p/first")])
-def test_caller_beside_a_suspected_one_is_not_blamed_by_a_report_of_its_own(
-    names: tuple[str, str],
-) -> None:
-    bench = Bench()
-    bench.end("p/first")
-    bench.end("p/first")
-    bench.end(names[0])
-    bench.repeat(bench.number, names[1])
-    assert bench.table.find_quarantined(make_fingerprint("p/first")) is not None
-    assert bench.table.find_quarantined(make_fingerprint("p/other")) is None
-
-
 # Guards against requests that run beside a poison request adding up to a quarantine of their own.
 @pytest.mark.parametrize("names", [("p", "a"), ("a", "p")])
 def test_other_requests_of_an_end_are_not_blamed_by_reports_of_their_own(
