--- a/tests/platform/test_poison_requests.py
+++ b/tests/platform/test_poison_requests.py
@@ -4,7 +4,13 @@
 
 import curio
 import pytest
-from fakes_ending_workers import STATUS_OK, Call, EndingFleet, run_ending_fleet
+from fakes_ending_workers import (
+    STATUS_OK,
+    STATUS_REFUSED,
+    Call,
+    EndingFleet,
+    run_ending_fleet,
+)
 
 from trefoilpick._clock import read_clock
 
@@ -66,7 +72,7 @@
             others = len(results) - len(cut)
             assert served >= 0.98 * others, f"{name}: {served} of {others}"
         refused = fleet.list_statuses("poison", since_s=third_s + RECOVERY_S)
-        assert set(refused) <= {STATUS_UNKNOWN, 503}
+        assert set(refused) <= {STATUS_UNKNOWN, STATUS_REFUSED}
 
     run_ending_fleet(test, is_poison, subnet=70 + list(POISONS).index(kind), nodes=5)
 
