Tests: a worker's slots: a pause of the test's process does not reach the route's deadline; traced

Trace: nodes, workers and callers run in the test's process. If that stops for 0.6, 1.1 or 2 s within the 120 requests, requests that run pass their deadline of 0.8 s: answers 504 (5, 22, 21), and freed slots; after 0.2 and 0.4 s none (one play each). A slot is free at the deadline although the worker may run on (docs/design/worker-gate.md).

--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -488,7 +488,9 @@
             platform.register(number, slots=2)
         configuration = make_configuration(5)
         route = {**configuration["routes"][0], "name": "r-9", "path-prefix": "/busy/"}
-        configuration["routes"].append({**route, "target-latency": 300})
+        # At its deadline a request frees its slot, also if the worker runs on: a pause of this
+        # process must not reach it.
+        configuration["routes"].append({**route, "target-latency": 300, "timeout": 5_000})
         platform.store.put(CONFIGURATION_KEY, configuration)
         head = b"PUT /busy/1 HTTP/1.1\r\nhost: ficu.example\r\ncontent-length: 2\r\n"
         await platform.request_until(lambda answer: answer.status == 200, head)
