--- a/tests/test_link_scheduler_live.py
+++ b/tests/test_link_scheduler_live.py
@@ -18,6 +18,36 @@
 DOWNLOADS, DURATION_S = 6, 3.0
 LATE_S = 0.020
 """Time that 95 in 100 calls may take longer than alone, in seconds."""
+TICK_S = 0.005
+PAUSE_S = 0.02
+"""Shortest delay of a task that counts as a pause of the process, in seconds."""
+
+
+@dataclass(frozen=True)
+class Measured:
+    """What calls and downloads got of the link.
+
+    Attributes:
+        times: Sorted times of the calls, in seconds.
+        received: Bytes of the downloads.
+        elapsed_s: Time that they took, in seconds.
+        paused_s: Part of it in which the process was paused, in seconds.
+    """
+
+    times: list[float]
+    received: int
+    elapsed_s: float
+    paused_s: float
+
+    @property
+    def throughput(self) -> float:
+        """Throughput of the downloads, in bytes/s."""
+        return self.received / self.elapsed_s
+
+    @property
+    def unpaused_throughput(self) -> float:
+        """Throughput of the downloads while the process was not paused, in bytes/s."""
+        return self.received / (self.elapsed_s - self.paused_s)
 
 
 @dataclass
@@ -60,11 +90,23 @@
     )
 
 
-async def measure(bench: Bench, *, downloads: int) -> tuple[list[float], float]:
-    """Return the sorted times of calls, in seconds, and the downloads' throughput in bytes/s."""
+async def measure_pauses(pauses: list[float]) -> None:
+    """Record the pauses of the process, in seconds."""
+    while True:
+        began_s = read_clock()
+        await curio.sleep(TICK_S)
+        delay_s = read_clock() - began_s - TICK_S
+        if delay_s > PAUSE_S:
+            pauses.append(delay_s)
+
+
+async def measure(bench: Bench, *, downloads: int) -> Measured:
+    """Send calls beside downloads over the link."""
     proxy, listener = LinkProxy(bench.port), open_listener(HOST, 0, name="link", backlog=64)
     port = listener.getsockname()[1]
     accepting = await curio.spawn(proxy.run, listener, daemon=True)
+    pauses: list[float] = []
+    ticker = await curio.spawn(measure_pauses, pauses)
     began_s = read_clock()
 
     async def download() -> int:
@@ -86,25 +128,28 @@
     async with curio.TaskGroup() as group:
         calls = await group.spawn(call)
         tasks = [await group.spawn(download) for _ in range(downloads)]
-    throughput = sum(task.result for task in tasks) / (read_clock() - began_s)
+    elapsed_s = read_clock() - began_s
+    await ticker.cancel()
     await accepting.cancel()
     await listener.close()
-    return calls.result, throughput
+    received = sum(task.result for task in tasks)
+    return Measured(calls.result, received, elapsed_s, sum(pauses))
 
 
 def test_calls_beside_downloads_on_a_slow_link() -> None:
     """Calls of 300 bytes failed behind downloads of 540 kB on the same link."""
 
-    async def run(mbps: float, *, downloads: int = DOWNLOADS) -> tuple[list[float], float]:
+    async def run(mbps: float, *, downloads: int = DOWNLOADS) -> Measured:
         upstream = {"slots": 16, "connections": 32}
         async with open_bench(link_mbps=mbps, large_answers=True, upstream=upstream) as bench:
             bench.worker.default = answer_by_target
             return await measure(bench, downloads=downloads)
 
-    alone, _ = curio.run(run(MBPS, downloads=0))
-    unscheduled, former_throughput = curio.run(run(0.0))
-    times, throughput = curio.run(run(MBPS))
+    alone = curio.run(run(MBPS, downloads=0)).times
+    former = curio.run(run(0.0))
+    scheduled = curio.run(run(MBPS))
     late_s = alone[len(alone) * 95 // 100] + LATE_S
-    assert unscheduled[len(unscheduled) // 2] > late_s
-    assert times[len(times) * 95 // 100] <= late_s
-    assert throughput > 0.9 * former_throughput
+    assert former.times[len(former.times) // 2] > late_s
+    assert scheduled.times[len(scheduled.times) * 95 // 100] <= late_s
+    # Without the scheduler the link's queue is never empty, and a pause of this process costs none.
+    assert scheduled.unpaused_throughput > 0.9 * former.throughput
