Tests: ports of live nodes are below the range of outgoing connections

Ports were taken from the system's ephemeral range, 32768 to 60999 here, and released until the nodes listened; an outgoing connection or another test's listener can take one in between. They are now drawn below that range.

--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -33,13 +33,21 @@
 STATUS_OK = 200
 
 
+PORT_RANGE = (10_000, 32_768)
+"""Ports for nodes and workers: from the first to before the second."""
+
+
 def find_ports(count: int) -> list[int]:
-    """Return ports that are free on all local addresses."""
+    """Return ports that are free on all local addresses.
+
+    They are below the range of outgoing connections, which could take them before they are used.
+    """
     ports: list[int] = []
     while len(ports) < count:
-        with socket.socket() as probe:
-            probe.bind(("0.0.0.0", 0))
-            ports.append(probe.getsockname()[1])
+        port = random.randrange(*PORT_RANGE)
+        with socket.socket() as probe, suppress(OSError):
+            probe.bind(("0.0.0.0", port))
+            ports += [port] if port not in ports else []
     return ports
 
 
