--- a/review/second/standins.py
+++ b/review/second/standins.py
@@ -195,6 +195,8 @@
         self.identity, self.service, self.zone = identity, service, zone
         self.host, self.port, self.slots, self.queue = host, port, slots, queue
         self.work_s = work_s
+        self.silence_s = 0.0
+        """Pause within each answer, after its head and half of its body, in seconds."""
         self.runs: Counter[str] = Counter()
         self.done: set[str] = set()
         self.broken_by_caller: set[str] = set()
@@ -275,7 +277,13 @@
         else:
             lines.append("X-Trefoilpick-Not-Executed: 1")
             lines.append(f"X-Trefoilpick-Instance-Id: {self.identity}")
-        writer.write("\r\n".join([*lines, "", ""]).encode() + body)
+        half = len(body) // 2 if executed and self.silence_s else len(body)
+        writer.write("\r\n".join([*lines, "", ""]).encode() + body[:half])
+        if half < len(body):
+            await writer.drain()
+            self.record.write(f"worker {self.identity} pauses within the answer to {identity}")
+            await asyncio.sleep(self.silence_s)
+            writer.write(body[half:])
         if writer.is_closing():
             raise ConnectionResetError
         await writer.drain()
