--- a/review/6/case.py
+++ b/review/6/case.py
@@ -43,7 +43,7 @@
 WORK_S = {"encargos": 0.733, "portafolio": 0.178}
 SLOW_FACTOR = 12.0
 CONNECTIONS = 6
-STOP_AFTER_S = 0.25
+STOP_AFTER_S = 0.1
 
 
 async def use_connection(record: Record, number: int, host: str, port: int) -> tuple[int, int]:
