Callers: an answer counts as sent when its bytes are written

Cause: PipelinedRequest.finish took the state of h11 for proof that the answer was sent. It shows only that it was encoded. An answer that waits for its turn and is cancelled there counted as sent, and the next request sent its own at once.

Change: a connection counts the bytes that were encoded and not written; is_answered is what finish and begin_next_request go by, whatever the order in which waiting requests are cancelled.

--- a/tests/fakes_hop.py
+++ b/tests/fakes_hop.py
@@ -235,6 +235,12 @@
     is_ready: bool = True
     is_up_to_date: bool = True
     may_be_behind: bool = False
+    task: curio.Task | None = None
+
+    async def end(self) -> None:
+        """End the server, as a node does after its drain."""
+        assert self.task is not None
+        await self.task.cancel()
 
     @property
     def runs(self) -> Counter[str]:
@@ -318,10 +324,10 @@
         bench = Bench(server, fakes, directory, metrics, cell)
         for fake, listener in listeners:
             await curio.spawn(fake.run, listener, daemon=True)
-        task = await curio.spawn(server.run, daemon=True)
+        bench.task = await curio.spawn(server.run, daemon=True)
         async with curio.timeout_after(30):
             await main(bench)
-        await task.cancel()
+        await bench.end()
         return bench
 
     return curio.run(run)
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -10,6 +10,7 @@
     HOST,
     Bench,
     FakeWorkerNode,
+    Script,
     answer_ok,
     connect,
     run_bench,
@@ -299,3 +300,70 @@
     scripts = deque([lose, *(answer_after(0.4, b"ok") for _ in range(count))])
     drain = DrainSettings(notice_ms=0, limit_ms=5_000)
     run_bench(main, FakeWorkerNode(scripts=scripts), drain=drain)
+
+
+async def never_answer(fake: FakeWorkerNode, hop: Hop, head: HopRequest) -> None:
+    await fake.receive_body(hop, head)
+    if await hop.receive() is None:
+        raise ConnectionResetError
+
+
+def begin_answer(headers: list[tuple[bytes, bytes]]) -> Script:
+    """Return a script that sends a head and half of its body, and nothing more."""
+
+    async def answer(fake: FakeWorkerNode, hop: Hop, head: HopRequest) -> None:
+        await fake.receive_body(hop, head)
+        await hop.send(fake.encode_answer(headers=headers), encode_data([b"half."]))
+        if await hop.receive() is None:
+            raise ConnectionResetError
+
+    return answer
+
+
+UNFINISHED = {
+    "before its head": never_answer,
+    "within a chunk": begin_answer([]),
+    "within a body of known length": begin_answer(LENGTH_10),
+}
+"""First answers that are not complete when the node ends."""
+IMPATIENT = DrainSettings(notice_ms=0, limit_ms=300)
+
+
+async def stop_behind(bench: Bench, count: int, *, drains: bool, later: bytes = b"") -> bytes:
+    """Send requests in a row, end the node once all have run, and return what it sent."""
+    caller = await connect(bench)
+    await caller.sock.sendall(b"".join(STATUS % number for number in range(count)) + later)
+    await wait_until(lambda: bench.runs.total() == count)
+    await curio.sleep(0.2)
+    receiving = await curio.spawn(receive_all, caller.sock, b"never")
+    if drains:
+        await bench.server.drain()
+    await bench.end()
+    async with curio.timeout_after(5):
+        return await receiving.join()
+
+
+def queue_behind(first: Script, count: int) -> FakeWorkerNode:
+    scripts = [first, *(answer_after(0.0, b"body %d" % number) for number in range(1, count))]
+    return FakeWorkerNode(scripts=deque(scripts))
+
+
+# Guards against answers that were cancelled unsent counting as sent, so that the next one takes
+# their place on the connection (review/6).
+@pytest.mark.parametrize("count", [2, 3, 6])
+@pytest.mark.parametrize("drains", [True, False])
+@pytest.mark.parametrize("first", UNFINISHED)
+def test_the_end_of_the_node_sends_no_answer_in_the_place_of_another(
+    first: str, drains: bool, count: int
+) -> None:
+    async def main(bench: Bench) -> None:
+        received = await stop_behind(bench, count, drains=drains)
+        if first != "before its head":
+            assert received.count(b"HTTP/1.1") == 1
+            assert received.rstrip(b"\r\n").endswith(b"half.")
+            return
+        for position, answer in enumerate(received.split(b"HTTP/1.1 ")[1:]):
+            if answer.startswith(b"200 "):
+                assert position and answer.endswith(b"body %d" % position)
+
+    run_bench(main, queue_behind(UNFINISHED[first], count), drain=IMPATIENT)
--- a/trefoilpick/caller_connections.py
+++ b/trefoilpick/caller_connections.py
@@ -117,6 +117,17 @@
         self.is_followed = False
         self.hop: ClientHop | None = None
         self.request_id = ""
+        self._unsent_bytes = 0
+
+    @property
+    def is_answered(self) -> bool:
+        """Whether the complete answer was written to the socket and another one may follow.
+
+        The state of h11 alone only shows that it was encoded: it may then wait for an earlier
+        answer or for the link, and be cancelled there.
+        """
+        is_encoded = self.http.our_state is h11.DONE
+        return is_encoded and not self._unsent_bytes and not self.is_broken
 
     @property
     def can_answer(self) -> bool:
@@ -241,6 +252,7 @@
         except OSError as error:
             text = "the caller's connection broke while the answer was sent"
             raise TrefoilpickError(ErrorKind.CALLER_GONE, text) from error
+        self._unsent_bytes -= len(data)
 
     def encode_answer(
         self, status: int, headers: Headers, parts: Sequence[bytes], *, is_complete: bool
@@ -254,7 +266,9 @@
             response = h11.Response(status_code=status, headers=headers)
         except h11.LocalProtocolError as error:
             raise TrefoilpickError(ErrorKind.ANSWER_MALFORMED, f"answer: {error}") from error
-        return (self.http.send(response) or b"") + self.encode_parts(parts, is_complete=is_complete)
+        head = self.http.send(response) or b""
+        self._unsent_bytes += len(head)
+        return head + self.encode_parts(parts, is_complete=is_complete)
 
     def encode_parts(self, parts: Sequence[bytes], *, is_complete: bool) -> bytes:
         """Encode further parts of an answer's body.
@@ -271,12 +285,14 @@
                 encoded.append(send(h11.EndOfMessage()) or b"")
         except h11.LocalProtocolError as error:
             raise TrefoilpickError(ErrorKind.ANSWER_CUT, f"answer: {error}") from error
-        return b"".join(encoded)
+        data = b"".join(encoded)
+        self._unsent_bytes += len(data)
+        return data
 
     def begin_next_request(self) -> bool:
         """Prepare for the next request; return whether the connection can be reused."""
         http = self.http
-        if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
+        if not self.is_answered or http.their_state is not h11.DONE:
             return False
         http.start_next_cycle()
         self.is_head_sent = False
--- a/trefoilpick/pipelining.py
+++ b/trefoilpick/pipelining.py
@@ -99,8 +99,7 @@
 
     async def finish(self) -> None:
         """Mark the answer as sent or abandoned."""
-        connection = self.connection
-        self.is_answered = not connection.is_broken and connection.http.our_state is h11.DONE
+        self.is_answered = self.connection.is_answered
         await self._ended.set()
 
 
