Worker connections: no reuse after a body whose end was not written

What could happen: a worker answers a chunked upload early and reads on later. The answer ends the request while the last bytes of the body wait for room in the socket; the connection was kept, and the next request arrived where those bytes are due (UNASKED).

Cause: prepare_reuse went by the state of h11, which is done once the end of the body is encoded.

Change: the connection counts as partly sent from before each write of a body until it has returned, so that a cancelled write leaves it set.

Evidence: the new test fills the socket, cancels send_end and asks for reuse: it was allowed before, and is not now. A body that was written whole still leaves the connection reusable. Bodies with a length have nothing to write at their end.

--- a/tests/test_worker_connections.py
+++ b/tests/test_worker_connections.py
@@ -1,9 +1,12 @@
 from __future__ import annotations
 
+import socket
+
 import curio
 import pytest
+from curio.io import Socket
 from fakes_flood import HOST, check_delays, serve_flood
-from fakes_worker import make_read
+from fakes_worker import make_read, make_request
 
 from trefoilpick._connections import open_connection
 from trefoilpick._worker_connections import WorkerConnection
@@ -87,3 +90,36 @@
 
     with serve_flood(build_chunked_answer("own"), CHUNK) as port:
         curio.run(main, port)
+
+
+# Guards against a worker that answers early getting the next request in the place of a chunked
+# body's end, which was encoded but not written.
+@pytest.mark.parametrize("is_written", [True, False])
+def test_a_connection_is_not_reused_if_the_end_of_a_body_was_cancelled(is_written: bool) -> None:
+    async def main() -> None:
+        near, far = socket.socketpair()
+        connection = WorkerConnection(Socket(near), b"worker", PLATFORM_CONVENTIONS)
+        request = make_request(request_id="own", has_body=True)
+        await connection.send_request(
+            request, [b"part"], remaining_ms=1000, body_complete=False, is_retry=False
+        )
+        far.sendall(build_chunked_answer("own") + b"0\r\n\r\n")
+        await connection.receive_head()
+        connection.pop_data()
+        assert connection.is_answer_complete
+        if not is_written:
+            fill(near)
+        async with curio.ignore_after(0.1):
+            await connection.send_end()
+        assert connection.prepare_reuse() is is_written
+        await connection.close()
+        far.close()
+
+    curio.run(main)
+
+
+def fill(sock: socket.socket) -> None:
+    """Send until the peer's buffer is full."""
+    with pytest.raises(BlockingIOError):
+        while True:
+            sock.send(bytes(65_536))
--- a/trefoilpick/_worker_connections.py
+++ b/trefoilpick/_worker_connections.py
@@ -120,7 +120,7 @@
         # Without that convention, a worker may still prove to echo the IDs.
         self._echoes_request_id = conventions.echoes_request_id
         self.keep_alive_s: float | None = None
-        self._is_send_broken = False
+        self._is_partly_sent = False
         self._is_unidentified = False
         self._refused_ids: deque[bytes] = deque(maxlen=MAX_REFUSED_IDS)
         self.has_surplus_bytes = False
@@ -259,7 +259,7 @@
             self.has_surplus_bytes
             or self._is_unidentified
             or self._stray_answers
-            or self._is_send_broken
+            or self._is_partly_sent
             or not self.is_answer_complete
         ):
             return False
@@ -331,13 +331,16 @@
             await self._send_rest(data)
 
     async def _send_rest(self, data: bytes | memoryview) -> None:
-        if self._is_send_broken:
+        if self._is_partly_sent:
             return
+        # Cancelled on the way, it stays set.
+        self._is_partly_sent = True
         try:
             await self._sock.sendall(data)
         except OSError:
             # The worker may have answered before it closed the connection; the next read shows it.
-            self._is_send_broken = True
+            return
+        self._is_partly_sent = False
 
     def _count_skipped_part(self) -> None:
         self._skipped_parts += 1
