Membership: the settings name the node's data centre, not the list

Cause: the list showed the nodes in the entries' data centre. find_read_order looked for the node's own data centre among the listed ones and raised ValueError, so that elect_readers failed before it had started the reader, and again each time it was started.

Evidence: "a task failed and is started again" with that error in the logs of all nodes, no source_version after the start. The new test shows 1, 2 and 3 of 3 nodes in another data centre and accepts two versions, before and after the list is right again: all three forms failed before.

Change: a record that contradicts the node's service or data centre is not its own; the last one that agreed holds, or none. The order of readers always has the own data centre. The reader is started or stopped before anything is reported.

--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -871,3 +871,33 @@
         await fleet.wait_all(2, 8)
 
     run_virtual(main())
+
+
+CONFIG_APPLY_S = 2.0
+"""Time within which a version must be in force in the users' deployments, in seconds."""
+
+
+# Guards against a list that shows nodes in a data centre of another writer: no node read the
+# source any more, also after the list was right again (review/7).
+@pytest.mark.parametrize("shown", [1, 2, 3])
+def test_nodes_that_the_list_shows_in_another_data_centre_follow_the_source(shown: int) -> None:
+    async def run() -> None:
+        vms = make_vms(3, 1)
+        fleet = FakeFleet(vms, control=ControlSettings(small_fleet=16, expected_vms=3))
+        foreign = tuple(replace(vm, data_centre="elsewhere", service="other") for vm in vms)
+        await fleet.publish_vms(1, (*foreign[:shown], *vms[shown:]))
+        await fleet.source.accept(*make_version(1, {"team-1": 1}))
+        await fleet.start()
+        await fleet.wait_all(1, 10.0)
+        await curio.sleep(5.0)
+        await fleet.source.accept(*make_version(2, {"team-1": 2}))
+        await fleet.wait_all(2, CONFIG_APPLY_S)
+        await fleet.publish_vms(2)
+        await curio.sleep(5.0)
+        await fleet.source.accept(*make_version(3, {"team-1": 3}))
+        await fleet.wait_all(3, CONFIG_APPLY_S)
+        for name, node in fleet.nodes.items():
+            assert node.membership.find_listed(name) == node.own
+        await fleet.kill()
+
+    run_virtual(run())
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,5 +1,6 @@
 from dataclasses import replace
 
+import pytest
 from fakes_fleet import make_vms
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -184,3 +185,21 @@
     assert PEER.name in {vm.name for vm in membership.list_alive()}
     membership.adopt_list(VmList(3, VMS))
     assert new in membership.list_endpoints(PEER.service) and has_endpoint(membership)
+
+
+# Guards against another writer's entry with a node's own address moving the node to another data
+# centre or service in its own view (review/7).
+@pytest.mark.parametrize("field", ["data_centre", "service"])
+def test_a_record_that_contradicts_the_settings_is_not_the_nodes_own(field: str) -> None:
+    foreign = replace(OWN, **{field: "elsewhere"}, worker="foreign", started_ms=9)
+    others = VMS[1:]
+    membership = MembershipTable(OWN)
+    membership.adopt_list(VmList(1, (foreign, *others)))
+    assert membership.find_listed(OWN.name) is None
+    assert membership.list_alive() == (OWN, *others)
+    listed = replace(OWN, worker="sound", started_ms=5)
+    membership.adopt_list(VmList(2, (listed, *others)))
+    membership.adopt_list(VmList(3, (foreign, *others)))
+    assert membership.find_listed(OWN.name) == listed
+    membership.adopt_list(VmList(4, others))
+    assert membership.find_listed(OWN.name) is None
--- a/trefoilpick/membership.py
+++ b/trefoilpick/membership.py
@@ -106,6 +106,7 @@
         self.own = own
         self._listed_only = listed_only
         self._clock = clock
+        self._own_listed: Vm | None = None
         self._listed: dict[str, Vm] = {}
         self._corrections = ListCorrections(expiry_s=expiry_s, clock=clock)
         self._left_workers = LeftWorkers()
@@ -322,11 +323,29 @@
         self._corrected = {
             vm.name: self._left_workers.apply(vm) for vm in self._corrections.apply(self._listed)
         }
+        self._correct_own()
         self._evacuated = find_evacuated(self._corrected.values())
         for name in self._corrected.keys() & self._unlisted.keys():
             del self._unlisted[name]
         self._services = None
 
+    def _correct_own(self) -> None:
+        """Keep a record that contradicts the node's settings from taking the place of its own.
+
+        Such a record is of another writer, or of a VM that has its address from now on.
+        """
+        name = self.own.name
+        listed = self._corrected.get(name)
+        if listed is None or self._is_own(listed):
+            self._own_listed = listed
+        elif self._own_listed is None:
+            del self._corrected[name]
+        else:
+            self._corrected[name] = self._own_listed
+
+    def _is_own(self, vm: Vm) -> bool:
+        return (vm.service, vm.data_centre) == (self.own.service, self.own.data_centre)
+
     def _apply(self, change: VmsChange) -> None:
         for name in change.removed:
             vm = self._listed.pop(name, None)
--- a/trefoilpick/reader_election.py
+++ b/trefoilpick/reader_election.py
@@ -209,13 +209,13 @@
         """Re-evaluate the node's role periodically until cancelled."""
         while True:
             view = self._view()
-            await self._report(view)
             read_order = self.find_read_order(view)
             self._budget.resize(*self.compute_budget(view, is_reader=read_order is not None))
             if read_order is None:
                 self._reader.stop()
             else:
                 await self._reader.start(read_order)
+            await self._report(view)
             async with curio.ignore_after(self._exchange_s / 4):
                 await self._woken.wait()
             self._woken.clear()
@@ -269,7 +269,8 @@
             return 0
         if self._membership.revision == 0:
             return None
-        centres = order_names(vm.data_centre for vm in view.alive)
+        # The list may show this node in another data centre, and none in its own.
+        centres = order_names((view.own.data_centre, *(vm.data_centre for vm in view.alive)))
         rank = find_rank(view)
         read_order = rank * len(centres) + centres.index(view.own.data_centre)
         if (
