Membership: VMs of services that are not defined take no places

What could happen: another writer's entries in a known zone, of services that no configuration names, count as VMs of the fleet. Some dozens take all places among the readers and neighbours of a data centre until each has missed three heartbeats, and shares of the read and retry budgets.

Change: listed VMs of services that the version in force does not define are not used, but for the node's own. The filter is on each node and not in the list, whose content must depend on its revision alone.

Evidence: the new test lists as many foreign VMs as own ones; all were alive before.

--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -203,3 +203,18 @@
     assert membership.find_listed(OWN.name) == listed
     membership.adopt_list(VmList(4, others))
     assert membership.find_listed(OWN.name) is None
+
+
+# Guards against other writers' entries taking the places of readers and neighbours, and parts of
+# the read and retry budgets.
+def test_vms_of_services_that_are_not_defined_are_not_used() -> None:
+    foreign = tuple(replace(vm, name=f"x-{vm.name}", service="other") for vm in VMS)
+    defined = {vm.service for vm in VMS}
+    membership = MembershipTable(OWN, names_service=lambda service: service in defined)
+    membership.adopt_list(VmList(1, (*VMS, *foreign)))
+    assert membership.list_alive() == membership.list_vms() == VMS
+    assert membership.count_vms() == len(VMS)
+    defined.add("other")
+    assert membership.list_alive() == (*VMS, *foreign)
+    defined.clear()
+    assert membership.list_alive() == (OWN,)
--- a/trefoilpick/membership.py
+++ b/trefoilpick/membership.py
@@ -89,6 +89,8 @@
         listed_only: Whether only VMs on the platform's list get requests.
         expiry_s: Time within which the platform removes VMs that no longer exist from its list, in
             seconds.
+        names_service: Returns whether a service is defined. Listed VMs of other services are not
+            used: another writer's entries must not take the places of readers and neighbours.
         clock: Returns the monotonic time in seconds.
 
     Attributes:
@@ -101,10 +103,12 @@
         *,
         listed_only: bool = False,
         expiry_s: float = DEFAULT_EXPIRY_S,
+        names_service: Callable[[str], bool] = lambda service: True,
         clock: Callable[[], float] = read_clock,
     ) -> None:
         self.own = own
         self._listed_only = listed_only
+        self._names_service = names_service
         self._clock = clock
         self._own_listed: Vm | None = None
         self._listed: dict[str, Vm] = {}
@@ -386,7 +390,9 @@
         listed = self._get_corrected()
         if self.own.name not in listed:
             yield self.own
-        yield from listed.values()
+        for vm in listed.values():
+            if vm.name == self.own.name or self._names_service(vm.service):
+                yield vm
         yield from self._unlisted.values()
 
     def _is_usable(self, name: str) -> bool:
--- a/trefoilpick/node.py
+++ b/trefoilpick/node.py
@@ -274,7 +274,11 @@
     metrics = Metrics()
     cell = cell or SnapshotCell()
     own_vm = build_own_vm(settings)
-    membership = MembershipTable(own_vm, listed_only=settings.control.listed_only)
+    membership = MembershipTable(
+        own_vm,
+        listed_only=settings.control.listed_only,
+        names_service=lambda service: cell.current is None or service in cell.current.upstreams,
+    )
     rng = rng or random.Random()
     incarnation = time.time_ns() if incarnation is None else incarnation
     distributor = open_distributor(
