Entries: those of unknown zones and services hide no worker

Cause: the list has one VM for each address, the one with the latest start, whatever its zone and service.

Change: an entry of a zone that the settings do not name names no worker; changed settings are applied and the entries read again. Of several with one address, those of services in the configuration come first. A node that finds such entries before it knows the configuration reads the services first, one call that is made in no other case.

Evidence: 14 entries (unnamed service or zone, draining, a blank, a start in the far future, the worker's own port or another) took the place before. Nodes that start beside such entries follow versions with them and after them: all nine forms failed before. test_service_and_zone_with_unusual_names_are_listed now names its unusual zone in the settings and checks the same.

--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -11,8 +11,8 @@
 from trefoilpick.vms import Vm, VmState
 
 
-def read_entries(*values: Any) -> dict[str, Vm]:
-    entries = WorkerEntries(make_settings())
+def read_entries(*values: Any, **source: Any) -> dict[str, Vm]:
+    entries = WorkerEntries(make_settings(**source))
     for number, value in enumerate(values):
         data = value if isinstance(value, bytes) else msgspec.json.encode(value)
         entries.put(f"servers/i-{number}", data, 10 + number, 0.0)
@@ -88,8 +88,8 @@
 
 
 def test_service_and_zone_with_unusual_names_are_listed() -> None:
-    vms = read_entries(make_entry("10.1.0.4:8080", service="Encargos/2", zone="LIMA A"))
-    (vm,) = vms.values()
+    entry = make_entry("10.1.0.4:8080", service="Encargos/2", zone="LIMA A")
+    (vm,) = read_entries(entry, regions={"LIMA A": "lima"}).values()
     assert vm.service == convert_name("Encargos/2")
     assert vm.data_centre == convert_name("LIMA A")
 
--- a/tests/platform/test_foreign_entries.py
+++ b/tests/platform/test_foreign_entries.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+from random import Random
 from typing import Any
 
 import curio
 import msgspec
 import pytest
-from fakes_store import FakeStore, make_configuration, make_entry, make_settings
+from fakes_store import FakeStore, make_configuration, make_entry, make_settings, run_store
 from test_path import HOSTS, UPLOAD_HEAD, Platform, add_route, run_platform
 
 from trefoilpick.messages import (
@@ -20,7 +22,8 @@
 )
 from trefoilpick.node import Node
 from trefoilpick.platform.entries import WorkerEntries
-from trefoilpick.platform.store import CONFIGURATION_KEY
+from trefoilpick.platform.store import CONFIGURATION_KEY, open_store
+from trefoilpick.source import VMS_KEY
 from trefoilpick.vms import VmList, VmState
 
 DRAIN_S = 2.0
@@ -168,3 +171,100 @@
     raw[0]["host"] = "127.0.0.1\n"
     raw.append({**raw[1], "slots": 2**63})
     assert unpack_vms(pack_bytes(msgspec.msgpack.encode(raw))) == vms[1:]
+
+
+LATER_BORN = 1_800_000_000_000
+TAKING_A_PLACE: dict[str, dict[str, Any]] = {
+    "service and zone that are not named": {"service": "agente", "zone": "otra"},
+    "service that is not named": {"service": "agente"},
+    "zone that is not named": {"zone": "otra"},
+    "zone that is not named, draining": {"zone": "otra", "state": "draining"},
+    "zone with a blank": {"zone": "lima-a "},
+    "start in the far future": {"zone": "otra", "born": 2**61},
+    "service that is not named, start in the far future": {"service": "agente", "born": 2**61},
+}
+"""Fields by which another writer's entry with the address of a worker differs from the worker's."""
+
+
+# Guards against another writer's entry taking the place of a worker that has the same address, by
+# its later start (review/7).
+@pytest.mark.parametrize("kind", TAKING_A_PLACE)
+@pytest.mark.parametrize("port", [8080, 9])
+def test_entry_with_a_workers_address_does_not_take_its_place(kind: str, port: int) -> None:
+    foreign = make_entry(f"10.1.0.4:{port}", **{"born": LATER_BORN, **TAKING_A_PLACE[kind]})
+    own = make_entry("10.1.0.4:8080")
+    for values in ((own, foreign), (foreign, own)):
+        entries = WorkerEntries(make_settings())
+        entries.services = frozenset({"encargos"})
+        for number, value in enumerate(values):
+            entries.put(f"servers/{number}", msgspec.json.encode(value), 10 + number, 0.0)
+        assert [vm.started_ms for vm in entries.build_vm_list().vms] == [own["born"]]
+
+
+# Guards against an entry of a zone that settings name since then being left out for good.
+def test_entries_of_a_zone_are_read_once_the_settings_name_it() -> None:
+    async def main(store: FakeStore) -> None:
+        store.put("servers/i-0", make_entry(zone="lima-c"))
+        settings = make_settings(store.address)
+        source = open_store(settings, random=Random(1))
+        assert msgspec.json.decode((await source.read_value(VMS_KEY)).data)["vms"] == []
+        regions = {**settings.source.regions, "lima-c": "lima"}
+        source.apply_settings(replace(settings.source, regions=regions))
+        value = await source.watch_value(VMS_KEY, after=0)
+        assert value is not None
+        (vm,) = msgspec.json.decode(value.data)["vms"]
+        assert vm["data_centre"] == "lima-c"
+
+    run_store(main)
+
+
+# Guards against the list being read before it is known which services are named.
+def test_list_that_is_read_first_shows_the_worker_of_a_named_service() -> None:
+    async def main(store: FakeStore) -> None:
+        store.put(CONFIGURATION_KEY, make_configuration())
+        store.put("servers/i-0", make_entry())
+        store.put("servers/foreign", make_entry(service="agente", born=LATER_BORN))
+        source = open_store(make_settings(store.address), random=Random(1))
+        (vm,) = msgspec.json.decode((await source.read_value(VMS_KEY)).data)["vms"]
+        assert vm["worker"] == "i-0"
+        store.put(CONFIGURATION_KEY, b"unreadable")
+        source = open_store(make_settings(store.address), random=Random(1))
+        assert len(msgspec.json.decode((await source.read_value(VMS_KEY)).data)["vms"]) == 1
+
+    run_store(main)
+
+
+def put_foreign_entries(store: FakeStore, fields: dict[str, Any]) -> None:
+    for number, host in enumerate(HOSTS):
+        entry = make_entry(f"{host}:9", **{"born": LATER_BORN, **fields})
+        store.put(f"servers/foreign-{number}", entry)
+
+
+# Guards against nodes that started beside such entries reading the store no more and refusing all
+# requests, also after the entries are gone (review/7).
+@pytest.mark.parametrize("kind", [*TAKING_A_PLACE, "usable in every respect", "each other's zone"])
+def test_nodes_that_started_beside_entries_with_their_addresses_follow_versions(kind: str) -> None:
+    fields = TAKING_A_PLACE.get(kind, {})
+
+    async def test(platform: Platform) -> None:
+        platform.store.put(CONFIGURATION_KEY, add_route(make_configuration(5), "beside"))
+        if kind in TAKING_A_PLACE:
+            await platform.wait_for_route("beside")
+        for number in range(len(HOSTS)):
+            platform.store.delete(f"servers/foreign-{number}")
+        await curio.sleep(0.5)
+        platform.store.put(CONFIGURATION_KEY, add_route(make_configuration(8), "after"))
+        await platform.wait_for_route("after")
+
+    store = FakeStore()
+    put_foreign_entries(store, fields)
+    if kind == "each other's zone":
+        for number, zone in enumerate(("lima-b", "lima-a")):
+            entry = make_entry(f"{HOSTS[number]}:9", zone=zone, born=LATER_BORN)
+            store.put(f"servers/foreign-{number}", entry)
+    run_platform(
+        test,
+        items=store.items,
+        revision=store.revision,
+        are_ready=kind in TAKING_A_PLACE,
+    )
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -197,9 +197,13 @@
 
 
 def run_platform(
-    test: Callable[[Platform], Awaitable[None]], *, evacuations: bool = False, **store_fields: Any
+    test: Callable[[Platform], Awaitable[None]],
+    *,
+    evacuations: bool = False,
+    are_ready: bool = True,
+    **store_fields: Any,
 ) -> None:
-    """Run a test against two ready nodes."""
+    """Run a test against two nodes, by default once they serve requests."""
 
     async def main(store: FakeStore) -> None:
         ports = find_ports(5)
@@ -221,7 +225,10 @@
     async def run_test(platform: Platform, test: Callable[[Platform], Awaitable[None]]) -> None:
         for number in range(len(HOSTS)):
             platform.register(number)
-        await platform.request_until(lambda answer: answer.status == 200, UPLOAD_HEAD)
+        if are_ready:
+            await platform.request_until(lambda answer: answer.status == 200, UPLOAD_HEAD)
+        else:
+            await curio.sleep(2.0)
         await test(platform)
 
     run_store(main, **store_fields)
--- a/trefoilpick/platform/entries.py
+++ b/trefoilpick/platform/entries.py
@@ -97,6 +97,9 @@
         settings: Settings of the node; its ports apply to the nodes of all VMs.
 
     Attributes:
+        services: Names of the services in the configuration; empty before it is known.
+        regions: Region by data centre; entries of other data centres name no worker. Empty if the
+            settings name none.
         evacuations: Evacuated data centres, whose workers are listed as leaving.
         revision: Revision of the newest change.
     """
@@ -108,6 +111,8 @@
         self._retain_until_s = float("-inf")
         self._revision_before_outage = 0
         self._warnings = SubjectWarnings(ENTRY_EVENT)
+        self.services: frozenset[str] = frozenset()
+        self.regions = settings.source.regions
         self.evacuations = Evacuations()
         self.revision = 0
 
@@ -177,6 +182,9 @@
     def build_vm_list(self) -> VmList:
         """Return the list of VMs.
 
+        Of several entries with a VM's address, one of a service that is in the configuration comes
+        first, and then the one of the worker that was started last.
+
         Its revision is odd if no expired entries are retained. Otherwise it is even and derived
         from the store's revision before the outage, so that the list of a node that reached the
         store during the outage takes precedence.
@@ -184,13 +192,21 @@
         newest: dict[str, WorkerEntry] = {}
         for entry in self._list_entries():
             current = newest.get(entry.vm.name)
-            if current is None or _get_recency(entry) > _get_recency(current):
+            if current is None or self._rank(entry) > self._rank(current):
                 newest[entry.vm.name] = entry
         vms = tuple(self.evacuations.mark(newest[name].vm) for name in sorted(newest))
         if self._retained:
             return VmList(2 * self._revision_before_outage, vms)
         return VmList(2 * self.revision + 1, vms)
 
+    def is_any_address_shared(self) -> bool:
+        """Return whether several entries have the address of the same VM."""
+        names = [entry.vm.name for entry in self._list_entries()]
+        return len(set(names)) < len(names)
+
+    def _rank(self, entry: WorkerEntry) -> tuple[bool, int, int]:
+        return entry.vm.service in self.services, entry.started_ms, entry.revision
+
     def _list_entries(self) -> Iterator[WorkerEntry]:
         yield from self._entries.values()
         for retained in self._retained.values():
@@ -206,10 +222,12 @@
         host, _ = split_address(entry.address)
         if not (entry.service and entry.zone and entry.slots > 0 and worker):
             raise ValueError("it has no service, zone, slots or name")
+        if self.regions and entry.zone not in self.regions:
+            raise ValueError(f"its zone {entry.zone!r:.100} is not in the settings")
         listen = self._settings.listen
         vm = Vm(
             name=host,
-            region=self._settings.source.regions.get(entry.zone, convert_name(entry.zone)),
+            region=self.regions.get(entry.zone, convert_name(entry.zone)),
             data_centre=convert_name(entry.zone),
             service=convert_name(entry.service),
             host=host,
@@ -234,7 +252,3 @@
     if not 0 < cold_ms < math.inf:
         return 0
     return min(math.ceil(cold_ms / COLD_STEP_MS) * COLD_STEP_MS, MAX_COLD_MS)
-
-
-def _get_recency(entry: WorkerEntry) -> tuple[int, int]:
-    return entry.started_ms, entry.revision
--- a/trefoilpick/platform/store.py
+++ b/trefoilpick/platform/store.py
@@ -21,6 +21,7 @@
 from trefoilpick.platform.configuration_fields import decode_configuration
 from trefoilpick.platform.entries import ENTRY_PREFIX, WorkerEntries
 from trefoilpick.platform.evacuations import EVACUATION_PREFIX
+from trefoilpick.platform.names import convert_name
 from trefoilpick.sections import encode_complete
 from trefoilpick.source import (
     MANIFEST_KEY,
@@ -41,7 +42,7 @@
     from collections.abc import Callable
 
     from trefoilpick._source_connection import SourceReply
-    from trefoilpick.platform.configuration_fields import ConfigurationFault
+    from trefoilpick.platform.configuration_fields import Configuration, ConfigurationFault
     from trefoilpick.settings import Settings, SourceSettings
     from trefoilpick.source import SourceClient
 
@@ -193,6 +194,9 @@
         if settings.evacuations is not self._settings.evacuations:
             self._entries.evacuations.clear()
             self._invalidate_reads()
+        if settings.regions != self._settings.regions:
+            self._entries.regions = settings.regions
+            self._invalidate_reads()
         self._settings = settings
 
     async def read_value(self, key: str) -> SourceValue:
@@ -268,7 +272,7 @@
         return self._convert_configuration(changes[-1])
 
     def _convert_configuration(self, item: _Item) -> SourceValue:
-        configuration = decode_configuration(_decode_base64(item.value))
+        configuration = self._decode_configuration(item)
         refs: list[SectionRef] = []
         texts: dict[str, bytes] = {}
         converted = convert_configuration(configuration)
@@ -282,6 +286,12 @@
         manifest = Manifest(configuration.version, 0, tuple(refs))
         return SourceValue(encode_manifest(manifest), item.revision, self._era or 0)
 
+    def _decode_configuration(self, item: _Item) -> Configuration:
+        configuration = decode_configuration(_decode_base64(item.value))
+        names = (convert_name(service.name) for service in configuration.services)
+        self._entries.services = frozenset(names)
+        return configuration
+
     def _log_faults(self, version: int, faults: tuple[ConfigurationFault, ...]) -> None:
         if version == self._logged_version:
             return
@@ -315,9 +325,27 @@
         if evacuations is not None:
             keys = (item.key for item in evacuations.items)
             self._entries.evacuations.replace_all(keys, evacuations.revision)
+        if self._entries.is_any_address_shared() and not self._entries.services:
+            await self._read_services()
         self._record_read(VMS_KEY, read.revision)
         return self._build_vms_value()
 
+    async def _read_services(self) -> None:
+        """Read the names of the services, by which entries with the same address are told apart.
+
+        Raises:
+            TrefoilpickError: `SOURCE_UNAVAILABLE` or `SOURCE_RATE_LIMITED`.
+        """
+        target = f"{KEY_PATH}?key={quote(CONFIGURATION_KEY, safe='')}"
+        try:
+            item = _decode(await self._call(READ_CONNECTION, target), _KeyResponse)
+            self._decode_configuration(_Item(CONFIGURATION_KEY, item.revision, item.value))
+        except MissingValueError:
+            return
+        except TrefoilpickError as error:
+            if error.kind is not ErrorKind.MANIFEST_FAULTY:
+                raise
+
     async def _read_evacuations(self) -> _Range | None:
         """Read the keys of all evacuations; return None if the source holds none by its settings.
 
