--- a/tests/test_source_reader.py
+++ b/tests/test_source_reader.py
@@ -8,6 +8,7 @@
 
 from trefoilpick._virtual_time import run_virtual
 from trefoilpick.settings import SourceSettings
+from trefoilpick.source import MANIFEST_KEY, VMS_KEY
 
 TEAMS = {"team-1": 1}
 
@@ -55,3 +56,41 @@
         if getattr(record, "event", "") == "source_version"
     ]
     assert lines == [("2", "newer"), ("3", "newer"), ("3", "replacing"), ("1", "older")]
+
+
+# Guards against an unexpected error in one value of the source ending the reading of the other.
+@pytest.mark.task_errors
+@pytest.mark.parametrize("key", [VMS_KEY, MANIFEST_KEY])
+def test_each_value_is_read_while_reading_the_other_fails(key: str) -> None:
+    async def run() -> None:
+        vms = make_vms(1, 2)
+        fleet = FakeFleet(vms)
+        await fleet.publish_vms(1)
+        await fleet.source.accept(*make_version(1, TEAMS))
+        await fleet.start()
+        await fleet.wait_all(1, 10.0)
+
+        def fail(read: str, data: bytes) -> bytes:
+            if read == key:
+                raise ZeroDivisionError
+            return data
+
+        fleet.source.corrupt = fail
+        for _ in range(20):
+            await fleet.source.put(key, b"unreadable")
+            await curio.sleep(1.0)
+        nodes = fleet.nodes.values()
+        if key == VMS_KEY:
+            await fleet.source.accept(*make_version(2, TEAMS))
+            await fleet.wait_all(2, 2.0)
+            await fleet.publish_vms(2, vms[:1])
+        else:
+            await fleet.publish_vms(2, vms[:1])
+            await fleet.wait_for(lambda: all(n.membership.revision == 2 for n in nodes), 2.0)
+            await fleet.source.accept(*make_version(2, TEAMS))
+        fleet.source.corrupt = lambda read, data: data
+        await fleet.wait_all(2, 2.0)
+        await fleet.wait_for(lambda: all(n.membership.revision == 2 for n in nodes), 2.0)
+        await fleet.kill()
+
+    run_virtual(run())
--- a/tests/test_task_groups.py
+++ b/tests/test_task_groups.py
@@ -52,3 +52,35 @@
         return starts
 
     assert run_virtual(main()) == 1
+
+
+# Guards against a task that failed now and then for a long time waiting ever longer to go on.
+@pytest.mark.task_errors
+def test_a_task_that_ran_for_a_while_runs_again_after_the_shortest_pause() -> None:
+    class LongTask(FailingTask):
+        async def run(self) -> str:
+            await curio.sleep(60.0 if len(self.started_s) % 5 == 4 else 0.0)
+            return await super().run()
+
+    task = LongTask(20)
+    run_virtual(keep_running(task.run, name="t", metrics=Metrics())())
+    starts = task.started_s
+    pauses = [later - earlier for earlier, later in zip(starts, starts[1:], strict=False)]
+    assert pauses[4::5] == pytest.approx([0.1] * 4)
+
+
+# Guards against a task that fails while its cause lasts and then runs too late to bring a version
+# into force in time: 2 s in the users' deployments, of which the reading needs a part.
+@pytest.mark.task_errors
+def test_a_task_runs_again_soon_after_the_cause_of_its_failures_is_gone() -> None:
+    async def main() -> float:
+        gone_s = read_clock() + 100.0
+
+        async def run() -> None:
+            if read_clock() < gone_s:
+                raise TrefoilpickError(ErrorKind.INTERNAL, "unexpected")
+
+        await keep_running(run, name="t", metrics=Metrics())()
+        return read_clock() - gone_s
+
+    assert 0.0 <= run_virtual(main()) <= 1.0
--- a/trefoilpick/source_reader.py
+++ b/trefoilpick/source_reader.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from trefoilpick._clock import read_clock
-from trefoilpick._task_groups import run_until_first_ends
+from trefoilpick._task_groups import keep_running, run_until_first_ends
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 from trefoilpick.logs import Event
 from trefoilpick.manifest import decode_manifest, identify_version
@@ -160,9 +160,18 @@
 
     async def run(self) -> None:
         """Read and watch while started, until cancelled."""
+        watches = {
+            "read_versions": partial(
+                self._watch, MANIFEST_KEY, self._handle_manifest, MANIFEST_REREAD_FRACTION
+            ),
+            "read_vms": partial(self._watch, VMS_KEY, self._handle_list, LIST_REREAD_FRACTION),
+        }
+        # Apart, so that an error in one value does not end the reading of the other.
         await run_until_first_ends(
-            partial(self._watch, MANIFEST_KEY, self._handle_manifest, MANIFEST_REREAD_FRACTION),
-            partial(self._watch, VMS_KEY, self._handle_list, LIST_REREAD_FRACTION),
+            *(
+                keep_running(part, name=name, metrics=self._metrics)
+                for name, part in watches.items()
+            )
         )
 
     async def read_manifest(self) -> None:
