Drains: requests that the node would cut are refused at once

Cause: during the notice every request was taken, though the node knows when it ends and how long the requests of a route take.

Change: the calling node refuses a request whose route takes longer than the node stays as "draining", which has not run; passes on no more time than it stays; and makes no further attempt that it would cut. The worker's node refuses such requests of peers at arrival and just before sending, and those that wait for a slot at the limit at the latest, so that peers send them to other workers.

--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -586,6 +586,69 @@
     run_bench(main, FakeWorkerNode(), drain=DrainSettings(notice_ms=200, limit_ms=20_000))
 
 
+# Guards against requests that come late in a drain being sent to a worker and cut at its end.
+def test_a_drain_refuses_at_once_what_it_would_cut() -> None:
+    async def main(bench: Bench) -> None:
+        caller = await connect(bench)
+        for _ in range(2):
+            assert (await caller.request("GET", "/status")).status == 200
+        draining = await curio.spawn(bench.server.drain)
+        await curio.sleep(0.05)
+        began_at = read_clock()
+        refused = await (await connect(bench)).request("GET", "/status")
+        assert (refused.status, refused.error, refused.outcome) == (503, "draining", "not_run")
+        assert read_clock() - began_at < 0.2
+        assert bench.runs.total() == 2
+        short = await (await connect(bench)).request("GET", "/short")
+        assert short.status == 200
+        assert (await draining.join()).cut == 0
+
+    async def answer_slowly(fake: FakeWorkerNode, hop: Hop, head: HopRequest) -> None:
+        await curio.sleep(1.0)
+        await answer_ok(fake, hop, head)
+
+    scripts = queue_scripts(answer_slowly, answer_slowly)
+    run_bench(main, FakeWorkerNode(scripts=scripts), drain=DrainSettings(500, 300))
+
+
+# Guards against another attempt, late in a drain, that its end would cut.
+def test_a_drain_makes_no_attempt_that_it_would_cut() -> None:
+    async def main(bench: Bench) -> None:
+        caller = await connect(bench)
+        assert (await caller.request("GET", "/status")).status == 200
+        await caller.send("GET", "/status")
+        await wait_until(lambda: bench.runs.total() == 2)
+        draining = await curio.spawn(bench.server.drain)
+        answer = await caller.receive()
+        assert (answer.status, answer.outcome) == (502, "unknown")
+        assert bench.runs.total() == 2
+        assert (await draining.join()).cut == 0
+
+    async def answer_slowly(fake: FakeWorkerNode, hop: Hop, head: HopRequest) -> None:
+        await curio.sleep(0.6)
+        await answer_ok(fake, hop, head)
+
+    async def lose_late(fake: FakeWorkerNode, hop: Hop, head: HopRequest) -> None:
+        await fake.receive_body(hop, head)
+        await curio.sleep(0.3)
+        raise ConnectionResetError
+
+    scripts = queue_scripts(answer_slowly, lose_late)
+    run_bench(main, FakeWorkerNode(scripts=scripts), drain=DrainSettings(0, 500))
+
+
+# Guards against a worker working on for longer than the node that waits for its answer stays.
+def test_a_request_in_a_drain_has_no_more_time_than_the_node() -> None:
+    async def main(bench: Bench) -> None:
+        draining = await curio.spawn(bench.server.drain)
+        answer = await (await connect(bench)).request("GET", "/status")
+        assert answer.status == 200
+        assert bench.fakes[0].received[0].head.remaining_ms <= 800
+        await draining.join()
+
+    run_bench(main, FakeWorkerNode(), drain=DrainSettings(500, 300))
+
+
 def test_a_drain_reports_requests_in_flight_at_its_limit() -> None:
     async def main(bench: Bench) -> None:
         caller = await connect(bench)
--- a/tests/test_hopserver.py
+++ b/tests/test_hopserver.py
@@ -553,6 +553,42 @@
     run_bench(test, drain=DrainSettings(notice_ms=0, limit_ms=20))
 
 
+# Guards against a request from another node being sent to the worker late in a drain and cut.
+def test_a_drain_refuses_peers_what_it_would_cut() -> None:
+    async def answer_slowly(request: ReceivedRequest) -> None:
+        await curio.sleep(0.4)
+        await request.sock.sendall(OK)
+
+    async def test(bench: Bench) -> None:
+        bench.worker.default = answer_slowly
+        assert (await bench.call(make_request())).is_complete
+        drain = await curio.spawn(bench.server.drain)
+        await wait_for(lambda: bench.server.is_leaving)
+        refused = await bench.call(make_request())
+        assert (refused.kind, refused.outcome) == ("draining", "not_run")
+        assert len(bench.worker.executed) == 1
+        assert (await drain.join()).cut == 0
+
+    run_bench(test, drain=DrainSettings(notice_ms=200, limit_ms=100))
+
+
+# Guards against requests that wait for a slot at the end of a drain ending without the promise that
+# they have not run.
+def test_the_end_of_a_drain_refuses_requests_that_wait_for_a_slot() -> None:
+    async def test(bench: Bench) -> None:
+        bench.worker.default = never_answer
+        await reach_state(bench, "running", make_request())
+        waiting = await reach_state(bench, "queued", make_request())
+        drain = await curio.spawn(bench.server.drain)
+        result = await receive_result(waiting)
+        assert (result.kind, result.outcome) == ("draining", "not_run")
+        assert (await drain.join()).cut == 1
+
+    run_bench(
+        test, upstream={"slots": 1, "queue": 1}, drain=DrainSettings(notice_ms=0, limit_ms=100)
+    )
+
+
 # Guards against hops of gone or silent peers that are open for good and use up the limit.
 def test_a_hop_idle_for_longer_than_its_peer_keeps_it_is_closed(
     monkeypatch: pytest.MonkeyPatch,
--- a/trefoilpick/_hop_exchange.py
+++ b/trefoilpick/_hop_exchange.py
@@ -93,7 +93,8 @@
         body_idle_s: Idle timeout of a body, in seconds.
         health: Failure rate of the worker's answers.
         statements: What the worker states about itself in its answers.
-        check_worker: Raises `DRAINING` if the worker is leaving.
+        check_sending: Raises `DRAINING` if a request of a route must not be sent to the worker
+            now.
         ends: Ends of the worker.
         gate: Refuses quarantined requests.
         answers: Requests that the worker answered recently.
@@ -112,7 +113,7 @@
     body_idle_s: float
     health: WorkerHealth
     statements: WorkerStatements
-    check_worker: Callable[[], object]
+    check_sending: Callable[[str], None]
     ends: WorkerEnds
     gate: QuarantineGate
     answers: RecentAnswers
@@ -509,7 +510,7 @@
         if not self._hop_connection.is_open():
             text = "caller's node closed the hop before the request was sent"
             raise TrefoilpickError(ErrorKind.CALLER_GONE, text, outcome=Outcome.NOT_RUN)
-        self._context.check_worker()
+        self._context.check_sending(self._request.route)
         return remaining_s
 
     async def _upload_rest(self, connection: WorkerConnection) -> None:
--- a/trefoilpick/admission.py
+++ b/trefoilpick/admission.py
@@ -103,6 +103,10 @@
         """Mean service time of a request, in seconds; 0 before the first."""
         return self._service_times.mean_s or 0.0
 
+    def estimate_service(self, route: str) -> float:
+        """Return the expected service time of a request of a route, in seconds."""
+        return self._service_times.estimate(route)
+
     def start_warm_up(self, now_s: float) -> None:
         """Start the warm-up, during which only a part of the slots is available.
 
--- a/trefoilpick/callers.py
+++ b/trefoilpick/callers.py
@@ -197,7 +197,8 @@
     async def drain(self) -> CallerDrainReport:
         """Stop serving gracefully.
 
-        During the notice period requests are still served, and each answer closes its connection.
+        During the notice period requests are still served, but for those that would take too long,
+        and each answer closes its connection.
         Afterwards new requests are refused, and those in flight may finish until the time limit in
         the settings. The rest is then answered with an error, so that answers behind it can be
         sent.
@@ -207,10 +208,11 @@
         """
         settings = self.drain_settings
         self._is_closing = True
+        drain_s = (settings.bounded_notice_ms + settings.bounded_limit_ms) / MS_PER_S
+        self._forwarder.ends_at = read_clock() + drain_s
         await curio.sleep(settings.bounded_notice_ms / MS_PER_S)
         self._is_refusing = True
-        end_at = read_clock() + settings.bounded_limit_ms / MS_PER_S
-        while self.in_flight and read_clock() < end_at:
+        while self.in_flight and read_clock() < self._forwarder.ends_at:
             self._close_unused()
             await curio.sleep(DRAIN_CHECK_S)
         self._close_unused()
@@ -389,9 +391,14 @@
         if head.body_length is not None and head.body_length > contract.body_limit_bytes:
             text = f"body is over the route's limit of {contract.body_limit_bytes} bytes"
             raise TrefoilpickError(ErrorKind.BODY_TOO_LARGE, text)
-        allowed_ms = contract.deadline_ms
+        allowed_ms: float = contract.deadline_ms
         if head.deadline_ms is not None:
             allowed_ms = min(allowed_ms, head.deadline_ms - ANSWER_MARGIN_MS)
+        left_ms = (self._forwarder.ends_at - now) * MS_PER_S
+        if allowed_ms > left_ms and not self._forwarder.can_end(team_route, now):
+            text = "the node is leaving, and requests of the route take longer than it stays"
+            raise TrefoilpickError(ErrorKind.DRAINING, text)
+        allowed_ms = min(allowed_ms, left_ms)
         elapsed_ms, objective_ms = self._find_objective(head, team_route, allowed_ms, now)
         body = CallBody(
             connection, contract.body_limit_bytes, self._settings.requests.kept_body_bytes
--- a/trefoilpick/forwarding.py
+++ b/trefoilpick/forwarding.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -15,6 +16,7 @@
     find_priority,
     rebuild_error,
 )
+from trefoilpick.averages import MovingAverages
 from trefoilpick.caller_connections import ConnectionState
 from trefoilpick.calls import MS_PER_S
 from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError, find_answer
@@ -47,6 +49,7 @@
     from trefoilpick.metrics import Metrics
     from trefoilpick.quarantine_gate import QuarantineGate
     from trefoilpick.retries import AttemptHistory, RetryBudgets
+    from trefoilpick.snapshots import TeamRoute
 
 FLUSH_BYTES = 65_536
 """Size at which the received parts of an answer are sent to the caller, in bytes."""
@@ -112,6 +115,9 @@
         gate: Refuses quarantined requests.
         conventions: Headers of the fleet.
         link: Scheduler of this VM's link.
+
+    Attributes:
+        ends_at: When a drain ends the node at the latest, in seconds on the node's clock.
     """
 
     def __init__(
@@ -135,12 +141,18 @@
         self._metrics = metrics
         self._random = random
         self._sizes = TransferSizes()
+        self._durations: MovingAverages[tuple[str, str]] = MovingAverages()
+        self.ends_at = math.inf
 
     @property
     def balancer(self) -> Balancer:
         """Chooses the workers."""
         return self._balancer
 
+    def can_end(self, team_route: TeamRoute, now: float) -> bool:
+        """Return whether a request that is sent now is expected to be answered before `ends_at`."""
+        return now + self._durations.get(_get_key(team_route), 0.0) <= self.ends_at
+
     async def forward(self, call: Call, own_headers: Headers) -> float:
         """Forward a request to a worker and relay its answer to the caller.
 
@@ -164,6 +176,7 @@
             raise
         finally:
             await self._finish(call, attempt)
+        self._durations.add(_get_key(call.team_route), read_clock() - call.started_at)
         return attempt.answered_at - _find_wait_start(attempt.uploader, call.started_at)
 
     async def _attempt_until_answered(self, call: Call) -> Attempt:
@@ -191,6 +204,8 @@
 
     def _plan_retry(self, call: Call, error: TrefoilpickError) -> float | None:
         call.attempts.record_failure(error)
+        if not self.can_end(call.team_route, read_clock()):
+            return None
         backoff_s = plan_retry(
             call,
             error,
@@ -536,6 +551,10 @@
         await self._pool.release(attempt.hop, read_clock())
 
 
+def _get_key(team_route: TeamRoute) -> tuple[str, str]:
+    return team_route.team, team_route.route.name
+
+
 def _build_server_error(answer: HopAnswer) -> TrefoilpickError | None:
     """Return the error for an answer with a retriable server error; None for any other.
 
--- a/trefoilpick/hopserver.py
+++ b/trefoilpick/hopserver.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import socket
 from contextlib import suppress
 from dataclasses import dataclass, replace
@@ -121,6 +122,7 @@
         is_leaving: Whether a drain has started.
         is_refusing: Whether the notice period of a drain is over, so that requests are refused.
         drain_settings: Settings of the next drain.
+        ends_at_s: Clock reading at which a drain ends the node at the latest, in seconds.
         running_requests: Requests that the worker runs now.
     """
 
@@ -167,6 +169,7 @@
         self._health = WorkerHealth(read_clock())
         self._drained = curio.Event()
         self._drain_report: DrainReport | None = None
+        self.ends_at_s = math.inf
         self._own_vm: Vm | None = None
         self._statements = WorkerStatements(
             conventions, rate=admission.rate, log=self._log, metrics=metrics
@@ -208,7 +211,7 @@
             body_idle_s=settings.hops.body_idle_ms / 1000,
             health=self._health,
             statements=self._statements,
-            check_worker=self._check_worker,
+            check_sending=self._check_sending,
             ends=self._ends,
             gate=gate,
             answers=self._answers,
@@ -293,14 +296,17 @@
         drain = self.drain_settings
         started_s = read_clock()
         self.is_leaving = True
+        notice_s = min(drain.bounded_notice_ms, drain.peer_notice_ms) / 1000
+        self.ends_at_s = started_s + notice_s + drain.bounded_limit_ms / 1000
         for connection in self._hops:
             await self._notify_leaving(connection)
-        notice_s = drain.bounded_notice_ms / 1000
-        await curio.sleep(min(notice_s, drain.peer_notice_ms / 1000))
+        await curio.sleep(notice_s)
         self.is_refusing = True
-        async with curio.ignore_after(drain.bounded_limit_ms / 1000):
-            while self._running:
-                await curio.sleep(DRAIN_POLL_S)
+        while self._running and read_clock() < self.ends_at_s:
+            await curio.sleep(DRAIN_POLL_S)
+        if self.admission.queued:
+            await self.admission.refuse_waiting(_build_draining_error())
+            await curio.sleep(DRAIN_POLL_S)
         self._drain_report = DrainReport(cut=self._running, waited_s=read_clock() - started_s)
         await self._drained.set()
         return self._drain_report
@@ -473,6 +479,7 @@
             raise TrefoilpickError(ErrorKind.NO_UPSTREAM, text, outcome=Outcome.NOT_RUN)
         self._cold_starts.apply_upstream(upstream)
         own_vm = self._check_worker()
+        self._check_time_left(request.route)
         slots = own_vm.slots if own_vm is not None and own_vm.slots else upstream.slots
         if upstream is not self._upstream or slots != self.admission.limits.slots:
             self._upstream = upstream
@@ -520,6 +527,24 @@
             raise self._build_leaving_error()
         return own_vm
 
+    def _check_sending(self, route: str) -> None:
+        """Check that a request may be sent to the worker now.
+
+        Raises:
+            TrefoilpickError: `DRAINING`, if the worker is leaving or the node would end before the
+                answer.
+        """
+        self._check_worker()
+        self._check_time_left(route)
+
+    def _check_time_left(self, route: str) -> None:
+        if not self._can_end(self.admission.estimate_service(route)):
+            raise _build_draining_error()
+
+    def _can_end(self, service_s: float) -> bool:
+        """Return whether a service time, in seconds, is over before a drain ends the node."""
+        return read_clock() + service_s <= self.ends_at_s
+
     def _build_leaving_error(self) -> TrefoilpickError:
         reason = "is evacuated" if self._is_evacuated() else "is leaving"
         text = f'worker "{self._statements.worker.worker}" {reason}'
@@ -540,6 +565,8 @@
             self._refresh_cold_start()
             if self._is_worker_leaving(own_vm):
                 await self.admission.refuse_waiting(self._build_leaving_error())
+            elif not self._can_end(self.admission.service_s):
+                await self.admission.refuse_waiting(_build_draining_error())
             elif self.admission.queued:
                 await self.admission.refuse_late(read_clock())
                 await self.admission.admit_waiting()
--- a/trefoilpick/node.py
+++ b/trefoilpick/node.py
@@ -236,6 +236,8 @@
         drain = self.settings.drain
         notice_s = drain.bounded_notice_ms / 1000
         if self.hop_server.serves_peers_while_draining:
+            drain_s = (drain.bounded_notice_ms + drain.bounded_limit_ms) / 1000
+            self.hop_server.ends_at_s = read_clock() + drain_s
             await curio.sleep(max(notice_s - drain.peer_notice_ms / 1000, 0.0))
         try:
             await self.distributor.announce_leaving()
