Workers' answers: a status over 599 is no answer

HTTP has status codes from 100 to 599 (RFC 9110, section 15); h11 accepts up to 999.

Change: the connection to a worker takes a higher status for malformed, and the head of an answer on a hop has the range in its type, so that the calling node refuses it as well, whatever release the other node has.

--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -139,6 +139,14 @@
     await hop.send(fake.encode_answer(status=418), END)
 
 
+def answer_with_status(status: int) -> Script:
+    async def answer(fake: FakeWorkerNode, hop: Hop, head: HopRequest) -> None:
+        await fake.receive_body(hop, head)
+        await hop.send(fake.encode_answer(status=status), END)
+
+    return answer
+
+
 FAILURES: tuple[Script, ...] = (
     reset_after_head,
     reset_within_body,
@@ -209,6 +217,18 @@
     run_bench(main, FakeWorkerNode(scripts=queue_scripts(script, script)))
 
 
+# Guards against a node of another release passing on a worker's status that no answer has.
+@pytest.mark.parametrize("status", [0, 99, 100, 199, 600, 999, 2_000, -200])
+def test_a_status_that_no_answer_has_is_not_passed_on(status: int) -> None:
+    async def main(bench: Bench) -> None:
+        caller = await connect(bench)
+        answer = await caller.request("POST", "/advance", b"b")
+        assert (answer.status, answer.error) == (502, "answer_malformed")
+        assert (await (await connect(bench)).request("POST", "/advance", b"b")).status == 200
+
+    run_bench(main, FakeWorkerNode(scripts=queue_scripts(answer_with_status(status))))
+
+
 def queue_scripts(*scripts: Script) -> deque[Script]:
     return deque(scripts)
 
--- a/tests/test_worker_connections.py
+++ b/tests/test_worker_connections.py
@@ -123,3 +123,27 @@
     with pytest.raises(BlockingIOError):
         while True:
             sock.send(bytes(65_536))
+
+
+STATUSES = ["000", "099", "00", "20", "2000", "+200", "-20", "0x2", "", "2_0", "1e2", "600", "999"]
+"""Statuses that no answer has: HTTP has those from 100 to 599."""
+
+
+# Guards against a worker's bytes that are no answer reaching a caller as one.
+@pytest.mark.parametrize("status", STATUSES)
+def test_a_status_that_no_answer_has_is_malformed(status: str) -> None:
+    async def main() -> None:
+        near, far = socket.socketpair()
+        connection = WorkerConnection(Socket(near), b"worker", PLATFORM_CONVENTIONS)
+        await connection.send_request(
+            make_read(request_id="own"), [], remaining_ms=1000, body_complete=True, is_retry=False
+        )
+        answer = build_chunked_answer("own").replace(b" 200 OK", f" {status} OK".encode())
+        far.sendall(answer + b"0\r\n\r\n")
+        with pytest.raises(TrefoilpickError) as error:
+            await connection.receive_head()
+        assert error.value.kind is ErrorKind.ANSWER_MALFORMED
+        await connection.close()
+        far.close()
+
+    curio.run(main)
--- a/trefoilpick/_worker_connections.py
+++ b/trefoilpick/_worker_connections.py
@@ -13,6 +13,7 @@
 from trefoilpick._time_slices import yield_if_due
 from trefoilpick.conventions import DEFAULT_CONVENTIONS, RETRY_HEADER, VERSION_HEADER, Conventions
 from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError
+from trefoilpick.hops import LAST_STATUS
 
 if TYPE_CHECKING:
     from curio.io import Socket
@@ -365,6 +366,9 @@
             raise TrefoilpickError(ErrorKind.ANSWER_MALFORMED, text) from error
 
     def _begin_answer(self, event: h11.Response) -> AnswerHead:
+        if event.status_code > LAST_STATUS:
+            text = f"worker's answer has status {event.status_code}, which no answer has"
+            raise TrefoilpickError(ErrorKind.ANSWER_MALFORMED, text)
         headers = list(event.headers)
         names = {name for name, _ in headers}
         proof = self._conventions.answer_proof
--- a/trefoilpick/hops.py
+++ b/trefoilpick/hops.py
@@ -12,7 +12,7 @@
 
 import struct
 from enum import IntEnum
-from typing import TYPE_CHECKING, TypeVar
+from typing import TYPE_CHECKING, Annotated, TypeVar
 
 import msgspec
 
@@ -163,6 +163,10 @@
     expected_s: float | None = None
 
 
+FIRST_STATUS, LAST_STATUS = 200, 599
+"""Range of the status codes of final answers (RFC 9110, section 15)."""
+
+
 class HopAnswer(msgspec.Struct, frozen=True, array_like=True):
     """Head of an answer on a hop.
 
@@ -175,7 +179,7 @@
         served_s: Time that the worker took until its answer began, in seconds; None if unknown.
     """
 
-    status: int
+    status: Annotated[int, msgspec.Meta(ge=FIRST_STATUS, le=LAST_STATUS)]
     headers: Headers
     load: Load
     outcome: str
