Callers: the idle timeout applies to waits for the caller alone

Cause: the connection monitor took every wait of a body for the caller's silence: for the answer's turn, for the worker, for the link, and for the worker's node to accept an upload.

Change: a connection counts its waits for the caller, and the timeout applies while there is one. A worker's silence within an answer ends the request at its deadline, or after the idle timeout if that ends later.

Evidence: with an idle timeout of 0.3 s, 1, 3 and 7 answers behind one of 1.2 s, an answer that pauses for 1.5 s, one that pauses beyond its deadline, and an upload that is accepted after 1.2 s failed before (400 "body_timeout" for the last). A caller that does not read is ended as before.

--- a/trefoilpick/caller_connections.py
+++ b/trefoilpick/caller_connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import struct
+from contextlib import contextmanager
 from dataclasses import dataclass
 from enum import Enum
 from socket import SHUT_RD, SHUT_RDWR, SO_LINGER, SOL_SOCKET
@@ -16,7 +17,7 @@
 from trefoilpick.errors import ErrorKind, TrefoilpickError
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Awaitable, Callable, Iterator, Sequence
 
     from curio import socket
 
@@ -80,9 +81,11 @@
         clock: Coarse clock, for timeouts of seconds.
         reader: The connection that reads from the socket, if this one only answers a pipelined
             request.
+        wait_for_turn: Waits until the answer may be sent; None if it may be sent at any time.
 
     Attributes:
-        last_active_at: When data was last sent or received, in seconds on the coarse clock.
+        last_active_at: When data was last sent or received, or the wait for the caller to send or
+            receive some began, in seconds on the coarse clock.
         deadline_at: Deadline that the connection monitor enforces, in seconds on the node's clock;
             None if it enforces none.
         hop: The hop of the request in flight; None if there is none.
@@ -104,6 +107,7 @@
         find_max_head_bytes: Callable[[], int],
         clock: CoarseClock,
         reader: CallerConnection | None = None,
+        wait_for_turn: Callable[[], Awaitable[None]] | None = None,
     ) -> None:
         self.sock = sock
         self.caller = caller
@@ -113,6 +117,8 @@
         self.state = ConnectionState.NEW
         self.last_active_at = clock.now
         self._reader = reader or self
+        self._wait_for_turn = wait_for_turn
+        self._caller_waits = 0
         self.is_expired = False
         self.is_disconnected = False
         self.is_past_deadline = False
@@ -151,6 +157,11 @@
         """Whether a request is in flight, including one that is still being received."""
         return self.state not in (ConnectionState.NEW, ConnectionState.IDLE)
 
+    @property
+    def awaits_caller(self) -> bool:
+        """Whether a body cannot go on until the caller sends or receives a part of it."""
+        return self._caller_waits > 0
+
     @property
     def is_input_shut_down(self) -> bool:
         """Whether a timeout has shut down the reading side, as a caller does that leaves."""
@@ -206,7 +217,8 @@
                         self.http.send(h11.InformationalResponse(status_code=100, headers=[]))
                         or b""
                     )
-                data = await self.sock.recv(READ_BYTES)
+                with self._await_caller():
+                    data = await self.sock.recv(READ_BYTES)
             except OSError as error:
                 text = "the caller's connection broke while its request body was read"
                 raise TrefoilpickError(ErrorKind.CALLER_GONE, text) from error
@@ -258,9 +270,11 @@
             TrefoilpickError: `CALLER_GONE`.
         """
         self.is_head_sent = True
-        self.last_active_at = self.clock.now
         try:
-            await self.sock.sendall(data)
+            if self._wait_for_turn is not None:
+                await self._wait_for_turn()
+            with self._await_caller():
+                await self.sock.sendall(data)
         except OSError as error:
             text = "the caller's connection broke while the answer was sent"
             raise TrefoilpickError(ErrorKind.CALLER_GONE, text) from error
@@ -359,6 +373,15 @@
         if self.hop is not None:
             self.hop.abort()
 
+    @contextmanager
+    def _await_caller(self) -> Iterator[None]:
+        self.last_active_at = self.clock.now
+        self._caller_waits += 1
+        try:
+            yield
+        finally:
+            self._caller_waits -= 1
+
     def _begin_head(self) -> None:
         self.last_active_at = self.clock.now
         self.state = ConnectionState.HEAD
--- a/trefoilpick/callers.py
+++ b/trefoilpick/callers.py
@@ -678,6 +678,7 @@
         gate=gate or open_local_gate(settings.vm.name, metrics),
         conventions=conventions,
         link=link or LinkScheduler(settings.link.mbps, cell=cell, metrics=metrics),
+        body_idle_s=requests.body_idle_ms / MS_PER_S,
     )
     listener = open_listener(
         settings.listen.host, settings.listen.caller_port, name="callers' port", backlog=BACKLOG
--- a/trefoilpick/connection_monitor.py
+++ b/trefoilpick/connection_monitor.py
@@ -39,6 +39,9 @@
 POLLED_STATES = (ConnectionState.RUNNING, ConnectionState.ANSWERING)
 """States in which nothing reads from the caller, so that only polling shows a closed connection."""
 
+BODY_STATES = (ConnectionState.UPLOADING, ConnectionState.ANSWERING)
+"""States in which the idle timeout of bodies applies."""
+
 
 class ConnectionMonitor:
     """Checks callers' connections for expired timeouts, passed deadlines and closed peers.
@@ -112,6 +115,9 @@
         }
         for connection in self.connections:
             limit_s = limits_s.get(connection.state)
+            if connection.state in BODY_STATES and not connection.awaits_caller:
+                # It waits for the worker, the link or its turn, which says nothing of the caller.
+                continue
             if (
                 limit_s is not None
                 and now - connection.last_active_at > limit_s
--- a/trefoilpick/forwarding.py
+++ b/trefoilpick/forwarding.py
@@ -115,6 +115,7 @@
         gate: Refuses quarantined requests.
         conventions: Headers of the fleet.
         link: Scheduler of this VM's link.
+        body_idle_s: Idle timeout of a body, in seconds.
 
     Attributes:
         ends_at: When a drain ends the node at the latest, in seconds on the node's clock.
@@ -131,8 +132,10 @@
         gate: QuarantineGate,
         conventions: Conventions,
         link: LinkScheduler,
+        body_idle_s: float,
     ) -> None:
         self._gate = gate
+        self._body_idle_s = body_idle_s
         self._link = link
         self._conventions = conventions
         self._balancer = balancer
@@ -530,7 +533,7 @@
                 if frame is None:
                     if parts or not wait:
                         break
-                    frame = await hop.receive()
+                    frame = await self._receive_before_idle(call, hop)
             except (OSError, TrefoilpickError):
                 frame = None
             if frame is None or frame.kind not in (FrameKind.DATA, FrameKind.END, FrameKind.NOTICE):
@@ -543,6 +546,18 @@
                 size += len(frame.payload)
         return parts, False
 
+    async def _receive_before_idle(self, call: Call, hop: ClientHop) -> Frame | None:
+        """Receive a frame of a body; the connection monitor breaks the hop if none arrives.
+
+        A worker may be silent until the deadline, or for the idle timeout if that ends later.
+        """
+        connection = call.connection
+        connection.deadline_at = max(call.deadline_at, read_clock() + self._body_idle_s)
+        try:
+            return await hop.receive()
+        finally:
+            connection.deadline_at = None
+
     async def _finish(self, call: Call, attempt: Attempt) -> None:
         call.connection.hop = None
         attempt.record.end_request()
--- a/trefoilpick/pipelining.py
+++ b/trefoilpick/pipelining.py
@@ -27,7 +27,7 @@
 class PipelinedRequest:
     """Pipelined request, whose answer is sent after those of earlier requests.
 
-    It serves as the socket of its own `connection`, and delays what is sent there.
+    It serves as the socket of its own `connection`, which waits for its turn before it sends.
 
     Args:
         connection: The caller's connection.
@@ -49,6 +49,7 @@
             find_max_head_bytes=connection.find_max_head_bytes,
             clock=connection.clock,
             reader=connection,
+            wait_for_turn=self.wait_for_earlier,
         )
         self.connection.http.receive_data(PLACEHOLDER_REQUEST)
         self.connection.http.next_event()
@@ -72,12 +73,11 @@
         self._sock.setsockopt(*option)
 
     async def sendall(self, data: bytes) -> None:
-        """Send a part of the answer once all earlier answers were sent.
+        """Send a part of the answer.
 
         Raises:
-            OSError: The connection broke, or an earlier answer ended it.
+            OSError: The connection broke.
         """
-        await self.wait_for_earlier()
         await self._sock.sendall(data)
 
     async def wait_for_earlier(self) -> None:
