Hops: a worker's silence ends no answer before its deadline

Cause: the worker's node ended an answer after the idle timeout of bodies, whatever the request's deadline.

Change: the wait for a part, and the wait for the calling node to take one, last at least until the request's deadline.

Evidence: pauses of 0.6 s with an idle timeout of 50 ms and 1 s left were cut before, with and without a scheduled link, and so was an answer of 12 MB that its peer began to read after 0.6 s. A pause beyond the deadline still ends there.

--- a/trefoilpick/_hop_connections.py
+++ b/trefoilpick/_hop_connections.py
@@ -36,6 +36,8 @@
         hop: The hop.
         task: The task that serves it.
         idle_timeout_s: Idle timeout of a send, in seconds.
+        deadline_s: Clock reading until which a send may last in any case, in seconds: the caller's
+            node does not read while an earlier answer on its caller's connection is due.
         is_idle: Whether it waits for a request.
         is_cancellable: Whether its request is cancelled when the caller's node closes the hop.
         is_closed_by_peer: Whether the caller's node closed it or stopped reading.
@@ -46,6 +48,7 @@
     hop: Hop
     task: Task
     idle_timeout_s: float
+    deadline_s: float = 0.0
     is_idle: bool = True
     is_cancellable: bool = True
     is_closed_by_peer: bool = False
@@ -74,7 +77,8 @@
     async def send(self, *frames: bytes) -> None:
         """Send frames; drop them if the hop is already known to be closed.
 
-        A peer that does not read within the idle timeout counts as closed.
+        A peer that does not read within the idle timeout, or until the request's deadline if that
+        is later, counts as closed.
 
         Raises:
             TrefoilpickError: `CALLER_GONE`, if sending fails and the request may be cancelled.
@@ -85,7 +89,8 @@
         try:
             rest = memoryview(data)[self.hop.send_nowait(data) :]
             if rest:
-                async with curio.timeout_after(self.idle_timeout_s):
+                limit_s = max(self.idle_timeout_s, self.deadline_s - read_clock())
+                async with curio.timeout_after(limit_s):
                     await self.hop.sock.sendall(rest)
         except (OSError, curio.TaskTimeout) as error:
             self.is_closed_by_peer = True
--- a/trefoilpick/_hop_exchange.py
+++ b/trefoilpick/_hop_exchange.py
@@ -159,6 +159,7 @@
         self.began_s = began_s
         self._context = context
         self._hop_connection = hop_connection
+        hop_connection.deadline_s = self.deadline_s
         self._request = request
         self._body = RequestBody(hop_connection, is_received=not request.has_body)
         self._connection: WorkerConnection | None = None
@@ -580,8 +581,10 @@
         await sender.finish()
 
     async def _receive_more(self, connection: WorkerConnection) -> None:
+        # A worker may be silent until the deadline.
+        limit_s = max(self._context.body_idle_s, self.deadline_s - read_clock())
         try:
-            async with curio.timeout_after(self._context.body_idle_s):
+            async with curio.timeout_after(limit_s):
                 await connection.receive_more()
         except curio.TaskTimeout as error:
             text = "no part of the worker's answer arrived within the idle timeout"
