Tests: ports of fleets are below those of outgoing connections

Cause: find_free_ports returned ports of the range from which the operating system takes those of outgoing connections. While the worker is stopped, any process on the machine may get its port for one.

Change: one function for all of them, which chooses below that range; the copy in the platform's tests and a third function are gone.

--- a/tests/fakes_worker.py
+++ b/tests/fakes_worker.py
@@ -15,6 +15,7 @@
 from curio.io import Socket
 
 from trefoilpick._connections import open_connection
+from trefoilpick._ports import find_free_ports
 from trefoilpick.blame import EndReport, ignore_end
 from trefoilpick.conventions import DEFAULT_CONVENTIONS, Conventions
 from trefoilpick.document import Contract, Document, Match, Route, Section, Upstream
@@ -280,11 +281,6 @@
     return await receive_result(hop)
 
 
-def find_free_port() -> int:
-    with socket.create_server((HOST, 0)) as sock:
-        return int(sock.getsockname()[1])
-
-
 def build_cell(
     *, large_answers: bool = False, large_bodies: bool = False, **fields: Any
 ) -> SnapshotCell:
@@ -305,7 +301,7 @@
 def build_settings(worker_port: int, **hops: Any) -> Settings:
     return Settings(
         vm=VmSettings("vm-1", "lima", "lima-a", "encargos"),
-        listen=ListenSettings(HOST, hop_port=find_free_port()),
+        listen=ListenSettings(HOST, hop_port=find_free_ports(HOST, 1)[0]),
         worker=WorkerSettings(HOST, worker_port),
         source=SourceSettings(("127.0.0.1:1",)),
         hops=HopSettings(**{"warm_up_ms": 0, **hops}),
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -19,6 +19,7 @@
 
 from trefoilpick._clock import read_clock
 from trefoilpick._connections import open_connection
+from trefoilpick._ports import find_free_ports
 from trefoilpick.node import Node, open_node
 from trefoilpick.platform.headers import PLATFORM_CONVENTIONS
 from trefoilpick.platform.settings import build_settings
@@ -33,24 +34,6 @@
 STATUS_OK = 200
 
 
-PORT_RANGE = (10_000, 32_768)
-"""Ports for nodes and workers: from the first to before the second."""
-
-
-def find_ports(count: int) -> list[int]:
-    """Return ports that are free on all local addresses.
-
-    They are below the range of outgoing connections, which could take them before they are used.
-    """
-    ports: list[int] = []
-    while len(ports) < count:
-        port = random.randrange(*PORT_RANGE)
-        with socket.socket() as probe, suppress(OSError):
-            probe.bind(("0.0.0.0", port))
-            ports += [port] if port not in ports else []
-    return ports
-
-
 @dataclass
 class PlatformWorker:
     """A worker that follows the platform's conventions."""
@@ -206,7 +189,7 @@
     """Run a test against two nodes, by default once they serve requests."""
 
     async def main(store: FakeStore) -> None:
-        ports = find_ports(5)
+        ports = find_free_ports("0.0.0.0", 5)
         workers = [
             PlatformWorker(host, ports[4], f"i-{number}") for number, host in enumerate(HOSTS)
         ]
