Tests: evacuated zones with unusual names are in the settings

Their reader's settings name these zones now, as the platform's do (PROTOCOL.md: the settings have all zones with their regions). What is checked is unchanged: both zones are evacuated, and their workers listed as such.

--- a/tests/platform/test_evacuations.py
+++ b/tests/platform/test_evacuations.py
@@ -30,7 +30,11 @@
 
     def __init__(self, store: FakeStore, *, evacuations: bool = True) -> None:
         settings = make_settings(
-            store.address, evacuations=evacuations, watch_ms=300, read_timeout_ms=500
+            store.address,
+            evacuations=evacuations,
+            watch_ms=300,
+            read_timeout_ms=500,
+            regions=dict.fromkeys(("lima-a", "lima-b", "Lima C", "zz"), "lima"),
         )
         self.now_s = 0.0
         self.source: StoreSource = open_store(settings, random=random.Random(1))
