Uploads: a second attempt sends the body whole

Cause: "may be sent again" was decided on the number of received bytes, and what was sent on the buffered parts; reads in between could empty the buffer. The second attempt read what had arrived meanwhile, and the part that went over the buffer's limit dropped all before it. The same could happen to an upload that still ran when a retry was planned after a server error. A part over the route's limit was counted but not kept.

Change: CallBody.is_replayable is a state, which ends where parts are dropped: after an attempt has handed them over. From the decision to retry until the next attempt all parts are kept, and an attempt of a body that is not whole is an error. A body over the route's limit is not sent again. A body over the buffer's limit stays whole until its first part is sent.

--- a/trefoilpick/calls.py
+++ b/trefoilpick/calls.py
@@ -131,6 +131,7 @@
         is_complete: Whether all of the body was received.
         received: Bytes received so far.
         was_sent: Whether an attempt began to send the body.
+        is_replayable: Whether every part received so far is still buffered.
         parts: The buffered parts.
         sample: The first bytes of the body, which identify it; None before they have arrived.
     """
@@ -141,8 +142,10 @@
     is_complete: bool = False
     received: int = 0
     was_sent: bool = False
+    is_replayable: bool = True
     parts: list[bytes] = field(default_factory=list)
     sample: bytes | None = None
+    _keeps_parts: bool = False
 
     def read_sample(self) -> bytes | None:
         """Return the sample of the body, after reading what has arrived; None if more is needed."""
@@ -152,25 +155,38 @@
                 self.sample = b"".join(self.parts)[:SAMPLE_BYTES]
         return self.sample
 
-    @property
-    def is_replayable(self) -> bool:
-        """Whether every part received so far is still buffered."""
-        return self.received <= self.buffer_limit or not self.was_sent
+    def begin_attempt(self) -> list[bytes]:
+        """Return all parts received so far, including those that arrived since the last attempt.
 
-    def receive_ready(self) -> list[bytes]:
-        """Return the buffered parts of the body, after reading those that have already arrived."""
+        Raises:
+            TrefoilpickError: `BODY_MALFORMED` or `BODY_TOO_LARGE`.
+            RuntimeError: The body is not replayable.
+        """
+        if not self.is_replayable:
+            raise RuntimeError("a part of the body is no longer buffered")
+        self._keeps_parts = False
         self._read_arrived(self.buffer_limit + 1)
-        parts = self.parts
+        self.was_sent = True
+        return list(self.parts)
+
+    def drop_excess(self) -> None:
+        """Drop the buffered parts of a body over the limit, once the attempt has sent them."""
         if self.received > self.buffer_limit:
+            self.is_replayable = False
             self.parts = []
-        return parts
+
+    def keep_parts(self) -> None:
+        """Keep all parts until the next attempt, including those that the upload still receives."""
+        self._keeps_parts = True
 
     async def receive(self) -> bytes | None:
-        """Wait for the next part; return None at the end of the body."""
+        """Wait for the next part, for the current attempt; return None at the end of the body."""
         if self.is_complete:
             return None
         part = await self.connection.receive_body()
         self._add_part(part)
+        if not self._keeps_parts:
+            self.drop_excess()
         return part
 
     def _read_arrived(self, size: int) -> None:
@@ -189,12 +205,11 @@
             return
         self.received += len(part)
         if self.received > self.limit:
+            self.is_replayable = False
             text = f"body is over the route's limit of {self.limit} bytes"
             outcome = Outcome.UNKNOWN if self.was_sent else Outcome.NOT_RUN
             raise TrefoilpickError(ErrorKind.BODY_TOO_LARGE, text, outcome=outcome)
-        if self.was_sent and self.received > self.buffer_limit:
-            self.parts = []
-        else:
+        if self.is_replayable:
             self.parts.append(part)
 
 
--- a/trefoilpick/forwarding.py
+++ b/trefoilpick/forwarding.py
@@ -218,6 +218,8 @@
             random=self._random,
         )
         if backoff_s is not None:
+            # The upload of this attempt may go on until it is stopped.
+            call.body.keep_parts()
             upstream = call.team_route.upstream.name
             self._metrics.count(
                 "trefoilpick_retries_total", upstream=upstream, kind=error.kind.value
@@ -352,7 +354,7 @@
     async def _exchange_heads(
         self, call: Call, record: WorkerRecord, hop: ClientHop, is_retry: bool
     ) -> Attempt:
-        ready = call.body.receive_ready()
+        ready = call.body.begin_attempt()
         withheld: list[bytes] | None = None
         if call.team_route.route.contract.large_bodies and self._is_body_awaited(record):
             ready, withheld = [], ready
@@ -368,9 +370,9 @@
         data = encode_head(FrameKind.REQUEST, request) + encode_data(ready)
         if call.body.is_complete and request.has_body and not withheld:
             data += END_FRAME
-        call.body.was_sent = True
         self._link.count(len(data))
         await self._send_first(call, hop, data)
+        call.body.drop_excess()
         uploader = None
         if withheld or not call.body.is_complete:
             uploader = Uploader(call, hop, self._link, withheld=withheld)
