Answers: only an orderly end completes an answer without a length

Cause: the kernel reports a reset once. The upload's failed send took the report and dropped it, so that the next read returned no bytes, as after an orderly end, which completes an answer that has no length.

Change: the first failed send is remembered. EPIPE says that the peer had ended its side in order before, also if it reset the connection later; any other error that it had not. The answer is still read, and where it ends with the connection, it is complete only in the first case. The client library does the same.

--- a/trefoilpick/_client_connection.py
+++ b/trefoilpick/_client_connection.py
@@ -9,6 +9,7 @@
 import h11
 from curio import socket
 
+from trefoilpick._connections import has_ended_in_order
 from trefoilpick._time_slices import yield_if_due
 from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError
 
@@ -63,6 +64,7 @@
         self._sock = sock
         self._address = address
         self._http = h11.Connection(h11.CLIENT)
+        self._was_reset = False
 
     async def exchange(
         self, method: str, target: str, headers: Sequence[tuple[str, str]], body: bytes
@@ -129,9 +131,8 @@
         self.was_sent = True
         try:
             await self._sock.sendall(memoryview(data)[sent:])
-        except OSError:
-            # The node may have answered before it closed, so the answer is still read.
-            return
+        except OSError as error:
+            self._handle_failed_send(error)
 
     async def _send_rest(self, body: bytes) -> None:
         try:
@@ -139,10 +140,15 @@
                 part = h11.Data(data=body[start : start + SEND_BYTES])
                 await self._sock.sendall(self._http.send(part) or b"")
             await self._sock.sendall(self._http.send(h11.EndOfMessage()) or b"")
-        except (OSError, h11.LocalProtocolError):
-            # The node may have answered before it closed, so the answer is still read.
+        except OSError as error:
+            self._handle_failed_send(error)
+        except h11.LocalProtocolError:
             return
 
+    def _handle_failed_send(self, error: OSError) -> None:
+        # The node may have answered before the connection ended, so the answer is still read.
+        self._was_reset = self._was_reset or not has_ended_in_order(error)
+
     async def _receive_answer(self) -> RawAnswer:
         head: h11.Response | None = None
         parts: list[bytes] = []
@@ -161,7 +167,10 @@
         await yield_if_due()
         try:
             while (event := self._http.next_event()) is h11.NEED_DATA:
-                self._http.receive_data(await self._sock.recv(READ_BYTES))
+                data = await self._sock.recv(READ_BYTES)
+                if not data and self._was_reset:
+                    raise self._build_loss_error(head)
+                self._http.receive_data(data)
                 await yield_if_due()
         except OSError as error:
             raise self._build_loss_error(head) from error
--- a/trefoilpick/_connections.py
+++ b/trefoilpick/_connections.py
@@ -1,7 +1,8 @@
-"""TCP connections to IP addresses."""
+"""TCP connections to IP addresses, and how they end."""
 
 from __future__ import annotations
 
+import errno
 import socket
 
 from curio.io import Socket
@@ -32,3 +33,16 @@
         await sock.close()
         raise
     return sock
+
+
+def has_ended_in_order(error: OSError) -> bool:
+    """Return whether the peer had ended its side in order before a send failed.
+
+    The operating system reports a reset once. If that is to a send, the next read returns no bytes,
+    as it does after an orderly end, so that only the send's error tells the two apart.
+
+    Args:
+        error: Error of the first send that failed on a connection; in Linux it is `EPIPE` if the
+            peer had ended its side, also if it reset the connection afterwards.
+    """
+    return error.errno == errno.EPIPE
--- a/trefoilpick/_worker_connections.py
+++ b/trefoilpick/_worker_connections.py
@@ -10,6 +10,7 @@
 
 import h11
 
+from trefoilpick._connections import has_ended_in_order
 from trefoilpick._time_slices import yield_if_due
 from trefoilpick.conventions import DEFAULT_CONVENTIONS, RETRY_HEADER, VERSION_HEADER, Conventions
 from trefoilpick.errors import ErrorKind, Outcome, TrefoilpickError
@@ -122,6 +123,7 @@
         self._echoes_request_id = conventions.echoes_request_id
         self.keep_alive_s: float | None = None
         self._is_partly_sent = False
+        self._was_reset = False
         self._is_unidentified = False
         self._refused_ids: deque[bytes] = deque(maxlen=MAX_REFUSED_IDS)
         self.has_surplus_bytes = False
@@ -243,7 +245,8 @@
             data = await self._sock.recv(READ_BYTES)
         except OSError as error:
             raise self._build_broken_error() from error
-        if not data and not self.has_answer_begun and not self._has_partial_head():
+        is_lost = self._was_reset or not (self.has_answer_begun or self._has_partial_head())
+        if not data and is_lost:
             raise self._build_broken_error()
         self._http.receive_data(data)
 
@@ -338,8 +341,9 @@
         self._is_partly_sent = True
         try:
             await self._sock.sendall(data)
-        except OSError:
-            # The worker may have answered before it closed the connection; the next read shows it.
+        except OSError as error:
+            # The worker may have answered before the connection ended, so the answer is still read.
+            self._was_reset = not has_ended_in_order(error)
             return
         self._is_partly_sent = False
 
