Membership: a node's own entry is known by its key, not by its address

Cause: the list had one record for each address. Behind another entry's record a node could not tell whether its own entry was hidden or gone, and put the last record that agreed with its settings back for good.

Change: a VM's record holds those of all further entries with its address, which the store's keys tell apart. A node selects its own among them and remembers none. The corrections after a restore of the store end when the record itself changes, not when another entry with its address does.

test_a_record_that_contradicts_the_settings_is_not_the_nodes_own asked for the old presumption: a foreign record alone kept the last one. It now asks for both: the own record if the list still has it behind the foreign one, none if not.

--- a/tests/platform/test_foreign_entries.py
+++ b/tests/platform/test_foreign_entries.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
+from collections.abc import Iterator
+from dataclasses import dataclass, field, replace
+from itertools import product
 from random import Random
 from typing import Any
 
@@ -10,8 +12,10 @@
 import msgspec
 import pytest
 from fakes_store import FakeStore, make_configuration, make_entry, make_settings, run_store
-from test_path import HOSTS, UPLOAD_HEAD, Platform, add_route, run_platform
+from test_path import HOSTS, REQUEST_ID, UPLOAD_HEAD, Platform, add_route, run_platform
 
+from trefoilpick._clock import read_clock
+from trefoilpick.membership import MembershipTable
 from trefoilpick.messages import (
     NO_VERSION,
     Exchange,
@@ -201,6 +205,180 @@
         assert [vm.started_ms for vm in entries.build_vm_list().vms] == [own["born"]]
 
 
+OWN_KEY, FOREIGN_KEY = "servers/i-0", "servers/foreign"
+OWN_EVENTS = {
+    "deleted": ("delete",),
+    "deleted, registered again": ("delete", "register"),
+    "deleted, registered again, deleted": ("delete", "register", "delete"),
+    "draining": ("drain",),
+    "draining, deleted": ("drain", "delete"),
+    "draining, deleted, registered again": ("drain", "delete", "register"),
+}
+"""What happens to a worker's own entry."""
+
+FOREIGN_EVENTS = {
+    "written": ("write",),
+    "written, removed": ("write", "remove"),
+    "there from the start, removed": ("remove",),
+    "there from the start": (),
+}
+"""What happens to another writer's entry with the worker's address."""
+
+
+def interleave(first: tuple[str, ...], second: tuple[str, ...]) -> Iterator[tuple[str, ...]]:
+    """Yield all orders of the events of two series."""
+    if not (first and second):
+        yield first + second
+        return
+    for rest in interleave(first[1:], second):
+        yield first[0], *rest
+    for rest in interleave(first, second[1:]):
+        yield second[0], *rest
+
+
+def split_answers(events: tuple[str, ...]) -> Iterator[list[tuple[str, ...]]]:
+    """Yield all ways to divide events among answers of the store."""
+    for ends in product((False, True), repeat=len(events) - 1):
+        answers: list[tuple[str, ...]] = [events[:1]]
+        for event, is_next in zip(events[1:], ends, strict=True):
+            if is_next:
+                answers.append((event,))
+            else:
+                answers[-1] += (event,)
+        yield answers
+
+
+@dataclass
+class AddressHistory:
+    """The entries of one address, as a node beside the worker and a peer of it learn them."""
+
+    kind: str
+    own: dict[str, Any] | None = field(default_factory=lambda: make_entry("10.1.0.4:8080"))
+    foreign: dict[str, Any] | None = None
+    revision: int = 10
+
+    def __post_init__(self) -> None:
+        self.entries = WorkerEntries(make_settings())
+        self.entries.services = frozenset({"encargos"})
+        self.put(OWN_KEY, self.own)
+        vm = self.entries.build_vm_list().vms[0]
+        self.table, self.peer = MembershipTable(vm), MembershipTable(vm)
+
+    def put(self, key: str, value: dict[str, Any] | None) -> None:
+        self.revision += 1
+        if value is None:
+            self.entries.remove(key, 0.0)
+        else:
+            self.entries.put(key, msgspec.json.encode(value), self.revision, 0.0)
+        self.entries.revision = self.revision
+
+    def handle(self, event: str) -> None:
+        if event in ("write", "remove"):
+            fields = {"born": LATER_BORN, **TAKING_A_PLACE[self.kind]}
+            self.foreign = make_entry("10.1.0.4:9", **fields) if event == "write" else None
+            self.put(FOREIGN_KEY, self.foreign)
+            return
+        if event == "delete":
+            self.own = None
+        elif event == "register":
+            self.own = make_entry("10.1.0.4:8080", born=LATER_BORN - self.revision)
+        else:
+            self.own = make_entry("10.1.0.4:8080", state="draining")
+        self.put(OWN_KEY, self.own)
+
+    def check(self) -> None:
+        """Check that the worker is listed as its own entry says, at its node and at a peer."""
+        self.table.adopt_list(self.entries.build_vm_list())
+        self.peer.adopt_change(self.table.compute_change(self.peer.revision))
+        for table in (self.table, self.peer):
+            vm = table.find_listed(table.own.name)
+            if self.own is None:
+                assert vm is None
+            else:
+                assert vm is not None and vm.started_ms == self.own["born"]
+                assert (vm.state is VmState.LEAVING) is (self.own["state"] == "draining")
+
+
+# Guards against a worker that is deleted while another writer's entry takes its address going on to
+# get work, in whichever order and in however many answers the changes come (lead-14, DRAIN).
+@pytest.mark.parametrize("zones", [True, False], ids=["zones in the settings", "any zone"])
+@pytest.mark.parametrize("kind", TAKING_A_PLACE)
+@pytest.mark.parametrize("foreign", FOREIGN_EVENTS)
+@pytest.mark.parametrize("own", OWN_EVENTS)
+def test_worker_is_listed_as_its_own_entry_says(
+    own: str, foreign: str, kind: str, zones: bool
+) -> None:
+    for events in interleave(OWN_EVENTS[own], FOREIGN_EVENTS[foreign]):
+        for answers in split_answers(events):
+            history = AddressHistory(kind)
+            if not zones:
+                history.entries.regions = {}
+            if foreign.startswith("there"):
+                history.handle("write")
+            history.check()
+            for answer in answers:
+                for event in answer:
+                    history.handle(event)
+                history.check()
+
+
+# Guards against the same if the list is read anew, because the store's history is gone.
+@pytest.mark.parametrize("kind", TAKING_A_PLACE)
+@pytest.mark.parametrize("is_deleted", [True, False])
+def test_worker_is_listed_as_its_own_entry_says_after_the_history_is_gone(
+    kind: str, is_deleted: bool
+) -> None:
+    history = AddressHistory(kind)
+    history.entries.regions = {}
+    history.check()
+    foreign = make_entry("10.1.0.4:9", **{"born": LATER_BORN, **TAKING_A_PLACE[kind]})
+    items = {FOREIGN_KEY: (msgspec.json.encode(foreign), 20)}
+    if is_deleted:
+        history.own = None
+    else:
+        items[OWN_KEY] = (msgspec.json.encode(history.own), 11)
+    history.entries.replace_all(items, 20, 0.0)
+    history.check()
+
+
+# Guards against one writer's many entries with a worker's address hiding the worker's own.
+def test_own_entry_is_found_among_many_with_its_address() -> None:
+    history = AddressHistory("service that is not named")
+    for number in range(200):
+        history.put(f"servers/x-{number}", make_entry("10.1.0.4:9", service="x", born=LATER_BORN))
+    history.check()
+
+
+# Guards against requests that reach a worker later than `drain` after its entry was deleted, where
+# a foreign entry takes its address at once (lead-14).
+@pytest.mark.parametrize("service", ["agente", "portafolio"])
+def test_deleted_worker_gets_no_requests_beside_a_foreign_entry(service: str) -> None:
+    async def test(platform: Platform) -> None:
+        configuration = make_configuration(5)
+        for route in configuration["routes"]:
+            route |= {"timeout": 12_000, "target-latency": 12_000}
+        platform.store.put(CONFIGURATION_KEY, add_route(configuration, "added"))
+        await platform.wait_for_route("added")
+        for worker in platform.workers:
+            worker.service_s = 0.8
+        for number in range(len(HOSTS)):
+            platform.register(number, slots=1)
+        await curio.sleep(0.5)
+        async with curio.TaskGroup() as group:
+            for number in range(12):
+                head = UPLOAD_HEAD + REQUEST_ID + b": q-%d\r\n" % number
+                await group.spawn(platform.send_request, HOSTS[number % 2], head, b"ab")
+            await curio.sleep(0.4)
+            platform.store.delete(OWN_KEY)
+            foreign = make_entry(f"{HOSTS[0]}:9", service=service, born=LATER_BORN)
+            platform.store.put(FOREIGN_KEY, foreign)
+            deleted_s = read_clock()
+        arrived_s = platform.workers[0].arrived_s
+        assert arrived_s and max(arrived_s) < deleted_s + DRAIN_S
+
+    run_platform(test)
+
+
 # Guards against an entry of a zone that settings name since then being left out for good.
 def test_entries_of_a_zone_are_read_once_the_settings_name_it() -> None:
     async def main(store: FakeStore) -> None:
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -53,6 +53,8 @@
     running: int = 0
     unanswered: int = 0
     """Requests that it will never answer."""
+    arrived_s: list[float] = field(default_factory=list)
+    """Clock readings at which its requests arrived."""
 
     async def run(self) -> None:
         listener = Socket(socket.create_server((self.host, self.port)))
@@ -73,6 +75,7 @@
                     elif isinstance(event, h11.Request):
                         head = dict(event.headers)
                     elif isinstance(event, h11.EndOfMessage):
+                        self.arrived_s.append(read_clock())
                         await self._work()
                         await client.sendall(self._answer(protocol, head))
                         protocol.start_next_cycle()
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 
 from trefoilpick.membership import DEAD_AFTER_MISSES, UNLISTED_TIMEOUT_S, MembershipTable
+from trefoilpick.revisions import compose_revision
 from trefoilpick.vms import VmList, VmState
 
 VMS = make_vms(1, 9)
@@ -199,10 +200,47 @@
     assert membership.list_alive() == (OWN, *others)
     listed = replace(OWN, worker="sound", started_ms=5)
     membership.adopt_list(VmList(2, (listed, *others)))
-    membership.adopt_list(VmList(3, (foreign, *others)))
+    membership.adopt_list(VmList(3, (replace(foreign, others=(listed,)), *others)))
     assert membership.find_listed(OWN.name) == listed
-    membership.adopt_list(VmList(4, others))
+    membership.adopt_list(VmList(4, (foreign, *others)))
     assert membership.find_listed(OWN.name) is None
+    membership.adopt_list(VmList(5, (replace(foreign, others=(listed,)), *others)))
+    assert membership.find_listed(OWN.name) == listed
+    membership.adopt_list(VmList(6, others))
+    assert membership.find_listed(OWN.name) is None
+
+
+OWN_LISTED = replace(OWN, worker="sound", started_ms=5)
+FOREIGN = replace(OWN, service="elsewhere", worker="foreign", started_ms=9)
+HIDING = replace(FOREIGN, others=(OWN_LISTED,))
+LEFT = replace(OWN_LISTED, state=VmState.LEAVING)
+LOST = replace(OWN_LISTED, others=(FOREIGN,))
+RESTORED_BESIDE_FOREIGN = {
+    "own entry lost, foreign entry written": ((OWN_LISTED,), (), (FOREIGN,), OWN_LISTED),
+    "own entry lost, foreign entry kept": ((HIDING,), (FOREIGN,), (FOREIGN,), OWN_LISTED),
+    "own entry lost, foreign entry removed": ((HIDING,), (FOREIGN,), (), OWN_LISTED),
+    "leaving again live, foreign entry written": ((LEFT,), (OWN_LISTED,), (HIDING,), LEFT),
+    "leaving again live, foreign entry ranked last": ((LEFT,), (OWN_LISTED,), (LOST,), LEFT),
+    "own entry deleted, foreign entry written": ((OWN_LISTED,), (OWN_LISTED,), (FOREIGN,), None),
+    "deleted entry is back, beside the foreign one": ((FOREIGN,), (HIDING,), (HIDING,), None),
+    "own entry deleted with the foreign one": ((HIDING,), (HIDING,), (), None),
+}
+"""Records of the own address before a restore, in the copy, and in the next answer, and the record
+that the node uses then."""
+
+
+# Guards against a foreign entry ending the corrections of a restored list (lead-14, DRAIN).
+@pytest.mark.parametrize("case", RESTORED_BESIDE_FOREIGN)
+def test_foreign_entries_do_not_end_the_correction_of_the_own_record(case: str) -> None:
+    before, restored, after, expected = RESTORED_BESIDE_FOREIGN[case]
+    others = VMS[1:]
+    membership = MembershipTable(OWN)
+    membership.adopt_list(VmList(1, (OWN_LISTED, *others)))
+    membership.adopt_list(VmList(2, (*before, *others)))
+    membership.adopt_list(VmList(compose_revision(1, 1), (*restored, *others)))
+    membership.adopt_list(VmList(compose_revision(1, 2), (*after, *others)))
+    found = membership.find_listed(OWN.name)
+    assert (found and replace(found, others=())) == expected
 
 
 # Guards against other writers' entries taking the places of readers and neighbours, and parts of
--- a/trefoilpick/membership.py
+++ b/trefoilpick/membership.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 from trefoilpick._clock import read_clock
@@ -110,7 +110,6 @@
         self._listed_only = listed_only
         self._names_service = names_service
         self._clock = clock
-        self._own_listed: Vm | None = None
         self._listed: dict[str, Vm] = {}
         self._corrections = ListCorrections(expiry_s=expiry_s, clock=clock)
         self._left_workers = LeftWorkers()
@@ -307,7 +306,7 @@
         return VmsChange(self.revision, base, changed, removed)
 
     def _adopt_restored(self, revision: int, restored: dict[str, Vm]) -> None:
-        self._corrections.begin(self._get_corrected(), restored)
+        self._corrections.begin(self._get_corrected(), self._select_own(restored))
         self._listed = restored
         self._changed_at = dict.fromkeys(restored, revision)
         self._removed_at.clear()
@@ -324,37 +323,42 @@
         return self._corrected
 
     def _correct(self) -> None:
+        listed = self._select_own(self._listed)
         self._corrected = {
-            vm.name: self._left_workers.apply(vm) for vm in self._corrections.apply(self._listed)
+            vm.name: self._left_workers.apply(vm) for vm in self._corrections.apply(listed)
         }
-        self._correct_own()
         self._evacuated = find_evacuated(self._corrected.values())
         for name in self._corrected.keys() & self._unlisted.keys():
             del self._unlisted[name]
         self._services = None
 
-    def _correct_own(self) -> None:
-        """Keep a record that contradicts the node's settings from taking the place of its own.
+    def _select_own(self, listed: dict[str, Vm]) -> dict[str, Vm]:
+        """Return a list that has the node's own record under its name, or none.
 
-        Such a record is of another writer, or of a VM that has its address from now on.
+        A record that contradicts the node's settings is of another writer, or of a VM that has its
+        address from now on.
         """
         name = self.own.name
-        listed = self._corrected.get(name)
-        if listed is None or self._is_own(listed):
-            self._own_listed = listed
-        elif self._own_listed is None:
-            del self._corrected[name]
-        else:
-            self._corrected[name] = self._own_listed
+        first = listed.get(name)
+        own = self._find_own(first)
+        if own is first:
+            return listed
+        rest = {other: vm for other, vm in listed.items() if other != name}
+        return rest if own is None else {**rest, name: own}
+
+    def _find_own(self, vm: Vm | None) -> Vm | None:
+        """Return the node's own record, of all records with its address; None if there is none."""
+        records = () if vm is None else (vm, *vm.others)
+        return next((record for record in records if self._is_own(record)), None)
 
     def _is_own(self, vm: Vm) -> bool:
         return (vm.service, vm.data_centre) == (self.own.service, self.own.data_centre)
 
     def _apply(self, change: VmsChange) -> None:
         for name in change.removed:
-            vm = self._listed.pop(name, None)
-            self._corrections.release(name)
+            vm = self._select_record(name, self._listed.pop(name, None))
             if vm is not None:
+                self._corrections.release(name)
                 self._corrections.record_removed(vm)
             self._changed_at.pop(name, None)
             self._removed_at[name] = change.revision
@@ -363,7 +367,7 @@
             else:
                 self._observed.pop(name, None)
         for vm in change.changed:
-            self._corrections.release(vm.name)
+            self._release_changed(vm)
             if vm.evacuated:
                 self._corrections.release_evacuation(vm.data_centre)
             self._listed[vm.name] = vm
@@ -377,6 +381,25 @@
         self._correct()
         self._drop_expired()
 
+    def _release_changed(self, vm: Vm) -> None:
+        """End the correction of a VM whose record changes; another entry with its address may not.
+
+        Args:
+            vm: The new record.
+        """
+        before = self._select_record(vm.name, self._listed.get(vm.name))
+        after = self._select_record(vm.name, vm)
+        if before == after:
+            return
+        self._corrections.release(vm.name)
+        if before is not None and after is None:
+            self._corrections.record_removed(before)
+
+    def _select_record(self, name: str, vm: Vm | None) -> Vm | None:
+        """Return the record that is used of those with an address, without the others."""
+        used = self._find_own(vm) if name == self.own.name else vm
+        return used if used is None or not used.others else replace(used, others=())
+
     def _drop_expired(self) -> None:
         for name in [name for name in self._unlisted if not self._is_recent(name)]:
             del self._unlisted[name]
--- a/trefoilpick/platform/entries.py
+++ b/trefoilpick/platform/entries.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Literal
 
 import msgspec
@@ -31,6 +31,10 @@
 """Step to which a worker's remaining cold time is rounded up, in milliseconds: it changes with each
 heartbeat, and each change of the list is announced to all nodes."""
 
+MAX_OTHERS = 16
+"""Largest number of further entries that are listed for one address, in the order of their rank:
+another writer may write any number."""
+
 MAX_COLD_MS = 3_600_000
 """Longest remaining cold time that is listed, in milliseconds."""
 
@@ -183,18 +187,17 @@
         """Return the list of VMs.
 
         Of several entries with a VM's address, one of a service that is in the configuration comes
-        first, and then the one of the worker that was started last.
+        first, and then the one of the worker that was started last. The record of the first one
+        holds those of the others.
 
         Its revision is odd if no expired entries are retained. Otherwise it is even and derived
         from the store's revision before the outage, so that the list of a node that reached the
         store during the outage takes precedence.
         """
-        newest: dict[str, WorkerEntry] = {}
+        by_name: dict[str, list[WorkerEntry]] = {}
         for entry in self._list_entries():
-            current = newest.get(entry.vm.name)
-            if current is None or self._rank(entry) > self._rank(current):
-                newest[entry.vm.name] = entry
-        vms = tuple(self.evacuations.mark(newest[name].vm) for name in sorted(newest))
+            by_name.setdefault(entry.vm.name, []).append(entry)
+        vms = tuple(self._build_record(by_name[name]) for name in sorted(by_name))
         if self._retained:
             return VmList(2 * self._revision_before_outage, vms)
         return VmList(2 * self.revision + 1, vms)
@@ -204,6 +207,12 @@
         names = [entry.vm.name for entry in self._list_entries()]
         return len(set(names)) < len(names)
 
+    def _build_record(self, entries: list[WorkerEntry]) -> Vm:
+        """Return the record of a VM with one or more entries."""
+        entries.sort(key=self._rank, reverse=True)
+        first, *others = (self.evacuations.mark(entry.vm) for entry in entries[: 1 + MAX_OTHERS])
+        return replace(first, others=tuple(others)) if others else first
+
     def _rank(self, entry: WorkerEntry) -> tuple[bool, int, int]:
         return entry.vm.service in self.services, entry.started_ms, entry.revision
 
--- a/trefoilpick/vms.py
+++ b/trefoilpick/vms.py
@@ -82,6 +82,8 @@
         evacuated: Whether its data centre is evacuated, so that its worker gets no requests. Its
             state is then `LEAVING`, which nodes of the former release respect.
         cold_ms: Time for which the worker stayed cold when the record was written, in milliseconds.
+        others: Records of the platform's further entries with the VM's address, the best first. One
+            of them may be the node's own, which another writer's entry hides.
 
     Raises:
         ValueError: The host is not the IP address of a machine.
@@ -100,6 +102,7 @@
     started_ms: Timestamp = 0
     evacuated: bool = False
     cold_ms: ColdTime = 0
+    others: tuple[Vm, ...] = ()
 
     def __post_init__(self) -> None:
         """Check what the annotations cannot express; decoding reports a fault as invalid."""
