Retries: only the caller's node sends a lost request again

Cause: if a kept connection broke, the worker's node sent an idempotent request once more, outside the budget of the caller's node, which retries too.

Change: the worker's node reports the loss, outcome unknown, and the caller's node decides by its budget. A request of which no byte could be sent still gets another connection at once.

--- a/trefoilpick/_hop_exchange.py
+++ b/trefoilpick/_hop_exchange.py
@@ -165,7 +165,6 @@
         self._connection: WorkerConnection | None = None
         self._upload: Task | None = None
         self._sender: AnswerSender | None = None
-        self._first_error: TrefoilpickError | None = None
         self.sent_s = began_s
         self._is_answer_started = False
         self._marks = _find_marks(request) if context.tracks_work else None
@@ -348,7 +347,7 @@
     ) -> StoredAnswer | None:
         try:
             async with curio.timeout_after(self.deadline_s - now_s):
-                head = await self._attempt_with_retry(upstream)
+                head = await self._send_and_receive_head(upstream)
             self.status = head.status
             self._raise_if_not_run(head)
             self._finish_work(head.status)
@@ -367,15 +366,9 @@
                 raise
             raise self._body.error from error
         except TrefoilpickError as error:
-            cause = error
-            if self._first_error is not None and find_answer(error).outcome is Outcome.NOT_RUN:
-                # Only the second attempt is known not to have run; the first may have.
-                cause = self._first_error
-            if self.was_sent and cause.kind in LOSS_ERRORS and await self._has_worker_ended():
+            if self.was_sent and error.kind in LOSS_ERRORS and await self._has_worker_ended():
                 text = "worker ended before its answer was complete"
                 raise TrefoilpickError(ErrorKind.UPSTREAM_ENDED, text) from error
-            if cause is not error:
-                raise cause from error
             raise
 
     def _finish_work(self, status: int) -> None:
@@ -425,8 +418,12 @@
             conventions=self._context.conventions,
         )
 
-    async def _attempt_with_retry(self, upstream: Upstream) -> AnswerHead:
-        """Send the request; retry on a new connection if a reused one turns out to be closed."""
+    async def _send_and_receive_head(self, upstream: Upstream) -> AnswerHead:
+        """Send the request, and return the head of the answer.
+
+        If a connection breaks after any byte was sent, the request may have run. The caller's node
+        decides whether it is sent again: it knows the budget and the attempts already made.
+        """
         connection = await self._connect(upstream, fresh=False)
         try:
             return await self._attempt(connection)
@@ -439,9 +436,7 @@
                 self._context.pool.record_lost_connection(
                     connection, sent_s=self.sent_s, now_s=read_clock()
                 )
-            if not self._may_retry(connection, error):
-                raise
-            self._first_error = error
+            raise
         self._connection = None
         await self._context.pool.discard(connection)
         try:
@@ -449,15 +444,6 @@
         except NothingSentError as error:
             raise _build_refused_error() from error
 
-    def _may_retry(self, connection: WorkerConnection, error: TrefoilpickError) -> bool:
-        return (
-            error.kind is ErrorKind.UPSTREAM_LOST
-            and not connection.is_fresh
-            and self._request.idempotent
-            and self._upload is None
-            and self._context.admission.rate.try_acquire()
-        )
-
     async def _connect(self, upstream: Upstream, *, fresh: bool) -> WorkerConnection:
         self._connection = await self._context.pool.acquire(
             connect_timeout_s=upstream.connect_timeout_ms / 1000,
@@ -478,7 +464,6 @@
             await curio.sleep(max(rate.estimate_turn(), MIN_RATE_WAIT_S))
             remaining_s = self._check_before_sending()
         body_complete = self._body.is_received
-        is_retry = self._request.is_retry or self.was_sent
         # Set before sending: if it is interrupted, some bytes may have been sent.
         self.was_sent = True
         self.sent_s = read_clock()
@@ -490,7 +475,7 @@
             self._body.chunks,
             remaining_ms=max(1, int(remaining_s * 1000)),
             body_complete=body_complete,
-            is_retry=is_retry,
+            is_retry=self._request.is_retry,
             expected_worker=self.worker.worker,
         )
         if not body_complete:
