Tests: answers behind another have their own number, links a free port

- test_the_end_of_the_node_sends_no_answer_in_the_place_of_another [before its head-True-6], beside other tests: requests of a pipeline run concurrently, and the fake node gave its answers in the order of their arrival.
- test_version_is_in_force_beside_an_odd_entry[born]: "Address already in use" for the control link, whose port is the one after that of the hops and was never asked for.
Now both are free when they are chosen.

--- a/tests/platform/fakes_ending_workers.py
+++ b/tests/platform/fakes_ending_workers.py
@@ -14,11 +14,10 @@
 import h11
 from curio.io import Socket
 from fakes_store import FakeStore, make_configuration, make_entry, run_store
-from test_path import EXPECTED_WORKER, REQUEST_ID, open_node_at
+from test_path import EXPECTED_WORKER, REQUEST_ID, find_platform_ports, open_node_at
 
 from trefoilpick._clock import read_clock
 from trefoilpick._connections import open_connection
-from trefoilpick._ports import find_free_ports
 from trefoilpick.node import Node
 from trefoilpick.platform.store import CONFIGURATION_KEY
 
@@ -336,7 +335,7 @@
 
     async def main(store: FakeStore) -> None:
         hosts = tuple(f"127.0.{subnet}.{number}" for number in range(1, nodes + 1))
-        fleet = EndingFleet(hosts, find_free_ports("0.0.0.0", 5))
+        fleet = EndingFleet(hosts, find_platform_ports())
         store.put(CONFIGURATION_KEY, build_configuration())
         for host in hosts:
             fleet.workers.append(EndingWorker(host, fleet.ports[4], store, is_lethal))
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -182,6 +182,19 @@
         return await self.send_request(host, head + REQUEST_ID + b": %d\r\n" % self.sent, b"ab")
 
 
+def find_platform_ports() -> list[int]:
+    """Return free ports: of hops, of links, of callers, of readiness and of workers.
+
+    A node's links have the port after that of its hops, so both must be free.
+    """
+    while True:
+        hop_port, *others = find_free_ports("0.0.0.0", 4)
+        with socket.socket() as probe, suppress(OSError):
+            probe.bind(("0.0.0.0", hop_port + 1))
+            if hop_port + 1 not in others:
+                return [hop_port, hop_port + 1, *others]
+
+
 def run_platform(
     test: Callable[[Platform], Awaitable[None]],
     *,
@@ -192,7 +205,7 @@
     """Run a test against two nodes, by default once they serve requests."""
 
     async def main(store: FakeStore) -> None:
-        ports = find_free_ports("0.0.0.0", 5)
+        ports = find_platform_ports()
         workers = [
             PlatformWorker(host, ports[4], f"i-{number}") for number, host in enumerate(HOSTS)
         ]
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -344,8 +344,17 @@
 
 
 def queue_behind(first: Script, count: int) -> FakeWorkerNode:
-    scripts = [first, *(answer_after(0.0, b"body %d" % number) for number in range(1, count))]
-    return FakeWorkerNode(scripts=deque(scripts))
+    """Return a node that handles request 0 by a script; others get their own number at once.
+
+    The requests of a connection run concurrently, so that they may arrive in any order.
+    """
+
+    async def handle(fake: FakeWorkerNode, hop: Hop, head: HopRequest) -> None:
+        number = dict(head.headers)[b"x-request-id"]
+        script = first if number == b"0" else answer_after(0.0, b"body " + number)
+        await script(fake, hop, head)
+
+    return FakeWorkerNode(scripts=deque([handle] * count))
 
 
 # Guards against answers that were cancelled unsent counting as sent, so that the next one takes
