--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -34,7 +34,7 @@
     )
 
 
-def encode_head_of(target: str, chunk_bytes: int) -> bytes:
+def encode_request_head(target: str, chunk_bytes: int) -> bytes:
     framing = b"transfer-encoding: chunked" if chunk_bytes else b"content-length: %d" % len(BODY)
     return b"PUT %s HTTP/1.1\r\nhost: encargos.quillqa\r\n%s\r\n\r\n" % (target.encode(), framing)
 
@@ -50,7 +50,7 @@
 
 
 async def open_body(chunk_bytes: int, *, limit: int = 2**20) -> tuple[CallBody, CallerConnection]:
-    sock = ScriptedSocket(encode_head_of("/note", chunk_bytes))
+    sock = ScriptedSocket(encode_request_head("/note", chunk_bytes))
     connection = CallerConnection(
         sock, "127.0.0.1", find_max_head_bytes=lambda: 10_000, clock=CoarseClock(0.0)
     )
@@ -168,7 +168,7 @@
 
 async def upload(caller: TestCaller, target: str, chunk_bytes: int) -> None:
     """Send the first part of the body with the head, and all of the rest a moment later."""
-    first = encode_head_of(target, chunk_bytes) + encode_body(BODY[:FIRST_BYTES], chunk_bytes)
+    first = encode_request_head(target, chunk_bytes) + encode_body(BODY[:FIRST_BYTES], chunk_bytes)
     await caller.sock.sendall(first)
     await curio.sleep(0.005)
     end = b"0\r\n\r\n" if chunk_bytes else b""
--- a/tests/test_hopserver.py
+++ b/tests/test_hopserver.py
@@ -273,7 +273,7 @@
     async def test(bench: Bench) -> None:
         request = make_request(idempotent=idempotent)
         hops = [await bench.connect() for _ in range(count)]
-        for rounds in range(1, 4):
+        for number in range(3):
             bench.worker.executed.clear()
             bench.worker.script = []
             results = await gather([send_and_receive(hop, request) for hop in hops])
@@ -282,7 +282,7 @@
             for result in await gather([send_and_receive(hop, request) for hop in hops]):
                 assert result.kind in ("upstream_lost", "answer_malformed")
                 assert result.outcome == "unknown"
-            assert len(bench.worker.executed) == 2 * count, f"round {rounds}"
+            assert len(bench.worker.executed) == 2 * count, f"round {number}"
 
     run_bench(test)
 
