--- a/tests/test_reset_answers.py
+++ b/tests/test_reset_answers.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import fcntl
 import socket
+import termios
+from array import array
 from collections.abc import Iterator
 from contextlib import contextmanager
 
@@ -16,6 +19,7 @@
     open_bench,
     receive_result,
     reset_on_close,
+    wait_for,
 )
 
 from trefoilpick._client_connection import ClientConnection
@@ -72,6 +76,13 @@
     far.close()
 
 
+def count_unread(sock: Socket) -> int:
+    """Return the number of received bytes that have not been read."""
+    count = array("i", [0])
+    fcntl.ioctl(sock.fileno(), termios.FIONREAD, count)
+    return count[0]
+
+
 async def receive_whole(connection: WorkerConnection) -> bytes:
     await connection.receive_head()
     body = b"".join(connection.pop_data())
@@ -209,7 +220,8 @@
     async def end_early(sock: Socket) -> None:
         await sock.recv(4_096)
         await sock.sendall(HEADS["HTTP/1.1"] + BODY)
-        await curio.sleep(0.02)
+        # Without unread input, the connection would end in order.
+        await wait_for(lambda: count_unread(sock) > 0)
         end_connection(sock._socket, in_order=in_order, is_killed=True)
 
     async def main() -> None:
