Entries: only addresses with several entries are ranked

Cause: collected and sorted the entries of every address for each list. Measured with 112 entries, one each (microbenchmark beside other load): 153 to 165 us a list, 26 to 45 us on.

Change: a list is ranked only where an address has a second entry.

Result: 44 to 48 us a list, 30 us on at the same time; all forms of test_foreign_entries.py pass.

--- a/trefoilpick/platform/entries.py
+++ b/trefoilpick/platform/entries.py
@@ -194,10 +194,17 @@
         from the store's revision before the outage, so that the list of a node that reached the
         store during the outage takes precedence.
         """
-        by_name: dict[str, list[WorkerEntry]] = {}
+        found: dict[str, WorkerEntry] = {}
+        shared: dict[str, list[WorkerEntry]] = {}
         for entry in self._list_entries():
-            by_name.setdefault(entry.vm.name, []).append(entry)
-        vms = tuple(self._build_record(by_name[name]) for name in sorted(by_name))
+            first = found.setdefault(entry.vm.name, entry)
+            if first is not entry:
+                shared.setdefault(entry.vm.name, [first]).append(entry)
+        mark = self.evacuations.mark
+        vms = tuple(
+            self._build_shared_record(shared[name]) if name in shared else mark(found[name].vm)
+            for name in sorted(found)
+        )
         if self._retained:
             return VmList(2 * self._revision_before_outage, vms)
         return VmList(2 * self.revision + 1, vms)
@@ -207,11 +214,11 @@
         names = [entry.vm.name for entry in self._list_entries()]
         return len(set(names)) < len(names)
 
-    def _build_record(self, entries: list[WorkerEntry]) -> Vm:
-        """Return the record of a VM with one or more entries."""
-        entries.sort(key=self._rank, reverse=True)
-        first, *others = (self.evacuations.mark(entry.vm) for entry in entries[: 1 + MAX_OTHERS])
-        return replace(first, others=tuple(others)) if others else first
+    def _build_shared_record(self, entries: list[WorkerEntry]) -> Vm:
+        """Return the record of a VM with several entries."""
+        ranked = sorted(entries, key=self._rank, reverse=True)[: 1 + MAX_OTHERS]
+        first, *others = (self.evacuations.mark(entry.vm) for entry in ranked)
+        return replace(first, others=tuple(others))
 
     def _rank(self, entry: WorkerEntry) -> tuple[bool, int, int]:
         return entry.vm.service in self.services, entry.started_ms, entry.revision
