--- a/trefoilpick/_worker_connections.py
+++ b/trefoilpick/_worker_connections.py
@@ -245,8 +245,9 @@
             data = await self._sock.recv(READ_BYTES)
         except OSError as error:
             raise self._build_broken_error() from error
-        is_lost = self._was_reset or not (self.has_answer_begun or self._has_partial_head())
-        if not data and is_lost:
+        if not data and (
+            self._was_reset or not (self.has_answer_begun or self._has_partial_head())
+        ):
             raise self._build_broken_error()
         self._http.receive_data(data)
 
