Tests: scripts of pipelined requests are chosen by their IDs

Requests of a connection run concurrently and may arrive at the fake node in any order; it handed out its scripts in the order of arrival, so that "fourth" could be sent before "third" and the test stopped reading there.

Every test of the file whose requests run at the same time and have different scripts names them by their IDs now.

--- a/tests/fakes_hop.py
+++ b/tests/fakes_hop.py
@@ -69,10 +69,15 @@
 
 @dataclass
 class FakeWorkerNode:
-    """A fake worker's node: handles each request by the next script, later ones with status 200."""
+    """A fake worker's node that handles requests by scripts, and others with status 200.
+
+    A request is handled by the script of its ID or else by the next one. Requests that run
+    concurrently may arrive in any order, so that only the IDs tell which one gets which script.
+    """
 
     name: str = "vm-1"
     scripts: deque[Script] = field(default_factory=deque)
+    scripts_by_id: dict[bytes, Script] = field(default_factory=dict)
     received: list[ReceivedRequest] = field(default_factory=list)
     runs: Counter[str] = field(default_factory=Counter)
     cancelled: int = 0
@@ -124,13 +129,18 @@
         try:
             while (frame := await hop.receive()) is not None:
                 head = decode_head(frame.payload, HopRequest)
-                script = self.scripts.popleft() if self.scripts else answer_ok
-                await script(self, hop, head)
+                await self.choose_script(head)(self, hop, head)
         except OSError:
             self.cancelled += 1
         finally:
             await client.close()
 
+    def choose_script(self, head: HopRequest) -> Script:
+        script = self.scripts_by_id.get(dict(head.headers).get(b"x-request-id", b""))
+        if script is None:
+            script = self.scripts.popleft() if self.scripts else answer_ok
+        return script
+
     async def receive_body(self, hop: Hop, head: HopRequest) -> bytes:
         """Receive the body, and count a run if it is complete."""
         body = b""
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -57,6 +57,11 @@
     return received
 
 
+def script_requests(*scripts: Script) -> FakeWorkerNode:
+    """Return a node that handles requests 0, 1, 2, ... by one script each."""
+    return FakeWorkerNode(scripts_by_id={b"%d" % i: script for i, script in enumerate(scripts)})
+
+
 def test_requests_run_concurrently_and_are_answered_in_order() -> None:
     async def main(bench: Bench) -> None:
         caller = await connect(bench)
@@ -69,7 +74,7 @@
 
     words = (b"first", b"second", b"third", b"fourth")
     scripts = (answer_after(0.4 - 0.1 * position, word) for position, word in enumerate(words))
-    run_bench(main, FakeWorkerNode(scripts=deque(scripts)))
+    run_bench(main, script_requests(*scripts))
 
 
 def test_a_request_that_is_not_idempotent_waits_for_earlier_answers() -> None:
@@ -88,13 +93,13 @@
 def test_nothing_follows_a_truncated_answer() -> None:
     async def main(bench: Bench) -> None:
         caller = await connect(bench)
-        await caller.sock.sendall(STATUS % 1 + STATUS % 2 + SHORT % 3)
+        await caller.sock.sendall(STATUS % 0 + STATUS % 1 + SHORT % 2)
         received = await receive_all(caller.sock, b"never")
         assert received.endswith(b"half.")
         assert received.count(b"HTTP/1.1") == 1
-        assert bench.runs["3"] == 0
+        assert bench.runs["2"] == 0
 
-    run_bench(main, FakeWorkerNode(scripts=deque([truncate_body, answer_ok])))
+    run_bench(main, script_requests(truncate_body, answer_ok))
 
 
 def test_a_disconnect_cancels_all_requests() -> None:
@@ -117,18 +122,17 @@
     async def main(bench: Bench) -> None:
         caller = await connect(bench)
         unknown = b"GET /nowhere HTTP/1.1\r\nhost: a\r\n\r\n"
-        await caller.sock.sendall(STATUS % 1 + unknown + STATUS % 2)
+        await caller.sock.sendall(STATUS % 0 + unknown + STATUS % 1)
         received = await receive_all(caller.sock, b"last")
         assert received.index(b"first") < received.index(b" 404 ") < received.index(b"last")
 
-    scripts = deque([answer_after(0.2, b"first"), answer_after(0.0, b"last")])
-    run_bench(main, FakeWorkerNode(scripts=scripts))
+    run_bench(main, script_requests(answer_after(0.2, b"first"), answer_after(0.0, b"last")))
 
 
 def test_a_drain_waits_for_pipelined_requests() -> None:
     async def main(bench: Bench) -> None:
         caller = await connect(bench)
-        await caller.sock.sendall(STATUS % 1 + STATUS % 2)
+        await caller.sock.sendall(STATUS % 0 + STATUS % 1)
         await wait_until(lambda: bench.runs.total() == 2)
         draining = await curio.spawn(bench.server.drain)
         received = await receive_all(caller.sock, b"second")
@@ -136,8 +140,7 @@
         report = await draining.join()
         assert report.cut == 0
 
-    scripts = deque([answer_after(0.3, b"first"), answer_after(0.2, b"second")])
-    run_bench(main, FakeWorkerNode(scripts=scripts))
+    run_bench(main, script_requests(answer_after(0.3, b"first"), answer_after(0.2, b"second")))
 
 
 # A request behind one that was admitted before a pause got 404 although the node had not caught up.
@@ -201,8 +204,8 @@
             statuses = await receive_heads(caller.sock, count)
         assert statuses == [200] * (count - 1) + [last]
 
-    scripts = deque([answer_after(FIRST_ANSWER_S, b"ok")])
-    run_bench(main, FakeWorkerNode(scripts=scripts), requests=TIMEOUTS)
+    node = script_requests(answer_after(FIRST_ANSWER_S, b"ok"))
+    run_bench(main, node, requests=TIMEOUTS)
 
 
 # Guards against a later head that is malformed or stays incomplete cancelling earlier requests.
@@ -221,8 +224,8 @@
         async with curio.timeout_after(5):
             assert await receive_heads(caller.sock, 4) == [200, 200, status]
 
-    scripts = deque([answer_after(FIRST_ANSWER_S, b"ok")])
-    run_bench(main, FakeWorkerNode(scripts=scripts), requests=TIMEOUTS)
+    node = script_requests(answer_after(FIRST_ANSWER_S, b"ok"))
+    run_bench(main, node, requests=TIMEOUTS)
 
 
 # Guards against a drain that begins while a request waits for an earlier answer ending both.
@@ -238,9 +241,9 @@
             assert await receive_heads(caller.sock, 2) == [200, 200]
         assert (await draining.join()).cut == 0
 
-    scripts = deque([answer_after(FIRST_ANSWER_S, b"ok")])
+    node = script_requests(answer_after(FIRST_ANSWER_S, b"ok"))
     drain = DrainSettings(notice_ms=2_000, limit_ms=5_000)
-    run_bench(main, FakeWorkerNode(scripts=scripts), requests=TIMEOUTS, drain=drain)
+    run_bench(main, node, requests=TIMEOUTS, drain=drain)
 
 
 # Guards against a caller's leaving going unnoticed while a request waits.
@@ -273,8 +276,8 @@
             assert await receive_heads(caller.sock, 2) == [200, 200]
         assert bench.fakes[0].received[1].head.remaining_ms < 790 - FIRST_ANSWER_S * 1000
 
-    scripts = deque([answer_after(FIRST_ANSWER_S, b"ok")])
-    run_bench(main, FakeWorkerNode(scripts=scripts), requests=TIMEOUTS)
+    node = script_requests(answer_after(FIRST_ANSWER_S, b"ok"))
+    run_bench(main, node, requests=TIMEOUTS)
 
 
 # Guards against a failure that a drain answers closing the connection under a later request.
@@ -284,7 +287,7 @@
         caller = await connect(bench)
         await caller.sock.sendall(SHORT % 0)
         await curio.sleep(0.05)
-        await caller.sock.sendall(b"".join(STATUS % number for number in range(count)))
+        await caller.sock.sendall(b"".join(STATUS % number for number in range(1, 1 + count)))
         await wait_until(lambda: len(bench.fakes[0].received) == 1 + count)
         draining = await curio.spawn(bench.server.drain)
         async with curio.timeout_after(5):
@@ -297,9 +300,9 @@
         await curio.sleep(0.15)
         raise ConnectionResetError
 
-    scripts = deque([lose, *(answer_after(0.4, b"ok") for _ in range(count))])
+    node = script_requests(lose, *(answer_after(0.4, b"ok") for _ in range(count)))
     drain = DrainSettings(notice_ms=0, limit_ms=5_000)
-    run_bench(main, FakeWorkerNode(scripts=scripts), drain=drain)
+    run_bench(main, node, drain=drain)
 
 
 async def never_answer(fake: FakeWorkerNode, hop: Hop, head: HopRequest) -> None:
@@ -344,17 +347,9 @@
 
 
 def queue_behind(first: Script, count: int) -> FakeWorkerNode:
-    """Return a node that handles request 0 by a script; others get their own number at once.
-
-    The requests of a connection run concurrently, so that they may arrive in any order.
-    """
-
-    async def handle(fake: FakeWorkerNode, hop: Hop, head: HopRequest) -> None:
-        number = dict(head.headers)[b"x-request-id"]
-        script = first if number == b"0" else answer_after(0.0, b"body " + number)
-        await script(fake, hop, head)
-
-    return FakeWorkerNode(scripts=deque([handle] * count))
+    """Return a node that handles request 0 by a script; others get their own number at once."""
+    others = (answer_after(0.0, b"body %d" % number) for number in range(1, count))
+    return script_requests(first, *others)
 
 
 # Guards against answers that were cancelled unsent counting as sent, so that the next one takes
@@ -423,5 +418,5 @@
         assert read_clock() - began_at < limit_ms / 1000 + 0.5
         assert bench.runs["3"] == 0
 
-    scripts = deque([answer_large, never_answer, answer_after(0.0, b"third")])
-    run_bench(main, FakeWorkerNode(scripts=scripts), drain=IMPATIENT)
+    node = script_requests(answer_large, never_answer, answer_after(0.0, b"third"))
+    run_bench(main, node, drain=IMPATIENT)
