Ports: chosen ports come in random order

That function repeats its choice if the port after that of the hops is among the others, since a node's links take it. Since ports came in a row, so that it was in all of 128 choices: a search without end, unless a port in use or the end of a block shifted the row. Whether the suite met that depended on the ports taken before.

Result: the new test fails before (128 of 128 choices, under 64 asked) and passes now, with the other tests of the module (6). Only fleets within one process and the tests use the module; no node of a deployment does.

--- a/tests/test_ports.py
+++ b/tests/test_ports.py
@@ -65,6 +65,12 @@
     assert set(others) < set(found)
 
 
+# Guards against a search without end for a port whose next one was not chosen with it.
+def test_ports_do_not_come_in_a_row() -> None:
+    choices = [find_free_ports(HOST, 4) for _ in range(128)]
+    assert sum(first + 1 in others for first, *others in choices) < 64
+
+
 # Guards against the search ending, or never ending, where no block is left to claim.
 def test_ports_are_found_when_other_processes_have_claimed_all_blocks(
     chooser: PortChooser, ports: list[int]
--- a/trefoilpick/_ports.py
+++ b/trefoilpick/_ports.py
@@ -26,7 +26,8 @@
     """Chooses free ports from blocks that no other process chooses from meanwhile.
 
     A port is not bound until its listener opens, so that two processes which choose from the same
-    ports may choose the same one. Ports come in a row, so that one comes again late.
+    ports may choose the same one. Each port of a block comes once before one comes again. They come
+    in random order: callers that also need the next port up would otherwise meet it in each choice.
 
     Args:
         ports: Ports to choose from.
@@ -80,7 +81,7 @@
                 claim.close()
                 continue
             self._claims.append(claim)
-            self._claimed.extendleft(reversed(block))
+            self._claimed.extendleft(random.sample(block, len(block)))
             return True
         return False
 
